Kernel: codes, shapes, wire, links, rows, settings, fakes

Cause: every later part needs one vocabulary of failures, messages and values, and one way to be tested in virtual time.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Two commands on a fresh machine: "make demo" and "make test".
+# VENV names the virtual environment; it is made when it is missing.
+
+VENV ?= .venv
+PYTHON ?= python3
+SOURCES = carawaystair carawaystairplug standin bench test tools
+RUN = PYTHONPATH=. $(VENV)/bin/python
+WORKERS ?= 4
+
+.PHONY: venv format lint test demo bench soak docs
+
+venv: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml
+	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/python -m pip install -q -e '.[test]'
+	touch $@
+
+format: venv
+	$(VENV)/bin/ruff format $(SOURCES)
+
+lint: venv
+	$(VENV)/bin/ruff format --check $(SOURCES)
+	PYTHONPATH=. $(VENV)/bin/python -m flake8 $(SOURCES)
+
+test: lint
+	$(RUN) -m pytest -n $(WORKERS)
+
+demo: venv
+	$(RUN) -m standin.demo
+
+bench: venv
+	$(RUN) -m bench.run
+
+soak: venv
+	$(RUN) -m bench.soak
+
+docs: venv
+	$(RUN) -m tools.codes_page > docs/CODES.md
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that measure the fleet: ``make bench`` and ``make soak``."""
--- /dev/null
+++ b/carawaystair/codes.py
@@ -0,0 +1,272 @@
+"""Numbered result codes, the one vocabulary for every failure.
+
+A code is shown as ``CS-nnnn``.  Its family is its first digit:
+
+- 0: success
+- 1: settings and command line
+- 2: manifest
+- 3: the caller's request
+- 4: upstreams and attempts
+- 5: reservations of idempotency keys
+- 6: admission: queues, limits, deadlines
+- 7: links between the processes of the fleet, membership
+- 8: control: log, storage, submissions, administration
+- 9: invariants
+
+``docs/CODES.md`` is made from this table and a test compares the two.
+"""
+
+import typing
+
+import expression
+
+# Outcomes that a caller can be told in the Caraway-Outcome header.
+COMPLETE = 'complete'
+NOT_RUN = 'not-run'
+UNKNOWN = 'unknown'
+
+
+class Code(typing.NamedTuple):
+    """One numbered result.
+
+    :param number: the number shown, unique and never reused.
+    :param name: a short stable name, words joined by hyphens.
+    :param status: the HTTP status that carries it, 0 where none does.
+    :param text: what happened, one sentence for a person.
+    :param remedy: what an operator or caller can do about it.
+    """
+
+    number: int
+    name: str
+    status: int
+    text: str
+    remedy: str
+
+    @property
+    def label(self) -> str:
+        """Return the code as it is shown, such as ``CS-0000``."""
+        return 'CS-%04d' % self.number
+
+
+class Failure(typing.NamedTuple):
+    """A code with the circumstances of one occurrence.
+
+    :param code: the numbered code.
+    :param detail: what this occurrence concerns, for a person.
+    """
+
+    code: Code
+    detail: str = ''
+
+    def sentence(self) -> str:
+        """Return the failure as one line for a person."""
+        if not self.detail:
+            return '%s %s' % (self.code.label, self.code.text)
+        return '%s %s (%s)' % (self.code.label, self.code.text, self.detail)
+
+
+TABLE: dict[int, Code] = {}
+
+
+def define(
+    number: int, name: str, status: int, text: str, remedy: str
+) -> Code:
+    """Add a code to the table.
+
+    :raises ValueError: when the number or the name is taken already.
+    """
+    taken = number in TABLE or name in {code.name for code in TABLE.values()}
+    if taken:
+        raise ValueError('code %04d or name %s is taken' % (number, name))
+    code = Code(number, name, status, text, remedy)
+    TABLE[number] = code
+    return code
+
+
+def fail(code: Code, detail: str = '') -> expression.Result:
+    """Return an ``Error`` result that carries a :class:`Failure`."""
+    return expression.Error(Failure(code, detail))
+
+
+# 0: success
+
+OK = define(0, 'ok', 200, 'Done.', 'Nothing to do.')
+
+# 1: settings and command line
+
+SETTINGS_MISSING = define(
+    1001,
+    'settings-missing',
+    0,
+    'The settings file cannot be read.',
+    'Check the path and its permissions.',
+)
+SETTINGS_MALFORMED = define(
+    1002,
+    'settings-malformed',
+    0,
+    'The settings file is not valid JSON.',
+    'Mend the place that the message names.',
+)
+SETTINGS_INVALID = define(
+    1003,
+    'settings-invalid',
+    0,
+    'The settings hold an unknown key or a value of the wrong kind.',
+    'Mend the paths that the message lists; docs/SETTINGS.md has them all.',
+)
+ADDRESS_IN_USE = define(
+    1004,
+    'address-in-use',
+    0,
+    'An address of the settings cannot be bound.',
+    'Stop the process that holds it or change the settings.',
+)
+
+# 2: manifest
+
+MANIFEST_MALFORMED = define(
+    2001,
+    'manifest-malformed',
+    400,
+    'The manifest is not valid JSON.',
+    'Mend the place that the message names.',
+)
+MANIFEST_INVALID = define(
+    2002,
+    'manifest-invalid',
+    422,
+    'The manifest breaks a rule; nothing of it was applied.',
+    'Mend every path that the message lists and submit again.',
+)
+
+# 3: the caller's request
+
+NO_ROUTE = define(
+    3001,
+    'no-route',
+    404,
+    'No route of the manifest matches this host and path.',
+    'Check the address, or add the route to the manifest.',
+)
+NOT_READY = define(
+    3002,
+    'not-ready',
+    503,
+    'This node does not yet know a current configuration.',
+    'Ask another node; this one is starting or cut off.',
+)
+LEAVING = define(
+    3003,
+    'node-leaving',
+    503,
+    'This node is stopping and takes no new request.',
+    'Ask another node.',
+)
+
+# 4: upstreams and attempts
+
+NO_UPSTREAM = define(
+    4001,
+    'no-upstream',
+    503,
+    'No upstream of the service can take the request.',
+    'Try again later; check that upstreams announce themselves.',
+)
+CONNECT_FAILED = define(
+    4002,
+    'connect-failed',
+    502,
+    'No connection to an upstream could be made.',
+    'Try again; the request was not run.',
+)
+ANSWER_LOST = define(
+    4003,
+    'answer-lost',
+    502,
+    'The upstream was sent the request but its answer was lost.',
+    'The request may have run; ask for its state before repeating it.',
+)
+ANSWER_LATE = define(
+    4004,
+    'answer-late',
+    504,
+    'The upstream did not answer within the deadline.',
+    'The request may have run; ask for its state before repeating it.',
+)
+
+# 5: reservations of idempotency keys
+
+# 6: admission
+
+# 7: links between processes, membership
+
+MESSAGE_MALFORMED = define(
+    7001,
+    'message-malformed',
+    0,
+    'A message between processes cannot be decoded.',
+    'Check that all processes run versions that work together.',
+)
+MESSAGE_VERSION = define(
+    7002,
+    'message-version',
+    0,
+    'A message between processes has a wire version unknown here.',
+    'Upgrade this process.',
+)
+MESSAGE_TOO_LARGE = define(
+    7003,
+    'message-too-large',
+    0,
+    'A message between processes is larger than allowed.',
+    'Report it: no part of the fleet should send one.',
+)
+PEER_SILENT = define(
+    7004,
+    'peer-silent',
+    0,
+    'Another process of the fleet did not answer in time.',
+    'Check that it runs and that the network lets both ways through.',
+)
+ANNOUNCEMENT_INVALID = define(
+    7005,
+    'announcement-invalid',
+    400,
+    "An upstream's announcement is not valid.",
+    'Mend the fields that the message names.',
+)
+
+# 8: control
+
+NOT_LEADER = define(
+    8001,
+    'not-leader',
+    503,
+    'This control host does not lead and knows no leader.',
+    'Try again, or ask another control host.',
+)
+CONFLICT = define(
+    8002,
+    'conflict',
+    409,
+    'Another submission with the same parent was accepted first.',
+    'Build the manifest again on the version that the answer names.',
+)
+STORAGE_FAILED = define(
+    8003,
+    'storage-failed',
+    503,
+    'The disk did not take a write; this control host has stepped aside.',
+    'Check the disk, then restart the process.',
+)
+
+# 9: invariants
+
+INVARIANT_BROKEN = define(
+    9001,
+    'invariant-broken',
+    500,
+    'The program found itself in a state that must never be.',
+    'Keep the time line and report it.',
+)
--- /dev/null
+++ b/carawaystair/datagrams.py
@@ -0,0 +1,122 @@
+"""Datagrams between processes over UDP, for heartbeats and probes."""
+
+import asyncio
+import hashlib
+import hmac
+import typing
+
+import mode
+
+from carawaystair import clock
+from carawaystair import logs
+from carawaystair import timeline
+from carawaystair import wire
+
+# Stays below the usual path MTU, so that no datagram is cut in pieces.
+MAX_BYTES = 1400
+TAG_BYTES = 16
+# At most one log line a second about refused datagrams: a stranger must not
+# be able to fill the disk.
+LOG_EVERY_S = 1.0
+
+LOG = logs.get('datagrams')
+
+
+def tag(key: bytes, data: bytes) -> bytes:
+    """Return the authenticator of a datagram (keyed BLAKE2b)."""
+    return hashlib.blake2b(data, key=key, digest_size=TAG_BYTES).digest()
+
+
+class _Protocol(asyncio.DatagramProtocol):
+    """Passes datagrams on to their owner."""
+
+    def __init__(self, owner: 'Datagrams') -> None:
+        self.owner = owner
+
+    def datagram_received(self, data: bytes, _addr) -> None:
+        self.owner.received(data)
+
+
+class Datagrams(mode.Service):
+    """The datagrams of one process.
+
+    :param address: ``ip:port`` to bind.
+    :param hybrid: the clock that travels with every datagram.
+    :param keys: shared keys; the first signs, any verifies, so that keys can
+        be changed without a stop.  Empty for none.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        hybrid: timeline.HybridClock | None = None,
+        keys: typing.Sequence[bytes] = (),
+        **kwargs,
+    ) -> None:
+        super().__init__(**kwargs)
+        self.address = address
+        self.hybrid = hybrid or timeline.HybridClock()
+        self.keys = tuple(keys)
+        self.handlers: dict[type, typing.Callable] = {}
+        self.endpoint: asyncio.DatagramTransport | None = None
+        self.sent = 0
+        self.sent_bytes = 0
+        self.refused = 0
+        self.logged = 0.0
+
+    async def on_start(self) -> None:
+        """Bind the socket."""
+        ip, port = self.address.rsplit(':', 1)
+        loop = asyncio.get_running_loop()
+        self.endpoint, _protocol = await loop.create_datagram_endpoint(
+            lambda: _Protocol(self), local_addr=(ip, int(port))
+        )
+
+    async def on_stop(self) -> None:
+        """Close the socket."""
+        if self.endpoint is not None:
+            self.endpoint.close()
+
+    def handle(self, kind: type, handler: typing.Callable) -> None:
+        """Give datagrams of ``kind`` to ``handler(sender, message)``."""
+        self.handlers[kind] = handler
+
+    def send(self, to: str, message) -> None:
+        """Send one message in one datagram; it may be lost."""
+        data = wire.encode(message, self.address, 0, False, self.hybrid.tick())
+        if self.keys:
+            data = tag(self.keys[0], data) + data
+        if len(data) > MAX_BYTES or self.endpoint is None:
+            self.refused += 1
+            return
+        ip, port = to.rsplit(':', 1)
+        self.endpoint.sendto(data, (ip, int(port)))
+        self.sent += 1
+        self.sent_bytes += len(data)
+
+    def received(self, data: bytes) -> None:
+        """Check, decode and hand over one datagram."""
+        if self.keys:
+            mark, data = data[:TAG_BYTES], data[TAG_BYTES:]
+            known = [
+                key
+                for key in self.keys
+                if hmac.compare_digest(mark, tag(key, data))
+            ]
+            if not known:
+                self._refuse('wrong authenticator')
+                return
+        result = wire.decode(data)
+        if result.is_error():
+            self._refuse(result.error.sentence())
+            return
+        self.hybrid.merge(result.ok.header.time)
+        handler = self.handlers.get(type(result.ok.message))
+        if handler is not None:
+            handler(result.ok.header.sender, result.ok.message)
+
+    def _refuse(self, why: str) -> None:
+        self.refused += 1
+        if clock.now() - self.logged >= LOG_EVERY_S:
+            self.logged = clock.now()
+            LOG.warning('Refused a datagram.', why=why, total=self.refused)
--- /dev/null
+++ b/carawaystair/kernel.py
@@ -0,0 +1,87 @@
+"""The kernel of a process: what every role of it shares."""
+
+import asyncio
+import pathlib
+import typing
+
+import mode
+
+from carawaystair import clock
+from carawaystair import datagrams
+from carawaystair import invariants
+from carawaystair import links
+from carawaystair import logs
+from carawaystair import plugins
+from carawaystair import settings as settings_module
+from carawaystair import timeline
+
+LOG = logs.get('kernel')
+
+
+class Kernel(mode.Service):
+    """One process of the fleet.
+
+    Roles find here the settings, the time line, messages and datagrams.
+
+    :param settings: the checked settings.
+    :param registry: the plug-ins.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        registry: plugins.Registry,
+        **kwargs,
+    ) -> None:
+        super().__init__(**kwargs)
+        self.settings = settings
+        self.registry = registry
+        self.timeline = timeline.Timeline(
+            settings.host, settings.timeline_events
+        )
+        hybrid = self.timeline.clock
+        self.links = links.Links(settings.peer, hybrid)
+        self.datagrams = datagrams.Datagrams(settings.gossip, hybrid)
+        self.roles: list[mode.Service] = []
+        self.parts: dict[str, typing.Any] = {}
+        # Wall time orders the starts of one host; the sequence within is
+        # the owner's.
+        self.incarnation = 0
+
+    def data(self, name: str) -> pathlib.Path | None:
+        """Return a folder below the data folder, made when missing.
+
+        :return: None on a host without a disk.
+        """
+        if self.settings.data_folder is None:
+            return None
+        folder = pathlib.Path(self.settings.data_folder) / name
+        folder.mkdir(parents=True, exist_ok=True)
+        return folder
+
+    async def on_start(self) -> None:
+        """Start links, then the roles that the settings name."""
+        self.incarnation = clock.wall_ms()
+        invariants.LISTENERS.append(self._broken)
+        await self.add_runtime_dependency(self.links)
+        await self.add_runtime_dependency(self.datagrams)
+        factories = self.registry.collect('roles')
+        # Control first: a node of the same process follows it.
+        for name in sorted(self.settings.roles):
+            role = factories[name](self)
+            self.roles.append(role)
+            await role.start()
+        self.timeline.record('process-started', ', '.join(self.settings.roles))
+        self.registry.send(plugins.STARTED, kernel=self)
+
+    async def on_stop(self) -> None:
+        """Stop the roles, the node first, while links still work."""
+        self.timeline.record('process-stopping')
+        self.registry.send(plugins.STOPPING, kernel=self)
+        for role in reversed(self.roles):
+            await role.stop()
+        await asyncio.sleep(0)
+
+    def _broken(self, name: str, detail: str) -> None:
+        self.timeline.record('invariant-broken', '%s: %s' % (name, detail))
+        LOG.error('An invariant is broken.', name=name, detail=detail)
--- /dev/null
+++ b/carawaystair/routing.py
@@ -0,0 +1,98 @@
+"""The configuration as a node uses it: routes, services, customers, drains.
+
+The table is kept as rows and decoded on first use: most of 26,000 routes and
+84,000 customers are never asked for at one node.
+"""
+
+import functools
+import typing
+
+import msgspec
+
+from carawaystair import manifest as manifests
+from carawaystair import rows
+from carawaystair import shape
+
+CACHE = 4096
+
+
+class Match(typing.NamedTuple):
+    """The route of a request.
+
+    :param key: names the route, for evidence.
+    :param route: the route.
+    :param service: its service.
+    """
+
+    key: str
+    route: manifests.Route
+    service: manifests.Service
+
+
+class Routing:
+    """One version of the configuration, ready for lookups.
+
+    :param version: the version.
+    :param table: its rows.
+    """
+
+    def __init__(
+        self, version: rows.Version = rows.NONE, table: rows.Table = {}
+    ) -> None:
+        self.version = version
+        self.table = table
+        self.match = functools.lru_cache(CACHE)(self._match)
+        self.service = functools.lru_cache(CACHE)(self._service)
+        self.customer = functools.lru_cache(CACHE)(self._customer)
+        self.drains = self._read(rows.DRAINS, manifests.Drains)
+        self.drains = self.drains or manifests.Drains()
+
+    def services(self) -> tuple[str, ...]:
+        """Return the names of all services."""
+        size = len(rows.SERVICE)
+        return tuple(
+            key[size:] for key in self.table if key.startswith(rows.SERVICE)
+        )
+
+    def drained(self, host: str, data_centre: str) -> bool:
+        """Tell whether a planned stop covers this place."""
+        return (
+            host in self.drains.hosts
+            or data_centre in self.drains.data_centres
+        )
+
+    def _read(self, key: str, kind: type):
+        value = self.table.get(key)
+        if value is None:
+            return None
+        return shape.build(kind, msgspec.json.decode(value))
+
+    def _service(self, name: str) -> manifests.Service | None:
+        return self._read(rows.SERVICE + name, manifests.Service)
+
+    def _customer(self, name: str) -> manifests.Customer | None:
+        return self._read(rows.CUSTOMER + name, manifests.Customer)
+
+    def _match(self, host: str, path: str) -> Match | None:
+        """Find the longest prefix, one with the host before one without."""
+        path = path.partition('?')[0]
+        found = (
+            rows.ROUTE + name + prefix
+            for name in (host.lower(), '')
+            for prefix in _prefixes(path)
+        )
+        key = next((key for key in found if key in self.table), None)
+        if key is None:
+            return None
+        route = self._read(key, manifests.Route)
+        return Match(key, route, self.service(route.service))
+
+
+def _prefixes(path: str) -> typing.Iterator[str]:
+    """Yield the prefixes of a path at segment borders, longest first."""
+    while path:
+        yield path
+        if path.endswith('/'):
+            path = path[:-1]
+        else:
+            path = path[: path.rfind('/') + 1]
--- /dev/null
+++ b/carawaystair/rows.py
@@ -0,0 +1,133 @@
+"""The configuration as a table of rows, with deltas between versions.
+
+A row's key is ``kind/name`` and its value the JSON of one manifest value.
+The digest of a table is the sum of its rows' digests modulo 2**128, so that
+a delta updates it in time proportional to the delta.
+"""
+
+import hashlib
+import typing
+
+import msgspec
+
+from carawaystair import manifest as manifests
+from carawaystair import shape
+
+DIGEST_BITS = 128
+MODULUS = 1 << DIGEST_BITS
+
+HEAD = 'head/manifest'
+REGION = 'region/'
+SERVICE = 'service/'
+ROUTE = 'route/'
+CUSTOMER = 'customer/'
+DRAINS = 'drains/all'
+
+Table = dict[str, bytes]
+
+
+class Version(typing.NamedTuple):
+    """Which configuration: the place of its entry in the control log.
+
+    Versions are compared as tuples and only ever grow at a node.
+
+    :param term: term of the log entry.
+    :param index: index of the log entry.
+    """
+
+    term: int = 0
+    index: int = 0
+
+    def __str__(self) -> str:
+        return '%d.%d' % self
+
+
+NONE = Version()
+
+
+class Delta(typing.NamedTuple):
+    """What turns one version of the table into another.
+
+    :param base: the version it applies to; :data:`NONE` for an empty table.
+    :param version: the version it leads to.
+    :param put: keys and values that are new or changed.
+    :param drop: keys that are gone.
+    :param digest: digest of the resulting table, 16 bytes.
+    """
+
+    base: Version
+    version: Version
+    put: tuple[tuple[str, bytes], ...]
+    drop: tuple[str, ...]
+    digest: bytes
+
+
+def row_digest(key: str, value: bytes) -> int:
+    """Return the digest of one row as a number below 2**128."""
+    data = key.encode() + b'\0' + value
+    return int.from_bytes(hashlib.blake2b(data, digest_size=16).digest())
+
+
+def digest(table: Table) -> bytes:
+    """Return the digest of a table, 16 bytes."""
+    total = sum(row_digest(key, value) for key, value in table.items())
+    return (total % MODULUS).to_bytes(16)
+
+
+def from_manifest(manifest: manifests.Manifest) -> Table:
+    """Return the rows of a manifest."""
+
+    def _json(value) -> bytes:
+        return msgspec.json.encode(shape.plain(value))
+
+    head = {'format': manifest.format, 'name': manifest.name}
+    table = {HEAD: msgspec.json.encode(head), DRAINS: _json(manifest.drains)}
+    table |= {REGION + k: _json(v) for k, v in manifest.regions.items()}
+    table |= {SERVICE + k: _json(v) for k, v in manifest.services.items()}
+    table |= {CUSTOMER + k: _json(v) for k, v in manifest.customers.items()}
+    table |= {
+        ROUTE + route.host.lower() + route.prefix: _json(route)
+        for route in manifest.routes
+    }
+    return table
+
+
+def to_manifest(table: Table) -> manifests.Manifest:
+    """Return the manifest that a table stands for."""
+
+    def _part(prefix: str) -> dict:
+        size = len(prefix)
+        return {
+            key[size:]: msgspec.json.decode(value)
+            for key, value in sorted(table.items())
+            if key.startswith(prefix)
+        }
+
+    document = msgspec.json.decode(table[HEAD]) | {
+        'regions': _part(REGION),
+        'services': _part(SERVICE),
+        'routes': list(_part(ROUTE).values()),
+        'customers': _part(CUSTOMER),
+        'drains': msgspec.json.decode(table[DRAINS]),
+    }
+    return shape.build(manifests.Manifest, document)
+
+
+def difference(
+    old: Table, new: Table, base: Version, version: Version
+) -> Delta:
+    """Return the delta that leads from ``old`` to ``new``."""
+    put = tuple(
+        (key, value)
+        for key, value in sorted(new.items())
+        if old.get(key) != value
+    )
+    drop = tuple(sorted(key for key in old if key not in new))
+    return Delta(base, version, put, drop, digest(new))
+
+
+def apply(table: Table, delta: Delta) -> Table:
+    """Return a new table with ``delta`` applied."""
+    gone = set(delta.drop)
+    kept = {key: value for key, value in table.items() if key not in gone}
+    return kept | dict(delta.put)
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, mirrored by name."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the build: linter checks and generated pages."""
