--- a/carawaystair/codes.py
+++ b/carawaystair/codes.py
@@ -260,6 +260,41 @@
     'The disk did not take a write; this control host has stepped aside.',
     'Check the disk, then restart the process.',
 )
+SUBMISSION_UNKNOWN = define(
+    8004,
+    'submission-unknown',
+    404,
+    'No submission with this id is remembered.',
+    'It was not accepted, or so long ago that its answer is gone.',
+)
+CHANGE_TOO_LARGE = define(
+    8005,
+    'change-too-large',
+    413,
+    'The change has too many rows for one entry of the log.',
+    'Split it into several submissions.',
+)
+VERSION_UNKNOWN = define(
+    8006,
+    'version-unknown',
+    404,
+    'The history does not reach back to this version.',
+    'Submit the wanted manifest whole instead.',
+)
+VOTERS_BUSY = define(
+    8007,
+    'voters-busy',
+    409,
+    'Another change of the control group is not finished.',
+    'Try again when it is committed.',
+)
+VOTER_UNFIT = define(
+    8008,
+    'voter-unfit',
+    409,
+    'This change of the control group is not possible now.',
+    'See the detail: a learner must catch up before it votes.',
+)
 
 # 9: invariants
 
--- /dev/null
+++ b/carawaystair/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control role: the replicated log of accepted manifests."""
