--- /dev/null
+++ b/carawaystair/request/__init__.py
@@ -0,0 +1,34 @@
+"""The path of a caller's request, from its first byte to its last.
+
+:func:`make` puts the parts together; ``docs/design/request-path.md`` tells
+why they are as they are.
+"""
+
+import typing
+
+import mode
+
+from carawaystair import interfaces
+from carawaystair import kernel as kernels
+from carawaystair.request import service
+from carawaystair import routing as routings
+
+
+def make(
+    kernel: kernels.Kernel,
+    directory: interfaces.Directory,
+    health: interfaces.Health,
+    evidence: interfaces.Evidence,
+    admission: interfaces.Admission,
+    reservations: interfaces.Reservations,
+    routing: typing.Callable[[], routings.Routing | None],
+) -> mode.Service:
+    """Return the service that answers callers at ``node.listen``.
+
+    :param routing: returns the configuration in force; None or one of
+        version ``rows.NONE`` while there is none.
+    """
+    parts = service.Parts(
+        directory, health, evidence, admission, reservations, routing
+    )
+    return service.Requests(kernel, parts)
