--- a/carawaystair/interfaces.py
+++ b/carawaystair/interfaces.py
@@ -153,10 +153,39 @@
     def weight(self, upstream: str) -> float:
         """Return a factor from 0.0 to 1.0 on the upstream's share."""
 
+    def trial(self, service: str) -> str | None:
+        """Return an upstream that wants a copy of the next short request.
+
+        Called once for each idempotent short request, after its first
+        attempt was given an upstream.  The copy goes out beside that first
+        attempt, like a hedge without a delay: the first whole answer is
+        used, both attempts run to their end and both are recorded.  So an
+        upstream under suspicion shows what it does with real work while no
+        caller waits for it alone.  Each wish is handed out once.
+        """
+
 
 class Evidence(typing.Protocol):
     """Takes note of what attempts showed."""
 
+    def begin(
+        self,
+        service: str,
+        upstream: str,
+        customer: str,
+        started: float,
+        route: str = '',
+    ) -> None:
+        """Take note that an attempt starts; must return within microseconds.
+
+        An upstream that hangs shows it by answers that are overdue, long
+        before their timeout.  ``record`` ends what has the same upstream
+        and ``started``.  Calling this is optional: without it a hang is
+        noticed at the timeout only.
+
+        :param started: monotonic time, the same as in the later attempt.
+        """
+
     def record(self, attempt: Attempt) -> None:
         """Take note of one attempt; must return within microseconds."""
 
