CLI: subcommands by plug-ins, over public HTTP only

Cause: operators and the pipeline had no tool. Change: carawaystair.ui holds the command object, the HTTP client and output; plug-ins bring check, codes, keygen, submit, status, drain, upstreams and timeline. Conclusion: the tool stands; it follows the API as that lands.

--- a/carawaystair/codes.py
+++ b/carawaystair/codes.py
@@ -122,6 +122,48 @@
     'An address of the settings cannot be bound.',
     'Stop the process that holds it or change the settings.',
 )
+FILE_UNREADABLE = define(
+    1010,
+    'file-unreadable',
+    0,
+    'A file of the command line cannot be read or written.',
+    'Check the path and its permissions.',
+)
+API_UNREACHABLE = define(
+    1011,
+    'api-unreachable',
+    0,
+    'No connection to the HTTP API could be made; nothing was sent.',
+    'Check the address and that the process runs, or ask another one.',
+)
+API_ANSWER_LOST = define(
+    1012,
+    'api-answer-lost',
+    0,
+    'The HTTP API was asked but its answer was lost.',
+    'A change may have been made; send it again with the same --id.',
+)
+API_ANSWER_ODD = define(
+    1013,
+    'api-answer-odd',
+    0,
+    'The answer is not one that the HTTP API of this version gives.',
+    'Check that the address is that of an API of carawaystair.',
+)
+KEY_FILE_INVALID = define(
+    1014,
+    'key-file-invalid',
+    0,
+    'A key file cannot be read or is not one.',
+    'Make it with "carawaystair keygen" and check path and permissions.',
+)
+CODE_UNKNOWN = define(
+    1015,
+    'code-unknown',
+    0,
+    'No result code has this number.',
+    'Run "carawaystair codes" to see them all.',
+)
 
 # 2: manifest
 
--- /dev/null
+++ b/carawaystair/keys.py
@@ -0,0 +1,100 @@
+"""Keys of the fleet: for the links (CURVE) and for the datagrams.
+
+A key file holds one CURVE key pair, shared by all processes of the fleet,
+and one key for the authenticators of datagrams.  Whoever holds the file
+belongs to the fleet.  ``docs/design/keys.md`` weighs the ways.
+"""
+
+import os
+import pathlib
+import secrets
+import typing
+
+import expression
+import msgspec
+import zmq
+
+from carawaystair import codes
+from carawaystair import shape
+
+ID_BYTES = 4
+DATAGRAM_KEY_BYTES = 32
+# Z85 gives five signs for four bytes; CURVE keys have 32 bytes.
+CURVE_SIGNS = 40
+# Only the owner may read a key file.
+FILE_MODE = 0o600
+
+
+class Key(typing.NamedTuple):
+    """One key of the fleet, as its file holds it.
+
+    :param id: short name, shown in logs and status.
+    :param curve_public: public half of the CURVE pair, Z85.
+    :param curve_secret: secret half of the CURVE pair, Z85.
+    :param datagram: key of the datagrams' authenticators, hex.
+    """
+
+    id: str
+    curve_public: str
+    curve_secret: str
+    datagram: str
+
+
+def generate() -> Key:
+    """Return a new random key."""
+    public, secret = zmq.curve_keypair()
+    return Key(
+        secrets.token_hex(ID_BYTES),
+        public.decode(),
+        secret.decode(),
+        secrets.token_hex(DATAGRAM_KEY_BYTES),
+    )
+
+
+def write(key: Key, path: pathlib.Path) -> None:
+    """Write a key file that only its owner may read.
+
+    :raises FileExistsError: rather than overwrite a key in use.
+    :raises OSError: when the file cannot be written.
+    """
+    flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL
+    data = msgspec.json.format(msgspec.json.encode(key._asdict()), indent=2)
+    with open(os.open(path, flags, FILE_MODE), 'wb') as file:
+        file.write(data + b'\n')
+
+
+def read(path: str) -> expression.Result[Key, codes.Failure]:
+    """Read and check a key file."""
+    try:
+        decoded = msgspec.json.decode(pathlib.Path(path).read_bytes())
+    except (OSError, ValueError, RecursionError) as error:
+        return codes.fail(codes.KEY_FILE_INVALID, '%s: %s' % (path, error))
+    mistakes: list[shape.Mistake] = []
+    key = shape.build(Key, decoded, mistakes=mistakes)
+    if key is not None:
+        mistakes.extend(_check(key))
+    if mistakes:
+        text = '%s: %s' % (path, '; '.join(map(str, mistakes)))
+        return codes.fail(codes.KEY_FILE_INVALID, text)
+    return expression.Ok(key)
+
+
+def _check(key: Key) -> typing.Iterator[shape.Mistake]:
+    if not key.id:
+        yield shape.Mistake('$.id', 'is empty')
+    try:
+        derived = zmq.curve_public(key.curve_secret.encode()).decode()
+    except (ValueError, zmq.ZMQError):
+        derived = ''
+    if not derived:
+        yield shape.Mistake('$.curve_secret', 'is no CURVE key')
+    elif derived != key.curve_public:
+        text = 'does not belong to curve_secret'
+        yield shape.Mistake('$.curve_public', text)
+    try:
+        size = len(bytes.fromhex(key.datagram))
+    except ValueError:
+        size = 0
+    if size != DATAGRAM_KEY_BYTES:
+        text = 'expected %d bytes in hex' % DATAGRAM_KEY_BYTES
+        yield shape.Mistake('$.datagram', text)
--- /dev/null
+++ b/carawaystair/ui/__init__.py
@@ -0,0 +1,1 @@
+"""The command line tool ``carawaystair``; it speaks only public HTTP."""
--- /dev/null
+++ b/test/test_ui.py
@@ -0,0 +1,169 @@
+"""Tests of the CLI against a small HTTP server on loopback."""
+
+import http.server
+import json
+import threading
+import typing
+
+import pytest
+
+from carawaystair import codes
+from carawaystair.ui import command
+from carawaystair.ui import main
+
+EVENT = {'time': 1 << 16, 'host': 'a', 'kind': 'started', 'service': 'portal'}
+
+
+class Seen(typing.NamedTuple):
+    """One request that the server saw."""
+
+    method: str
+    path: str
+    headers: dict
+    body: bytes
+
+
+class Api(http.server.ThreadingHTTPServer):
+    """Answers from a table and keeps what it was asked."""
+
+    daemon_threads = True
+
+    def __init__(self) -> None:
+        super().__init__(('127.0.0.1', 0), _Handler)
+        self.answers: dict = {}
+        self.seen: list[Seen] = []
+        self.base = 'http://127.0.0.1:%d' % self.server_port
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    def do_GET(self) -> None:
+        size = int(self.headers.get('Content-Length', 0))
+        body = self.rfile.read(size)
+        headers = dict(self.headers)
+        self.server.seen.append(Seen(self.command, self.path, headers, body))
+        key = (self.command, self.path.partition('?')[0])
+        status, value = self.server.answers.get(key, (404, {'x': 1}))
+        data = json.dumps(value).encode()
+        self.send_response(status)
+        self.send_header('Content-Length', str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    do_POST = do_GET
+
+    def log_message(self, *_arguments) -> None:
+        pass
+
+
+@pytest.fixture
+def server():
+    api = Api()
+    thread = threading.Thread(target=api.serve_forever, args=(0.01,))
+    thread.start()
+    yield api
+    api.shutdown()
+    thread.join()
+    api.server_close()
+
+
+def test_check_lists_every_mistake_with_path_and_nearest_key(tmp_path, capsys):
+    file = tmp_path / 'node.json'
+    file.write_text('{"host": "a", "data_center": "x", "region": 1}')
+    assert main.main(['check', str(file)]) == command.EXIT_INVALID
+    error = capsys.readouterr().err
+    assert codes.SETTINGS_INVALID.label in error
+    assert "$.data_center: unknown key; did you mean 'data_centre'?" in error
+    assert '$.region: expected text' in error
+
+
+def test_check_tells_a_manifest_by_its_keys(tmp_path, capsys):
+    file = tmp_path / 'm.json'
+    file.write_text('{"format": 1, "services": {}}')
+    assert main.main(['check', '--json', str(file)]) == command.EXIT_INVALID
+    answer = json.loads(capsys.readouterr().out)
+    assert answer['kind'] == 'manifest'
+    assert answer['code'] == codes.MANIFEST_INVALID.label
+    assert {'path': '$.routes', 'text': 'is missing'} in answer['mistakes']
+
+
+def test_missing_file_is_numbered(tmp_path, capsys):
+    assert main.main(['check', str(tmp_path / 'no')]) == command.EXIT_REFUSED
+    assert codes.FILE_UNREADABLE.label in capsys.readouterr().err
+
+
+def test_submit_sends_parent_id_and_token(server, tmp_path, capsys):
+    (tmp_path / 'm.json').write_text('{}')
+    (tmp_path / 'token').write_text('secret\n')
+    accepted = {'version': '2.7', 'digest': 'ab12'}
+    server.answers['POST', '/v1/manifests'] = (200, accepted)
+    line = ['submit', str(tmp_path / 'm.json'), '--parent', 'ff00']
+    line += ['--id', 'build-1', '--api', server.base]
+    line += ['--token-file', str(tmp_path / 'token')]
+    assert main.main(line) == command.EXIT_OK
+    assert '2.7' in capsys.readouterr().out
+    seen = server.seen[0]
+    assert seen.body == b'{}'
+    assert seen.headers['Caraway-Parent'] == 'ff00'
+    assert seen.headers['Caraway-Submission'] == 'build-1'
+    assert seen.headers['Authorization'] == 'Bearer secret'
+
+
+def test_refused_submission_shows_code_and_mistakes(server, tmp_path, capsys):
+    (tmp_path / 'm.json').write_text('{}')
+    refusal = {
+        'code': codes.MANIFEST_INVALID.label,
+        'detail': '',
+        'mistakes': [{'path': '$.routes', 'text': 'is missing'}],
+    }
+    server.answers['POST', '/v1/manifests'] = (422, refusal)
+    line = ['submit', str(tmp_path / 'm.json'), '--parent', 'none']
+    code = main.main([*line, '--api', server.base])
+    assert code == command.EXIT_INVALID
+    error = capsys.readouterr().err
+    assert '$.routes: is missing' in error
+    assert 'Submission id: ' in error
+
+
+def test_unreachable_api_has_its_own_exit_code(capsys):
+    line = ['status', '--api', 'http://127.0.0.1:1']
+    assert main.main(line) == command.EXIT_UNREACHABLE
+    assert codes.API_UNREACHABLE.label in capsys.readouterr().err
+
+
+def test_drain_sends_hosts(server, capsys):
+    answer = {'version': '2.8', 'drains': {'hosts': ['a']}}
+    server.answers['POST', '/v1/drains'] = (200, answer)
+    line = ['drain', '--host', 'a', '--api', server.base]
+    assert main.main(line) == command.EXIT_OK
+    body = json.loads(server.seen[0].body)
+    assert body == {'hosts': ['a'], 'data_centres': [], 'undo': False}
+    assert 'Hosts: a' in capsys.readouterr().out
+
+
+def test_timeline_merges_nodes_in_causal_order_and_filters(server, capsys):
+    other = EVENT | {'time': 2 << 16, 'host': 'b', 'service': 'docvault'}
+    third = EVENT | {'time': 3 << 16, 'kind': 'stopped'}
+    answer = {'events': [third, EVENT, other]}
+    server.answers['GET', '/v1/timeline'] = (200, answer)
+    line = ['timeline', '--json', '--service', 'portal', '--node', server.base]
+    assert main.main(line) == command.EXIT_OK
+    lines = capsys.readouterr().out.splitlines()
+    assert [json.loads(each)['kind'] for each in lines] == [
+        'started',
+        'stopped',
+    ]
+
+
+def test_codes_explains_one(capsys):
+    assert main.main(['codes', 'cs-8002']) == command.EXIT_OK
+    assert codes.CONFLICT.remedy in capsys.readouterr().out
+    assert main.main(['codes', '7']) == command.EXIT_REFUSED
+
+
+def test_keygen_never_overwrites(tmp_path):
+    file = tmp_path / 'fleet.key'
+    assert main.main(['keygen', str(file)]) == command.EXIT_OK
+    before = file.read_bytes()
+    assert file.stat().st_mode & 0o077 == 0
+    assert main.main(['keygen', str(file)]) == command.EXIT_REFUSED
+    assert file.read_bytes() == before
