Table: routes and customers in little memory

Cause: 26,000 routes and 84,000 customers as decoded values hold 16.8 MB (keys not counted) of the 32 MB that control may use at a node, and a digest over all rows would stop the node at each change.

--- a/carawaystair/routing.py
+++ b/carawaystair/routing.py
@@ -1,17 +1,16 @@
 """The configuration as a node uses it: routes, services, customers, drains.
 
 The table is kept as rows and decoded on first use: most of 26,000 routes and
-84,000 customers are never asked for at one node.
+84,000 customers are never asked for at one node.  Lookups that were made
+before are remembered, a bounded number of them.
 """
 
 import functools
 import typing
 
-import msgspec
-
 from carawaystair import manifest as manifests
 from carawaystair import rows
-from carawaystair import shape
+from carawaystair import table as tables
 
 CACHE = 4096
 
@@ -33,15 +32,21 @@
     """One version of the configuration, ready for lookups.
 
     :param version: the version.
-    :param table: its rows.
+    :param table: its rows; plain ones are taken, too.
     """
 
     def __init__(
-        self, version: rows.Version = rows.NONE, table: rows.Table = {}
+        self,
+        version: rows.Version = rows.NONE,
+        table: tables.Table | rows.Table = tables.EMPTY,
     ) -> None:
+        if isinstance(table, dict):
+            table = tables.from_rows(table)
         self.version = version
         self.table = table
         self.match = functools.lru_cache(CACHE)(self._match)
+        self._known = functools.lru_cache(CACHE)(self._has)
+        self._route = functools.lru_cache(CACHE)(self._route_of)
         self.service = functools.lru_cache(CACHE)(self._service)
         self.customer = functools.lru_cache(CACHE)(self._customer)
         self.drains = self._read(rows.DRAINS, manifests.Drains)
@@ -51,7 +56,9 @@
         """Return the names of all services."""
         size = len(rows.SERVICE)
         return tuple(
-            key[size:] for key in self.table if key.startswith(rows.SERVICE)
+            key[size:]
+            for key in self.table.small
+            if key.startswith(rows.SERVICE)
         )
 
     def drained(self, host: str, data_centre: str) -> bool:
@@ -65,7 +72,7 @@
         value = self.table.get(key)
         if value is None:
             return None
-        return shape.build(kind, msgspec.json.decode(value))
+        return rows.decode(kind, value)
 
     def _service(self, name: str) -> manifests.Service | None:
         return self._read(rows.SERVICE + name, manifests.Service)
@@ -81,12 +88,18 @@
             for name in (host.lower(), '')
             for prefix in _prefixes(path)
         )
-        key = next((key for key in found if key in self.table), None)
+        key = next((key for key in found if self._known(key)), None)
         if key is None:
             return None
-        route = self._read(key, manifests.Route)
+        route = self._route(key)
         return Match(key, route, self.service(route.service))
 
+    def _has(self, key: str) -> bool:
+        return key in self.table
+
+    def _route_of(self, key: str) -> manifests.Route | None:
+        return self._read(key, manifests.Route)
+
 
 def _prefixes(path: str) -> typing.Iterator[str]:
     """Yield the prefixes of a path at segment borders, longest first."""
--- a/carawaystair/rows.py
+++ b/carawaystair/rows.py
@@ -1,6 +1,7 @@
 """The configuration as a table of rows, with deltas between versions.
 
-A row's key is ``kind/name`` and its value the JSON of one manifest value.
+A row's key is ``kind/name`` and its value one manifest value as a msgpack
+array, which is short and decodes straight into its ``NamedTuple``.
 The digest of a table is the sum of its rows' digests modulo 2**128, so that
 a delta updates it in time proportional to the delta.
 """
@@ -11,7 +12,6 @@
 import msgspec
 
 from carawaystair import manifest as manifests
-from carawaystair import shape
 
 DIGEST_BITS = 128
 MODULUS = 1 << DIGEST_BITS
@@ -26,6 +26,30 @@
 Table = dict[str, bytes]
 
 
+class Head(typing.NamedTuple):
+    """The manifest's own fields.
+
+    :param format: version of the manifest's format.
+    :param name: name of the deployment.
+    """
+
+    format: int
+    name: str
+
+
+_DECODERS = {
+    kind: msgspec.msgpack.Decoder(kind)
+    for kind in (
+        Head,
+        manifests.Customer,
+        manifests.Drains,
+        manifests.Place,
+        manifests.Route,
+        manifests.Service,
+    )
+}
+
+
 class Version(typing.NamedTuple):
     """Which configuration: the place of its entry in the control log.
 
@@ -74,19 +98,30 @@
     return (total % MODULUS).to_bytes(16)
 
 
-def from_manifest(manifest: manifests.Manifest) -> Table:
-    """Return the rows of a manifest."""
+def encode(value) -> bytes:
+    """Return the bytes of one row's value."""
+    return msgspec.msgpack.encode(value)
 
-    def _json(value) -> bytes:
-        return msgspec.json.encode(shape.plain(value))
 
-    head = {'format': manifest.format, 'name': manifest.name}
-    table = {HEAD: msgspec.json.encode(head), DRAINS: _json(manifest.drains)}
-    table |= {REGION + k: _json(v) for k, v in manifest.regions.items()}
-    table |= {SERVICE + k: _json(v) for k, v in manifest.services.items()}
-    table |= {CUSTOMER + k: _json(v) for k, v in manifest.customers.items()}
+def decode(kind: type, value: bytes):
+    """Return the value that :func:`encode` was given.
+
+    :param kind: its ``NamedTuple`` type.
+    """
+    return _DECODERS[kind].decode(value)
+
+
+def from_manifest(manifest: manifests.Manifest) -> Table:
+    """Return the rows of a manifest."""
+    table = {
+        HEAD: encode(Head(manifest.format, manifest.name)),
+        DRAINS: encode(manifest.drains),
+    }
+    table |= {REGION + k: encode(v) for k, v in manifest.regions.items()}
+    table |= {SERVICE + k: encode(v) for k, v in manifest.services.items()}
+    table |= {CUSTOMER + k: encode(v) for k, v in manifest.customers.items()}
     table |= {
-        ROUTE + route.host.lower() + route.prefix: _json(route)
+        ROUTE + route.host.lower() + route.prefix: encode(route)
         for route in manifest.routes
     }
     return table
@@ -95,22 +130,24 @@
 def to_manifest(table: Table) -> manifests.Manifest:
     """Return the manifest that a table stands for."""
 
-    def _part(prefix: str) -> dict:
+    def _part(prefix: str, kind: type) -> dict:
         size = len(prefix)
         return {
-            key[size:]: msgspec.json.decode(value)
+            key[size:]: decode(kind, value)
             for key, value in sorted(table.items())
             if key.startswith(prefix)
         }
 
-    document = msgspec.json.decode(table[HEAD]) | {
-        'regions': _part(REGION),
-        'services': _part(SERVICE),
-        'routes': list(_part(ROUTE).values()),
-        'customers': _part(CUSTOMER),
-        'drains': msgspec.json.decode(table[DRAINS]),
-    }
-    return shape.build(manifests.Manifest, document)
+    head = decode(Head, table[HEAD])
+    return manifests.Manifest(
+        head.format,
+        head.name,
+        _part(REGION, manifests.Place),
+        _part(SERVICE, manifests.Service),
+        tuple(_part(ROUTE, manifests.Route).values()),
+        _part(CUSTOMER, manifests.Customer),
+        decode(manifests.Drains, table[DRAINS]),
+    )
 
 
 def difference(
