--- /dev/null
+++ b/test/test_links.py
@@ -0,0 +1,125 @@
+"""Tests of messages over real loopback sockets."""
+
+import asyncio
+import socket
+import typing
+
+from carawaystair import codes
+from carawaystair import datagrams
+from carawaystair import links
+from carawaystair import wire
+
+
+@wire.register(65002)
+class Ping(typing.NamedTuple):
+    """A question of these tests."""
+
+    number: int
+
+
+@wire.register(65003)
+class Pong(typing.NamedTuple):
+    """Its answer."""
+
+    number: int
+
+
+def free_address() -> str:
+    """Return a loopback address that nobody uses right now."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return '127.0.0.1:%d' % probe.getsockname()[1]
+
+
+async def _pair() -> tuple[links.Links, links.Links]:
+    pair = links.Links(free_address()), links.Links(free_address())
+    for link in pair:
+        await link.start()
+    return pair
+
+
+def test_answers_find_their_questions():
+    async def scenario():
+        one, two = await _pair()
+
+        async def slow_when_even(_sender, ping):
+            await asyncio.sleep(0.02 * (ping.number % 2 == 0))
+            return Pong(ping.number)
+
+        two.handle(Ping, slow_when_even)
+        calls = [one.call(two.address, Ping(n), 5.0) for n in range(50)]
+        answers = await asyncio.gather(*calls)
+        assert [a.ok.number for a in answers] == list(range(50))
+        await one.stop()
+        await two.stop()
+
+    asyncio.run(scenario())
+
+
+def test_silent_peer_gets_a_number_and_costs_bounded_memory():
+    """A peer that is gone must not fill this process's memory.
+
+    Symptom: memory grows while a peer is away.  Sequence: its host is lost,
+    messages to it go on.  Cause: a queue without bound.
+    """
+
+    async def scenario():
+        one, two = await _pair()
+        await two.stop()
+        result = await one.call(two.address, Ping(1), 0.05)
+        assert result.error.code == codes.PEER_SILENT
+        for number in range(links.QUEUE * 3):
+            one.send(two.address, Ping(number))
+        assert one.dropped >= links.QUEUE
+        assert not one.pending
+        await one.stop()
+
+    asyncio.run(scenario())
+
+
+def test_failing_handler_and_noise_do_not_stop_a_link():
+    async def scenario():
+        one, two = await _pair()
+
+        async def fail_on_zero(_sender, ping):
+            return Pong(10 // ping.number)
+
+        two.handle(Ping, fail_on_zero)
+        await one.call(two.address, Ping(0), 0.05)
+        one._send(two.address, b'\x00\x01noise')
+        result = await one.call(two.address, Ping(5), 5.0)
+        assert result.ok == Pong(2)
+        assert two.refused == 1
+        await one.stop()
+        await two.stop()
+
+    asyncio.run(scenario())
+
+
+def test_datagram_of_a_stranger_is_refused():
+    """A stranger must not be able to declare hosts dead.
+
+    Symptom: healthy hosts are taken for dead.  Sequence: somebody sends
+    datagrams in the fleet's format.  Cause: datagrams carry no proof.
+    """
+
+    async def scenario():
+        heard = asyncio.Queue()
+        new, old, none = b'n' * 32, b'o' * 32, b''
+        target = datagrams.Datagrams(free_address(), keys=[new, old])
+        target.handle(Ping, lambda _sender, ping: heard.put_nowait(ping))
+        await target.start()
+        for number, key in enumerate((new, old, b'x' * 32, none)):
+            keys = [key] if key else []
+            sender = datagrams.Datagrams(free_address(), keys=keys)
+            await sender.start()
+            sender.send(target.address, Ping(number))
+            await asyncio.sleep(0.01)
+            await sender.stop()
+        assert {(await heard.get()).number for _turn in range(2)} == {0, 1}
+        while target.refused < 2:
+            await asyncio.sleep(0.001)
+        assert heard.empty()
+        await target.stop()
+
+    asyncio.run(scenario())
