Admission: weighted fair queues, early refusals, static share

Cause: nothing decided when a request may start, so that a dominant customer could take every slot of a service and every place before it.

Change: a gate for each service on a node. Start-time fair queueing over customers, charged by slot time; one bounded queue that drops from the longest; refusal at once when queue and measured hold times say that the deadline cannot be met; a place is freed when its caller goes away; long transfers leave at least half of the slots. The limit is the node's static share; a fraction of a slot is used for that part of the time. interfaces.Admission gains try_admit, without an await, and retry_after.

--- /dev/null
+++ b/carawaystair/admission/controller.py
@@ -0,0 +1,180 @@
+"""The part of a node that decides when requests start."""
+
+import asyncio
+import functools
+import typing
+
+import expression
+import mode
+
+from carawaystair.admission import flows
+from carawaystair.admission import gate as gates
+from carawaystair import codes
+from carawaystair import interfaces
+from carawaystair import logs
+from carawaystair import manifest as manifests
+from carawaystair import routing as routing_module
+from carawaystair import timeline as timeline_module
+
+# How often limits follow ejections and a new configuration.
+TICK_S = 0.25
+# Idle customers that a gate remembers.
+MAX_IDLE_FLOWS = 256
+
+LOG = logs.get('admission')
+
+
+class Admission(mode.Service):
+    """Keeps ``interfaces.Admission`` for all services on this node.
+
+    :param members: the processes believed alive.
+    :param directory: the upstreams, with the slots that they announce.
+    :param health: tells which upstreams get no work.
+    :param routing: returns the configuration in force.
+    :param timeline: takes events.
+    """
+
+    def __init__(
+        self,
+        members: interfaces.Members,
+        directory: interfaces.Directory,
+        health: interfaces.Health,
+        routing: typing.Callable[[], routing_module.Routing],
+        timeline: timeline_module.Timeline,
+        **kwargs,
+    ) -> None:
+        super().__init__(**kwargs)
+        self.members = members
+        self.directory = directory
+        self.health = health
+        self.routing = routing
+        self.timeline = timeline
+        self.current = routing()
+        self.gates: dict[str, gates.Gate] = {}
+        directory.subscribe(self._upstream_changed)
+
+    def try_admit(
+        self, service: str, customer: str, deadline: float, bulk: bool
+    ) -> gates.Permit | None:
+        """Take a free slot at once, see ``interfaces.Admission``."""
+        gate = self.gates.get(service) or self._gate(service)
+        return gate.try_start(customer, deadline, bulk)
+
+    async def admit(
+        self, service: str, customer: str, deadline: float, bulk: bool
+    ) -> gates.Result:
+        """Wait for a slot, see ``interfaces.Admission``."""
+        gate = self.gates.get(service) or self._gate(service)
+        permit = gate.try_start(customer, deadline, bulk)
+        if permit is not None:
+            return expression.Ok(permit)
+        if not gate.limit:
+            return codes.fail(codes.NO_UPSTREAM, 'service %s' % service)
+        return await gate.wait(customer, deadline, bulk)
+
+    def retry_after(self, service: str) -> float:
+        """Return when to try again, see ``interfaces.Admission``."""
+        gate = self.gates.get(service) or self._gate(service)
+        return gate.retry_after()
+
+    def slots(self, service: str) -> int:
+        """Return the slots of a service that may take work."""
+        ejected = self.health.ejected(service)
+        return sum(
+            upstream.slots
+            for upstream in self.directory.upstreams(service)
+            if upstream.state == interfaces.UP and upstream.id not in ejected
+        )
+
+    async def on_stop(self) -> None:
+        """Give everyone who waits a final answer."""
+        for gate in self.gates.values():
+            gate.fail_all(codes.LEAVING)
+
+    @mode.Service.task
+    async def _follow(self) -> None:
+        """Follow ejections and the configuration."""
+        while not self.should_stop:
+            await asyncio.sleep(TICK_S)
+            if self.routing() is not self.current:
+                self._configure()
+            for gate in self.gates.values():
+                self._set_limit(gate)
+                self._forget(gate)
+
+    def _gate(self, service: str) -> gates.Gate:
+        """Make the gate of a service on its first request."""
+        gate = gates.Gate(
+            service,
+            self._flow,
+            self._service(service).queue,
+            functools.partial(self._event, service),
+        )
+        self.gates[service] = gate
+        self._set_limit(gate)
+        return gate
+
+    def _event(self, service: str, kind: str, text: str) -> None:
+        self.timeline.record(kind, text, service=service)
+
+    def _service(self, name: str) -> manifests.Service:
+        return self.current.service(name) or manifests.Service()
+
+    def _flow(self, customer: str) -> flows.Flow:
+        """Make the flow of a customer; unknown ones share a class."""
+        known = self.current.customer(customer)
+        if known is None:
+            other = self.current.customer(manifests.OTHER)
+            weight = other.weight if other is not None else 1
+            return flows.Flow(manifests.OTHER, weight)
+        return flows.Flow(customer, known.weight, known.limit)
+
+    def _configure(self) -> None:
+        """Take over a new configuration."""
+        self.current = self.routing()
+        for gate in self.gates.values():
+            gate.queue_limit = self._service(gate.service).queue
+            for flow in gate.flows.values():
+                fresh = self._flow(flow.customer)
+                flow.weight, flow.cap = fresh.weight, fresh.cap
+
+    def _set_limit(self, gate: gates.Gate) -> None:
+        """Give a gate this node's static share of the slots."""
+        slots = self.slots(gate.service)
+        share = slots / max(len(self.members.alive()), 1)
+        limit = max(share, 1.0) if slots else 0.0
+        if limit != gate.limit:
+            gate.set_limit(limit)
+
+    def _upstream_changed(self, upstream: interfaces.Upstream) -> None:
+        gate = self.gates.get(upstream.service)
+        if gate is not None:
+            self._set_limit(gate)
+
+    def _forget(self, gate: gates.Gate) -> None:
+        """Forget idle customers when a gate knows too many."""
+        if len(gate.flows) <= MAX_IDLE_FLOWS:
+            return
+        gate.flows = {
+            name: flow
+            for name, flow in gate.flows.items()
+            if flow.running or flow.waiting
+        }
+
+
+def make(
+    kernel,
+    members: interfaces.Members,
+    directory: interfaces.Directory,
+    health: interfaces.Health,
+    routing: typing.Callable[[], routing_module.Routing],
+) -> Admission:
+    """Return the admission part of a node.
+
+    :param kernel: the kernel of this process.
+    :param members: the processes believed alive.
+    :param directory: the upstreams.
+    :param health: tells which upstreams get no work.
+    :param routing: returns the configuration in force.
+    """
+    return Admission(members, directory, health, routing, kernel.timeline)
--- /dev/null
+++ b/carawaystair/admission/gate.py
@@ -0,0 +1,348 @@
+"""The slots and the queue of one service on this node."""
+
+import asyncio
+import typing
+
+import expression
+
+from carawaystair.admission import estimates
+from carawaystair.admission import flows
+from carawaystair import clock
+from carawaystair import codes
+from carawaystair import interfaces
+from carawaystair import invariants
+
+# A fractional slot rests between two requests, but no longer than this.
+MAX_REST_S = 5.0
+# Smallest fraction of a slot that a node may use.
+LEAST_LIMIT = 0.02
+# Part of the slots that long transfers may hold, at least one slot.
+BULK_SHARE = 0.5
+# Charged for a request as long as no other has shown its time.
+FIRST_COST_S = 0.05
+# Bounds of what callers are told in Retry-After.
+MIN_RETRY_S = 1.0
+MAX_RETRY_S = 30.0
+
+# Codes after which a caller may be told when to come back.
+Result = expression.Result[interfaces.Permit, codes.Failure]
+
+
+class Permit:
+    """Leave to run one request, see ``interfaces.Permit``.
+
+    :param gate: where it came from.
+    :param flow: the customer's flow that it is charged to.
+    :param bulk: whether it is a long transfer.
+    :param paced: whether it holds the fractional slot.
+    :param cost: slot time charged at its start, in seconds.
+    :param started: monotonic time of its start.
+    """
+
+    __slots__ = ('bulk', 'cost', 'flow', 'gate', 'paced', 'started')
+
+    def __init__(
+        self,
+        gate: 'Gate',
+        flow: flows.Flow,
+        bulk: bool,
+        paced: bool,
+        cost: float,
+        started: float,
+    ) -> None:
+        self.gate: Gate | None = gate
+        self.flow = flow
+        self.bulk = bulk
+        self.paced = paced
+        self.cost = cost
+        self.started = started
+
+    def release(self, outcome: str, latency_s: float) -> None:
+        """Give the slot back with what the request showed.
+
+        :param outcome: a constant of ``interfaces``, such as ``GOOD``.
+        :param latency_s: from the first byte sent to the last received.
+        """
+        gate, self.gate = self.gate, None
+        # A slot given back twice would let more run than there are slots,
+        # and would show only as sheds of upstreams.
+        if invariants.check(
+            invariants.SLOT_ACCOUNTING, gate is not None, 'released twice'
+        ):
+            gate.finish(self, outcome, latency_s)
+
+
+class Gate:
+    """The slots and the queue of one service on this node.
+
+    :param service: its name.
+    :param flow: makes the flow of a customer, by name; unknown customers
+        get one and the same flow.
+    :param queue_limit: requests that may wait.
+    :param report: called as ``report(kind, text)`` for the time line.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        flow: typing.Callable[[str], flows.Flow],
+        queue_limit: int,
+        report: typing.Callable[[str, str], None],
+    ) -> None:
+        self.service = service
+        self.make_flow = flow
+        self.queue_limit = queue_limit
+        self.report = report
+        self.flows: dict[str, flows.Flow] = {}
+        self.queue = flows.FairQueue()
+        self.times = {
+            False: estimates.HoldTime(),
+            True: estimates.HoldTime(),
+        }
+        self.limit = 0.0
+        self.whole = 0
+        self.running = 0
+        self.running_bulk = 0
+        self.running_paced = 0
+        self.rest_until = 0.0
+        self.alarm: asyncio.TimerHandle | None = None
+        # Counters for the metrics.
+        self.admitted = 0
+        self.queued = 0
+        self.refused: dict[codes.Code, int] = {}
+
+    # Admission
+
+    def try_start(
+        self, customer: str, deadline: float, bulk: bool
+    ) -> Permit | None:
+        """Start a request at once when a slot is free and nobody waits."""
+        if self.queue.size:
+            return None
+        now = clock.now()
+        if not self._room(now) or bulk and not self._bulk_room():
+            return None
+        flow = self.flows.get(customer) or self.flow(customer)
+        if flow.capped() or self._late(deadline, bulk, now):
+            return None
+        return self._start(flow, bulk, now)
+
+    async def wait(self, customer: str, deadline: float, bulk: bool) -> Result:
+        """Wait for a slot in fair order, or refuse the request at once."""
+        now = clock.now()
+        flow = self.flow(customer)
+        failure = self._refusal(flow, deadline, bulk, now)
+        if failure is not None:
+            return expression.Error(failure)
+        waiter = self._enqueue(flow, deadline, bulk)
+        self.dispatch()
+        try:
+            return await waiter.future
+        except asyncio.CancelledError:
+            self._abandon(waiter)
+            raise
+
+    def flow(self, customer: str) -> flows.Flow:
+        """Return the flow that a customer's requests are charged to."""
+        flow = self.flows.get(customer)
+        if flow is None:
+            flow = self.make_flow(customer)
+            # An unknown customer shares a flow that may be here already;
+            # its own name is not kept, or callers could fill the memory.
+            flow = self.flows.setdefault(flow.customer, flow)
+        return flow
+
+    def expected_wait(self, flow: flows.Flow, bulk: bool = False) -> float:
+        """Return the seconds until a new request of ``flow`` would start."""
+        mean = self.times[bulk].mean or self.times[not bulk].mean
+        rate = max(self.limit, LEAST_LIMIT) / max(mean, estimates.LEAST_S)
+        fair = flow.waiting * self.queue.weight(flow) / flow.weight
+        return (1 + min(fair, self.queue.size)) / rate
+
+    def retry_after(self) -> float:
+        """Return when a refused request may be tried again, in seconds."""
+        mean = max(held.mean for held in self.times.values())
+        drain = self.queue.size * mean / max(self.limit, LEAST_LIMIT)
+        return min(max(drain, MIN_RETRY_S), MAX_RETRY_S)
+
+    def _refusal(
+        self, flow: flows.Flow, deadline: float, bulk: bool, now: float
+    ) -> codes.Failure | None:
+        """Return why a request can't even wait, or None."""
+        if deadline <= now:
+            return self.refuse(codes.DEADLINE_PASSED, flow)
+        if self._late(deadline, bulk, now):
+            return self.refuse(codes.DEADLINE_SHORT, flow)
+        start = now + self.expected_wait(flow, bulk)
+        if self.queue.size and start + self.times[bulk].median > deadline:
+            return self.refuse(codes.DEADLINE_SHORT, flow)
+        if self.queue.size >= self.queue_limit:
+            return self._make_room(flow)
+        return None
+
+    def _late(self, deadline: float, bulk: bool, now: float) -> bool:
+        """Tell whether a request is too late even if it starts now.
+
+        While nothing runs it never is: otherwise one bad estimate would
+        refuse all work, and no answer would ever correct it.
+        """
+        if not self.running:
+            return deadline <= now
+        return now + self.times[bulk].median >= deadline
+
+    def _make_room(self, flow: flows.Flow) -> codes.Failure | None:
+        """Push out the newest of the longest queue, or refuse.
+
+        Dropping from the longest queue (McKenney, 1990) keeps a customer
+        that fills the queue from shutting out the others.
+        """
+        longest = self.queue.longest(flow)
+        alone = len(self.queue.backlogged) == 1 and flow.waiting
+        code = codes.QUEUE_FULL if alone else codes.CUSTOMER_QUEUE_FULL
+        if longest is flow:
+            return self.refuse(code, flow)
+        victim = longest.newest()
+        self._fail(victim, codes.CUSTOMER_QUEUE_FULL)
+        return None
+
+    def refuse(self, code: codes.Code, flow: flows.Flow) -> codes.Failure:
+        """Count a refusal and return it."""
+        count = self.refused.get(code, 0)
+        self.refused[code] = count + 1
+        detail = 'service %s, customer %s' % (self.service, flow.customer)
+        if code in (codes.QUEUE_FULL, codes.CUSTOMER_QUEUE_FULL):
+            self.report('queue-full', detail)
+        return codes.Failure(code, detail)
+
+    # The queue
+
+    def _enqueue(
+        self, flow: flows.Flow, deadline: float, bulk: bool
+    ) -> flows.Waiter:
+        loop = asyncio.get_running_loop()
+        waiter = flows.Waiter(flow, bulk, deadline, loop.create_future())
+        # From then on it could not finish in time any more.
+        latest = deadline - self.times[bulk].median
+        waiter.timer = loop.call_at(latest, self._expire, waiter)
+        self.queue.push(waiter)
+        self.queued += 1
+        return waiter
+
+    def _expire(self, waiter: flows.Waiter) -> None:
+        self._fail(waiter, codes.DEADLINE_PASSED)
+
+    def _fail(self, waiter: flows.Waiter, code: codes.Code) -> None:
+        """Give a waiter its final answer."""
+        self._take(waiter)
+        if not waiter.future.done():
+            failure = self.refuse(code, waiter.flow)
+            waiter.future.set_result(expression.Error(failure))
+
+    def _take(self, waiter: flows.Waiter) -> None:
+        """Take a waiter out of the queue."""
+        self.queue.remove(waiter)
+        waiter.timer.cancel()
+
+    def _abandon(self, waiter: flows.Waiter) -> None:
+        """Free the place of a caller that went away.
+
+        It may have been given a slot just before: that would be lost for
+        good if nobody gave it back.
+        """
+        self._take(waiter)
+        future = waiter.future
+        if (
+            future.done()
+            and not future.cancelled()
+            and future.result().is_ok()
+        ):
+            future.result().ok.release(interfaces.CANCELLED, 0.0)
+
+    def fail_all(self, code: codes.Code) -> None:
+        """Refuse everyone who waits, as this node stops."""
+        for waiter in self.queue.waiters():
+            self._fail(waiter, code)
+
+    def dispatch(self) -> None:
+        """Start those whose turn it is while there are slots."""
+        now = clock.now()
+        while self.queue.size and self._room(now):
+            waiter = self.queue.pick(True, self._bulk_room())
+            if waiter is None:
+                return
+            self._take(waiter)
+            if not waiter.future.done():
+                permit = self._start(waiter.flow, waiter.bulk, now)
+                waiter.future.set_result(expression.Ok(permit))
+        self._wake(now)
+
+    def _wake(self, now: float) -> None:
+        """Come back when the fractional slot has rested."""
+        if self.queue.size and self.rest_until > now and self.alarm is None:
+            loop = asyncio.get_running_loop()
+            self.alarm = loop.call_at(self.rest_until, self._rested)
+
+    def _rested(self) -> None:
+        self.alarm = None
+        self.dispatch()
+
+    # Slots
+
+    def set_limit(self, limit: float) -> None:
+        """Change how many requests may run at once.
+
+        :param limit: slots; a fraction is used for that part of the time.
+        """
+        self.limit = limit
+        self.whole = int(limit)
+        if self.queue.size:
+            self.dispatch()
+
+    def _room(self, now: float) -> bool:
+        """Tell whether a slot is free."""
+        if self.running - self.running_paced < self.whole:
+            return True
+        fraction = self.limit - self.whole
+        free = not self.running_paced and now >= self.rest_until
+        return fraction >= LEAST_LIMIT and free
+
+    def _bulk_room(self) -> bool:
+        """Tell whether one more long transfer may run."""
+        return self.running_bulk < max(1, int(self.limit * BULK_SHARE))
+
+    def _start(self, flow: flows.Flow, bulk: bool, now: float) -> Permit:
+        paced = self.running - self.running_paced >= self.whole
+        cost = self.times[bulk].mean or FIRST_COST_S
+        self.queue.charge(flow, cost)
+        flow.running += 1
+        self.running += 1
+        self.running_bulk += bulk
+        self.running_paced += paced
+        self.admitted += 1
+        return Permit(self, flow, bulk, paced, cost, now)
+
+    def finish(self, permit: Permit, outcome: str, latency_s: float) -> None:
+        """Take a slot back and give it to the next in turn."""
+        now = clock.now()
+        held = now - permit.started
+        flow = permit.flow
+        flow.running -= 1
+        self.running -= 1
+        self.running_bulk -= permit.bulk
+        self.queue.settle(flow, held - permit.cost)
+        if permit.paced:
+            self._rest(held, now)
+        times = self.times[permit.bulk]
+        if outcome != interfaces.CANCELLED:
+            times.held(held)
+        if outcome == interfaces.GOOD:
+            times.answered(latency_s)
+        if self.queue.size:
+            self.dispatch()
+
+    def _rest(self, held: float, now: float) -> None:
+        """Let the fractional slot rest, so that its mean use is right."""
+        self.running_paced -= 1
+        fraction = max(self.limit - self.whole, LEAST_LIMIT)
+        rest = held * (1 - fraction) / fraction
+        self.rest_until = now + min(rest, MAX_REST_S)
--- a/carawaystair/codes.py
+++ b/carawaystair/codes.py
@@ -241,6 +241,35 @@
 
 # 6: admission
 
+QUEUE_FULL = define(
+    6001,
+    'queue-full',
+    503,
+    'The queue of the service is full on this node; the request was not run.',
+    'Wait as long as Retry-After says, then try again.',
+)
+DEADLINE_SHORT = define(
+    6002,
+    'deadline-short',
+    503,
+    'The request cannot finish before its deadline; it was not run.',
+    'Bring a longer deadline, or wait as long as Retry-After says.',
+)
+DEADLINE_PASSED = define(
+    6003,
+    'deadline-passed',
+    504,
+    'The deadline passed before the request could start; it was not run.',
+    'Bring a longer deadline, or try again later.',
+)
+CUSTOMER_QUEUE_FULL = define(
+    6004,
+    'customer-queue-full',
+    429,
+    "The customer's part of the queue is full; the request was not run.",
+    'Send fewer requests at once, or raise the weight in the manifest.',
+)
+
 # 7: links between processes, membership
 
 MESSAGE_MALFORMED = define(
--- a/carawaystair/interfaces.py
+++ b/carawaystair/interfaces.py
@@ -200,6 +200,18 @@
 class Admission(typing.Protocol):
     """Decides when a request may start."""
 
+    def try_admit(
+        self, service: str, customer: str, deadline: float, bulk: bool
+    ) -> Permit | None:
+        """Take a free slot at once, without an await.
+
+        The parameters are those of :meth:`admit`, which the caller turns to
+        when this returns None; None alone refuses nothing.
+        """
+
+    def retry_after(self, service: str) -> float:
+        """Return when a refused request may be tried again, in seconds."""
+
     async def admit(
         self, service: str, customer: str, deadline: float, bulk: bool
     ) -> expression.Result[Permit, codes.Failure]:
