--- a/carawaystair/codes.py
+++ b/carawaystair/codes.py
@@ -308,6 +308,21 @@
     'Mend the fields that the message names.',
 )
 
+ANNOUNCEMENT_OLD = define(
+    7006,
+    'announcement-old',
+    409,
+    'The upstream is leaving or has started anew since this announcement.',
+    'Announce a new start with a greater incarnation.',
+)
+TOO_MANY_UPSTREAMS = define(
+    7007,
+    'too-many-upstreams',
+    429,
+    'The host has as many upstreams as one node takes.',
+    'Remove those that are gone, or spread them over more hosts.',
+)
+
 # 8: control
 
 NOT_LEADER = define(
--- /dev/null
+++ b/carawaystair/membership/registry.py
@@ -0,0 +1,240 @@
+"""The registry: announcements of the upstreams on this host, as leases.
+
+An upstream announces itself to the node of its host and renews that lease.
+Renewals stay here; only changes go into the host's record.
+"""
+
+import asyncio
+import typing
+
+import expression
+import mode
+
+from carawaystair import clock
+from carawaystair import codes
+from carawaystair import interfaces
+from carawaystair.membership import messages
+from carawaystair import settings
+from carawaystair import shape
+
+MAX_UPSTREAMS = 256
+MAX_NAME = 128
+MAX_SLOTS = 100_000
+MAX_WEIGHT = 1000.0
+MAX_WARMUP_S = 3600.0
+# Expired leases are looked for this often, in seconds.
+SWEEP_S = 0.25
+
+STATES = (interfaces.UP, interfaces.DRAINING, interfaces.GONE)
+
+
+class Announcement(typing.NamedTuple):
+    """What an upstream says of itself, see docs/API-node.md.
+
+    :param service: the service that it runs.
+    :param address: ``ip:port`` that takes requests.
+    :param slots: requests that it works on at once.
+    :param weight: share of work relative to its siblings.
+    :param warmup_s: seconds from its start until it carries full load.
+    :param state: ``up``, ``draining`` or ``gone``.
+    :param incarnation: grows with every start of the upstream; 0 leaves it
+        to the node.
+    """
+
+    service: str
+    address: str
+    slots: int
+    weight: float = 1.0
+    warmup_s: float = 0.0
+    state: typing.Literal['up', 'draining', 'gone'] = interfaces.UP
+    incarnation: int = 0
+
+
+class Lease(typing.NamedTuple):
+    """An announcement that holds until a time.
+
+    :param announcement: the announcement, its incarnation filled in.
+    :param until: monotonic time at which it ends unless renewed.
+    :param sequence: the record's sequence at its last change.
+    """
+
+    announcement: Announcement
+    until: float
+    sequence: int
+
+
+class Registry(mode.Service):
+    """The leases of this host's upstreams.
+
+    :param lease_s: seconds that an announcement holds.
+    :param publish: called after every change that others must know; returns
+        the sequence of the next record.
+    """
+
+    def __init__(
+        self, lease_s: float, publish: typing.Callable[[bool], None], **kwargs
+    ) -> None:
+        super().__init__(**kwargs)
+        self.lease_s = lease_s
+        self.publish = publish
+        self.leases: dict[str, Lease] = {}
+        # Upstreams that left, and until when an announcement without a
+        # newer incarnation is refused.
+        self.left: dict[str, Lease] = {}
+        self.sequence = 0
+
+    def announce(
+        self, name: str, announcement: Announcement, wall_ms: int
+    ) -> expression.Result[Announcement, codes.Failure]:
+        """Take an announcement or a renewal.
+
+        :param name: id of the upstream.
+        :param wall_ms: becomes the incarnation where none is given.
+        """
+        wrong = _wrong(name, announcement)
+        if wrong:
+            return codes.fail(codes.ANNOUNCEMENT_INVALID, wrong)
+        known = self.leases.get(name) or self.left.get(name)
+        if known is None and len(self.leases) >= MAX_UPSTREAMS:
+            return codes.fail(codes.TOO_MANY_UPSTREAMS, name)
+        if known is not None and _old(known.announcement, announcement):
+            return codes.fail(codes.ANNOUNCEMENT_OLD, name)
+        if not announcement.incarnation:
+            started = known.announcement.incarnation if known else wall_ms
+            announcement = announcement._replace(incarnation=started)
+        self._store(name, announcement)
+        return expression.Ok(announcement)
+
+    def remove(
+        self, name: str, incarnation: int = 0
+    ) -> expression.Result[None, codes.Failure]:
+        """Take the leave of an upstream; unknown ones have left already."""
+        lease = self.leases.get(name)
+        if lease is None:
+            return expression.Ok(None)
+        known = lease.announcement
+        if incarnation and incarnation < known.incarnation:
+            return codes.fail(codes.ANNOUNCEMENT_OLD, name)
+        self._store(name, known._replace(state=interfaces.GONE))
+        return expression.Ok(None)
+
+    def rows(self) -> tuple[messages.Row, ...]:
+        """Return the rows of the record."""
+        return tuple(
+            _row(name, lease) for name, lease in sorted(self.leases.items())
+        )
+
+    @mode.Service.task
+    async def _sweep(self) -> None:
+        """End the leases that were not renewed."""
+        last = clock.now()
+        while not self.should_stop:
+            await asyncio.sleep(SWEEP_S)
+            now = clock.now()
+            self.expire(now, now - last - SWEEP_S)
+            last = now
+
+    def expire(self, now: float, late: float) -> None:
+        """End old leases.
+
+        A process that stood still for some seconds finds every lease ended
+        at once, though the upstreams renewed in vain.  The time that it
+        stood still is therefore added to each lease.
+
+        :param now: monotonic time.
+        :param late: seconds by which this call comes late.
+        """
+        if late > SWEEP_S:
+            self.leases = {
+                name: lease._replace(until=lease.until + late)
+                for name, lease in self.leases.items()
+            }
+        ended = [n for n, lease in self.leases.items() if lease.until <= now]
+        for name in ended:
+            del self.leases[name]
+        old = [n for n, lease in self.left.items() if lease.until <= now]
+        for name in old:
+            del self.left[name]
+        if ended:
+            self.sequence += 1
+            self.publish(True)
+
+    def _store(self, name: str, announcement: Announcement) -> None:
+        until = clock.now() + self.lease_s
+        known = self.leases.get(name)
+        if known is not None and known.announcement == announcement:
+            self.leases[name] = known._replace(until=until)
+            return
+        if announcement.state == interfaces.GONE:
+            self.leases.pop(name, None)
+            self.left[name] = Lease(announcement, until, self.sequence)
+            if len(self.left) > MAX_UPSTREAMS:
+                del self.left[next(iter(self.left))]
+        else:
+            self.left.pop(name, None)
+        if announcement.state == interfaces.GONE and known is None:
+            return
+        self.sequence += 1
+        if announcement.state != interfaces.GONE:
+            self.leases[name] = Lease(announcement, until, self.sequence)
+        # Leaving can't wait for others; arriving can.
+        self.publish(announcement.state != interfaces.UP)
+
+
+def _row(name: str, lease: Lease) -> messages.Row:
+    said = lease.announcement
+    return messages.Row(
+        name,
+        said.service,
+        said.address,
+        said.slots,
+        round(said.weight * messages.MILLI),
+        round(said.warmup_s * messages.MILLI),
+        messages.STATES.index(said.state),
+        said.incarnation,
+        lease.sequence,
+    )
+
+
+def _old(known: Announcement, said: Announcement) -> bool:
+    """Tell whether an announcement is older than the known one.
+
+    A renewal that was sent before a drain may arrive after it; taken as
+    news, it would bring work back to an upstream that leaves.  Within one
+    incarnation the state therefore only moves towards gone.
+    """
+    if said.incarnation and said.incarnation != known.incarnation:
+        return said.incarnation < known.incarnation
+    return STATES.index(said.state) < STATES.index(known.state)
+
+
+def _wrong(name: str, said: Announcement) -> str:
+    """Return what is wrong with an announcement, or nothing."""
+    bounds = (
+        (0 < len(name) <= MAX_NAME, 'id'),
+        (0 < len(said.service) <= MAX_NAME, 'service'),
+        (settings.address_ok(said.address), 'address: no IP number and port'),
+        (0 < said.slots <= MAX_SLOTS, 'slots: 1 to %d' % MAX_SLOTS),
+        (
+            1 / messages.MILLI <= said.weight <= MAX_WEIGHT,
+            'weight: 0.001 to %d' % MAX_WEIGHT,
+        ),
+        (
+            0 <= said.warmup_s <= MAX_WARMUP_S,
+            'warmup_s: 0 to %d' % MAX_WARMUP_S,
+        ),
+        (0 <= said.incarnation < 1 << 63, 'incarnation'),
+    )
+    return ', '.join(text for fine, text in bounds if not fine)
+
+
+def read(
+    value,
+) -> expression.Result[Announcement, codes.Failure]:
+    """Check the decoded JSON of an announcement."""
+    mistakes: list[shape.Mistake] = []
+    announcement = shape.build(Announcement, value, '$', mistakes)
+    if mistakes:
+        text = '; '.join(str(mistake) for mistake in mistakes)
+        return codes.fail(codes.ANNOUNCEMENT_INVALID, text)
+    return expression.Ok(announcement)
--- a/carawaystair/rendezvous.py
+++ b/carawaystair/rendezvous.py
@@ -16,7 +16,8 @@
 
 def score(key: str, name: str) -> int:
     """Return the weight of ``name`` for ``key``, 64 bits."""
-    return xxhash.xxh3_64_intdigest('%s\0%s' % (key, name))
+    text = '%s\0%s' % (key, name)
+    return xxhash.xxh3_64_intdigest(text.encode())
 
 
 def rank(key: str, members: Members) -> list[interfaces.Member]:
