Health and Evidence: the customer of a weight, the age of a connection

Cause: an upstream slow for one customer must be steered around for it alone, and an overdue answer on an old connection says little of the upstream. Change: two optional parameters. Conclusion: interface only.

--- a/carawaystair/interfaces.py
+++ b/carawaystair/interfaces.py
@@ -150,8 +150,12 @@
     def ejected(self, service: str) -> frozenset[str]:
         """Return ids that get no new work, after this node's own clamp."""
 
-    def weight(self, upstream: str) -> float:
-        """Return a factor from 0.0 to 1.0 on the upstream's share."""
+    def weight(self, upstream: str, customer: str = '') -> float:
+        """Return a factor from 0.0 to 1.0 on the upstream's share.
+
+        :param customer: the request's customer, where the caller knows it:
+            an upstream may be slow for one customer's work only.
+        """
 
     def trial(self, service: str) -> str | None:
         """Return an upstream that wants a copy of the next short request.
@@ -161,7 +165,9 @@
         attempt, like a hedge without a delay: the first whole answer is
         used, both attempts run to their end and both are recorded.  So an
         upstream under suspicion shows what it does with real work while no
-        caller waits for it alone.  Each wish is handed out once.
+        caller waits for it alone.  It goes out on a new connection, so that
+        a silent old one is not taken for a dead upstream.  Each wish is
+        handed out once.
         """
 
 
@@ -175,6 +181,7 @@
         customer: str,
         started: float,
         route: str = '',
+        fresh: bool = True,
     ) -> None:
         """Take note that an attempt starts; must return within microseconds.
 
@@ -184,6 +191,9 @@
         noticed at the timeout only.
 
         :param started: monotonic time, the same as in the later attempt.
+        :param fresh: whether the connection is new or has carried an answer
+            within the last second.  An overdue answer on an older one may be
+            the fault of the connection alone and weighs less.
         """
 
     def record(self, attempt: Attempt) -> None:
--- a/carawaystair/outlier/service.py
+++ b/carawaystair/outlier/service.py
@@ -63,7 +63,7 @@
         )
         return allowed
 
-    def weight(self, upstream: str) -> float:
+    def weight(self, upstream: str, customer: str = '') -> float:
         """Return a factor from 0.0 to 1.0 on the upstream's share."""
         return self.weights.weight(upstream, clock.now())
 
@@ -78,6 +78,7 @@
         customer: str,
         started: float,
         route: str = '',
+        fresh: bool = True,
     ) -> None:
         """Take note that an attempt starts."""
 
