Reservations: a majority holds a key before anything is sent

Cause: a keyed request must run at most once, whichever node the caller asks again. Change: replicas vote for one token a key; a token with a majority is granted; its owner settles or releases it. A caller learns of a finished run whose answer was not kept by status and digest (new fields of Reserved). Before: no reservations. Conclusion: the request path can be built on it.

--- a/carawaystair/codes.py
+++ b/carawaystair/codes.py
@@ -239,6 +239,63 @@
 
 # 5: reservations of idempotency keys
 
+KEY_REUSED = define(
+    5001,
+    'key-reused',
+    422,
+    'The idempotency key was used before with another request.',
+    'Take a new key for a new request; repeat a request unchanged.',
+)
+KEY_NO_MAJORITY = define(
+    5002,
+    'key-no-majority',
+    503,
+    'No majority of replicas reserved the idempotency key in time.',
+    'Nothing was sent; try again with the same key.',
+)
+KEYS_FULL = define(
+    5003,
+    'keys-full',
+    503,
+    'The replicas have no memory left for another idempotency key.',
+    'Nothing was sent; shorten key_window_s or add nodes.',
+)
+KEYS_CUSTOMER_FULL = define(
+    5004,
+    'keys-customer-full',
+    429,
+    'The customer holds its whole share of the memory for keys.',
+    'Nothing was sent; send fewer keyed requests within the window.',
+)
+KEY_INVALID = define(
+    5005,
+    'key-invalid',
+    400,
+    'The idempotency key is empty or too long.',
+    'Send a key of 1 to 255 bytes.',
+)
+KEY_RUNNING = define(
+    5006,
+    'key-running',
+    409,
+    'A request with this idempotency key runs or its end is unknown.',
+    'Ask for its state before taking another key.',
+)
+KEY_ANSWER_GONE = define(
+    5007,
+    'key-answer-gone',
+    409,
+    'The request with this key ran; its answer was not kept.',
+    'It ran once and is complete; ask the service for its result.',
+)
+KEYS_NOT_PLACED = define(
+    5008,
+    'keys-not-placed',
+    503,
+    'This node does not know which replicas hold the key.',
+    'Nothing was sent; try again, or check that control can be reached.',
+)
+
 # 6: admission
 
 QUEUE_FULL = define(
--- a/carawaystair/interfaces.py
+++ b/carawaystair/interfaces.py
@@ -240,12 +240,17 @@
     :param token: names the grant when its outcome is stored.
     :param answer: the stored answer of the earlier run, where one is known.
     :param running: another request with this key runs or its end is unknown.
+    :param status: HTTP status of an earlier run that is complete but whose
+        answer was not kept, being too large; 0 otherwise.
+    :param digest: BLAKE2b digest of that answer, 16 bytes.
     """
 
     granted: bool
     token: str = ''
     answer: bytes | None = None
     running: bool = False
+    status: int = 0
+    digest: bytes = b''
 
 
 class Reservations(typing.Protocol):
@@ -265,8 +270,14 @@
             refused.
         """
 
-    async def settle(self, token: str, answer: bytes) -> None:
-        """Store the answer of the run that ``token`` granted."""
+    async def settle(
+        self, token: str, answer: bytes, status: int = 200
+    ) -> None:
+        """Store the answer of the run that ``token`` granted.
+
+        :param answer: whatever lets the caller's side repeat the answer.
+        :param status: its HTTP status, kept when the answer is too large.
+        """
 
     async def release(self, token: str) -> None:
         """Give the key back: the request was provably not run."""
--- /dev/null
+++ b/carawaystair/reservations/__init__.py
@@ -0,0 +1,30 @@
+"""At most one run for each idempotency key."""
+
+import random
+import typing
+
+from carawaystair import interfaces
+from carawaystair import kernel as kernels
+from carawaystair.reservations import service
+from carawaystair import routing as routings
+
+
+def make(
+    kernel: kernels.Kernel,
+    members: interfaces.Members,
+    routing: typing.Callable[[], routings.Routing],
+) -> service.Reservations:
+    """Return the reservations of a node.
+
+    :param kernel: of the process.
+    :param members: the membership.
+    :param routing: returns the current configuration.
+    """
+    return service.Reservations(
+        kernel.links,
+        members,
+        routing,
+        kernel.timeline,
+        random.Random(),
+        kernel.incarnation,
+    )
--- /dev/null
+++ b/carawaystair/reservations/names.py
@@ -0,0 +1,67 @@
+"""Names of keys, requests and grants: short digests of fixed size."""
+
+import hashlib
+import itertools
+import random
+
+# The key space is cut in this many partitions, so that replicas are chosen
+# for a partition and not by sorting 2,500 members for every request.
+PARTITIONS = 1024
+NAME_BYTES = 16
+DIGEST_BYTES = 16
+OWNER_BYTES = 12
+COUNTER_BYTES = 4
+TOKEN_BYTES = OWNER_BYTES + COUNTER_BYTES
+MAX_KEY = 255
+
+
+def name(service: str, customer: str, key: str) -> bytes:
+    """Return the name of a key, 16 bytes.
+
+    Every part goes in with its length, so that no two keys can be joined to
+    the same text.
+    """
+    parts = (part.encode() for part in (service, customer, key))
+    text = b''.join(b'%d:%s' % (len(part), part) for part in parts)
+    return hashlib.blake2b(text, digest_size=NAME_BYTES).digest()
+
+
+def partition(key_name: bytes) -> int:
+    """Return the partition of a key's name."""
+    return int.from_bytes(key_name[:4]) % PARTITIONS
+
+
+def request(digest: bytes) -> bytes:
+    """Return a request's digest in the size that replicas keep."""
+    if len(digest) == DIGEST_BYTES:
+        return digest
+    return hashlib.blake2b(digest, digest_size=DIGEST_BYTES).digest()
+
+
+def customer(text: str) -> int:
+    """Return the number that stands for a customer, 63 bits."""
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest) >> 1
+
+
+class Tokens:
+    """Makes the tokens of one process; none is ever made twice.
+
+    :param host: the host of the process.
+    :param incarnation: of the process.
+    :param rng: tells two starts apart when the wall clock was set back
+        between them and both got the same incarnation.
+    """
+
+    def __init__(
+        self, host: str, incarnation: int, rng: random.Random
+    ) -> None:
+        text = '%s/%d/%d' % (host, incarnation, rng.getrandbits(64))
+        self.owner = hashlib.blake2b(
+            text.encode(), digest_size=OWNER_BYTES
+        ).digest()
+        self.counter = itertools.count(1)
+
+    def make(self) -> bytes:
+        """Return a new token, 16 bytes."""
+        return self.owner + next(self.counter).to_bytes(COUNTER_BYTES)
