Daemon: nodes and control hosts as processes

Cause: the parts stood side by side without a process around them; a task that ended by an exception would have gone unnoticed; an address in use ended in a traceback. Change: the roles node and control, the daemon watches for crashed parts, links name the address that is taken. Conclusion: processes start, show themselves, and end as a whole.

--- a/carawaystair/daemon.py
+++ b/carawaystair/daemon.py
@@ -31,25 +31,36 @@
     return result
 
 
-async def run(settings: settings_module.Settings) -> int:
-    """Run the process until SIGTERM or SIGINT."""
+async def run(
+    settings: settings_module.Settings, registry: plugins.Registry
+) -> int:
+    """Run the process until SIGTERM, SIGINT or a crash of a part.
+
+    A part whose task ended by an exception does its work no longer, while
+    all others go on: a node could keep routing by old knowledge for days.
+    So the whole process ends, with an error, and whoever watches over it
+    starts it again.
+    """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    process = kernel.Kernel(settings, plugins.load())
+    process = kernel.Kernel(settings, registry)
     try:
         await process.start()
+        LOG.info('Started.', roles=list(settings.roles))
+        await process.wait(stop)
+        if process.crashed:
+            LOG.error('A part crashed.', why=repr(process.crash_reason))
+            return EXIT_FAILED
     except OSError as error:
         failure = codes.Failure(codes.ADDRESS_IN_USE, str(error))
         print(failure.sentence(), file=sys.stderr)
-        await process.stop()
         return EXIT_FAILED
-    LOG.info('Started.', roles=list(settings.roles))
-    await stop.wait()
-    LOG.info('Stopping.')
-    await process.stop()
-    LOG.info('Stopped.')
+    finally:
+        LOG.info('Stopping.')
+        await process.stop()
+        LOG.info('Stopped.')
     return EXIT_OK
 
 
@@ -65,7 +76,7 @@
         return EXIT_SETTINGS
     settings = result.ok
     logs.setup(settings.log.level, settings.log.form, settings.host)
-    return asyncio.run(run(settings))
+    return asyncio.run(run(settings, plugins.load()))
 
 
 if __name__ == '__main__':
--- a/carawaystair/kernel.py
+++ b/carawaystair/kernel.py
@@ -1,6 +1,5 @@
 """The kernel of a process: what every role of it shares."""
 
-import asyncio
 import pathlib
 import typing
 
@@ -66,21 +65,20 @@
         await self.add_runtime_dependency(self.links)
         await self.add_runtime_dependency(self.datagrams)
         factories = self.registry.collect('roles')
-        # Control first: a node of the same process follows it.
+        # Control first: a node of the same process follows it.  Stopping
+        # goes the other way round, and links last.
         for name in sorted(self.settings.roles):
-            role = factories[name](self)
-            self.roles.append(role)
-            await role.start()
+            self.roles.append(factories[name](self))
+            await self.add_runtime_dependency(self.roles[-1])
         self.timeline.record('process-started', ', '.join(self.settings.roles))
         self.registry.send(plugins.STARTED, kernel=self)
 
     async def on_stop(self) -> None:
-        """Stop the roles, the node first, while links still work."""
+        """Tell of the stop; the roles then stop, links last."""
         self.timeline.record('process-stopping')
         self.registry.send(plugins.STOPPING, kernel=self)
-        for role in reversed(self.roles):
-            await role.stop()
-        await asyncio.sleep(0)
+        if self._broken in invariants.LISTENERS:
+            invariants.LISTENERS.remove(self._broken)
 
     def _broken(self, name: str, detail: str) -> None:
         self.timeline.record('invariant-broken', '%s: %s' % (name, detail))
--- a/carawaystair/links.py
+++ b/carawaystair/links.py
@@ -85,7 +85,10 @@
         self.router.sndhwm = QUEUE
         if self.secure is not None:
             self.secure(self.router, True)
-        self.router.bind('tcp://%s' % self.address)
+        try:
+            self.router.bind('tcp://%s' % self.address)
+        except zmq.ZMQError as error:
+            raise OSError('%s: %s' % (self.address, error)) from error
 
     async def on_stop(self) -> None:
         """Close every socket; what still waits is dropped."""
--- /dev/null
+++ b/carawaystair/node.py
@@ -0,0 +1,95 @@
+"""The node role: puts the parts of a node together."""
+
+import typing
+
+import mode
+
+from carawaystair import admission
+from carawaystair import follower
+from carawaystair import invariants
+from carawaystair import localapi
+from carawaystair import membership
+from carawaystair import outlier
+from carawaystair import request
+from carawaystair import reservations
+
+
+class Node(mode.Service):
+    """One node.
+
+    The parts start in the order in which they need each other and stop in
+    the reverse order: callers are let go first, membership last.
+
+    :param kernel: the kernel of the process.
+    """
+
+    def __init__(self, kernel, **kwargs) -> None:
+        super().__init__(**kwargs)
+        self.kernel = kernel
+        self.membership = membership.make(kernel)
+        members = self.membership.members
+        directory = self.membership.directory
+        self.follower = follower.make(kernel, members)
+        routing = self.follower.routing
+        self.outlier = outlier.make(kernel, members, directory, routing)
+        self.admission = admission.make(
+            kernel, members, directory, self.outlier, routing
+        )
+        self.reservations = reservations.make(kernel, members, routing)
+        self.request = request.make(
+            kernel,
+            directory,
+            self.outlier,
+            self.outlier,
+            self.admission,
+            self.reservations,
+            routing,
+        )
+        routes = [
+            *self.membership.routes(),
+            *localapi.observer_routes(kernel, self.status),
+        ]
+        self.local = localapi.LocalApi(kernel.settings.node.local, routes)
+        self.parts = (
+            self.membership,
+            self.follower,
+            self.outlier,
+            self.admission,
+            self.reservations,
+            self.local,
+            self.request,
+        )
+
+    async def on_start(self) -> None:
+        """Start the parts."""
+        for part in self.parts:
+            await self.add_runtime_dependency(part)
+
+    def status(self) -> dict[str, typing.Any]:
+        """Return what an operator wants to see first."""
+        settings = self.kernel.settings
+        members = self.membership.members.alive()
+        names = self.follower.routing().services()
+        return {
+            'host': settings.host,
+            'data_centre': settings.data_centre,
+            'region': settings.region,
+            'ready': self.follower.ready,
+            'version': str(self.follower.version()),
+            'members': sorted(member.host for member in members),
+            'services': [self._service(name) for name in sorted(names)],
+            'invariants_broken': dict(invariants.BROKEN),
+        }
+
+    def _service(self, name: str) -> dict[str, typing.Any]:
+        upstreams = self.membership.directory.upstreams(name)
+        return {
+            'name': name,
+            'upstreams': [upstream._asdict() for upstream in upstreams],
+            'ejected': sorted(self.outlier.ejected(name)),
+        }
+
+
+def make(kernel) -> Node:
+    """Return the node of a process."""
+    return Node(kernel)
