Capacity: first form of the page, worked out from measured slopes

Conclusion: the form stands; membership, reports, shares and reservations add their lines as they are measured.

--- /dev/null
+++ b/bench/capacity_lines.py
@@ -0,0 +1,222 @@
+"""The lines of docs/CAPACITY.md: formulas over measured slopes.
+
+Every formula stands here as code, with the sizes of the letter as named
+constants, so that a new measurement changes the page and nothing else does.
+"""
+
+import math
+import typing
+
+# The letter.
+
+NODES = 2500
+SERVERS = 27_000
+SERVICES = 520
+REQUESTS_S = 170_000
+ROUTES = 26_000
+CUSTOMERS = 84_000
+CHANGES_DAY = 10_000
+IN_FORCE_S = 9.0
+RESTARTS_DAY = 5400
+FAILED_DAY = 32
+CONTROL_HOSTS = 8
+DATA_CENTRES = 5
+ADDED_MS = 1.1
+
+CPU_US_S = 0.018 * 1e6
+MEMORY_MB = 32.0
+BYTES_S = 22_000.0
+
+DAY_S = 86_400.0
+
+ROWS = ROUTES + CUSTOMERS + SERVICES
+CHANGES_S = CHANGES_DAY / DAY_S
+
+# Our own settings, as in the code.
+
+POLL_S = 2.0
+NEWS_FANOUT = 3
+# A change of one row with its header, as it travels.
+CHANGE_BYTES = 250
+NEWS_BYTES = 60
+
+MEASURED = 'measured'
+RECKONED = 'reckoned'
+NOT_BUILT = 'not built'
+
+
+class Line(typing.NamedTuple):
+    """What one mechanism costs one process.
+
+    :param what: the state or the traffic.
+    :param messages_s: messages sent and received, a second.
+    :param cpu_us_s: processor time, us a second.
+    :param bytes_s: bytes sent and received, a second.
+    :param memory_mb: memory beyond the libraries, MB.
+    :param mechanism: what carries it.
+    :param basis: the experiment, or why there is none.
+    """
+
+    what: str
+    messages_s: float = 0.0
+    cpu_us_s: float = 0.0
+    bytes_s: float = 0.0
+    memory_mb: float = 0.0
+    mechanism: str = ''
+    basis: str = ''
+
+
+class Role(typing.NamedTuple):
+    """What one role costs one process.
+
+    :param name: name of the role.
+    :param text: what it does and how many there are.
+    :param lines: its lines.
+    """
+
+    name: str
+    text: str
+    lines: tuple[Line, ...]
+
+
+class Bound(typing.NamedTuple):
+    """One number of the letter.
+
+    :param what: what it bounds.
+    :param bound: the number.
+    :param reckoned: what we reckon.
+    :param margin: bound over reckoned.
+    :param mechanism: what carries it.
+    :param basis: whether it is measured, reckoned or not built.
+    """
+
+    what: str
+    bound: str
+    reckoned: str
+    margin: str
+    mechanism: str
+    basis: str
+
+
+def _polls(measured) -> Line:
+    """A node asks a control host every poll and gets an answer."""
+    messages = 2 / POLL_S
+    cpu = messages * measured['links.cpu_us.by_messages']
+    return Line(
+        'polls of control',
+        messages,
+        cpu,
+        messages * NEWS_BYTES,
+        0.0,
+        'version numbers only; deltas when there is news',
+        'links',
+    )
+
+
+def _news(measured) -> Line:
+    """Each change brings news from peers, one question, one answer."""
+    messages = CHANGES_S * (2 * NEWS_FANOUT + 2)
+    cpu = messages * measured['links.cpu_us.by_messages']
+    applied = CHANGES_S * measured['table.one_row_change'] * 1e3
+    sent = CHANGES_S * (2 * NEWS_FANOUT * NEWS_BYTES + CHANGE_BYTES)
+    return Line(
+        'changes of configuration',
+        messages,
+        cpu + applied,
+        sent,
+        0.0,
+        'deltas by version; compact table rebuilt by bucket',
+        'links, table',
+    )
+
+
+def _table(measured) -> Line:
+    size = measured['table.bytes.by_rows'] * ROWS / 1e6
+    return Line(
+        'routes, customers, services',
+        memory_mb=size,
+        mechanism='compact table',
+        basis='table',
+    )
+
+
+def node(measured) -> Role:
+    """Return what every node pays."""
+    text = (
+        'Every one of the %s nodes: configuration, membership, directory, '
+        'reports.' % '{:,}'.format(NODES)
+    )
+    lines = (_table(measured), _polls(measured), _news(measured))
+    return Role('node', text, lines)
+
+
+def control(measured) -> Role:
+    """Return what each of the control hosts pays."""
+    asks = NODES / POLL_S / CONTROL_HOSTS
+    messages = 2 * asks
+    line = Line(
+        'answers to nodes',
+        messages,
+        messages * measured['links.cpu_us.by_messages'],
+        messages * NEWS_BYTES,
+        measured['table.bytes.by_rows'] * ROWS / 1e6,
+        'one poll in %g s a node, spread over %d hosts'
+        % (POLL_S, CONTROL_HOSTS),
+        'links, table',
+    )
+    text = 'Each of up to %d control hosts.' % CONTROL_HOSTS
+    return Role('control host', text, (line,))
+
+
+def roles(measured) -> tuple[Role, ...]:
+    """Return all roles."""
+    return (node(measured), control(measured))
+
+
+def _margin(bound: float, reckoned: float) -> str:
+    return '%.1fx' % (bound / reckoned) if reckoned else ''
+
+
+def bounds(measured) -> tuple[Bound, ...]:
+    """Return a row for every number of the letter."""
+    lines = node(measured).lines
+    cpu = sum(line.cpu_us_s for line in lines)
+    memory = sum(line.memory_mb for line in lines)
+    sent = sum(line.bytes_s for line in lines)
+    hops = math.ceil(math.log(NODES, NEWS_FANOUT))
+    spread = POLL_S + hops * 0.01
+    return (
+        Bound(
+            'control at a node: processor',
+            '1.8% of a core',
+            '%.2f%%' % (cpu / 1e4),
+            _margin(CPU_US_S, cpu),
+            'see the node below',
+            MEASURED,
+        ),
+        Bound(
+            'control at a node: memory',
+            '32 MB',
+            '%.1f MB' % memory,
+            _margin(MEMORY_MB, memory),
+            'see the node below; what control adds to the libraries',
+            MEASURED,
+        ),
+        Bound(
+            'control at a node: network',
+            '22 KB/s',
+            '%.2f KB/s' % (sent / 1e3),
+            _margin(BYTES_S, sent),
+            'see the node below',
+            RECKONED,
+        ),
+        Bound(
+            'a change in force everywhere',
+            '%g s' % IN_FORCE_S,
+            '%.1f s' % spread,
+            _margin(IN_FORCE_S, spread),
+            'news through %d hops of %d peers, polls every %g s beneath'
+            % (hops, NEWS_FANOUT, POLL_S),
+            RECKONED,
+        ),
+    )
