--- /dev/null
+++ b/carawaystair/membership/awareness.py
@@ -0,0 +1,47 @@
+"""Local health awareness: how far this process trusts its own judgment.
+
+A process that is slow itself sees everybody else as slow.  It therefore
+keeps a score of its own trouble and takes more time over each probe while
+the score is high (Lifeguard, Dadgar, Phillips and Currey, 2018: LHA-Probe).
+"""
+
+# The score goes from 0 to this; probes take up to one more times as long.
+MAX_SCORE = 4
+# Probes that failed in a row, with no success between, after which this
+# process is held to be the one that is cut off.
+ISOLATED_AFTER = 3
+
+
+class Awareness:
+    """The score of one process."""
+
+    def __init__(self) -> None:
+        self.score = 0
+        self.failures = 0
+
+    @property
+    def scale(self) -> int:
+        """Return the factor on the times of probes."""
+        return self.score + 1
+
+    def isolated(self) -> bool:
+        """Tell whether this process seems to reach nobody."""
+        return self.failures >= ISOLATED_AFTER
+
+    def succeeded(self) -> None:
+        """Take note of a probe that was answered."""
+        self.failures = 0
+        self.score = max(self.score - 1, 0)
+
+    def failed(self, silent: int) -> None:
+        """Take note of a probe that nobody answered.
+
+        :param silent: how many helpers did not even answer that they could
+            not reach the host; they are not all dead at once.
+        """
+        self.failures += 1
+        self.worsen(silent)
+
+    def worsen(self, by: int = 1) -> None:
+        """Take note of another sign that this process is in trouble."""
+        self.score = min(self.score + by, MAX_SCORE)
--- a/carawaystair/membership/directory.py
+++ b/carawaystair/membership/directory.py
@@ -6,12 +6,12 @@
 is one dictionary access.
 """
 
+import asyncio
 import sys
 import typing
 
 import mode
 
-from carawaystair import clock
 from carawaystair import interfaces
 from carawaystair.membership import messages
 from carawaystair.membership import table as tables
@@ -37,8 +37,8 @@
         self.hosts: dict[str, tuple[str, ...]] = {}
         self.cache: dict[str, tuple[interfaces.Upstream, ...]] = {}
         self.touched: set[str] = set()
-        # Services that requests of this node go to, and since when.
-        self.used: dict[str, float] = {}
+        # Services that requests of this node go to.
+        self.used: set[str] = set()
         # Services in which two hosts announce the same id.
         self.doubled: set[str] = set()
         self.callbacks: list[Callback] = []
@@ -57,8 +57,7 @@
 
     def using(self, service: str) -> None:
         """Note that this node sends requests to a service."""
-        if service not in self.used:
-            self.used[service] = clock.now()
+        self.used.add(service)
 
     def peek(self, service: str) -> tuple[interfaces.Upstream, ...]:
         """Return the same as ``upstreams``, without keeping it decoded."""
@@ -77,21 +76,18 @@
         """Drop the decoded services that nobody asks for."""
         while not self.should_stop:
             self.touched.clear()
-            await self.sleep(IDLE_S)
+            await asyncio.sleep(IDLE_S)
             for service in self.cache.keys() - self.touched:
                 del self.cache[service]
-                self.used.pop(service, None)
+                self.used.discard(service)
 
     def _changed(self, change: tables.Change) -> None:
         """Carry a change of a host over to its upstreams."""
         entry = change.entry
-        up_before = change.old_state is not None and (
-            change.old_state <= messages.SUSPECT
-        )
         same = change.old_record is entry.record
-        if same and up_before == entry.up:
+        if same and change.was_up == entry.up:
             return
-        old = _rows(change.old_record) if up_before else ()
+        old = _rows(change.old_record) if change.was_up else ()
         new = _rows(entry.record) if entry.up else ()
         before = {row.id: row for row in old}
         after = {row.id: row for row in new}
--- a/carawaystair/membership/flood.py
+++ b/carawaystair/membership/flood.py
@@ -27,9 +27,10 @@
 # Bytes per second to one neighbour; a returning data centre brings hundreds
 # of records at once, which must not crowd out requests.
 RATE = 256 * 1024
-# A new neighbour gets the records that changed in the last so many seconds:
-# they may have passed while the overlay was being changed.
+# A new neighbour gets what was passed on in the last so many seconds: it may
+# have missed that while the overlay was being changed.
 RECENT_S = 5.0
+DRAIN_POLL_S = 0.02
 # The overlay follows the members at most this often, in seconds.
 SETTLE_S = 0.25
 
@@ -43,12 +44,14 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self.waiting: dict[str, None] = {}
+        self.busy = False
         self.event = asyncio.Event()
         self.task: asyncio.Task | None = None
 
     def add(self, host: str) -> None:
         """Let the record of a host wait."""
         self.waiting[host] = None
+        self.busy = True
         self.event.set()
 
 
@@ -66,6 +69,8 @@
         self.table = table
         self.transport = transport
         self.feeds: dict[str, Feed] = {}
+        # Hosts whose records were passed on of late, and when.
+        self.recent: dict[str, float] = {}
         self.stale = asyncio.Event()
         table.listeners.append(self._changed)
         transport.handle(messages.Batch, self._receive)
@@ -77,19 +82,37 @@
 
     def spread(self, host: str) -> None:
         """Pass the record of a host on to every neighbour."""
+        self.recent.pop(host, None)
+        self.recent[host] = clock.now()
         for feed in self.feeds.values():
             feed.add(host)
 
-    def take(self, records: typing.Iterable[messages.Record]) -> int:
-        """Take records in and pass on those that are new.
+    def take(
+        self, records: typing.Iterable[messages.Record], spread: bool = True
+    ) -> int:
+        """Take records in.
 
+        :param spread: whether to pass on those that are new.
         :return: how many were new.
         """
         new = [record.host for record in records if self.table.put(record)]
-        for host in new:
+        for host in new if spread else ():
             self.spread(host)
         return len(new)
 
+    async def drained(self, time_s: float) -> bool:
+        """Wait until no neighbour waits for anything.
+
+        :param time_s: seconds to wait at most.
+        :return: whether all was acknowledged.
+        """
+        until = clock.now() + time_s
+        while clock.now() < until:
+            if not any(feed.busy for feed in self.feeds.values()):
+                return True
+            await asyncio.sleep(DRAIN_POLL_S)
+        return False
+
     def align(self) -> None:
         """Open and close feeds as the overlay has it now."""
         hosts = [entry.member.host for entry in self.table.up()]
@@ -118,9 +141,9 @@
         """Begin to feed a neighbour, with what changed of late."""
         feed = Feed(address)
         since = clock.now() - RECENT_S
-        for host, entry in self.table.entries.items():
-            if entry.changed >= since:
-                feed.add(host)
+        self.recent = {h: t for h, t in self.recent.items() if t >= since}
+        for host in self.recent:
+            feed.add(host)
         feed.task = asyncio.create_task(self._feed(feed))
         return feed
 
@@ -130,6 +153,7 @@
         while True:
             await feed.event.wait()
             batch = self._batch(feed)
+            feed.busy = bool(batch)
             if not batch:
                 feed.event.clear()
                 continue
@@ -196,9 +220,6 @@
             feed.task.cancel()
 
     def _changed(self, change: tables.Change) -> None:
-        was_up = change.old_state is not None and (
-            change.old_state <= messages.SUSPECT
-        )
         moved = change.old_record is not change.entry.record
-        if was_up != change.entry.up or moved:
+        if change.was_up != change.entry.up or moved:
             self.stale.set()
--- a/carawaystair/membership/join.py
+++ b/carawaystair/membership/join.py
@@ -10,14 +10,21 @@
 from carawaystair import logs
 from carawaystair.membership import flood as floods
 from carawaystair.membership import messages
+from carawaystair.membership import probe
 from carawaystair.membership import table as tables
 
-TIMEOUT_S = 1.0
-# Pause between attempts at seeds, in seconds.
-RETRY_S = (0.5, 1.5)
-# Records that a seed gives a newcomer at once; the rest comes by
-# anti-entropy from other members.
+TIMEOUT_S = 2.0
+# Pause between attempts at seeds, in seconds, until one has answered.
+RETRY_S = 1.0
+# Later a seed that is not a member is asked by all processes together about
+# this often, in seconds, and by each no more often than RECALL_S.
+SEED_S = 0.05
+RECALL_S = 10.0
+# Records that a seed gives a newcomer; the rest comes by anti-entropy, from
+# many members in place of a few seeds.
 GREETING = 16
+# Time for each of two probes of a newcomer.
+REACH_S = 0.4
 
 LOG = logs.get('membership')
 
@@ -27,6 +34,7 @@
 
     :param table: the table of hosts.
     :param flood: passes records on.
+    :param prober: probes newcomers.
     :param transport: the messages of this process.
     :param seeds: addresses for messages of some processes.
     :param rng: the source of randomness.
@@ -36,6 +44,7 @@
         self,
         table: tables.Table,
         flood: floods.Flood,
+        prober: probe.Prober,
         transport: interfaces.Transport,
         seeds: typing.Sequence[str],
         rng: random.Random,
@@ -44,8 +53,9 @@
         super().__init__(**kwargs)
         self.table = table
         self.flood = flood
+        self.prober = prober
         self.transport = transport
-        own = table.entries[table.host].member.peer
+        own = table.me.member.peer
         self.seeds = tuple(seed for seed in seeds if seed != own)
         self.rng = rng
         transport.handle(messages.Hello, self._hello)
@@ -54,39 +64,70 @@
     async def _join(self) -> None:
         """Ask the seeds that are not members, for ever.
 
-        Were it to end once a seed answered, two halves of a fleet that
-        forgot each other would never meet again.
+        Were it to end once a seed answered, two halves of a fleet that were
+        apart until they forgot each other would never meet again.
         """
         while not self.should_stop:
             seeds = self.missing()
             if seeds:
                 await self._ask(self.rng.choice(seeds))
-            await asyncio.sleep(self.rng.uniform(*RETRY_S))
+            await asyncio.sleep(self._pause() * self.rng.uniform(0.5, 1.5))
 
     def missing(self) -> list[str]:
         """Return the seeds that are not believed alive."""
         alive = {entry.member.peer for entry in self.table.up()}
         return [seed for seed in self.seeds if seed not in alive]
 
+    def _pause(self) -> float:
+        """Return the seconds until the next attempt.
+
+        A seed that comes back must not be met by the whole fleet at once.
+        """
+        others = len(self.table.up()) - 1
+        return max(RECALL_S, SEED_S * others) if others else RETRY_S
+
     async def _ask(self, seed: str) -> None:
-        mine = self.table.entries[self.table.host].record
+        mine = self.table.me.record
         result = await self.transport.call(
             seed, messages.Hello(mine), TIMEOUT_S
         )
         if result.is_error():
             LOG.debug('A seed does not answer.', seed=seed)
             return
-        if result.ok.incarnation >= mine.incarnation:
-            self.table.accused(result.ok.incarnation)
-        self.flood.take(result.ok.records)
+        if result.ok.incarnation:
+            self.table.outdated(result.ok.incarnation)
+        self.flood.take(result.ok.records, spread=False)
+        # After a long cut they are known and believed dead.
+        for record in result.ok.records:
+            self.prober.contest(record.host)
 
     async def _hello(
         self, _sender: str, hello: messages.Hello
-    ) -> messages.Greeting:
-        known = self.table.entries.get(hello.record.host)
-        highest = 0
-        if known is not None and known.record.version > hello.record.version:
-            highest = known.member.incarnation
-        self.flood.take((hello.record,))
-        others = [entry.record for entry in self.table.up()]
-        return messages.Greeting(highest, tuple(others))
+    ) -> messages.Greeting | None:
+        """Let a process join, once a round trip shows that it hears us.
+
+        One whose datagrams get through in one direction only would be
+        believed alive by all until each had found out for itself.
+        """
+        record = hello.record
+        body = messages.unpack(record.body)
+        if body is None or record.host == self.table.host:
+            return None
+        known = self.table.entries.get(record.host)
+        if known is not None and known.record.version > record.version:
+            return messages.Greeting(known.record.incarnation, ())
+        stranger = tables.Entry(record, tables.member(record, body), 0.0)
+        if not await self.prober.reach(known or stranger, REACH_S):
+            return None
+        self.flood.take((record,))
+        return messages.Greeting(0, self._sample(record.host))
+
+    def _sample(self, newcomer: str) -> tuple[messages.Record, ...]:
+        """Return the own record and those of some other members."""
+        others = [
+            entry.record
+            for entry in self.table.up()
+            if entry.member.host not in (newcomer, self.table.host)
+        ]
+        chosen = self.rng.sample(others, min(GREETING, len(others)))
+        return (self.table.me.record, *chosen)
--- a/carawaystair/membership/members.py
+++ b/carawaystair/membership/members.py
@@ -56,10 +56,7 @@
                 entry.member.incarnation,
             )
             self.timeline.record(kind, text)
-        was_up = change.old_state is not None and (
-            change.old_state <= messages.SUSPECT
-        )
-        if was_up != entry.up:
+        if change.was_up != entry.up:
             for callback in self.callbacks:
                 callback(entry.member, entry.up)
 
--- a/carawaystair/membership/messages.py
+++ b/carawaystair/membership/messages.py
@@ -4,6 +4,7 @@
 """
 
 import typing
+import zlib
 
 import msgspec
 
@@ -20,6 +21,11 @@
 # States of an upstream inside a record; those gone are absent from it.
 STATES = (interfaces.UP, interfaces.DRAINING)
 MILLI = 1000
+# A body is compressed, which halves it: in memory, on the wire, and so that
+# it fits a datagram.  Larger than this it is refused before it is inflated:
+# a few hundred bytes could otherwise ask for gigabytes.
+MAX_BODY = 64 * 1024
+RAW = -15
 
 
 class Row(typing.NamedTuple):
@@ -137,13 +143,200 @@
     newer: tuple[Record, ...] = ()
 
 
+# Which digests a comparison is about.
+RECORDS = 0
+LIVENESS = 1
+
+
+@wire.register(64)
+class Compare(typing.NamedTuple):
+    """A question of anti-entropy; answered by a Differ.
+
+    :param kind: :data:`RECORDS` or :data:`LIVENESS`.
+    :param buckets: the digests of the sender's buckets, 8 bytes each.
+    """
+
+    kind: int
+    buckets: bytes
+
+
+class Version(typing.NamedTuple):
+    """What a process holds of one host.
+
+    :param host: the host.
+    :param incarnation: of its record, or of its liveness.
+    :param sequence: of its record; 0 for liveness.
+    """
+
+    host: str
+    incarnation: int
+    sequence: int
+
+
+@wire.register(65)
+class Differ(typing.NamedTuple):
+    """The hosts in some of the buckets that differ.
+
+    :param buckets: the buckets covered.
+    :param versions: what the answering process holds in them.
+    """
+
+    buckets: tuple[int, ...]
+    versions: tuple[Version, ...]
+
+
+@wire.register(66)
+class Fetch(typing.NamedTuple):
+    """Asks for the records of some hosts; answered by Records."""
+
+    hosts: tuple[str, ...]
+
+
+@wire.register(67)
+class Records(typing.NamedTuple):
+    """Records that were asked for; none when the process is too busy."""
+
+    records: tuple[Record, ...]
+
+
+class News(typing.NamedTuple):
+    """What somebody says of a host's liveness.
+
+    :param host: the host.
+    :param state: :data:`ALIVE`, :data:`SUSPECT` or :data:`DEAD`.
+    :param incarnation: the incarnation that it is said of.
+    :param by: who suspects it; empty otherwise.
+    """
+
+    host: str
+    state: int
+    incarnation: int
+    by: str = ''
+
+
+class Digests(typing.NamedTuple):
+    """What two processes compare with every probe.
+
+    :param records: digest of the records of live hosts.
+    :param liveness: digest of the incarnations of live hosts.
+    """
+
+    records: int
+    liveness: int
+
+
+@wire.register(68)
+class Ping(typing.NamedTuple):
+    """A direct probe; answered by an Ack.
+
+    :param to: the host that is meant: another one may have its address now.
+    :param nonce: pairs the Ack with it.
+    :param known: the incarnation that the sender knows of ``to``.
+    :param host: the sender's host.
+    :param digests: the sender's digests.
+    :param news: what spreads with it.
+    """
+
+    to: str
+    nonce: int
+    known: int
+    host: str
+    digests: Digests
+    news: tuple[News, ...] = ()
+
+
+@wire.register(69)
+class Ack(typing.NamedTuple):
+    """The answer to a Ping.
+
+    :param nonce: of the Ping.
+    :param host: the host that answers.
+    :param incarnation: its incarnation.
+    :param digests: its digests.
+    :param news: what spreads with it.
+    """
+
+    nonce: int
+    host: str
+    incarnation: int
+    digests: Digests
+    news: tuple[News, ...] = ()
+
+
+@wire.register(70)
+class Relay(typing.NamedTuple):
+    """Asks another process to probe a host; answered by a Relayed.
+
+    :param to: the host to probe.
+    :param nonce: pairs the answer with it.
+    """
+
+    to: str
+    nonce: int
+
+
+@wire.register(71)
+class Relayed(typing.NamedTuple):
+    """The answer to a Relay.
+
+    :param nonce: of the Relay.
+    :param reached: whether the host answered.
+    :param incarnation: the incarnation that it answered with.
+    """
+
+    nonce: int
+    reached: bool
+    incarnation: int = 0
+
+
+@wire.register(72)
+class Rumour(typing.NamedTuple):
+    """News on its own, while there is some.
+
+    :param host: the sender's host.
+    :param news: the news.
+    """
+
+    host: str
+    news: tuple[News, ...]
+
+
+@wire.register(73)
+class Push(typing.NamedTuple):
+    """A record, straight from its host to one that sends there."""
+
+    record: Record
+
+
+@wire.register(74)
+class Pushed(typing.NamedTuple):
+    """The answer to a Push: it arrived.
+
+    :param incarnation: of the record.
+    :param sequence: of the record.
+    """
+
+    incarnation: int
+    sequence: int
+
+
+@wire.register(75)
+class Interest(typing.NamedTuple):
+    """Tells a host that the sender sends requests to its upstreams.
+
+    :param host: the sender's host.
+    """
+
+    host: str
+
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Body)
 
 
 def pack(body: Body) -> bytes:
     """Encode the body of a record."""
-    return _ENCODER.encode(body)
+    return zlib.compress(_ENCODER.encode(body), wbits=RAW)
 
 
 def unpack(data: bytes) -> Body | None:
@@ -151,7 +344,9 @@
 
     :return: None when it is malformed.
     """
+    inflater = zlib.decompressobj(RAW)
     try:
-        return _DECODER.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        text = inflater.decompress(data, MAX_BODY)
+        return _DECODER.decode(text) if inflater.eof else None
+    except (zlib.error, msgspec.DecodeError, UnicodeDecodeError):
         return None
--- a/carawaystair/membership/service.py
+++ b/carawaystair/membership/service.py
@@ -8,18 +8,32 @@
 import mode
 
 from carawaystair import interfaces
+from carawaystair import logs
+from carawaystair.membership import aging
 from carawaystair.membership import api
 from carawaystair.membership import directory as directories
 from carawaystair.membership import flood as floods
+from carawaystair.membership import interest as interests
 from carawaystair.membership import join
 from carawaystair.membership import members as member_lists
 from carawaystair.membership import messages
+from carawaystair.membership import probe
 from carawaystair.membership import registry as registries
+from carawaystair.membership import sync as syncs
 from carawaystair.membership import table as tables
 
 # Arrivals wait so long for others, in seconds, so that the upstreams of a
 # host that starts travel in one record.  Leaves don't wait.
 GATHER_S = 0.2
+# A process that leaves waits so long at most, in seconds, until its
+# neighbours have acknowledged that.
+LEAVE_S = 1.5
+# A process that stood still for longer trusts nothing that it knew.  Others
+# may have left and be forgotten everywhere else; by anti-entropy it would
+# bring them back.
+DOUBT_S = 60.0
+
+LOG = logs.get('membership')
 
 
 class Identity(typing.NamedTuple):
@@ -81,25 +95,72 @@
         self.gather: asyncio.TimerHandle | None = None
         self.table = tables.Table(identity.host)
         self.table.accused = self.rise
+        self.table.outdated = self.renumber
         self.members = member_lists.Members(self.table, timeline)
         self.directory = directories.Directory(self.table, timeline)
         self.registry = registries.Registry(lease_s, self.publish)
         self.table.own(self._record(), incarnation)
         self.flood = floods.Flood(self.table, transport)
+        self.prober = probe.Prober(self.table, datagrams, rng)
+        self.prober.suspicions.stood_still.append(self._stood_still)
+        self.sync = syncs.Sync(
+            self.table, self.flood, self.prober, transport, rng
+        )
+        self.interest = interests.Interest(
+            self.table, self.directory, self.flood, datagrams
+        )
         self.joining = join.Joining(
-            self.table, self.flood, transport, seeds, rng
+            self.table, self.flood, self.prober, transport, seeds, rng
         )
+        self.aging = aging.Aging(self.table)
         self.api = api.Api(self.registry, self.directory)
 
+    @property
+    def joined(self) -> asyncio.Event:
+        """Return what is set once this process knows what others know.
+
+        It is set as well when no other process is named to ask.
+        """
+        return self.sync.agreed
+
     def routes(self) -> list[web.RouteDef]:
         """Return the routes for the upstreams of this host."""
         return self.api.routes()
 
     async def on_start(self) -> None:
         """Start the parts."""
-        for part in (self.directory, self.registry, self.flood, self.joining):
+        parts = (
+            self.directory,
+            self.registry,
+            self.flood,
+            self.prober,
+            self.sync,
+            self.interest,
+            self.joining,
+            self.aging,
+        )
+        if not self.joining.seeds:
+            self.joined.set()
+        for part in parts:
             await self.add_runtime_dependency(part)
 
+    async def on_stop(self) -> None:
+        """Leave, unless that was done before."""
+        await self.leave()
+
+    async def leave(self) -> None:
+        """Tell the fleet that this process and its upstreams leave.
+
+        A process that just fell silent would get new work until the others
+        have found it dead.
+        """
+        if self.left:
+            return
+        self.left = True
+        self._publish()
+        if not await self.flood.drained(LEAVE_S):
+            LOG.warning('Left without every acknowledgement.')
+
     def publish(self, urgent: bool) -> None:
         """Announce the upstreams of this host anew.
 
@@ -119,15 +180,42 @@
         if self.left or incarnation < self.incarnation:
             return
         self.incarnation = incarnation + 1
-        self.table.own(self._record(), self.incarnation)
+        self.table.own(self.table.me.record, self.incarnation)
+        self.prober.refute()
+
+    def renumber(self, incarnation: int) -> None:
+        """Number the record above one that others still hold.
+
+        :param incarnation: the one that they hold.
+        """
+        if self.left or incarnation < self.started_as:
+            return
+        LOG.warning('Others hold newer records of this host.')
+        self.started_as = max(incarnation, self.incarnation) + 1
+        self.incarnation = self.started_as
+        self._publish()
 
     def _publish(self) -> None:
         if self.gather is not None:
             self.gather.cancel()
             self.gather = None
         self.sequence += 1
-        self.table.own(self._record(), self.incarnation)
+        record = self._record()
+        self.table.own(record, self.incarnation)
         self.flood.spread(self.identity.host)
+        self.interest.push(record)
+
+    def _stood_still(self, late: float) -> None:
+        """Take note that this process stood still.
+
+        :param late: for so many seconds.
+        """
+        if late < DOUBT_S:
+            return
+        LOG.warning('Stood still; joins anew.', seconds=round(late))
+        self.joined.clear()
+        for entry in list(self.table.up()):
+            self.table.doubt(entry.member.host)
 
     def _record(self) -> messages.Record:
         who = self.identity
--- /dev/null
+++ b/carawaystair/membership/suspicion.py
@@ -0,0 +1,185 @@
+"""Suspicion: the time that a host has to prove that it lives.
+
+A host that fails a probe is suspected, not dead.  Its time shrinks as others
+fail to reach it on their own account, and is bounded below by the time that
+news takes both ways, which grows with log n (Lifeguard, Dadgar, Phillips and
+Currey, 2018: LHA-Suspicion).
+"""
+
+import asyncio
+import math
+import typing
+
+import mode
+
+from carawaystair import clock
+from carawaystair import logs
+from carawaystair.membership import messages
+from carawaystair.membership import news as queues
+from carawaystair.membership import table as tables
+
+# Least time of suspicion, as a multiple of log10(n) and the probe period.
+MULTIPLIER = 3
+# Greatest time, as a multiple of the least.
+MAX_FACTOR = 5
+# Processes that must suspect it, besides the first, for the least time.
+CONFIRMATIONS = 3
+SWEEP_S = 0.1
+# A sweep that comes later than this shows that the process stood still.
+LATE_S = 0.25
+
+LOG = logs.get('membership')
+
+
+class Case:
+    """The suspicion of one host.
+
+    :ivar incarnation: the incarnation that it is about.
+    :ivar began: monotonic time at which it began.
+    :ivar by: the hosts that suspect it.
+    """
+
+    __slots__ = ('incarnation', 'began', 'by')
+
+    def __init__(self, incarnation: int, began: float) -> None:
+        self.incarnation = incarnation
+        self.began = began
+        self.by: set[str] = set()
+
+    def time_s(self, least_s: float, needed: int) -> float:
+        """Return how long the host has, from the beginning.
+
+        :param least_s: least time, in seconds.
+        :param needed: confirmations that bring it down to the least.
+        """
+        if needed < 1:
+            return least_s
+        greatest_s = least_s * MAX_FACTOR
+        confirmed = max(len(self.by) - 1, 0)
+        share = math.log(confirmed + 1) / math.log(needed + 1)
+        return max(least_s, greatest_s - (greatest_s - least_s) * share)
+
+
+class Suspicions(mode.Service):
+    """The suspected hosts, and what becomes of them.
+
+    :param table: the table of hosts.
+    :param queue: takes news to spread.
+    :param period_s: period of probes, in seconds.
+    :param isolated: tells whether this process reaches nobody.
+    """
+
+    def __init__(
+        self,
+        table: tables.Table,
+        queue: queues.Queue,
+        period_s: float,
+        isolated: typing.Callable[[], bool],
+        **kwargs,
+    ) -> None:
+        super().__init__(**kwargs)
+        self.table = table
+        self.queue = queue
+        self.period_s = period_s
+        self.isolated = isolated
+        self.cases: dict[str, Case] = {}
+        # Called with the seconds for which the process stood still.
+        self.stood_still: list[typing.Callable[[float], None]] = []
+        table.listeners.append(self._changed)
+
+    def suspect(self, entry: tables.Entry) -> None:
+        """Suspect a host that failed a probe of this process."""
+        member = entry.member
+        self.take(
+            messages.News(
+                member.host,
+                messages.SUSPECT,
+                member.incarnation,
+                self.table.host,
+            )
+        )
+
+    def take(self, news: messages.News) -> None:
+        """Take in news, and spread it when it is new here."""
+        fresh = self.table.hear(news.host, news.state, news.incarnation)
+        if news.state == messages.SUSPECT:
+            fresh = self._confirm(news) or fresh
+        if fresh:
+            self.queue.add(news)
+
+    def least_s(self) -> float:
+        """Return the least time of a suspicion, in seconds."""
+        size = max(len(self.table.up()), 1)
+        return MULTIPLIER * max(1.0, math.log10(size)) * self.period_s
+
+    @mode.Service.task
+    async def _sweep(self) -> None:
+        """End the suspicions whose time is over."""
+        last = clock.now()
+        while not self.should_stop:
+            await asyncio.sleep(SWEEP_S)
+            now = clock.now()
+            late = now - last - SWEEP_S
+            last = now
+            if late > LATE_S:
+                self._forgive(late)
+                continue
+            self.expire(now)
+
+    def expire(self, now: float) -> None:
+        """Declare dead whom nobody reached in time."""
+        least_s = self.least_s()
+        needed = min(CONFIRMATIONS, len(self.table.up()) - 2)
+        over = [
+            host
+            for host, case in self.cases.items()
+            if now >= case.began + case.time_s(least_s, needed)
+        ]
+        for host in over:
+            self._end(host)
+
+    def _end(self, host: str) -> None:
+        """Declare a host dead, or doubt it when this process may be at fault.
+
+        A process that is cut off alone would declare the whole fleet dead
+        and, once the network heals, make every host refute that.
+        """
+        if self.isolated():
+            self.queue.drop(host)
+            self.table.doubt(host)
+            return
+        entry = self.table.entries[host]
+        incarnation = entry.member.incarnation
+        self.take(messages.News(host, messages.DEAD, incarnation))
+
+    def _forgive(self, late: float) -> None:
+        """Give every suspected host the time that this process missed.
+
+        The refutations that came while it stood still lie unread in its
+        socket; going by the clock it would bury live hosts first and read
+        afterwards.
+        """
+        for case in self.cases.values():
+            case.began += late
+        for callback in self.stood_still:
+            callback(late)
+
+    def _confirm(self, news: messages.News) -> bool:
+        """Count one more that suspects a host; tells whether that is new."""
+        case = self.cases.get(news.host)
+        if case is None or news.incarnation != case.incarnation:
+            return False
+        if news.by in case.by or len(case.by) > CONFIRMATIONS:
+            return False
+        case.by.add(news.by)
+        return True
+
+    def _changed(self, change: tables.Change) -> None:
+        host = change.entry.member.host
+        incarnation = change.entry.member.incarnation
+        if change.entry.state != messages.SUSPECT:
+            self.cases.pop(host, None)
+            return
+        case = self.cases.get(host)
+        if case is None or case.incarnation != incarnation:
+            self.cases[host] = Case(incarnation, clock.now())
--- a/carawaystair/membership/table.py
+++ b/carawaystair/membership/table.py
@@ -12,6 +12,7 @@
 from carawaystair import clock
 from carawaystair import interfaces
 from carawaystair import logs
+from carawaystair.membership import digest
 from carawaystair.membership import messages
 
 # More hosts than this are not taken in: a faulty or hostile peer that makes
@@ -25,20 +26,35 @@
     """What is known of one host.
 
     :ivar record: its newest record.
-    :ivar member: who it is, decoded from the record.
+    :ivar member: who it is, decoded from the record; its incarnation is
+        that of its liveness.
     :ivar state: ``messages.ALIVE`` and so on.
     :ivar since: monotonic time at which it came into that state.
-    :ivar changed: monotonic time at which the record came.
+    :ivar bucket: its bucket in the digests.
+    :ivar marks: what it adds to the two digests.
     """
 
-    __slots__ = ('record', 'member', 'state', 'since', 'changed')
+    __slots__ = (
+        'record',
+        'member',
+        'state',
+        'since',
+        'bucket',
+        'marks',
+    )
 
-    def __init__(self, record: messages.Record, member, since: float) -> None:
+    def __init__(
+        self,
+        record: messages.Record,
+        member: interfaces.Member,
+        now: float,
+    ) -> None:
         self.record = record
         self.member = member
         self.state = messages.LEFT if record.left else messages.ALIVE
-        self.since = since
-        self.changed = since
+        self.since = now
+        self.bucket = digest.bucket(record.host)
+        self.marks = (0, 0)
 
     @property
     def up(self) -> bool:
@@ -58,6 +74,17 @@
     old_state: int | None
     old_record: messages.Record | None
 
+    @property
+    def was_up(self) -> bool:
+        """Tell whether the host was believed alive before."""
+        return (
+            self.old_state is not None and self.old_state <= messages.SUSPECT
+        )
+
+
+def _ignore(_value) -> None:
+    """Stand in until somebody listens."""
+
 
 class Table:
     """The hosts that this process knows of, its own included.
@@ -68,15 +95,29 @@
     def __init__(self, host: str) -> None:
         self.host = host
         self.entries: dict[str, Entry] = {}
+        # Hosts believed dead, to be probed now and then.
+        self.dead: set[str] = set()
+        self.digests = (digest.Digest(), digest.Digest())
+        # Monotonic time of the last change of each digest.
+        self.moved = [0.0, 0.0]
         self.listeners: list[typing.Callable[[Change], None]] = []
-        # Called with the incarnation at which others believe this process
-        # dead, suspect or replaced; it must rise above.
-        self.accused: typing.Callable[[int], None] = lambda incarnation: None
+        # Called when others believe this process dead or suspect, with the
+        # incarnation, and when they hold a newer record of it.
+        self.accused: typing.Callable[[int], None] = _ignore
+        self.outdated: typing.Callable[[int], None] = _ignore
         self.refused = 0
+        self.cached: list[Entry] | None = None
+
+    @property
+    def me(self) -> Entry:
+        """Return the own entry."""
+        return self.entries[self.host]
 
     def up(self) -> list[Entry]:
-        """Return the entries believed alive."""
-        return [entry for entry in self.entries.values() if entry.up]
+        """Return the entries believed alive; not to be changed."""
+        if self.cached is None:
+            self.cached = [e for e in self.entries.values() if e.up]
+        return self.cached
 
     def put(self, record: messages.Record) -> bool:
         """Take in a record.
@@ -89,7 +130,7 @@
         if record.host == self.host:
             # Others hold a newer record of this host than this process
             # itself: it restarted behind a clock that was set back.
-            self.accused(record.incarnation)
+            self.outdated(record.incarnation)
             return False
         body = messages.unpack(record.body)
         full = entry is None and len(self.entries) >= MAX_HOSTS
@@ -113,14 +154,14 @@
         if entry is None:
             self._add(record, body)
             return
-        old = entry.record
+        change = Change(entry, entry.state, entry.record)
         entry.record = record
-        entry.changed = clock.now()
-        entry.member = _member(record, body)._replace(incarnation=incarnation)
-        self._tell(Change(entry, entry.state, old))
+        entry.member = member(record, body)._replace(incarnation=incarnation)
+        entry.state = messages.LEFT if record.left else messages.ALIVE
+        self._tell(change)
 
     def hear(self, host: str, state: int, incarnation: int) -> bool:
-        """Take in what another process says of a host's liveness.
+        """Take in what is said of a host's liveness.
 
         :return: whether it is news here.
         """
@@ -134,22 +175,38 @@
             return False
         if not _overrides(state, incarnation, entry.state, known):
             return False
-        old = entry.state
-        entry.state = state
-        if old != state:
-            entry.since = clock.now()
-        if incarnation != known:
-            entry.member = entry.member._replace(incarnation=incarnation)
-        self._tell(Change(entry, old, entry.record))
+        self._turn(entry, state, incarnation)
         return True
 
+    def doubt(self, host: str) -> None:
+        """Hold a host for dead without holding it against the host.
+
+        A process that reaches nobody is likely the one that is cut off.
+        With the incarnation forgotten, any sign of life brings the host
+        back; it need not refute a death that only this process believed in.
+        """
+        entry = self.entries[host]
+        if entry.up and host != self.host:
+            self._turn(entry, messages.DEAD, 0)
+
     def forget(self, host: str) -> None:
-        """Drop a host."""
-        self.entries.pop(host, None)
+        """Drop a host that is not believed alive."""
+        entry = self.entries.get(host)
+        if entry is not None and not entry.up:
+            del self.entries[host]
+            self.dead.discard(host)
+
+    def _turn(self, entry: Entry, state: int, incarnation: int) -> None:
+        change = Change(entry, entry.state, entry.record)
+        if entry.state != state:
+            entry.since = clock.now()
+        entry.state = state
+        entry.member = entry.member._replace(incarnation=incarnation)
+        self._tell(change)
 
     def _add(self, record: messages.Record, body: messages.Body) -> None:
-        entry = Entry(record, _member(record, body), clock.now())
-        self.entries[record.host] = entry
+        entry = Entry(record, member(record, body), clock.now())
+        self.entries[entry.member.host] = entry
         self._tell(Change(entry, None, None))
 
     def _replace(
@@ -159,20 +216,43 @@
         restarted = record.incarnation > entry.member.incarnation
         incarnation = max(record.incarnation, entry.member.incarnation)
         entry.record = record
-        entry.changed = clock.now()
-        entry.member = _member(record, body)._replace(incarnation=incarnation)
+        entry.member = member(record, body)._replace(incarnation=incarnation)
         if record.left:
             entry.state = messages.LEFT
-        elif restarted:
+        elif restarted and record.incarnation > change.old_record.incarnation:
             entry.state = messages.ALIVE
         if entry.state != change.old_state:
             entry.since = clock.now()
         self._tell(change)
 
     def _tell(self, change: Change) -> None:
+        entry = change.entry
+        if change.was_up != entry.up:
+            self.cached = None
+        if entry.state == messages.DEAD:
+            self.dead.add(entry.member.host)
+        else:
+            self.dead.discard(entry.member.host)
+        self._mark(entry)
         for listener in self.listeners:
             listener(change)
 
+    def _mark(self, entry: Entry) -> None:
+        """Bring the digests up to date with an entry."""
+        host = entry.member.host
+        marks = (0, 0)
+        if entry.up:
+            marks = (
+                digest.mark(host, *entry.record.version),
+                digest.mark(host, entry.member.incarnation),
+            )
+        pairs = zip(entry.marks, marks, strict=True)
+        for kind, (old, new) in enumerate(pairs):
+            if old != new:
+                self.digests[kind].toggle(entry.bucket, old ^ new)
+                self.moved[kind] = clock.now()
+        entry.marks = marks
+
 
 def _overrides(
     state: int, incarnation: int, old_state: int, old_incarnation: int
@@ -183,13 +263,14 @@
     return state > old_state
 
 
-def _member(record: messages.Record, body: messages.Body) -> interfaces.Member:
+def member(record: messages.Record, body: messages.Body) -> interfaces.Member:
+    """Return the process that a record is about."""
     return interfaces.Member(
         sys.intern(record.host),
         sys.intern(body.data_centre),
         sys.intern(body.region),
-        body.peer,
-        body.gossip,
+        sys.intern(body.peer),
+        sys.intern(body.gossip),
         record.incarnation,
         body.control,
     )
