Administration API: submit, dry run, drains, status, audit, teams

Cause: manifests could be accepted by a control host but nobody could send one; there were no teams, no audit trail and no planned stops. Change: carawaystair.admin serves /v1 over aiohttp with TLS. Callers are told by digests of bearer tokens; a team changes only its own services and routes, and may not catch another team's requests with a new route. Planned stops ask nodes what would be left and are refused below a floor, however they come in. An id that was answered gets its answer again, ids stand behind their team, reads without a quorum are marked stale, refusals are numbered (8101 to 8111) and audited. Single gains preview and answer, so that the thin path works.

--- /dev/null
+++ b/carawaystair/admin/__init__.py
@@ -0,0 +1,5 @@
+"""The administration API of control hosts (HTTP, JSON)."""
+
+from carawaystair.admin import service
+
+make = service.make
--- a/carawaystair/codes.py
+++ b/carawaystair/codes.py
@@ -122,6 +122,13 @@
     'An address of the settings cannot be bound.',
     'Stop the process that holds it or change the settings.',
 )
+TLS_FILES_UNUSABLE = define(
+    1005,
+    'tls-files-unusable',
+    0,
+    'The certificate or key of the administration API cannot be used.',
+    'Check the files that control.tls names and their permissions.',
+)
 FILE_UNREADABLE = define(
     1010,
     'file-unreadable',
@@ -438,6 +445,83 @@
     'This change of the control group is not possible now.',
     'See the detail: a learner must catch up before it votes.',
 )
+TOKEN_REFUSED = define(
+    8101,
+    'token-refused',
+    401,
+    'The request brings no bearer token of any team.',
+    'Send the token of your team: "carawaystair --token-file FILE".',
+)
+SCOPE_MISSING = define(
+    8102,
+    'scope-missing',
+    403,
+    "The team's token does not allow this.",
+    'Ask the operators for the scope that the detail names.',
+)
+FOREIGN_CHANGE = define(
+    8103,
+    'foreign-change',
+    403,
+    'The change touches what belongs to another team; nothing was applied.',
+    'Leave the paths that the message lists as they are in force.',
+)
+RATE_LIMITED = define(
+    8104,
+    'rate-limited',
+    429,
+    'The team asks more often than it may.',
+    'Wait for the seconds that Retry-After names.',
+)
+BODY_REFUSED = define(
+    8105,
+    'body-refused',
+    413,
+    'The body is too large or came too slowly.',
+    'Send less; the detail names the bound.',
+)
+REQUEST_INVALID = define(
+    8106,
+    'request-invalid',
+    400,
+    'The request to the administration API is not valid.',
+    'Mend every place that the message lists; docs/API.md has them all.',
+)
+FLOOR_WOULD_BREAK = define(
+    8107,
+    'floor-would-break',
+    409,
+    'The planned stop would leave a service below its capacity floor.',
+    'Bring up more upstreams elsewhere first, or stop fewer hosts at once.',
+)
+CAPACITY_UNKNOWN = define(
+    8108,
+    'capacity-unknown',
+    503,
+    'No node told what capacity a planned stop would leave.',
+    'Check that nodes run and can reach this control host; try again.',
+)
+RESOURCE_UNKNOWN = define(
+    8109,
+    'resource-unknown',
+    404,
+    'The administration API has no such resource or method.',
+    'See docs/API.md or GET /v1/openapi.json.',
+)
+ADMIN_FAILED = define(
+    8110,
+    'admin-failed',
+    500,
+    'The administration API failed; the change may have been made.',
+    'Ask for the submission by its id; report the log line.',
+)
+ADMIN_BUSY = define(
+    8111,
+    'admin-busy',
+    503,
+    'Too many submissions are being read at once.',
+    'Try again in a second.',
+)
 
 # 9: invariants
 
--- a/carawaystair/control/single.py
+++ b/carawaystair/control/single.py
@@ -121,13 +121,37 @@
             return expression.Error(
                 interfaces.Refusal(
                     codes.CONFLICT,
-                    'now %s' % self.held,
+                    'now %s' % str(self.held),
                     version=self.held,
                     digest=self.digest(),
                 )
             )
         return expression.Ok(self._accept(read.ok, submission))
 
+    async def preview(
+        self, manifest: bytes
+    ) -> expression.Result[rows.Delta, interfaces.Refusal]:
+        """Check a manifest and return what it would change."""
+        read = manifests.read(manifest)
+        if read.is_error():
+            code, mistakes = read.error
+            return expression.Error(
+                interfaces.Refusal(code, mistakes=tuple(mistakes))
+            )
+        table = rows.from_manifest(read.ok)
+        version = rows.Version(1, self.held.index + 1)
+        delta = rows.difference(self.rows, table, self.held, version)
+        return expression.Ok(delta)
+
+    async def answer(
+        self, submission_id: str
+    ) -> expression.Result[interfaces.Accepted, interfaces.Refusal]:
+        """Return the answer that a submission got."""
+        if submission_id in self.submissions:
+            return expression.Ok(self.submissions[submission_id])
+        refusal = interfaces.Refusal(codes.SUBMISSION_UNKNOWN, submission_id)
+        return expression.Error(refusal)
+
     def _accept(
         self, manifest: manifests.Manifest, submission: interfaces.Submission
     ) -> interfaces.Accepted:
--- a/carawaystair/routing.py
+++ b/carawaystair/routing.py
@@ -86,7 +86,7 @@
         found = (
             rows.ROUTE + name + prefix
             for name in (host.lower(), '')
-            for prefix in _prefixes(path)
+            for prefix in prefixes(path)
         )
         key = next((key for key in found if self._known(key)), None)
         if key is None:
@@ -101,7 +101,7 @@
         return self._read(key, manifests.Route)
 
 
-def _prefixes(path: str) -> typing.Iterator[str]:
+def prefixes(path: str) -> typing.Iterator[str]:
     """Yield the prefixes of a path at segment borders, longest first."""
     while path:
         yield path
--- a/carawaystair/settings.py
+++ b/carawaystair/settings.py
@@ -14,6 +14,17 @@
 DEFAULTS = pathlib.Path(__file__).with_name('defaults.jsonc')
 ROLES = ('node', 'control')
 
+# What a team's token may allow.
+READ = 'read'
+SUBMIT = 'submit'
+DRAIN = 'drain'
+CUSTOMERS = 'customers'
+ROLLBACK = 'rollback'
+ADMIN = 'admin'
+SCOPES = (READ, SUBMIT, DRAIN, CUSTOMERS, ROLLBACK, ADMIN)
+# A BLAKE2b digest of 32 bytes in hex.
+DIGEST_SIGNS = 64
+
 
 class Log(typing.NamedTuple):
     """How logs are written, see ``logs.setup``."""
@@ -47,18 +58,35 @@
 
     name: str
     token_digest: str
-    scopes: tuple[str, ...] = ('read',)
+    scopes: tuple[str, ...] = (READ,)
+
+
+class Tls(typing.NamedTuple):
+    """TLS of the administration API.
+
+    :param cert: file with the certificate and its chain, PEM.
+    :param key: file with its private key, PEM.
+    """
+
+    cert: str
+    key: str
 
 
 class Control(typing.NamedTuple):
     """The control role.
 
     :param admin: ``ip:port`` of the administration API.
-    :param teams: who may use it.
+    :param teams: who may use it; nobody else may, unless it is empty.
+    :param tls: certificate and key, None for plain HTTP.
+    :param reads_per_s: requests a second of each team, in the long run.
+    :param changes_per_s: changes a second of each team, in the long run.
     """
 
     admin: str
-    teams: tuple[Team, ...] = ()
+    teams: tuple[Team, ...]
+    tls: Tls | None
+    reads_per_s: float
+    changes_per_s: float
 
 
 class Settings(typing.NamedTuple):
@@ -145,6 +173,7 @@
     if settings.log.level not in logs.LEVELS:
         text = 'expected one of %s' % ', '.join(logs.LEVELS)
         yield shape.Mistake('$.log.level', text)
+    yield from _check_control(settings)
     addresses = {
         '$.peer': settings.peer,
         '$.gossip': settings.gossip,
@@ -162,6 +191,44 @@
             yield shape.Mistake(path, text)
 
 
+def _check_control(settings: Settings) -> typing.Iterator[shape.Mistake]:
+    control = settings.control
+    for index, team in enumerate(control.teams):
+        yield from _check_team('$.control.teams[%d]' % index, team)
+    for name in ('reads_per_s', 'changes_per_s'):
+        if not 0.0 < getattr(control, name) <= 1e6:
+            text = 'expected a number above 0'
+            yield shape.Mistake('$.control.%s' % name, text)
+    if 'control' not in settings.roles or control.teams:
+        return
+    # Without teams every caller may change everything: that must stay a
+    # matter of one machine, such as a laptop with a trial fleet.
+    if address_ok(control.admin) and not _loopback(control.admin):
+        text = 'is empty, though control.admin can be reached from elsewhere'
+        yield shape.Mistake('$.control.teams', text)
+
+
+def _check_team(path: str, team: Team) -> typing.Iterator[shape.Mistake]:
+    if not team.name or not team.name.isascii() or '/' in team.name:
+        yield shape.Mistake(path + '.name', 'is empty or has odd signs')
+    digits = set(team.token_digest) <= set('0123456789abcdef')
+    if len(team.token_digest) != DIGEST_SIGNS or not digits:
+        text = 'expected %d hex digits, see "carawaystair token"'
+        yield shape.Mistake(path + '.token_digest', text % DIGEST_SIGNS)
+    for index, scope in enumerate(team.scopes):
+        if scope not in SCOPES:
+            text = 'no scope is named %r; there are %s' % (
+                scope,
+                ', '.join(SCOPES),
+            )
+            yield shape.Mistake('%s.scopes[%d]' % (path, index), text)
+
+
+def _loopback(address: str) -> bool:
+    ip = address.rpartition(':')[0].strip('[]')
+    return ipaddress.ip_address(ip).is_loopback
+
+
 def address_ok(address: str) -> bool:
     """Tell whether ``address`` is an IP number and a port."""
     ip, _colon, port = address.rpartition(':')
--- a/carawaystair/shape.py
+++ b/carawaystair/shape.py
@@ -64,7 +64,7 @@
         }
     if isinstance(value, dict):
         return {key: plain(item) for key, item in value.items()}
-    if isinstance(value, tuple):
+    if isinstance(value, (list, tuple)):
         return [plain(item) for item in value]
     return value
 
--- /dev/null
+++ b/test/test_admin.py
@@ -0,0 +1,472 @@
+"""Tests of the administration API over HTTP on loopback."""
+
+import asyncio
+import copy
+import json
+import random
+
+from aiohttp import test_utils
+import expression
+import pytest
+
+from carawaystair.admin import audit
+from carawaystair.admin import capacity
+from carawaystair.admin import changes
+from carawaystair.admin import fields
+from carawaystair.admin import fleet as fleets
+from carawaystair.admin import guard as guards
+from carawaystair.admin import observe
+from carawaystair.admin import service
+from carawaystair.admin import teams
+from carawaystair import codes
+from carawaystair.control import interfaces as control
+from carawaystair.control import single
+from carawaystair import interfaces
+from carawaystair import publisher
+from carawaystair import routing
+from carawaystair import rows
+from carawaystair import settings as settings_module
+from carawaystair import timeline as timelines
+from test import fakes
+
+CONTROL = '127.0.0.1:7000'
+NODE = '127.0.0.1:7001'
+
+MANIFEST = {
+    'format': 1,
+    'name': 'rvk',
+    'regions': {'is-south': {'data_centres': ['rvk-a', 'rvk-b']}},
+    'services': {
+        'portal': {'team': 'portal', 'floor_percent': 50},
+        'docvault': {'team': 'docs'},
+    },
+    'routes': [
+        {'prefix': '/portal', 'service': 'portal'},
+        {'prefix': '/docs', 'service': 'docvault'},
+    ],
+    'customers': {'north': {'weight': 2}},
+}
+
+
+class Group(single.Single):
+    """A group of one, in memory, whose quorum a test can take away."""
+
+    lost = False
+
+    async def current(self):
+        if self.lost:
+            return expression.Error(control.Refusal(codes.NOT_LEADER))
+        return await super().current()
+
+
+class Publisher:
+    """Knows one node, or what a test puts here."""
+
+    def __init__(self) -> None:
+        version = rows.Version(1, 1)
+        known = publisher.NodeVersion('rvk-a-1', NODE, version, 0.0)
+        self.known = [known]
+
+    def nodes(self):
+        return self.known
+
+
+class Health:
+    """Nothing is ejected."""
+
+    def ejected(self, _service):
+        return frozenset()
+
+
+class Rig:
+    """One control host and one node behind fakes, and an HTTP client."""
+
+    def __init__(self, *given: settings_module.Team) -> None:
+        self.network = fakes.Network(delay_s=(0.0, 0.0))
+        self.links = self.network.transport(CONTROL)
+        self.timeline = timelines.Timeline('control-1')
+        self.group = Group('control-1', None, self.timeline)
+        self.directory = fakes.Directory()
+        capacity.Answerer(
+            self.network.transport(NODE),
+            self.directory,
+            Health(),
+            lambda: routing.Routing(self.group.version(), self.group.table()),
+        )
+        settings = settings_module.Control(
+            CONTROL, given, None, reads_per_s=50.0, changes_per_s=50.0
+        )
+        fleet = fleets.Fleet(self.links, Publisher(), ())
+        rng = random.Random(1)
+        guard = guards.Guard(self.group, self.links, fleet.addresses, rng)
+        self.trail = audit.Trail(self.group, self.timeline)
+        self.changes = changes.Changes(self.group, guard, self.trail)
+        look = observe.Observe(self.group, fleet, self.trail)
+        served = service.resources(self.changes, look)
+        self.admin = service.Admin(settings, teams.Teams(given), served)
+
+    def drive(self, scenario) -> None:
+        """Run ``await scenario(self)`` against a listening API."""
+
+        async def _run() -> None:
+            server = test_utils.TestServer(self.admin.app)
+            async with test_utils.TestClient(server) as self.client:
+                await scenario(self)
+
+        asyncio.run(_run())
+
+    async def ask(self, method, path, body=None, token='', **headers):
+        """Ask the API; return status and decoded answer."""
+        named = {k.replace('_', '-'): v for k, v in headers.items()}
+        if token:
+            named['Authorization'] = 'Bearer %s' % token
+        raw = body is None or hasattr(body, '__aiter__')
+        data = body if raw else json.dumps(body).encode()
+        answer = await self.client.request(
+            method, path, data=data, headers=named
+        )
+        value = await answer.json()
+        assert answer.headers['Caraway-Code'] == value_code(value)
+        return answer.status, value
+
+    async def submit(self, manifest, name, parent=None, token='', path=''):
+        """Submit a manifest on the current version, or on ``parent``."""
+        digest = self.group.digest().hex() if parent is None else parent
+        return await self.ask(
+            'POST',
+            '/v1/manifests' + path,
+            manifest,
+            token,
+            Caraway_Parent=digest,
+            Caraway_Submission=name,
+        )
+
+
+def value_code(value) -> str:
+    """Return the code that an answer's body stands for."""
+    return (
+        value.get('code', 'CS-0000') if isinstance(value, dict) else 'CS-0000'
+    )
+
+
+def team(name: str, *scopes: str) -> settings_module.Team:
+    """Return a team whose token is its name."""
+    return settings_module.Team(name, teams.digest(name), scopes)
+
+
+def changed(**parts) -> dict:
+    """Return the manifest with other parts."""
+    return copy.deepcopy(MANIFEST) | parts
+
+
+def upstream(name: str, service_name: str, host: str, data_centre: str):
+    """Return an upstream with four slots."""
+    return interfaces.Upstream(
+        name, service_name, '127.0.0.1:1', host, data_centre, 4
+    )
+
+
+ALL = (
+    team('portal', 'read', 'submit'),
+    team('docs', 'read', 'submit', 'drain'),
+    team('ops', 'admin'),
+    team('viewer', 'read'),
+)
+
+
+def test_submission_is_in_force_and_shown():
+    async def scenario(rig):
+        status, answer = await rig.submit(MANIFEST, 'one')
+        assert (status, answer['version']) == (200, '1.1')
+        _status, current = await rig.ask('GET', '/v1/manifests/current')
+        assert current['digest'] == answer['digest']
+        assert not current['stale']
+        assert current['manifest']['services']['portal']['team'] == 'portal'
+        again = current['manifest']
+        _status, dry = await rig.submit(again, 'x', path='?dry_run=1')
+        assert dry['changes'] == []
+
+    Rig().drive(scenario)
+
+
+def test_repeated_submission_gets_the_first_answer():
+    """An operator resends a change after losing the answer.
+
+    Symptom: the change is refused as a conflict, or made twice.
+    Sequence: submit, the answer is lost, another change is accepted, the
+    first is sent again with the same id and its old parent.
+    Cause: the parent was checked before the id.
+    """
+
+    async def scenario(rig):
+        _status, first = await rig.submit(MANIFEST, 'one', '')
+        await rig.submit(changed(name='other'), 'two')
+        assert await rig.submit(MANIFEST, 'one', '') == (200, first)
+        assert await rig.ask('GET', '/v1/submissions/one') == (200, first)
+        status, answer = await rig.ask('GET', '/v1/submissions/never')
+        assert (status, answer['code']) == (404, 'CS-8004')
+
+    Rig().drive(scenario)
+
+
+def test_racing_operators_get_one_winner_and_a_numbered_conflict():
+    """Two operators build on the same version.
+
+    Symptom: the second silently undoes the first.  Sequence: both read
+    version 1, both submit.  Cause: no parent is compared.
+    """
+
+    async def scenario(rig):
+        await rig.submit(MANIFEST, 'base')
+        parent = rig.group.digest().hex()
+        both = await asyncio.gather(
+            rig.submit(changed(name='a'), 'a', parent),
+            rig.submit(changed(name='b'), 'b', parent),
+        )
+        assert sorted(status for status, _answer in both) == [200, 409]
+        loser = next(answer for status, answer in both if status == 409)
+        assert (loser['code'], loser['version']) == ('CS-8002', '1.2')
+        assert loser['digest'] == rig.group.digest().hex()
+
+    Rig().drive(scenario)
+
+
+def test_every_mistake_of_a_manifest_is_listed():
+    async def scenario(rig):
+        wrong = changed(routes=[{'prefix': 'x', 'service': 'no'}])
+        status, answer = await rig.submit(wrong, 'one')
+        assert (status, answer['code']) == (422, 'CS-2002')
+        paths = {mistake['path'] for mistake in answer['mistakes']}
+        assert paths == {'$.routes[0].prefix', '$.routes[0].service'}
+        assert rig.group.version() == rows.NONE
+
+    Rig().drive(scenario)
+
+
+def test_missing_headers_are_listed_at_once():
+    async def scenario(rig):
+        status, answer = await rig.ask('POST', '/v1/manifests', MANIFEST)
+        assert (status, answer['code']) == (400, 'CS-8106')
+        paths = [mistake['path'] for mistake in answer['mistakes']]
+        assert paths == [fields.SUBMISSION, fields.PARENT]
+
+    Rig().drive(scenario)
+
+
+@pytest.mark.parametrize(
+    'given,code',
+    [
+        ({}, 'CS-8101'),
+        ({'token': 'guess'}, 'CS-8101'),
+        ({'token': 'viewer'}, 'CS-8102'),
+    ],
+)
+def test_strangers_and_missing_scopes_are_refused(given, code):
+    async def scenario(rig):
+        _status, answer = await rig.submit(MANIFEST, 'one', **given)
+        assert answer['code'] == code
+        assert rig.group.version() == rows.NONE
+
+    Rig(*ALL).drive(scenario)
+
+
+def test_a_team_changes_only_its_own_services():
+    """A team's pipeline submits a manifest with another team's part changed.
+
+    Symptom: a rival firm's routes or limits change.  Sequence: one team
+    submits a whole manifest, in which others' rows differ.  Cause: only the
+    token was checked, not what the submission changes.
+    """
+
+    async def scenario(rig):
+        await rig.submit(MANIFEST, 'base', token='ops')
+        services = MANIFEST['services']
+        mine = changed(services=services | {'portal': {'team': 'portal'}})
+        status, _answer = await rig.submit(mine, 'one', token='portal')
+        assert status == 200
+        for number, wrong in enumerate(_foreign_changes()):
+            status, answer = await rig.submit(
+                wrong, 'w%d' % number, token='portal'
+            )
+            assert (status, answer['code']) == (403, 'CS-8103'), wrong
+            assert answer['mistakes']
+        assert rig.group.version() == rows.Version(1, 2)
+
+    Rig(*ALL).drive(scenario)
+
+
+def _foreign_changes() -> list[dict]:
+    own = {'portal': {'team': 'portal'}}
+    docs = MANIFEST['services']['docvault']
+    routes = MANIFEST['routes']
+    return [
+        changed(services=own | {'docvault': docs | {'timeout_ms': 9}}),
+        changed(services=own | {'docvault': {'team': 'portal'}}),
+        changed(services=own, routes=routes[:1]),
+        changed(
+            services=own | {'docvault': docs},
+            routes=[routes[0], {'prefix': '/docs', 'service': 'portal'}],
+        ),
+        changed(
+            services=own | {'docvault': docs},
+            routes=routes + [{'prefix': '/docs/new', 'service': 'portal'}],
+        ),
+        changed(
+            services=own | {'docvault': docs},
+            routes=routes
+            + [{'prefix': '/', 'host': 'x.is', 'service': 'portal'}],
+        ),
+        changed(services=own | {'docvault': docs}, customers={}),
+        changed(
+            services=own | {'docvault': docs},
+            drains={'hosts': ['rvk-a-1']},
+        ),
+        changed(services=own | {'docvault': docs}, name='mine'),
+    ]
+
+
+def test_an_id_of_another_team_is_another_submission():
+    async def scenario(rig):
+        await rig.submit(MANIFEST, 'same', token='ops')
+        status, answer = await rig.ask(
+            'GET', '/v1/submissions/same', token='viewer'
+        )
+        assert (status, answer['code']) == (404, 'CS-8004')
+
+    Rig(*ALL).drive(scenario)
+
+
+def test_planned_stop_respects_the_floor():
+    """Two hosts are drained, one after the other, of three.
+
+    Symptom: a service falls below its floor and its callers queue.
+    Sequence: an operator drains one host, a second operator another.
+    Cause: each looked at the fleet before the other's stop.
+    """
+
+    async def scenario(rig):
+        for number, place in enumerate(('rvk-a', 'rvk-a', 'rvk-b')):
+            host = 'host-%d' % number
+            rig.directory.put(upstream(host, 'portal', host, place))
+        await rig.submit(MANIFEST, 'base')
+        answers = [
+            await rig.ask(
+                'POST', '/v1/drains', body, Caraway_Submission='s%d' % index
+            )
+            for index, body in enumerate(
+                (
+                    {'hosts': ['host-0']},
+                    {'hosts': ['host-2']},
+                    {'data_centres': ['rvk-a']},
+                    {'hosts': ['host-0'], 'undo': True},
+                )
+            )
+        ]
+        assert [status for status, _a in answers] == [200, 409, 409, 200]
+        assert answers[0][1]['drains']['hosts'] == ['host-0']
+        assert answers[1][1]['code'] == 'CS-8107'
+        assert 'portal would keep 4 of 12' in answers[1][1]['detail']
+        assert answers[3][1]['drains']['hosts'] == []
+        wrong = changed(drains={'data_centres': ['rvk-a', 'rvk-b']})
+        _status, answer = await rig.submit(wrong, 'around')
+        assert answer['code'] == 'CS-8107'
+
+    Rig().drive(scenario)
+
+
+def test_planned_stop_needs_a_node_that_answers():
+    """No node can be reached.
+
+    Symptom: the last hosts of a service are stopped.  Sequence: control is
+    cut off from the nodes, an operator plans a stop.  Cause: no answer was
+    taken for "nothing to lose".
+    """
+
+    async def scenario(rig):
+        await rig.submit(MANIFEST, 'base')
+        rig.network.cut([CONTROL], [NODE])
+        status, answer = await rig.ask(
+            'POST', '/v1/drains', {'hosts': ['a']}, Caraway_Submission='s'
+        )
+        assert (status, answer['code']) == (503, 'CS-8108')
+
+    Rig().drive(scenario)
+
+
+def test_reads_without_a_quorum_are_marked_stale():
+    """A control host is cut off and still believes that it is current.
+
+    Symptom: an operator trusts an old version.  Sequence: the host loses
+    its quorum, others accept a change, someone reads here.  Cause: a local
+    read without asking the quorum.
+    """
+
+    async def scenario(rig):
+        await rig.submit(MANIFEST, 'base')
+        rig.group.lost = True
+        status, current = await rig.ask('GET', '/v1/manifests/current')
+        assert (status, current['stale']) == (200, True)
+        status, answer = await rig.submit(changed(name='x'), 'two')
+        assert (status, answer['code']) == (503, 'CS-8001')
+        status, answer = await rig.ask('GET', '/v1/submissions/base')
+        assert (status, answer['code']) == (503, 'CS-8001')
+
+    Rig().drive(scenario)
+
+
+def test_status_lists_nodes_behind():
+    async def scenario(rig):
+        await rig.submit(MANIFEST, 'base')
+        _status, answer = await rig.ask('GET', '/v1/status')
+        assert (answer['nodes_at_version'], answer['nodes_behind']) == (1, 0)
+        await rig.submit(changed(name='x'), 'two')
+        _status, answer = await rig.ask('GET', '/v1/status')
+        assert (answer['nodes_at_version'], answer['nodes_behind']) == (0, 1)
+        assert answer['nodes'][0]['host'] == 'rvk-a-1'
+        assert answer['control']['role'] == control.LEADER
+
+    Rig().drive(scenario)
+
+
+def test_refused_changes_stand_in_the_audit_trail():
+    async def scenario(rig):
+        await rig.submit(MANIFEST, 'bad', 'ff' * 16, token='ops')
+        _status, entries = await rig.ask('GET', '/v1/audit', token='viewer')
+        assert entries[0]['author'] == 'ops'
+        assert entries[0]['code'] == 'CS-8002'
+        assert entries[0]['submission'] == 'bad'
+
+    Rig(*ALL).drive(scenario)
+
+
+def test_a_team_that_asks_too_often_waits_and_others_do_not():
+    async def scenario(rig):
+        rig.admin.reads.size = 2.0
+        rig.admin.reads.rate = 0.001
+        path = '/v1/manifests/history'
+        statuses = [
+            (await rig.ask('GET', path, token='viewer'))[0] for _n in range(3)
+        ]
+        assert statuses == [200, 200, 429]
+        assert (await rig.ask('GET', path, token='ops'))[0] == 200
+
+    Rig(*ALL).drive(scenario)
+
+
+def test_bodies_and_unknown_paths_are_bounded_and_numbered():
+    async def scenario(rig):
+        large = 'x' * fields.MAX_BODY
+
+        async def _chunked():
+            yield json.dumps(large).encode()
+
+        for body in (large, _chunked()):
+            status, answer = await rig.ask(
+                'POST', '/v1/drains', body, Caraway_Submission='s'
+            )
+            assert (status, answer['code']) == (413, 'CS-8105')
+        for method, path in (('GET', '/nothing'), ('PUT', '/v1/status')):
+            status, answer = await rig.ask(method, path)
+            assert (status, answer['code']) == (404, 'CS-8109')
+
+    Rig().drive(scenario)
