--- a/carawaystair/outlier/__init__.py
+++ b/carawaystair/outlier/__init__.py
@@ -1,10 +1,18 @@
 """Outlier detection: which upstreams get no work, or less of it.
 
-``local`` holds what this node saw itself and reacts at once with soft
-weights.  ``floor`` keeps every ejection within the declared capacity floor.
-``service`` is the part that others use.
+At each node, ``evidence`` takes note of attempts (with ``watch`` for those in
+flight), ``health`` says what follows for the request path (``local`` soft
+weights, ``held`` leases, ``view`` with the clamp to the ``floor``) and
+``reporter`` tells the coordinator of the service.
+
+At the coordinator of a service, ``lead`` sees to epochs and handover,
+``intake`` pools the reports (``pool``, ``shares``, ``levels``), a detector
+plug-in weighs them (``detectors``), ``judge`` decides within the floor
+(``ledger``, ``scope``, ``allbad``) and ``seat`` sends.
 """
 
+import random
+
 from carawaystair.outlier import service
 
 
@@ -21,5 +29,9 @@
         members=members,
         directory=directory,
         routing=routing,
+        links=kernel.links,
+        datagrams=kernel.datagrams,
         timeline=kernel.timeline,
+        factories=kernel.registry.collect('detectors'),
+        rng=random.Random(),
     )
--- /dev/null
+++ b/carawaystair/outlier/detectors.py
@@ -0,0 +1,57 @@
+"""What an outlier detector is: a plug-in that weighs evidence.
+
+Every attempt becomes a score: how surprising it would be from a healthy
+sibling, in nats.  Scores of healthy upstreams average 1.0, whatever the
+service; those of a hung one are about 7.  A detector adds them up.
+"""
+
+import math
+import typing
+
+
+class Detector(typing.Protocol):
+    """Weighs the scores of the upstreams of one service.
+
+    :cvar pooled: True for a detector that runs at the coordinator on the
+        evidence of all nodes, False for one that each node runs on its own.
+    """
+
+    pooled: typing.ClassVar[bool]
+
+    def observe(
+        self, upstream: str, score: float, count: float, now: float
+    ) -> None:
+        """Take note of attempts.
+
+        :param score: of each of them, see the module.
+        :param count: how many; negative to take earlier ones back.
+        :param now: monotonic time; never runs backwards.
+        """
+
+    def evidence(self, upstream: str, now: float) -> float:
+        """Return the evidence against an upstream, in nats.
+
+        A healthy upstream reaches ``x`` about ``exp(-x)`` of the time.
+        """
+
+    def forget(self, upstream: str) -> None:
+        """Start anew for an upstream."""
+
+
+Factory = typing.Callable[[], Detector]
+
+
+def score(upper: float, lower: float = 0.0) -> float:
+    """Return the mean score of attempts between two tail shares.
+
+    With P the share of siblings' attempts that are at least as bad, -ln P of
+    a healthy upstream's attempts is exponential with mean 1 (Fisher, 1932).
+    Attempts come in levels, so the mean over the level is taken.
+
+    :param upper: share of attempts at this level or worse.
+    :param lower: share of attempts at a worse level.
+    """
+    if upper - lower < 1e-9:
+        return -math.log(max(upper, 1e-9))
+    low = lower * (1.0 - math.log(lower)) if lower > 0.0 else 0.0
+    return (upper * (1.0 - math.log(upper)) - low) / (upper - lower)
--- a/carawaystair/outlier/floor.py
+++ b/carawaystair/outlier/floor.py
@@ -5,13 +5,17 @@
 from carawaystair import interfaces
 from carawaystair import manifest
 
+Upstreams = typing.Iterable[interfaces.Upstream]
+# Tells whether an upstream is capacity while it is not ejected: up, warmed,
+# not draining.
+Able = typing.Callable[[interfaces.Upstream], bool]
+
 
 class Capacity(typing.NamedTuple):
     """Slots of one service.
 
     :param known: slots of all its upstreams that are not gone.
-    :param healthy: slots of those that are up, not draining, warmed and
-        not ejected.
+    :param healthy: slots of those that are able and not ejected.
     :param bound: slots that ejections must leave.
     """
 
@@ -25,9 +29,6 @@
         return self.healthy - self.bound
 
 
-Warm = typing.Callable[[interfaces.Upstream], bool]
-
-
 def bound(service: manifest.Service, known: int) -> int:
     """Return the slots that ejections must leave.
 
@@ -39,9 +40,9 @@
 
 def measure(
     service: manifest.Service,
-    upstreams: typing.Iterable[interfaces.Upstream],
+    upstreams: Upstreams,
     ejected: typing.Container[str],
-    warm: Warm,
+    able: Able,
 ) -> Capacity:
     """Return the capacity that is left when ``ejected`` get no work."""
     upstreams = tuple(upstreams)
@@ -49,39 +50,34 @@
     healthy = sum(
         upstream.slots
         for upstream in upstreams
-        if upstream.id not in ejected and serving(upstream, warm)
+        if upstream.id not in ejected and able(upstream)
     )
     return Capacity(known, healthy, bound(service, known))
 
 
-def serving(upstream: interfaces.Upstream, warm: Warm) -> bool:
-    """Tell whether an upstream counts as capacity when not ejected."""
-    return upstream.state == interfaces.UP and warm(upstream)
-
-
 def clamp(
     service: manifest.Service,
-    upstreams: typing.Sequence[interfaces.Upstream],
+    upstreams: Upstreams,
     wanted: typing.Iterable[str],
-    warm: Warm,
+    able: Able,
 ) -> frozenset[str]:
     """Return the part of ``wanted`` that the floor allows.
 
     :param wanted: ids of upstreams, the ones to eject first at the front.
     :return: ids; ejecting them never brings the capacity below the floor.
-        Upstreams that are no capacity anyway cost nothing, but are only
-        ejected while the floor is kept.
+        While the capacity is below the floor without any ejection, as after
+        a loss of hosts, nothing is ejected at all.
     """
     by_id = {upstream.id: upstream for upstream in upstreams}
-    spare = measure(service, upstreams, (), warm).spare
+    spare = measure(service, by_id.values(), (), able).spare
     if spare < 0:
         return frozenset()
     allowed = set()
     for name in wanted:
         upstream = by_id.get(name)
-        if upstream is None:
+        if upstream is None or name in allowed:
             continue
-        cost = upstream.slots if serving(upstream, warm) else 0
+        cost = upstream.slots if able(upstream) else 0
         if cost <= spare:
             spare -= cost
             allowed.add(name)
--- /dev/null
+++ b/carawaystair/outlier/health.py
@@ -0,0 +1,137 @@
+"""What a node makes of upstreams' health, own and told."""
+
+import random
+
+from carawaystair import clock
+from carawaystair import interfaces
+from carawaystair.outlier import held
+from carawaystair.outlier import known as knowns
+from carawaystair.outlier import local
+from carawaystair.outlier import messages
+from carawaystair.outlier import own as owns
+from carawaystair.outlier import view as views
+
+NOTHING: frozenset[str] = frozenset()
+# A request path that did not ask for a trial for so long offers none.
+COPIES_S = 30.0
+
+
+class Health:
+    """Keeps ``interfaces.Health``.
+
+    :param me: this process.
+    :param known: the upstreams.
+    :param rng: source of randomness.
+    """
+
+    def __init__(
+        self,
+        me: interfaces.Member,
+        known: knowns.Known,
+        rng: random.Random,
+    ) -> None:
+        self.me = me
+        self.known = known
+        self.rng = rng
+        self.weights = local.Weights()
+        self.holdings: dict[str, held.Holding] = {}
+        # Ejections of this node alone, for detectors that are not pooled.
+        self.owns: dict[str, owns.Own] = {}
+        self.views: dict[str, views.View] = {}
+        self.factors: dict[str, views.Factor] = {}
+        self.asked: dict[str, float] = {}
+
+    def ejected(self, service: str) -> frozenset[str]:
+        """Return ids that get no new work, after this node's own clamp."""
+        if service not in self.views:
+            return NOTHING
+        return self._view(service).ejected
+
+    def weight(self, upstream: str, customer: str = '') -> float:
+        """Return a factor from 0.0 to 1.0 on the upstream's share."""
+        now = clock.now()
+        weight = self.weights.weight(upstream, now)
+        factor = self.factors.get(upstream)
+        if factor is not None:
+            weight *= factor.at(customer, now)
+        return weight * self.known.ramp(upstream)
+
+    def trial(self, service: str) -> str | None:
+        """Return an upstream that wants a copy of the next request."""
+        self.asked[service] = clock.now()
+        if service not in self.views:
+            return None
+        return self._view(service).trial(self.rng)
+
+    def copies(self, service: str, now: float) -> bool:
+        """Tell whether the request path sends copies as trials."""
+        return now - self.asked.get(service, -COPIES_S) < COPIES_S
+
+    def accept(self, state: messages.State) -> bool:
+        """Take the word of a coordinator.
+
+        :return: whether it was heeded.
+        """
+        now = clock.now()
+        holding = self.holdings.get(state.service)
+        if holding is None:
+            holding = self.holdings[state.service] = held.Holding()
+        heeded = holding.accept(state, now)
+        if heeded:
+            self.refresh(state.service)
+        return heeded
+
+    def lease(self, service: str, upstream: str) -> held.Lease | None:
+        """Return what is granted for an upstream, if anything."""
+        holding = self.holdings.get(service)
+        return None if holding is None else holding.leases.get(upstream)
+
+    def summary(self, service: str) -> tuple[int, int]:
+        """Return the epoch and the digest of what is held."""
+        holding = self.holdings.get(service)
+        if holding is None:
+            return 0, 0
+        return holding.order[0], holding.digest()
+
+    def outstanding(self, service: str) -> messages.Held:
+        """Return what is held, for a new coordinator."""
+        holding = self.holdings.get(service) or held.Holding()
+        phases = holding.phases(clock.now())
+        return messages.Held(service, holding.order[0], phases)
+
+    def refresh(self, service: str) -> views.View:
+        """Work out the view of a service again."""
+        now = clock.now()
+        holding = self.holdings.get(service)
+        if holding is not None:
+            holding.expire(now)
+        leases = {} if holding is None else holding.leases
+        own = self.owns.get(service)
+        mine = [] if own is None else own.ejected(now)
+        view = views.make(
+            service, self.known, self.me.data_centre, leases, mine, now
+        )
+        old = self.views.get(service)
+        if old is not None:
+            for name in old.factors:
+                self.factors.pop(name, None)
+        self.factors.update(view.factors)
+        self.views[service] = view
+        if not leases and not mine:
+            del self.views[service]
+        return view
+
+    def sweep(self, now: float) -> None:
+        """Forget what is over."""
+        self.weights.sweep(now)
+        for own in self.owns.values():
+            own.forget(now)
+        for service in list(self.views):
+            self.refresh(service)
+
+    def _view(self, service: str) -> views.View:
+        view = self.views[service]
+        fresh = view.version == self.known.version(service)
+        if fresh and clock.now() < view.until:
+            return view
+        return self.refresh(service)
--- /dev/null
+++ b/carawaystair/outlier/intake.py
@@ -0,0 +1,194 @@
+"""Takes reports of nodes into the pooled evidence of one service."""
+
+import typing
+
+from carawaystair.outlier import detectors
+from carawaystair.outlier import ledger as ledgers
+from carawaystair.outlier import levels
+from carawaystair.outlier import messages
+from carawaystair.outlier import pool as pools
+from carawaystair.outlier import reporters as reporting
+from carawaystair.outlier import scope as scopes
+from carawaystair.outlier import track as tracks
+
+# Categories that count as bad attempts of an episode.
+BAD = frozenset(
+    (
+        levels.SLOW,
+        levels.LATE,
+        levels.OVERDUE,
+        levels.ERROR,
+        levels.BROKEN,
+        levels.UNPROVEN,
+    )
+)
+# One node adds at most so many bad attempts to an episode, unless a large
+# part of the work comes through it: its own path may be at fault.
+MOST_BAD_OF_ONE = 2.0
+LARGE_SHARE = 0.4
+# Overdue answers on old connections may hold an upstream, never eject it:
+# the connections may have gone silent while new ones work.
+MOST_UNPROVEN = 2.0
+# Health endpoints lag or mislead.  One that says ill counts as one slow
+# answer, too little to hold an upstream by itself; one that says well brings
+# the next trial forward.  Neither counts more often than this, seconds.
+ILL_SCORE = 3.0
+WELL_WAIT_S = 1.0
+HINT_EVERY_S = 5.0
+
+
+class Intake:
+    """Takes reports.
+
+    :param ledger: what is held against upstreams.
+    :param pool: takes the attempts.
+    :param detector: takes their scores.
+    :param reporters: the reporting nodes.
+    :param routes: takes latencies.
+    """
+
+    def __init__(
+        self,
+        ledger: ledgers.Ledger,
+        pool: pools.Pool,
+        detector: detectors.Detector,
+        reporters: reporting.Reporters,
+        routes: levels.Routes,
+    ) -> None:
+        self.ledger = ledger
+        self.pool = pool
+        self.detector = detector
+        self.reporters = reporters
+        self.routes = routes
+
+    def take(
+        self, report: messages.Report, address: str, now: float
+    ) -> typing.Iterable[str]:
+        """Take one report.
+
+        :param address: of the reporting node, for datagrams.
+        :return: ids of the upstreams to judge.
+        """
+        self._reporter(report, address, now)
+        for sample in report.samples:
+            self.routes.add(sample.route, sample.latency_us / 1e6, now)
+        table = self.ledger.known.table(report.service)
+        cells = [
+            cell
+            for cell in report.cells
+            if cell.upstream in table
+            and self.ledger.known.judged(table[cell.upstream])
+            and len(cell.counts) == levels.CATEGORIES
+        ]
+        for cell in cells:
+            self._cell(cell, report, now)
+        return sorted({cell.upstream for cell in cells})
+
+    def _reporter(self, report, address, now) -> None:
+        work = sum(
+            count
+            for cell in report.cells
+            for count in cell.counts
+            if count > 0
+        )
+        self.reporters.note(
+            report.host,
+            reporting.Reporter(
+                address,
+                report.data_centre,
+                now,
+                work / report.share,
+                len(report.cells) / report.share,
+                report.copies,
+                report.suspect,
+            ),
+        )
+
+    def _cell(self, cell, report, now) -> None:
+        bad = any(cell.counts[category] for category in BAD)
+        weight = 1.0 if bad else 1.0 / report.share
+        self._hint(cell, now)
+        for category, count in enumerate(cell.counts[: levels.ILL]):
+            if count and category in BAD:
+                counted = self._bad(cell, category, count, report, now)
+                self._add(cell, category, count, counted, report, now)
+            elif count:
+                scaled = count * weight
+                self._add(cell, category, scaled, scaled, report, now)
+        track = self.ledger.tracks.get(cell.upstream)
+        if track is not None and cell.tested:
+            track.good += cell.tested
+            if track.episode is not None:
+                track.episode.add(_source(cell, report), 0.0, cell.tested)
+
+    def _bad(self, cell, category, count, report, now) -> float:
+        """Take note of bad attempts.
+
+        :return: how many of them count.
+        """
+        if not self.reporters.believable(report.suspect):
+            return 0.0
+        track = self.ledger.track(cell.upstream, now)
+        if track.episode is None or track.episode.over(now):
+            self._forget_groups(track)
+            track.episode = scopes.Episode(now)
+        episode = track.episode
+        before = episode.reporter_bad(report.host)
+        episode.add(_source(cell, report), count, 0.0)
+        if count > 0:
+            episode.last_bad = now
+        if category == levels.UNPROVEN:
+            unproven, episode.unproven = (
+                episode.unproven,
+                (episode.unproven + count),
+            )
+            count = _capped(unproven, count, MOST_UNPROVEN)
+        if self.reporters.share(report.host, now) < LARGE_SHARE:
+            count = _capped(before, count, MOST_BAD_OF_ONE)
+        return count
+
+    def _forget_groups(self, track) -> None:
+        if track.episode is not None:
+            for key in track.episode.keys(track.upstream):
+                self.detector.forget(key)
+
+    def _hint(self, cell, now) -> None:
+        ill, well = cell.counts[levels.ILL :]
+        track = self.ledger.tracks.get(cell.upstream)
+        if ill or (well and track is not None):
+            track = self.ledger.track(cell.upstream, now)
+            if now - track.hinted < HINT_EVERY_S:
+                return
+            track.hinted = now
+        if ill:
+            self.detector.observe(cell.upstream, ILL_SCORE, 1.0, now)
+        elif well and track is not None and track.state == tracks.EJECTED:
+            soon = now + WELL_WAIT_S
+            track.backoff_until = min(track.backoff_until, soon)
+
+    def _add(self, cell, category, count, counted, report, now) -> None:
+        score = self.pool.add(
+            cell.upstream, cell.customer_class, category, count, now
+        )
+        if score is None or not counted:
+            return
+        self.detector.observe(cell.upstream, score, counted, now)
+        track = self.ledger.tracks.get(cell.upstream)
+        if track is None or track.episode is None:
+            return
+        # The groups that saw something bad are weighed on their own too: a
+        # small one would drown in the good answers to all others.
+        source = _source(cell, report)
+        for key in track.episode.keys(cell.upstream, source):
+            self.detector.observe(key, score, counted, now)
+
+
+def _capped(before: float, count: float, most: float) -> float:
+    """Return how much of ``count`` more, or less, stays within ``most``."""
+    return min(before + count, most) - min(before, most)
+
+
+def _source(cell, report) -> scopes.Source:
+    return scopes.Source(
+        report.host, report.data_centre, str(cell.customer_class)
+    )
--- /dev/null
+++ b/carawaystair/outlier/known.py
@@ -0,0 +1,111 @@
+"""The upstreams of the services, and which of them can take work.
+
+Lookups are kept until the directory changes, since a report of a busy service
+names many upstreams.
+"""
+
+import typing
+
+from carawaystair import clock
+from carawaystair import interfaces
+from carawaystair import manifest
+
+# An upstream that does not say how long it warms up gets so long before its
+# slowness is held against it, seconds.
+LEAST_GRACE_S = 3.0
+# Share of work of an upstream that has just started.
+COLD_WEIGHT = 0.1
+
+
+class Known:
+    """The upstreams as this process sees them.
+
+    :param directory: the directory.
+    :param routing: returns the current routing.
+    """
+
+    def __init__(
+        self, directory: interfaces.Directory, routing: typing.Callable
+    ) -> None:
+        self.directory = directory
+        self.routing = routing
+        self.tables: dict[str, dict[str, interfaces.Upstream]] = {}
+        self.versions: dict[str, int] = {}
+        # When each incarnation was first seen; what was there before this
+        # process counts as just started too, on the safe side of the floor.
+        self.seen: dict[str, tuple[int, float]] = {}
+        # Upstreams that started after this process and still warm up.
+        self.cold: dict[str, interfaces.Upstream] = {}
+        directory.subscribe(self._changed)
+
+    def service(self, name: str) -> manifest.Service:
+        """Return what the manifest says of a service."""
+        return self.routing().service(name) or manifest.Service()
+
+    def table(self, service: str) -> dict[str, interfaces.Upstream]:
+        """Return the upstreams of a service by id."""
+        found = self.tables.get(service)
+        if found is None:
+            found = {one.id: one for one in self.directory.upstreams(service)}
+            self.tables[service] = found
+            for upstream in found.values():
+                self._see(upstream)
+        return found
+
+    def version(self, service: str) -> int:
+        """Return a number that changes with the upstreams of a service."""
+        return self.versions.get(service, 0)
+
+    def age(self, upstream: interfaces.Upstream) -> float:
+        """Return the seconds since this incarnation was first seen."""
+        return clock.now() - self._see(upstream)
+
+    def warm(self, upstream: interfaces.Upstream) -> bool:
+        """Tell whether its warm-up is over, as seen from here."""
+        return self.age(upstream) >= upstream.warmup_s
+
+    def able(self, upstream: interfaces.Upstream) -> bool:
+        """Tell whether it counts as capacity while it is not ejected."""
+        return (
+            upstream.state == interfaces.UP
+            and self.warm(upstream)
+            and not self.routing().drained(upstream.host, upstream.data_centre)
+        )
+
+    def judged(self, upstream: interfaces.Upstream) -> bool:
+        """Tell whether slowness would be a sign of gray failure.
+
+        Cold and draining upstreams are slow for a known reason.
+        """
+        return self.age(upstream) >= LEAST_GRACE_S and self.able(upstream)
+
+    def ramp(self, upstream: str) -> float:
+        """Return the share of work of an upstream that may be cold."""
+        cold = self.cold.get(upstream)
+        if cold is None:
+            return 1.0
+        share = self.age(cold) / cold.warmup_s
+        if share >= 1.0:
+            del self.cold[upstream]
+        return min(max(share, COLD_WEIGHT), 1.0)
+
+    def _see(self, upstream: interfaces.Upstream) -> float:
+        seen = self.seen.get(upstream.id)
+        if seen is None or seen[0] != upstream.incarnation:
+            seen = (upstream.incarnation, clock.now())
+            self.seen[upstream.id] = seen
+        return seen[1]
+
+    def _changed(self, upstream: interfaces.Upstream) -> None:
+        self.tables.pop(upstream.service, None)
+        version = self.versions.get(upstream.service, 0)
+        self.versions[upstream.service] = version + 1
+        if upstream.state == interfaces.GONE:
+            self.seen.pop(upstream.id, None)
+            self.cold.pop(upstream.id, None)
+            return
+        before = self.seen.get(upstream.id)
+        new = before is None or before[0] != upstream.incarnation
+        self._see(upstream)
+        if new and upstream.warmup_s > 0.0:
+            self.cold[upstream.id] = upstream
--- /dev/null
+++ b/carawaystair/outlier/levels.py
@@ -0,0 +1,174 @@
+"""Latency levels: how unusual an answer was for its route.
+
+The coordinator of a service pools latencies of good answers by route and
+gives the nodes five bounds for each route.  A node then sorts every attempt
+into a level, so that quick and slow routes, and small and large services, are
+compared on one scale, and a report needs a handful of small numbers only.
+"""
+
+import array
+import bisect
+import functools
+import math
+import typing
+
+import xxhash
+
+# Categories of attempts.  0 to 5 are latency levels: the quicker half, up to
+# the 90th and 99th percentile, up to twice extrapolated further, and beyond.
+LEVELS = 6
+SLOW = 3
+LATE = 4
+OVERDUE = 5
+ERROR = 6  # a server error
+BROKEN = 7  # no answer: timeout, broken or refused connection
+SILENT = 8  # an open connection went silent while new ones work
+UNRATED = 9  # a good answer on a route without bounds
+UNPROVEN = 10  # overdue on a connection that may itself be silent
+ILL = 11  # what a health endpoint says, not an attempt
+WELL = 12
+CATEGORIES = 13
+
+# Shares of good answers at or below the measured bounds.
+QUANTILES = (0.5, 0.9, 0.99)
+# Tail shares that the levels have while all is well.
+USUAL_TAILS = (1.0, 0.5, 0.1, 0.01, 0.001, 0.0002)
+
+# Latencies are kept in bins a sixteenth of a doubling wide: 4.4%.
+BINS_A_DOUBLING = 16
+LEAST_S = 0.0002
+BINS = 20 * BINS_A_DOUBLING
+# A route gets bounds of its own from so many answers on.
+ENOUGH = 60
+# Time after which an answer counts for a third, seconds.  Long enough for
+# the 99th percentile of a service with 40 requests a second.
+MEMORY_S = 120.0
+# Weights grow with time instead of the past being decayed; beyond this they
+# are scaled back.
+RESCALE = 1e9
+MAX_ROUTES = 128
+# Bounds above the 99th percentile grow by the ratio of the two below, as the
+# tail of a power law does, held within these.
+LEAST_RATIO = 1.5
+GREATEST_RATIO = 4.0
+
+CLASSES = 8
+
+
+class Bounds(typing.NamedTuple):
+    """Latency bounds of one route, in seconds, growing.
+
+    :param median: of good answers.
+    :param p90: 90th percentile.
+    :param p99: 99th percentile.
+    :param late: about the 99.9th percentile, extrapolated.
+    :param overdue: about the 99.99th percentile, extrapolated.
+    """
+
+    median: float
+    p90: float
+    p99: float
+    late: float
+    overdue: float
+
+
+def level(bounds: Bounds, latency_s: float) -> int:
+    """Return the latency level of an answer, 0 to 5."""
+    return bisect.bisect_left(bounds, latency_s)
+
+
+@functools.lru_cache(4096)
+def route_number(route: str) -> int:
+    """Return a short number for a route's key."""
+    return xxhash.xxh32_intdigest(route.encode())
+
+
+@functools.lru_cache(4096)
+def customer_class(customer: str) -> int:
+    """Return the class of a customer: one of a few stable groups."""
+    return xxhash.xxh32_intdigest(customer.encode()) % CLASSES
+
+
+class Latencies:
+    """Latencies of good answers of one route, the recent ones.
+
+    The past decays by growing the weight of what is new (forward decay;
+    Cormode et al., 2009), so that adding one costs the same at any age.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.zero = now
+        self.bins = array.array('d', bytes(8 * BINS))
+        self.total = 0.0
+
+    def add(self, latency_s: float, now: float) -> None:
+        """Add one latency."""
+        weight = math.exp((now - self.zero) / MEMORY_S)
+        if weight > RESCALE:
+            self.bins = array.array('d', (x / weight for x in self.bins))
+            self.total /= weight
+            self.zero, weight = now, 1.0
+        self.bins[_bin(latency_s)] += weight
+        self.total += weight
+
+    def count(self, now: float) -> float:
+        """Return how many answers are remembered, decayed."""
+        return self.total * math.exp((self.zero - now) / MEMORY_S)
+
+    def bounds(self, least_s: float) -> Bounds:
+        """Return the bounds.
+
+        :param least_s: no bound from the 99th percentile on is below this,
+            since a pause of a node itself is no news about an upstream.
+        """
+        median, p90, p99 = (self.quantile(share) for share in QUANTILES)
+        p99 = max(p99, least_s, p90 * LEAST_RATIO)
+        ratio = min(max(p99 / p90, LEAST_RATIO), GREATEST_RATIO)
+        return Bounds(median, p90, p99, p99 * ratio, p99 * ratio * ratio)
+
+    def quantile(self, share: float) -> float:
+        """Return a quantile, the upper edge of its bin, in seconds."""
+        want = self.total * share
+        seen = 0.0
+        for index, weight in enumerate(self.bins):
+            seen += weight
+            if seen >= want:
+                break
+        return LEAST_S * 2 ** ((index + 1) / BINS_A_DOUBLING)
+
+
+def _bin(latency_s: float) -> int:
+    if latency_s <= LEAST_S:
+        return 0
+    index = int(math.log2(latency_s / LEAST_S) * BINS_A_DOUBLING)
+    return min(index, BINS - 1)
+
+
+class Routes:
+    """Latencies of the routes of one service."""
+
+    def __init__(self) -> None:
+        self.table: dict[int, Latencies] = {}
+
+    def add(self, route: int, latency_s: float, now: float) -> None:
+        """Add the latency of one good answer."""
+        latencies = self.table.get(route)
+        if latencies is None:
+            if len(self.table) >= MAX_ROUTES:
+                return
+            latencies = self.table[route] = Latencies(now)
+        latencies.add(latency_s, now)
+
+    def bounds(self, least_s: float, now: float) -> dict[int, Bounds]:
+        """Return the bounds of each route that has enough answers."""
+        return {
+            route: latencies.bounds(least_s)
+            for route, latencies in self.table.items()
+            if latencies.count(now) >= ENOUGH
+        }
+
+    def forget(self, now: float) -> None:
+        """Drop routes that nobody uses any more."""
+        for route, latencies in list(self.table.items()):
+            if latencies.count(now) < 1.0:
+                del self.table[route]
--- a/carawaystair/outlier/local.py
+++ b/carawaystair/outlier/local.py
@@ -1,33 +1,32 @@
-"""What one node makes of its own attempts, at once and on its own."""
+"""Soft weights: what a node makes of its own attempts, at once and alone."""
 
 import math
 import typing
 
 from carawaystair import interfaces
 
-# Outcomes that speak against an upstream.
-BAD = frozenset(
-    (
-        interfaces.ERROR,
-        interfaces.TIMEOUT,
-        interfaces.BROKEN,
-        interfaces.REFUSED,
-    )
-)
-# Each kind of failure multiplies the soft weight by its factor.
+# What an outcome multiplies the weight by.
 FACTORS = {
-    interfaces.TIMEOUT: 0.25,
-    interfaces.BROKEN: 0.25,
-    interfaces.REFUSED: 0.25,
+    interfaces.TIMEOUT: 0.1,
+    interfaces.BROKEN: 0.2,
+    interfaces.REFUSED: 0.2,
     interfaces.ERROR: 0.5,
-    interfaces.SILENT: 0.7,
+    # A refusal under load is no fault, but more work would be refused too.
+    interfaces.SHED: 0.8,
 }
+# The same for an answer that is late or overdue while still awaited.
+LATE_FACTOR = 0.3
+OVERDUE_FACTOR = 0.15
 LEAST_WEIGHT = 0.02
 # A weight that nothing happens to gets back two thirds of its loss in this
-# time, seconds.
+# time, seconds; it doubles when the next attempt after a while fails too, so
+# that a path that stays broken is tried less and less.
 RECOVERY_S = 5.0
+MOST_RECOVERY_S = 80.0
+LOW = 0.95
+AGAIN_S = 3.0
 # Each good answer takes this share of the loss away.
-RECOVERY_SHARE = 0.25
+RECOVERY_SHARE = 0.3
 # Weights this close to 1.0 are forgotten, so that the table stays small.
 FORGET = 0.99
 
@@ -36,43 +35,56 @@
     """The soft weight of one upstream.
 
     :param loss: what the weight lacked to 1.0 at ``time``.
-    :param time: monotonic time of the last attempt that changed it.
+    :param time: monotonic time of the last change.
+    :param recovery_s: time in which it recovers.
     """
 
     loss: float
     time: float
+    recovery_s: float
+
+    def weight(self, now: float) -> float:
+        """Return the weight."""
+        return 1.0 - self.loss * math.exp((self.time - now) / self.recovery_s)
 
 
 class Weights:
-    """Soft weights from this node's own attempts."""
+    """Soft weights of the upstreams that this node had trouble with."""
 
     def __init__(self) -> None:
         self.table: dict[str, Soft] = {}
 
-    def record(self, upstream: str, outcome: str, now: float) -> None:
-        """Let one outcome change the upstream's weight."""
-        factor = FACTORS.get(outcome)
-        if factor is not None:
-            weight = max(self.weight(upstream, now) * factor, LEAST_WEIGHT)
-            self.table[upstream] = Soft(1.0 - weight, now)
-        elif outcome == interfaces.GOOD and upstream in self.table:
-            loss = 1.0 - self.weight(upstream, now)
-            self._keep(upstream, loss * (1.0 - RECOVERY_SHARE), now)
+    def lower(self, upstream: str, factor: float, now: float) -> None:
+        """Multiply a weight."""
+        old = self.table.get(upstream, Soft(0.0, now, RECOVERY_S))
+        before = old.weight(now)
+        weight = max(before * factor, LEAST_WEIGHT)
+        recovery = old.recovery_s
+        if before < LOW and now - old.time > AGAIN_S:
+            recovery = min(recovery * 2, MOST_RECOVERY_S)
+        self.table[upstream] = Soft(1.0 - weight, now, recovery)
+
+    def raise_(self, upstream: str, now: float) -> None:
+        """Let a good answer raise a weight."""
+        old = self.table.get(upstream)
+        if old is None:
+            return
+        loss = (1.0 - old.weight(now)) * (1.0 - RECOVERY_SHARE)
+        self._keep(upstream, Soft(loss, now, RECOVERY_S))
 
     def weight(self, upstream: str, now: float) -> float:
-        """Return the weight, which recovers with time."""
+        """Return a weight, which recovers with time."""
         soft = self.table.get(upstream)
-        if soft is None:
-            return 1.0
-        return 1.0 - soft.loss * math.exp((soft.time - now) / RECOVERY_S)
+        return 1.0 if soft is None else soft.weight(now)
 
     def sweep(self, now: float) -> None:
         """Forget the weights that have recovered."""
-        for upstream in list(self.table):
-            self._keep(upstream, 1.0 - self.weight(upstream, now), now)
+        for upstream, soft in list(self.table.items()):
+            loss = 1.0 - soft.weight(now)
+            self._keep(upstream, Soft(loss, now, soft.recovery_s))
 
-    def _keep(self, upstream: str, loss: float, now: float) -> None:
-        if 1.0 - loss >= FORGET:
+    def _keep(self, upstream: str, soft: Soft) -> None:
+        if 1.0 - soft.loss >= FORGET:
             self.table.pop(upstream, None)
         else:
-            self.table[upstream] = Soft(loss, now)
+            self.table[upstream] = soft
--- /dev/null
+++ b/carawaystair/outlier/outgoing.py
@@ -0,0 +1,56 @@
+"""Sends datagrams to many processes without holding up the event loop."""
+
+import asyncio
+import collections
+import itertools
+import typing
+
+import mode
+
+# So many datagrams go out at once, about a millisecond of work; then the
+# requests that wait get their turn.
+BURST = 40
+PAUSE_S = 0.002
+# Datagrams that wait; the oldest are dropped, later states repair them.
+QUEUE = 20_000
+
+
+class Outgoing(mode.Service):
+    """Paced sending.
+
+    :param transport: the datagrams of this process.
+    """
+
+    def __init__(self, transport: typing.Any, **kwargs) -> None:
+        super().__init__(**kwargs)
+        self.transport = transport
+        self.queue = collections.deque(maxlen=QUEUE)
+        self.wake = asyncio.Event()
+        self.sent = 0
+
+    def send(self, addresses: typing.Iterable[str], messages) -> None:
+        """Send messages to each address, the first of them at once."""
+        pairs = [
+            (address, message) for address in addresses for message in messages
+        ]
+        now = [] if self.queue else pairs[:BURST]
+        for address, message in now:
+            self._send(address, message)
+        self.queue.extend(itertools.islice(pairs, len(now), None))
+        if self.queue:
+            self.wake.set()
+
+    def _send(self, address: str, message) -> None:
+        self.sent += 1
+        self.transport.send(address, message)
+
+    @mode.Service.task
+    async def _drain(self) -> None:
+        """Send what waits, a burst at a time."""
+        while not self.should_stop:
+            await self.wake.wait()
+            await asyncio.sleep(PAUSE_S)
+            for _index in range(min(BURST, len(self.queue))):
+                self._send(*self.queue.popleft())
+            if not self.queue:
+                self.wake.clear()
--- /dev/null
+++ b/carawaystair/outlier/scope.py
@@ -0,0 +1,143 @@
+"""Who complains of an upstream: everybody, or one group of callers only.
+
+A failure between one node and an upstream, between one data centre and
+another, or for one customer's work only, is no reason to take the upstream
+from all others.
+"""
+
+import itertools
+import typing
+
+EVERYBODY = 'everybody'
+UNKNOWN = 'unknown'
+REPORTER = 'reporter'
+DATA_CENTRE = 'data-centre'
+CUSTOMER = 'customer'
+
+# So much of what is bad must come from one group to speak of that group.
+CONCENTRATED = 0.8
+# The others count as well served below this share of bad attempts.
+WELL = 0.2
+# Bad attempts further apart than this belong to different episodes.
+EPISODE_S = 5.0
+MOST_EPISODE_S = 30.0
+# Reporters kept apart; more are counted as one.
+MAX_GROUPS = 64
+OTHERS = '*'
+
+
+class Seen(typing.NamedTuple):
+    """Attempts of one group within an episode.
+
+    :param bad: bad attempts.
+    :param good: good attempts that began after the suspicion.
+    """
+
+    bad: float = 0.0
+    good: float = 0.0
+
+
+class Source(typing.NamedTuple):
+    """Where attempts come from, in the order of the kinds of groups.
+
+    :param reporter: the node.
+    :param data_centre: its data centre.
+    :param customer: the class of the customers.
+    """
+
+    reporter: str
+    data_centre: str
+    customer: str
+
+
+def group_key(upstream: str, kind: str, group: str) -> str:
+    """Return the name under which a detector weighs one group."""
+    return '%s\0%s\0%s' % (upstream, kind, group)
+
+
+class Scope(typing.NamedTuple):
+    """Whom an upstream fails.
+
+    :param kind: one of the constants above.
+    :param group: the reporter, data centre or class of customers.
+    """
+
+    kind: str
+    group: str = ''
+
+
+class Episode:
+    """Attempts at one upstream since something bad happened there.
+
+    :param now: monotonic time.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.began = now
+        self.last_bad = now
+        # Bad attempts on connections that may themselves be at fault.
+        self.unproven = 0.0
+        self.groups: dict[str, dict[str, Seen]] = {
+            REPORTER: {},
+            DATA_CENTRE: {},
+            CUSTOMER: {},
+        }
+
+    def over(self, now: float) -> bool:
+        """Tell whether nothing bad happened for long enough."""
+        quiet = now - self.last_bad > EPISODE_S
+        return quiet or now - self.began > MOST_EPISODE_S
+
+    def add(self, source: Source, bad: float, good: float) -> None:
+        """Add attempts from one source."""
+        for groups, group in zip(self.groups.values(), source):
+            if group not in groups and len(groups) >= MAX_GROUPS:
+                group = OTHERS
+            seen = groups.get(group, Seen())
+            groups[group] = Seen(seen.bad + bad, seen.good + good)
+
+    def keys(self, upstream: str, source: Source | None = None) -> list[str]:
+        """Return a detector's names of the groups that saw something bad.
+
+        :param source: only its groups, or None for all.
+        """
+        chosen = (
+            (DATA_CENTRE, source and source.data_centre),
+            (CUSTOMER, source and source.customer),
+        )
+        return [
+            group_key(upstream, kind, group)
+            for kind, only in chosen
+            for group, seen in self.groups[kind].items()
+            if seen.bad > 0 and only in (None, group)
+        ]
+
+    def reporter_bad(self, reporter: str) -> float:
+        """Return the bad attempts of one reporter."""
+        return self.groups[REPORTER].get(reporter, Seen()).bad
+
+    def scope(self, enough: int) -> Scope:
+        """Return whom the upstream fails.
+
+        :param enough: good answers to others that clear it for them.
+        """
+        found = (
+            _concentrated(kind, groups, enough)
+            for kind, groups in self.groups.items()
+        )
+        found = [scope for scope in found if scope is not None]
+        named = (scope for scope in found if scope.kind != UNKNOWN)
+        return next(itertools.chain(named, found), Scope(EVERYBODY))
+
+
+def _concentrated(kind, groups, enough) -> Scope | None:
+    """Return the group that all that is bad comes from, if there is one."""
+    total = sum(seen.bad for seen in groups.values())
+    group, top = max(groups.items(), key=lambda item: (item[1].bad, item[0]))
+    if total <= 0.0 or top.bad < CONCENTRATED * total:
+        return None
+    good = sum(seen.good for seen in groups.values()) - top.good
+    if good < enough:
+        return Scope(UNKNOWN, group)
+    rest = total - top.bad
+    return Scope(kind, group) if rest < WELL * (good + rest) else None
--- /dev/null
+++ b/carawaystair/outlier/seat.py
@@ -0,0 +1,181 @@
+"""One service that a process coordinates, and what it sends for it."""
+
+import typing
+
+from carawaystair import interfaces
+from carawaystair.outlier import coordinator as coordinators
+from carawaystair.outlier import messages
+from carawaystair.outlier import pace
+from carawaystair.outlier import track as tracks
+
+# Length of an ejection's lease, seconds.  It grows with the members: to renew
+# it takes members / (lease / RENEWALS) datagrams a second.
+LEASE_S = 15.0
+MOST_LEASE_S = 90.0
+MEMBERS_A_SECOND = 40.0
+RENEWALS = 3.0
+MIRROR_EVERY_S = 5.0
+# Bytes of entries in one datagram, and what an entry takes beside names.
+CHUNK_BYTES = 1000
+ENTRY_BYTES = 40
+
+# Upstreams in these states are told to all members, not only to the nodes
+# that use the service now: others may send it their first request.
+WIDE = frozenset((tracks.EJECTED, tracks.TRIED, tracks.RETURNING))
+
+
+class Sender(typing.Protocol):
+    """Sends datagrams, see ``outgoing.Outgoing``."""
+
+    def send(self, addresses: typing.Iterable[str], messages) -> None:
+        """Send each message to each address."""
+
+
+class Seat:
+    """One service at its coordinator.
+
+    :param me: this process.
+    :param coordinator: decides.
+    :param sender: sends.
+    :param now: monotonic time.
+    """
+
+    def __init__(
+        self,
+        me: interfaces.Member,
+        coordinator: coordinators.Coordinator,
+        sender: Sender,
+        now: float,
+    ) -> None:
+        self.me = me
+        self.coordinator = coordinator
+        self.sender = sender
+        self.pacer = pace.Pacer(coordinator.service, now)
+        self.epoch = 0
+        # Whether this process is the coordinator, as it sees the members.
+        self.leading = False
+        self.taken = -1e9
+        self.asked: set[str] = set()
+        self.mirrored = now
+        # How far the round of renewals has come among the members.
+        self.renewed = 0.0
+
+    def lease_s(self, members: typing.Sized) -> float:
+        """Return the length of an ejection's lease."""
+        wanted = len(members) / MEMBERS_A_SECOND * RENEWALS
+        return min(max(wanted, LEASE_S), MOST_LEASE_S)
+
+    def publish(
+        self,
+        members: typing.Sequence[interfaces.Member],
+        standby: interfaces.Member | None,
+        now: float,
+    ) -> None:
+        """Tell nodes what has changed."""
+        ledger = self.coordinator.ledger
+        if not ledger.changed:
+            return
+        lease_s = self.lease_s(members)
+        near, wide = [], []
+        for track in ledger.changed.values():
+            track.told_all = track.told_all or track.state in WIDE
+            entry = self.coordinator.entry(track, lease_s, now)
+            (wide if track.told_all else near).append(entry)
+            if track.state == tracks.HEALTHY:
+                track.told_all = False
+        ledger.changed.clear()
+        reporters = self.coordinator.reporters.addresses()
+        self.sender.send(reporters, self._states(near + wide))
+        told = set(reporters)
+        rest = [one.gossip for one in members if one.gossip not in told]
+        if wide:
+            self.sender.send(rest, self._states(wide))
+            self.mirror(members, standby, now)
+
+    def welcome(
+        self,
+        report: messages.Report,
+        address: str,
+        members: typing.Sequence[interfaces.Member],
+        now: float,
+    ) -> None:
+        """Tell one node what its report shows that it lacks."""
+        if report.bounds != self.pacer.version:
+            self.sender.send((address,), self.pacer.messages())
+        digest = self.coordinator.digest(now)
+        if report.epoch < self.epoch or report.digest != digest:
+            self.sender.send((address,), self.states(members, now))
+
+    def states(
+        self, members: typing.Sequence[interfaces.Member], now: float
+    ) -> tuple[messages.State, ...]:
+        """Return all that nodes should hold."""
+        entries = self.coordinator.entries(self.lease_s(members), now)
+        return self._states(entries, True)
+
+    def renew(
+        self,
+        members: typing.Sequence[interfaces.Member],
+        passed_s: float,
+        now: float,
+    ) -> None:
+        """Renew the leases of the next few members.
+
+        :param passed_s: since the last call.
+        """
+        if not self.coordinator.ledger.held() or not members:
+            return
+        share = passed_s / (self.lease_s(members) / RENEWALS)
+        start = self.renewed
+        self.renewed = start + share * len(members)
+        turn = [
+            members[index % len(members)].gossip
+            for index in range(int(start), int(self.renewed))
+        ]
+        self.renewed %= len(members)
+        if turn:
+            self.sender.send(turn, self.states(members, now))
+
+    def mirror(
+        self,
+        members: typing.Sized,
+        standby: interfaces.Member | None,
+        now: float,
+    ) -> None:
+        """Tell the standby what it needs to take over."""
+        self.mirrored = now
+        if standby is None:
+            return
+        phases = self.coordinator.phases(self.lease_s(members), now)
+        sizes = [len(phase.entry.upstream) for phase in phases]
+        chunks = _chunks(phases, sizes) or [()]
+        service, whole = self.coordinator.service, len(chunks) == 1
+        parts = [
+            messages.Mirror(service, self.epoch, whole, part)
+            for part in chunks
+        ]
+        self.sender.send((standby.gossip,), parts)
+
+    def _states(self, entries, full=False) -> tuple[messages.State, ...]:
+        chunks = _chunks(entries, [len(one.upstream) for one in entries])
+        # Only a state in one piece can say what is no longer held.
+        full = full and len(chunks) <= 1
+        return tuple(
+            messages.State(
+                self.coordinator.service, self.me.host, self.epoch, full, part
+            )
+            for part in chunks or ([()] if full else [])
+        )
+
+
+def _chunks(items: typing.Sequence, sizes: typing.Sequence[int]) -> list:
+    """Cut items so that each piece fits a datagram."""
+    chunks: list[list] = []
+    room = 0
+    for item, size in zip(items, sizes):
+        room -= size + ENTRY_BYTES
+        if room < 0:
+            chunks.append([])
+            room = CHUNK_BYTES - size - ENTRY_BYTES
+        chunks[-1].append(item)
+    return [tuple(chunk) for chunk in chunks]
--- a/carawaystair/outlier/service.py
+++ b/carawaystair/outlier/service.py
@@ -1,23 +1,29 @@
-"""Outlier detection of one node."""
+"""Outlier detection of one process: puts its parts together."""
 
 import asyncio
-import collections
+import random
 import typing
 
 import mode
 
 from carawaystair import clock
 from carawaystair import interfaces
-from carawaystair import invariants
-from carawaystair import manifest
-from carawaystair.outlier import floor
-from carawaystair.outlier import local
+from carawaystair.outlier import choice as choices
+from carawaystair.outlier import detectors
+from carawaystair.outlier import evidence
+from carawaystair.outlier import health
+from carawaystair.outlier import known as knowns
+from carawaystair.outlier import lead
+from carawaystair.outlier import messages
+from carawaystair.outlier import outgoing
+from carawaystair.outlier import watch as watches
 from carawaystair import timeline as timelines
 
 SWEEP_S = 1.0
-# Per-node ejection: so many failures in a row, for so long.
-CONSECUTIVE = 5
-EJECTION_S = 10.0
+# The detector of a service that names one that is not installed.
+DEFAULT = 'siblings'
+
+Sleep = typing.Callable[[float], typing.Awaitable]
 
 
 class Outlier(mode.Service):
@@ -26,7 +32,12 @@
     :param members: the processes of the fleet.
     :param directory: the upstreams.
     :param routing: returns the current routing.
+    :param links: questions and answers between processes.
+    :param datagrams: reports and states between processes.
     :param timeline: takes the events.
+    :param factories: detector factories by name.
+    :param rng: source of randomness.
+    :param sleep: waits; tests let it stall to stand in for a pause.
     """
 
     def __init__(
@@ -34,95 +45,104 @@
         members: interfaces.Members,
         directory: interfaces.Directory,
         routing: typing.Callable,
+        links: interfaces.Transport,
+        datagrams: typing.Any,
         timeline: timelines.Timeline,
+        factories: typing.Mapping[str, detectors.Factory],
+        rng: random.Random,
+        sleep: Sleep = asyncio.sleep,
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
         self.members = members
-        self.directory = directory
-        self.routing = routing
-        self.timeline = timeline
-        self.weights = local.Weights()
-        self.runs: collections.Counter = collections.Counter()
-        self.until: dict[str, dict[str, float]] = {}
-        self.seen: dict[tuple[str, int], float] = {}
-
-    def ejected(self, service: str) -> frozenset[str]:
-        """Return ids that get no new work, after the clamp."""
-        held = self.until.get(service)
-        if not held:
-            return frozenset()
-        now = clock.now()
-        wanted = [name for name, until in held.items() if until > now]
-        upstreams = self.directory.upstreams(service)
-        config = self._config(service)
-        allowed = floor.clamp(config, upstreams, wanted, self.warm)
-        left = floor.measure(config, upstreams, allowed, self.warm)
-        invariants.check(
-            invariants.FLOOR, not allowed or left.spare >= 0, service
+        self.factories = factories
+        self.sleep = sleep
+        self.known = knowns.Known(directory, routing)
+        self.choice = choices.Choice(members)
+        self.outgoing = self.add_dependency(outgoing.Outgoing(datagrams))
+        self.health = health.Health(members.me, self.known, rng)
+        self.evidence = evidence.Evidence(
+            self.health, self.tell, self.make, timeline, rng
         )
-        return allowed
-
-    def weight(self, upstream: str, customer: str = '') -> float:
-        """Return a factor from 0.0 to 1.0 on the upstream's share."""
-        return self.weights.weight(upstream, clock.now())
-
-    def trial(self, service: str) -> str | None:
-        """Return an upstream that wants a copy of the next request."""
-        return None
-
-    def begin(
-        self,
-        service: str,
-        upstream: str,
-        customer: str,
-        started: float,
-        route: str = '',
-        fresh: bool = True,
-    ) -> None:
-        """Take note that an attempt starts."""
-
-    def record(self, attempt: interfaces.Attempt) -> None:
-        """Take note of one attempt."""
-        now = clock.now()
-        self.weights.record(attempt.upstream, attempt.outcome, now)
-        if attempt.outcome == interfaces.GOOD:
-            self.runs.pop(attempt.upstream, None)
-        elif attempt.outcome in local.BAD:
-            self.runs[attempt.upstream] += 1
-            if self.runs[attempt.upstream] >= CONSECUTIVE:
-                self._eject(attempt, now)
-
-    def warm(self, upstream: interfaces.Upstream) -> bool:
-        """Tell whether an upstream's warm-up is over, as seen from here."""
-        key = (upstream.id, upstream.incarnation)
-        now = clock.now()
-        return now - self.seen.setdefault(key, now) >= upstream.warmup_s
-
-    def _config(self, service: str) -> manifest.Service:
-        return self.routing().service(service) or manifest.Service()
-
-    def _eject(self, attempt: interfaces.Attempt, now: float) -> None:
-        del self.runs[attempt.upstream]
-        held = self.until.setdefault(attempt.service, {})
-        held[attempt.upstream] = now + EJECTION_S
-        self.timeline.record(
-            'upstream-ejected',
-            '%d failures in a row at this node.' % CONSECUTIVE,
-            service=attempt.service,
-            upstream=attempt.upstream,
+        self.lead = self.add_dependency(
+            lead.Lead(
+                self.choice,
+                self.known,
+                links,
+                self,
+                self.pooled,
+                self.health.outstanding,
+                timeline,
+                rng,
+            )
         )
+        self.handlers = {
+            messages.Report: self._report,
+            messages.State: self._state,
+            messages.Pace: self._pace,
+            messages.Mirror: self._mirror,
+        }
+        for kind, handler in self.handlers.items():
+            datagrams.handle(kind, handler)
+        self._expose()
+
+    def _expose(self) -> None:
+        """Take the hot path straight to the parts."""
+        self.ejected = self.health.ejected
+        self.weight = self.health.weight
+        self.trial = self.health.trial
+        self.begin = self.evidence.begin
+        self.record = self.evidence.record
+        self.hint = self.evidence.hint
+
+    def send(self, addresses: typing.Iterable[str], parts) -> None:
+        """Send datagrams; those to this process take no detour."""
+        me = self.members.me.gossip
+        others = [address for address in addresses if address != me]
+        if len(others) < len(tuple(addresses)):
+            for part in parts:
+                self.handlers[type(part)](me, part)
+        self.outgoing.send(others, parts)
+
+    def tell(self, report: messages.Report) -> None:
+        """Send a report to the coordinator of its service."""
+        chosen = self.choice.of(report.service)
+        self.send((chosen.coordinator.gossip,), (report,))
+
+    def make(self, service: str) -> detectors.Detector:
+        """Return a new detector of the kind that a service asks for."""
+        name = self.known.service(service).detector
+        return self.factories.get(name, self.factories[DEFAULT])()
+
+    def pooled(self, service: str) -> detectors.Detector:
+        """Return a new detector for the coordinator of a service."""
+        detector = self.make(service)
+        return detector if detector.pooled else self.factories[DEFAULT]()
+
+    @mode.Service.task
+    async def _tick(self) -> None:
+        """Look for overdue answers and send what is due."""
+        while not self.should_stop:
+            await self.sleep(watches.TICK_S)
+            self.evidence.tick(clock.now())
 
     @mode.Service.task
     async def _sweep(self) -> None:
         """Forget what is over."""
         while not self.should_stop:
-            await asyncio.sleep(SWEEP_S)
+            await self.sleep(SWEEP_S)
             now = clock.now()
-            self.weights.sweep(now)
-            for service, held in list(self.until.items()):
-                over = [name for name, until in held.items() if until <= now]
-                for name in over:
-                    del held[name]
-                if not held:
-                    del self.until[service]
+            self.health.sweep(now)
+            self.evidence.sweep(now)
+
+    def _report(self, sender: str, message: messages.Report) -> None:
+        self.lead.take(message, sender)
+
+    def _state(self, sender: str, message: messages.State) -> None:
+        self.health.accept(message)
+
+    def _pace(self, sender: str, message: messages.Pace) -> None:
+        self.evidence.take_pace(message)
+
+    def _mirror(self, sender: str, message: messages.Mirror) -> None:
+        self.lead.mirror(message)
--- /dev/null
+++ b/carawaystair/outlier/shares.py
@@ -0,0 +1,74 @@
+"""How many attempts reached each level, for one upstream or for all.
+
+The past decays by growing the weight of what is new (forward decay; Cormode
+et al., 2009): adding an attempt never touches the rest of a table, and tables
+of one owner are added and subtracted cell by cell.
+"""
+
+import array
+import math
+
+from carawaystair.outlier import levels
+
+# Attempts count for a third after this, seconds.
+MEMORY_S = 60.0
+RESCALE = 1e9
+
+# A row: attempts at level 0 or worse, ... level 5, then server errors,
+# attempts without an answer, and attempts of any kind.
+ERRORS = levels.LEVELS
+BROKENS = ERRORS + 1
+ATTEMPTS = BROKENS + 1
+WIDTH = ATTEMPTS + 1
+# A row for each class of customers and one for all of them.
+ALL = levels.CLASSES
+SIZE = WIDTH * (levels.CLASSES + 1)
+
+COLUMNS = {
+    **{level: (*range(level + 1), ATTEMPTS) for level in range(levels.LEVELS)},
+    levels.ERROR: (ERRORS, ATTEMPTS),
+    levels.BROKEN: (BROKENS, ATTEMPTS),
+    levels.UNRATED: (ATTEMPTS,),
+    levels.UNPROVEN: (ATTEMPTS,),
+}
+
+
+class Scale:
+    """The weight of an attempt made now, for a family of tables.
+
+    :param now: monotonic time.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.zero = now
+
+    def unit(self, now: float) -> float:
+        """Return the weight of one attempt."""
+        return math.exp((now - self.zero) / MEMORY_S)
+
+
+def table() -> array.array:
+    """Return an empty table."""
+    return array.array('d', bytes(8 * SIZE))
+
+
+def add(
+    target: array.array, customer_class: int, category: int, amount: float
+) -> None:
+    """Add attempts; ``amount`` is their count times the unit."""
+    for row in (customer_class * WIDTH, ALL * WIDTH):
+        for column in COLUMNS[category]:
+            # What is taken back may have decayed less than what was added.
+            target[row + column] = max(target[row + column] + amount, 0.0)
+
+
+def merge(target: array.array, other: array.array, sign: float) -> None:
+    """Add or subtract a whole table."""
+    for index, value in enumerate(other):
+        target[index] = max(target[index] + sign * value, 0.0)
+
+
+def scale(target: array.array, factor: float) -> None:
+    """Multiply a whole table."""
+    for index, value in enumerate(target):
+        target[index] = value * factor
--- /dev/null
+++ b/carawaystair/outlier/view.py
@@ -0,0 +1,166 @@
+"""What a node does with the leases that it holds, after its own clamp."""
+
+import random
+import typing
+
+from carawaystair import invariants
+from carawaystair.outlier import floor
+from carawaystair.outlier import held
+from carawaystair.outlier import known as knowns
+from carawaystair.outlier import levels
+from carawaystair.outlier import messages
+from carawaystair.outlier import tuning as tunings
+
+# Share of work of an upstream whose ejection the floor does not allow here.
+CLAMPED_WEIGHT = 0.3
+OUT_MILLI = 100
+LEAST_WEIGHT = 0.1
+# A view is worked out again after this even when nothing was heard: leases
+# end and upstreams get warm by time alone.
+REFRESH_S = 1.0
+
+
+class Factor(typing.NamedTuple):
+    """What a lease makes of the weight of an upstream.
+
+    :param weight: share of work, 0.0 to 1.0.
+    :param customer_class: for this class only, or -1.
+    :param full_at: monotonic time at which a returning upstream has its
+        whole share; 0.0 for others.
+    :param ramp_s: how long that takes, seconds.
+    """
+
+    weight: float
+    customer_class: int = -1
+    full_at: float = 0.0
+    ramp_s: float = 1.0
+
+    def at(self, customer: str, now: float) -> float:
+        """Return the factor for a customer, or for any when empty."""
+        if self.full_at:
+            left = (self.full_at - now) / self.ramp_s
+            return min(max(1.0 - left, LEAST_WEIGHT), 1.0)
+        if self.customer_class < 0:
+            return self.weight
+        mine = customer and (
+            levels.customer_class(customer) == self.customer_class
+        )
+        return self.weight if mine else 1.0
+
+
+class Trial(typing.NamedTuple):
+    """An upstream that wants copies of requests.
+
+    :param upstream: its id.
+    :param chance: that a request is copied.
+    """
+
+    upstream: str
+    chance: float
+
+
+class View(typing.NamedTuple):
+    """What holds at this node for one service.
+
+    :param ejected: ids that get no new work.
+    :param factors: by upstream.
+    :param trials: upstreams that want copies.
+    :param version: of the upstreams it was worked out from.
+    :param until: monotonic time until which it holds.
+    """
+
+    ejected: frozenset[str]
+    factors: dict[str, Factor]
+    trials: tuple[Trial, ...]
+    version: int
+    until: float
+
+    def trial(self, rng: random.Random) -> str | None:
+        """Return an upstream to send a copy to, or None."""
+        for trial in self.trials:
+            if rng.random() < trial.chance:
+                return trial.upstream
+        return None
+
+
+def make(
+    service: str,
+    known: knowns.Known,
+    data_centre: str,
+    leases: typing.Mapping[str, held.Lease],
+    own: typing.Collection[str],
+    now: float,
+) -> View:
+    """Work out the view of one service.
+
+    :param data_centre: of this node.
+    :param leases: what coordinators granted.
+    :param own: ids that this node ejects by itself.
+    """
+    config = known.service(service)
+    upstreams = tuple(known.table(service).values())
+    mine = {
+        name: lease.entry
+        for name, lease in leases.items()
+        if lease.until > now and lease.entry.data_centre in ('', data_centre)
+    }
+    returning = {
+        name
+        for name, entry in mine.items()
+        if entry.kind == messages.RETURNING
+    }
+
+    def able(upstream) -> bool:
+        # One that is coming back is not yet capacity: a second loss right
+        # after its return must not find the floor spent already.
+        return upstream.id not in returning and known.able(upstream)
+
+    wanted = [*_order(mine), *sorted(own)]
+    allowed = floor.clamp(config, upstreams, wanted, able)
+    left = floor.measure(config, upstreams, allowed, able)
+    invariants.check(invariants.FLOOR, not allowed or left.spare >= 0, service)
+    tuning = tunings.of(config)
+    factors = {
+        name: _factor(entry, name in allowed, leases[name].until, tuning)
+        for name, entry in mine.items()
+    }
+    trials = tuple(
+        Trial(name, entry.trial / 1e6)
+        for name, entry in sorted(mine.items())
+        if entry.trial
+    )
+    ends = [leases[name].until for name in mine]
+    ejected = frozenset(
+        name
+        for name in allowed
+        if name in own or mine[name].kind == messages.EJECTED
+    )
+    until = min([now + REFRESH_S, *ends])
+    return View(ejected, factors, trials, known.version(service), until)
+
+
+def _order(mine: dict[str, messages.Entry]) -> list[str]:
+    """Return the ids that are to get no work, the worst first."""
+    taken = [
+        entry
+        for entry in mine.values()
+        if entry.customer_class < 0
+        and entry.kind in (messages.EJECTED, messages.HELD)
+        and entry.weight < OUT_MILLI
+    ]
+    # Ejections go before suspicions.
+    taken.sort(key=lambda one: (-one.kind, -one.severity, one.upstream))
+    return [entry.upstream for entry in taken]
+
+
+def _factor(
+    entry: messages.Entry, allowed: bool, until: float, tuning: tunings.Tuning
+) -> Factor:
+    if entry.kind == messages.RETURNING:
+        return Factor(1.0, -1, until, tuning.slow_start_s)
+    weight = entry.weight / 1000
+    if entry.customer_class >= 0:
+        return Factor(max(weight, tuning.held_weight), entry.customer_class)
+    if entry.weight < OUT_MILLI and not allowed:
+        weight = CLAMPED_WEIGHT
+    return Factor(weight)
--- /dev/null
+++ b/carawaystairplug/detector_consecutive.py
@@ -0,0 +1,58 @@
+"""Detector: failures in a row, as seen by each node alone.
+
+This is what most proxies do by default, and the baseline that the other
+detectors are measured against.  A node that sends an upstream a request now
+and then needs a long time to see a row of failures.
+"""
+
+import typing
+
+from carawaystair.outlier import detectors
+from carawaystair import plugins
+
+# So many failures in a row eject.
+ROW = 5
+# Failures score far above this, slow answers mostly below.
+FAILURE_SCORE = 4.0
+ENOUGH = 1000.0
+
+
+class Consecutive:
+    """Counts failures in a row, see ``detectors.Detector``."""
+
+    pooled: typing.ClassVar[bool] = False
+
+    def __init__(self) -> None:
+        self.rows: dict[str, int] = {}
+
+    def observe(
+        self, upstream: str, score: float, count: float, now: float
+    ) -> None:
+        """Count a failure, or end the row."""
+        if score < FAILURE_SCORE:
+            self.rows.pop(upstream, None)
+        else:
+            self.rows[upstream] = self.rows.get(upstream, 0) + int(count)
+
+    def evidence(self, upstream: str, now: float) -> float:
+        """Return enough evidence once the row is long enough."""
+        return ENOUGH if self.rows.get(upstream, 0) >= ROW else 0.0
+
+    def forget(self, upstream: str) -> None:
+        """Start a new row."""
+        self.rows.pop(upstream, None)
+
+
+def make() -> detectors.Detector:
+    """Return a new detector."""
+    return Consecutive()
+
+
+class Plugin(plugins.Plugin):
+    """Brings the detector ``consecutive``."""
+
+    name = 'detector-consecutive'
+
+    def detectors(self) -> dict[str, typing.Callable]:
+        """Return the factory."""
+        return {'consecutive': make}
--- /dev/null
+++ b/carawaystairplug/detector_sequential.py
@@ -0,0 +1,73 @@
+"""Detector: a cumulative sum on scores (CUSUM; Page, 1954).
+
+Each score moves a sum by its log likelihood ratio between a gray upstream
+and a healthy one; the sum never falls below zero.  It is the quickest test
+for one known size of fault, and it forgets nothing but by good answers.
+"""
+
+import math
+import typing
+
+from carawaystair.outlier import detectors
+from carawaystair import plugins
+
+# Scores of a gray upstream are taken as exponential with the mean
+# 1 / (1 - TILT) = 5, those of a healthy one with the mean 1.
+TILT = 0.8
+BASE = math.log(1.0 - TILT)
+# Evidence that nothing confirms fades, seconds for a third.
+FADE_S = 20.0
+MOST = 60.0
+
+
+class Sum(typing.NamedTuple):
+    """The sum of one upstream at a time."""
+
+    value: float
+    time: float
+
+
+class Sequential:
+    """A CUSUM for each upstream, see ``detectors.Detector``."""
+
+    pooled: typing.ClassVar[bool] = True
+
+    def __init__(self) -> None:
+        self.sums: dict[str, Sum] = {}
+
+    def observe(
+        self, upstream: str, score: float, count: float, now: float
+    ) -> None:
+        """Move the sum."""
+        step = count * (BASE + TILT * score)
+        value = min(self.evidence(upstream, now) + step, MOST)
+        if value <= 0.0:
+            self.sums.pop(upstream, None)
+        else:
+            self.sums[upstream] = Sum(value, now)
+
+    def evidence(self, upstream: str, now: float) -> float:
+        """Return the sum, faded."""
+        held = self.sums.get(upstream)
+        if held is None:
+            return 0.0
+        return held.value * math.exp((held.time - now) / FADE_S)
+
+    def forget(self, upstream: str) -> None:
+        """Set the sum to zero."""
+        self.sums.pop(upstream, None)
+
+
+def make() -> detectors.Detector:
+    """Return a new detector."""
+    return Sequential()
+
+
+class Plugin(plugins.Plugin):
+    """Brings the detector ``sequential``."""
+
+    name = 'detector-sequential'
+
+    def detectors(self) -> dict[str, typing.Callable]:
+        """Return the factory."""
+        return {'sequential': make}
--- /dev/null
+++ b/carawaystairplug/detector_siblings.py
@@ -0,0 +1,117 @@
+"""Detector: an upstream's scores against its siblings', over four windows.
+
+In each window the scores are tested by the generalised likelihood ratio for
+exponential scores with a mean above a bound: ``n (r - 1 - ln r)`` where r is
+the mean over the bound (the exponential form of Lorden's test, 1971).  It
+finds the size of the fault by itself: a hang within a few attempts, a mild
+slowdown within a longer window.  The longer the window, the larger the least
+mean that counts, since healthy siblings are never quite equal.
+"""
+
+import math
+import typing
+
+from carawaystair.outlier import detectors
+from carawaystair import plugins
+
+
+class Window(typing.NamedTuple):
+    """One window.
+
+    :param memory_s: time after which an attempt counts for a third.
+    :param least: mean scores up to this are healthy.
+    """
+
+    memory_s: float
+    least: float
+
+
+WINDOWS = (
+    Window(0.6, 1.0),
+    Window(2.5, 1.3),
+    Window(10.0, 1.7),
+    Window(40.0, 2.0),
+)
+
+
+class Tally:
+    """Attempts and scores of one upstream in each window."""
+
+    __slots__ = ('time', 'counts', 'sums')
+
+    def __init__(self, now: float) -> None:
+        self.time = now
+        self.counts = [0.0] * len(WINDOWS)
+        self.sums = [0.0] * len(WINDOWS)
+
+    def add(self, score: float, count: float, now: float) -> None:
+        """Add attempts."""
+        gone = self.time - now
+        self.time = now
+        for index, window in enumerate(WINDOWS):
+            fade = math.exp(gone / window.memory_s)
+            self.counts[index] = self.counts[index] * fade + count
+            self.sums[index] = self.sums[index] * fade + count * score
+
+    def evidence(self, now: float) -> float:
+        """Return the greatest evidence of all windows."""
+        gone = self.time - now
+        return max(
+            ratio_test(count, total, window.least)
+            * math.exp(gone / window.memory_s)
+            for count, total, window in zip(self.counts, self.sums, WINDOWS)
+        )
+
+
+def ratio_test(count: float, total: float, least: float) -> float:
+    """Return the log likelihood ratio for a mean above ``least``.
+
+    :param count: attempts.
+    :param total: sum of their scores.
+    """
+    if count <= 0.0 or total <= count * least:
+        return 0.0
+    ratio = total / count / least
+    return count * (ratio - 1.0 - math.log(ratio))
+
+
+class Siblings:
+    """Windows for each upstream, see ``detectors.Detector``."""
+
+    pooled: typing.ClassVar[bool] = True
+
+    def __init__(self) -> None:
+        self.tallies: dict[str, Tally] = {}
+
+    def observe(
+        self, upstream: str, score: float, count: float, now: float
+    ) -> None:
+        """Add attempts to every window."""
+        tally = self.tallies.get(upstream)
+        if tally is None:
+            tally = self.tallies[upstream] = Tally(now)
+        tally.add(score, count, now)
+
+    def evidence(self, upstream: str, now: float) -> float:
+        """Return the greatest evidence of all windows."""
+        tally = self.tallies.get(upstream)
+        return 0.0 if tally is None else tally.evidence(now)
+
+    def forget(self, upstream: str) -> None:
+        """Empty the windows."""
+        self.tallies.pop(upstream, None)
+
+
+def make() -> detectors.Detector:
+    """Return a new detector."""
+    return Siblings()
+
+
+class Plugin(plugins.Plugin):
+    """Brings the detector ``siblings``."""
+
+    name = 'detector-siblings'
+
+    def detectors(self) -> dict[str, typing.Callable]:
+        """Return the factory."""
+        return {'siblings': make}
--- a/test/test_outlier_floor.py
+++ b/test/test_outlier_floor.py
@@ -15,14 +15,14 @@
     return interfaces.Upstream(name, 's', '', '', '', slots, state=state)
 
 
-def warm(_upstream):
+def able(_upstream):
     return True
 
 
 def test_half_of_the_pool_may_go_and_no_more():
     pool = [upstream(number) for number in range(8)]
     wanted = [one.id for one in pool]
-    allowed = floor.clamp(manifest.Service(), pool, wanted, warm)
+    allowed = floor.clamp(manifest.Service(), pool, wanted, able)
     assert allowed == frozenset(wanted[:4])
 
 
@@ -33,7 +33,7 @@
         manifest.Service(floor_percent=0, floor_slots=40),
         manifest.Service(floor_percent=0, floor_slots=4000),
     ):
-        assert not floor.clamp(config, pool, ['u1'], warm)
+        assert not floor.clamp(config, pool, ['u1'], able)
 
 
 @hypothesis.given(
@@ -60,8 +60,11 @@
     cold = {one.id for one, kind in zip(pool, kinds) if kind[2]}
     config = manifest.Service(floor_percent=percent, floor_slots=slots)
     wanted = random.sample([one.id for one in pool], len(pool))
-    hot = lambda one: one.id not in cold  # noqa: E731
-    allowed = floor.clamp(config, pool, wanted, hot)
+
+    def able(one):
+        return one.state == interfaces.UP and one.id not in cold
+
+    allowed = floor.clamp(config, pool, wanted, able)
     known = sum(one.slots for one in pool)
     left = sum(
         one.slots
