--- a/carawaystair/codes.py
+++ b/carawaystair/codes.py
@@ -213,6 +213,105 @@
     'Ask another node.',
 )
 
+REQUEST_MALFORMED = define(
+    3004,
+    'request-malformed',
+    400,
+    'The request is not well-formed HTTP; its connection is closed.',
+    'Mend the client; RFC 9112 has the rules that the detail names.',
+)
+HEAD_TOO_LARGE = define(
+    3005,
+    'head-too-large',
+    431,
+    'A line or the number of headers of the request exceeds the bounds.',
+    'Send fewer or shorter headers; docs/operate/answers.md has the bounds.',
+)
+BODY_TOO_LARGE = define(
+    3006,
+    'body-too-large',
+    413,
+    'The body of the request is longer than its service allows.',
+    'Send less, or raise max_body of the service in the manifest.',
+)
+BODY_MALFORMED = define(
+    3007,
+    'body-malformed',
+    400,
+    'The body of the request ended early or is badly encoded.',
+    'Mend the client: lengths and chunks must be exact.',
+)
+BODY_LATE = define(
+    3008,
+    'body-late',
+    408,
+    'The body of the request did not arrive within the deadline.',
+    'Send faster, or bring a longer deadline.',
+)
+CUSTOMER_INVALID = define(
+    3009,
+    'customer-invalid',
+    400,
+    'Caraway-Customer is repeated, too long or has odd signs.',
+    'Send one plain name of at most 128 characters.',
+)
+DEADLINE_INVALID = define(
+    3010,
+    'deadline-invalid',
+    400,
+    'Caraway-Deadline-Ms is not a whole number of milliseconds.',
+    'Send one number from 0 to 3600000.',
+)
+DEADLINE_EXPIRED = define(
+    3011,
+    'deadline-expired',
+    504,
+    'The deadline passed before the request could be sent; it was not run.',
+    'Bring a longer deadline, or try again later.',
+)
+METHOD_REFUSED = define(
+    3012,
+    'method-refused',
+    501,
+    'CONNECT, TRACE and upgrades do not go through this proxy.',
+    'Ask the upstream itself.',
+)
+PATH_REFUSED = define(
+    3013,
+    'path-refused',
+    400,
+    'The path has dot segments, which could lead around the routes.',
+    'Send the path in its normal form.',
+)
+EXPECTATION_UNKNOWN = define(
+    3014,
+    'expectation-unknown',
+    417,
+    'The request expects something other than 100-continue.',
+    'Send no other Expect header.',
+)
+LOOP = define(
+    3015,
+    'loop',
+    508,
+    'The request has come through this node before.',
+    'Check that no upstream address is that of a node.',
+)
+TOO_MANY_CONNECTIONS = define(
+    3016,
+    'too-many-connections',
+    503,
+    'This node has as many connections of callers as it takes.',
+    'Reuse connections, or spread callers over more nodes.',
+)
+MEMORY_FULL = define(
+    3017,
+    'memory-full',
+    503,
+    'This node holds as many bodies of keyed requests as it takes.',
+    'Try again later, or on another node.',
+)
+
 # 4: upstreams and attempts
 
 NO_UPSTREAM = define(
@@ -244,6 +343,35 @@
     'The request may have run; ask for its state before repeating it.',
 )
 
+ANSWER_UNBOUNDED = define(
+    4005,
+    'answer-unbounded',
+    502,
+    'The answer of the upstream does not tell where it ends.',
+    'Let the upstream send Content-Length or chunks; the request has run.',
+)
+ANSWER_MALFORMED = define(
+    4006,
+    'answer-malformed',
+    502,
+    'The answer of the upstream is not well-formed HTTP.',
+    'Mend the upstream; the request may have run.',
+)
+ANSWER_FOREIGN = define(
+    4007,
+    'answer-foreign',
+    502,
+    'The answer of the upstream names another request; it was dropped.',
+    'Mend the upstream, which mixes up answers; the request may have run.',
+)
+UPSTREAM_REFUSED = define(
+    4008,
+    'upstream-refused',
+    503,
+    'Upstreams refused the request before running it.',
+    'Try again when Retry-After says.',
+)
+
 # 5: reservations of idempotency keys
 
 KEY_REUSED = define(
--- a/carawaystair/control/role.py
+++ b/carawaystair/control/role.py
@@ -1,10 +1,10 @@
 """The control role: puts the parts of a control host together."""
 
 import random
-import typing
 
 import mode
 
+from carawaystair import admin
 from carawaystair.control import single
 from carawaystair import publisher
 
@@ -21,26 +21,14 @@
         self.group = single.make(kernel)
         rng = random.Random(kernel.settings.host)
         self.publisher = publisher.Publisher(kernel.links, self.group, rng)
-        self.parts = (self.group, self.publisher)
+        self.admin = admin.make(kernel, self.group, self.publisher)
+        self.parts = (self.group, self.publisher, self.admin)
 
     async def on_start(self) -> None:
         """Start the parts."""
         for part in self.parts:
             await self.add_runtime_dependency(part)
 
-    def status(self) -> dict[str, typing.Any]:
-        """Return what an operator wants to see first."""
-        nodes = sorted(self.publisher.nodes())
-        return {
-            'host': self.kernel.settings.host,
-            'version': str(self.group.version()),
-            'digest': self.group.digest().hex(),
-            'nodes': [
-                {'host': node.host, 'version': str(node.version)}
-                for node in nodes
-            ],
-        }
-
 
 def make(kernel) -> Control:
     """Return the control role of a process."""
--- a/carawaystair/node.py
+++ b/carawaystair/node.py
@@ -4,6 +4,7 @@
 
 import mode
 
+from carawaystair.admin import capacity
 from carawaystair import admission
 from carawaystair import follower
 from carawaystair import invariants
@@ -32,6 +33,9 @@
         self.follower = follower.make(kernel, members)
         routing = self.follower.routing
         self.outlier = outlier.make(kernel, members, directory, routing)
+        self.capacity = capacity.Answerer(
+            kernel.links, directory, self.outlier, routing
+        )
         self.admission = admission.make(
             kernel, members, directory, self.outlier, routing
         )
--- /dev/null
+++ b/carawaystair/request/attempt.py
@@ -0,0 +1,242 @@
+"""One attempt at one upstream."""
+
+import asyncio
+
+import aiohttp
+from aiohttp import http_exceptions
+
+from carawaystair import clock
+from carawaystair import codes
+from carawaystair import interfaces
+from carawaystair import invariants
+from carawaystair.request import answer as answers
+from carawaystair.request import body as bodies
+from carawaystair.request import call as calls
+from carawaystair.request import connections
+from carawaystair.request import headers
+from carawaystair.request import target as targets
+
+# Bodies up to this length are held until whole, so that another attempt
+# can take the place of one that breaks; longer ones are streamed.
+HOLD_BYTES = 128 * 1024
+# Bounds of an upstream's answer head.
+MAX_LINE_BYTES = 16 * 1024
+MAX_HEADERS = 128
+READ_BYTES = 64 * 1024
+
+BROKEN = (aiohttp.ClientError, ConnectionError, OSError)
+
+
+class Attempt:
+    """One attempt; its answer is read by :meth:`answer`, once or again.
+
+    :param call: the request.
+    :param target: the upstream.
+    :param extra: header lines of this attempt alone, such as a range.
+    :param fresh: whether it must have a new connection; once it has one,
+        whether that is new or was used a moment ago.
+    """
+
+    __slots__ = (
+        'alarm',
+        'call',
+        'chunks',
+        'connection',
+        'ended',
+        'extra',
+        'fresh',
+        'message',
+        'payload',
+        'pump',
+        'sent',
+        'size',
+        'started',
+        'target',
+    )
+
+    def __init__(
+        self,
+        call: calls.Call,
+        target: targets.Target,
+        extra: bytes = b'',
+        fresh: bool = False,
+    ) -> None:
+        self.call = call
+        self.target = target
+        self.extra = extra
+        self.fresh = fresh
+        self.connection: connections.Connection | None = None
+        # Rings when the connection itself is to be doubted.
+        self.alarm: asyncio.TimerHandle | None = None
+        self.message = None
+        self.payload = None
+        self.pump: bodies.Pump | None = None
+        self.chunks: list[bytes] = []
+        self.size = 0
+        # True from the moment before the first byte goes out.
+        self.sent = False
+        # True once its end was recorded as evidence.
+        self.ended = False
+        self.started = clock.now()
+
+    # Sending
+
+    async def connect(self) -> None:
+        """Get a connection; raises :class:`answers.Failed`."""
+        now = self.started
+        if not self.fresh:
+            again = self.call.idempotent
+            idle_s = connections.IDLE_S if again else connections.LIVE_S
+            self.connection = connections.take(self.target, idle_s, now)
+        if self.connection is not None:
+            self.fresh = now - self.connection.used <= connections.LIVE_S
+        else:
+            self.fresh = True
+            try:
+                self.connection = await connections.connect(
+                    self.target, self.call.deadline
+                )
+            except OSError as error:
+                # TimeoutError is one, too.
+                raise answers.Failed(
+                    interfaces.REFUSED,
+                    codes.CONNECT_FAILED,
+                    False,
+                    str(error),
+                ) from None
+        self.connection.owner = self
+
+    def send(self) -> None:
+        """Send the request; raises :class:`answers.Failed`."""
+        call = self.call
+        left_ms = int((call.deadline - clock.now()) * 1000)
+        if left_ms <= 0:
+            raise answers.Failed(
+                interfaces.CANCELLED, codes.DEADLINE_EXPIRED, False
+            )
+        if self.target.upstream.state != interfaces.UP:
+            # It began to leave while the connection was made.
+            raise answers.Failed(
+                interfaces.CANCELLED, codes.UPSTREAM_REFUSED, False, 'leaving'
+            )
+        proto = self.connection.proto
+        proto.set_response_params(
+            skip_payload=call.method == 'HEAD',
+            auto_decompress=False,
+            read_bufsize=READ_BYTES,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            max_headers=MAX_HEADERS,
+        )
+        head = b'%b%bCaraway-Request-Id: %b\r\nCaraway-Deadline-Ms: %d\r\n' % (
+            call.head,
+            self.extra,
+            call.id.encode(),
+            left_ms,
+        )
+        if not proto.is_connected():
+            raise answers.Failed(
+                interfaces.CANCELLED, codes.CONNECT_FAILED, False, 'ended'
+            )
+        self.sent = True
+        if call.body is None:
+            self.pump = bodies.Pump(call, proto)
+            self.pump.start(head)
+        elif call.body or call.method not in bodies.BODILESS_METHODS:
+            length = b'Content-Length: %d\r\n\r\n' % len(call.body)
+            proto.transport.write(head + length + call.body)
+        else:
+            proto.transport.write(head + b'\r\n')
+
+    # The answer
+
+    async def answer(self) -> answers.Answer:
+        """Return the answer, whole or, when it is long, its beginning.
+
+        May be cancelled and called again: it goes on where it was.
+
+        :raises answers.Failed: when there is none.
+        """
+        try:
+            if self.message is None:
+                await self._head()
+            return await self._body()
+        except http_exceptions.HttpProcessingError as error:
+            raise self._failure(codes.ANSWER_MALFORMED, error) from None
+        except BROKEN as error:
+            raise self._failure(codes.ANSWER_LOST, error) from None
+
+    def _failure(self, code: codes.Code, error: object) -> answers.Failed:
+        refused = self.pump.refused if self.pump is not None else None
+        if refused is not None:
+            # The caller's own body was at fault, and we cut the connection.
+            return answers.Failed(
+                interfaces.CANCELLED, refused.code, True, refused.detail
+            )
+        return answers.Failed(interfaces.BROKEN, code, True, str(error))
+
+    async def _head(self) -> None:
+        proto = self.connection.proto
+        message, payload = await proto.read()
+        while message.code < 200:
+            if message.code == 101:
+                # Nobody asked for another protocol.
+                raise self._failure(codes.ANSWER_MALFORMED, 'unasked 101')
+            message, payload = await proto.read()
+        named = message.headers.get(headers.REQUEST_ID)
+        if named is not None and named != self.call.id:
+            # The upstream mixed up its answers, or answers late to a request
+            # that was given up: passed on, it would show one caller what
+            # belongs to another.
+            raise self._failure(codes.ANSWER_FOREIGN, named)
+        self.message = message
+        self.payload = payload
+
+    async def _body(self) -> answers.Answer:
+        message = self.message
+        if answers.bodiless(message, self.call.method):
+            return self._made(b'')
+        try:
+            length = answers.declared(message)
+        except ValueError as error:
+            both = message.chunked
+            code = codes.ANSWER_MALFORMED if both else codes.ANSWER_UNBOUNDED
+            raise self._failure(code, error) from None
+        if length is not None and length > HOLD_BYTES:
+            return self._made(b'', self)
+        payload = self.payload
+        while not payload.at_eof():
+            chunk = await payload.readany()
+            self.chunks.append(chunk)
+            self.size += len(chunk)
+            if self.size > HOLD_BYTES:
+                return self._made(b''.join(self.chunks), self)
+        return self._made(b''.join(self.chunks))
+
+    def _made(self, body: bytes, rest=None) -> answers.Answer:
+        message = self.message
+        owner = self.connection.owner
+        invariants.check(
+            invariants.OWN_ANSWER, owner is self, 'connection shared'
+        )
+        connection = None
+        if 'Connection' in message.headers:
+            connection = ','.join(message.headers.getall('Connection'))
+        return answers.Answer(
+            message.code,
+            message.reason,
+            message.raw_headers,
+            connection,
+            body,
+            rest,
+        )
+
+    @property
+    def silent(self) -> bool:
+        """Tell whether it was sent and nothing at all has come back."""
+        return self.sent and self.message is None
+
+    @property
+    def reused(self) -> bool:
+        """Tell whether its connection has carried an answer before."""
+        return self.connection is not None and self.connection.uses > 0
--- /dev/null
+++ b/carawaystair/request/body.py
@@ -0,0 +1,203 @@
+"""The body of a caller's request: held here, or passed on as it comes."""
+
+import asyncio
+import typing
+
+from aiohttp import http
+from aiohttp import streams
+from aiohttp import web
+from aiohttp import web_protocol
+
+from carawaystair import codes
+from carawaystair.request import call as calls
+from carawaystair.request import caller
+
+# Bodies up to this length are held before anything is sent: a slow caller
+# then takes up no upstream, and the request can be tried again.
+HOLD_BYTES = 64 * 1024
+# Bodies of keyed requests are held whole, because the key stands for what
+# the body says; all of them together may take this much memory.
+KEYED_BYTES = 64 * 1024 * 1024
+# Methods that get no Content-Length: 0 when there is no body.
+BODILESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
+
+MALFORMED = (
+    web_protocol.RequestPayloadError,
+    http.HttpProcessingError,
+    ConnectionError,
+)
+
+
+class Begun(typing.NamedTuple):
+    """A body as far as it was read.
+
+    :param data: its bytes.
+    :param whole: whether they are all.
+    """
+
+    data: bytes
+    whole: bool
+
+
+class Held:
+    """Holds whole the bodies of keyed requests, in bounded memory."""
+
+    def __init__(self) -> None:
+        self.bytes = 0
+
+    async def hold(
+        self,
+        content: streams.StreamReader,
+        length: int | None,
+        limit: int,
+        deadline: float,
+    ) -> bytes:
+        """Read a body whole; raises :class:`caller.Refused`.
+
+        :param length: its length, None when it comes in chunks.
+        :param limit: bytes at most.
+        """
+        # What a body in chunks will need is not known: it must fit whatever
+        # it turns out to be.
+        most = limit if length is None else length
+        if self.bytes + most > KEYED_BYTES:
+            raise caller.Refused(codes.MEMORY_FULL)
+        self.bytes += most
+        try:
+            body = await read(content, limit, limit, deadline)
+        finally:
+            self.bytes -= most
+        self.bytes += len(body.data)
+        return body.data
+
+    def drop(self, body: bytes) -> None:
+        """Forget a body."""
+        self.bytes -= len(body)
+
+
+def declared(request: web.BaseRequest) -> int | None:
+    """Return the length of a request's body, None when it is in chunks."""
+    length = request.headers.get('Content-Length')
+    if length is not None:
+        return int(length)
+    return None if 'Transfer-Encoding' in request.headers else 0
+
+
+def check(length: int | None, limit: int) -> None:
+    """Refuse a body that declares to be longer than its service allows."""
+    if length is not None and length > limit:
+        raise caller.Refused(codes.BODY_TOO_LARGE, '%d bytes' % length)
+
+
+def expectation(request: web.BaseRequest) -> bool:
+    """Tell whether the caller waits for ``100 Continue``."""
+    value = request.headers.get('Expect')
+    if value is None:
+        return False
+    if value.lower() != '100-continue':
+        raise caller.Refused(codes.EXPECTATION_UNKNOWN)
+    return request.version >= http.HttpVersion11
+
+
+async def begin(
+    content: streams.StreamReader, limit: int, deadline: float
+) -> Begun:
+    """Read a body, or as much of a long one as is held."""
+    if content.is_eof():
+        data = content.read_nowait(-1)
+        if len(data) > limit:
+            raise caller.Refused(codes.BODY_TOO_LARGE)
+        return Begun(data, True)
+    return await read(content, HOLD_BYTES, limit, deadline)
+
+
+async def read(
+    content: streams.StreamReader, enough: int, limit: int, deadline: float
+) -> Begun:
+    """Read a body; raises :class:`caller.Refused`.
+
+    :param enough: stop when more bytes than this are here.
+    :param limit: bytes at most.
+    :param deadline: monotonic time by which they must be here.
+    """
+    chunks = []
+    size = 0
+    try:
+        async with asyncio.timeout_at(deadline):
+            while not content.at_eof() and size <= enough:
+                chunks.append(await content.readany())
+                size += len(chunks[-1])
+                if size > limit:
+                    raise caller.Refused(codes.BODY_TOO_LARGE)
+    except TimeoutError:
+        raise caller.Refused(codes.BODY_LATE) from None
+    except MALFORMED as error:
+        raise caller.Refused(codes.BODY_MALFORMED, str(error)) from None
+    return Begun(b''.join(chunks), content.at_eof())
+
+
+class Pump:
+    """Passes a body on to an upstream, as fast as that takes it.
+
+    :param call: the request, whose body is a stream.
+    :param proto: the upstream's connection.
+    """
+
+    def __init__(self, call: calls.Call, proto) -> None:
+        self.call = call
+        self.proto = proto
+        self.writer = http.StreamWriter(proto, asyncio.get_running_loop())
+        self.task: asyncio.Task | None = None
+        # What went wrong on the caller's side, if anything did.
+        self.refused: caller.Refused | None = None
+
+    def start(self, head: bytes) -> None:
+        """Send the head, and the body from a task of its own."""
+        if self.call.length is None:
+            head += b'Transfer-Encoding: chunked\r\n\r\n'
+            self.writer.enable_chunking()
+        else:
+            head += b'Content-Length: %d\r\n\r\n' % self.call.length
+        self.proto.transport.write(head)
+        self.task = asyncio.create_task(self.run())
+
+    async def run(self) -> None:
+        """Pass the body on; on any fault the connection is cut.
+
+        Cutting it is what keeps an upstream from taking half a body for a
+        whole one.
+        """
+        limit = self.call.match.service.max_body
+        passed = len(self.call.begun)
+        content = self.call.stream
+        try:
+            if passed:
+                await self.writer.write(self.call.begun)
+            while not content.at_eof():
+                chunk = await content.readany()
+                passed += len(chunk)
+                if passed > limit:
+                    raise caller.Refused(codes.BODY_TOO_LARGE)
+                await self.writer.write(chunk)
+            await self.writer.write_eof()
+        except caller.Refused as refused:
+            self.refused = refused
+            self.cut()
+        except MALFORMED as error:
+            if content.exception() is not None:
+                self.refused = caller.Refused(codes.BODY_MALFORMED, str(error))
+            self.cut()
+        except asyncio.CancelledError:
+            self.cut()
+            raise
+
+    def cut(self) -> None:
+        """Break the upstream's connection."""
+        if self.proto.transport is not None:
+            self.proto.transport.abort()
+
+    @property
+    def done(self) -> bool:
+        """Tell whether the whole body was passed on."""
+        task = self.task
+        return task is not None and task.done() and not task.cancelled()
--- /dev/null
+++ b/carawaystair/request/caller.py
@@ -0,0 +1,209 @@
+"""Reads and checks what a caller sent, before anything is done for it."""
+
+import re
+import typing
+
+from aiohttp import web
+
+from carawaystair import codes
+from carawaystair import manifest
+from carawaystair.request import call as calls
+from carawaystair.request import headers
+from carawaystair import routing as routings
+
+NON_IDEMPOTENT = frozenset(('POST', 'PATCH'))
+# A tunnel would hide what is asked for; TRACE would show a caller what
+# other parties added to its request.
+REFUSED_METHODS = frozenset(('CONNECT', 'TRACE'))
+MAX_DEADLINE_MS = 3_600_000
+MAX_CUSTOMER = 128
+MAX_KEY = 255
+MAX_ID = 64
+NAME = re.compile(r'[!-~]{1,%d}' % MAX_CUSTOMER)
+KEY = re.compile(r'[ -~]{1,%d}' % MAX_KEY)
+ID = re.compile(r'[\w.:-]{1,%d}' % MAX_ID, re.ASCII)
+DIGITS = re.compile(r'[0-9]{1,7}', re.ASCII)
+# A dot segment, plain or percent-encoded (RFC 3986 5.2.4), or a backslash,
+# which some upstreams take for a slash.
+DOTS = re.compile(r'[/\\](\.|%2e){1,2}([/\\]|%2f|%5c|$)', re.IGNORECASE)
+
+
+class Refused(Exception):
+    """The request is refused before it was run.
+
+    :param code: why.
+    :param detail: the circumstances, for a person.
+    :param retry_after_s: when to try again, where the code says to.
+    """
+
+    def __init__(
+        self, code: codes.Code, detail: str = '', retry_after_s: float = 1.0
+    ) -> None:
+        super().__init__(code, detail)
+        self.code = code
+        self.detail = detail
+        self.retry_after_s = retry_after_s
+
+
+class Target(typing.NamedTuple):
+    """Where a request goes.
+
+    :param host: the host that it names, without a port, in lower case.
+    :param path: path and query.
+    :param authority: host and port when the request line names them.
+    """
+
+    host: str
+    path: str
+    authority: str = ''
+
+
+def target(request: web.BaseRequest) -> Target:
+    """Return where a request goes; raises :class:`Refused`."""
+    path = request.raw_path
+    host = request.headers.get('Host', '')
+    authority = ''
+    if path[:1] != '/':
+        # The absolute form, whose host goes before Host (RFC 9112 3.2.2).
+        _scheme, _colon, rest = path.partition('://')
+        authority, slash, path = rest.partition('/')
+        host, path = authority, slash + path
+        if not slash or not authority:
+            raise Refused(codes.NO_ROUTE, 'no path')
+    if '/.' in path or '%' in path or '\\' in path:
+        if DOTS.search(path.partition('?')[0]):
+            raise Refused(codes.PATH_REFUSED)
+    if not host.endswith(']'):
+        host = host.rpartition(':')[0] or host
+    return Target(host.lower(), path.partition('#')[0], authority)
+
+
+def route(routing: routings.Routing, place: Target) -> routings.Match:
+    """Return the route of a request; raises :class:`Refused`."""
+    match = routing.match(place.host, place.path.partition('?')[0])
+    if match is None or match.service is None:
+        raise Refused(codes.NO_ROUTE)
+    return match
+
+
+def read(
+    request: web.BaseRequest,
+    place: Target,
+    match: routings.Match,
+    known: typing.Callable[[str], typing.Any],
+    name: str,
+    host: str,
+    now: float,
+) -> calls.Call:
+    """Read the head of a request; raises :class:`Refused`.
+
+    :param known: returns what the manifest says of a customer, or None.
+    :param name: the request's own id.
+    :param host: the host of this node.
+    """
+    given = request.headers
+    method = request.method
+    if method in REFUSED_METHODS:
+        raise Refused(codes.METHOD_REFUSED, method)
+    if 'Via' in given and _looped(given.getall('Via'), host):
+        raise Refused(codes.LOOP)
+    customer = _customer(given)
+    idempotent = match.route.idempotent
+    if idempotent is None:
+        idempotent = method not in NON_IDEMPOTENT
+    # A customer that the manifest does not name shares a class with others
+    # like it, so that made-up names gain nothing.
+    charged = customer if customer and known(customer) else manifest.OTHER
+    return calls.Call(
+        _request_id(given, name),
+        match,
+        customer,
+        charged,
+        now + budget_ms(given, match.service) / 1000,
+        idempotent,
+        '' if idempotent else _key(given),
+        method,
+        place.path,
+        head(request, place, customer, host),
+    )
+
+
+def head(
+    request: web.BaseRequest, place: Target, customer: str, host: str
+) -> bytes:
+    """Return the request line and headers that go upstream."""
+    given = request.headers
+    connection = None
+    if 'Connection' in given:
+        connection = ','.join(given.getall('Connection'))
+    raw = request.raw_headers
+    if place.authority:
+        raw = [pair for pair in raw if pair[0].lower() != b'host']
+    first = '%s %s HTTP/1.1\r\nVia: 1.1 %s\r\n' % (
+        request.method,
+        place.path,
+        host,
+    )
+    if customer:
+        first += '%s: %s\r\n' % (headers.CUSTOMER, customer)
+    if place.authority or 'Host' not in given:
+        first += 'Host: %s\r\n' % place.authority
+    sent = first.encode('utf-8', 'surrogateescape')
+    return sent + headers.lines(raw, connection)
+
+
+def _single(given, name: str, code: codes.Code) -> str | None:
+    """Return a header that must not be repeated."""
+    if name not in given:
+        return None
+    values = given.getall(name)
+    if len(values) > 1:
+        raise Refused(code, 'repeated')
+    return values[0]
+
+
+def _customer(given) -> str:
+    value = _single(given, headers.CUSTOMER, codes.CUSTOMER_INVALID)
+    if value is None:
+        return ''
+    if not NAME.fullmatch(value):
+        raise Refused(codes.CUSTOMER_INVALID)
+    return value
+
+
+def _key(given) -> str:
+    value = _single(given, headers.KEY, codes.KEY_INVALID)
+    if value is None:
+        return ''
+    if not KEY.fullmatch(value):
+        raise Refused(codes.KEY_INVALID)
+    return value
+
+
+def budget_ms(given, service: manifest.Service) -> int:
+    """Return the time that a request has, in ms."""
+    value = _single(given, headers.DEADLINE, codes.DEADLINE_INVALID)
+    if value is None:
+        return service.timeout_ms
+    if not DIGITS.fullmatch(value) or int(value) > MAX_DEADLINE_MS:
+        raise Refused(codes.DEADLINE_INVALID)
+    if int(value) == 0:
+        raise Refused(codes.DEADLINE_EXPIRED)
+    return int(value)
+
+
+def _request_id(given, name: str) -> str:
+    """Return the caller's id with our own behind it, or our own.
+
+    Ours stays part of it, because a caller may use its id twice.
+    """
+    value = given.get(headers.REQUEST_ID)
+    if value is None or not ID.fullmatch(value):
+        return name
+    return '%s.%s' % (value, name)
+
+
+def _looped(values: typing.Iterable[str], host: str) -> bool:
+    """Tell whether ``Via`` (RFC 9110 7.6.3) names this node."""
+    hops = (hop.split() for hop in ','.join(values).split(','))
+    return any(len(hop) > 1 and hop[1] == host for hop in hops)
--- /dev/null
+++ b/carawaystair/request/choosing.py
@@ -0,0 +1,284 @@
+"""Which upstreams may get a request, and which of them does."""
+
+import bisect
+import itertools
+import math
+import random
+import typing
+
+from carawaystair import clock
+from carawaystair import interfaces
+from carawaystair import rendezvous
+from carawaystair.request import call as calls
+from carawaystair.request import connections
+from carawaystair.request import target as targets
+from carawaystair import routing as routings
+
+# A node sends to so many upstreams of a service at most.  With thousands of
+# nodes before tens of thousands of upstreams, a node that used them all
+# would find no connection open, and an upstream would have one with every
+# node.
+SUBSET = 10
+# An upstream of this node's data centre gets so many times the work of one
+# elsewhere in the region.
+NEAR_FACTOR = 2.0
+# Other regions get work only when this region's usable slots, times this
+# factor, fall below its known ones.
+SPARE = 1.4
+# The shares of starting upstreams are taken anew after so long, seconds.
+WARMING_S = 0.25
+DEFAULT = 'peak'
+
+
+class Place(typing.NamedTuple):
+    """Where this node stands."""
+
+    host: str
+    data_centre: str
+    region: str
+
+
+class Chosen(typing.NamedTuple):
+    """The candidates of a service and what they were made from.
+
+    :param routing: the configuration, compared by identity.
+    :param ejected: the ids that were ejected.
+    :param until: monotonic time up to which the shares hold.
+    :param candidates: the upstreams in use.
+    :param others: usable upstreams beyond the subset, the first to step in
+        at the front.
+    """
+
+    routing: routings.Routing
+    ejected: frozenset[str]
+    until: float
+    candidates: targets.Candidates
+    others: tuple[targets.Target, ...]
+
+
+class Chooser:
+    """Chooses upstreams for the requests of this node.
+
+    :param place: where this node stands.
+    :param directory: the upstreams.
+    :param health: which of them are ejected.
+    :param routing: returns the configuration.
+    :param factories: balancer factories by name.
+    """
+
+    def __init__(
+        self,
+        place: Place,
+        directory: interfaces.Directory,
+        health: interfaces.Health,
+        routing: typing.Callable[[], routings.Routing],
+        factories: dict[str, typing.Callable],
+    ) -> None:
+        self.place = place
+        self.directory = directory
+        self.health = health
+        self.routing = routing
+        self.factories = factories
+        self.targets: dict[str, targets.Target] = {}
+        self.chosen: dict[str, Chosen] = {}
+        self.balancers: dict[tuple[str, str], targets.Balancer] = {}
+        # When each upstream that leaves was seen to; a second record beside
+        # the targets, for the invariant.
+        self.leaving: dict[str, float] = {}
+        directory.subscribe(self.changed)
+
+    # Keeping up
+
+    def changed(self, upstream: interfaces.Upstream) -> None:
+        """Take note of an upstream that changed."""
+        self.chosen.pop(upstream.service, None)
+        now = clock.now()
+        if upstream.state == interfaces.UP:
+            self.leaving.pop(upstream.id, None)
+        else:
+            self.leaving.setdefault(upstream.id, now)
+        target = self.targets.get(upstream.id)
+        if target is not None:
+            self._update(target, upstream, now)
+
+    def _update(
+        self, target: targets.Target, new: interfaces.Upstream, now: float
+    ) -> None:
+        old, target.upstream = target.upstream, new
+        started = old.incarnation != new.incarnation
+        if started:
+            target.seen = now
+            target.cost = 0.0
+        if started or old.address != new.address:
+            # The process behind the open connections is gone.
+            target.renewed = now
+        if started or new.state == interfaces.GONE:
+            connections.close_idle(target)
+        if new.state == interfaces.GONE:
+            self.targets.pop(new.id, None)
+
+    def sweep(self, now: float) -> None:
+        """Close what has been idle too long, forget what left long ago."""
+        for target in self.targets.values():
+            if target.idle:
+                connections.sweep(target, now)
+        old = [key for key, t in self.leaving.items() if now - t > 60.0]
+        for key in old:
+            del self.leaving[key]
+
+    # Choosing
+
+    def choose(
+        self,
+        call: calls.Call,
+        tried: typing.Collection[str] = (),
+    ) -> targets.Target | None:
+        """Return the upstream for the next attempt of a request, or None.
+
+        :param tried: ids that have had an attempt of this request.
+        """
+        now = clock.now()
+        service = call.match.route.service
+        chosen = self.candidates(service, now)
+        candidates = chosen.candidates
+        if tried:
+            candidates = _without(chosen, tried)
+        if not candidates.targets:
+            return None
+        balancer = self.balancer(service, call.match.service.balancer)
+        return balancer.choose(candidates, call.charged, now)
+
+    def candidates(self, service: str, now: float) -> Chosen:
+        """Return the candidates of a service."""
+        routing = self.routing()
+        ejected = self.health.ejected(service)
+        chosen = self.chosen.get(service)
+        if (
+            chosen is None
+            or chosen.routing is not routing
+            or chosen.ejected != ejected
+            or chosen.until < now
+        ):
+            chosen = self._candidates(service, routing, ejected, now)
+            self.chosen[service] = chosen
+        return chosen
+
+    def _candidates(
+        self,
+        service: str,
+        routing: routings.Routing,
+        ejected: frozenset[str],
+        now: float,
+    ) -> Chosen:
+        usable = [
+            self.target(upstream, now)
+            for upstream in self.directory.upstreams(service)
+            if upstream.state == interfaces.UP
+            and upstream.weight > 0.0
+            and upstream.id not in ejected
+            and not routing.drained(upstream.host, upstream.data_centre)
+        ]
+        usable.sort(key=self._rank)
+        near = self._near(service, routing, usable)
+        used, others = near[:SUBSET], near[SUBSET:]
+        warming = any(target.warmth(now) < 1.0 for target in used)
+        until = now + WARMING_S if warming else math.inf
+        shares = itertools.accumulate(
+            self._share(target, now) for target in used
+        )
+        candidates = targets.Candidates(tuple(used), tuple(shares))
+        return Chosen(routing, ejected, until, candidates, tuple(others))
+
+    def _rank(self, target: targets.Target) -> tuple[int, str]:
+        """Order upstreams for this node; other nodes have another order."""
+        upstream = target.upstream
+        weight = -rendezvous.score(self.place.host, upstream.id)
+        return weight, upstream.id
+
+    def _near(
+        self,
+        service: str,
+        routing: routings.Routing,
+        usable: list[targets.Target],
+    ) -> list[targets.Target]:
+        """Return the upstreams of this region, or all when it lacks slots."""
+        place = routing.region(self.place.region)
+        here = {self.place.data_centre, *(place.data_centres if place else ())}
+        near = [t for t in usable if t.upstream.data_centre in here]
+        known = sum(
+            upstream.slots
+            for upstream in self.directory.upstreams(service)
+            if upstream.data_centre in here
+        )
+        slots = sum(target.upstream.slots for target in near)
+        return near if near and slots * SPARE >= known else usable
+
+    def _share(self, target: targets.Target, now: float) -> float:
+        upstream = target.upstream
+        near = upstream.data_centre == self.place.data_centre
+        factor = NEAR_FACTOR if near else 1.0
+        return upstream.weight * factor * target.warmth(now)
+
+    def target(
+        self, upstream: interfaces.Upstream, now: float
+    ) -> targets.Target:
+        """Return what this node knows of an upstream."""
+        target = self.targets.get(upstream.id)
+        if target is None:
+            target = targets.Target(upstream, now)
+            self.targets[upstream.id] = target
+        elif target.upstream is not upstream:
+            self._update(target, upstream, now)
+        return target
+
+    def named(self, service: str, name: str) -> targets.Target | None:
+        """Return an upstream by its id, ejected or not, if it is up."""
+        found = (
+            self.target(upstream, clock.now())
+            for upstream in self.directory.upstreams(service)
+            if upstream.id == name and upstream.state == interfaces.UP
+        )
+        return next(found, None)
+
+    def balancer(self, service: str, name: str) -> targets.Balancer:
+        """Return the balancer of a service."""
+        balancer = self.balancers.get((service, name))
+        if balancer is None:
+            factory = self.factories.get(name) or self.factories[DEFAULT]
+            seed = '%s %s' % (self.place.host, service)
+            balancer = factory(random.Random(seed), self.health)
+            self.balancers[service, name] = balancer
+        return balancer
+
+
+def _without(
+    chosen: Chosen, tried: typing.Collection[str]
+) -> targets.Candidates:
+    """Return the candidates that have had no attempt yet.
+
+    An upstream beyond the subset steps in for each that has.
+    """
+    used, sums = chosen.candidates
+    shares = (b - a for a, b in itertools.pairwise((0.0, *sums)))
+    kept = [
+        (target, share)
+        for target, share in zip(used, shares, strict=True)
+        if target.upstream.id not in tried
+    ]
+    if not kept:
+        kept = [
+            (target, 1.0)
+            for target in chosen.others
+            if target.upstream.id not in tried
+        ]
+    names = tuple(target for target, _share in kept)
+    return targets.Candidates(
+        names, tuple(itertools.accumulate(share for _target, share in kept))
+    )
+
+
+def pick(candidates: targets.Candidates, rng: random.Random) -> targets.Target:
+    """Return a candidate at random, by its share of the work."""
+    shares = candidates.shares
+    index = bisect.bisect(shares, rng.random() * shares[-1])
+    return candidates.targets[min(index, len(shares) - 1)]
--- /dev/null
+++ b/carawaystair/request/connections.py
@@ -0,0 +1,168 @@
+"""Connections to upstreams, one request at a time on each.
+
+A connection is reused only after its last answer was read to the exact end.
+What arrives on an idle connection, or after an answer, belongs to nobody:
+such a connection is closed, so that a late answer can't reach another caller.
+"""
+
+import asyncio
+import functools
+import typing
+
+from aiohttp import client_proto
+
+from carawaystair.request import target as targets
+
+# Opening a connection takes about a network round trip; a host that does not
+# answer by then is treated as down.
+CONNECT_S = 0.25
+# Idle connections are closed after so long: what stands between the two
+# ends forgets connections, too.
+IDLE_S = 30.0
+# A request that may not run twice uses only connections that carried an
+# answer within this time, or new ones.
+LIVE_S = 1.0
+MAX_IDLE = 16
+SWEEP_S = 1.0
+
+
+class Connection:
+    """One connection to an upstream.
+
+    :param proto: aiohttp's parser and transport.
+    :param target: the upstream.
+    :param now: monotonic time.
+    """
+
+    __slots__ = ('opened', 'owner', 'proto', 'target', 'used', 'uses')
+
+    def __init__(
+        self,
+        proto: client_proto.ResponseHandler,
+        target: targets.Target,
+        now: float,
+    ) -> None:
+        self.proto = proto
+        self.target = target
+        self.opened = now
+        self.used = now
+        self.uses = 0
+        # The attempt whose answer comes next, None while idle.
+        self.owner: typing.Any = None
+
+    def sound(self) -> bool:
+        """Tell whether the next answer on it can only be to what we send."""
+        proto = self.proto
+        return proto.is_connected() and not proto.should_close
+
+
+def take(
+    target: targets.Target, max_idle_s: float, now: float
+) -> Connection | None:
+    """Take an idle connection that was used within ``max_idle_s``.
+
+    None is taken while one of them is doubted to be lost: the others may
+    have been lost with it.
+    """
+    idle = target.idle
+    if target.doubted is not None:
+        return None
+    while idle and now - idle[-1].used <= max_idle_s:
+        connection = idle.pop()
+        if connection.sound() and connection.opened >= target.renewed:
+            return connection
+        connection.proto.abort()
+    return None
+
+
+async def connect(target: targets.Target, until: float) -> Connection:
+    """Open a new connection.
+
+    :param until: monotonic time at which to give up.
+    :raises OSError: when it cannot be opened.
+    :raises TimeoutError: when nobody answers.
+    """
+    loop = asyncio.get_running_loop()
+    ip, _colon, port = target.upstream.address.rpartition(':')
+    factory = functools.partial(client_proto.ResponseHandler, loop)
+    async with asyncio.timeout_at(min(until, loop.time() + CONNECT_S)):
+        _transport, proto = await loop.create_connection(
+            factory, ip.strip('[]'), int(port)
+        )
+    return Connection(proto, target, loop.time())
+
+
+def give(connection: Connection, now: float) -> None:
+    """Keep a connection for the next request, or close it."""
+    target = connection.target
+    connection.owner = None
+    connection.used = now
+    connection.uses += 1
+    keep = connection.sound() and connection.opened >= target.renewed
+    if keep and len(target.idle) < MAX_IDLE:
+        target.idle.append(connection)
+    else:
+        connection.proto.close()
+
+
+def sweep(target: targets.Target, now: float) -> None:
+    """Close connections that have been idle too long or have ended."""
+    kept = [
+        connection
+        for connection in target.idle
+        if now - connection.used < IDLE_S
+        and connection.opened >= target.renewed
+        and connection.sound()
+    ]
+    for connection in set(target.idle).difference(kept):
+        connection.proto.close()
+    target.idle[:] = kept
+
+
+def close_idle(target: targets.Target) -> None:
+    """Close all idle connections of an upstream."""
+    for connection in target.idle:
+        connection.proto.close()
+    target.idle.clear()
+
+
+class _Discard(asyncio.Protocol):
+    """Reads to the end of a connection and throws all of it away."""
+
+    def __init__(self, ended: asyncio.Future) -> None:
+        self.ended = ended
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell that the other side has let go."""
+        if not self.ended.done():
+            self.ended.set_result(None)
+
+
+async def let_go(connection: Connection, until: float) -> None:
+    """Cancel what runs on a connection and wait until that is known.
+
+    Our end is shut for sending, which the upstream reads as the caller's
+    leaving.  Its own end comes when it has stopped working for us, be it by
+    cancellation or by finishing; only then is its slot free again.
+
+    :param until: monotonic time at which the upstream's slot counts as free
+        whatever happens, such as the deadline it was told.
+    """
+    transport = connection.proto.transport
+    if transport is None or transport.is_closing():
+        return
+    ended = asyncio.get_running_loop().create_future()
+    transport.set_protocol(_Discard(ended))
+    try:
+        transport.resume_reading()
+        transport.write_eof()
+    except (OSError, RuntimeError):
+        # The connection ended meanwhile.
+        transport.abort()
+    try:
+        async with asyncio.timeout_at(until):
+            await ended
+    except TimeoutError:
+        pass
+    finally:
+        transport.abort()
--- /dev/null
+++ b/carawaystair/request/exchange.py
@@ -0,0 +1,185 @@
+"""What goes back to the caller of one request, written exactly once."""
+
+import asyncio
+import http
+import typing
+
+from aiohttp import web
+import msgspec
+
+from carawaystair import codes
+from carawaystair import invariants
+from carawaystair.request import answer as answers
+from carawaystair.request import headers
+
+# A caller that takes no bytes for so long has gone, seconds.
+CALLER_STALL_S = 30.0
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+class Written(typing.NamedTuple):
+    """Tells aiohttp that the answer is written already.
+
+    aiohttp's connection asks just these three things of a response.
+
+    :param keep_alive: whether the connection may carry another request.
+    """
+
+    keep_alive: bool
+
+    async def prepare(self, request: web.BaseRequest) -> None:
+        """Write nothing."""
+
+    async def write_eof(self) -> None:
+        """Write nothing."""
+
+
+class Problem(typing.NamedTuple):
+    """The JSON body of an answer that is this node's own."""
+
+    code: str
+    name: str
+    text: str
+    detail: str
+    request: str
+
+
+class Exchange:
+    """One request and the one answer that it gets.
+
+    :param request: as aiohttp read it.
+    :param id: the request's id.
+    """
+
+    __slots__ = ('id', 'keep_alive', 'outcome', 'request')
+
+    def __init__(self, request: web.BaseRequest, id: str) -> None:
+        self.request = request
+        self.id = id
+        self.keep_alive = request.keep_alive
+        # What the caller was told, None so far.
+        self.outcome: str | None = None
+
+    def whole(self, answer: answers.Answer, code: codes.Code) -> None:
+        """Write an upstream's whole answer."""
+        bodiless = answer.status in answers.BODILESS
+        if self.request.method == 'HEAD' or answer.status == 304:
+            length = headers.value(answer.headers, b'content-length')
+        else:
+            length = None if bodiless else b'%d' % len(answer.body)
+        framing = b''
+        if length is not None:
+            framing = b'Content-Length: %b\r\n' % length
+        head = self.head(answer, codes.COMPLETE, code, framing)
+        self.write(head + answer.body)
+
+    def begin(self, answer: answers.Answer, length: int | None) -> None:
+        """Write the head of a long answer.
+
+        :param length: bytes of its body, None when they are not known.
+        """
+        if length is not None:
+            framing = b'Content-Length: %d\r\n' % length
+        elif self.request.version >= (1, 1):
+            framing = b'Transfer-Encoding: chunked\r\n'
+            self.request.writer.enable_chunking()
+        else:
+            framing = b''
+            self.keep_alive = False
+        self.write(self.head(answer, codes.COMPLETE, codes.OK, framing))
+
+    def refuse(
+        self,
+        code: codes.Code,
+        outcome: str,
+        detail: str = '',
+        retry_after_s: float = 1.0,
+    ) -> None:
+        """Write an answer of this node's own."""
+        problem = Problem(code.label, code.name, code.text, detail, self.id)
+        body = msgspec.json.encode(problem._asdict())
+        extra = [(b'Content-Type', b'application/json')]
+        if code.status in (429, 503) or code is codes.KEY_RUNNING:
+            extra.append((b'Retry-After', b'%d' % max(retry_after_s, 1)))
+        answer = answers.Answer(
+            code.status, phrase(code.status), extra, None, body
+        )
+        framing = b'Content-Length: %d\r\n' % len(body)
+        if self.request.method == 'HEAD':
+            body = b''
+        self.write(self.head(answer, outcome, code, framing) + body)
+
+    def head(
+        self,
+        answer: answers.Answer,
+        outcome: str,
+        code: codes.Code,
+        framing: bytes,
+    ) -> bytes:
+        """Return the head of the answer, and keep its outcome."""
+        invariants.check(invariants.ONE_OUTCOME, self.outcome is None, self.id)
+        self.outcome = outcome
+        if not self.request.content.is_eof():
+            # What is left of its body must not be read as a request.
+            self.keep_alive = False
+        own = (
+            '%s: %s\r\n%s: %s\r\n%s: %s\r\n%s\r\n'
+            % (
+                headers.OUTCOME,
+                outcome,
+                headers.CODE,
+                code.label,
+                headers.REQUEST_ID,
+                self.id,
+                '' if self.keep_alive else 'Connection: close\r\n',
+            )
+        ).encode()
+        first = 'HTTP/1.1 %d %s\r\n' % (answer.status, answer.reason)
+        return b''.join(
+            (
+                first.encode('utf-8', 'surrogateescape'),
+                headers.lines(answer.headers, answer.connection),
+                framing,
+                own,
+            )
+        )
+
+    def write(self, data: bytes) -> None:
+        """Write to the caller; raises ``ConnectionError`` when it is gone."""
+        transport = self.request.transport
+        if transport is None or transport.is_closing():
+            raise ConnectionResetError('the caller has gone')
+        transport.write(data)
+
+    def proceed(self) -> None:
+        """Tell a caller that waits for it to send its body."""
+        self.write(CONTINUE)
+
+    def cut(self) -> None:
+        """Break the caller's connection, so that it sees a broken answer."""
+        transport = self.request.transport
+        if transport is not None:
+            transport.abort()
+
+    async def drained(self) -> None:
+        """Wait until the caller has taken most of what was written.
+
+        :raises ConnectionError: when it takes nothing for long, too.
+        """
+        if not self.request.protocol.writing_paused:
+            return
+        try:
+            async with asyncio.timeout(CALLER_STALL_S):
+                await self.request.writer.drain()
+        except TimeoutError:
+            self.cut()
+            raise ConnectionAbortedError('the caller stalls') from None
+
+
+def phrase(status: int) -> str:
+    """Return the phrase that goes with a status."""
+    return http.HTTPStatus(status).phrase
+
+
+DONE = Written(True)
+LAST = Written(False)
--- /dev/null
+++ b/carawaystair/request/handler.py
@@ -0,0 +1,256 @@
+"""A caller's request, from its head to the last byte of its answer."""
+
+import itertools
+import typing
+
+from aiohttp import web
+
+from carawaystair import clock
+from carawaystair import codes
+from carawaystair import interfaces
+from carawaystair import logs
+from carawaystair.request import answer as answers
+from carawaystair.request import body as bodies
+from carawaystair.request import call as calls
+from carawaystair.request import caller
+from carawaystair.request import exchange as exchanges
+from carawaystair.request import keyed as keyeds
+from carawaystair.request import meters as meters_module
+from carawaystair.request import sender as senders
+from carawaystair.request import slot as slots
+from carawaystair.request import transfer
+from carawaystair import routing as routings
+from carawaystair import rows
+
+LOG = logs.get('request')
+
+
+class Handler:
+    """Answers requests; one for each node.
+
+    :param host: the host of the node.
+    :param prefix: begins the ids of requests, other at every start.
+    :param admission: decides when a request may start.
+    :param reservations: holds idempotency keys.
+    :param routing: returns the configuration in force.
+    :param sender: sends to upstreams.
+    :param meters: counts what callers are told.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        prefix: str,
+        admission: interfaces.Admission,
+        reservations: interfaces.Reservations,
+        routing: typing.Callable[[], routings.Routing | None],
+        sender: senders.Sender,
+        meters: meters_module.Meters,
+    ) -> None:
+        self.host = host
+        self.prefix = prefix
+        self.numbers = itertools.count(1)
+        self.admission = admission
+        self.routing = routing
+        self.sender = sender
+        self.meters = meters
+        self.keyed = keyeds.Keyed(reservations, self._send_keyed, sender.spawn)
+        self.held = bodies.Held()
+        self.active = 0
+        # While the node stops: the time by which everything must be over.
+        self.ends: float | None = None
+
+    async def handle(self, request: web.BaseRequest) -> exchanges.Written:
+        """Answer one request."""
+        name = '%s-%x' % (self.prefix, next(self.numbers))
+        exchange = exchanges.Exchange(request, name)
+        if self.ends is not None:
+            exchange.keep_alive = False
+        self.active += 1
+        try:
+            await self._answer(request, exchange)
+        except caller.Refused as refused:
+            self._refuse(
+                exchange,
+                refused.code,
+                codes.NOT_RUN,
+                refused.detail,
+                refused.retry_after_s,
+            )
+        except answers.Failed as failed:
+            outcome = codes.UNKNOWN if failed.sent else codes.NOT_RUN
+            self._refuse(exchange, failed.code, outcome, failed.detail)
+        except ConnectionError:
+            # The caller has gone before it was answered.
+            exchange.keep_alive = False
+        except Exception as error:
+            self._defect(exchange, error)
+        finally:
+            self.active -= 1
+        return exchanges.DONE if exchange.keep_alive else exchanges.LAST
+
+    async def _answer(
+        self, request: web.BaseRequest, exchange: exchanges.Exchange
+    ) -> None:
+        routing = self.routing()
+        if routing is None or routing.version == rows.NONE:
+            raise caller.Refused(codes.NOT_READY)
+        now = clock.now()
+        place = caller.target(request)
+        call = caller.read(
+            request,
+            place,
+            caller.route(routing, place),
+            routing.customer,
+            exchange.id,
+            self.host,
+            now,
+        )
+        exchange.id = call.id
+        if self.ends is not None:
+            self._check_stopping(call)
+        length = bodies.declared(request)
+        if length != 0:
+            call = await self._take_body(request, call, exchange, length)
+        if call.key:
+            await self._keyed(call, exchange)
+        else:
+            await self._plain(call, exchange)
+        self.meters.complete(clock.now() - now)
+
+    def _check_stopping(self, call: calls.Call) -> None:
+        """Refuse what might have to be cut when the node is gone."""
+        if call.bulk or call.deadline > self.ends:
+            raise caller.Refused(codes.LEAVING)
+
+    # The body of the request
+
+    async def _take_body(
+        self,
+        request: web.BaseRequest,
+        call: calls.Call,
+        exchange: exchanges.Exchange,
+        length: int | None,
+    ) -> calls.Call:
+        """Return the request with its body, or with the way to read it."""
+        limit = call.match.service.max_body
+        bodies.check(length, limit)
+        if bodies.expectation(request):
+            exchange.proceed()
+        content = request.content
+        if call.key:
+            body = await self.held.hold(content, length, limit, call.deadline)
+            return call._replace(body=body)
+        if length is not None and length > bodies.HOLD_BYTES:
+            return call._replace(body=None, stream=content, length=length)
+        begun = await bodies.begin(content, limit, call.deadline)
+        if begun.whole:
+            return call._replace(body=begun.data)
+        return call._replace(
+            body=None, stream=content, length=None, begun=begun.data
+        )
+
+    # Sending
+
+    async def _plain(
+        self, call: calls.Call, exchange: exchanges.Exchange
+    ) -> None:
+        """Answer a request without a key."""
+        slot = await self._admit(call)
+        started = clock.now()
+        try:
+            answer = await self.sender.send(call, slot)
+            await self._pass_on(call, answer, exchange, slot)
+            slot.show(senders.outcome_of(answer), clock.now() - started)
+        except answers.Failed as failed:
+            slot.show(failed.outcome, clock.now() - started)
+            raise
+        finally:
+            slot.drop()
+
+    async def _keyed(
+        self, call: calls.Call, exchange: exchanges.Exchange
+    ) -> None:
+        """Answer a request with a key."""
+        try:
+            answer = await self.keyed.answer(call)
+        finally:
+            self.held.drop(call.body)
+        await self._pass_on(call, answer, exchange, None)
+
+    async def _send_keyed(self, call: calls.Call) -> answers.Answer:
+        slot = await self._admit(call)
+        started = clock.now()
+        try:
+            answer = await self.sender.send(call, slot)
+            slot.show(senders.outcome_of(answer), clock.now() - started)
+            return answer
+        except answers.Failed as failed:
+            slot.show(failed.outcome, clock.now() - started)
+            raise
+        finally:
+            slot.drop()
+
+    async def _admit(self, call: calls.Call) -> slots.Slot:
+        """Wait until the request may start."""
+        permit = self.admission.try_admit(
+            call.service, call.charged, call.deadline, call.bulk
+        )
+        if permit is not None:
+            return slots.Slot(permit)
+        result = await self.admission.admit(
+            call.service, call.charged, call.deadline, call.bulk
+        )
+        if result.is_error():
+            failure = result.error
+            raise caller.Refused(
+                failure.code,
+                failure.detail,
+                self.admission.retry_after(call.service),
+            )
+        return slots.Slot(result.ok)
+
+    async def _pass_on(
+        self,
+        call: calls.Call,
+        answer: answers.Answer,
+        exchange: exchanges.Exchange,
+        slot: slots.Slot | None,
+    ) -> None:
+        """Give the caller its answer."""
+        if answer.rest is None:
+            exchange.whole(answer, codes.OK)
+            await exchange.drained()
+            return
+        passing = transfer.Transfer(self.sender, call, answer, exchange, slot)
+        if not await passing.run():
+            exchange.keep_alive = False
+            self.meters.cut(call.id, 'The answer broke off.')
+
+    # What goes wrong
+
+    def _refuse(
+        self,
+        exchange: exchanges.Exchange,
+        code: codes.Code,
+        outcome: str,
+        detail: str,
+        retry_after_s: float = 1.0,
+    ) -> None:
+        self.meters.failed(outcome, code, exchange.id, detail)
+        try:
+            exchange.refuse(code, outcome, detail, retry_after_s)
+        except ConnectionError:
+            exchange.keep_alive = False
+
+    def _defect(self, exchange: exchanges.Exchange, error: Exception) -> None:
+        """Answer although this program is at fault.
+
+        The caller is promised nothing, and a half-written answer is broken.
+        """
+        LOG.error('A request failed.', id=exchange.id, error=repr(error))
+        if exchange.outcome is not None:
+            exchange.keep_alive = False
+            exchange.cut()
+            return
+        self._refuse(exchange, codes.INVARIANT_BROKEN, codes.UNKNOWN, '')
--- a/carawaystair/request/inert.py
+++ b/carawaystair/request/inert.py
@@ -19,10 +19,14 @@
         """Return no upstream."""
         return frozenset()
 
-    def weight(self, upstream: str) -> float:
+    def weight(self, upstream: str, customer: str = '') -> float:
         """Return the full weight."""
         return 1.0
 
+    def trial(self, service: str) -> str | None:
+        """Want no copy of a request."""
+        return None
+
 
 class Evidence:
     """Evidence that keeps what it was told, for tests to read."""
@@ -30,6 +34,17 @@
     def __init__(self) -> None:
         self.attempts: list[interfaces.Attempt] = []
 
+    def begin(
+        self,
+        service: str,
+        upstream: str,
+        customer: str,
+        started: float,
+        route: str = '',
+        fresh: bool = True,
+    ) -> None:
+        """Take no note."""
+
     def record(self, attempt: interfaces.Attempt) -> None:
         """Keep the attempt."""
         self.attempts.append(attempt)
@@ -57,12 +72,22 @@
         self.held = 0
         self.released: list[str] = []
 
+    def try_admit(
+        self, service: str, customer: str, deadline: float, bulk: bool
+    ) -> Permit | None:
+        """Admit."""
+        self.held += 1
+        return Permit(self)
+
+    def retry_after(self, service: str) -> float:
+        """Return a second."""
+        return 1.0
+
     async def admit(
         self, service: str, customer: str, deadline: float, bulk: bool
     ) -> expression.Result[Permit, codes.Failure]:
         """Admit."""
-        self.held += 1
-        return expression.Ok(Permit(self))
+        return expression.Ok(self.try_admit(service, customer, deadline, bulk))
 
 
 class Key(typing.NamedTuple):
@@ -96,12 +121,16 @@
         if held is None:
             self.keys[token] = Key(digest)
             return expression.Ok(interfaces.Reserved(True, token))
+        if held.digest != digest:
+            return codes.fail(codes.KEY_REUSED)
         running = held.answer is None
         return expression.Ok(
             interfaces.Reserved(False, '', held.answer, running)
         )
 
-    async def settle(self, token: str, answer: bytes) -> None:
+    async def settle(
+        self, token: str, answer: bytes, status: int = 200
+    ) -> None:
         """Store the answer."""
         self.keys[token] = self.keys[token]._replace(answer=answer)
 
--- /dev/null
+++ b/carawaystair/request/keyed.py
@@ -0,0 +1,94 @@
+"""Requests with an idempotency key: at most one run for each key.
+
+The key is reserved before the first byte goes out.  It is given back only
+when the request provably was not run; when its end is not known, it stays
+reserved, and whoever repeats it is told so.
+"""
+
+import asyncio
+import typing
+
+from carawaystair import codes
+from carawaystair import interfaces
+from carawaystair.request import answer as answers
+from carawaystair.request import call as calls
+from carawaystair.request import caller
+from carawaystair.request import replay
+
+Run = typing.Callable[[calls.Call], typing.Awaitable[answers.Answer]]
+
+
+class Keyed:
+    """Runs keyed requests.
+
+    :param reservations: holds the keys.
+    :param run: sends a request, with a slot of its own.
+    :param spawn: runs something to its end even when the caller goes away.
+    """
+
+    def __init__(
+        self,
+        reservations: interfaces.Reservations,
+        run: Run,
+        spawn: typing.Callable[[typing.Coroutine], asyncio.Task],
+    ) -> None:
+        self.reservations = reservations
+        self.run = run
+        self.spawn = spawn
+
+    async def answer(self, call: calls.Call) -> answers.Answer:
+        """Return the answer to a keyed request, be it this run's or not.
+
+        :raises answers.Failed: when there is none.
+        :raises caller.Refused: when it was not run.
+        """
+        result = await self.reservations.reserve(
+            call.service,
+            call.customer,
+            call.key,
+            replay.digest(call),
+            call.deadline,
+        )
+        if result.is_error():
+            failure = result.error
+            raise caller.Refused(failure.code, failure.detail)
+        reserved = result.ok
+        if not reserved.granted:
+            return stored(reserved)
+        # The caller may go away, and with it this task; what has been sent
+        # runs all the same, and its outcome must be stored for the repeat.
+        task = self.spawn(self._granted(call, reserved.token))
+        return await asyncio.shield(task)
+
+    async def _granted(self, call: calls.Call, token: str) -> answers.Answer:
+        try:
+            answer = await self.run(call)
+        except caller.Refused:
+            await self.reservations.release(token)
+            raise
+        except answers.Failed as failed:
+            if not failed.sent:
+                await self.reservations.release(token)
+            raise
+        # The caller need not wait until the replicas have it.
+        self.spawn(
+            self.reservations.settle(
+                token, replay.encode(answer), answer.status
+            )
+        )
+        return answer
+
+
+def stored(reserved: interfaces.Reserved) -> answers.Answer:
+    """Return the stored answer of an earlier run.
+
+    :raises answers.Failed: when there is none, or none yet.
+    """
+    if reserved.status:
+        raise answers.Failed(interfaces.CANCELLED, codes.KEY_ANSWER_GONE, True)
+    if reserved.answer is None:
+        raise answers.Failed(interfaces.CANCELLED, codes.KEY_RUNNING, True)
+    answer = replay.decode(reserved.answer)
+    if isinstance(answer, codes.Code):
+        raise answers.Failed(interfaces.CANCELLED, answer, True)
+    return answer
--- /dev/null
+++ b/carawaystair/request/meters.py
@@ -0,0 +1,61 @@
+"""Counts of what callers were told, for metrics and the time line."""
+
+import collections
+import typing
+
+from carawaystair import clock
+from carawaystair import codes
+from carawaystair import metrics
+from carawaystair import timeline as timelines
+
+# Events about failed requests in any second at most: when everything fails,
+# the time line must still hold what led to it.
+EVENTS_PER_S = 10
+
+
+class Meters:
+    """The counts of one node.
+
+    :param timeline: takes events about requests that did not complete.
+    """
+
+    def __init__(self, timeline: timelines.Timeline) -> None:
+        self.timeline = timeline
+        self.told: collections.Counter = collections.Counter()
+        self.latency = metrics.latency()
+        self.second = 0
+        self.events = 0
+        self.unsaid = 0
+
+    def complete(self, latency_s: float) -> None:
+        """Count a request that was answered whole."""
+        self.told[codes.COMPLETE, codes.OK.label] += 1
+        self.latency.record_value(int(latency_s * 1e6) or 1)
+
+    def failed(
+        self, outcome: str, code: codes.Code, request: str, detail: str
+    ) -> None:
+        """Count a request that was refused or failed."""
+        self.told[outcome, code.label] += 1
+        second = int(clock.now())
+        if second != self.second:
+            self.second = second
+            self.events = 0
+        self.events += 1
+        if self.events > EVENTS_PER_S:
+            self.unsaid += 1
+            return
+        text = '%s %s %s' % (code.label, code.name, detail)
+        self.timeline.record('request-' + outcome, text, request=request)
+
+    def cut(self, request: str, text: str) -> None:
+        """Count an answer that was broken in the middle."""
+        self.told['cut', codes.ANSWER_LOST.label] += 1
+        self.timeline.record('answer-cut', text, request=request)
+
+    def samples(self) -> typing.Iterator[metrics.Sample]:
+        """Yield the samples of the metrics."""
+        for (outcome, code), count in self.told.items():
+            labels = (('outcome', outcome), ('code', code))
+            yield metrics.Sample('requests_total', count, labels)
+        yield from metrics.summary('request_seconds', self.latency)
--- /dev/null
+++ b/carawaystair/request/sender.py
@@ -0,0 +1,408 @@
+"""Sends a request to upstreams until one has answered it, or none may."""
+
+import asyncio
+import typing
+
+from carawaystair import clock
+from carawaystair import codes
+from carawaystair import interfaces
+from carawaystair import invariants
+from carawaystair.request import answer as answers
+from carawaystair.request import attempt as attempts
+from carawaystair.request import budget as budgets
+from carawaystair.request import call as calls
+from carawaystair.request import choosing
+from carawaystair.request import connections
+from carawaystair.request import headers
+from carawaystair.request import latencies
+from carawaystair.request import race as races
+from carawaystair.request import silence
+from carawaystair.request import slot as slots
+from carawaystair.request import target as targets
+
+# Attempts of one request at most, be they retries or hedges.
+MAX_ATTEMPTS = 3
+# A failure makes an upstream look as slow as this, at least: one that fails
+# fast must not draw work by its speed.
+PENALTY_S = 1.0
+# An upstream that was told a deadline is taken to have stopped so long
+# after it, whatever it says.
+FREE_AFTER_S = 0.5
+# New work for an upstream that has begun to leave breaks a promise after
+# this time.
+DRAIN_S = 3.0
+FAILURES = frozenset(
+    (
+        interfaces.ERROR,
+        interfaces.TIMEOUT,
+        interfaces.BROKEN,
+        interfaces.REFUSED,
+    )
+)
+
+
+class Sender:
+    """Sends requests; one for each node.
+
+    :param chooser: chooses upstreams.
+    :param health: may want copies of requests for trial.
+    :param evidence: is told what every attempt showed.
+    """
+
+    def __init__(
+        self,
+        chooser: choosing.Chooser,
+        health: interfaces.Health,
+        evidence: interfaces.Evidence,
+    ) -> None:
+        self.chooser = chooser
+        self.health = health
+        self.evidence = evidence
+        self.budgets: dict[str, budgets.Budget] = {}
+        self.routes = latencies.Routes()
+        self.tasks: set[asyncio.Task] = set()
+
+    async def send(self, call: calls.Call, slot: slots.Slot) -> answers.Answer:
+        """Return the answer to a request.
+
+        :param slot: the admission's slot that the request holds.
+        :raises answers.Failed: when there is none.
+        """
+        budget = self.budget(call.service)
+        budget.earn(call.match.service.retry_percent)
+        target = self.chooser.choose(call)
+        if target is None:
+            raise answers.Failed(
+                interfaces.CANCELLED, codes.NO_UPSTREAM, False
+            )
+        if not call.idempotent or call.body is None:
+            return await self._once(call, target, slot, budget)
+        race = races.Race(self, call, slot, budget)
+        trial = self._trial(call, target, budget)
+        if trial is not None:
+            race.launch(target)
+            race.launch(trial, fresh=True)
+            return await race.run()
+        answer = await self._first(race, target)
+        return await race.run() if answer is None else answer
+
+    # Ways to send
+
+    async def _once(
+        self,
+        call: calls.Call,
+        target: targets.Target | None,
+        slot: slots.Slot,
+        budget: budgets.Budget,
+    ) -> answers.Answer:
+        """Send what may not run twice.
+
+        Another attempt is made only while no byte has reached an upstream,
+        or after one said that it refused before running.
+        """
+        tried = []
+        while True:
+            attempt = self.start(call, target)
+            tried.append(target.upstream.id)
+            try:
+                answer = await self._whole(attempt, slot)
+                if not refused(answer):
+                    return answer
+                failed = answers.Failed(
+                    interfaces.SHED, codes.UPSTREAM_REFUSED, False
+                )
+            except answers.Failed as error:
+                failed = error
+            spent = attempt.pump is not None
+            if failed.sent or spent or len(tried) >= MAX_ATTEMPTS:
+                raise failed
+            target = self.chooser.choose(call, tried)
+            if target is None or not budget.spend():
+                raise failed
+
+    async def _whole(
+        self, attempt: attempts.Attempt, slot: slots.Slot
+    ) -> answers.Answer:
+        """Make one attempt with all the time that the request has."""
+        try:
+            await self.put(attempt)
+            async with asyncio.timeout_at(attempt.call.deadline):
+                answer = await attempt.answer()
+        except TimeoutError:
+            raise self.late(attempt, slot) from None
+        except answers.Failed as failed:
+            self.fail(attempt, failed)
+            raise
+        except BaseException:
+            # The caller has gone, as a rule.
+            self.abandon(attempt, interfaces.CANCELLED, slot)
+            raise
+        self.complete(attempt, answer)
+        return answer
+
+    async def _first(
+        self, race: races.Race, target: targets.Target
+    ) -> answers.Answer | None:
+        """Make the first attempt of a request that may run twice.
+
+        :return: None when the race is to go on: the answer is late, there
+            is none, or it is an error that another upstream may not make.
+        """
+        call = race.call
+        attempt = self.start(call, target)
+        race.tried.append(target.upstream.id)
+        try:
+            await self.put(attempt)
+            async with asyncio.timeout_at(self.hedge_at(call)):
+                answer = await attempt.answer()
+        except TimeoutError:
+            race.overdue(attempt)
+            return None
+        except answers.Failed as failed:
+            self.fail(attempt, failed)
+            race.lost(failed)
+            return None
+        except BaseException:
+            self.abandon(attempt, interfaces.CANCELLED, race.slot)
+            raise
+        self.complete(attempt, answer)
+        if answer.status < 500 or answer.rest is not None:
+            return answer
+        race.spoilt(answer)
+        return None
+
+    def _trial(
+        self,
+        call: calls.Call,
+        target: targets.Target,
+        budget: budgets.Budget,
+    ) -> targets.Target | None:
+        """Return an upstream that wants a copy of this request."""
+        if call.bulk or budget.tokens < 1.0 + budgets.KEPT_FOR_RETRIES:
+            return None
+        name = self.health.trial(call.service)
+        if name is None or name == target.upstream.id:
+            return None
+        wanted = self.chooser.named(call.service, name)
+        return wanted if wanted is not None and budget.spend() else None
+
+    # The life of an attempt
+
+    def start(
+        self,
+        call: calls.Call,
+        target: targets.Target,
+        extra: bytes = b'',
+        fresh: bool = False,
+    ) -> attempts.Attempt:
+        """Begin an attempt."""
+        attempt = attempts.Attempt(call, target, extra, fresh)
+        target.in_flight += 1
+        return attempt
+
+    async def put(self, attempt: attempts.Attempt) -> None:
+        """Send a request to its upstream; raises ``answers.Failed``."""
+        await attempt.connect()
+        attempt.send()
+        call = attempt.call
+        self.evidence.begin(
+            call.service,
+            attempt.target.upstream.id,
+            call.charged,
+            attempt.started,
+            call.match.key,
+            attempt.fresh,
+        )
+        since = self.chooser.leaving.get(attempt.target.upstream.id)
+        if since is not None:
+            invariants.check(
+                invariants.NO_WORK_AFTER_DRAIN,
+                clock.now() - since <= DRAIN_S,
+                attempt.target.upstream.id,
+            )
+
+    def complete(
+        self, attempt: attempts.Attempt, answer: answers.Answer
+    ) -> None:
+        """Take note of an answer, and of its connection when it is whole."""
+        self.record(attempt, outcome_of(answer))
+        silence.answered(attempt)
+        if answer.rest is None:
+            self.finish(attempt)
+
+    def finish(self, attempt: attempts.Attempt) -> None:
+        """Let the connection of an answer that was read whole go on."""
+        attempt.target.in_flight -= 1
+        connection = attempt.connection
+        if attempt.pump is not None and not attempt.pump.done:
+            # The answer came before the body was taken: what is left of the
+            # body must not be read as another request.
+            attempt.pump.task.cancel()
+            connection.proto.abort()
+        else:
+            connections.give(connection, clock.now())
+
+    def fail(self, attempt: attempts.Attempt, failed: answers.Failed) -> None:
+        """End an attempt that brought no answer."""
+        outcome = failed.outcome
+        stale = attempt.reused and clock.now() - attempt.connection.used > 1.0
+        if outcome == interfaces.BROKEN and stale and attempt.silent:
+            # An idle connection that the upstream closed just then: this
+            # says nothing about how it works.
+            outcome = interfaces.CANCELLED
+        self.record(attempt, outcome)
+        silence.ended(attempt)
+        self.cut(attempt)
+
+    def drop(self, attempt: attempts.Attempt) -> None:
+        """Close the connection of an attempt, doubtful or not."""
+        if attempt.pump is not None and attempt.pump.task is not None:
+            attempt.pump.task.cancel()
+        if attempt.connection is not None:
+            attempt.connection.proto.abort()
+
+    def cut(self, attempt: attempts.Attempt) -> None:
+        """End an attempt that has answered but is not read to its end."""
+        attempt.target.in_flight -= 1
+        self.drop(attempt)
+
+    def late(
+        self, attempt: attempts.Attempt, slot: slots.Slot
+    ) -> answers.Failed:
+        """End an attempt whose time is over, and return the failure."""
+        outcome = self.blame(attempt)
+        self.abandon(attempt, outcome, slot)
+        return answers.Failed(outcome, codes.ANSWER_LATE, attempt.sent)
+
+    def blame(self, attempt: attempts.Attempt) -> str:
+        """Tell whether an upstream or its connection kept silent."""
+        connection = attempt.connection
+        lost = (
+            attempt.silent
+            and connection is not None
+            and connection.opened < attempt.target.renewed
+        )
+        return interfaces.SILENT if lost else interfaces.TIMEOUT
+
+    def abandon(
+        self,
+        attempt: attempts.Attempt,
+        outcome: str,
+        slot: slots.Slot | None = None,
+    ) -> None:
+        """Cancel an attempt, whose slot counts until it is known to be free.
+
+        :param slot: the admission's slot that is given back then, too.
+        """
+        self.record(attempt, outcome)
+        silence.ended(attempt)
+        if not attempt.sent:
+            attempt.target.in_flight -= 1
+            self.drop(attempt)
+            return
+        if slot is not None:
+            slot.hold()
+        if attempt.pump is not None:
+            attempt.pump.task.cancel()
+        self.spawn(self._let_go(attempt, slot))
+
+    async def _let_go(
+        self, attempt: attempts.Attempt, slot: slots.Slot | None
+    ) -> None:
+        until = max(attempt.call.deadline, clock.now()) + FREE_AFTER_S
+        try:
+            await connections.let_go(attempt.connection, until)
+        finally:
+            attempt.target.in_flight -= 1
+            if slot is not None:
+                slot.drop()
+
+    def record(self, attempt: attempts.Attempt, outcome: str) -> None:
+        """Record what an attempt showed, once."""
+        if attempt.ended:
+            return
+        attempt.ended = True
+        if attempt.alarm is not None:
+            attempt.alarm.cancel()
+        now = clock.now()
+        call = attempt.call
+        target = attempt.target
+        latency_s = now - attempt.started
+        if outcome == interfaces.GOOD:
+            target.observe(latency_s, now)
+            self.routes.of(call.match.key).add(latency_s)
+        elif outcome in FAILURES:
+            target.observe(max(latency_s, PENALTY_S), now)
+        self.note(attempt, outcome, latency_s)
+
+    def note(
+        self, attempt: attempts.Attempt, outcome: str, latency_s: float
+    ) -> None:
+        """Pass evidence on."""
+        call = attempt.call
+        self.evidence.record(
+            interfaces.Attempt(
+                call.service,
+                attempt.target.upstream.id,
+                call.charged,
+                outcome,
+                latency_s,
+                attempt.started,
+                call.match.key,
+            )
+        )
+
+    async def stop(self, until: float) -> None:
+        """Wait for what runs beside the requests, then close everything.
+
+        :param until: monotonic time up to which to wait.
+        """
+        if self.tasks:
+            left_s = max(until - clock.now(), 0.0)
+            await asyncio.wait(self.tasks, timeout=left_s)
+        for task in self.tasks:
+            task.cancel()
+        for target in self.chooser.targets.values():
+            connections.close_idle(target)
+
+    # Small things
+
+    def hedge_at(self, call: calls.Call) -> float:
+        """Return when a hedge of a request goes out, monotonic time."""
+        now = clock.now()
+        left_s = call.deadline - now
+        wait_s = self.routes.of(call.match.key).hedge_s(left_s)
+        return min(now + wait_s, call.deadline)
+
+    def budget(self, service: str) -> budgets.Budget:
+        """Return the retry budget of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = self.budgets[service] = budgets.Budget()
+        return budget
+
+    def spawn(self, coroutine: typing.Coroutine) -> asyncio.Task:
+        """Run something beside the requests, to its end."""
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+
+def refused(answer: answers.Answer) -> bool:
+    """Tell whether an upstream says that it refused before running."""
+    return (
+        answer.status == 503
+        and headers.value(answer.headers, b'caraway-outcome') == b'not-run'
+    )
+
+
+def outcome_of(answer: answers.Answer) -> str:
+    """Return what an answer shows about its upstream."""
+    if answer.status < 500:
+        return interfaces.GOOD
+    if answer.status == 503 and (
+        refused(answer) or headers.value(answer.headers, b'retry-after')
+    ):
+        return interfaces.SHED
+    return interfaces.ERROR
--- a/carawaystair/request/service.py
+++ b/carawaystair/request/service.py
@@ -1,23 +1,25 @@
-"""The service that answers callers."""
+"""The service that answers callers: its start, its stop and its sweeps."""
 
 import asyncio
-import itertools
-import random
-import socket
 import typing
 
-import aiohttp
-from aiohttp import web
 import mode
-import msgspec
 
 from carawaystair import clock
-from carawaystair import codes
 from carawaystair import interfaces
-from carawaystair.request import headers
-from carawaystair import rows
+from carawaystair import metrics
+from carawaystair.request import choosing
+from carawaystair.request import connections
+from carawaystair.request import handler as handlers
+from carawaystair.request import listener
+from carawaystair.request import meters
+from carawaystair.request import sender as senders
+from carawaystair import routing as routings
 
-NON_IDEMPOTENT = frozenset(('POST', 'PATCH'))
+# Callers' idle connections stay open for so long after a stop has begun, so
+# that a request that was on its way is still answered; seconds.
+IDLE_GRACE_S = 0.5
+STOP_POLL_S = 0.01
 
 
 class Parts(typing.NamedTuple):
@@ -28,7 +30,7 @@
     evidence: interfaces.Evidence
     admission: interfaces.Admission
     reservations: interfaces.Reservations
-    routing: typing.Callable
+    routing: typing.Callable[[], routings.Routing | None]
 
 
 class Requests(mode.Service):
@@ -42,129 +44,62 @@
         super().__init__(**kwargs)
         self.kernel = kernel
         self.parts = parts
-        self.random = random.Random(kernel.settings.host)
-        self.numbers = itertools.count(1)
-        self.server = None
-        self.session = None
+        self.chooser: choosing.Chooser | None = None
+        self.sender: senders.Sender | None = None
+        self.handler: handlers.Handler | None = None
+        self.server: listener.Server | None = None
+        self.socket: asyncio.Server | None = None
 
     async def on_start(self) -> None:
-        """Bind the listener."""
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=10)
-        self.session = aiohttp.ClientSession(
-            connector=connector,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            auto_decompress=False,
-            skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
+        """Listen for callers."""
+        parts = self.parts
+        settings = self.kernel.settings
+        place = choosing.Place(
+            settings.host, settings.data_centre, settings.region
         )
-        handler = web.Server(self.handle, access_log=None)
-        ip, _colon, port = self.kernel.settings.node.listen.rpartition(':')
-        self.server = await asyncio.get_running_loop().create_server(
-            handler, ip, int(port), family=socket.AF_UNSPEC
+        balancers = self.kernel.registry.collect('balancers')
+        self.chooser = choosing.Chooser(
+            place, parts.directory, parts.health, parts.routing, balancers
         )
-
-    async def on_stop(self) -> None:
-        """Stop accepting."""
-        self.server.close()
-        await self.session.close()
-
-    async def handle(self, request: web.BaseRequest) -> web.Response:
-        """Answer one request."""
-        number = next(self.numbers)
-        name = '%s-%x' % (self.kernel.settings.host, number)
-        routing = self.parts.routing()
-        if routing is None or routing.version == rows.NONE:
-            return refuse(codes.NOT_READY, name)
-        match = routing.match(request.host, request.raw_path)
-        if match is None:
-            return refuse(codes.NO_ROUTE, name)
-        body = await request.read()
-        return await self.forward(request, match, body, name)
-
-    async def forward(self, request, match, body, name) -> web.Response:
-        """Send a request to one upstream."""
-        upstream = self.choose(match.route.service)
-        if upstream is None:
-            return refuse(codes.NO_UPSTREAM, name)
-        sent = headers.travelling(request.headers)
-        sent.append((headers.REQUEST_ID, name))
-        url = 'http://%s%s' % (upstream.address, request.raw_path)
-        started = clock.now()
-        timeout = match.service.timeout_ms / 1000
-        try:
-            async with self.session.request(
-                request.method,
-                url,
-                headers=sent,
-                data=body or None,
-                allow_redirects=False,
-                timeout=aiohttp.ClientTimeout(timeout),
-            ) as answer:
-                data = await answer.read()
-        except aiohttp.ClientConnectorError:
-            self.note(match, upstream, interfaces.REFUSED, started)
-            return refuse(codes.CONNECT_FAILED, name)
-        except asyncio.TimeoutError:
-            self.note(match, upstream, interfaces.TIMEOUT, started)
-            return refuse(codes.ANSWER_LATE, name, codes.UNKNOWN)
-        except (aiohttp.ClientError, OSError):
-            self.note(match, upstream, interfaces.BROKEN, started)
-            return refuse(codes.ANSWER_LOST, name, codes.UNKNOWN)
-        outcome = interfaces.GOOD if answer.status < 500 else interfaces.ERROR
-        self.note(match, upstream, outcome, started)
-        return whole(answer, data, name)
-
-    def choose(self, service: str) -> interfaces.Upstream | None:
-        """Choose an upstream at random."""
-        ejected = self.parts.health.ejected(service)
-        found = [
-            upstream
-            for upstream in self.parts.directory.upstreams(service)
-            if upstream.state == interfaces.UP and upstream.id not in ejected
-        ]
-        return self.random.choice(found) if found else None
-
-    def note(self, match, upstream, outcome: str, started: float) -> None:
-        """Record what an attempt showed."""
-        self.parts.evidence.record(
-            interfaces.Attempt(
-                match.route.service,
-                upstream.id,
-                '',
-                outcome,
-                clock.now() - started,
-                started,
-                match.key,
-            )
+        self.sender = senders.Sender(
+            self.chooser, parts.health, parts.evidence
         )
+        counts = meters.Meters(self.kernel.timeline)
+        metrics.collect(counts.samples)
+        # The time of the start keeps ids of two runs of this host apart.
+        start = clock.wall_ms() & 0xFFFFFFFF
+        self.handler = handlers.Handler(
+            settings.host,
+            '%s-%x' % (settings.host, start),
+            parts.admission,
+            parts.reservations,
+            parts.routing,
+            self.sender,
+            counts,
+        )
+        self.server = listener.Server(self.handler.handle)
+        self.socket = await listener.listen(self.server, settings.node.listen)
 
-
-def whole(answer, data: bytes, name: str) -> web.Response:
-    """Return an upstream's answer for the caller."""
-    response = web.Response(
-        status=answer.status, reason=answer.reason, body=data
-    )
-    response.headers.extend(
-        (key, value)
-        for key, value in headers.travelling(answer.headers)
-        if key.lower() != 'content-length'
-    )
-    response.headers[headers.OUTCOME] = codes.COMPLETE
-    response.headers[headers.CODE] = codes.OK.label
-    response.headers[headers.REQUEST_ID] = name
-    return response
-
-
-def refuse(
-    code: codes.Code, name: str, outcome: str = codes.NOT_RUN
-) -> web.Response:
-    """Return the answer for a request that did not complete."""
-    body = msgspec.json.encode(
-        {'code': code.label, 'name': code.name, 'text': code.text}
-    )
-    response = web.Response(
-        status=code.status, body=body, content_type='application/json'
-    )
-    response.headers[headers.OUTCOME] = outcome
-    response.headers[headers.CODE] = code.label
-    response.headers[headers.REQUEST_ID] = name
-    return response
+    async def on_stop(self) -> None:
+        """Take no new work, finish what is in flight, then close."""
+        if self.socket is None:
+            return
+        now = clock.now()
+        handler = self.handler
+        handler.ends = now + self.kernel.settings.node.drain_s
+        self.socket.close()
+        grace = min(now + IDLE_GRACE_S, handler.ends)
+        while clock.now() < handler.ends:
+            if not handler.active and clock.now() >= grace:
+                break
+            await asyncio.sleep(STOP_POLL_S)
+        self.server.pre_shutdown()
+        await self.server.shutdown(0.0)
+        await self.sender.stop(handler.ends)
+
+    @mode.Service.task
+    async def _sweep(self) -> None:
+        """Close connections to upstreams that have been idle too long."""
+        while not self.should_stop:
+            await self.sleep(connections.SWEEP_S)
+            self.chooser.sweep(clock.now())
--- /dev/null
+++ b/carawaystair/request/silence.py
@@ -0,0 +1,152 @@
+"""Tells a silent connection from a silent upstream.
+
+What stands between two ends may lose track of an open connection: what is
+sent on it is then lost for good, while new connections work.  It looks like
+an upstream that hangs.  To tell them apart, a connection that has been
+silent for too long is doubted: until that is settled, its upstream gets
+requests on new connections only.  An answer on a new one, while the old one
+is still silent, clears the upstream, and all its older connections are given
+up at once.
+
+The benefit of the doubt is given once in a while only: an upstream that
+hangs on some requests would otherwise be cleared by those it answers.
+"""
+
+import asyncio
+import typing
+
+from carawaystair import clock
+from carawaystair import codes
+from carawaystair import interfaces
+from carawaystair.request import answer as answers
+from carawaystair.request import attempt as attempts
+from carawaystair.request import connections
+
+# A connection is doubted after so many times the delay of a hedge.
+FACTOR = 3.0
+LEAST_S = 0.02
+# Connections opened within this time after others were found lost are not
+# doubted again.
+TRUST_S = 30.0
+
+
+def late_code(sent: bool) -> codes.Code:
+    """Return what a caller is told when its deadline has passed."""
+    return codes.ANSWER_LATE if sent else codes.DEADLINE_EXPIRED
+
+
+# Doubt
+
+
+def watch(attempt: attempts.Attempt, now: float) -> None:
+    """Doubt the connection of a late attempt when it stays silent."""
+    if attempt.silent and attempt.reused:
+        wait_s = max((now - attempt.started) * FACTOR, LEAST_S)
+        loop = asyncio.get_running_loop()
+        attempt.alarm = loop.call_at(attempt.started + wait_s, _doubt, attempt)
+
+
+def _doubt(attempt: attempts.Attempt) -> None:
+    target = attempt.target
+    trusted = clock.now() - target.renewed <= TRUST_S
+    if attempt.silent and target.doubted is None and not trusted:
+        target.doubted = attempt
+
+
+def ended(attempt: attempts.Attempt) -> None:
+    """End the doubt that an attempt raised, if it did."""
+    if attempt.target.doubted is attempt:
+        attempt.target.doubted = None
+
+
+def answered(attempt: attempts.Attempt) -> None:
+    """Let an answer settle a doubt about its upstream's connections."""
+    target = attempt.target
+    doubted = target.doubted
+    if doubted is None:
+        return
+    if doubted is attempt or not doubted.silent:
+        target.doubted = None
+    elif not attempt.reused:
+        target.doubted = None
+        target.renewed = attempt.connection.opened
+        target.cost = 0.0
+        connections.close_idle(target)
+
+
+# Attempts that nobody waits for
+
+
+async def linger(
+    sender: typing.Any, task: asyncio.Task, attempt: attempts.Attempt
+) -> None:
+    """Watch an attempt that nobody waits for until it ends."""
+    target = attempt.target
+    target.lingering += 1
+    try:
+        await _watch(sender, task, attempt)
+    finally:
+        target.lingering -= 1
+        if task.done() and not task.cancelled():
+            _ended(sender, task, attempt)
+        else:
+            task.cancel()
+            sender.abandon(attempt, sender.blame(attempt))
+
+
+async def _watch(
+    sender: typing.Any, task: asyncio.Task, attempt: attempts.Attempt
+) -> None:
+    deadline = attempt.call.deadline
+    if attempt.alarm is not None:
+        left_s = min(attempt.alarm.when(), deadline) - clock.now()
+        await asyncio.wait((task,), timeout=max(left_s, 0.0) + LEAST_S)
+    if attempt.target.doubted is attempt:
+        await race(sender, attempt)
+    connection = attempt.connection
+    if connection is not None and connection.opened < attempt.target.renewed:
+        return
+    left_s = max(deadline - clock.now(), 0.0)
+    await asyncio.wait((task,), timeout=left_s)
+
+
+def _ended(
+    sender: typing.Any, task: asyncio.Task, attempt: attempts.Attempt
+) -> None:
+    """Take note of a lingering attempt that ended by itself."""
+    error = task.exception()
+    if isinstance(error, answers.Failed):
+        sender.fail(attempt, error)
+        return
+    if error is not None:
+        sender.cut(attempt)
+        raise error
+    answer = task.result()
+    sender.complete(attempt, answer)
+    if answer.rest is not None:
+        sender.cut(attempt)
+
+
+async def race(sender: typing.Any, attempt: attempts.Attempt) -> None:
+    """Send a silent request again, on a new connection to its upstream.
+
+    Whatever is answered there settles the doubt, see :func:`answered`.
+    """
+    if not sender.budget(attempt.call.service).spend():
+        return
+    second = sender.start(attempt.call, attempt.target, fresh=True)
+    try:
+        await sender.put(second)
+        async with asyncio.timeout_at(attempt.call.deadline):
+            answer = await second.answer()
+    except TimeoutError:
+        sender.abandon(second, interfaces.TIMEOUT)
+    except answers.Failed as failed:
+        sender.fail(second, failed)
+    except BaseException:
+        sender.abandon(second, interfaces.CANCELLED)
+        raise
+    else:
+        sender.complete(second, answer)
+        if answer.rest is not None:
+            sender.cut(second)
--- /dev/null
+++ b/carawaystair/request/slot.py
@@ -0,0 +1,37 @@
+"""The admission's slot of one request, which several may still need."""
+
+from carawaystair import interfaces
+
+
+class Slot:
+    """A permit that is released when nobody holds it any more.
+
+    The request holds it, and so does every cancelled attempt until its
+    upstream is known to have stopped: giving the slot back earlier would
+    let more run than the upstreams have slots.
+
+    :param permit: the permit.
+    """
+
+    __slots__ = ('holders', 'latency_s', 'outcome', 'permit')
+
+    def __init__(self, permit: interfaces.Permit) -> None:
+        self.permit = permit
+        self.holders = 1
+        self.outcome = interfaces.CANCELLED
+        self.latency_s = 0.0
+
+    def show(self, outcome: str, latency_s: float) -> None:
+        """Take note of what the request showed."""
+        self.outcome = outcome
+        self.latency_s = latency_s
+
+    def hold(self) -> None:
+        """Add a holder."""
+        self.holders += 1
+
+    def drop(self) -> None:
+        """Remove a holder; the last one gives the permit back."""
+        self.holders -= 1
+        if self.holders == 0:
+            self.permit.release(self.outcome, self.latency_s)
--- /dev/null
+++ b/carawaystair/request/transfer.py
@@ -0,0 +1,278 @@
+"""Passes a long answer on, and goes on elsewhere when its upstream breaks.
+
+Bytes pass with back-pressure on both sides: the upstream is read only as
+fast as the caller takes them, so that a transfer holds a bounded amount of
+memory.  When the upstream breaks off, the rest is asked of another one by
+``Range`` and ``If-Range`` (RFC 9110 13.1.5), which is safe only when both
+have the same strong ETag.  Otherwise the caller's connection is broken: an
+answer that is not whole must never look as if it were.
+"""
+
+import asyncio
+import re
+import typing
+
+import aiohttp
+from aiohttp import http_exceptions
+
+from carawaystair import clock
+from carawaystair import interfaces
+from carawaystair.request import answer as answers
+from carawaystair.request import attempt as attempts
+from carawaystair.request import call as calls
+from carawaystair.request import exchange as exchanges
+from carawaystair.request import headers
+from carawaystair.request import slot as slots
+
+# An upstream that sends nothing for so long in the middle of an answer has
+# broken off, if another one can go on; seconds.
+STALL_S = 2.0
+# If none can, it gets this long.
+LONG_STALL_S = 30.0
+MAX_RESUMES = 5
+# A resume waits so long for the retry budget, in seconds, and asks so often.
+BUDGET_WAIT_S = 2.0
+BUDGET_POLL_S = 0.1
+CONTENT_RANGE = re.compile(rb'bytes (\d+)-(\d+)/(\d+)')
+BROKEN = (
+    aiohttp.ClientError,
+    http_exceptions.HttpProcessingError,
+    ConnectionError,
+    TimeoutError,
+)
+
+
+class Span(typing.NamedTuple):
+    """The bytes of a representation that an answer carries.
+
+    :param start: the first one.
+    :param end: the one behind the last, None while it is not known.
+    :param tag: the strong ETag, or empty when it can't be resumed.
+    """
+
+    start: int
+    end: int | None
+    tag: bytes
+
+
+class Spoilt(Exception):
+    """The caller takes no bytes, or would get wrong ones."""
+
+
+def span(call: calls.Call, answer: answers.Answer) -> Span:
+    """Return which bytes an answer carries."""
+    tag = headers.value(answer.headers, b'etag') or b''
+    plain = call.method == 'GET' and call.idempotent
+    if not plain or not tag.startswith(b'"'):
+        tag = b''
+    length = headers.value(answer.headers, b'content-length')
+    end = None if length is None else int(length)
+    if answer.status == 200:
+        return Span(0, end, tag)
+    part = CONTENT_RANGE.fullmatch(
+        headers.value(answer.headers, b'content-range') or b''
+    )
+    if answer.status != 206 or part is None:
+        return Span(0, end, b'')
+    return Span(int(part[1]), int(part[2]) + 1, tag)
+
+
+class Transfer:
+    """One long answer on its way to the caller.
+
+    :param sender: starts and ends attempts.
+    :param call: the request.
+    :param answer: the beginning of the answer.
+    :param exchange: the caller's side.
+    :param slot: the admission's slot of the request, if it has one.
+    """
+
+    def __init__(
+        self,
+        sender: typing.Any,
+        call: calls.Call,
+        answer: answers.Answer,
+        exchange: exchanges.Exchange,
+        slot: slots.Slot | None,
+    ) -> None:
+        self.sender = sender
+        self.call = call
+        self.answer = answer
+        self.exchange = exchange
+        self.slot = slot
+        self.span = span(call, answer)
+        self.attempt: attempts.Attempt | None = answer.rest
+        self.passed = 0
+        self.tried: list[str] = []
+
+    async def run(self) -> bool:
+        """Pass the answer on.
+
+        :return: whether it is whole; if not, the caller's connection is
+            broken.
+        """
+        length = headers.value(self.answer.headers, b'content-length')
+        try:
+            self.exchange.begin(
+                self.answer, None if length is None else int(length)
+            )
+            await self._write(self.answer.body)
+            await self._pass_on()
+            return True
+        except BROKEN:
+            self.exchange.cut()
+            return False
+        except Spoilt:
+            self.exchange.cut()
+            return False
+        finally:
+            # The caller has gone, or stalls: the upstream may stop.
+            if self.attempt is not None:
+                self.sender.abandon(
+                    self.attempt, interfaces.CANCELLED, self.slot
+                )
+
+    async def _pass_on(self) -> None:
+        while True:
+            try:
+                await self._read()
+            except BROKEN as error:
+                self._broke(error)
+                if not await self._resume():
+                    raise
+            else:
+                break
+        if self.span.end is not None and self._next < self.span.end:
+            raise ConnectionError('fewer bytes than were announced')
+        if self.attempt is not None:
+            self.sender.finish(self.attempt)
+            self.attempt = None
+        if self.exchange.request.writer.chunked:
+            await self.exchange.request.writer.write_eof()
+
+    async def _read(self) -> None:
+        """Pass on what the present upstream sends, to its end."""
+        if self.attempt is None:
+            return
+        payload = self.attempt.payload
+        stall_s = STALL_S if self.span.tag else LONG_STALL_S
+        while not payload.at_eof():
+            async with asyncio.timeout(stall_s):
+                chunk = await payload.readany()
+            await self._write(chunk)
+
+    async def _write(self, chunk: bytes) -> None:
+        self.passed += len(chunk)
+        if self.span.end is not None and self._next > self.span.end:
+            raise Spoilt('more bytes than were announced')
+        try:
+            await self.exchange.request.writer.write(chunk, drain=False)
+            await self.exchange.drained()
+        except ConnectionError as error:
+            raise Spoilt(str(error)) from error
+
+    # Resuming
+
+    def _broke(self, error: BaseException) -> None:
+        """Take note that the upstream broke off."""
+        attempt, self.attempt = self.attempt, None
+        stalled = isinstance(error, TimeoutError)
+        outcome = interfaces.TIMEOUT if stalled else interfaces.BROKEN
+        now = clock.now()
+        self.sender.note(attempt, outcome, now - attempt.started)
+        attempt.target.observe(1.0, now)
+        self.tried.append(attempt.target.upstream.id)
+        self.sender.cut(attempt)
+
+    async def _resume(self) -> bool:
+        """Get the rest from another upstream; tell whether it comes."""
+        if not self.span.tag:
+            return False
+        while len(self.tried) <= MAX_RESUMES:
+            target = self._target()
+            if target is None or not await self._may_resume():
+                return False
+            if await self._ask(target):
+                return True
+            self.tried.append(target.upstream.id)
+        return False
+
+    def _target(self):
+        chooser = self.sender.chooser
+        target = chooser.choose(self.call, self.tried)
+        return target or chooser.choose(self.call)
+
+    async def _may_resume(self) -> bool:
+        """Wait for the retry budget of the service."""
+        budget = self.sender.budget(self.call.service)
+        until = clock.now() + BUDGET_WAIT_S
+        while not budget.spend():
+            if clock.now() >= until:
+                return False
+            await asyncio.sleep(BUDGET_POLL_S)
+        return True
+
+    async def _ask(self, target) -> bool:
+        """Ask one upstream for the rest; tell whether it sends it."""
+        timeout_s = self.call.match.service.timeout_ms / 1000
+        call = self.call._replace(
+            head=without_conditions(self.call.head),
+            deadline=clock.now() + timeout_s,
+        )
+        end = '' if self.span.end is None else self.span.end - 1
+        extra = 'Range: bytes=%d-%s\r\nIf-Range: ' % (self._next, end)
+        attempt = self.sender.start(
+            call, target, extra.encode() + self.span.tag + b'\r\n'
+        )
+        try:
+            await self.sender.put(attempt)
+            async with asyncio.timeout(STALL_S):
+                answer = await attempt.answer()
+        except TimeoutError:
+            self.sender.abandon(attempt, interfaces.TIMEOUT)
+            return False
+        except answers.Failed as failed:
+            self.sender.fail(attempt, failed)
+            return False
+        except BaseException:
+            self.sender.abandon(attempt, interfaces.CANCELLED, self.slot)
+            raise
+        self.sender.complete(attempt, answer)
+        if not self._fits(call, answer):
+            if answer.rest is not None:
+                self.sender.cut(attempt)
+            return False
+        self.attempt = answer.rest
+        await self._write(answer.body)
+        return True
+
+    @property
+    def _next(self) -> int:
+        """Return the first byte that the caller lacks."""
+        return self.span.start + self.passed
+
+    def _fits(self, call: calls.Call, answer: answers.Answer) -> bool:
+        """Tell whether an answer is the very rest that the caller lacks."""
+        if answer.status != 206:
+            return False
+        rest = span(call, answer)
+        if rest.tag != self.span.tag or rest.start != self._next:
+            return False
+        if self.span.end is None:
+            part = headers.value(answer.headers, b'content-range')
+            total = int(CONTENT_RANGE.fullmatch(part)[3])
+            self.span = self.span._replace(end=total)
+        encoding = headers.value(answer.headers, b'content-encoding')
+        first = headers.value(self.answer.headers, b'content-encoding')
+        return rest.end == self.span.end and encoding == first
+
+
+def without_conditions(head: bytes) -> bytes:
+    """Return a request head without the caller's ranges and conditions."""
+    first, *rest = head.split(b'\r\n')
+    kept = (
+        line
+        for line in rest
+        if not line.lower().startswith((b'range:', b'if-'))
+    )
+    return b'\r\n'.join((first, *kept))
--- a/carawaystair/routing.py
+++ b/carawaystair/routing.py
@@ -49,6 +49,7 @@
         self._route = functools.lru_cache(CACHE)(self._route_of)
         self.service = functools.lru_cache(CACHE)(self._service)
         self.customer = functools.lru_cache(CACHE)(self._customer)
+        self.region = functools.lru_cache(CACHE)(self._region)
         self.drains = self._read(rows.DRAINS, manifests.Drains)
         self.drains = self.drains or manifests.Drains()
 
@@ -80,6 +81,9 @@
     def _customer(self, name: str) -> manifests.Customer | None:
         return self._read(rows.CUSTOMER + name, manifests.Customer)
 
+    def _region(self, name: str) -> manifests.Place | None:
+        return self._read(rows.REGION + name, manifests.Place)
+
     def _match(self, host: str, path: str) -> Match | None:
         """Find the longest prefix, one with the host before one without."""
         path = path.partition('?')[0]
--- /dev/null
+++ b/test/pipes.py
@@ -0,0 +1,209 @@
+"""TCP in memory, for tests of HTTP in the virtual time of ``fakes``.
+
+``PipeLoop`` makes connections between listeners and clients of one process
+without sockets, so that aiohttp runs on both sides, hours of timeouts pass in
+no time, and every run is the same.  Hosts can refuse, swallow connections
+and lose track of those that are open.
+"""
+
+import asyncio
+import typing
+
+from test import fakes
+
+DELAY_S = 0.0002
+HIGH_BYTES = 64 * 1024
+LOW_BYTES = 16 * 1024
+
+
+class Pipe(asyncio.Transport):
+    """One end of a connection."""
+
+    def __init__(self, loop, protocol, names: dict) -> None:
+        super().__init__(names)
+        self.loop = loop
+        self.protocol = protocol
+        self.peer: 'Pipe | None' = None
+        self.queue: list = []
+        self.queued = 0
+        self.reading = True
+        self.pumping = False
+        self.closing = False
+        self.lost = False
+        self.ended = False
+        self.full = False
+        # Whether what is written here is lost for good.
+        self.silent = False
+        self.written = 0
+
+    # What protocols call
+
+    def write(self, data) -> None:
+        if self.closing or self.lost or not data:
+            return
+        self.written += len(data)
+        self._queue(bytes(data))
+
+    def writelines(self, list_of_data) -> None:
+        self.write(b''.join(list_of_data))
+
+    def can_write_eof(self) -> bool:
+        return True
+
+    def write_eof(self) -> None:
+        if not self.ended:
+            self.ended = True
+            self._queue(None)
+
+    def close(self) -> None:
+        if self.closing:
+            return
+        self.closing = True
+        self.write_eof()
+        self.loop.call_soon(self._lose, None)
+
+    def abort(self) -> None:
+        if self.lost:
+            return
+        self.closing = True
+        peer = self.peer
+        if not self.silent:
+            self.loop.call_later(DELAY_S, peer._lose, ConnectionResetError())
+        self.loop.call_soon(self._lose, None)
+
+    def is_closing(self) -> bool:
+        return self.closing
+
+    def set_protocol(self, protocol) -> None:
+        self.protocol = protocol
+
+    def get_protocol(self):
+        return self.protocol
+
+    def pause_reading(self) -> None:
+        self.reading = False
+
+    def resume_reading(self) -> None:
+        self.reading = True
+        self.peer._pump_soon()
+
+    def is_reading(self) -> bool:
+        return self.reading
+
+    def get_write_buffer_size(self) -> int:
+        return self.queued
+
+    # How bytes move
+
+    def _queue(self, item) -> None:
+        self.queue.append(item)
+        self.queued += len(item or b'')
+        if self.queued > HIGH_BYTES and not self.full:
+            self.full = True
+            self.protocol.pause_writing()
+        self._pump_soon()
+
+    def _pump_soon(self) -> None:
+        if not self.pumping:
+            self.pumping = True
+            self.loop.call_later(DELAY_S, self._pump)
+
+    def _pump(self) -> None:
+        self.pumping = False
+        peer = self.peer
+        while self.queue and (peer.reading or self.silent):
+            item = self.queue.pop(0)
+            self.queued -= len(item or b'')
+            if not self.silent and not peer.lost:
+                peer._take(item)
+        if self.full and self.queued <= LOW_BYTES and not self.lost:
+            self.full = False
+            self.protocol.resume_writing()
+
+    def _take(self, item) -> None:
+        if item is not None:
+            self.protocol.data_received(item)
+        elif not self.protocol.eof_received():
+            self.close()
+
+    def _lose(self, error) -> None:
+        if self.lost:
+            return
+        self.lost = True
+        self.closing = True
+        self.protocol.connection_lost(error)
+
+
+class Listener:
+    """What ``create_server`` returns."""
+
+    def __init__(self, network: 'PipeLoop', address: str) -> None:
+        self.network = network
+        self.address = address
+        self.sockets = ()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self.network.listeners.pop(self.address, None)
+
+    async def wait_closed(self) -> None:
+        """Return at once."""
+
+
+class PipeLoop(fakes.VirtualLoop):
+    """A virtual loop with TCP in memory."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.listeners: dict[str, typing.Callable] = {}
+        # Addresses that swallow connections without a word.
+        self.swallowing: set[str] = set()
+        # The client's end of every connection that was ever made.
+        self.made: list[Pipe] = []
+
+    async def create_server(
+        self, protocol_factory, host=None, port=None, **options
+    ):
+        """Listen."""
+        address = '%s:%d' % (host, port)
+        self.listeners[address] = protocol_factory
+        return Listener(self, address)
+
+    async def create_connection(
+        self, protocol_factory, host=None, port=None, **options
+    ):
+        """Connect to a listener."""
+        address = '%s:%d' % (host, port)
+        await asyncio.sleep(DELAY_S)
+        if address in self.swallowing:
+            await asyncio.Event().wait()
+        if address not in self.listeners:
+            raise ConnectionRefusedError(address)
+        here = Pipe(self, protocol_factory(), {'peername': (host, port)})
+        name = ('127.0.0.1', 50_000 + len(self.made))
+        there = Pipe(self, self.listeners[address](), {'peername': name})
+        here.peer, there.peer = there, here
+        self.made.append(here)
+        there.protocol.connection_made(there)
+        here.protocol.connection_made(here)
+        return here, here.protocol
+
+    def silence(self, port: int) -> int:
+        """Let what is open to a port be lost, both ways; new ones work.
+
+        :return: how many connections that were.
+        """
+        hit = [
+            pipe
+            for pipe in self.made
+            if pipe.get_extra_info('peername')[1] == port and not pipe.lost
+        ]
+        for pipe in hit:
+            pipe.silent = pipe.peer.silent = True
+        return len(hit)
+
+
+def run(coroutine: typing.Coroutine):
+    """Run a coroutine to its end in virtual time, with TCP in memory."""
+    with asyncio.Runner(loop_factory=PipeLoop) as runner:
+        return runner.run(coroutine)
