--- a/carawaystair/admin/fields.py
+++ b/carawaystair/admin/fields.py
@@ -111,7 +111,7 @@
 ) -> replies.Reply:
     """Read a whole number from the query."""
     text = request.query.get(name, str(default))
-    if not (text.isascii() and text.isdigit() and len(text) < 10):
+    if not (text.isascii() and text.isdigit() and len(text) < 20):
         return bad('?%s' % name, 'expected a whole number')
     return expression.Ok(min(int(text), most))
 
--- a/carawaystair/admin/observe.py
+++ b/carawaystair/admin/observe.py
@@ -4,6 +4,7 @@
 import pathlib
 import typing
 
+from aiohttp import web
 import expression
 import msgspec
 
@@ -15,10 +16,16 @@
 from carawaystair.admin import replies
 from carawaystair import codes
 from carawaystair.control import interfaces as control
+from carawaystair import metrics
+from carawaystair import timeline as timelines
 
 OPENAPI = pathlib.Path(__file__).with_name('openapi.json')
 HISTORY = 100
 MAX_HISTORY = 1000
+EVENTS = 1000
+MAX_EVENTS = 5000
+# A hybrid time has 64 bits.
+MAX_TIME = 2**63
 
 
 class Current(typing.NamedTuple):
@@ -134,6 +141,7 @@
     :param group: the control group.
     :param fleet: every node.
     :param trail: the audit trail.
+    :param events: the time line of this process.
     """
 
     def __init__(
@@ -141,10 +149,12 @@
         group: control.Control,
         fleet: fleets.Fleet,
         trail: audit.Trail,
+        events: timelines.Timeline,
     ) -> None:
         self.group = group
         self.fleet = fleet
         self.trail = trail
+        self.events = events
 
     async def current(self, _call: changes.Call) -> replies.Reply:
         """Return the manifest in force, marked when it may be stale."""
@@ -192,6 +202,17 @@
         )
         return expression.Ok(status)
 
+    async def timeline(self, call: changes.Call) -> replies.Reply:
+        """Return events of this process, the oldest first."""
+        limit = fields.number(call.request, 'limit', EVENTS, MAX_EVENTS)
+        since = fields.number(call.request, 'since', 0, MAX_TIME)
+        asked = fields.all_of(limit, since)
+        return asked.map(lambda both: self.events.since(both[1], both[0]))
+
+    async def metrics(self, _call: changes.Call) -> replies.Reply:
+        """Return the metrics in the Prometheus text format."""
+        return expression.Ok(web.Response(text=metrics.text()))
+
     async def openapi(self, _call: changes.Call) -> replies.Reply:
         """Return the description of the API."""
         return expression.Ok(OPENAPI.read_bytes())
--- a/carawaystair/admin/service.py
+++ b/carawaystair/admin/service.py
@@ -71,6 +71,8 @@
         Resource('POST', '/v1/drains', drain, True, change.drain),
         Resource('GET', '/v1/status', read, False, look.status),
         Resource('GET', '/v1/audit', read, False, look.audit),
+        Resource('GET', '/v1/timeline', read, False, look.timeline),
+        Resource('GET', '/metrics', read, False, look.metrics),
         Resource('GET', '/v1/openapi.json', '', False, look.openapi),
     )
 
@@ -179,6 +181,8 @@
         result = await resource.handler(changes.Call(request, who))
         if result.is_error():
             return replies.bad(result.error)
+        if isinstance(result.ok, web.Response):
+            return result.ok
         return replies.good(result.ok)
 
     def _limiter(
@@ -247,7 +251,7 @@
     trail = audit.Trail(group, kernel.timeline)
     served = resources(
         changes.Changes(group, guard, trail),
-        observe.Observe(group, fleet, trail),
+        observe.Observe(group, fleet, trail, kernel.timeline),
     )
     known = teams.Teams(settings.control.teams)
     return Admin(settings.control, known, served)
--- a/carawaystair/keys.py
+++ b/carawaystair/keys.py
@@ -54,13 +54,21 @@
 def write(key: Key, path: pathlib.Path) -> None:
     """Write a key file that only its owner may read.
 
-    :raises FileExistsError: rather than overwrite a key in use.
+    :raises OSError: as :func:`write_secret` does.
+    """
+    encoded = msgspec.json.encode(key._asdict())
+    write_secret(msgspec.json.format(encoded, indent=2) + b'\n', path)
+
+
+def write_secret(data: bytes, path: pathlib.Path) -> None:
+    """Write a file that only its owner may read.
+
+    :raises FileExistsError: rather than overwrite a secret in use.
     :raises OSError: when the file cannot be written.
     """
     flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL
-    data = msgspec.json.format(msgspec.json.encode(key._asdict()), indent=2)
     with open(os.open(path, flags, FILE_MODE), 'wb') as file:
-        file.write(data + b'\n')
+        file.write(data)
 
 
 def read(path: str) -> expression.Result[Key, codes.Failure]:
--- a/carawaystair/ui/api.py
+++ b/carawaystair/ui/api.py
@@ -26,11 +26,22 @@
         metavar='URL',
         help='administration API of a control host (default: %(default)s)',
     )
+    return with_token(made)
+
+
+def with_token(made: command.Command) -> command.Command:
+    """Add the options that prove and check who is who."""
     made.add(
         '--token-file',
         metavar='FILE',
         help="file with the team's bearer token",
     )
+    made.add(
+        '--ca-file',
+        metavar='FILE',
+        help='certificate that signed the API, PEM, unless the system'
+        ' knows it',
+    )
     return made
 
 
@@ -48,7 +59,12 @@
 def connect(options: argparse.Namespace) -> expression.Result:
     """Return a client of the administration API that options name."""
     token = client.token(options.token_file)
-    return token.map(lambda text: client.Client(options.api, text))
+    trust = client.trust(options.ca_file)
+    if trust.is_error():
+        return trust
+    return token.map(
+        lambda text: client.Client(options.api, text, trust=trust.ok)
+    )
 
 
 def ask(
@@ -85,6 +101,24 @@
     return asyncio.run(_all())
 
 
+def shown(
+    options: argparse.Namespace,
+    reply: client.Reply,
+    show: typing.Callable[[typing.Any], None],
+) -> int:
+    """Print a reply, or why there is none; return the exit code.
+
+    :param show: prints it for a person, when ``--json`` is not given.
+    """
+    if reply.is_error():
+        return refused(reply.error)
+    if options.json:
+        output.json(reply.ok)
+    else:
+        show(reply.ok)
+    return command.EXIT_OK
+
+
 def refused(refusal: client.Refusal) -> int:
     """Print a refusal and return the exit code for it."""
     output.failure(refusal.failure, refusal.mistakes)
--- a/carawaystair/ui/client.py
+++ b/carawaystair/ui/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import ssl
 import typing
 
 import aiohttp
@@ -45,11 +46,18 @@
     :param base: such as ``http://127.0.0.1:7580``.
     :param token: bearer token, or empty.
     :param timeout_s: of one whole request.
+    :param trust: certificates that may sign the API's; None for those that
+        the system knows.
     """
 
     def __init__(
-        self, base: str, token: str = '', timeout_s: float = TIMEOUT_S
+        self,
+        base: str,
+        token: str = '',
+        timeout_s: float = TIMEOUT_S,
+        trust: ssl.SSLContext | None = None,
     ) -> None:
+        self.trust = True if trust is None else trust
         self.base = base.rstrip('/')
         self.headers = {'Accept': 'application/json'}
         if token:
@@ -85,7 +93,12 @@
             own['Content-Type'] = 'application/json'
         async with aiohttp.ClientSession(timeout=self.timeout) as session:
             async with session.request(
-                method, self.base + path, data=body, headers=own, params=params
+                method,
+                self.base + path,
+                data=body,
+                headers=own,
+                params=params,
+                ssl=self.trust,
             ) as answer:
                 data = await answer.read()
                 return _decode(answer.status, data)
@@ -117,6 +130,18 @@
     return expression.Error(Refusal(failure, mistakes))
 
 
+def trust(
+    path: str | None,
+) -> expression.Result[ssl.SSLContext | None, Refusal]:
+    """Read the certificate that may sign the API's."""
+    if path is None:
+        return expression.Ok(None)
+    try:
+        return expression.Ok(ssl.create_default_context(cafile=path))
+    except (OSError, ValueError) as error:
+        return refuse(codes.FILE_UNREADABLE, '%s: %s' % (path, error))
+
+
 def token(path: str | None) -> expression.Result[str, Refusal]:
     """Read a bearer token from a file.
 
--- a/carawaystairplug/commands_control.py
+++ b/carawaystairplug/commands_changes.py
@@ -1,7 +1,9 @@
-"""Subcommands that ask the administration API of a control host."""
+"""Subcommands that change the configuration through the API of control."""
 
 import argparse
+import getpass
 import pathlib
+import urllib.parse
 import uuid
 
 from carawaystair import codes
@@ -15,16 +17,75 @@
 NONE = 'none'
 PARENT_HEADER = 'Caraway-Parent'
 SUBMISSION_HEADER = 'Caraway-Submission'
+OPERATOR_HEADER = 'Caraway-Operator'
 
 
-class ControlCommands(plugins.Plugin):
-    """Brings the subcommands of the administration API."""
+class ChangeCommands(plugins.Plugin):
+    """Brings the subcommands that change the configuration."""
 
-    name = 'commands-control'
+    name = 'commands-changes'
 
     def commands(self) -> tuple[command.Command, ...]:
-        """Return submit, status and drain."""
-        return (_submit_command(), _status_command(), _drain_command())
+        """Return submit, rollback, drain and submission."""
+        return (
+            _submit_command(),
+            _rollback_command(),
+            _drain_command(),
+            _submission_command(),
+        )
+
+
+def _with_change(made: command.Command) -> command.Command:
+    """Add the options that all changes share."""
+    made.add(
+        '--id',
+        metavar='ID',
+        help='names the submission; sent again with the same id it is'
+        ' answered, not made twice (default: a new random one)',
+    )
+    made.add(
+        '--operator',
+        metavar='NAME',
+        help='who you are, for the audit trail (default: %(default)s)',
+        default=_me(),
+    )
+    return api.with_api(made).with_json()
+
+
+def _me() -> str:
+    """Return the user's name; empty where the system has none for it."""
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return ''
+
+
+def _with_parent(made: command.Command) -> command.Command:
+    return made.add(
+        '--parent',
+        required=True,
+        metavar='DIGEST',
+        help='digest of the version that the change was built on; "none"'
+        ' for the first one; "current" overwrites whatever is in force',
+    )
+
+
+def _change(
+    options: argparse.Namespace, path: str, body: bytes, **details
+) -> client.Reply:
+    """Send a change; when it fails, tell the id to ask for it by."""
+    submission = options.id or str(uuid.uuid4())
+    headers = {
+        SUBMISSION_HEADER: submission,
+        OPERATOR_HEADER: options.operator,
+        **details.pop('headers', {}),
+    }
+    reply = api.ask(
+        options, 'POST', path, body=body, headers=headers, **details
+    )
+    if reply.is_error():
+        output.note('Submission id: %s' % submission)
+    return reply
 
 
 # submit
@@ -40,25 +101,12 @@
         'submit', 'submit a manifest for the whole fleet', submit, examples
     )
     made.add('file', help='the manifest')
-    made.add(
-        '--parent',
-        required=True,
-        metavar='DIGEST',
-        help='digest of the version that the manifest was built on; "none"'
-        ' for the first one; "current" overwrites whatever is in force',
-    )
-    made.add(
-        '--id',
-        metavar='ID',
-        help='names the submission; sent again with the same id it is'
-        ' answered, not made twice (default: a new random one)',
-    )
     made.add(
         '--dry-run',
         action='store_true',
         help='check it and show what would change',
     )
-    return api.with_api(made).with_json()
+    return _with_change(_with_parent(made))
 
 
 def submit(options: argparse.Namespace) -> int:
@@ -71,19 +119,14 @@
     parent = _parent(options)
     if parent.is_error():
         return api.refused(parent.error)
-    submission = options.id or str(uuid.uuid4())
-    headers = {PARENT_HEADER: parent.ok, SUBMISSION_HEADER: submission}
-    params = {'dry_run': '1'} if options.dry_run else None
-    reply = api.ask(
+    reply = _change(
         options,
-        'POST',
         '/v1/manifests',
-        body=body,
-        headers=headers,
-        params=params,
+        body,
+        headers={PARENT_HEADER: parent.ok},
+        params={'dry_run': '1'} if options.dry_run else None,
     )
     if reply.is_error():
-        output.note('Submission id: %s' % submission)
         return api.refused(reply.error)
     _print_submitted(options, reply.ok)
     return command.EXIT_OK
@@ -100,13 +143,17 @@
     if options.json:
         output.json(answer)
     elif options.dry_run:
-        print_changes(answer.get('changes', ()))
+        _print_changes(answer.get('changes', ()))
     else:
-        print('Accepted as version %(version)s.' % answer)
-        print('Digest, the parent of the next one: %(digest)s' % answer)
+        _print_accepted(answer)
 
 
-def print_changes(changes) -> None:
+def _print_accepted(answer: dict) -> None:
+    print('Accepted as version %(version)s.' % answer)
+    print('Digest, the parent of the next one: %(digest)s' % answer)
+
+
+def _print_changes(changes) -> None:
     """Print what a submission changes, one row a line."""
     rows = [(each['change'], each['row']) for each in changes]
     if rows:
@@ -115,51 +162,58 @@
         print('Nothing would change.')
 
 
-# status
+# rollback
 
 
-def _status_command() -> command.Command:
+def _rollback_command() -> command.Command:
     examples = (
-        'carawaystair status --api http://10.0.0.5:7580',
-        'carawaystair status --node http://127.0.0.1:8081 --json',
+        'carawaystair rollback 3.17 --parent 5b0c...',
+        'carawaystair rollback 3.17 --parent current --id back-1',
     )
     made = command.Command(
-        'status',
-        'show the fleet as control sees it, or single nodes',
-        status,
+        'rollback',
+        'put an earlier version in force again, as a new version',
+        rollback,
         examples,
     )
-    return api.with_nodes(api.with_api(made)).with_json()
+    made.add('version', help='the version to go back to, see history')
+    return _with_change(_with_parent(made))
 
 
-def status(options: argparse.Namespace) -> int:
-    """Show every node and its version, or what single nodes say."""
-    if options.node:
-        return _node_status(options)
-    reply = api.ask(options, 'GET', '/v1/status')
-    if reply.is_error():
-        return api.refused(reply.error)
-    if options.json:
-        output.json(reply.ok)
-        return command.EXIT_OK
-    nodes = reply.ok.get('nodes', ())
-    print('Version in force: %s' % reply.ok.get('version', ''))
-    heads = ('host', 'data centre', 'version', 'state')
-    names = ('host', 'data_centre', 'version', 'state')
-    output.table(heads, [[each.get(n, '') for n in names] for each in nodes])
-    return command.EXIT_OK
+def rollback(options: argparse.Namespace) -> int:
+    """Put the content of an earlier version in force again."""
+    parent = _parent(options)
+    if parent.is_error():
+        return api.refused(parent.error)
+    reply = _change(
+        options,
+        '/v1/manifests/rollback',
+        output.encode({'to': options.version}),
+        headers={PARENT_HEADER: parent.ok},
+    )
+    return api.shown(options, reply, _print_accepted)
 
 
-def _node_status(options: argparse.Namespace) -> int:
-    replies = api.ask_nodes(options.node, '/v1/status')
-    good = [reply.ok for reply in replies if reply.is_ok()]
-    bad = [reply.error for reply in replies if reply.is_error()]
-    if options.json:
-        output.json(good)
-    else:
-        for each in good:
-            output.pairs(each)
-    return max([api.refused(each) for each in bad], default=command.EXIT_OK)
+# submission
+
+
+def _submission_command() -> command.Command:
+    examples = ('carawaystair submission build-4711',)
+    made = command.Command(
+        'submission',
+        'ask again for the answer of a change that was lost',
+        submission,
+        examples,
+    )
+    made.add('id', help='id of the submission')
+    return api.with_api(made).with_json()
+
+
+def submission(options: argparse.Namespace) -> int:
+    """Show what became of a submission."""
+    path = '/v1/submissions/%s' % urllib.parse.quote(options.id, safe='')
+    reply = api.ask(options, 'GET', path)
+    return api.shown(options, reply, _print_accepted)
 
 
 # drain
@@ -180,27 +234,18 @@
     made.add('--host', action='append', default=[], metavar='HOST')
     made.add('--data-centre', action='append', default=[], metavar='NAME')
     made.add('--undo', action='store_true', help='give them new work again')
-    made.add('--id', metavar='ID', help='names the change, as for submit')
-    return api.with_api(made).with_json()
+    return _with_change(made)
 
 
 def drain(options: argparse.Namespace) -> int:
     """Plan a stop; control refuses it when a floor would break."""
-    submission = options.id or str(uuid.uuid4())
     body = {
         'hosts': options.host,
         'data_centres': options.data_centre,
         'undo': options.undo,
     }
-    reply = api.ask(
-        options,
-        'POST',
-        '/v1/drains',
-        body=output.encode(body),
-        headers={SUBMISSION_HEADER: submission},
-    )
+    reply = _change(options, '/v1/drains', output.encode(body))
     if reply.is_error():
-        output.note('Submission id: %s' % submission)
         return api.refused(reply.error)
     _print_drained(options, reply.ok)
     return command.EXIT_OK
--- a/carawaystairplug/commands_documents.py
+++ b/carawaystairplug/commands_documents.py
@@ -1,4 +1,4 @@
-"""Subcommands that need no running fleet: check, codes, keygen."""
+"""Subcommands that need no running fleet: check, codes, keygen, token."""
 
 import argparse
 import pathlib
@@ -6,6 +6,7 @@
 import expression
 import msgspec
 
+from carawaystair.admin import teams
 from carawaystair import codes
 from carawaystair import keys
 from carawaystair import manifest as manifests
@@ -24,8 +25,13 @@
     name = 'commands-documents'
 
     def commands(self) -> tuple[command.Command, ...]:
-        """Return check, codes and keygen."""
-        return (_check_command(), _codes_command(), _keygen_command())
+        """Return check, codes, keygen and token."""
+        return (
+            _check_command(),
+            _codes_command(),
+            _keygen_command(),
+            _token_command(),
+        )
 
 
 # check
@@ -152,3 +158,41 @@
     else:
         print('Wrote key %s to %s.' % (key.id, options.file))
     return command.EXIT_OK
+
+
+# token
+
+
+def _token_command() -> command.Command:
+    examples = (
+        'carawaystair token portal portal.token --scope read --scope submit',
+    )
+    made = command.Command(
+        'token',
+        "make a team's bearer token and its entry for the settings",
+        token,
+        examples,
+    )
+    made.add('team', help='the team, as services of the manifest name it')
+    made.add('file', help='where to write the token; a file is never replaced')
+    made.add(
+        '--scope',
+        action='append',
+        choices=settings_module.SCOPES,
+        help='what the token allows, may be repeated (default: read)',
+    )
+    return made
+
+
+def token(options: argparse.Namespace) -> int:
+    """Write a new token; print its entry for ``control.teams``."""
+    made = teams.new_token()
+    try:
+        keys.write_secret(made.encode() + b'\n', pathlib.Path(options.file))
+    except OSError as error:
+        output.failure(codes.Failure(codes.FILE_UNREADABLE, str(error)))
+        return command.EXIT_REFUSED
+    scopes = tuple(options.scope or (settings_module.READ,))
+    digest = teams.digest(made)
+    output.json(settings_module.Team(options.team, digest, scopes))
+    return command.EXIT_OK
--- a/carawaystairplug/commands_node.py
+++ b/carawaystairplug/commands_node.py
@@ -1,14 +1,19 @@
 """Subcommands that ask the local APIs of nodes: upstreams, timeline."""
 
 import argparse
+import asyncio
 import itertools
 import time
 import typing
 
+import expression
+
+from carawaystair import codes
 from carawaystair import plugins
 from carawaystair import shape
 from carawaystair import timeline as timelines
 from carawaystair.ui import api
+from carawaystair.ui import client
 from carawaystair.ui import command
 from carawaystair.ui import output
 
@@ -46,24 +51,41 @@
 def upstreams(options: argparse.Namespace) -> int:
     """Show the upstreams that the first node named knows."""
     bases = (options.node or [api.DEFAULT_NODE])[:1]
-    reply = api.ask_nodes(bases, '/v1/upstreams')[0]
-    if reply.is_error():
-        return api.refused(reply.error)
+    listed = api.ask_nodes(bases, '/v1/upstreams')[0]
+    told = api.ask_nodes(bases, '/v1/status')[0]
+    for reply in (listed, told):
+        if reply.is_error():
+            return api.refused(reply.error)
+    ejected = set(
+        itertools.chain.from_iterable(
+            service['ejected'] for service in told.ok['services']
+        )
+    )
     found = [
-        each
-        for each in reply.ok['upstreams']
-        if options.service in (None, each.get('service'))
+        each | {'ejected': each['id'] in ejected}
+        for service, members in sorted(listed.ok['services'].items())
+        for each in members
+        if options.service in (None, service)
     ]
     if options.json:
         output.json(found)
-        return command.EXIT_OK
-    names = ('id', 'service', 'address', 'host', 'state', 'slots')
-    extra = ('ejected', 'weight')
-    heads = (*names, *extra)
-    output.table(heads, [[each.get(n, '') for n in heads] for each in found])
+    else:
+        _print_upstreams(found)
     return command.EXIT_OK
 
 
+def _print_upstreams(found: list[dict]) -> None:
+    names = ('service', 'id', 'address', 'host', 'data_centre', 'slots')
+    rows = [
+        (
+            *(each[name] for name in names),
+            'EJECTED' if each['ejected'] else each['state'],
+        )
+        for each in found
+    ]
+    output.table((*names, 'state'), rows)
+
+
 # timeline
 
 
@@ -90,55 +112,86 @@
         help='only events after this hybrid time',
     )
     made.add('--follow', action='store_true', help='go on until interrupted')
+    made.add(
+        '--api',
+        metavar='URL',
+        help='administration API of a control host, whose events are merged'
+        ' in, too',
+    )
+    api.with_token(made)
     return api.with_nodes(made).with_json()
 
 
 def timeline(options: argparse.Namespace) -> int:
     """Print the merged events; with ``--follow`` until interrupted."""
-    bases = options.node or [api.DEFAULT_NODE]
-    marks = dict.fromkeys(bases, options.since)
+    sources = _sources(options)
+    if sources.is_error():
+        return api.refused(sources.error)
+    marks = [options.since] * len(sources.ok)
     while True:
-        exit_code = _print_new(options, marks)
+        exit_code = _print_new(options, sources.ok, marks)
         if not options.follow:
             return exit_code
         time.sleep(FOLLOW_S)
 
 
-def _print_new(options: argparse.Namespace, marks: dict[str, int]) -> int:
+def _sources(options: argparse.Namespace) -> expression.Result:
+    """Return a client for each process whose events are wanted."""
+    bases = options.node or ([] if options.api else [api.DEFAULT_NODE])
+    nodes = [client.Client(base) for base in bases]
+    if not options.api:
+        return expression.Ok(nodes)
+    return api.connect(options).map(lambda control: [*nodes, control])
+
+
+def _print_new(
+    options: argparse.Namespace,
+    sources: list[client.Client],
+    marks: list[int],
+) -> int:
     """Print what is newer than ``marks`` and move the marks on."""
-    rings = []
     exit_code = command.EXIT_OK
-    for base in marks:
-        events, refusal = _read_all(base, marks[base])
-        if refusal is not None:
-            exit_code = api.refused(refusal)
-        marks[base] = max((e.time for e in events), default=marks[base])
-        rings.append(events)
-    for event in timelines.merge(*rings):
+    rings = []
+    for index, source in enumerate(sources):
+        read = asyncio.run(_read(source, marks[index]))
+        if read.refusal is not None:
+            exit_code = api.refused(read.refusal)
+        marks[index] = max([marks[index], *(e.time for e in read.events)])
+        rings.append(read.events)
+    # A process that holds both roles answers at both of its addresses.
+    for event in dict.fromkeys(timelines.merge(*rings)):
         if _wanted(options, event):
             _print_event(options, event)
     return exit_code
 
 
-def _read_all(base: str, since: int) -> tuple[list, typing.Any]:
-    """Read all pages of one node; say why when one is missing."""
+class _Read(typing.NamedTuple):
+    """What one process told of its events."""
+
+    events: list[timelines.Event]
+    refusal: client.Refusal | None = None
+
+
+async def _read(source: client.Client, since: int) -> _Read:
+    """Read all pages of one process; say why when one is missing."""
     events: list[timelines.Event] = []
-    for _page in itertools.count():
+    while True:
         params = {'since': str(since), 'limit': str(PAGE)}
-        reply = api.ask_nodes([base], '/v1/timeline', params)[0]
+        reply = await source.ask('GET', '/v1/timeline', params=params)
         if reply.is_error():
-            return events, reply.error
-        page = [_event(each) for each in reply.ok['events']]
+            return _Read(events, reply.error)
+        mistakes: list[shape.Mistake] = []
+        kind = tuple[timelines.Event, ...]
+        page = shape.build(kind, reply.ok, mistakes=mistakes)
+        if mistakes:
+            failure = codes.Failure(codes.API_ANSWER_ODD, str(mistakes[0]))
+            return _Read(events, client.Refusal(failure))
         events.extend(page)
         if len(page) < PAGE:
-            return events, None
+            return _Read(events)
         since = page[-1].time
 
 
-def _event(value) -> timelines.Event:
-    return shape.build(timelines.Event, value)
-
-
 def _wanted(options: argparse.Namespace, event: timelines.Event) -> bool:
     return all(
         getattr(options, name) in (None, getattr(event, name))
--- a/test/test_admin.py
+++ b/test/test_admin.py
@@ -101,7 +101,7 @@
         guard = guards.Guard(self.group, self.links, fleet.addresses, rng)
         self.trail = audit.Trail(self.group, self.timeline)
         self.changes = changes.Changes(self.group, guard, self.trail)
-        look = observe.Observe(self.group, fleet, self.trail)
+        look = observe.Observe(self.group, fleet, self.trail, self.timeline)
         served = service.resources(self.changes, look)
         self.admin = service.Admin(settings, teams.Teams(given), served)
 
--- a/test/test_admin_openapi.py
+++ b/test/test_admin_openapi.py
@@ -14,6 +14,7 @@
 from carawaystair.admin import service
 from carawaystair import manifest as manifests
 from carawaystair import shape
+from carawaystair import timeline as timelines
 
 ROOT = pathlib.Path(__file__).parent.parent
 PAGE = json.loads((ROOT / 'docs' / 'openapi.json').read_text())
@@ -32,6 +33,7 @@
     'Drains': manifests.Drains,
     'DryRun': changes.DryRun,
     'Entry': observe.Entry,
+    'Event': timelines.Event,
     'Group': observe.Group,
     'Member': observe.Member,
     'Mistake': shape.Mistake,
@@ -46,7 +48,8 @@
 def served() -> tuple[service.Resource, ...]:
     """Return the resources, bound to nothing."""
     return service.resources(
-        changes.Changes(None, None, None), observe.Observe(None, None, None)
+        changes.Changes(None, None, None),
+        observe.Observe(None, None, None, None),
     )
 
 
--- a/test/test_ui.py
+++ b/test/test_ui.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from carawaystair.admin import teams
 from carawaystair import codes
+from carawaystair import settings as settings_module
 from carawaystair.ui import command
 from carawaystair.ui import main
 
@@ -143,7 +145,7 @@
 def test_timeline_merges_nodes_in_causal_order_and_filters(server, capsys):
     other = EVENT | {'time': 2 << 16, 'host': 'b', 'service': 'docvault'}
     third = EVENT | {'time': 3 << 16, 'kind': 'stopped'}
-    answer = {'events': [third, EVENT, other]}
+    answer = [third, EVENT, other]
     server.answers['GET', '/v1/timeline'] = (200, answer)
     line = ['timeline', '--json', '--service', 'portal', '--node', server.base]
     assert main.main(line) == command.EXIT_OK
@@ -154,6 +156,33 @@
     ]
 
 
+def test_events_read_twice_are_shown_once(server, capsys):
+    server.answers['GET', '/v1/timeline'] = (200, [EVENT])
+    line = ['timeline', '--json', '--api', server.base]
+    assert main.main([*line, '--node', server.base]) == command.EXIT_OK
+    assert len(capsys.readouterr().out.splitlines()) == 1
+
+
+def test_odd_answer_is_numbered(server, capsys):
+    server.answers['GET', '/v1/timeline'] = (200, [{'time': 'x'}])
+    line = ['timeline', '--node', server.base]
+    assert main.main(line) == command.EXIT_REFUSED
+    assert codes.API_ANSWER_ODD.label in capsys.readouterr().err
+
+
+def test_token_file_and_settings_entry_belong_together(tmp_path, capsys):
+    file = tmp_path / 'portal.token'
+    line = ['token', 'portal', str(file), '--scope', 'submit']
+    assert main.main(line) == command.EXIT_OK
+    entry = json.loads(capsys.readouterr().out)
+    given = settings_module.Team(
+        entry['name'], entry['token_digest'], tuple(entry['scopes'])
+    )
+    bearer = 'Bearer %s' % file.read_text().strip()
+    caller = teams.Teams([given]).caller(bearer).ok
+    assert (caller.team, caller.scopes) == ('portal', {'submit'})
+
+
 def test_codes_explains_one(capsys):
     assert main.main(['codes', 'cs-8002']) == command.EXIT_OK
     assert codes.CONFLICT.remedy in capsys.readouterr().out
