Tests: a free address is free for datagrams, too

Cause: test_datagram_of_a_stranger_is_refused failed once with "Address already in use": the port was probed for TCP alone, and another test held it for UDP. Change: free_address binds both before it names a port. The port can still be taken between the probe and its use; that window was there before. Conclusion: one source of chance failures is gone.

--- a/test/test_links.py
+++ b/test/test_links.py
@@ -24,11 +24,23 @@
     number: int
 
 
+UDP = socket.SOCK_DGRAM
+
+
 def free_address() -> str:
-    """Return a loopback address that nobody uses right now."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return '127.0.0.1:%d' % probe.getsockname()[1]
+    """Return a loopback address that nobody uses right now.
+
+    It must be free for TCP and for UDP: links take the one and datagrams
+    the other.
+    """
+    while True:
+        with socket.socket() as tcp, socket.socket(type=UDP) as udp:
+            tcp.bind(('127.0.0.1', 0))
+            try:
+                udp.bind(tcp.getsockname())
+            except OSError:
+                continue
+            return '127.0.0.1:%d' % tcp.getsockname()[1]
 
 
 async def _pair() -> tuple[links.Links, links.Links]:
