--- a/standin/upstream.py
+++ b/standin/upstream.py
@@ -39,6 +39,7 @@
 SAMPLE_S = 0.1
 KEPT_SAMPLES = 600
 QUIET_POLL_S = 0.05
+STOP_S = 0.5
 # Idle connections stay open for so long: those of the callers must not be
 # ended by us while they think them good.
 KEEPALIVE_S = 3600.0
@@ -175,7 +176,7 @@
             keepalive_timeout=KEEPALIVE_S,
             access_log=None,
         )
-        self.runner = web.ServerRunner(self.server, handle_signals=False)
+        self.runner = web.ServerRunner(self.server, shutdown_timeout=STOP_S)
         await self.runner.setup()
         ip, _colon, port = self.options.address.rpartition(':')
         site = web.TCPSite(self.runner, ip, int(port))
