--- a/carawaystair/control/role.py
+++ b/carawaystair/control/role.py
@@ -1,7 +1,5 @@
 """The control role: puts the parts of a control host together."""
 
-import random
-
 import mode
 
 from carawaystair import admin
@@ -19,7 +17,7 @@
         super().__init__(**kwargs)
         self.kernel = kernel
         self.group = single.make(kernel)
-        rng = random.Random(kernel.settings.host)
+        rng = kernel.random('publisher')
         self.publisher = publisher.Publisher(kernel.links, self.group, rng)
         self.admin = admin.make(kernel, self.group, self.publisher)
         self.parts = (self.group, self.publisher, self.admin)
--- a/carawaystair/follower.py
+++ b/carawaystair/follower.py
@@ -286,7 +286,7 @@
         members,
         kernel.settings.control_hosts,
         kernel.timeline,
-        random.Random(kernel.settings.host),
+        kernel.random('follower'),
         kernel.registry,
         memory,
     )
--- a/carawaystair/kernel.py
+++ b/carawaystair/kernel.py
@@ -1,6 +1,7 @@
 """The kernel of a process: what every role of it shares."""
 
 import pathlib
+import random
 import typing
 
 import mode
@@ -58,6 +59,14 @@
         folder.mkdir(parents=True, exist_ok=True)
         return folder
 
+    def random(self, part: str) -> random.Random:
+        """Return the source of randomness of one part.
+
+        :param part: its name; tests give each part a fixed seed by it.
+        """
+        del part
+        return random.Random()
+
     async def on_start(self) -> None:
         """Start links, then the roles that the settings name."""
         self.incarnation = clock.wall_ms()
--- a/carawaystair/membership/__init__.py
+++ b/carawaystair/membership/__init__.py
@@ -5,8 +5,6 @@
 is found by round trips (SWIM).  Nothing here needs a control host.
 """
 
-import random
-
 from carawaystair import kernel as kernels
 from carawaystair.membership import service
 
@@ -30,7 +28,7 @@
         kernel.links,
         kernel.datagrams,
         kernel.timeline,
-        random.Random(),
+        kernel.random('membership'),
         incarnation=kernel.incarnation,
         seeds=settings.seeds + settings.control_hosts,
         lease_s=settings.node.lease_s,
--- a/carawaystair/reservations/__init__.py
+++ b/carawaystair/reservations/__init__.py
@@ -1,6 +1,5 @@
 """At most one run for each idempotency key."""
 
-import random
 import typing
 
 from carawaystair import interfaces
@@ -25,6 +24,6 @@
         members,
         routing,
         kernel.timeline,
-        random.Random(),
+        kernel.random('reservations'),
         kernel.incarnation,
     )
--- a/test/fakes.py
+++ b/test/fakes.py
@@ -8,14 +8,19 @@
 
 import asyncio
 import itertools
+import json
 import random
 import selectors
 import typing
 
 import expression
 
+from carawaystair import clock
 from carawaystair import codes
 from carawaystair import interfaces
+from carawaystair import plugins
+from carawaystair import settings
+from carawaystair import timeline
 from carawaystair import wire
 
 WALL_START_MS = 1_700_000_000_000
@@ -133,6 +138,7 @@
         self.pending: dict[int, asyncio.Future] = {}
         self.calls = itertools.count(1)
         self.tasks: set[asyncio.Task] = set()
+        self.clock: timeline.HybridClock | None = None
 
     def handle(self, kind: type, handler: typing.Callable) -> None:
         """Register a handler; a plain function or a coroutine function."""
@@ -140,9 +146,8 @@
 
     def send(self, to: str, message) -> None:
         """Send a one-way message."""
-        self.network.carry(
-            self.address, to, wire.encode(message, self.address)
-        )
+        data = wire.encode(message, self.address, time=self._time())
+        self.network.carry(self.address, to, data)
 
     async def call(
         self, to: str, message, timeout_s: float
@@ -151,7 +156,7 @@
         call = next(self.calls)
         future = asyncio.get_running_loop().create_future()
         self.pending[call] = future
-        data = wire.encode(message, self.address, call)
+        data = wire.encode(message, self.address, call, time=self._time())
         self.network.carry(self.address, to, data)
         try:
             return expression.Ok(await asyncio.wait_for(future, timeout_s))
@@ -163,6 +168,8 @@
     def arrive(self, data: bytes) -> None:
         """Take a message from the network."""
         header, message = wire.decode(data).ok
+        if self.clock is not None:
+            self.clock.merge(header.time)
         if header.answer:
             future = self.pending.get(header.call)
             if future is not None and not future.done():
@@ -174,6 +181,9 @@
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
+    def _time(self) -> int:
+        return self.clock.tick() if self.clock is not None else 0
+
     async def _run(self, handler, header, message) -> None:
         answer = handler(header.sender, message)
         if asyncio.iscoroutine(answer):
@@ -183,6 +193,31 @@
             self.network.carry(self.address, header.sender, data)
 
 
+class Kernel:
+    """Fake kernel: parts made with it run on a fake network.
+
+    :param network: carries its messages and datagrams.
+    :param document: settings, as JSON values, over the defaults.
+    """
+
+    def __init__(self, network: Network, document: dict) -> None:
+        text = json.dumps(document)
+        self.settings = settings.parse(text).ok
+        self.timeline = timeline.Timeline(self.settings.host)
+        self.links = network.transport(self.settings.peer)
+        self.links.clock = self.timeline.clock
+        self.datagrams = self.links
+        self.registry = plugins.Registry([])
+        self.incarnation = clock.wall_ms()
+
+    def random(self, part: str) -> random.Random:
+        """Return randomness with a seed of its own."""
+        return random.Random('%s/%s' % (self.settings.host, part))
+
+    def data(self, _name: str) -> None:
+        """Return None: there is no disk."""
+
+
 def member(number: int, data_centres: int = 4) -> interfaces.Member:
     """Return a made-up member; they go round the data centres."""
     address = '127.0.0.1:%d' % (20_000 + number)
