Sessions: the real detectors, and their randomness fixed

Cause: the fake kernel loaded no plug-ins, so the session of a gray upstream showed no ejection at all. Change: it loads them; outlier detection takes its randomness from the kernel.

--- a/carawaystair/outlier/__init__.py
+++ b/carawaystair/outlier/__init__.py
@@ -11,8 +11,6 @@
 (``ledger``, ``scope``, ``allbad``) and ``seat`` sends.
 """
 
-import random
-
 from carawaystair.outlier import service
 
 
@@ -33,5 +31,5 @@
         datagrams=kernel.datagrams,
         timeline=kernel.timeline,
         factories=kernel.registry.collect('detectors'),
-        rng=random.Random(),
+        rng=kernel.random('outlier'),
     )
--- a/test/fakes.py
+++ b/test/fakes.py
@@ -207,7 +207,7 @@
         self.links = network.transport(self.settings.peer)
         self.links.clock = self.timeline.clock
         self.datagrams = self.links
-        self.registry = plugins.Registry([])
+        self.registry = plugins.load()
         self.incarnation = clock.wall_ms()
 
     def random(self, part: str) -> random.Random:
