Node: a status page for the night, and metrics of its state

Cause: the local API gave JSON only; whoever is on call needs one page that begins with what is wrong. Conclusion: the first look no longer needs a tool.

--- a/carawaystair/localapi.py
+++ b/carawaystair/localapi.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from carawaystair import metrics
+from carawaystair import report as reports
+from carawaystair import shape
 
 MAX_BODY = 64 * 1024
 MAX_EVENTS = 5000
@@ -50,16 +52,20 @@
 
 
 def observer_routes(
-    kernel, status: typing.Callable[[], typing.Any]
+    kernel, report: typing.Callable[[], reports.Report]
 ) -> list[web.RouteDef]:
     """Return the routes that show what a process does.
 
     :param kernel: the kernel of the process.
-    :param status: returns the status to show, plain values.
+    :param report: returns what the node says of itself.
     """
 
     async def _status(_request: web.Request) -> web.Response:
-        return json_response(status())
+        return json_response(shape.plain(report()))
+
+    async def _page(_request: web.Request) -> web.Response:
+        newest = list(kernel.timeline.ring)[-reports.EVENTS :]
+        return web.Response(text=reports.page(report(), newest))
 
     async def _timeline(request: web.Request) -> web.Response:
         since = _number(request, 'since', 0)
@@ -73,6 +79,7 @@
         )
 
     return [
+        web.get('/', _page),
         web.get('/v1/status', _status),
         web.get('/v1/timeline', _timeline),
         web.get('/metrics', _metrics),
--- a/carawaystair/node.py
+++ b/carawaystair/node.py
@@ -1,16 +1,16 @@
 """The node role: puts the parts of a node together."""
 
-import typing
-
 import mode
 
 from carawaystair.admin import capacity
 from carawaystair import admission
 from carawaystair import follower
-from carawaystair import invariants
 from carawaystair import localapi
 from carawaystair import membership
+from carawaystair import metrics
+from carawaystair import nodemetrics
 from carawaystair import outlier
+from carawaystair import report
 from carawaystair import request
 from carawaystair import reservations
 
@@ -51,7 +51,7 @@
         )
         routes = [
             *self.membership.routes(),
-            *localapi.observer_routes(kernel, self.status),
+            *localapi.observer_routes(kernel, self.report),
         ]
         self.local = localapi.LocalApi(kernel.settings.node.local, routes)
         self.parts = (
@@ -68,30 +68,18 @@
         """Start the parts."""
         for part in self.parts:
             await self.add_runtime_dependency(part)
+        metrics.collect(nodemetrics.KernelMetrics(self.kernel).samples)
+        metrics.collect(nodemetrics.NodeMetrics(self.report).samples)
 
-    def status(self) -> dict[str, typing.Any]:
-        """Return what an operator wants to see first."""
-        settings = self.kernel.settings
-        members = self.membership.members.alive()
-        names = self.follower.routing().services()
-        return {
-            'host': settings.host,
-            'data_centre': settings.data_centre,
-            'region': settings.region,
-            'ready': self.follower.ready,
-            'version': str(self.follower.version()),
-            'members': sorted(member.host for member in members),
-            'services': [self._service(name) for name in sorted(names)],
-            'invariants_broken': dict(invariants.BROKEN),
-        }
-
-    def _service(self, name: str) -> dict[str, typing.Any]:
-        upstreams = self.membership.directory.upstreams(name)
-        return {
-            'name': name,
-            'upstreams': [upstream._asdict() for upstream in upstreams],
-            'ejected': sorted(self.outlier.ejected(name)),
-        }
+    def report(self) -> report.Report:
+        """Return what this node says of itself."""
+        return report.make(
+            self.kernel.settings,
+            self.follower,
+            self.membership.members,
+            self.membership.directory,
+            self.outlier,
+        )
 
 
 def make(kernel) -> Node:
--- /dev/null
+++ b/carawaystair/nodemetrics.py
@@ -0,0 +1,66 @@
+"""What a node shows of its own traffic and state in ``/metrics``."""
+
+import collections
+import typing
+
+from carawaystair import invariants
+from carawaystair import metrics
+
+
+class KernelMetrics:
+    """Metrics of links, datagrams, time line and invariants.
+
+    :param kernel: the kernel of the process.
+    """
+
+    def __init__(self, kernel) -> None:
+        self.kernel = kernel
+
+    def samples(self) -> typing.Iterator[metrics.Sample]:
+        """Yield the samples."""
+        for name in ('links', 'datagrams'):
+            part = getattr(self.kernel, name)
+            yield metrics.Sample(name + '_sent_total', part.sent)
+            yield metrics.Sample(name + '_sent_bytes_total', part.sent_bytes)
+            yield metrics.Sample(name + '_refused_total', part.refused)
+        links = self.kernel.links
+        yield metrics.Sample('links_dropped_total', links.dropped)
+        yield metrics.Sample('links_open', len(links.peers))
+        yield metrics.Sample(
+            'timeline_events_total', self.kernel.timeline.total
+        )
+        for name, count in invariants.BROKEN.items():
+            labels = (('name', name),)
+            yield metrics.Sample('invariants_broken_total', count, labels)
+
+
+class NodeMetrics:
+    """Metrics of configuration, membership and upstreams.
+
+    :param report: returns the node's report, see ``report.make``.
+    """
+
+    def __init__(self, report: typing.Callable) -> None:
+        self.report = report
+
+    def samples(self) -> typing.Iterator[metrics.Sample]:
+        """Yield the samples."""
+        report = self.report()
+        yield metrics.Sample('ready', int(report.ready))
+        term, index = report.version.split('.')
+        yield metrics.Sample('version_term', int(term))
+        yield metrics.Sample('version_index', int(index))
+        yield metrics.Sample('members_alive', len(report.members))
+        for service in report.services:
+            yield from self._service(service)
+
+    def _service(self, service) -> typing.Iterator[metrics.Sample]:
+        labels = (('service', service.name),)
+        states = collections.Counter(u.state for u in service.upstreams)
+        for state, count in sorted(states.items()):
+            both = (*labels, ('state', state))
+            yield metrics.Sample('upstreams', count, both)
+        yield metrics.Sample('ejected', len(service.ejected), labels)
+        yield metrics.Sample('slots_known', service.slots, labels)
+        yield metrics.Sample('slots_healthy', service.healthy, labels)
+        yield metrics.Sample('slots_floor', service.bound, labels)
