--- a/carawaystair/keys.py
+++ b/carawaystair/keys.py
@@ -15,12 +15,14 @@
 import zmq
 
 from carawaystair import codes
+from carawaystair import documents
 from carawaystair import shape
 
 ID_BYTES = 4
 DATAGRAM_KEY_BYTES = 32
 # Z85 gives five signs for four bytes; CURVE keys have 32 bytes.
 CURVE_SIGNS = 40
+MAX_BYTES = 4096
 # Only the owner may read a key file.
 FILE_MODE = 0o600
 
@@ -74,17 +76,24 @@
 def read(path: str) -> expression.Result[Key, codes.Failure]:
     """Read and check a key file."""
     try:
-        decoded = msgspec.json.decode(pathlib.Path(path).read_bytes())
-    except (OSError, ValueError, RecursionError) as error:
+        data = pathlib.Path(path).read_bytes()
+    except OSError as error:
         return codes.fail(codes.KEY_FILE_INVALID, '%s: %s' % (path, error))
+    decoded = documents.decode(data, MAX_BYTES)
+    if decoded.is_error():
+        return _invalid(path, decoded.error)
     mistakes: list[shape.Mistake] = []
-    key = shape.build(Key, decoded, mistakes=mistakes)
+    key = shape.build(Key, decoded.ok, mistakes=mistakes)
     if key is not None:
         mistakes.extend(_check(key))
-    if mistakes:
-        text = '%s: %s' % (path, '; '.join(map(str, mistakes)))
-        return codes.fail(codes.KEY_FILE_INVALID, text)
-    return expression.Ok(key)
+    return _invalid(path, mistakes) if mistakes else expression.Ok(key)
+
+
+def _invalid(
+    path: str, mistakes: typing.Iterable[shape.Mistake]
+) -> expression.Result:
+    text = '%s: %s' % (path, '; '.join(map(str, mistakes)))
+    return codes.fail(codes.KEY_FILE_INVALID, text)
 
 
 def _check(key: Key) -> typing.Iterator[shape.Mistake]:
--- a/carawaystair/manifest.py
+++ b/carawaystair/manifest.py
@@ -4,20 +4,20 @@
 ``rows``), so that a change costs what it changes and not what stays.
 """
 
-import collections
 import itertools
 import typing
 
 import expression
-import msgspec
 
 from carawaystair import codes
+from carawaystair import documents
+from carawaystair import manifest_rules as rules
 from carawaystair import shape
 
-FORMAT = 1
-MAX_BYTES = 64 * 1024 * 1024
-MAX_DEPTH = 16
-MAX_NAME = 128
+FORMAT = rules.FORMAT
+data_centres = rules.data_centres
+# Three times what the sizes to design for take, written without spaces.
+MAX_BYTES = 24 * 1024 * 1024
 # The class that takes customers whom the manifest does not name.
 OTHER = 'other'
 
@@ -142,120 +142,14 @@
     :param data: the JSON document.
     :return: the manifest, or the code and every mistake found.
     """
-    if len(data) > MAX_BYTES:
-        text = 'has %d bytes; %d are allowed' % (len(data), MAX_BYTES)
-        return _malformed(text)
-    try:
-        decoded = msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        return _malformed(str(error))
+    decoded = documents.decode(data, MAX_BYTES)
+    if decoded.is_error():
+        return expression.Error((codes.MANIFEST_MALFORMED, decoded.error))
     mistakes: list[shape.Mistake] = []
-    manifest = shape.build(Manifest, decoded, mistakes=mistakes)
+    manifest = shape.build(Manifest, decoded.ok, mistakes=mistakes)
     if not mistakes:
-        mistakes.extend(check(manifest))
+        every = rules.check(manifest)
+        mistakes.extend(itertools.islice(every, shape.MAX_MISTAKES))
     if mistakes:
         return expression.Error((codes.MANIFEST_INVALID, mistakes))
     return expression.Ok(manifest)
-
-
-def _malformed(text: str) -> expression.Result:
-    mistakes = [shape.Mistake('$', text)]
-    return expression.Error((codes.MANIFEST_MALFORMED, mistakes))
-
-
-def check(manifest: Manifest) -> list[shape.Mistake]:
-    """Return what is wrong with a manifest of the right shape."""
-    return [
-        *_check_head(manifest),
-        *_check_names(manifest),
-        *itertools.chain.from_iterable(
-            _check_service('$.services.%s' % name, service)
-            for name, service in manifest.services.items()
-        ),
-        *_check_routes(manifest),
-        *_check_customers(manifest),
-        *_check_drains(manifest),
-    ]
-
-
-def _check_head(manifest):
-    if manifest.format != FORMAT:
-        yield shape.Mistake('$.format', 'expected %d' % FORMAT)
-    if not manifest.regions:
-        yield shape.Mistake('$.regions', 'names no region')
-    named = collections.Counter(data_centres(manifest))
-    for name, count in named.items():
-        if count > 1:
-            text = 'data centre %r stands in %d regions' % (name, count)
-            yield shape.Mistake('$.regions', text)
-
-
-def _check_names(manifest):
-    named = itertools.chain(
-        (('$.services', name) for name in manifest.services),
-        (('$.customers', name) for name in manifest.customers),
-    )
-    for path, name in named:
-        # Names stand in row keys and headers, where a slash or a line end
-        # would change the meaning.
-        plain = name.isascii() and name.isprintable() and '/' not in name
-        if not plain or not 0 < len(name) <= MAX_NAME or ' ' in name:
-            text = 'the name %r is empty, too long or has odd signs' % name
-            yield shape.Mistake(path, text)
-
-
-def _check_service(path, service):
-    bounds = (
-        ('floor_percent', 0, 100),
-        ('floor_slots', 0, 10**6),
-        ('timeout_ms', 1, 3_600_000),
-        ('retry_percent', 0, 100),
-        ('queue', 1, 100_000),
-        ('key_window_s', 1, 7 * 86_400),
-        ('max_body', 0, 2**40),
-    )
-    for name, low, high in bounds:
-        if not low <= getattr(service, name) <= high:
-            text = 'expected %d to %d' % (low, high)
-            yield shape.Mistake('%s.%s' % (path, name), text)
-
-
-def _check_routes(manifest):
-    seen = set()
-    for index, route in enumerate(manifest.routes):
-        path = '$.routes[%d]' % index
-        if not route.prefix.startswith('/'):
-            yield shape.Mistake(path + '.prefix', 'expected a leading slash')
-        if route.service not in manifest.services:
-            text = 'no service is named %r' % route.service
-            yield shape.Mistake(path + '.service', text)
-        key = (route.host.lower(), route.prefix)
-        if key in seen:
-            yield shape.Mistake(path, 'stands twice: %s%s' % key)
-        seen.add(key)
-
-
-def _check_customers(manifest):
-    for name, customer in manifest.customers.items():
-        path = '$.customers.%s' % name
-        if not 1 <= customer.weight <= 10_000:
-            yield shape.Mistake(path + '.weight', 'expected 1 to 10000')
-        if customer.limit < 0:
-            yield shape.Mistake(path + '.limit', 'expected 0 or more')
-
-
-def _check_drains(manifest):
-    known = set(data_centres(manifest))
-    for index, name in enumerate(manifest.drains.data_centres):
-        if name not in known:
-            path = '$.drains.data_centres[%d]' % index
-            yield shape.Mistake(path, 'no data centre is named %r' % name)
-
-
-def data_centres(manifest: Manifest) -> tuple[str, ...]:
-    """Return the names of all data centres."""
-    return tuple(
-        itertools.chain.from_iterable(
-            place.data_centres for place in manifest.regions.values()
-        )
-    )
--- a/carawaystair/plugins.py
+++ b/carawaystair/plugins.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import functools
 import importlib
 import pkgutil
 import typing
@@ -82,6 +83,15 @@
                 callback(**details)
 
 
+@functools.lru_cache(maxsize=None)
+def names(method: str) -> frozenset[str]:
+    """Return the names that all plug-ins together bring.
+
+    :param method: such as ``balancers``.
+    """
+    return frozenset(load().collect(method))
+
+
 def load(package: str = 'carawaystairplug') -> Registry:
     """Import every module of ``package`` and make its plug-ins."""
     home = importlib.import_module(package)
--- a/carawaystair/settings.py
+++ b/carawaystair/settings.py
@@ -1,18 +1,19 @@
 """Settings of one process, from JSON."""
 
-import ipaddress
 import pathlib
 import typing
 
 import expression
-import msgspec
 
 from carawaystair import codes
-from carawaystair import logs
+from carawaystair import documents
+from carawaystair import settings_rules as rules
 from carawaystair import shape
 
 DEFAULTS = pathlib.Path(__file__).with_name('defaults.jsonc')
-ROLES = ('node', 'control')
+MAX_BYTES = 1024 * 1024
+
+address_ok = rules.address_ok
 
 # What a team's token may allow.
 READ = 'read'
@@ -22,14 +23,15 @@
 ROLLBACK = 'rollback'
 ADMIN = 'admin'
 SCOPES = (READ, SUBMIT, DRAIN, CUSTOMERS, ROLLBACK, ADMIN)
-# A BLAKE2b digest of 32 bytes in hex.
-DIGEST_SIGNS = 64
+Scope = typing.Literal[
+    'read', 'submit', 'drain', 'customers', 'rollback', 'admin'
+]
 
 
 class Log(typing.NamedTuple):
     """How logs are written, see ``logs.setup``."""
 
-    level: str = 'info'
+    level: typing.Literal['debug', 'info', 'warning', 'error'] = 'info'
     form: typing.Literal['console', 'json'] = 'console'
 
 
@@ -58,7 +60,7 @@
 
     name: str
     token_digest: str
-    scopes: tuple[str, ...] = (READ,)
+    scopes: tuple[Scope, ...] = (READ,)
 
 
 class Tls(typing.NamedTuple):
@@ -95,7 +97,7 @@
     host: str
     data_centre: str
     region: str
-    roles: tuple[str, ...]
+    roles: tuple[typing.Literal['node', 'control'], ...]
     data_folder: str | None
     log: Log
     peer: str
@@ -114,42 +116,45 @@
 def load(path: str) -> expression.Result[Settings, Problem]:
     """Read and check a settings file over the defaults."""
     try:
-        text = pathlib.Path(path).read_text()
-    except (OSError, UnicodeDecodeError) as error:
+        data = pathlib.Path(path).read_bytes()
+    except OSError as error:
         mistakes = [shape.Mistake(path, str(error))]
         return expression.Error((codes.SETTINGS_MISSING, mistakes))
-    return parse(text, path)
+    return parse(data)
 
 
-def parse(text: str, path: str = '$') -> expression.Result[Settings, Problem]:
-    """Check the text of a settings file over the defaults.
+def parse(data: bytes | str) -> expression.Result[Settings, Problem]:
+    """Check the content of a settings file over the defaults.
 
-    :param text: JSON, with whole-line comments allowed.
-    :param path: named in the message when the JSON is malformed.
+    :param data: JSON in UTF-8, with whole-line comments allowed.
     """
-    try:
-        own = msgspec.json.decode(uncomment(text))
-    except msgspec.DecodeError as error:
-        mistakes = [shape.Mistake(path, str(error))]
-        return expression.Error((codes.SETTINGS_MALFORMED, mistakes))
-    if not isinstance(own, dict):
+    data = data.encode() if isinstance(data, str) else data
+    decoded = documents.decode(uncomment(data), MAX_BYTES)
+    if decoded.is_error():
+        return expression.Error((codes.SETTINGS_MALFORMED, decoded.error))
+    if not isinstance(decoded.ok, dict):
         mistakes = [shape.Mistake('$', 'expected an object')]
         return expression.Error((codes.SETTINGS_INVALID, mistakes))
-    defaults = msgspec.json.decode(uncomment(DEFAULTS.read_text()))
+    merged = overlay(defaults(), decoded.ok)
     mistakes = []
-    settings = shape.build(Settings, overlay(defaults, own), '$', mistakes)
+    settings = shape.build(Settings, merged, '$', mistakes)
     if not mistakes:
-        mistakes.extend(_check(settings))
+        mistakes.extend(rules.check(settings))
     if mistakes:
         return expression.Error((codes.SETTINGS_INVALID, mistakes))
     return expression.Ok(settings)
 
 
-def uncomment(text: str) -> str:
+def defaults() -> dict:
+    """Return the defaults, as decoded JSON."""
+    return documents.decode(uncomment(DEFAULTS.read_bytes()), MAX_BYTES).ok
+
+
+def uncomment(data: bytes) -> bytes:
     """Blank the comment lines, so that line numbers stay right."""
-    return '\n'.join(
-        '' if line.lstrip().startswith('//') else line
-        for line in text.splitlines()
+    return b'\n'.join(
+        b'' if line.lstrip().startswith(b'//') else line
+        for line in data.split(b'\n')
     )
 
 
@@ -160,80 +165,3 @@
         both = isinstance(value, dict) and isinstance(base.get(key), dict)
         merged[key] = overlay(base[key], value) if both else value
     return merged
-
-
-def _check(settings: Settings) -> typing.Iterator[shape.Mistake]:
-    for index, role in enumerate(settings.roles):
-        if role not in ROLES:
-            text = 'no role is named %r; there are %s' % (
-                role,
-                ' and '.join(ROLES),
-            )
-            yield shape.Mistake('$.roles[%d]' % index, text)
-    if settings.log.level not in logs.LEVELS:
-        text = 'expected one of %s' % ', '.join(logs.LEVELS)
-        yield shape.Mistake('$.log.level', text)
-    yield from _check_control(settings)
-    addresses = {
-        '$.peer': settings.peer,
-        '$.gossip': settings.gossip,
-        '$.node.listen': settings.node.listen,
-        '$.node.local': settings.node.local,
-        '$.control.admin': settings.control.admin,
-    }
-    for index, address in enumerate(settings.seeds):
-        addresses['$.seeds[%d]' % index] = address
-    for index, address in enumerate(settings.control_hosts):
-        addresses['$.control_hosts[%d]' % index] = address
-    for path, address in addresses.items():
-        if not address_ok(address):
-            text = '%r is not an IP number and a port' % address
-            yield shape.Mistake(path, text)
-
-
-def _check_control(settings: Settings) -> typing.Iterator[shape.Mistake]:
-    control = settings.control
-    for index, team in enumerate(control.teams):
-        yield from _check_team('$.control.teams[%d]' % index, team)
-    for name in ('reads_per_s', 'changes_per_s'):
-        if not 0.0 < getattr(control, name) <= 1e6:
-            text = 'expected a number above 0'
-            yield shape.Mistake('$.control.%s' % name, text)
-    if 'control' not in settings.roles or control.teams:
-        return
-    # Without teams every caller may change everything: that must stay a
-    # matter of one machine, such as a laptop with a trial fleet.
-    if address_ok(control.admin) and not _loopback(control.admin):
-        text = 'is empty, though control.admin can be reached from elsewhere'
-        yield shape.Mistake('$.control.teams', text)
-
-
-def _check_team(path: str, team: Team) -> typing.Iterator[shape.Mistake]:
-    if not team.name or not team.name.isascii() or '/' in team.name:
-        yield shape.Mistake(path + '.name', 'is empty or has odd signs')
-    digits = set(team.token_digest) <= set('0123456789abcdef')
-    if len(team.token_digest) != DIGEST_SIGNS or not digits:
-        text = 'expected %d hex digits, see "carawaystair token"'
-        yield shape.Mistake(path + '.token_digest', text % DIGEST_SIGNS)
-    for index, scope in enumerate(team.scopes):
-        if scope not in SCOPES:
-            text = 'no scope is named %r; there are %s' % (
-                scope,
-                ', '.join(SCOPES),
-            )
-            yield shape.Mistake('%s.scopes[%d]' % (path, index), text)
-
-
-def _loopback(address: str) -> bool:
-    ip = address.rpartition(':')[0].strip('[]')
-    return ipaddress.ip_address(ip).is_loopback
-
-
-def address_ok(address: str) -> bool:
-    """Tell whether ``address`` is an IP number and a port."""
-    ip, _colon, port = address.rpartition(':')
-    try:
-        ipaddress.ip_address(ip.strip('[]'))
-    except ValueError:
-        return False
-    return port.isdigit() and 0 < int(port) < 65536
--- a/carawaystair/shape.py
+++ b/carawaystair/shape.py
@@ -4,13 +4,25 @@
 with its path in the document; an unknown key is answered with the nearest
 known one, since a misspelt limit that is silently ignored is worse than a
 refusal.
+
+A builder is made once for each type: a manifest of full size has 110,000
+records, and looking at the type hints of each would take seconds.
 """
 
 import difflib
+import functools
+import math
 import types
 import typing
 
 SCALARS = {str: 'text', int: 'a whole number', bool: 'true or false'}
+# A document may be wrong everywhere; more mistakes than a person would read
+# only cost time and memory.
+MAX_MISTAKES = 200
+# Longer keys are cut in messages and not compared with known ones.
+MAX_SHOWN = 64
+
+Path = typing.Union[str, tuple['Path', typing.Union[str, int]]]
 
 
 class Mistake(typing.NamedTuple):
@@ -27,6 +39,9 @@
         return '%s: %s' % (self.path, self.text)
 
 
+Builder = typing.Callable[[typing.Any, Path, list], typing.Any]
+
+
 def build(kind, value, path: str = '$', mistakes: list | None = None):
     """Build a value of type ``kind`` from decoded JSON.
 
@@ -34,24 +49,12 @@
         ``dict[str, T]``, ``typing.Literal`` or ``T | None``.
     :param value: what the JSON decoder returned.
     :param path: where ``value`` stands in the document.
-    :param mistakes: the list that takes every :class:`Mistake` found.
+    :param mistakes: the list that takes every :class:`Mistake` found, up to
+        :data:`MAX_MISTAKES`.
     :return: the value, or None where there was a mistake in it.
     """
     mistakes = [] if mistakes is None else mistakes
-    origin = typing.get_origin(kind)
-    if kind is typing.Any:
-        return value
-    if hasattr(kind, '_fields'):
-        return _record(kind, value, path, mistakes)
-    if origin is tuple:
-        return _sequence(typing.get_args(kind)[0], value, path, mistakes)
-    if origin is dict:
-        return _mapping(typing.get_args(kind)[1], value, path, mistakes)
-    if origin is typing.Literal:
-        return _literal(typing.get_args(kind), value, path, mistakes)
-    if origin in (typing.Union, types.UnionType):
-        return _optional(typing.get_args(kind), value, path, mistakes)
-    return _scalar(kind, value, path, mistakes)
+    return _builder(kind)(value, path, mistakes)
 
 
 def plain(value):
@@ -69,80 +72,153 @@
     return value
 
 
-def _record(kind, value, path, mistakes):
-    if not isinstance(value, dict):
-        mistakes.append(Mistake(path, 'expected an object'))
-        return None
+def show(path: Path) -> str:
+    """Return a path as a person reads it.
+
+    :param path: text, or a pair of the path above and a key or an index.
+    """
+    if isinstance(path, str):
+        return path
+    above, step = path
+    if isinstance(step, int):
+        return '%s[%d]' % (show(above), step)
+    odd = not step.isprintable() or not 0 < len(step) <= MAX_SHOWN
+    shown = repr(step[:MAX_SHOWN]) if odd else step
+    return '%s.%s' % (show(above), shown)
+
+
+def _add(mistakes: list, path: Path, text: str) -> None:
+    if len(mistakes) < MAX_MISTAKES:
+        mistakes.append(Mistake(show(path), text))
+    elif len(mistakes) == MAX_MISTAKES:
+        mistakes.append(Mistake('$', 'more mistakes are not listed'))
+
+
+@functools.lru_cache(maxsize=None)
+def _builder(kind) -> Builder:
+    """Return what builds values of one type."""
+    origin = typing.get_origin(kind)
+    if kind is typing.Any:
+        return lambda value, _path, _mistakes: value
+    if hasattr(kind, '_fields'):
+        return _record(kind)
+    if origin is tuple:
+        return _sequence(typing.get_args(kind)[0])
+    if origin is dict:
+        return _mapping(typing.get_args(kind)[1])
+    if origin is typing.Literal:
+        return _literal(typing.get_args(kind))
+    if origin in (typing.Union, types.UnionType):
+        return _optional(typing.get_args(kind))
+    return _number() if kind is float else _scalar(kind)
+
+
+def _record(kind) -> Builder:
     hints = typing.get_type_hints(kind)
-    unknown = [key for key in value if key not in hints]
-    mistakes.extend(_unknown(path, key, hints) for key in unknown)
-    missing = [
-        name
-        for name in kind._fields
-        if name not in value and name not in kind._field_defaults
-    ]
-    mistakes.extend(
-        Mistake('%s.%s' % (path, name), 'is missing') for name in missing
-    )
-    before = len(mistakes)
-    fields = {
-        name: build(hints[name], value[name], '%s.%s' % (path, name), mistakes)
-        for name in kind._fields
-        if name in value
-    }
-    if unknown or missing or len(mistakes) > before:
-        return None
-    return kind(**fields)
-
-
-def _unknown(path, key, hints):
-    near = difflib.get_close_matches(key, hints, n=1)
-    hint = '; did you mean %r?' % near[0] if near else ''
-    return Mistake('%s.%s' % (path, key), 'unknown key%s' % hint)
-
-
-def _sequence(kind, value, path, mistakes):
-    if not isinstance(value, (list, tuple)):
-        mistakes.append(Mistake(path, 'expected a list'))
-        return None
-    return tuple(
-        build(kind, item, '%s[%d]' % (path, index), mistakes)
-        for index, item in enumerate(value)
-    )
-
-
-def _mapping(kind, value, path, mistakes):
-    if not isinstance(value, dict):
-        mistakes.append(Mistake(path, 'expected an object'))
-        return None
-    return {
-        key: build(kind, item, '%s.%s' % (path, key), mistakes)
-        for key, item in value.items()
-    }
-
-
-def _literal(choices, value, path, mistakes):
-    if value not in choices:
-        text = 'expected one of %s' % ', '.join(map(repr, choices))
-        mistakes.append(Mistake(path, text))
-        return None
-    return value
+    parts = tuple((name, _builder(hints[name])) for name in kind._fields)
+    known = frozenset(kind._fields)
+    required = known - kind._field_defaults.keys()
+
+    def _build(value, path, mistakes):
+        if not isinstance(value, dict):
+            return _add(mistakes, path, 'expected an object')
+        before = len(mistakes)
+        if not value.keys() <= known:
+            _add_unknown(value, path, known, mistakes)
+        if not required <= value.keys():
+            for name in kind._fields:
+                if name in required and name not in value:
+                    _add(mistakes, (path, name), 'is missing')
+        fields = {
+            name: part(value[name], (path, name), mistakes)
+            for name, part in parts
+            if name in value
+        }
+        return None if len(mistakes) > before else kind(**fields)
 
+    return _build
 
-def _optional(kinds, value, path, mistakes):
-    if value is None:
-        return None
-    kind = next(kind for kind in kinds if kind is not type(None))
-    return build(kind, value, path, mistakes)
 
+def _add_unknown(value, path, known, mistakes) -> None:
+    for key in value:
+        if key in known or len(mistakes) > MAX_MISTAKES:
+            continue
+        # Comparing takes time in proportion to the length.
+        near = difflib.get_close_matches(key[:MAX_SHOWN], known, n=1)
+        hint = '; did you mean %r?' % near[0] if near else ''
+        _add(mistakes, (path, key), 'unknown key%s' % hint)
 
-def _scalar(kind, value, path, mistakes):
-    if kind is float and isinstance(value, int) and value is not True:
-        value = float(value)
-    # A bool is an int to Python; "slots": true must not pass as 1.
-    odd = isinstance(value, bool) and kind is not bool
-    if odd or not isinstance(value, kind):
-        expected = SCALARS.get(kind, 'a number')
-        mistakes.append(Mistake(path, 'expected %s' % expected))
-        return None
-    return value
+
+def _sequence(kind) -> Builder:
+    part = _builder(kind)
+
+    def _build(value, path, mistakes):
+        if not isinstance(value, (list, tuple)):
+            return _add(mistakes, path, 'expected a list')
+        return tuple(
+            [
+                part(item, (path, index), mistakes)
+                for index, item in enumerate(value)
+            ]
+        )
+
+    return _build
+
+
+def _mapping(kind) -> Builder:
+    part = _builder(kind)
+
+    def _build(value, path, mistakes):
+        if not isinstance(value, dict):
+            return _add(mistakes, path, 'expected an object')
+        return {
+            key: part(item, (path, key), mistakes)
+            for key, item in value.items()
+        }
+
+    return _build
+
+
+def _literal(choices) -> Builder:
+    text = 'expected one of %s' % ', '.join(map(repr, choices))
+
+    def _build(value, path, mistakes):
+        # 1 == True to Python.
+        if any(value == c and type(value) is type(c) for c in choices):
+            return value
+        return _add(mistakes, path, text)
+
+    return _build
+
+
+def _optional(kinds) -> Builder:
+    part = _builder(next(k for k in kinds if k is not type(None)))
+
+    def _build(value, path, mistakes):
+        return None if value is None else part(value, path, mistakes)
+
+    return _build
+
+
+def _scalar(kind) -> Builder:
+    text = 'expected %s' % SCALARS[kind]
+
+    def _build(value, path, mistakes):
+        # A bool is an int to Python; "slots": true must not pass as 1.
+        if type(value) is kind:
+            return value
+        return _add(mistakes, path, text)
+
+    return _build
+
+
+def _number() -> Builder:
+    def _build(value, path, mistakes):
+        if type(value) is float and math.isfinite(value):
+            return value
+        # Whole numbers of JSON have no bound, those of a float do.
+        if type(value) is int and abs(value) < 2**53:
+            return float(value)
+        return _add(mistakes, path, 'expected a number')
+
+    return _build
--- a/carawaystairplug/commands_documents.py
+++ b/carawaystairplug/commands_documents.py
@@ -62,7 +62,7 @@
         output.failure(codes.Failure(codes.FILE_UNREADABLE, str(error)))
         return command.EXIT_REFUSED
     kind = options.kind or kind_of(data)
-    result = _read(kind, data, options.file)
+    result = _read(kind, data)
     code, mistakes = result.error if result.is_error() else (codes.OK, [])
     if options.json:
         output.json(
@@ -83,18 +83,18 @@
 def kind_of(data: bytes) -> str:
     """Tell settings from a manifest by their outermost keys."""
     try:
-        text = settings_module.uncomment(data.decode())
-        decoded = msgspec.json.decode(text)
+        decoded = msgspec.json.decode(settings_module.uncomment(data))
     except (ValueError, RecursionError):
         return SETTINGS
     marks = {'services', 'routes', 'regions', 'format'}
-    return MANIFEST if marks & set(decoded) else SETTINGS
+    own = set(decoded) if isinstance(decoded, dict) else set()
+    return MANIFEST if marks & own else SETTINGS
 
 
-def _read(kind: str, data: bytes, path: str) -> expression.Result:
+def _read(kind: str, data: bytes) -> expression.Result:
     if kind == MANIFEST:
         return manifests.read(data)
-    return settings_module.parse(data.decode(errors='replace'), path)
+    return settings_module.parse(data)
 
 
 # codes
--- a/test/test_shape.py
+++ b/test/test_shape.py
@@ -45,3 +45,9 @@
     mistakes = []
     shape.build(Inner, {'slots': True}, mistakes=mistakes)
     assert mistakes == [shape.Mistake('$.slots', 'expected a whole number')]
+
+
+def test_true_is_not_the_literal_one():
+    mistakes = []
+    assert shape.build(typing.Literal[1, 2], True, '$', mistakes) is None
+    assert mistakes == [shape.Mistake('$', 'expected one of 1, 2')]
