Outlier detection: complaints of one group, all bad at once

Change: groups that saw something bad are weighed on their own, with a penalty for their number; "only these callers" is believed only when chance would hardly bring it about; all-bad goes by the share of failed attempts; tests of the coordinator with reports made by hand.

--- a/carawaystair/outlier/intake.py
+++ b/carawaystair/outlier/intake.py
@@ -143,7 +143,7 @@
                 (episode.unproven + count),
             )
             count = _capped(unproven, count, MOST_UNPROVEN)
-        if self.reporters.share(report.host, now) < LARGE_SHARE:
+        if self.reporters.share(report.host) < LARGE_SHARE:
             count = _capped(before, count, MOST_BAD_OF_ONE)
         return count
 
--- a/carawaystair/outlier/judge.py
+++ b/carawaystair/outlier/judge.py
@@ -21,7 +21,7 @@
 # nats.
 GROUP_PENALTY = 3.0
 # Ejections begun at the same time are tried at different times.
-JITTER = (0.8, 1.2)
+JITTER = (0.9, 1.1)
 
 
 class Judge:
@@ -149,7 +149,7 @@
         episode = track.episode
         if episode is None or episode.last_bad - episode.began < tuning.span_s:
             return
-        scope = episode.scope(tuning.scope_good)
+        scope = episode.scope(tuning.scope_good, self._share)
         if scope.kind == scopes.UNKNOWN:
             if now - track.since < tuning.scope_wait_s:
                 return
@@ -166,6 +166,14 @@
             text += ', for %s %s only' % scope
         self._eject(track, tuning, text + '.', now)
 
+    def _share(self, kind: str, group: str) -> float:
+        """Return a group's usual share of the attempts at the service."""
+        if kind == scopes.REPORTER:
+            return self.reporters.share(group)
+        if kind == scopes.DATA_CENTRE:
+            return self.reporters.place_share(group)
+        return self.pool.class_share(int(group))
+
     def _eject(self, track, tuning, text, now) -> None:
         if not self._room(track):
             self._refuse(track, now)
--- a/carawaystair/outlier/pool.py
+++ b/carawaystair/outlier/pool.py
@@ -135,6 +135,12 @@
         memory = min(shares.MEMORY_S, max(now - self.began, 1.0))
         return attempts / self.scale.unit(now) / memory
 
+    def class_share(self, customer_class: int) -> float:
+        """Return the share of attempts of a class of customers."""
+        whole = self.total[shares.ALL * shares.WIDTH + shares.ATTEMPTS]
+        part = self.total[customer_class * shares.WIDTH + shares.ATTEMPTS]
+        return part / whole if whole > 0.0 else 1.0
+
     def mean(self, upstream: str, now: float) -> Recent:
         """Return an upstream's scores of late."""
         return self.recent.get(upstream, Recent(0.0, 0.0, 0.0, now)).at(now)
--- a/carawaystair/outlier/reporters.py
+++ b/carawaystair/outlier/reporters.py
@@ -48,7 +48,9 @@
     def __init__(self) -> None:
         self.table: dict[str, Reporter] = {}
         self.sum = 0.0
+        self.places: dict[str, float] = {}
         self.summed = -1e9
+        self.newest = 0.0
 
     def note(self, host: str, new: Reporter) -> None:
         """Take note of a report.
@@ -62,6 +64,7 @@
                 cells=old.cells + (new.cells - old.cells) * 0.1,
             )
         self.table[host] = new
+        self.newest = new.time
 
     def forget(self, now: float) -> None:
         """Drop the nodes that no longer report."""
@@ -90,14 +93,30 @@
         suspects = sum(one.suspect for one in self.table.values())
         return 2 * suspects >= len(self.table) > 1
 
-    def share(self, host: str, now: float) -> float:
+    def share(self, host: str) -> float:
         """Return a node's share of the service's attempts of late."""
         if len(self.table) <= FEW or host not in self.table:
             return 1.0
-        if now - self.summed > SUM_EVERY_S:
-            self.sum = sum(one.at(now) for one in self.table.values())
-            self.summed = now
-        return self.table[host].at(now) / max(self.sum, 1e-9)
+        self._sum()
+        work = self.table[host].at(self.newest)
+        return min(work / max(self.sum, 1e-9), 1.0)
+
+    def place_share(self, data_centre: str) -> float:
+        """Return the share of the nodes of a data centre."""
+        self._sum()
+        return min(self.places.get(data_centre, 0.0) / max(self.sum, 1e-9), 1)
+
+    def _sum(self) -> None:
+        """Add up the work of all nodes, when that was long ago."""
+        newest = self.newest
+        if newest - self.summed <= SUM_EVERY_S:
+            return
+        self.summed = newest
+        self.places = {}
+        for one in self.table.values():
+            work = self.places.get(one.data_centre, 0.0) + one.at(newest)
+            self.places[one.data_centre] = work
+        self.sum = sum(self.places.values())
 
     def every_s(self) -> float:
         """Return how often a node should report good answers."""
--- a/carawaystair/outlier/scope.py
+++ b/carawaystair/outlier/scope.py
@@ -18,6 +18,9 @@
 CONCENTRATED = 0.8
 # The others count as well served below this share of bad attempts.
 WELL = 0.2
+# That all bad attempts come from one group says nothing while chance alone
+# would bring it about this often.
+LIKELY = 0.1
 # Bad attempts further apart than this belong to different episodes.
 EPISODE_S = 5.0
 MOST_EPISODE_S = 30.0
@@ -66,6 +69,9 @@
     group: str = ''
 
 
+Share = typing.Callable[[str, str], float]
+
+
 class Episode:
     """Attempts at one upstream since something bad happened there.
 
@@ -116,13 +122,14 @@
         """Return the bad attempts of one reporter."""
         return self.groups[REPORTER].get(reporter, Seen()).bad
 
-    def scope(self, enough: int) -> Scope:
+    def scope(self, enough: int, share: Share) -> Scope:
         """Return whom the upstream fails.
 
         :param enough: good answers to others that clear it for them.
+        :param share: returns a group's usual share of all attempts.
         """
         found = (
-            _concentrated(kind, groups, enough)
+            _concentrated(kind, groups, enough, share)
             for kind, groups in self.groups.items()
         )
         found = [scope for scope in found if scope is not None]
@@ -130,7 +137,7 @@
         return next(itertools.chain(named, found), Scope(EVERYBODY))
 
 
-def _concentrated(kind, groups, enough) -> Scope | None:
+def _concentrated(kind, groups, enough, share) -> Scope | None:
     """Return the group that all that is bad comes from, if there is one."""
     total = sum(seen.bad for seen in groups.values())
     group, top = max(groups.items(), key=lambda item: (item[1].bad, item[0]))
@@ -138,6 +145,7 @@
         return None
     good = sum(seen.good for seen in groups.values()) - top.good
     if good < enough:
-        return Scope(UNKNOWN, group)
+        chance = share(kind, group) ** total
+        return Scope(UNKNOWN, group) if good or chance < LIKELY else None
     rest = total - top.bad
     return Scope(kind, group) if rest < WELL * (good + rest) else None
--- a/test/test_outlier_fleet.py
+++ b/test/test_outlier_fleet.py
@@ -249,6 +249,30 @@
     story(body)
 
 
+def test_lost_news_is_repaired_by_the_next_report():
+    """One node hears nothing while an upstream is ejected.
+
+    Symptom: it goes on using a gray upstream until leases are renewed.
+    Sequence: a cut of one second, just then the ejection.  Cause: nobody
+    compared what the node holds with what was granted.
+    """
+
+    async def body(world):
+        chosen = leader(world)
+        me = chosen.outlier.members.me.gossip
+        deaf = next(node for node in world.frontends if node is not chosen)
+        world.network.cut([me], [deaf.outlier.members.me.gossip], both=False)
+        world.servers[3].hung = True
+        await asyncio.sleep(1.5)
+        assert 'u03' in chosen.outlier.ejected(model.SERVICE)
+        assert 'u03' not in deaf.outlier.ejected(model.SERVICE)
+        world.network.heal()
+        await asyncio.sleep(1.2)
+        assert 'u03' in deaf.outlier.ejected(model.SERVICE)
+
+    story(body)
+
+
 def test_shed_requests_are_not_gray():
     """An upstream sheds load with 503 and Retry-After."""
 
--- a/test/test_outlier_node.py
+++ b/test/test_outlier_node.py
@@ -8,6 +8,7 @@
 from carawaystair import clock
 from carawaystair import interfaces
 from carawaystair import manifest
+from carawaystair.outlier import levels
 from carawaystair.outlier import messages
 from carawaystair.outlier import service
 from carawaystair import plugins
@@ -63,6 +64,15 @@
     return messages.State('s', host, epoch, full, entries)
 
 
+def paced(part):
+    """Give a node bounds for the empty route: 10 to 160 ms."""
+    outbox = part.evidence.reporter.outbox('s', clock.now())
+    bounds = (10_000, 20_000, 40_000, 80_000, 160_000)
+    row = messages.RouteBounds(levels.route_number(''), bounds)
+    outbox.take_pace(messages.Pace('s', 1, 60_000, 100, 3, (row,)))
+    return outbox
+
+
 def test_weight_falls_at_once_and_recovers():
     async def story():
         part = node(fakes.Directory(upstream(1), upstream(2)))
@@ -216,7 +226,7 @@
             entry('u1', data_centre='dc-1'),
             entry('u2', data_centre='dc-2'),
         )
-        number = service.evidence.levels.customer_class('firm')
+        number = levels.customer_class('firm')
         one = entry('u3', customer_class=number)
         part.health.accept(state(mine, other, one))
         assert part.ejected('s') == {'u1'}
@@ -236,13 +246,7 @@
 
     async def story():
         part = node(fakes.Directory(*(upstream(n) for n in range(8))))
-        outbox = part.evidence.reporter.outbox('s', clock.now())
-        bounds = ((0, (10_000, 20_000, 40_000, 80_000, 160_000)),)
-        rows = tuple(
-            messages.RouteBounds(service.evidence.levels.route_number(''), row)
-            for _route, row in bounds
-        )
-        outbox.take_pace(messages.Pace('s', 1, 60_000, 100, 3, rows))
+        outbox = paced(part)
         part.evidence.tick(clock.now())
         started = clock.now()
         for number in range(8):
@@ -256,8 +260,44 @@
                     's', name, 'c', interfaces.GOOD, 2.0, started
                 )
             )
+        assert not outbox.urgent
         part.evidence.tick(clock.now())
         assert all(part.weight('u%d' % n) == 1.0 for n in range(8))
         assert not outbox.urgent
 
     fakes.run(story())
+
+
+def test_overdue_answer_shows_before_its_timeout():
+    """An upstream hangs and its callers wait for seconds.
+
+    Symptom: it gets work until the first timeouts.  Sequence: requests are
+    sent, nothing returns.  Cause: only ended attempts were evidence.
+    """
+
+    async def story():
+        part = node(fakes.Directory(upstream(1), upstream(2)))
+        reports = []
+        part.evidence.tell = reports.append
+        paced(part)
+        part.begin('s', 'u1', 'c', clock.now())
+        await asyncio.sleep(0.001)
+        part.begin('s', 'u2', 'c', clock.now(), fresh=False)
+        for _tick in range(12):
+            await asyncio.sleep(0.025)
+            part.evidence.tick(clock.now())
+        assert part.weight('u1') < 0.2
+        total = {'u1': [0] * levels.CATEGORIES, 'u2': [0] * levels.CATEGORIES}
+        for report in reports:
+            for cell in report.cells:
+                pairs = zip(total[cell.upstream], cell.counts)
+                total[cell.upstream] = [a + b for a, b in pairs]
+        # One attempt is counted once, at the worst that it has come to.
+        assert {n: c for n, c in enumerate(total['u1']) if c} == {
+            levels.OVERDUE: 1
+        }
+        assert {n: c for n, c in enumerate(total['u2']) if c} == {
+            levels.UNPROVEN: 1
+        }
+
+    fakes.run(story())
