--- a/standin/announce.py
+++ b/standin/announce.py
@@ -98,11 +98,17 @@
     async def withdraw(self) -> None:
         """End the announcement."""
         try:
-            async with self.turn, self.session.delete(self.url) as response:
-                await response.read()
+            async with self.turn:
+                await self.delete()
         except (aiohttp.ClientError, asyncio.TimeoutError) as error:
             LOG.warning('The node did not let us go.', why=str(error))
 
+    async def delete(self) -> None:
+        """Send the withdrawal; raises what went wrong."""
+        query = {'incarnation': str(self.announcement.incarnation)}
+        async with self.session.delete(self.url, params=query) as response:
+            await response.read()
+
     async def on_stop(self) -> None:
         await self.withdraw()
 
--- a/standin/runs.py
+++ b/standin/runs.py
@@ -3,6 +3,8 @@
 import collections
 import typing
 
+import msgspec
+
 from carawaystair import clock
 
 KEPT_RUNS = 200_000
@@ -69,6 +71,16 @@
         return tuple(self.table.values())
 
 
+def dump(every: typing.Iterable[Run]) -> bytes:
+    """Return runs as JSON lines of plain lists."""
+    return b'\n'.join(msgspec.json.encode(run) for run in every)
+
+
+def load(data: bytes) -> list[Run]:
+    """Return the runs that :func:`dump` wrote."""
+    return [msgspec.json.decode(line, type=Run) for line in data.splitlines()]
+
+
 def doubles(runs: typing.Iterable[Run], method: str) -> dict[str, int]:
     """Return the markers that ran more than once under a method.
 
--- a/standin/upstream.py
+++ b/standin/upstream.py
@@ -18,6 +18,7 @@
 import collections
 import json
 import math
+import pathlib
 import random
 import typing
 
@@ -72,6 +73,7 @@
     :param grace_s: seconds that it goes on taking work after announcing
         that it leaves, while the fleet learns of it.
     :param drain_s: seconds that requests in flight get after that.
+    :param record: file that takes all runs at the end, or empty.
     :param seed: of all randomness but that of the faults.
     """
 
@@ -92,6 +94,7 @@
     mb_per_s: float = 0.0
     grace_s: float = 3.0
     drain_s: float = 20.0
+    record: str = ''
     seed: int = 1
 
 
@@ -219,6 +222,10 @@
         for transport in self.silenced:
             transport.abort()
         await self.runner.cleanup()
+        if self.options.record:
+            pathlib.Path(self.options.record).write_bytes(
+                runs.dump(self.runs.all())
+            )
 
     @mode.Service.task
     async def sample(self) -> None:
