Distribution: tell in two rounds, ask the teller, retry soon

Change: nodes tell three peers twice, ask the teller before control, and try again after 0.2 s when nobody answered; a question is given up after 0.5 s.

--- a/carawaystair/follower.py
+++ b/carawaystair/follower.py
@@ -28,14 +28,19 @@
 # How often a node asks for news when nobody tells it of any.  Together with
 # the spread of News this bounds the time to be in force everywhere.
 POLL_S = 2.0
-CALL_S = 1.0
-# Peers told of a new version by each node that learns of one.
+CALL_S = 0.5
+# How soon to ask somebody else when nobody answered.
+RETRY_S = 0.2
+# Peers told of a new version by each node that learns of one, and how often.
+# One round of three leaves one node in twenty to its next poll (exp_spread).
 FANOUT = 3
+ROUNDS = 2
+ROUND_S = 0.3
 # Peers that must answer before a restarted node trusts them instead of
 # control: with one, a peer that was cut off itself could pass on old news.
 ENOUGH_PEERS = 3
 # Tries before control counts as away for a node that is starting.
-CONTROL_TRIES = 3
+CONTROL_TRIES = 4
 
 EMPTY = routing.Routing()
 
@@ -80,7 +85,10 @@
         self.vouchers: set[str] = set()
         self.floor = rows.NONE
         self.confirmed_at: float | None = None
+        self.teller = ''
         self.wake = asyncio.Event()
+        self.rounds = 0
+        self.told = asyncio.Event()
         transport.handle(distribution.AskPeer, self._on_ask)
         transport.handle(distribution.News, self._on_news)
 
@@ -114,8 +122,9 @@
         # A node that is not ready has nothing to vouch for.
         return distribution.answer(self, ask) if self.ready else None
 
-    async def _on_news(self, _sender: str, news: distribution.News) -> None:
+    async def _on_news(self, sender: str, news: distribution.News) -> None:
         if news.version > self.held.version:
+            self.teller = sender
             self.wake.set()
 
     @mode.Service.task
@@ -123,29 +132,43 @@
         """Ask for news when told of some, and now and then anyway."""
         while not self.should_stop:
             self.wake.clear()
-            await self._catch_up()
+            heard = await self._catch_up()
             pause = POLL_S * self.rng.uniform(0.8, 1.2)
-            if not self.ready:
-                pause = POLL_S / 10
+            if not self.ready or not heard:
+                pause = RETRY_S
             try:
                 await asyncio.wait_for(self.wake.wait(), pause)
             except asyncio.TimeoutError:
                 pass
 
-    async def _catch_up(self) -> None:
-        """Ask a control host; a peer only when none answers."""
-        hosts = list(self.control_hosts)
-        self.rng.shuffle(hosts)
-        for host in hosts:
+    async def _catch_up(self) -> bool:
+        """Ask who told of news, else a control host, else a peer.
+
+        The teller is asked first: it has the news, and a change that 2,500
+        nodes fetched from control at once would swamp the control hosts.
+
+        :return: whether anybody answered.
+        """
+        teller, self.teller = self.teller, ''
+        if teller and teller not in self.control_hosts:
+            if await self._fetch(teller, distribution.AskPeer):
+                return True
+        # One control host a turn: while it is away, the next turn comes
+        # soon and asks another one.
+        if self.control_hosts:
+            host = self.rng.choice(self.control_hosts)
             if await self._fetch(host, distribution.Ask):
                 self.tries = 0
-                return
+                return True
         self.tries += 1
         peers = self._peers()
-        if peers:
-            peer = self.rng.choice(peers)
-            if await self._fetch(peer.peer, distribution.AskPeer):
-                self._vouch(peer.host)
+        if not peers:
+            return False
+        peer = self.rng.choice(peers)
+        if not await self._fetch(peer.peer, distribution.AskPeer):
+            return False
+        self._vouch(peer.host)
+        return True
 
     def _peers(self) -> list[interfaces.Member]:
         me = self.members.me
@@ -267,14 +290,27 @@
             self._announce('')
 
     def _announce(self, text: str) -> None:
-        """Tell the time line, the plug-ins and a few peers."""
+        """Tell the time line and the plug-ins, and soon a few peers."""
         version = self.held.version
         self.timeline.record('version-in-force', text, version=str(version))
         if self.registry is not None:
             self.registry.send(plugins.CONFIGURED, routing=self.held)
-        peers = self._peers()
-        for peer in self.rng.sample(peers, min(FANOUT, len(peers))):
-            self.transport.send(peer.peer, distribution.News(version))
+        self.rounds = ROUNDS
+        self.told.set()
+
+    @mode.Service.task
+    async def _tell(self) -> None:
+        """Tell a few peers of each new version, in rounds."""
+        while not self.should_stop:
+            if not self.rounds:
+                self.told.clear()
+                await self.told.wait()
+            self.rounds -= 1
+            news = distribution.News(self.held.version)
+            peers = self._peers()
+            for peer in self.rng.sample(peers, min(FANOUT, len(peers))):
+                self.transport.send(peer.peer, news)
+            await asyncio.sleep(ROUND_S)
 
 
 def make(kernel, members: interfaces.Members) -> Follower:
