--- a/bench/capacity_lines.py
+++ b/bench/capacity_lines.py
@@ -36,8 +36,6 @@
 
 POLL_S = 2.0
 NEWS_FANOUT = 3
-# A change of one row with its header, as it travels.
-CHANGE_BYTES = 250
 NEWS_BYTES = 60
 
 MEASURED = 'measured'
@@ -115,18 +113,19 @@
 
 def _news(measured) -> Line:
     """Each change brings news from peers, one question, one answer."""
-    messages = CHANGES_S * (2 * NEWS_FANOUT + 2)
+    sent = measured['spread.per_change_and_node.messages']
+    messages = CHANGES_S * sent * 2
     cpu = messages * measured['links.cpu_us.by_messages']
     applied = CHANGES_S * measured['table.one_row_change'] * 1e3
-    sent = CHANGES_S * (2 * NEWS_FANOUT * NEWS_BYTES + CHANGE_BYTES)
+    size = measured['spread.per_change_and_node.bytes']
     return Line(
         'changes of configuration',
         messages,
         cpu + applied,
-        sent,
+        CHANGES_S * size * 2,
         0.0,
         'deltas by version; compact table rebuilt by bucket',
-        'links, table',
+        'spread, links, table',
     )
 
 
@@ -183,8 +182,9 @@
     cpu = sum(line.cpu_us_s for line in lines)
     memory = sum(line.memory_mb for line in lines)
     sent = sum(line.bytes_s for line in lines)
-    hops = math.ceil(math.log(NODES, NEWS_FANOUT))
-    spread = POLL_S + hops * 0.01
+    grown = math.log(NODES) / math.log(512)
+    spread = measured['spread.loss0.nodes512.max'] * grown
+    lossy = measured['spread.loss20.nodes512.max'] * grown
     return (
         Bound(
             'control at a node: processor',
@@ -215,8 +215,16 @@
             '%g s' % IN_FORCE_S,
             '%.1f s' % spread,
             _margin(IN_FORCE_S, spread),
-            'news through %d hops of %d peers, polls every %g s beneath'
-            % (hops, NEWS_FANOUT, POLL_S),
-            RECKONED,
+            'news to %d peers in two rounds, polls every %g s beneath'
+            % (NEWS_FANOUT, POLL_S),
+            'spread: the greatest of 512 nodes, grown with log n',
+        ),
+        Bound(
+            'the same with a fifth of messages lost',
+            '%g s' % IN_FORCE_S,
+            '%.1f s' % lossy,
+            _margin(IN_FORCE_S, lossy),
+            'the same; questions given up after 0.5 s and asked elsewhere',
+            'spread: the greatest of 512 nodes, grown with log n',
         ),
     )
