Time line: 8,000 events instead of 20,000

Cause: an event holds 351 bytes, so 20,000 of them took 7.0 MB of the 32 MB that control may use at a node. Conclusion: at one event a second that is still two hours of history.

--- a/bench/capacity_lines.py
+++ b/bench/capacity_lines.py
@@ -7,6 +7,8 @@
 import math
 import typing
 
+from carawaystair import timeline
+
 # The letter.
 
 NODES = 2500
@@ -37,6 +39,7 @@
 POLL_S = 2.0
 NEWS_FANOUT = 3
 NEWS_BYTES = 60
+EVENTS = timeline.DEFAULT_CAPACITY
 
 MEASURED = 'measured'
 RECKONED = 'reckoned'
@@ -139,13 +142,28 @@
     )
 
 
+def _timeline(measured) -> Line:
+    size = measured['timeline.bytes.by_events'] * EVENTS / 1e6
+    return Line(
+        'time line',
+        memory_mb=size,
+        mechanism='a ring of %s events' % '{:,}'.format(EVENTS),
+        basis='timeline',
+    )
+
+
 def node(measured) -> Role:
     """Return what every node pays."""
     text = (
         'Every one of the %s nodes: configuration, membership, directory, '
         'reports.' % '{:,}'.format(NODES)
     )
-    lines = (_table(measured), _polls(measured), _news(measured))
+    lines = (
+        _table(measured),
+        _timeline(measured),
+        _polls(measured),
+        _news(measured),
+    )
     return Role('node', text, lines)
 
 
--- a/carawaystair/timeline.py
+++ b/carawaystair/timeline.py
@@ -13,7 +13,7 @@
 from carawaystair import clock
 
 COUNTER_BITS = 16
-DEFAULT_CAPACITY = 20_000
+DEFAULT_CAPACITY = 8_000
 # A peer whose wall clock runs far ahead must not drag ours along for ever:
 # times further ahead than this are not merged.
 MAX_DRIFT_MS = 60_000
--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -106,6 +106,8 @@
         self.upstreams: dict[str, upstream.Options] = {}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.ended: list[Ended] = []
+        # One record for each start of an upstream.
+        self.records: list[pathlib.Path] = []
         # Ports are picked anew in each run: two runs may stand side by side.
         self.random = random.Random()
         self.taken: set[str] = set()
@@ -175,9 +177,16 @@
             self.address(),
             host,
             announce=self.hosts[host].local,
-            record=str(self.folder / ('%s.runs' % id)),
             **fields,
         )
+        return await self.start_again(options)
+
+    async def start_again(self, options: upstream.Options) -> upstream.Options:
+        """Start a stand-in upstream, perhaps not for the first time."""
+        id = options.id
+        file = self.folder / ('%s-%d.runs' % (id, len(self.records)))
+        self.records.append(file)
+        options = options._replace(record=str(file))
         self.upstreams[id] = options
         words = [
             '--%s=%s' % (name.replace('_', '-'), value)
@@ -257,10 +266,9 @@
 
     def runs(self) -> list[runs.Run]:
         """Return the runs of all upstreams that have ended."""
-        files = (pathlib.Path(o.record) for o in self.upstreams.values())
         return [
             run
-            for file in files
+            for file in self.records
             if file.exists()
             for run in runs.load(file.read_bytes())
         ]
