Make: the demo installs only what it needs

Cause: from a clean clone, make demo took 64.8 s on a busy machine (load 12), 25.6 s of it the demo; the rest was the environment, half of it for tools that only tests use.

--- a/Makefile
+++ b/Makefile
@@ -7,19 +7,26 @@
 RUN = PYTHONPATH=. $(VENV)/bin/python
 WORKERS ?= 4
 
-.PHONY: venv format lint test demo bench soak docs
+.PHONY: venv venv-test format lint test demo bench soak docs
 
 venv: $(VENV)/.installed
 
 $(VENV)/.installed: pyproject.toml
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/python -m pip install -q -e .
+	touch $@
+
+# The demo does without what only tests need.
+venv-test: $(VENV)/.installed-test
+
+$(VENV)/.installed-test: $(VENV)/.installed
 	$(VENV)/bin/python -m pip install -q -e '.[test]'
 	touch $@
 
-format: venv
+format: venv-test
 	$(VENV)/bin/ruff format $(SOURCES)
 
-lint: venv
+lint: venv-test
 	$(VENV)/bin/ruff format --check $(SOURCES)
 	PYTHONPATH=. $(VENV)/bin/python -m flake8 $(SOURCES)
 
