--- a/carawaystair/codes.py
+++ b/carawaystair/codes.py
@@ -573,6 +573,76 @@
     'This change of the control group is not possible now.',
     'See the detail: a learner must catch up before it votes.',
 )
+OUTCOME_UNKNOWN = define(
+    8009,
+    'outcome-unknown',
+    503,
+    'The change was sent to the log, but nobody confirmed it in time.',
+    'It may still be accepted: ask for the answer with the same id.',
+)
+CONTROL_BUSY = define(
+    8010,
+    'control-busy',
+    503,
+    'Too many changes wait for the log.',
+    'Try again later with the same id.',
+)
+DISK_FULL = define(
+    8011,
+    'disk-full',
+    503,
+    'The disk of this control host is full; it has stepped aside.',
+    'Make room, then restart the process.',
+)
+LOG_CORRUPT = define(
+    8012,
+    'log-corrupt',
+    0,
+    'A row of the log that had been synced cannot be read any more.',
+    'Check the disk; see docs/operate/lost-quorum.md.',
+)
+SNAPSHOT_CORRUPT = define(
+    8013,
+    'snapshot-corrupt',
+    0,
+    'A file of the control state fails its checksum.',
+    'Check the disk; see docs/operate/lost-quorum.md.',
+)
+STALE_COPY = define(
+    8014,
+    'stale-copy',
+    0,
+    'This disk holds an older copy of what this host had acknowledged.',
+    'Nothing: the host sets it aside and joins as a learner.',
+)
+LOG_TAIL_CUT = define(
+    8015,
+    'log-tail-cut',
+    0,
+    'The log ended in a write that was never synced; it was cut off.',
+    'Nothing: this follows a crash or a loss of power.',
+)
+IDENTITY_IN_USE = define(
+    8016,
+    'identity-in-use',
+    409,
+    'Another live process holds the name of this control host.',
+    'Give each control host its own name and data folder.',
+)
+FOLDER_IN_USE = define(
+    8017,
+    'folder-in-use',
+    0,
+    'Another process holds the data folder.',
+    'Stop it, or give this process its own folder.',
+)
+SYNC_SLOW = define(
+    8018,
+    'sync-slow',
+    503,
+    'A sync to disk did not end in time; this control host stepped aside.',
+    'Check the disk, then restart the process.',
+)
 TOKEN_REFUSED = define(
     8101,
     'token-refused',
--- /dev/null
+++ b/carawaystair/control/store.py
@@ -0,0 +1,398 @@
+"""What a replica must not forget, in memory and on disk.
+
+Changes are made in memory at once and queued for the disk; nothing may be
+answered before :meth:`Store.flush` says that they are there.  One writer
+takes all that waits and syncs it together (group commit), so that the rate
+of commits is not bound by the time of one sync.
+"""
+
+import asyncio
+import collections
+import errno
+import random
+import typing
+
+from carawaystair import codes
+from carawaystair.control import disk as disks
+from carawaystair.control import files as files_module
+from carawaystair.control import journal as journals
+from carawaystair.control import log as log_module
+from carawaystair.control import recovery
+from carawaystair.control import state_files
+from carawaystair import logs
+
+# A sync that takes longer counts as failed: a leader with such a disk would
+# keep the group from choosing a better one.
+SYNC_LIMIT_S = 10.0
+IDENTITY_BITS = 64
+
+LOG = logs.get('store')
+
+
+class Store:
+    """The durable state of one replica.
+
+    :param name: the host's name.
+    :param files: the folder.
+    :param disk: runs the blocking calls.
+    :param rng: makes identities.
+    :param sync_limit_s: see :data:`SYNC_LIMIT_S`.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        files: files_module.Files,
+        disk: disks.Disk,
+        rng: random.Random,
+        sync_limit_s: float = SYNC_LIMIT_S,
+    ) -> None:
+        self.name = name
+        self.files = files
+        self.disk = disk
+        self.rng = rng
+        self.sync_limit_s = sync_limit_s
+        self.failure: codes.Failure | None = None
+        self.opened = False
+        self.identity = state_files.Identity('', name)
+        self.snapshot: state_files.Snapshot | None = None
+        self.known: dict[str, state_files.Known] = {}
+        self.log = log_module.Log()
+        self.term = 0
+        self.vote = ''
+        self.cut = 0
+        self.journal = journals.Journal(files)
+        self.pending: list[journals.Row] = []
+        self.queued = 0
+        self.durable = 0
+        self.waiters: collections.deque = collections.deque()
+        self.wake = asyncio.Event()
+        self.failed_callbacks: list[typing.Callable] = []
+
+    # Opening
+
+    async def open(self) -> None:
+        """Read the folder; a defect is left in ``failure``."""
+        try:
+            await self.disk.run(self._open)
+        except recovery.Corrupt as error:
+            self.fail(error.failure)
+        except OSError as error:
+            self.fail(failure_of(error))
+        self.opened = True
+
+    def _open(self) -> None:
+        identity = state_files.read(
+            self.files, state_files.IDENTITY, state_files.Identity
+        )
+        if identity is None:
+            if self.files.names():
+                raise state_files.corrupt('the identity is missing')
+            identity = self._new_identity(fresh=True)
+        self.snapshot = state_files.read_snapshot(self.files)
+        self.known = (
+            state_files.read(
+                self.files,
+                state_files.KNOWN,
+                dict[str, state_files.Known],
+            )
+            or {}
+        )
+        recovered = recovery.read(self.files)
+        self.journal = recovered.journal
+        self.cut = recovered.cut
+        self._rebuild(recovered.rows)
+        self.identity = identity._replace(starts=identity.starts + 1)
+        state_files.write(self.files, state_files.IDENTITY, self.identity)
+
+    def _new_identity(self, fresh: bool) -> state_files.Identity:
+        number = self.rng.getrandbits(IDENTITY_BITS)
+        return state_files.Identity('%016x' % number, self.name, fresh)
+
+    def _rebuild(self, rows: typing.Iterable[journals.Row]) -> None:
+        """Make the log out of the rows, and fit the snapshot to it."""
+        self.term = self.journal.hard.term
+        self.vote = self.journal.hard.data.decode()
+        entries: list[log_module.Entry] = []
+        for row in rows:
+            if row.kind == journals.RESET:
+                entries = []
+            if row.kind == journals.ENTRY:
+                entry = log_module.Entry(
+                    row.term, row.index, row.sort, row.data
+                )
+                _replace(entries, entry)
+        if _replaced(entries, self.snapshot):
+            # A snapshot of the leader was synced, but not the row that
+            # empties the log before it.
+            entries = []
+            self._reset_row()
+        self.log = _fit(entries, self.snapshot)
+        if self.snapshot is not None:
+            # The data is read again when it is needed.
+            self.snapshot = self.snapshot._replace(data=b'')
+        newest = max(self.log.last_term, self.term)
+        if newest > self.term:
+            # The snapshot file of a newer term was synced, the row was not.
+            self.put_hard(newest, '')
+
+    async def set_aside(self, why: codes.Failure) -> bool:
+        """Move a disk's content away and begin anew under a new identity.
+
+        :return: whether that could be done.
+        """
+        LOG.error('Set the state aside.', why=why.sentence())
+        try:
+            done = await self.disk.run(self._set_aside)
+        except OSError as error:
+            self.fail(failure_of(error))
+            return False
+        if done:
+            self.failure = None
+        return done
+
+    def _set_aside(self) -> bool:
+        if not state_files.set_aside(self.files):
+            return False
+        self.identity = self._new_identity(fresh=False)
+        state_files.write(self.files, state_files.IDENTITY, self.identity)
+        self.journal = journals.Journal(self.files)
+        self.log = log_module.Log()
+        self.snapshot = None
+        self.term = 0
+        self.vote = ''
+        self.known = {}
+        self.pending = []
+        self.durable = self.queued
+        return True
+
+    # Changing
+
+    def put_hard(self, term: int, vote: str) -> None:
+        """Set term and vote."""
+        self.term = term
+        self.vote = vote
+        self._queue(journals.Row(journals.HARD, term, 0, 0, vote.encode()))
+
+    def put_entry(self, entry: log_module.Entry) -> None:
+        """Add an entry to the log, in place of what was there before."""
+        self.log.append(entry)
+        self._queue(
+            journals.Row(
+                journals.ENTRY,
+                entry.term,
+                entry.index,
+                entry.kind,
+                entry.data,
+            )
+        )
+
+    def _queue(self, row: journals.Row) -> None:
+        self.pending.append(row)
+        self.queued += 1
+
+    async def flush(self) -> bool:
+        """Wait until all changes so far are on disk.
+
+        :return: False when the disk failed: then nothing may be answered.
+        """
+        if self.failure is not None:
+            return False
+        if self.durable >= self.queued:
+            return True
+        future = asyncio.get_running_loop().create_future()
+        self.waiters.append((self.queued, future))
+        self.wake.set()
+        return await future
+
+    async def write(self) -> None:
+        """Write what is queued, for as long as the disk is sound."""
+        while self.failure is None:
+            await self.wake.wait()
+            self.wake.clear()
+            if self.pending:
+                await self._write_batch()
+
+    async def _write_batch(self) -> None:
+        batch, self.pending = self.pending, []
+        target = self.queued
+        if await self._run(self.journal.commit, batch):
+            self.durable = target
+        while self.waiters and self.waiters[0][0] <= self.durable:
+            _settle(self.waiters.popleft()[1], True)
+
+    async def _run(self, function: typing.Callable, *arguments) -> bool:
+        """Run a disk call; a failure ends this store for good."""
+        call = asyncio.ensure_future(self.disk.run(function, *arguments))
+        await asyncio.wait({call}, timeout=self.sync_limit_s)
+        if not call.done():
+            text = 'not done after %g s' % self.sync_limit_s
+            self.fail(codes.Failure(codes.SYNC_SLOW, text))
+            return False
+        error = call.exception()
+        if isinstance(error, OSError):
+            self.fail(failure_of(error))
+            return False
+        if error is not None:
+            raise error
+        return self.failure is None
+
+    def fail(self, failure: codes.Failure) -> None:
+        LOG.error('Storage failed.', why=failure.sentence())
+        self.failure = failure
+        for callback in self.failed_callbacks:
+            callback(failure)
+        while self.waiters:
+            _settle(self.waiters.popleft()[1], False)
+
+    # Snapshots and knowledge
+
+    async def save_snapshot(
+        self, snapshot: state_files.Snapshot, keep: int
+    ) -> bool:
+        """Save a snapshot of this log, then let go of what it covers.
+
+        :param keep: so many entries before it stay, for followers that are
+            a little behind.
+        """
+        if not await self._run(self._save_snapshot, snapshot):
+            return False
+        self.snapshot = snapshot._replace(data=b'')
+        first = max(snapshot.index - keep, self.log.base_index)
+        self.log.compact(first)
+        return await self.drop_covered()
+
+    def _save_snapshot(self, snapshot: state_files.Snapshot) -> None:
+        state_files.write(self.files, state_files.SNAPSHOT, snapshot)
+
+    async def save_foreign(self, snapshot: state_files.Snapshot) -> bool:
+        """Save a snapshot of the leader; ``reset_to`` puts it in force."""
+        return await self._run(self._save_snapshot, snapshot)
+
+    def reset_to(self, snapshot: state_files.Snapshot) -> None:
+        """Let the log go on from a snapshot of the leader.
+
+        Entries after it stay when the log agrees with it: the leader may
+        have counted them.
+        """
+        self.snapshot = snapshot._replace(data=b'')
+        if self.log.term_at(snapshot.index) == snapshot.term:
+            self.log.compact(snapshot.index)
+            return
+        self.log = log_module.Log(
+            snapshot.term, snapshot.index, snapshot.group
+        )
+        self._reset_row()
+
+    async def drop_covered(self) -> bool:
+        """Remove the segments that the snapshot covers whole."""
+        first = self.log.base_index
+        return await self._run(self.journal.drop_before, first)
+
+    def _reset_row(self) -> None:
+        base = self.snapshot
+        self._queue(journals.Row(journals.RESET, base.term, base.index))
+
+    async def load_snapshot(self) -> state_files.Snapshot | None:
+        """Read the snapshot with its data.
+
+        :return: None when there is none, or when the disk failed; then
+            ``failure`` is set.
+        """
+        return await self._read(state_files.read_snapshot)
+
+    async def load_framed(self) -> state_files.Framed | None:
+        """Read the snapshot as it is sent to others, likewise."""
+        return await self._read(state_files.read_framed)
+
+    async def _read(self, function: typing.Callable):
+        try:
+            return await self.disk.run(function, self.files)
+        except recovery.Corrupt as error:
+            self.fail(error.failure)
+        except OSError as error:
+            self.fail(failure_of(error))
+        return None
+
+    def learn(self, identity: str, known: state_files.Known) -> None:
+        """Take note of what another identity promised."""
+        before = self.known.get(identity, state_files.Known())
+        self.known[identity] = before.join(known)
+
+    async def save_known(self) -> bool:
+        """Save what is known of the other identities."""
+        known = dict(self.known)
+        return await self._run(
+            state_files.write, self.files, state_files.KNOWN, known
+        )
+
+    async def belong(self) -> bool:
+        """Note that this disk belongs to a group from now on."""
+        if not self.identity.fresh:
+            return True
+        self.identity = self.identity._replace(fresh=False)
+        return await self._run(
+            state_files.write,
+            self.files,
+            state_files.IDENTITY,
+            self.identity,
+        )
+
+
+def _replace(entries: list, entry: log_module.Entry) -> None:
+    """Add a row's entry in place of the entries that it replaced."""
+    if entries and entry.index <= entries[-1].index:
+        del entries[max(entry.index - entries[0].index, 0) :]
+    if entries and entry.index != entries[-1].index + 1:
+        raise recovery.Corrupt(
+            codes.Failure(
+                codes.LOG_CORRUPT,
+                'entry %d follows entry %d' % (entry.index, entries[-1].index),
+            )
+        )
+    entries.append(entry)
+
+
+def _replaced(entries: list, snapshot: state_files.Snapshot | None) -> bool:
+    """Tell whether a snapshot does not stand on these entries."""
+    if snapshot is None or not entries:
+        return False
+    before = entries[0].index - 1
+    terms = {entry.index: entry.term for entry in entries}
+    return before < snapshot.index and (
+        terms.get(snapshot.index) != snapshot.term
+    )
+
+
+def _fit(
+    entries: list, snapshot: state_files.Snapshot | None
+) -> log_module.Log:
+    """Return the log of the entries, with the snapshot below it."""
+    first = entries[0].index if entries else None
+    if snapshot is None:
+        if entries and first != 1:
+            raise state_files.corrupt('the snapshot is missing')
+        log = log_module.Log()
+    elif first is None or first == snapshot.index + 1:
+        log = log_module.Log(snapshot.term, snapshot.index, snapshot.group)
+    elif first > snapshot.index:
+        raise state_files.corrupt('the snapshot is older than the log')
+    else:
+        # The term of the entry before the first one is not known any more.
+        base = entries.pop(0)
+        log = log_module.Log(base.term, base.index, snapshot.group)
+    for entry in entries:
+        log.append(entry)
+    return log
+
+
+def _settle(future: asyncio.Future, value: bool) -> None:
+    if not future.done():
+        future.set_result(value)
+
+
+def failure_of(error: OSError) -> codes.Failure:
+    """Return the numbered failure for an error of the disk."""
+    full = error.errno in (errno.ENOSPC, errno.EDQUOT)
+    code = codes.DISK_FULL if full else codes.STORAGE_FAILED
+    return codes.Failure(code, str(error))
