--- a/carawaystair/codes.py
+++ b/carawaystair/codes.py
@@ -172,6 +172,14 @@
     'Run "carawaystair codes" to see them all.',
 )
 
+OUTPUT_FAILED = define(
+    1030,
+    'output-failed',
+    0,
+    'A file asked for on the command line cannot be written.',
+    'Check the path and its permissions.',
+)
+
 # 2: manifest
 
 MANIFEST_MALFORMED = define(
--- a/carawaystair/report.py
+++ b/carawaystair/report.py
@@ -174,15 +174,9 @@
 
 
 def _event_line(event: timeline.Event) -> str:
-    seconds, ms = divmod(timeline.wall_ms(event.time), 1000)
-    minutes, second = divmod(seconds, 60)
-    hours, minute = divmod(minutes, 60)
     words = (event.kind, event.service, event.upstream, event.version)
-    return '  %02d:%02d:%02d.%03d %s %s' % (
-        hours % 24,
-        minute,
-        second,
-        ms,
+    return '  %s %s %s' % (
+        timeline.clock_text(event.time),
         ' '.join(filter(None, words)),
         event.text,
     )
--- a/carawaystair/timeline.py
+++ b/carawaystair/timeline.py
@@ -108,6 +108,14 @@
     return time >> COUNTER_BITS
 
 
+def clock_text(time: int) -> str:
+    """Return a hybrid time as a person reads it, ``HH:MM:SS.mmm`` in UTC."""
+    seconds, ms = divmod(wall_ms(time), 1000)
+    minutes, second = divmod(seconds, 60)
+    hours, minute = divmod(minutes, 60)
+    return '%02d:%02d:%02d.%03d' % (hours % 24, minute, second, ms)
+
+
 def merge(*rings: typing.Iterable[Event]) -> list[Event]:
     """Merge the events of several processes in causal order."""
     return sorted(itertools.chain(*rings), key=lambda e: (e.time, e.host))
--- a/carawaystairplug/commands_node.py
+++ b/carawaystairplug/commands_node.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import itertools
+import pathlib
 import time
 import typing
 
@@ -16,6 +17,7 @@
 from carawaystair.ui import client
 from carawaystair.ui import command
 from carawaystair.ui import output
+from carawaystair.ui import timelinepage
 
 PAGE = 1000
 FOLLOW_S = 1.0
@@ -112,6 +114,11 @@
         help='only events after this hybrid time',
     )
     made.add('--follow', action='store_true', help='go on until interrupted')
+    made.add(
+        '--html',
+        metavar='FILE',
+        help='write them as one page for a browser instead',
+    )
     made.add(
         '--api',
         metavar='URL',
@@ -128,6 +135,8 @@
     if sources.is_error():
         return api.refused(sources.error)
     marks = [options.since] * len(sources.ok)
+    if options.html:
+        return _write_page(options, sources.ok, marks)
     while True:
         exit_code = _print_new(options, sources.ok, marks)
         if not options.follow:
@@ -150,6 +159,41 @@
     marks: list[int],
 ) -> int:
     """Print what is newer than ``marks`` and move the marks on."""
+    exit_code, events = _new(options, sources, marks)
+    for event in events:
+        _print_event(options, event)
+    return exit_code
+
+
+def _write_page(
+    options: argparse.Namespace,
+    sources: list[client.Client],
+    marks: list[int],
+) -> int:
+    """Write all events as one page."""
+    exit_code, events = _new(options, sources, marks)
+    try:
+        pathlib.Path(options.html).write_text(timelinepage.page(events))
+    except OSError as error:
+        failure = codes.Failure(codes.OUTPUT_FAILED, str(error))
+        return api.refused(client.Refusal(failure))
+    print('%d events are in %s' % (len(events), options.html))
+    return exit_code
+
+
+class _News(typing.NamedTuple):
+    """Events that were not read before."""
+
+    exit_code: int
+    events: list[timelines.Event]
+
+
+def _new(
+    options: argparse.Namespace,
+    sources: list[client.Client],
+    marks: list[int],
+) -> _News:
+    """Read what is newer than ``marks`` and move the marks on."""
     exit_code = command.EXIT_OK
     rings = []
     for index, source in enumerate(sources):
@@ -159,10 +203,8 @@
         marks[index] = max([marks[index], *(e.time for e in read.events)])
         rings.append(read.events)
     # A process that holds both roles answers at both of its addresses.
-    for event in dict.fromkeys(timelines.merge(*rings)):
-        if _wanted(options, event):
-            _print_event(options, event)
-    return exit_code
+    merged = dict.fromkeys(timelines.merge(*rings))
+    return _News(exit_code, [e for e in merged if _wanted(options, e)])
 
 
 class _Read(typing.NamedTuple):
@@ -208,15 +250,13 @@
 
 def line(event: timelines.Event) -> str:
     """Return one event as a line for a person."""
-    wall = timelines.wall_ms(event.time)
-    clock = time.strftime('%H:%M:%S', time.gmtime(wall / 1000))
     named = [
         '%s=%s' % (name, getattr(event, name))
         for name in ('service', 'upstream', 'request', 'version')
         if getattr(event, name)
     ]
     words = [
-        '%s.%03d' % (clock, wall % 1000),
+        timelines.clock_text(event.time),
         event.host.ljust(12),
         event.kind.ljust(20),
         *named,
