Request path: own ends of both connections over the parsers of aiohttp

Change: Wire (to upstreams) and Connection (from callers) sit on the HTTP parsers of aiohttp: one task a connection, one timer a connection instead of one a wait, no request object, no session. Headers pass as raw bytes; the latency histogram is filled in batches. A head that trickles in has a bound.

--- a/carawaystair/request/attempt.py
+++ b/carawaystair/request/attempt.py
@@ -19,11 +19,6 @@
 # Bodies up to this length are held until whole, so that another attempt
 # can take the place of one that breaks; longer ones are streamed.
 HOLD_BYTES = 128 * 1024
-# Bounds of an upstream's answer head.
-MAX_LINE_BYTES = 16 * 1024
-MAX_HEADERS = 128
-READ_BYTES = 64 * 1024
-
 BROKEN = (aiohttp.ClientError, ConnectionError, OSError)
 
 
@@ -120,21 +115,14 @@
                 interfaces.CANCELLED, codes.UPSTREAM_REFUSED, False, 'leaving'
             )
         proto = self.connection.proto
-        proto.set_response_params(
-            skip_payload=call.method == 'HEAD',
-            auto_decompress=False,
-            read_bufsize=READ_BYTES,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
-            max_headers=MAX_HEADERS,
-        )
+        proto.expect(call.method == 'HEAD')
         head = b'%b%bCaraway-Request-Id: %b\r\nCaraway-Deadline-Ms: %d\r\n' % (
             call.head,
             self.extra,
             call.id.encode(),
             left_ms,
         )
-        if not proto.is_connected():
+        if not proto.open:
             raise answers.Failed(
                 interfaces.CANCELLED, codes.CONNECT_FAILED, False, 'ended'
             )
@@ -150,17 +138,24 @@
 
     # The answer
 
-    async def answer(self) -> answers.Answer:
+    async def answer(self, until: float) -> answers.Answer:
         """Return the answer, whole or, when it is long, its beginning.
 
         May be cancelled and called again: it goes on where it was.
 
+        :param until: monotonic time at which to stop waiting.
         :raises answers.Failed: when there is none.
+        :raises TimeoutError: when it is not here by then.
         """
         try:
             if self.message is None:
-                await self._head()
-            return await self._body()
+                await self._head(until)
+            if self.payload.is_eof():
+                return await self._body()
+            async with asyncio.timeout_at(until):
+                return await self._body()
+        except TimeoutError:
+            raise
         except http_exceptions.HttpProcessingError as error:
             raise self._failure(codes.ANSWER_MALFORMED, error) from None
         except BROKEN as error:
@@ -175,14 +170,14 @@
             )
         return answers.Failed(interfaces.BROKEN, code, True, str(error))
 
-    async def _head(self) -> None:
+    async def _head(self, until: float) -> None:
         proto = self.connection.proto
-        message, payload = await proto.read()
+        message, payload = await proto.head(until)
         while message.code < 200:
             if message.code == 101:
                 # Nobody asked for another protocol.
                 raise self._failure(codes.ANSWER_MALFORMED, 'unasked 101')
-            message, payload = await proto.read()
+            message, payload = await proto.head(until)
         named = message.headers.get(headers.REQUEST_ID)
         if named is not None and named != self.call.id:
             # The upstream mixed up its answers, or answers late to a request
@@ -219,8 +214,8 @@
         invariants.check(
             invariants.OWN_ANSWER, owner is self, 'connection shared'
         )
-        connection = None
-        if 'Connection' in message.headers:
+        connection = message.headers.get('Connection')
+        if connection is not None:
             connection = ','.join(message.headers.getall('Connection'))
         return answers.Answer(
             message.code,
--- a/carawaystair/request/body.py
+++ b/carawaystair/request/body.py
@@ -5,12 +5,12 @@
 
 from aiohttp import http
 from aiohttp import streams
-from aiohttp import web
-from aiohttp import web_protocol
 
 from carawaystair import codes
 from carawaystair.request import call as calls
 from carawaystair.request import caller
+from carawaystair.request import errors
+from carawaystair.request import incoming
 
 # Bodies up to this length are held before anything is sent: a slow caller
 # then takes up no upstream, and the request can be tried again.
@@ -21,11 +21,7 @@
 # Methods that get no Content-Length: 0 when there is no body.
 BODILESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
-MALFORMED = (
-    web_protocol.RequestPayloadError,
-    http.HttpProcessingError,
-    ConnectionError,
-)
+MALFORMED = (errors.BodyError, ConnectionError)
 
 
 class Begun(typing.NamedTuple):
@@ -75,7 +71,7 @@
         self.bytes -= len(body)
 
 
-def declared(request: web.BaseRequest) -> int | None:
+def declared(request: incoming.Request) -> int | None:
     """Return the length of a request's body, None when it is in chunks."""
     length = request.headers.get('Content-Length')
     if length is not None:
@@ -89,7 +85,7 @@
         raise caller.Refused(codes.BODY_TOO_LARGE, '%d bytes' % length)
 
 
-def expectation(request: web.BaseRequest) -> bool:
+def expectation(request: incoming.Request) -> bool:
     """Tell whether the caller waits for ``100 Continue``."""
     value = request.headers.get('Expect')
     if value is None:
--- a/carawaystair/request/caller.py
+++ b/carawaystair/request/caller.py
@@ -3,12 +3,12 @@
 import re
 import typing
 
-from aiohttp import web
 
 from carawaystair import codes
 from carawaystair import manifest
 from carawaystair.request import call as calls
 from carawaystair.request import headers
+from carawaystair.request import incoming
 from carawaystair import routing as routings
 
 NON_IDEMPOTENT = frozenset(('POST', 'PATCH'))
@@ -58,7 +58,7 @@
     authority: str = ''
 
 
-def target(request: web.BaseRequest) -> Target:
+def target(request: incoming.Request) -> Target:
     """Return where a request goes; raises :class:`Refused`."""
     path = request.raw_path
     host = request.headers.get('Host', '')
@@ -87,7 +87,7 @@
 
 
 def read(
-    request: web.BaseRequest,
+    request: incoming.Request,
     place: Target,
     match: routings.Match,
     known: typing.Callable[[str], typing.Any],
@@ -129,37 +129,33 @@
 
 
 def head(
-    request: web.BaseRequest, place: Target, customer: str, host: str
+    request: incoming.Request, place: Target, customer: str, host: str
 ) -> bytes:
     """Return the request line and headers that go upstream."""
     given = request.headers
-    connection = None
-    if 'Connection' in given:
+    connection = given.get('Connection')
+    if connection is not None:
         connection = ','.join(given.getall('Connection'))
     raw = request.raw_headers
     if place.authority:
         raw = [pair for pair in raw if pair[0].lower() != b'host']
-    first = '%s %s HTTP/1.1\r\nVia: 1.1 %s\r\n' % (
+    first = '%s %s HTTP/1.1\r\nVia: 1.1 %s\r\n%s%s' % (
         request.method,
         place.path,
         host,
+        'Caraway-Customer: %s\r\n' % customer if customer else '',
+        'Host: %s\r\n' % place.authority if place.authority else '',
     )
-    if customer:
-        first += '%s: %s\r\n' % (headers.CUSTOMER, customer)
-    if place.authority or 'Host' not in given:
-        first += 'Host: %s\r\n' % place.authority
     sent = first.encode('utf-8', 'surrogateescape')
     return sent + headers.lines(raw, connection)
 
 
 def _single(given, name: str, code: codes.Code) -> str | None:
     """Return a header that must not be repeated."""
-    if name not in given:
-        return None
-    values = given.getall(name)
-    if len(values) > 1:
+    value = given.get(name)
+    if value is not None and len(given.getall(name)) > 1:
         raise Refused(code, 'repeated')
-    return values[0]
+    return value
 
 
 def _customer(given) -> str:
--- a/carawaystair/request/connections.py
+++ b/carawaystair/request/connections.py
@@ -9,9 +9,8 @@
 import functools
 import typing
 
-from aiohttp import client_proto
-
 from carawaystair.request import target as targets
+from carawaystair.request import wire
 
 # Opening a connection takes about a network round trip; a host that does not
 # answer by then is treated as down.
@@ -29,7 +28,7 @@
 class Connection:
     """One connection to an upstream.
 
-    :param proto: aiohttp's parser and transport.
+    :param proto: its parser and transport.
     :param target: the upstream.
     :param now: monotonic time.
     """
@@ -38,7 +37,7 @@
 
     def __init__(
         self,
-        proto: client_proto.ResponseHandler,
+        proto: wire.Wire,
         target: targets.Target,
         now: float,
     ) -> None:
@@ -50,11 +49,6 @@
         # The attempt whose answer comes next, None while idle.
         self.owner: typing.Any = None
 
-    def sound(self) -> bool:
-        """Tell whether the next answer on it can only be to what we send."""
-        proto = self.proto
-        return proto.is_connected() and not proto.should_close
-
 
 def take(
     target: targets.Target, max_idle_s: float, now: float
@@ -69,7 +63,7 @@
         return None
     while idle and now - idle[-1].used <= max_idle_s:
         connection = idle.pop()
-        if connection.sound() and connection.opened >= target.renewed:
+        if connection.proto.sound and connection.opened >= target.renewed:
             return connection
         connection.proto.abort()
     return None
@@ -84,7 +78,7 @@
     """
     loop = asyncio.get_running_loop()
     ip, _colon, port = target.upstream.address.rpartition(':')
-    factory = functools.partial(client_proto.ResponseHandler, loop)
+    factory = functools.partial(wire.Wire, loop)
     async with asyncio.timeout_at(min(until, loop.time() + CONNECT_S)):
         _transport, proto = await loop.create_connection(
             factory, ip.strip('[]'), int(port)
@@ -98,11 +92,13 @@
     connection.owner = None
     connection.used = now
     connection.uses += 1
-    keep = connection.sound() and connection.opened >= target.renewed
+    proto = connection.proto
+    proto.busy = False
+    keep = proto.sound and connection.opened >= target.renewed
     if keep and len(target.idle) < MAX_IDLE:
         target.idle.append(connection)
     else:
-        connection.proto.close()
+        proto.abort()
 
 
 def sweep(target: targets.Target, now: float) -> None:
@@ -112,17 +108,17 @@
         for connection in target.idle
         if now - connection.used < IDLE_S
         and connection.opened >= target.renewed
-        and connection.sound()
+        and connection.proto.sound
     ]
     for connection in set(target.idle).difference(kept):
-        connection.proto.close()
+        connection.proto.abort()
     target.idle[:] = kept
 
 
 def close_idle(target: targets.Target) -> None:
     """Close all idle connections of an upstream."""
     for connection in target.idle:
-        connection.proto.close()
+        connection.proto.abort()
     target.idle.clear()
 
 
--- a/carawaystair/request/exchange.py
+++ b/carawaystair/request/exchange.py
@@ -1,39 +1,25 @@
 """What goes back to the caller of one request, written exactly once."""
 
 import asyncio
+import functools
 import http
 import typing
 
-from aiohttp import web
 import msgspec
 
 from carawaystair import codes
 from carawaystair import invariants
 from carawaystair.request import answer as answers
 from carawaystair.request import headers
+from carawaystair.request import incoming
 
 # A caller that takes no bytes for so long has gone, seconds.
 CALLER_STALL_S = 30.0
+LONGEST_PHRASE = 64
+CLOSE = b'\r\nConnection: close\r\n\r\n'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
-class Written(typing.NamedTuple):
-    """Tells aiohttp that the answer is written already.
-
-    aiohttp's connection asks just these three things of a response.
-
-    :param keep_alive: whether the connection may carry another request.
-    """
-
-    keep_alive: bool
-
-    async def prepare(self, request: web.BaseRequest) -> None:
-        """Write nothing."""
-
-    async def write_eof(self) -> None:
-        """Write nothing."""
-
-
 class Problem(typing.NamedTuple):
     """The JSON body of an answer that is this node's own."""
 
@@ -47,13 +33,13 @@
 class Exchange:
     """One request and the one answer that it gets.
 
-    :param request: as aiohttp read it.
+    :param request: the request.
     :param id: the request's id.
     """
 
     __slots__ = ('id', 'keep_alive', 'outcome', 'request')
 
-    def __init__(self, request: web.BaseRequest, id: str) -> None:
+    def __init__(self, request: incoming.Request, id: str) -> None:
         self.request = request
         self.id = id
         self.keep_alive = request.keep_alive
@@ -96,18 +82,12 @@
         retry_after_s: float = 1.0,
     ) -> None:
         """Write an answer of this node's own."""
-        problem = Problem(code.label, code.name, code.text, detail, self.id)
-        body = msgspec.json.encode(problem._asdict())
-        extra = [(b'Content-Type', b'application/json')]
-        if code.status in (429, 503) or code is codes.KEY_RUNNING:
-            extra.append((b'Retry-After', b'%d' % max(retry_after_s, 1)))
-        answer = answers.Answer(
-            code.status, phrase(code.status), extra, None, body
+        answer = own(code, detail, self.id, retry_after_s)
+        framing = b'Content-Length: %d\r\n' % len(answer.body)
+        head = self.head(answer, outcome, code, framing)
+        self.write(
+            head + (b'' if self.request.method == 'HEAD' else answer.body)
         )
-        framing = b'Content-Length: %d\r\n' % len(body)
-        if self.request.method == 'HEAD':
-            body = b''
-        self.write(self.head(answer, outcome, code, framing) + body)
 
     def head(
         self,
@@ -122,31 +102,20 @@
         if not self.request.content.is_eof():
             # What is left of its body must not be read as a request.
             self.keep_alive = False
-        own = (
-            '%s: %s\r\n%s: %s\r\n%s: %s\r\n%s\r\n'
-            % (
-                headers.OUTCOME,
-                outcome,
-                headers.CODE,
-                code.label,
-                headers.REQUEST_ID,
-                self.id,
-                '' if self.keep_alive else 'Connection: close\r\n',
-            )
-        ).encode()
-        first = 'HTTP/1.1 %d %s\r\n' % (answer.status, answer.reason)
         return b''.join(
             (
-                first.encode('utf-8', 'surrogateescape'),
+                first_line(answer.status, answer.reason),
                 headers.lines(answer.headers, answer.connection),
                 framing,
-                own,
+                told(outcome, code),
+                self.id.encode(),
+                b'\r\n\r\n' if self.keep_alive else CLOSE,
             )
         )
 
     def write(self, data: bytes) -> None:
         """Write to the caller; raises ``ConnectionError`` when it is gone."""
-        transport = self.request.transport
+        transport = self.request.connection.transport
         if transport is None or transport.is_closing():
             raise ConnectionResetError('the caller has gone')
         transport.write(data)
@@ -157,7 +126,7 @@
 
     def cut(self) -> None:
         """Break the caller's connection, so that it sees a broken answer."""
-        transport = self.request.transport
+        transport = self.request.connection.transport
         if transport is not None:
             transport.abort()
 
@@ -166,7 +135,7 @@
 
         :raises ConnectionError: when it takes nothing for long, too.
         """
-        if not self.request.protocol.writing_paused:
+        if not self.request.connection.writing_paused:
             return
         try:
             async with asyncio.timeout(CALLER_STALL_S):
@@ -176,10 +145,54 @@
             raise ConnectionAbortedError('the caller stalls') from None
 
 
+@functools.lru_cache(256)
+def first_line(status: int, reason: str) -> bytes:
+    """Return the first line of an answer."""
+    line = 'HTTP/1.1 %d %s\r\n' % (status, reason[:LONGEST_PHRASE])
+    return line.encode('utf-8', 'surrogateescape')
+
+
+@functools.lru_cache(256)
+def told(outcome: str, code: codes.Code) -> bytes:
+    """Return the headers that tell what came of a request."""
+    lines = '%s: %s\r\n%s: %s\r\n%s: ' % (
+        headers.OUTCOME,
+        outcome,
+        headers.CODE,
+        code.label,
+        headers.REQUEST_ID,
+    )
+    return lines.encode()
+
+
+def own(
+    code: codes.Code, detail: str, id: str, retry_after_s: float
+) -> answers.Answer:
+    """Return an answer of this node's own."""
+    problem = Problem(code.label, code.name, code.text, detail, id)
+    body = msgspec.json.encode(problem._asdict())
+    extra = [(b'Content-Type', b'application/json')]
+    if code.status in (429, 503) or code is codes.KEY_RUNNING:
+        extra.append((b'Retry-After', b'%d' % max(retry_after_s, 1)))
+    return answers.Answer(code.status, phrase(code.status), extra, None, body)
+
+
+def problem(code: codes.Code, outcome: str, detail: str, id: str) -> bytes:
+    """Return the last answer of a connection, about no request."""
+    answer = own(code, detail, id, 1.0)
+    return b''.join(
+        (
+            first_line(answer.status, answer.reason),
+            headers.lines(answer.headers, None),
+            b'Content-Length: %d\r\n' % len(answer.body),
+            told(outcome, code),
+            id.encode(),
+            CLOSE,
+            answer.body,
+        )
+    )
+
+
 def phrase(status: int) -> str:
     """Return the phrase that goes with a status."""
     return http.HTTPStatus(status).phrase
-
-
-DONE = Written(True)
-LAST = Written(False)
--- a/carawaystair/request/handler.py
+++ b/carawaystair/request/handler.py
@@ -3,7 +3,6 @@
 import itertools
 import typing
 
-from aiohttp import web
 
 from carawaystair import clock
 from carawaystair import codes
@@ -14,6 +13,7 @@
 from carawaystair.request import call as calls
 from carawaystair.request import caller
 from carawaystair.request import exchange as exchanges
+from carawaystair.request import incoming
 from carawaystair.request import keyed as keyeds
 from carawaystair.request import meters as meters_module
 from carawaystair.request import sender as senders
@@ -60,8 +60,8 @@
         # While the node stops: the time by which everything must be over.
         self.ends: float | None = None
 
-    async def handle(self, request: web.BaseRequest) -> exchanges.Written:
-        """Answer one request."""
+    async def handle(self, request: incoming.Request) -> bool:
+        """Answer one request; return whether another may follow."""
         name = '%s-%x' % (self.prefix, next(self.numbers))
         exchange = exchanges.Exchange(request, name)
         if self.ends is not None:
@@ -87,10 +87,10 @@
             self._defect(exchange, error)
         finally:
             self.active -= 1
-        return exchanges.DONE if exchange.keep_alive else exchanges.LAST
+        return exchange.keep_alive
 
     async def _answer(
-        self, request: web.BaseRequest, exchange: exchanges.Exchange
+        self, request: incoming.Request, exchange: exchanges.Exchange
     ) -> None:
         routing = self.routing()
         if routing is None or routing.version == rows.NONE:
@@ -127,7 +127,7 @@
 
     async def _take_body(
         self,
-        request: web.BaseRequest,
+        request: incoming.Request,
         call: calls.Call,
         exchange: exchanges.Exchange,
         length: int | None,
--- a/carawaystair/request/headers.py
+++ b/carawaystair/request/headers.py
@@ -4,7 +4,6 @@
 and encoded again on the path of a good request.
 """
 
-import functools
 import typing
 
 CUSTOMER = 'Caraway-Customer'
@@ -35,14 +34,13 @@
 PERSISTENCE = frozenset((b'close', b'keep-alive'))
 # Longer names are not remembered: a caller could fill memory with them.
 LONGEST_REMEMBERED = 48
+MOST_REMEMBERED = 1024
 
 Raw = typing.Sequence[tuple[bytes, bytes]]
 
 
-@functools.lru_cache(1024)
-def _travels(name: bytes) -> bool:
-    lower = name.lower()
-    return lower not in REFRAMED and not lower.startswith(OWN)
+# What was found out about names, so that each is looked at once.
+_TRAVELS: dict[bytes, bool] = {}
 
 
 def travels(name: bytes) -> bool:
@@ -50,9 +48,11 @@
 
     The fleet's own headers do not: nobody outside may speak for it.
     """
-    if len(name) > LONGEST_REMEMBERED:
-        return _travels.__wrapped__(name)
-    return _travels(name)
+    lower = name.lower()
+    found = lower not in REFRAMED and not lower.startswith(OWN)
+    if len(name) <= LONGEST_REMEMBERED and len(_TRAVELS) < MOST_REMEMBERED:
+        _TRAVELS[name] = found
+    return found
 
 
 def named(connection: str) -> frozenset[bytes]:
@@ -67,10 +67,18 @@
     :param raw: names and values as they arrived.
     :param connection: all values of ``Connection``, joined by commas.
     """
-    dropped = named(connection) if connection else None
-    if dropped:
+    if connection:
+        dropped = named(connection)
         raw = [pair for pair in raw if pair[0].lower() not in dropped]
-    return b''.join([b'%b: %b\r\n' % pair for pair in raw if travels(pair[0])])
+    known = _TRAVELS
+    kept = []
+    for pair in raw:
+        goes = known.get(pair[0])
+        if goes is None:
+            goes = travels(pair[0])
+        if goes:
+            kept.append(b'%b: %b\r\n' % pair)
+    return b''.join(kept)
 
 
 def value(raw: Raw, wanted: bytes) -> bytes | None:
--- a/carawaystair/request/meters.py
+++ b/carawaystair/request/meters.py
@@ -11,6 +11,9 @@
 # Events about failed requests in any second at most: when everything fails,
 # the time line must still hold what led to it.
 EVENTS_PER_S = 10
+# Latencies are counted by steps of 10 us until somebody asks for them.
+TICKS_PER_S = 100_000
+MOST_RECENT = 4096
 
 
 class Meters:
@@ -23,14 +26,20 @@
         self.timeline = timeline
         self.told: collections.Counter = collections.Counter()
         self.latency = metrics.latency()
+        self.completed = 0
+        # Latencies that are not in the histogram yet, which takes them
+        # several at a time: one at a time would cost a tenth of a request.
+        self.recent: collections.Counter = collections.Counter()
         self.second = 0
         self.events = 0
         self.unsaid = 0
 
     def complete(self, latency_s: float) -> None:
         """Count a request that was answered whole."""
-        self.told[codes.COMPLETE, codes.OK.label] += 1
-        self.latency.record_value(int(latency_s * 1e6) or 1)
+        self.completed += 1
+        self.recent[int(latency_s * TICKS_PER_S)] += 1
+        if len(self.recent) > MOST_RECENT:
+            self._fold()
 
     def failed(
         self, outcome: str, code: codes.Code, request: str, detail: str
@@ -53,8 +62,17 @@
         self.told['cut', codes.ANSWER_LOST.label] += 1
         self.timeline.record('answer-cut', text, request=request)
 
+    def _fold(self) -> None:
+        """Move the recent latencies into the histogram."""
+        for ticks, count in self.recent.items():
+            micros = int((ticks + 0.5) * 1e6 / TICKS_PER_S)
+            self.latency.record_value(micros, count)
+        self.recent.clear()
+
     def samples(self) -> typing.Iterator[metrics.Sample]:
         """Yield the samples of the metrics."""
+        self._fold()
+        self.told[codes.COMPLETE, codes.OK.label] = self.completed
         for (outcome, code), count in self.told.items():
             labels = (('outcome', outcome), ('code', code))
             yield metrics.Sample('requests_total', count, labels)
--- a/carawaystair/request/race.py
+++ b/carawaystair/request/race.py
@@ -23,6 +23,8 @@
 # So many losing attempts at one upstream run on to show how it does; more
 # would keep its slots busy for nothing.
 MAX_LINGERING = 2
+# The race itself watches the time; attempts stop a little later.
+LATE_S = 1.0
 
 
 class Race:
@@ -32,6 +34,7 @@
     :param call: the request.
     :param slot: the admission's slot of the request.
     :param budget: pays for further attempts.
+    :param first: the upstream of the first attempt, when it was made.
     """
 
     def __init__(
@@ -40,13 +43,14 @@
         call: calls.Call,
         slot: slots.Slot,
         budget: budgets.Budget,
+        first: targets.Target | None = None,
     ) -> None:
         self.sender = sender
         self.call = call
         self.slot = slot
         self.budget = budget
         self.running: dict[asyncio.Task, attempts.Attempt] = {}
-        self.tried: list[str] = []
+        self.tried = [first.upstream.id] if first is not None else []
         self.hedged = False
         # What the caller gets when no attempt does better.
         self.failed: answers.Failed | None = None
@@ -61,7 +65,7 @@
         now = clock.now()
         attempt.target.observe(now - attempt.started, now)
         silence.watch(attempt, now)
-        self._run(attempt, attempt.answer())
+        self._run(attempt, attempt.answer(self.call.deadline + LATE_S))
 
     def lost(self, failed: answers.Failed) -> None:
         """Take note of an attempt that failed."""
@@ -89,7 +93,7 @@
 
     async def _send(self, attempt: attempts.Attempt) -> answers.Answer:
         await self.sender.put(attempt)
-        return await attempt.answer()
+        return await attempt.answer(self.call.deadline + LATE_S)
 
     def _another(self, kept: float) -> bool:
         """Launch an attempt at another upstream, if one may be made.
--- a/carawaystair/request/sender.py
+++ b/carawaystair/request/sender.py
@@ -77,14 +77,13 @@
             )
         if not call.idempotent or call.body is None:
             return await self._once(call, target, slot, budget)
-        race = races.Race(self, call, slot, budget)
         trial = self._trial(call, target, budget)
-        if trial is not None:
-            race.launch(target)
-            race.launch(trial, fresh=True)
-            return await race.run()
-        answer = await self._first(race, target)
-        return await race.run() if answer is None else answer
+        if trial is None:
+            return await self._first(call, target, slot, budget)
+        race = races.Race(self, call, slot, budget)
+        race.launch(target)
+        race.launch(trial, fresh=True)
+        return await race.run()
 
     # Ways to send
 
@@ -126,8 +125,7 @@
         """Make one attempt with all the time that the request has."""
         try:
             await self.put(attempt)
-            async with asyncio.timeout_at(attempt.call.deadline):
-                answer = await attempt.answer()
+            answer = await attempt.answer(attempt.call.deadline)
         except TimeoutError:
             raise self.late(attempt, slot) from None
         except answers.Failed as failed:
@@ -141,35 +139,38 @@
         return answer
 
     async def _first(
-        self, race: races.Race, target: targets.Target
-    ) -> answers.Answer | None:
-        """Make the first attempt of a request that may run twice.
+        self,
+        call: calls.Call,
+        target: targets.Target,
+        slot: slots.Slot,
+        budget: budgets.Budget,
+    ) -> answers.Answer:
+        """Send a request that may run twice.
 
-        :return: None when the race is to go on: the answer is late, there
-            is none, or it is an error that another upstream may not make.
+        A race begins only when the first answer is late, there is none, or
+        it is an error that another upstream may not make.
         """
-        call = race.call
         attempt = self.start(call, target)
-        race.tried.append(target.upstream.id)
         try:
             await self.put(attempt)
-            async with asyncio.timeout_at(self.hedge_at(call)):
-                answer = await attempt.answer()
+            answer = await attempt.answer(self.hedge_at(call))
         except TimeoutError:
+            race = races.Race(self, call, slot, budget, target)
             race.overdue(attempt)
-            return None
         except answers.Failed as failed:
             self.fail(attempt, failed)
+            race = races.Race(self, call, slot, budget, target)
             race.lost(failed)
-            return None
         except BaseException:
-            self.abandon(attempt, interfaces.CANCELLED, race.slot)
+            self.abandon(attempt, interfaces.CANCELLED, slot)
             raise
-        self.complete(attempt, answer)
-        if answer.status < 500 or answer.rest is not None:
-            return answer
-        race.spoilt(answer)
-        return None
+        else:
+            self.complete(attempt, answer)
+            if answer.status < 500 or answer.rest is not None:
+                return answer
+            race = races.Race(self, call, slot, budget, target)
+            race.spoilt(answer)
+        return await race.run()
 
     def _trial(
         self,
--- a/carawaystair/request/service.py
+++ b/carawaystair/request/service.py
@@ -11,7 +11,7 @@
 from carawaystair.request import choosing
 from carawaystair.request import connections
 from carawaystair.request import handler as handlers
-from carawaystair.request import listener
+from carawaystair.request import listener as listeners
 from carawaystair.request import meters
 from carawaystair.request import sender as senders
 from carawaystair import routing as routings
@@ -47,8 +47,7 @@
         self.chooser: choosing.Chooser | None = None
         self.sender: senders.Sender | None = None
         self.handler: handlers.Handler | None = None
-        self.server: listener.Server | None = None
-        self.socket: asyncio.Server | None = None
+        self.listener: listeners.Listener | None = None
 
     async def on_start(self) -> None:
         """Listen for callers."""
@@ -77,24 +76,24 @@
             self.sender,
             counts,
         )
-        self.server = listener.Server(self.handler.handle)
-        self.socket = await listener.listen(self.server, settings.node.listen)
+        self.listener = listeners.Listener(self.handler.handle)
+        await self.listener.listen(settings.node.listen)
 
     async def on_stop(self) -> None:
         """Take no new work, finish what is in flight, then close."""
-        if self.socket is None:
+        if self.listener is None:
             return
         now = clock.now()
         handler = self.handler
         handler.ends = now + self.kernel.settings.node.drain_s
-        self.socket.close()
+        self.listener.close()
         grace = min(now + IDLE_GRACE_S, handler.ends)
         while clock.now() < handler.ends:
             if not handler.active and clock.now() >= grace:
                 break
             await asyncio.sleep(STOP_POLL_S)
-        self.server.pre_shutdown()
-        await self.server.shutdown(0.0)
+        self.listener.close_idle()
+        await self.listener.abort()
         await self.sender.stop(handler.ends)
 
     @mode.Service.task
--- a/carawaystair/request/silence.py
+++ b/carawaystair/request/silence.py
@@ -137,8 +137,7 @@
     second = sender.start(attempt.call, attempt.target, fresh=True)
     try:
         await sender.put(second)
-        async with asyncio.timeout_at(attempt.call.deadline):
-            answer = await second.answer()
+        answer = await second.answer(attempt.call.deadline)
     except TimeoutError:
         sender.abandon(second, interfaces.TIMEOUT)
     except answers.Failed as failed:
--- a/carawaystair/request/target.py
+++ b/carawaystair/request/target.py
@@ -8,6 +8,8 @@
 # A latency that was seen loses two thirds of its hold on the average in
 # this time, seconds.
 DECAY_S = 10.0
+# An average this young is taken as it is.
+FRESH_S = 0.1
 # Share of its work that an upstream gets right after its start.
 COLD_SHARE = 0.1
 
@@ -59,9 +61,10 @@
 
     def latency(self, now: float) -> float:
         """Return the average latency, which fades with time, in seconds."""
-        if self.cost == 0.0:
-            return 0.0
-        return self.cost * math.exp((self.stamp - now) / DECAY_S)
+        age_s = now - self.stamp
+        if age_s < FRESH_S:
+            return self.cost
+        return self.cost * math.exp(-age_s / DECAY_S)
 
     def warmth(self, now: float) -> float:
         """Return the share of work for a starting upstream, up to 1.0."""
--- a/carawaystair/request/transfer.py
+++ b/carawaystair/request/transfer.py
@@ -226,8 +226,7 @@
         )
         try:
             await self.sender.put(attempt)
-            async with asyncio.timeout(STALL_S):
-                answer = await attempt.answer()
+            answer = await attempt.answer(clock.now() + STALL_S)
         except TimeoutError:
             self.sender.abandon(attempt, interfaces.TIMEOUT)
             return False
