Admission: long transfers leave what short requests were measured to need

Cause: long transfers held up to half of the slots whatever short requests needed.

Change: long transfers leave free the mean number of short requests that run or wait, with its square root on top, and at least one slot.

--- a/carawaystair/admission/controller.py
+++ b/carawaystair/admission/controller.py
@@ -34,6 +34,9 @@
     :param timeline: takes events.
     """
 
+    # Experiments put other policies here.
+    gate_class = gates.Gate
+
     def __init__(
         self,
         members: interfaces.Members,
@@ -104,7 +107,7 @@
 
     def _gate(self, service: str) -> gates.Gate:
         """Make the gate of a service on its first request."""
-        gate = gates.Gate(
+        gate = self.gate_class(
             service,
             self._flow,
             self._service(service).queue,
--- a/carawaystair/admission/flows.py
+++ b/carawaystair/admission/flows.py
@@ -94,6 +94,7 @@
     def __init__(self) -> None:
         self.virtual = 0.0
         self.size = 0
+        self.size_short = 0
         self.arrivals = 0
         self.backlogged: dict[str, Flow] = {}
 
@@ -107,6 +108,7 @@
         waiter.number = self.arrivals
         (flow.bulk if waiter.bulk else flow.short).append(waiter)
         self.size += 1
+        self.size_short += not waiter.bulk
 
     def remove(self, waiter: Waiter) -> bool:
         """Take a waiter out; False when it no longer stands here."""
@@ -116,6 +118,7 @@
             return False
         line.remove(waiter)
         self.size -= 1
+        self.size_short -= not waiter.bulk
         if not flow.waiting:
             del self.backlogged[flow.customer]
         return True
--- a/carawaystair/admission/gate.py
+++ b/carawaystair/admission/gate.py
@@ -1,6 +1,7 @@
 """The slots and the queue of one service on this node."""
 
 import asyncio
+import math
 import typing
 
 import expression
@@ -16,8 +17,8 @@
 MAX_REST_S = 5.0
 # Smallest fraction of a slot that a node may use.
 LEAST_LIMIT = 0.02
-# Part of the slots that long transfers may hold, at least one slot.
-BULK_SHARE = 0.5
+# Weight of a new sample in the mean number of short requests.
+DEMAND_SMOOTHING = 1 / 64
 # Charged for a request as long as no other has shown its time.
 FIRST_COST_S = 0.05
 # Bounds of what callers are told in Retry-After.
@@ -104,6 +105,8 @@
         self.running = 0
         self.running_bulk = 0
         self.running_paced = 0
+        # Short requests that run or wait, in the mean over starts.
+        self.short_demand = 0.0
         self.rest_until = 0.0
         self.alarm: asyncio.TimerHandle | None = None
         # Counters for the metrics.
@@ -120,7 +123,7 @@
         if self.queue.size:
             return None
         now = clock.now()
-        if not self._room(now) or bulk and not self._bulk_room():
+        if not self._room(now) or not self._may(bulk):
             return None
         flow = self.flows.get(customer) or self.flow(customer)
         if flow.capped() or self._late(deadline, bulk, now):
@@ -267,7 +270,7 @@
         """Start those whose turn it is while there are slots."""
         now = clock.now()
         while self.queue.size and self._room(now):
-            waiter = self.queue.pick(True, self._bulk_room())
+            waiter = self.queue.pick(self._may(False), self._may(True))
             if waiter is None:
                 return
             self._take(waiter)
@@ -306,14 +309,26 @@
         free = not self.running_paced and now >= self.rest_until
         return fraction >= LEAST_LIMIT and free
 
-    def _bulk_room(self) -> bool:
-        """Tell whether one more long transfer may run."""
-        return self.running_bulk < max(1, int(self.limit * BULK_SHARE))
+    def _may(self, bulk: bool) -> bool:
+        """Tell whether one more request of this kind may run.
+
+        Long transfers would hold every slot for seconds while short queries
+        wait.  So they leave free what short requests were measured to need,
+        with one standard deviation of a Poisson number on top, and at least
+        one slot.
+        """
+        if not bulk:
+            return True
+        needed = self.short_demand + math.sqrt(self.short_demand)
+        bound = int(self.limit - max(needed, 1.0))
+        return self.running_bulk < max(bound, 1)
 
     def _start(self, flow: flows.Flow, bulk: bool, now: float) -> Permit:
         paced = self.running - self.running_paced >= self.whole
         cost = self.times[bulk].mean or FIRST_COST_S
         self.queue.charge(flow, cost)
+        short = self.running - self.running_bulk + self.queue.size_short
+        self.short_demand += (short - self.short_demand) * DEMAND_SMOOTHING
         flow.running += 1
         self.running += 1
         self.running_bulk += bulk
