Distribution: a control host without a quorum counts no more than none

Cause: a node that restarted beside a control host that had been cut off took every answer of it for contact with control; it never asked its peers and never served, although they had the newest version. Change: only a confirmed answer counts; otherwise peers are asked.

--- a/carawaystair/follower.py
+++ b/carawaystair/follower.py
@@ -157,9 +157,13 @@
         # soon and asks another one.
         if self.control_hosts:
             host = self.rng.choice(self.control_hosts)
-            if await self._fetch(host, distribution.Ask):
+            before = self.confirmed_at
+            await self._fetch(host, distribution.Ask)
+            if self.confirmed_at != before:
                 self.tries = 0
                 return True
+        # A control host without a quorum may have been cut off long ago and
+        # not know it: its answer counts no more than none.
         self.tries += 1
         peers = self._peers()
         if not peers:
