Follower: reading a version stands by itself

Change: fetching.py reads a step or a whole table; the follower decides. Conclusion: each file has one job.

--- /dev/null
+++ b/carawaystair/fetching.py
@@ -0,0 +1,75 @@
+"""Reads the next version of the configuration from another process."""
+
+import asyncio
+import typing
+
+from carawaystair import distribution
+from carawaystair import interfaces
+from carawaystair import routing
+from carawaystair import rows
+from carawaystair import table as tables
+
+# A question without an answer is given up so soon and asked elsewhere.
+CALL_S = 0.5
+
+
+class Fetched(typing.NamedTuple):
+    """What one process told.
+
+    :param answer: its last answer.
+    :param table: the table of the version in ``answer.delta``; None when
+        the process has nothing newer.
+    """
+
+    answer: distribution.Answer
+    table: tables.Table | None = None
+
+
+async def fetch(
+    transport: interfaces.Transport,
+    address: str,
+    kind: type,
+    name: str,
+    held: routing.Routing,
+) -> Fetched | None:
+    """Read one step, or a whole table in pieces.
+
+    When the version changes between two pieces, those read so far are
+    dropped: together they would be a mixture of two versions.
+
+    :param address: the process to ask.
+    :param kind: ``distribution.Ask`` or ``distribution.AskPeer``.
+    :param name: name of the asking host.
+    :param held: what the asker has.
+    :return: None when there was no answer.
+    """
+    whole, start, pieces = rows.NONE, 0, tables.EMPTY
+    while True:
+        ask = kind(held.version, name, whole, start)
+        result = await transport.call(address, ask, CALL_S)
+        if result.is_error():
+            return None
+        answer: distribution.Answer = result.ok
+        delta = answer.delta
+        if delta is None:
+            return Fetched(answer)
+        if delta.base != rows.NONE:
+            return Fetched(answer, await _apply(held.table, delta))
+        if delta.version != whole:
+            whole, start, pieces = delta.version, 0, tables.EMPTY
+        pieces = await _apply(pieces, delta)
+        start += tables.PIECE
+        if not answer.more:
+            return Fetched(answer, pieces)
+
+
+async def _apply(table: tables.Table, delta: rows.Delta) -> tables.Table:
+    """Apply a delta without keeping requests waiting for long.
+
+    A step that touches many buckets takes tens of milliseconds; other tasks
+    run between two buckets.
+    """
+    change = tables.Change(table, delta.put, delta.drop)
+    while change.step():
+        await asyncio.sleep(0)
+    return change.table()
--- a/carawaystair/follower.py
+++ b/carawaystair/follower.py
@@ -15,6 +15,7 @@
 
 from carawaystair import clock
 from carawaystair import distribution
+from carawaystair import fetching
 from carawaystair import interfaces
 from carawaystair import invariants
 from carawaystair import logs
@@ -28,7 +29,6 @@
 # How often a node asks for news when nobody tells it of any.  Together with
 # the spread of News this bounds the time to be in force everywhere.
 POLL_S = 2.0
-CALL_S = 0.5
 # How soon to ask somebody else when nobody answered.
 RETRY_S = 0.2
 # Peers told of a new version by each node that learns of one, and how often.
@@ -182,48 +182,20 @@
             if member.host != me.host and not member.control
         ]
 
-    async def _fetch(self, host: str, kind: type) -> bool:
-        """Take all that ``host`` has; tell whether it answered.
-
-        A whole table comes in pieces of one version; when the version
-        changes in between, the pieces read so far are dropped.
-        """
+    async def _fetch(self, address: str, kind: type) -> bool:
+        """Take all that a process has; tell whether it answered."""
         name = self.members.me.host
-        whole, start, pieces = rows.NONE, 0, tables.EMPTY
         while True:
-            ask = kind(self.held.version, name, whole, start)
-            result = await self.transport.call(host, ask, CALL_S)
-            if result.is_error():
+            got = await fetching.fetch(
+                self.transport, address, kind, name, self.held
+            )
+            if got is None:
                 return False
-            got: distribution.Answer = result.ok
-            delta = got.delta
-            if delta is None:
-                self._confirm(got)
+            if got.table is None:
+                self._confirm(got.answer)
                 return True
-            if delta.base != rows.NONE:
-                pieces = self.held.table
-            elif delta.version != whole:
-                whole, start, pieces = delta.version, 0, tables.EMPTY
-            pieces = await self._apply(pieces, delta)
-            start += tables.PIECE
-            if got.more:
-                continue
-            if not self._take(delta, pieces):
+            if not self._take(got.answer.delta, got.table):
                 return True
-            whole, start, pieces = rows.NONE, 0, tables.EMPTY
-
-    async def _apply(
-        self, table: tables.Table, delta: rows.Delta
-    ) -> tables.Table:
-        """Apply a delta without keeping requests waiting for long.
-
-        A step that touches many buckets takes tens of milliseconds; other
-        tasks run between two buckets.
-        """
-        change = tables.Change(table, delta.put, delta.drop)
-        while change.step():
-            await asyncio.sleep(0)
-        return change.table()
 
     def _confirm(self, got: distribution.Answer) -> None:
         """Take note that control vouches for the version held."""
