Control: submissions over the replicated log take the place of the single copy

Cause: one host's file could be lost with its disk, and two control hosts would have accepted different manifests.

Change: a submission is an entry that carries what it changes. The log decides: one winner for equal parents, the same answer for a repeated id at any host and after a failover, refused ids too; another content under an accepted id has its own code. Any control host takes a submission and passes it to the leader. Rollback is a new version, computed from kept steps; deltas lead from any kept version to the newest.

The first version's Single becomes a fake of the tests. Settings: the role control needs a data folder, control.voters names the founders; a control host that is listed among several without voters is refused, since each would found a group of its own.

--- a/carawaystair/codes.py
+++ b/carawaystair/codes.py
@@ -651,6 +651,13 @@
     'A sync to disk did not end in time; this control host stepped aside.',
     'Check the disk, then restart the process.',
 )
+ID_REUSED = define(
+    8019,
+    'id-reused',
+    409,
+    'This submission id was accepted before with other content.',
+    'Give each submission its own id.',
+)
 TOKEN_REFUSED = define(
     8101,
     'token-refused',
--- a/carawaystair/control/changing.py
+++ b/carawaystair/control/changing.py
@@ -39,7 +39,7 @@
         state.transport.handle(messages.Rejoin, self.on_rejoin)
         state.transport.handle(messages.Hello, self.on_hello)
 
-    async def change(self, change: messages.Change) -> Result:
+    async def change(self, change: messages.MemberChange) -> Result:
         """Make one change; the answer comes once it is committed.
 
         :return: version and result of the entry.
@@ -55,7 +55,7 @@
             return await self._promote(member)
         return await self._propose(group.drop(change.name))
 
-    async def _add(self, change: messages.Change) -> Result:
+    async def _add(self, change: messages.MemberChange) -> Result:
         if self.state.group.named(change.name) is not None:
             text = '%s is a member already' % change.name
             return codes.fail(codes.VOTER_UNFIT, text)
--- a/carawaystair/control/election.py
+++ b/carawaystair/control/election.py
@@ -40,6 +40,9 @@
 
     async def run(self) -> None:
         """Stand for election whenever no leader is heard."""
+        await self.state.proven_event.wait()
+        if self.state.alone():
+            await self._stand()
         timeout = self._timeout()
         while True:
             due = max(self.state.heard, self.tried) + timeout
@@ -54,9 +57,6 @@
 
     def _timeout(self) -> float:
         least = self.state.timing.election_s
-        if self.state.group.quorum() == 1:
-            # Nobody else can lead.
-            return least / 10
         return self.state.rng.uniform(least, 2 * least)
 
     def _may_stand(self) -> bool:
--- a/carawaystair/control/files.py
+++ b/carawaystair/control/files.py
@@ -23,6 +23,12 @@
 class Files(typing.Protocol):
     """The files of one folder; every call blocks and may raise OSError."""
 
+    def hold(self) -> None:
+        """Keep other processes out of the folder.
+
+        :raises BlockingIOError: when another process holds it.
+        """
+
     def names(self) -> list[str]:
         """Return the names of all files, sorted."""
 
@@ -191,13 +197,3 @@
     if not whole or crc32c.crc32c(body) != check:
         return None
     return body
-
-
-def make(path: pathlib.Path) -> Folder:
-    """Return the files of ``path``, held against other processes.
-
-    :raises BlockingIOError: when another process holds the folder.
-    """
-    folder = Folder(path)
-    folder.hold()
-    return folder
--- a/carawaystair/control/messages.py
+++ b/carawaystair/control/messages.py
@@ -208,7 +208,7 @@
 
 
 @wire.register(31)
-class Change(typing.NamedTuple):
+class MemberChange(typing.NamedTuple):
     """A host passes a change of the members on to the leader.
 
     :param action: ``add``, ``promote`` or ``remove``.
@@ -223,7 +223,7 @@
 
 @wire.register(32)
 class Outcome(typing.NamedTuple):
-    """The leader's answer to :class:`Propose`, :class:`Change`,
+    """The leader's answer to :class:`Propose`, :class:`MemberChange`,
     :class:`Rejoin` and :class:`Confirm`.
 
     :param code: number of the result code.
--- a/carawaystair/control/replica.py
+++ b/carawaystair/control/replica.py
@@ -166,7 +166,7 @@
         return expression.Ok(index)
 
     async def change(
-        self, change: messages.Change
+        self, change: messages.MemberChange
     ) -> expression.Result[tuple[rows.Version, bytes], codes.Failure]:
         """Change the members of the group by one."""
         if self.shared.role != interfaces.LEADER:
--- /dev/null
+++ b/carawaystair/control/replicated.py
@@ -0,0 +1,378 @@
+"""The control part of a process: submissions over the replicated log."""
+
+import asyncio
+import hashlib
+import pathlib
+import typing
+
+import expression
+import mode
+
+from carawaystair import clock
+from carawaystair import codes
+from carawaystair.control import changing
+from carawaystair.control import confirming
+from carawaystair.control import disk as disks
+from carawaystair.control import files as files_module
+from carawaystair.control import interfaces
+from carawaystair.control import joining
+from carawaystair.control import messages
+from carawaystair.control import replica as replicas
+from carawaystair.control import submissions
+from carawaystair import logs
+from carawaystair import manifest as manifests
+from carawaystair import rows
+from carawaystair import timeline as timelines
+
+# How long a change is tried before its sender is told to ask again.
+PROPOSE_S = 10.0
+# How long the leader may take for one change that was passed on to it.
+PASS_ON_S = 3.0
+PAUSE_S = 0.2
+CONTENT_BYTES = 16
+# Refusals that another try may turn into an answer.
+PASSING = (codes.NOT_LEADER, codes.OUTCOME_UNKNOWN, codes.PEER_SILENT)
+# Of these, the ones after which the change may have been made.
+UNSURE = (codes.OUTCOME_UNKNOWN, codes.PEER_SILENT)
+
+LOG = logs.get('control')
+
+Accepted = expression.Result[interfaces.Accepted, interfaces.Refusal]
+Outcome = expression.Result[tuple[rows.Version, bytes], codes.Failure]
+
+
+class Replicated(mode.Service):
+    """Keeps ``interfaces.Control``.
+
+    :param replica: the replica of this host.
+    :param machine: what the replica applies its log to.
+    :param timeline: takes note of accepted versions.
+    :param offload: runs long work beside the event loop.
+    """
+
+    def __init__(
+        self,
+        replica: replicas.Replica,
+        machine: submissions.Submissions,
+        timeline: timelines.Timeline,
+        offload: typing.Callable = asyncio.to_thread,
+        **kwargs,
+    ) -> None:
+        super().__init__(**kwargs)
+        self.replica = replica
+        self.machine = machine
+        self.timeline = timeline
+        self.offload = offload
+        self.transport = replica.shared.transport
+        self.confirming = confirming.Confirming(replica)
+        self.transport.handle(messages.Propose, self._on_propose)
+        self.transport.handle(messages.MemberChange, self._on_change)
+
+    async def on_start(self) -> None:
+        """Start the replica."""
+        await self.add_runtime_dependency(self.replica)
+
+    # Submissions
+
+    async def submit(self, submission: interfaces.Submission) -> Accepted:
+        """Put a manifest in force, once."""
+        read = await self._read(submission.manifest)
+        if read.is_error():
+            return read
+        wanted = read.ok
+        await self._catch_up(submission.parent)
+        delta = await self.offload(
+            rows.difference, self.machine.table, wanted, rows.NONE, rows.NONE
+        )
+        change = submissions.Change(
+            submission.id,
+            submission.author,
+            interfaces.SUBMIT,
+            clock.wall_ms(),
+            _content(submission.parent, submission.manifest),
+            submission.parent,
+            delta.digest,
+            delta.put,
+            delta.drop,
+        )
+        return await self._make(change)
+
+    async def rollback(self, rollback: interfaces.Rollback) -> Accepted:
+        """Put the content of an earlier version in force as a new one."""
+        await self._catch_up(rollback.parent)
+        content = _content(rollback.parent, str(rollback.to).encode())
+        known = self.machine.answers.get(rollback.id)
+        if known is not None and known.content == content:
+            return _accepted(known)
+        back = self.machine.versions.back(rollback.to)
+        if back is None:
+            return _refuse(codes.VERSION_UNKNOWN, str(rollback.to))
+        put, drop, digest = back
+        change = submissions.Change(
+            rollback.id,
+            rollback.author,
+            interfaces.ROLLBACK,
+            clock.wall_ms(),
+            content,
+            rollback.parent,
+            digest,
+            put,
+            drop,
+        )
+        return await self._make(change)
+
+    async def preview(
+        self, manifest: bytes
+    ) -> expression.Result[rows.Delta, interfaces.Refusal]:
+        """Check a manifest and return what it would change."""
+        read = await self._read(manifest)
+        if read.is_error():
+            return read
+        version = self.machine.version
+        delta = await self.offload(
+            rows.difference,
+            self.machine.table,
+            read.ok,
+            version,
+            rows.Version(version.term, version.index + 1),
+        )
+        return expression.Ok(delta)
+
+    async def answer(self, submission_id: str) -> Accepted:
+        """Return the answer that a submission got."""
+        if submission_id not in self.machine.answers:
+            # This host may not have heard of it yet.
+            current = await self.current()
+            if current.is_error():
+                return current
+        answer = self.machine.answers.get(submission_id)
+        if answer is None:
+            return _refuse(codes.SUBMISSION_UNKNOWN, submission_id)
+        return _accepted(answer)
+
+    async def _read(self, manifest: bytes) -> expression.Result:
+        """Return the rows of a manifest, or all its mistakes."""
+        read = await self.offload(manifests.read, manifest)
+        if read.is_error():
+            code, mistakes = read.error
+            return _refuse(code, mistakes=tuple(mistakes))
+        return expression.Ok(await self.offload(rows.from_manifest, read.ok))
+
+    async def _catch_up(self, parent: bytes) -> None:
+        """Make sure that a parent unknown here is not merely news."""
+        if parent != self.machine.digest:
+            await self.current()
+
+    async def _make(self, change: submissions.Change) -> Accepted:
+        entry = await self.offload(submissions.encode, change)
+        if len(entry) > submissions.MAX_ENTRY_BYTES:
+            rows_changed = len(change.put) + len(change.drop)
+            text = '%d rows, %d bytes packed' % (rows_changed, len(entry))
+            return _refuse(codes.CHANGE_TOO_LARGE, text)
+        result = await self._propose(messages.Propose(entry))
+        if result.is_error():
+            return self._refused(result.error)
+        version, data = result.ok
+        answer = submissions.decode_answer(data)
+        if answer.code == codes.OK.number and answer.version == version:
+            text = '%s by %s' % (change.kind, change.author)
+            self.timeline.record(
+                'manifest-accepted', text, version=str(version)
+            )
+        return _accepted(answer)
+
+    # Proposing, here or at the leader
+
+    async def _propose(
+        self, question: messages.Propose | messages.MemberChange
+    ) -> Outcome:
+        """Have a change made by whoever leads, and wait for it here.
+
+        It is tried again until it is answered: the log decides once for
+        each submission id, so that a second try can't do it twice.
+        """
+        end = clock.now() + PROPOSE_S
+        unsure = False
+        while True:
+            result = await self._try(question)
+            failed = result.is_error()
+            if not failed:
+                return await self._here(result, end)
+            code = result.error.code
+            unsure = unsure or code in UNSURE
+            if code not in PASSING:
+                return result
+            if clock.now() + PAUSE_S > end:
+                why = codes.OUTCOME_UNKNOWN if unsure else codes.NOT_LEADER
+                return codes.fail(why, result.error.detail)
+            await asyncio.sleep(PAUSE_S)
+
+    async def _try(
+        self, question: messages.Propose | messages.MemberChange
+    ) -> Outcome:
+        leader = self.replica.shared.leader_peer
+        if leader in ('', self.transport.address):
+            return await self._lead(question)
+        result = await self.transport.call(leader, question, PASS_ON_S)
+        return result.bind(changing.result_of)
+
+    async def _lead(
+        self, question: messages.Propose | messages.MemberChange
+    ) -> Outcome:
+        if isinstance(question, messages.Propose):
+            return await self.replica.propose(question.data)
+        return await self.replica.change(question)
+
+    async def _here(self, result: Outcome, end: float) -> Outcome:
+        """Wait until this host has applied what was answered."""
+        index = result.ok[0].index
+        try:
+            async with asyncio.timeout(max(end - clock.now(), PAUSE_S)):
+                await self.replica.applying.reach(index)
+        except TimeoutError:
+            # Accepted, but this host is behind; the answer stands.
+            LOG.warning('Behind the leader.', index=index)
+        return result
+
+    async def _on_propose(
+        self, _sender: str, question: messages.Propose
+    ) -> messages.Outcome:
+        return changing.outcome(await self._lead(question))
+
+    async def _on_change(
+        self, _sender: str, question: messages.MemberChange
+    ) -> messages.Outcome:
+        return changing.outcome(await self._lead(question))
+
+    def _refused(self, failure: codes.Failure) -> expression.Result:
+        machine = self.machine
+        leader = self.replica.shared.leader_peer
+        refusal = interfaces.Refusal(
+            failure.code,
+            failure.detail,
+            (),
+            machine.version,
+            machine.digest,
+            leader,
+        )
+        return expression.Error(refusal)
+
+    # Reads
+
+    async def current(
+        self,
+    ) -> expression.Result[rows.Version, interfaces.Refusal]:
+        """Return the version in force, confirmed by a quorum just now."""
+        result = await self.confirming.confirm()
+        if result.is_error():
+            return self._refused(result.error)
+        return expression.Ok(self.machine.version)
+
+    def version(self) -> rows.Version:
+        """Return the version applied here."""
+        return self.machine.version
+
+    def digest(self) -> bytes:
+        """Return the digest of the table applied here."""
+        return self.machine.digest
+
+    def table(self) -> rows.Table:
+        """Return the table applied here."""
+        return self.machine.table
+
+    def delta_since(self, version: rows.Version) -> rows.Delta | None:
+        """Return what leads from ``version`` to the one applied here."""
+        return self.machine.versions.delta(version)
+
+    def history(self, limit: int = 100) -> tuple[interfaces.Record, ...]:
+        """Return the newest records, newest first."""
+        return self.machine.versions.records(limit)
+
+    def status(self) -> interfaces.Status:
+        """Return the state of this control host."""
+        return self.replica.status()
+
+    def subscribe(
+        self, callback: typing.Callable[[rows.Version], None]
+    ) -> None:
+        """Call ``callback`` with each version once it is applied here."""
+        self.machine.callbacks.append(callback)
+
+    # The group
+
+    async def add_learner(
+        self, name: str, peer: str
+    ) -> expression.Result[int, interfaces.Refusal]:
+        """Let a host follow the log without a vote."""
+        return await self._change(changing.ADD, name, peer)
+
+    async def promote(
+        self, name: str
+    ) -> expression.Result[int, interfaces.Refusal]:
+        """Give a learner that has caught up a vote."""
+        return await self._change(changing.PROMOTE, name)
+
+    async def remove(
+        self, name: str
+    ) -> expression.Result[int, interfaces.Refusal]:
+        """Take a host out of the group."""
+        return await self._change(changing.REMOVE, name)
+
+    async def _change(
+        self, action: str, name: str, peer: str = ''
+    ) -> expression.Result[int, interfaces.Refusal]:
+        question = messages.MemberChange(action, name, peer)
+        result = await self._propose(question)
+        if result.is_error():
+            return self._refused(result.error)
+        return expression.Ok(result.ok[0].index)
+
+
+def _content(parent: bytes, data: bytes) -> bytes:
+    """Return the digest of what a sender sent."""
+    digest = hashlib.blake2b(parent + b'\0', digest_size=CONTENT_BYTES)
+    digest.update(data)
+    return digest.digest()
+
+
+def _refuse(code: codes.Code, detail: str = '', mistakes: tuple = ()):
+    return expression.Error(interfaces.Refusal(code, detail, mistakes))
+
+
+def _accepted(answer: submissions.Answer) -> Accepted:
+    """Return the result that an answer of the log stands for."""
+    if answer.code == codes.OK.number:
+        return expression.Ok(
+            interfaces.Accepted(answer.version, answer.digest)
+        )
+    refusal = interfaces.Refusal(
+        codes.TABLE.get(answer.code, codes.OUTCOME_UNKNOWN),
+        answer.detail,
+        (),
+        answer.version,
+        answer.digest,
+    )
+    return expression.Error(refusal)
+
+
+def make(kernel) -> Replicated:
+    """Return the control part of a process."""
+    settings = kernel.settings
+    seat = joining.Seat(settings.host, settings.peer)
+    seats = tuple(
+        joining.Seat(voter.name, voter.peer)
+        for voter in settings.control.voters
+    )
+    folder: pathlib.Path = kernel.data('control')
+    machine = submissions.Submissions()
+    replica = replicas.make(
+        seat,
+        seats or (seat,),
+        kernel.links,
+        files_module.Folder(folder),
+        disks.make(),
+        machine,
+        kernel.random('control'),
+        record=kernel.timeline.record,
+    )
+    return Replicated(replica, machine, kernel.timeline)
--- a/carawaystair/control/role.py
+++ b/carawaystair/control/role.py
@@ -3,7 +3,7 @@
 import mode
 
 from carawaystair import admin
-from carawaystair.control import single
+from carawaystair.control import replicated
 from carawaystair import publisher
 
 
@@ -16,7 +16,7 @@
     def __init__(self, kernel, **kwargs) -> None:
         super().__init__(**kwargs)
         self.kernel = kernel
-        self.group = single.make(kernel)
+        self.group = replicated.make(kernel)
         rng = kernel.random('publisher')
         self.publisher = publisher.Publisher(kernel.links, self.group, rng)
         self.admin = admin.make(kernel, self.group, self.publisher)
--- a/carawaystair/control/state.py
+++ b/carawaystair/control/state.py
@@ -180,12 +180,19 @@
         self.heard = clock.now()
         self.age_s = age_s
 
+    def alone(self) -> bool:
+        """Tell whether nobody else can lead."""
+        group = self.group
+        return group.quorum() == 1 and group.votes(self.identity)
+
     def leader_is_fresh(self) -> bool:
         """Tell whether a leader was heard so lately that voting for another
         one could only disturb the group.
         """
         if self.role == interfaces.LEADER:
             return True
+        if self.alone():
+            return False
         return clock.now() - self.heard < self.timing.election_s
 
     def advance(self, commit: int) -> None:
--- a/carawaystair/control/store.py
+++ b/carawaystair/control/store.py
@@ -75,6 +75,8 @@
         """Read the folder; a defect is left in ``failure``."""
         try:
             await self.disk.run(self._open)
+        except BlockingIOError:
+            self.fail(codes.Failure(codes.FOLDER_IN_USE))
         except recovery.Corrupt as error:
             self.fail(error.failure)
         except OSError as error:
@@ -82,6 +84,7 @@
         self.opened = True
 
     def _open(self) -> None:
+        self.files.hold()
         identity = state_files.read(
             self.files, state_files.IDENTITY, state_files.Identity
         )
--- a/carawaystair/settings.py
+++ b/carawaystair/settings.py
@@ -74,6 +74,17 @@
     key: str
 
 
+class Voter(typing.NamedTuple):
+    """A control host that votes on what is accepted.
+
+    :param name: the name of its host.
+    :param peer: its ``ip:port`` for messages.
+    """
+
+    name: str
+    peer: str
+
+
 class Control(typing.NamedTuple):
     """The control role.
 
@@ -82,6 +93,8 @@
     :param tls: certificate and key, None for plain HTTP.
     :param reads_per_s: requests a second of each team, in the long run.
     :param changes_per_s: changes a second of each team, in the long run.
+    :param voters: the hosts that found the control group, in the same order
+        on all of them; empty for a group of this host alone.
     """
 
     admin: str
@@ -89,6 +102,7 @@
     tls: Tls | None
     reads_per_s: float
     changes_per_s: float
+    voters: tuple[Voter, ...] = ()
 
 
 class Settings(typing.NamedTuple):
--- a/carawaystair/settings_rules.py
+++ b/carawaystair/settings_rules.py
@@ -19,6 +19,8 @@
 # The users set at most so many hosts aside for control.
 MAX_CONTROL_HOSTS = 8
 MAX_PORT = 65535
+# An even number of voters bears no more failures than one less.
+VOTERS = (1, 3, 5, 7)
 
 # Paths of numbers with their bounds.
 BOUNDS = (
@@ -129,6 +131,7 @@
 
 def _check_control(settings) -> typing.Iterator[shape.Mistake]:
     control = settings.control
+    yield from _check_voters(settings)
     for index, team in enumerate(control.teams):
         yield from _check_team('$.control.teams[%d]' % index, team)
     if CONTROL not in settings.roles or control.teams:
@@ -140,6 +143,44 @@
         yield shape.Mistake('$.control.teams', text)
 
 
+def _check_voters(settings) -> typing.Iterator[shape.Mistake]:
+    voters = settings.control.voters
+    path = '$.control.voters'
+    if CONTROL in settings.roles:
+        if settings.data_folder is None:
+            # A vote that a restart forgets could be given twice.
+            text = 'is needed by the role %r' % CONTROL
+            yield shape.Mistake('$.data_folder', text)
+        if not voters and 1 < len(settings.control_hosts) <= MAX_CONTROL_HOSTS:
+            text = 'is empty, though control_hosts names %d hosts'
+            yield shape.Mistake(path, text % len(settings.control_hosts))
+    if voters and len(voters) not in VOTERS:
+        text = 'names %d hosts; expected %s'
+        expected = ', '.join(map(str, VOTERS))
+        yield shape.Mistake(path, text % (len(voters), expected))
+    for field in ('name', 'peer'):
+        counted = collections.Counter(getattr(v, field) for v in voters)
+        for value, times in counted.items():
+            if times > 1:
+                text = '%r stands %d times' % (value[: shape.MAX_SHOWN], times)
+                yield shape.Mistake(path, text)
+    for index, voter in enumerate(voters):
+        yield from _check_voter('%s[%d]' % (path, index), voter, settings)
+
+
+def _check_voter(path: str, voter, settings) -> typing.Iterator[shape.Mistake]:
+    if not manifest_rules.name_ok(voter.name):
+        text = 'is empty, too long or has odd signs'
+        yield shape.Mistake(path + '.name', text)
+    if not address_ok(voter.peer):
+        text = '%r is not an IPv4 number and a port'
+        shown = voter.peer[: shape.MAX_SHOWN]
+        yield shape.Mistake(path + '.peer', text % shown)
+    elif voter.name == settings.host and voter.peer != settings.peer:
+        text = 'this host has the peer address %s' % settings.peer
+        yield shape.Mistake(path + '.peer', text)
+
+
 def _check_team(path: str, team) -> typing.Iterator[shape.Mistake]:
     if not manifest_rules.name_ok(team.name):
         text = 'is empty, too long or has odd signs'
--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -157,7 +157,12 @@
             'seeds': seeds[:3],
             'control_hosts': [c.peer for c in self.controls()],
             'node': {'listen': host.listen, 'local': host.local},
-            'control': {'admin': host.admin},
+            'control': {
+                'admin': host.admin,
+                'voters': [
+                    {'name': c.name, 'peer': c.peer} for c in self.controls()
+                ],
+            },
         }
 
     async def start_host(self, name: str) -> None:
--- a/test/control_fakes.py
+++ b/test/control_fakes.py
@@ -41,6 +41,9 @@
         if call in self.errors:
             raise OSError(self.errors[call], 'injected')
 
+    def hold(self) -> None:
+        pass
+
     def names(self) -> list[str]:
         return sorted(self.table)
 
@@ -250,6 +253,8 @@
     :param seed: of all randomness.
     """
 
+    host_class: type = Host
+
     def __init__(self, size: int, seed: int, **network) -> None:
         self.random = random.Random(seed)
         self.network = fakes.Network(seed, **network)
@@ -261,7 +266,7 @@
             joining.Seat('host-%d' % n, '127.0.0.1:%d' % (30_000 + n))
             for n in range(size)
         )
-        self.hosts = [Host(self, seat) for seat in self.seats]
+        self.hosts = [self.host_class(self, seat) for seat in self.seats]
 
     async def start(self) -> None:
         for host in self.hosts:
@@ -316,3 +321,31 @@
         raise AssertionError(
             'applied: %s' % [h.replica.status() for h in self.up()]
         )
+
+
+# No test takes longer, in virtual time.
+LIMIT_S = 300.0
+
+
+def group_run(size: int, kind=Group, seed: int = 1, **network):
+    """Return a decorator that runs a test with a started group."""
+
+    def _decorate(test):
+        def _run():
+            async def _main():
+                group = kind(size, seed, **network)
+                await group.start()
+                try:
+                    async with asyncio.timeout(LIMIT_S):
+                        await test(group)
+                    group.oracle.logs(h.replica for h in group.up())
+                finally:
+                    await group.stop()
+
+            fakes.run(_main())
+
+        _run.__doc__ = test.__doc__
+        _run.__name__ = test.__name__
+        return _run
+
+    return _decorate
--- a/carawaystair/control/single.py
+++ b/test/single_group.py
@@ -1,15 +1,9 @@
-"""A control group of one host: one accepted manifest, kept on disk.
+"""A control group of one, in memory: a fake of ``control.Control``."""
 
-A first version; the replicated log takes its place.
-"""
-
-import base64
-import pathlib
 import typing
 
 import expression
 import mode
-import msgspec
 
 from carawaystair import codes
 from carawaystair.control import interfaces
@@ -17,39 +11,20 @@
 from carawaystair import manifest as manifests
 from carawaystair import rows
 from carawaystair import timeline as timelines
-from carawaystair import versionfile
-
-FILE = 'manifest.json'
-
-
-class _Record(typing.NamedTuple):
-    """What the file holds."""
-
-    index: int
-    table: dict[str, str]
-    submissions: dict[str, interfaces.Accepted]
 
 
 class Single(mode.Service):
-    """Keeps one manifest in one folder, synced before it is answered.
-
-    It keeps the part of ``interfaces.Control`` that one host can.
+    """Accepts manifests by itself; a host that leads without a quorum.
 
     :param name: name of this host.
-    :param folder: where the file lives; None keeps it in memory only.
     :param timeline: takes note of accepted versions.
     """
 
     def __init__(
-        self,
-        name: str,
-        folder: pathlib.Path | None,
-        timeline: timelines.Timeline,
-        **kwargs,
+        self, name: str, timeline: timelines.Timeline, **kwargs
     ) -> None:
         super().__init__(**kwargs)
         self.name = name
-        self.folder = folder
         self.timeline = timeline
         self.held = rows.NONE
         self.rows: rows.Table = {}
@@ -57,18 +32,6 @@
         self.steps = distribution.Steps()
         self.callbacks: list = []
 
-    async def on_start(self) -> None:
-        """Read what was accepted before."""
-        if self.folder is None or not (self.folder / FILE).exists():
-            return
-        data = (self.folder / FILE).read_bytes()
-        record = msgspec.json.decode(data, type=_Record)
-        self.held = rows.Version(1, record.index)
-        self.rows = {
-            key: base64.b64decode(value) for key, value in record.table.items()
-        }
-        self.submissions = record.submissions
-
     def version(self) -> rows.Version:
         """Return the newest accepted version."""
         return self.held
@@ -160,7 +123,6 @@
         delta = rows.difference(self.rows, table, self.held, version)
         accepted = interfaces.Accepted(version, delta.digest)
         submissions = self.submissions | {submission.id: accepted}
-        self._write(version, table, submissions)
         self.held, self.rows = version, table
         self.submissions = submissions
         self.steps.add(delta)
@@ -172,20 +134,3 @@
         for callback in self.callbacks:
             callback(version)
         return accepted
-
-    def _write(self, version, table, submissions) -> None:
-        """Write the record, whole or not at all."""
-        if self.folder is None:
-            return
-        coded = {k: base64.b64encode(v).decode() for k, v in table.items()}
-        record = _Record(version.index, coded, submissions)
-        versionfile.replace_file(
-            self.folder / FILE, msgspec.json.encode(record)
-        )
-
-
-def make(kernel) -> Single:
-    """Return the control part of a process."""
-    return Single(
-        kernel.settings.host, kernel.data('control'), kernel.timeline
-    )
--- a/test/test_admin.py
+++ b/test/test_admin.py
@@ -20,7 +20,6 @@
 from carawaystair.admin import teams
 from carawaystair import codes
 from carawaystair.control import interfaces as control
-from carawaystair.control import single
 from carawaystair import interfaces
 from carawaystair import publisher
 from carawaystair import routing
@@ -28,6 +27,7 @@
 from carawaystair import settings as settings_module
 from carawaystair import timeline as timelines
 from test import fakes
+from test import single_group
 
 CONTROL = '127.0.0.1:7000'
 NODE = '127.0.0.1:7001'
@@ -48,7 +48,7 @@
 }
 
 
-class Group(single.Single):
+class Group(single_group.Single):
     """A group of one, in memory, whose quorum a test can take away."""
 
     lost = False
@@ -85,7 +85,7 @@
         self.network = fakes.Network(delay_s=(0.0, 0.0))
         self.links = self.network.transport(CONTROL)
         self.timeline = timelines.Timeline('control-1')
-        self.group = Group('control-1', None, self.timeline)
+        self.group = Group('control-1', self.timeline)
         self.directory = fakes.Directory()
         capacity.Answerer(
             self.network.transport(NODE),
--- a/test/test_journal.py
+++ b/test/test_journal.py
@@ -208,16 +208,18 @@
 
 
 def test_real_folder(tmp_path):
-    folder = files_module.make(tmp_path)
+    folder = files_module.Folder(tmp_path)
+    folder.hold()
     with pytest.raises(BlockingIOError):
-        files_module.make(tmp_path)
+        files_module.Folder(tmp_path).hold()
     journal = journals.Journal(folder)
     journal.commit([entry(1), entry(2)])
     folder.replace('small', files_module.frame(b'one'))
     folder.replace('small', files_module.frame(b'two'))
     folder.append(journals.segment_name(1), b'torn')
     folder.close()
-    folder = files_module.make(tmp_path)
+    folder = files_module.Folder(tmp_path)
+    folder.hold()
     recovered = recovery.read(folder)
     assert recovered.cut == 4 and len(recovered.rows) == 3
     assert files_module.unframe(folder.read('small')) == b'two'
--- a/test/test_raft.py
+++ b/test/test_raft.py
@@ -15,35 +15,6 @@
 from carawaystair.control import replica as replicas
 from carawaystair.control import state as states
 from test import control_fakes
-from test import fakes
-
-
-# No test takes longer, in virtual time.
-LIMIT_S = 300.0
-
-
-def group_run(size: int, seed: int = 1, **network):
-    """Return a decorator that runs a test with a started group."""
-
-    def _decorate(test):
-        def _run():
-            async def _main():
-                group = control_fakes.Group(size, seed, **network)
-                await group.start()
-                try:
-                    async with asyncio.timeout(LIMIT_S):
-                        await test(group)
-                    group.oracle.logs(h.replica for h in group.up())
-                finally:
-                    await group.stop()
-
-            fakes.run(_main())
-
-        _run.__doc__ = test.__doc__
-        _run.__name__ = test.__name__
-        return _run
-
-    return _decorate
 
 
 def others(group, *hosts):
@@ -56,7 +27,7 @@
 
 @pytest.mark.parametrize('size', [1, 3, 5])
 def test_entries_are_applied_everywhere(size):
-    @group_run(size)
+    @control_fakes.group_run(size)
     async def _test(group):
         for number in range(20):
             version = await group.propose(b'%d' % number)
@@ -67,7 +38,7 @@
     _test()
 
 
-@group_run(3)
+@control_fakes.group_run(3)
 async def test_restart_of_all_keeps_everything(group):
     """All control hosts lose power at once.
 
@@ -84,7 +55,7 @@
     assert all(h.machine.entries == wanted for h in group.hosts)
 
 
-@group_run(5)
+@control_fakes.group_run(5)
 async def test_cut_off_leader_steps_down_and_does_not_disturb(group):
     """The leader is cut off for long and then returns.
 
@@ -97,6 +68,7 @@
     await group.propose(b'before')
     group.network.cut(peers(old), peers(*others(group, old)))
     lost = asyncio.ensure_future(old.replica.propose(b'lost'))
+    assert (await old.replica.read_index()).is_error()
     await asyncio.sleep(4.0)
     assert (await lost).error.code == codes.OUTCOME_UNKNOWN
     refused = await old.replica.propose(b'lost too')
@@ -118,7 +90,7 @@
     assert old.replica.status().stale_s < 1.0
 
 
-@group_run(3)
+@control_fakes.group_run(3)
 async def test_one_way_cut_of_the_leader(group):
     """The leader is heard, but hears nobody.
 
@@ -141,7 +113,7 @@
     no pre-vote, or voters that leave a leader whom they hear.
     """
 
-    @group_run(3)
+    @control_fakes.group_run(3)
     async def _test(group):
         leader = await group.leader()
         deaf = others(group, leader)[0]
@@ -155,7 +127,7 @@
     _test()
 
 
-@group_run(3)
+@control_fakes.group_run(3)
 async def test_lost_disk_comes_back_as_a_learner(group):
     """A host loses its disk, and a second host goes right after.
 
@@ -185,7 +157,7 @@
     await group.propose(b'again')
 
 
-@group_run(3)
+@control_fakes.group_run(3)
 async def test_all_disks_but_one_lost_does_not_found_anew(group):
     """Two disks are lost while the third host is down.
 
@@ -213,7 +185,7 @@
     Cause: B votes although its disk lacks what it acknowledged.
     """
 
-    @group_run(3)
+    @control_fakes.group_run(3)
     async def _test(group):
         leader = await group.leader()
         restored = others(group, leader)[0]
@@ -241,7 +213,7 @@
     _test()
 
 
-@group_run(3)
+@control_fakes.group_run(3)
 async def test_corrupt_disk_is_set_aside(group):
     """A bit flips on the disk of one host.
 
@@ -268,7 +240,7 @@
     Sequence: a sync fails; heartbeats go on.  Cause: the leader leads on.
     """
 
-    @group_run(3)
+    @control_fakes.group_run(3)
     async def _test(group):
         leader = await group.leader()
         leader.folder.errors[call] = errno.EIO
@@ -284,7 +256,7 @@
     _test()
 
 
-@group_run(3)
+@control_fakes.group_run(3)
 async def test_follower_far_behind_gets_a_snapshot(group):
     """A host is away for longer than the log reaches back."""
     group.limits = states.Limits(compact_entries=20, keep_entries=5)
@@ -305,7 +277,7 @@
     assert away.machine.entries == leader.machine.entries
 
 
-@group_run(3)
+@control_fakes.group_run(3)
 async def test_members_change_one_at_a_time(group):
     leader = await group.leader()
     new = control_fakes.Host(
@@ -313,10 +285,12 @@
     )
     group.hosts.append(new)
     await new.start()
-    change = messages.Change(changing.ADD, 'host-9', '127.0.0.1:30009')
+    change = messages.MemberChange(changing.ADD, 'host-9', '127.0.0.1:30009')
     first, second = await asyncio.gather(
         leader.replica.change(change),
-        leader.replica.change(messages.Change(changing.REMOVE, 'host-0')),
+        leader.replica.change(
+            messages.MemberChange(changing.REMOVE, 'host-0')
+        ),
     )
     assert [first.is_ok(), second.is_ok()].count(True) == 1
     await asyncio.sleep(1.0)
@@ -324,7 +298,7 @@
         assert first.error.code == codes.VOTERS_BUSY
         leader = await group.leader()
         assert (await leader.replica.change(change)).is_ok()
-    promote = messages.Change(changing.PROMOTE, 'host-9')
+    promote = messages.MemberChange(changing.PROMOTE, 'host-9')
     group.network.cut(peers(new), peers(*others(group, new)))
     await asyncio.sleep(2.0)
     refused = await leader.replica.change(promote)
@@ -337,7 +311,7 @@
     assert new.replica.status().role != interfaces.LEARNER
 
 
-@group_run(3)
+@control_fakes.group_run(3)
 async def test_planned_stop_hands_the_lead_over(group):
     """A leader is stopped as planned; nobody waits for a timeout."""
     leader = await group.leader()
@@ -351,7 +325,7 @@
     assert clock.now() - began < group.timing.election_s / 2
 
 
-@group_run(3)
+@control_fakes.group_run(3)
 async def test_foreign_group_is_not_followed(group):
     """A wrong address in the settings joins two groups.
 
--- a/test/test_settings.py
+++ b/test/test_settings.py
@@ -16,6 +16,7 @@
     'data_centre': 'rvk-a',
     'region': 'is-south',
     'roles': ['node', 'control'],
+    'data_folder': '/var/lib/carawaystair',
     'node': {'lease_s': 3},
     'control': {
         'admin': '10.0.0.1:7580',
@@ -70,6 +71,31 @@
         '$.control.teams[0].scopes[0]',
         "'admin'",
     ),
+    (('data_folder',), None, '$.data_folder', 'needed by'),
+    (
+        ('control_hosts',),
+        ['10.0.0.1:1', '10.0.0.2:1'],
+        '$.control.voters',
+        'names 2 hosts',
+    ),
+    (
+        ('control', 'voters'),
+        [{'name': n, 'peer': '10.0.0.%s:7401' % n} for n in '12'],
+        '$.control.voters',
+        '2 hosts; expected 1, 3',
+    ),
+    (
+        ('control', 'voters'),
+        [{'name': 'rvk-a-1', 'peer': '10.0.0.1:7401'}],
+        '$.control.voters[0].peer',
+        'this host has',
+    ),
+    (
+        ('control', 'voters'),
+        [{'name': 'b', 'peer': 'x'}],
+        '$.control.voters[0].peer',
+        'IPv4',
+    ),
     (('control', 'changes_per_s'), 0, '$.control.changes_per_s', '0.1'),
     (('data_center',), 'x', '$.data_center', "'data_centre'"),
 ]
