Membership: failure tests, and what they brought to light

Cause: no test had brought the failures about. They showed: a node that lags behind alone was never met by anti-entropy, since the next probe of another node shows agreement; a process that restarts was taken for the old one refuting its death, so that upstreams of its earlier life were listed for a moment; a refutation that is lost on its way let a host be declared dead by processes that reach it. Change: a difference stays noted until it was looked into; the start of a process stands in the upper bits of its liveness incarnation; a last probe of one's own precedes every verdict; a process that reached nobody since the suspicion began doubts in place of declaring dead.

--- a/carawaystair/membership/awareness.py
+++ b/carawaystair/membership/awareness.py
@@ -5,10 +5,11 @@
 the score is high (Lifeguard, Dadgar, Phillips and Currey, 2018: LHA-Probe).
 """
 
+from carawaystair import clock
+
 # The score goes from 0 to this; probes take up to one more times as long.
 MAX_SCORE = 4
-# Probes that failed in a row, with no success between, after which this
-# process is held to be the one that is cut off.
+# A process with fewer failures in a row than this isn't cut off, but unlucky.
 ISOLATED_AFTER = 3
 
 
@@ -18,19 +19,25 @@
     def __init__(self) -> None:
         self.score = 0
         self.failures = 0
+        # Monotonic time of the last probe that was answered.
+        self.success = 0.0
 
     @property
     def scale(self) -> int:
         """Return the factor on the times of probes."""
         return self.score + 1
 
-    def isolated(self) -> bool:
-        """Tell whether this process seems to reach nobody."""
-        return self.failures >= ISOLATED_AFTER
+    def isolated(self, since: float) -> bool:
+        """Tell whether this process seems to reach nobody.
+
+        :param since: monotonic time; a later success shows that it does.
+        """
+        return self.failures >= ISOLATED_AFTER and self.success < since
 
     def succeeded(self) -> None:
         """Take note of a probe that was answered."""
         self.failures = 0
+        self.success = clock.now()
         self.score = max(self.score - 1, 0)
 
     def failed(self, silent: int) -> None:
--- a/carawaystair/membership/flood.py
+++ b/carawaystair/membership/flood.py
@@ -185,9 +185,8 @@
         return tuple(batch)
 
     async def _receive(
-        self, sender: str, batch: messages.Batch
+        self, _sender: str, batch: messages.Batch
     ) -> messages.Taken:
-        self._known_to(sender, batch.records)
         self.take(batch.records)
         return messages.Taken(self._newer(batch.records))
 
@@ -203,17 +202,6 @@
             if entry is not None and entry.record.version > record.version
         )
 
-    def _known_to(
-        self, sender: str, records: typing.Iterable[messages.Record]
-    ) -> None:
-        """Spare a neighbour what it has just sent."""
-        feeds = [f for f in self.feeds.values() if f.address == sender]
-        for feed in feeds:
-            for record in records:
-                entry = self.table.entries.get(record.host)
-                if entry is None or entry.record.version <= record.version:
-                    feed.waiting.pop(record.host, None)
-
     def _drop(self, host: str) -> None:
         feed = self.feeds.pop(host)
         if feed.task is not None:
--- a/carawaystair/membership/join.py
+++ b/carawaystair/membership/join.py
@@ -13,7 +13,7 @@
 from carawaystair.membership import probe
 from carawaystair.membership import table as tables
 
-TIMEOUT_S = 2.0
+TIMEOUT_S = 1.0
 # Pause between attempts at seeds, in seconds, until one has answered.
 RETRY_S = 1.0
 # Later a seed that is not a member is asked by all processes together about
--- a/carawaystair/membership/messages.py
+++ b/carawaystair/membership/messages.py
@@ -18,6 +18,10 @@
 LEFT = 3
 NAMES = ('alive', 'suspect', 'dead', 'left')
 
+# The incarnation of a host's liveness counts the starts of its process in the
+# upper bits and the refutations of each start in these lower bits.
+REFUTATION_BITS = 16
+
 # States of an upstream inside a record; those gone are absent from it.
 STATES = (interfaces.UP, interfaces.DRAINING)
 MILLI = 1000
@@ -28,6 +32,19 @@
 RAW = -15
 
 
+def first(start: int) -> int:
+    """Return the liveness incarnation that a process starts with.
+
+    :param start: the incarnation of its record.
+    """
+    return start << REFUTATION_BITS
+
+
+def start(incarnation: int) -> int:
+    """Return the start of the process that a liveness is about."""
+    return incarnation >> REFUTATION_BITS
+
+
 class Row(typing.NamedTuple):
     """One upstream inside a record.
 
--- a/carawaystair/membership/probe.py
+++ b/carawaystair/membership/probe.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import itertools
+import operator
 import random
 import typing
 
@@ -35,11 +36,9 @@
 ASK_S = 0.1
 # Probes done for others at once; more are refused.
 MAX_RELAYS = 64
-# A period that ends this much late shows that this process stood still.
-LATE_S = 0.25
 # Each host believed dead is probed about once in this time by all together.
 REVIVE_S = 1.0
-# Hosts that others say or that seem to live though believed dead here.
+# Hosts that others believe alive though they are believed dead here.
 MAX_CONTESTED = 256
 # While there is news, it goes to so many processes in so much time.
 RUMOUR_S = 0.2
@@ -66,7 +65,11 @@
         self.awareness = awareness.Awareness()
         self.queue = queues.Queue(lambda: len(table.up()))
         self.suspicions = suspicion.Suspicions(
-            table, self.queue, PERIOD_S, self.awareness.isolated
+            table,
+            self.queue,
+            PERIOD_S,
+            self.awareness.isolated,
+            lambda entry: self.reach(entry, DIRECT_S),
         )
         # Nonces begin anywhere, so that an answer to an earlier process on
         # this address is not taken for one to this process.
@@ -143,10 +146,6 @@
             if answer.done() or any(said and said.reached for said in heard):
                 self.awareness.succeeded()
                 return True
-        if clock.now() > ends + LATE_S:
-            # This process stood still; the answers wait in its socket.
-            self.awareness.worsen()
-            return False
         self.failed += 1
         silent = sum(said is None for said in heard)
         self.awareness.failed(silent if helpers else 1)
@@ -269,8 +268,10 @@
 
     def _tell_some(self, count: int) -> None:
         up = self.table.up()
-        chosen = self.rng.sample(up, min(count + 1, len(up)))
+        chosen = self.rng.sample(up, min(2 * count + 1, len(up)))
         others = [entry for entry in chosen if entry is not self.table.me]
+        # Those under suspicion likely hear nothing.
+        others.sort(key=operator.attrgetter('state'))
         for entry in others[:count]:
             rumour = messages.Rumour(self.table.host, self.queue.pick())
             self.datagrams.send(entry.member.gossip, rumour)
@@ -317,7 +318,8 @@
         if ping.to != self.table.host:
             return
         if ping.known > self.table.me.member.incarnation:
-            self.table.accused(ping.known)
+            # Only an earlier process of this host can have said that.
+            self.table.outdated(messages.start(ping.known))
         self._take(ping.host, ping.news)
         ack = messages.Ack(
             ping.nonce,
@@ -327,7 +329,6 @@
             self.queue.pick(),
         )
         self.datagrams.send(sender, ack)
-        self.contest(ping.host)
         self._compare(ping.host, ping.digests)
 
     def _acked(self, _sender: str, ack: messages.Ack) -> None:
--- a/carawaystair/membership/service.py
+++ b/carawaystair/membership/service.py
@@ -86,10 +86,8 @@
         self.datagrams = datagrams
         self.timeline = timeline
         self.rng = rng
-        # The incarnation of the record; the one that probes are answered
-        # with starts there and grows with every refutation.
-        self.started_as = incarnation
         self.incarnation = incarnation
+        self.refutations = 0
         self.sequence = 0
         self.left = False
         self.gather: asyncio.TimerHandle | None = None
@@ -99,7 +97,7 @@
         self.members = member_lists.Members(self.table, timeline)
         self.directory = directories.Directory(self.table, timeline)
         self.registry = registries.Registry(lease_s, self.publish)
-        self.table.own(self._record(), incarnation)
+        self.table.own(self._record(), self._liveness())
         self.flood = floods.Flood(self.table, transport)
         self.prober = probe.Prober(self.table, datagrams, rng)
         self.prober.suspicions.stood_still.append(self._stood_still)
@@ -177,31 +175,36 @@
 
         :param incarnation: the one that they say it of.
         """
-        if self.left or incarnation < self.incarnation:
-            return
-        self.incarnation = incarnation + 1
-        self.table.own(self.table.me.record, self.incarnation)
-        self.prober.refute()
+        if messages.start(incarnation) > self.incarnation:
+            self.renumber(messages.start(incarnation))
+        elif not self.left and incarnation >= self._liveness():
+            self.refutations += 1
+            self.table.own(self.table.me.record, self._liveness())
+            self.prober.refute()
 
     def renumber(self, incarnation: int) -> None:
         """Number the record above one that others still hold.
 
         :param incarnation: the one that they hold.
         """
-        if self.left or incarnation < self.started_as:
+        if self.left or incarnation < self.incarnation:
             return
-        LOG.warning('Others hold newer records of this host.')
-        self.started_as = max(incarnation, self.incarnation) + 1
-        self.incarnation = self.started_as
+        LOG.warning('Others know a later start of this host.')
+        self.incarnation = incarnation + 1
+        self.refutations = 0
         self._publish()
 
+    def _liveness(self) -> int:
+        """Return the incarnation that probes are answered with."""
+        return messages.first(self.incarnation) + self.refutations
+
     def _publish(self) -> None:
         if self.gather is not None:
             self.gather.cancel()
             self.gather = None
         self.sequence += 1
         record = self._record()
-        self.table.own(record, self.incarnation)
+        self.table.own(record, self._liveness())
         self.flood.spread(self.identity.host)
         self.interest.push(record)
 
@@ -210,6 +213,7 @@
 
         :param late: for so many seconds.
         """
+        self.prober.awareness.worsen()
         if late < DOUBT_S:
             return
         LOG.warning('Stood still; joins anew.', seconds=round(late))
@@ -229,7 +233,7 @@
         )
         return messages.Record(
             who.host,
-            self.started_as,
+            self.incarnation,
             self.sequence,
             self.left,
             messages.pack(body),
--- a/carawaystair/membership/suspicion.py
+++ b/carawaystair/membership/suspicion.py
@@ -25,6 +25,8 @@
 # Processes that must suspect it, besides the first, for the least time.
 CONFIRMATIONS = 3
 SWEEP_S = 0.1
+# Last probes under way at once; further hosts wait for the next sweep.
+MAX_LAST = 64
 # A sweep that comes later than this shows that the process stood still.
 LATE_S = 0.25
 
@@ -37,14 +39,16 @@
     :ivar incarnation: the incarnation that it is about.
     :ivar began: monotonic time at which it began.
     :ivar by: the hosts that suspect it.
+    :ivar closing: whether the last probe is under way.
     """
 
-    __slots__ = ('incarnation', 'began', 'by')
+    __slots__ = ('incarnation', 'began', 'by', 'closing')
 
     def __init__(self, incarnation: int, began: float) -> None:
         self.incarnation = incarnation
         self.began = began
         self.by: set[str] = set()
+        self.closing = False
 
     def time_s(self, least_s: float, needed: int) -> float:
         """Return how long the host has, from the beginning.
@@ -66,7 +70,9 @@
     :param table: the table of hosts.
     :param queue: takes news to spread.
     :param period_s: period of probes, in seconds.
-    :param isolated: tells whether this process reaches nobody.
+    :param isolated: tells whether this process has reached nobody since a
+        time.
+    :param reach: probes a host directly.
     """
 
     def __init__(
@@ -74,7 +80,8 @@
         table: tables.Table,
         queue: queues.Queue,
         period_s: float,
-        isolated: typing.Callable[[], bool],
+        isolated: typing.Callable[[float], bool],
+        reach: typing.Callable[[tables.Entry], typing.Awaitable[bool]],
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
@@ -82,7 +89,9 @@
         self.queue = queue
         self.period_s = period_s
         self.isolated = isolated
+        self.reach = reach
         self.cases: dict[str, Case] = {}
+        self.closing: set[asyncio.Task] = set()
         # Called with the seconds for which the process stood still.
         self.stood_still: list[typing.Callable[[float], None]] = []
         table.listeners.append(self._changed)
@@ -122,48 +131,60 @@
             late = now - last - SWEEP_S
             last = now
             if late > LATE_S:
-                self._forgive(late)
-                continue
+                for callback in self.stood_still:
+                    callback(late)
             self.expire(now)
 
+    async def on_stop(self) -> None:
+        """Drop the last probes."""
+        for task in self.closing:
+            task.cancel()
+
     def expire(self, now: float) -> None:
-        """Declare dead whom nobody reached in time."""
-        least_s = self.least_s()
-        needed = min(CONFIRMATIONS, len(self.table.up()) - 2)
+        """Turn to the hosts that nobody reached in time."""
         over = [
             host
             for host, case in self.cases.items()
-            if now >= case.began + case.time_s(least_s, needed)
+            if not case.closing and self._over(case, now)
         ]
-        for host in over:
-            self._end(host)
+        for host in over[: MAX_LAST - len(self.closing)]:
+            task = asyncio.create_task(self._close(host, self.cases[host]))
+            self.closing.add(task)
+            task.add_done_callback(self.closing.discard)
+
+    def _over(self, case: Case, now: float) -> bool:
+        """Tell whether the time of a suspicion is over."""
+        needed = min(CONFIRMATIONS, len(self.table.up()) - 2)
+        return now >= case.began + case.time_s(self.least_s(), needed)
+
+    async def _close(self, host: str, case: Case) -> None:
+        """Declare a host dead, unless this process reaches it after all.
 
-    def _end(self, host: str) -> None:
+        The refutation may have been lost on its way here, while the word of
+        others that do not reach the host was not.  Or this process stood
+        still past the end, and the refutation waits in its socket.
+        """
+        case.closing = True
+        reached = await self.reach(self.table.entries[host])
+        case.closing = False
+        same = self.cases.get(host) is case
+        if reached or not same or not self._over(case, clock.now()):
+            return
+        self._end(host, case)
+
+    def _end(self, host: str, case: Case) -> None:
         """Declare a host dead, or doubt it when this process may be at fault.
 
         A process that is cut off alone would declare the whole fleet dead
         and, once the network heals, make every host refute that.
         """
-        if self.isolated():
+        if self.isolated(case.began):
             self.queue.drop(host)
             self.table.doubt(host)
             return
-        entry = self.table.entries[host]
-        incarnation = entry.member.incarnation
+        incarnation = self.table.entries[host].member.incarnation
         self.take(messages.News(host, messages.DEAD, incarnation))
 
-    def _forgive(self, late: float) -> None:
-        """Give every suspected host the time that this process missed.
-
-        The refutations that came while it stood still lie unread in its
-        socket; going by the clock it would bury live hosts first and read
-        afterwards.
-        """
-        for case in self.cases.values():
-            case.began += late
-        for callback in self.stood_still:
-            callback(late)
-
     def _confirm(self, news: messages.News) -> bool:
         """Count one more that suspects a host; tells whether that is new."""
         case = self.cases.get(news.host)
--- a/carawaystair/membership/sync.py
+++ b/carawaystair/membership/sync.py
@@ -25,7 +25,7 @@
 TIMEOUT_S = 1.0
 # Pause between comparisons, in seconds; doubles while they bring nothing.
 PAUSE_S = 1.0
-PAUSE_MAX_S = 30.0
+PAUSE_MAX_S = 8.0
 # A digest that changed less than this ago may just be ahead of the others.
 SETTLED_S = 1.0
 # In a fleet that changes all the time a digest may never settle; after so
@@ -108,17 +108,29 @@
 
     def compared(self, host: str, theirs: messages.Digests) -> None:
         """Take note of the digests of another process."""
-        for kind, their in enumerate(theirs):
-            if their == self.table.digests[kind].total:
+        equal = [
+            their == self.table.digests[kind].total
+            for kind, their in enumerate(theirs)
+        ]
+        for kind in (messages.RECORDS, messages.LIVENESS):
+            if not equal[kind]:
+                self._differs(kind, host)
+            elif self.differing[kind] == host:
                 self.differing[kind] = ''
-                continue
-            if not self.differing[kind]:
-                self.since[kind] = clock.now()
-            self.differing[kind] = host
-            self.event.set()
-        if not any(self.differing):
+        if all(equal):
             self.agreed.set()
 
+    def _differs(self, kind: int, host: str) -> None:
+        """Note a difference; that others agree doesn't make it void.
+
+        Where most processes agree and a few lag behind, the next probe
+        nearly always shows agreement, and those few would never be met.
+        """
+        if not self.differing[kind]:
+            self.since[kind] = clock.now()
+        self.differing[kind] = host
+        self.event.set()
+
     def due(self, kind: int) -> bool:
         """Tell whether a difference has lasted long enough to look into."""
         now = clock.now()
@@ -148,7 +160,7 @@
 
         :return: whether something new came of it.
         """
-        host = self.differing[kind]
+        host, self.differing[kind] = self.differing[kind], ''
         neighbours = [h for h in self.flood.feeds if h != host]
         if neighbours and self.rng.random() >= DIRECT_SHARE:
             host = self.rng.choice(neighbours)
--- a/carawaystair/membership/table.py
+++ b/carawaystair/membership/table.py
@@ -102,7 +102,7 @@
         self.moved = [0.0, 0.0]
         self.listeners: list[typing.Callable[[Change], None]] = []
         # Called when others believe this process dead or suspect, with the
-        # incarnation, and when they hold a newer record of it.
+        # incarnation, and when they know of a later start of this host.
         self.accused: typing.Callable[[int], None] = _ignore
         self.outdated: typing.Callable[[int], None] = _ignore
         self.refused = 0
@@ -175,6 +175,12 @@
             return False
         if not _overrides(state, incarnation, entry.state, known):
             return False
+        newer = messages.start(incarnation) > entry.record.incarnation
+        if state == messages.ALIVE and newer:
+            # Its process has started anew.  Were it taken for alive now,
+            # the upstreams that the old process announced would be listed
+            # again; the new record says which of them there are.
+            return False
         self._turn(entry, state, incarnation)
         return True
 
@@ -213,8 +219,9 @@
         self, entry: Entry, record: messages.Record, body: messages.Body
     ) -> None:
         change = Change(entry, entry.state, entry.record)
-        restarted = record.incarnation > entry.member.incarnation
-        incarnation = max(record.incarnation, entry.member.incarnation)
+        born = messages.first(record.incarnation)
+        restarted = born > entry.member.incarnation
+        incarnation = max(born, entry.member.incarnation)
         entry.record = record
         entry.member = member(record, body)._replace(incarnation=incarnation)
         if record.left:
@@ -271,6 +278,6 @@
         sys.intern(body.region),
         sys.intern(body.peer),
         sys.intern(body.gossip),
-        record.incarnation,
+        messages.first(record.incarnation),
         body.control,
     )
--- /dev/null
+++ b/test/test_membership_spread.py
@@ -0,0 +1,310 @@
+"""Tests of how records spread: flooding, anti-entropy, straight pushes."""
+
+import asyncio
+import random
+
+import pytest
+
+from carawaystair.membership import digest
+from carawaystair.membership import flood as floods
+from carawaystair.membership import messages
+from carawaystair.membership import ring
+from carawaystair.membership import table as tables
+from test import fakes
+from test import test_membership as whole
+
+
+def record(host, incarnation=1, sequence=0, upstreams=(), left=False):
+    """Return a made-up record."""
+    address = '127.0.0.1:1'
+    body = messages.Body('dc', 'region', address, address, False, upstreams)
+    packed = messages.pack(body)
+    return messages.Record(host, incarnation, sequence, left, packed)
+
+
+async def until(condition, limit_s):
+    """Wait for a condition; return the seconds that it took."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    while not condition():
+        assert loop.time() - began < limit_s
+        await asyncio.sleep(0.01)
+    return loop.time() - began
+
+
+def test_leave_reaches_a_hundred_nodes_under_loss():
+    """Leaves while a fifth of all messages between nodes are lost.
+
+    Symptom: some node sends new work to an upstream seconds after it began
+    to drain.  Sequence: no control host runs, messages are lost, upstreams
+    drain and leave.  Cause: a lost message is not sent again.
+    """
+
+    async def _run():
+        network = fakes.Network(seed=5)
+        nodes = await whole.fleet(network, 104, settle_s=4)
+        for number in range(5):
+            whole.announce(nodes[number * 20], 'u%d' % number)
+        await asyncio.sleep(2)
+        assert all(len(whole.states(node)) == 5 for node in nodes)
+        network.loss = 0.2
+        for number in range(5):
+            owner = nodes[number * 20]
+            whole.announce(owner, 'u%d' % number, 'draining')
+            name = 'u%d' % number
+            await until(
+                lambda name=name: all(
+                    whole.states(node).get(name) == 'draining'
+                    for node in nodes
+                ),
+                2.0,
+            )
+
+    fakes.run(_run())
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_random_changes_converge_and_nothing_left_returns(seed):
+    """Upstreams and hosts come and go at random, with loss and doubles.
+
+    Symptom: an upstream that left is listed again, or nodes disagree for
+    ever.  Sequence: random.  Cause: a late announcement, a record lost on
+    every path, or a host's return taken for that of its upstreams.
+    """
+
+    async def _run():
+        rng = random.Random(seed)
+        network = fakes.Network(seed, 0.2, 0.1, (0.0005, 0.05))
+        nodes = await whole.fleet(network, 10, settle_s=15)
+        left, listed, returned = set(), {}, []
+
+        def _seen(node, item):
+            if item.id in left and item.state == 'up':
+                returned.append((node, item))
+
+        for node in nodes:
+            node.directory.subscribe(lambda u, n=node: _seen(n.identity, u))
+        for step in range(40):
+            owner = rng.choice(nodes)
+            mine = [n for n, node in listed.items() if node is owner]
+            if mine and rng.random() < 0.5:
+                name = rng.choice(mine)
+                owner.registry.remove(name)
+                del listed[name]
+                await asyncio.sleep(2.0)
+                left.add(name)
+            else:
+                name = 'u%d' % step
+                whole.announce(owner, name)
+                listed[name] = owner
+            if rng.random() < 0.1:
+                pair = [n.identity.peer for n in rng.sample(nodes, 2)]
+                network.cut(pair[:1], pair[1:], both=rng.random() < 0.5)
+            await asyncio.sleep(rng.uniform(0, 0.5))
+        network.heal()
+        network.loss = 0.0
+        await asyncio.sleep(40)
+        assert returned == []
+        wanted = dict.fromkeys(listed, 'up')
+        assert all(whole.states(node) == wanted for node in nodes)
+        totals = {node.prober.digests() for node in nodes}
+        assert len(totals) == 1
+
+    fakes.run(_run())
+
+
+def test_a_late_older_record_changes_nothing():
+    """An old announcement arrives after the leave.
+
+    Symptom: an upstream that left is listed again.  Sequence: a record is
+    held up on one path, the next one overtakes it.  Cause: the last to
+    arrive wins.
+    """
+
+    async def _run():
+        table = tables.Table('me')
+        old, new = record('a', 1, 1), record('a', 1, 2, left=True)
+        assert table.put(new)
+        assert not table.put(old)
+        assert table.entries['a'].state == messages.LEFT
+        assert not table.hear('a', messages.ALIVE, 1)
+        assert table.put(record('a', 2, 0))
+        outdated = []
+        table.outdated = outdated.append
+        table.own(record('me', 5, 3), messages.first(5))
+        assert not table.put(record('me', 5, 3))
+        assert not table.put(record('me', 7, 0))
+        assert outdated == [7]
+
+    fakes.run(_run())
+
+
+def test_a_record_lost_on_every_path_is_mended():
+    """A node misses a change altogether.
+
+    Symptom: it never learns of it.  Sequence: it is cut off from all while
+    a change is flooded and given up.  Cause: nothing looks for differences.
+    """
+
+    async def _run():
+        network = fakes.Network()
+        nodes = await whole.fleet(network, 8)
+        await asyncio.sleep(5)
+        nodes[5].table.put, put = lambda record: False, nodes[5].table.put
+        whole.announce(nodes[1], 'a')
+        await asyncio.sleep(1)
+        nodes[5].table.put = put
+        assert whole.states(nodes[5]) == {}
+        await asyncio.sleep(6)
+        assert whole.states(nodes[5]) == {'a': 'up'}
+        await asyncio.sleep(5)
+        rounds = [node.sync.rounds for node in nodes]
+        await asyncio.sleep(30)
+        # A fleet that agrees compares digests in its probes only.
+        assert [node.sync.rounds for node in nodes] == rounds
+
+    fakes.run(_run())
+
+
+def test_what_a_neighbour_missed_is_sent_again():
+    """Two processes, and four of ten messages are lost between them.
+
+    Symptom: a leave waits for anti-entropy.  Sequence: the one message with
+    it is lost.  Cause: it is not sent again until acknowledged.
+    """
+
+    async def _run():
+        network = fakes.Network(seed=2)
+        nodes = await whole.fleet(network, 2)
+        for node in nodes:
+            node.prober.compared.clear()
+        network.loss = 0.4
+        for number in range(10):
+            name = 'u%d' % number
+            whole.announce(nodes[1], name)
+            await until(lambda name=name: name in whole.states(nodes[0]), 2.5)
+
+    fakes.run(_run())
+
+
+def test_a_data_centre_returns_all_at_once():
+    """A quarter of the hosts starts in the same moment.
+
+    Symptom: links and seeds are flooded by thousands of announcements.
+    Sequence: a data centre loses power and is back, every upstream
+    announces itself at once.  Cause: each announcement travels alone and at
+    once.
+    """
+
+    async def _run():
+        network = fakes.Network()
+        nodes = await whole.fleet(network, 30)
+        await asyncio.sleep(5)
+        before = network.carried
+        back = [whole.make(network, number) for number in range(30, 40)]
+        for node in back:
+            await node.start()
+        for number in range(100):
+            for node in back:
+                whole.announce(node, '%s-%d' % (node.identity.host, number))
+            await asyncio.sleep(0.01)
+        everybody = nodes + back
+        await until(
+            lambda: all(len(whole.states(node)) == 1000 for node in everybody),
+            10.0,
+        )
+        # A thousand announcements; each alone would be ten times as much.
+        assert (network.carried - before) / 40 < 400
+
+    fakes.run(_run())
+
+
+def test_a_batch_is_bounded_and_a_waiting_record_is_the_newest():
+    async def _run():
+        table = tables.Table('me')
+        flood = floods.Flood(table, fakes.Network().transport('127.0.0.1:1'))
+        feed = floods.Feed('127.0.0.1:2')
+        rng = random.Random(1)
+        for number in range(1000):
+            rows = (messages.Row(rng.randbytes(200).hex(), 's', '', *[1] * 6),)
+            table.put(record('h%d' % number, 1, 0, rows))
+            feed.add('h%d' % number)
+        table.put(record('h0', 1, 1))
+        sizes = []
+        while feed.waiting:
+            batch = flood._batch(feed)
+            sizes.append(sum(len(r.body) for r in batch))
+            if len(sizes) == 1:
+                assert batch[0].version == (1, 1)
+        assert max(sizes) < floods.BATCH_BYTES + 1000
+        assert len(sizes) > 5
+
+    fakes.run(_run())
+
+
+def test_those_that_send_get_it_straight():
+    """All links for messages fail; datagrams still pass.
+
+    Symptom: a node goes on sending to an upstream that drains.  Sequence:
+    TCP between hosts is stuck, the upstream drains.  Cause: flooding over
+    links is the only way.
+    """
+
+    async def _run():
+        network = fakes.Network()
+        nodes = await whole.fleet(network, 6)
+        whole.announce(nodes[1], 'a')
+        await asyncio.sleep(1)
+        nodes[4].directory.using('stock')
+        await asyncio.sleep(2)
+        assert len(nodes[1].interest.senders) == 1
+        for node in nodes:
+            node.transport.handlers.pop(messages.Batch)
+            node.prober.compared.clear()
+        network.loss = 0.4
+        for number in range(6):
+            name = 'u%d' % number
+            whole.announce(nodes[1], name, 'draining')
+            await until(lambda name=name: name in whole.states(nodes[4]), 1.5)
+        assert whole.states(nodes[3]) == {'a': 'up'}
+
+    fakes.run(_run())
+
+
+def test_the_overlay_links_everybody_in_few_hops():
+    names = ['h%d' % number for number in range(500)]
+    links = {name: ring.neighbours(name, names) for name in names}
+    assert max(len(found) for found in links.values()) == 9
+    reached, hops = {'h0'}, 0
+    while len(reached) < 500:
+        reached |= {after for name in reached for after in links[name]}
+        hops += 1
+    assert hops <= 9
+    assert ring.neighbours('a', ['a']) == ()
+    assert set(ring.neighbours('a', 'abc')) == set('bc')
+
+
+def test_digests_find_the_one_host_that_differs():
+    ours, theirs = digest.Digest(), digest.Digest()
+    for number in range(100):
+        host = 'h%d' % number
+        for side in (ours, theirs):
+            side.toggle(digest.bucket(host), digest.mark(host, 1, 2))
+    assert ours.differing(theirs.encode()) == []
+    theirs.toggle(digest.bucket('h7'), digest.mark('h7', 1, 2))
+    assert ours.differing(theirs.encode()) == [digest.bucket('h7')]
+    assert ours.total != theirs.total
+
+
+def test_an_inflated_body_is_refused():
+    """A record of a few hundred bytes inflates to gigabytes.
+
+    Symptom: the process runs out of memory.  Sequence: a broken peer sends
+    it.  Cause: the size is looked at before it is inflated.
+    """
+    upstreams = (messages.Row('x' * 200, 's', '', *[1] * 6),) * 500
+    body = messages.Body('dc', 'r', 'p', 'g', False, upstreams)
+    data = messages.pack(body)
+    assert len(data) < 1000
+    assert messages.unpack(data) is None
+    assert messages.unpack(b'noise') is None
