Membership: gossip and revival in modules of their own

Change: one task a service; gossip.py spreads news, revival.py probes the dead, probe.py only probes.

--- a/carawaystair/membership/join.py
+++ b/carawaystair/membership/join.py
@@ -11,6 +11,7 @@
 from carawaystair.membership import flood as floods
 from carawaystair.membership import messages
 from carawaystair.membership import probe
+from carawaystair.membership import revival as revivals
 from carawaystair.membership import table as tables
 
 TIMEOUT_S = 1.0
@@ -35,6 +36,7 @@
     :param table: the table of hosts.
     :param flood: passes records on.
     :param prober: probes newcomers.
+    :param revival: probes hosts that others believe alive.
     :param transport: the messages of this process.
     :param seeds: addresses for messages of some processes.
     :param rng: the source of randomness.
@@ -45,6 +47,7 @@
         table: tables.Table,
         flood: floods.Flood,
         prober: probe.Prober,
+        revival: revivals.Revival,
         transport: interfaces.Transport,
         seeds: typing.Sequence[str],
         rng: random.Random,
@@ -54,6 +57,7 @@
         self.table = table
         self.flood = flood
         self.prober = prober
+        self.revival = revival
         self.transport = transport
         own = table.me.member.peer
         self.seeds = tuple(seed for seed in seeds if seed != own)
@@ -99,7 +103,7 @@
         self.flood.take(result.ok.records, spread=False)
         # After a long cut they are known and believed dead.
         for record in result.ok.records:
-            self.prober.contest(record.host)
+            self.revival.contest(record.host)
 
     async def _hello(
         self, _sender: str, hello: messages.Hello
--- a/carawaystair/membership/service.py
+++ b/carawaystair/membership/service.py
@@ -13,12 +13,14 @@
 from carawaystair.membership import api
 from carawaystair.membership import directory as directories
 from carawaystair.membership import flood as floods
+from carawaystair.membership import gossip
 from carawaystair.membership import interest as interests
 from carawaystair.membership import join
 from carawaystair.membership import members as member_lists
 from carawaystair.membership import messages
 from carawaystair.membership import probe
 from carawaystair.membership import registry as registries
+from carawaystair.membership import revival
 from carawaystair.membership import sync as syncs
 from carawaystair.membership import table as tables
 
@@ -99,16 +101,29 @@
         self.registry = registries.Registry(lease_s, self.publish)
         self.table.own(self._record(), self._liveness())
         self.flood = floods.Flood(self.table, transport)
-        self.prober = probe.Prober(self.table, datagrams, rng)
+        self.gossip = gossip.Gossip(self.table, datagrams, rng)
+        self.prober = probe.Prober(self.table, self.gossip, datagrams, rng)
+        self.revival = revival.Revival(self.table, self.prober, rng)
         self.prober.suspicions.stood_still.append(self._stood_still)
         self.sync = syncs.Sync(
-            self.table, self.flood, self.prober, transport, rng
+            self.table,
+            self.flood,
+            self.prober,
+            self.revival,
+            transport,
+            rng,
         )
         self.interest = interests.Interest(
             self.table, self.directory, self.flood, datagrams
         )
         self.joining = join.Joining(
-            self.table, self.flood, self.prober, transport, seeds, rng
+            self.table,
+            self.flood,
+            self.prober,
+            self.revival,
+            transport,
+            seeds,
+            rng,
         )
         self.aging = aging.Aging(self.table)
         self.api = api.Api(self.registry, self.directory)
@@ -131,7 +146,9 @@
             self.directory,
             self.registry,
             self.flood,
+            self.gossip,
             self.prober,
+            self.revival,
             self.sync,
             self.interest,
             self.joining,
@@ -180,7 +197,8 @@
         elif not self.left and incarnation >= self._liveness():
             self.refutations += 1
             self.table.own(self.table.me.record, self._liveness())
-            self.prober.refute()
+            self.prober.awareness.worsen()
+            self.gossip.refute()
 
     def renumber(self, incarnation: int) -> None:
         """Number the record above one that others still hold.
--- a/carawaystair/membership/sync.py
+++ b/carawaystair/membership/sync.py
@@ -20,6 +20,7 @@
 from carawaystair.membership import flood as floods
 from carawaystair.membership import messages
 from carawaystair.membership import probe
+from carawaystair.membership import revival as revivals
 from carawaystair.membership import table as tables
 
 TIMEOUT_S = 1.0
@@ -75,6 +76,7 @@
     :param table: the table of hosts.
     :param flood: passes on what was fetched.
     :param prober: tells the digests of others.
+    :param revival: probes hosts that others believe alive.
     :param transport: the messages of this process.
     :param rng: the source of randomness.
     """
@@ -84,6 +86,7 @@
         table: tables.Table,
         flood: floods.Flood,
         prober: probe.Prober,
+        revival: revivals.Revival,
         transport: interfaces.Transport,
         rng: random.Random,
         **kwargs,
@@ -91,7 +94,7 @@
         super().__init__(**kwargs)
         self.table = table
         self.flood = flood
-        self.prober = prober
+        self.revival = revival
         self.transport = transport
         self.rng = rng
         self.allowance = Allowance(GIVE_RATE)
@@ -208,7 +211,7 @@
             host, incarnation, _sequence = version
             news = self.table.hear(host, messages.ALIVE, incarnation) or news
             # They believe it alive, we believe it dead: a round trip tells.
-            self.prober.contest(host)
+            self.revival.contest(host)
         return news
 
     async def _records(self, peer: str, differ: messages.Differ) -> bool:
