--- a/bench/soak.py
+++ b/bench/soak.py
@@ -88,7 +88,7 @@
 
     async def whole(self) -> Kept:
         """Run from start to audit."""
-        await self.start()
+        await self.stage.start()
         client = load.Load(self.plan())
         running = asyncio.create_task(client.run())
         until = clock.now() + self.seconds
--- a/standin/demo.py
+++ b/standin/demo.py
@@ -9,7 +9,6 @@
 
 import argparse
 import asyncio
-import json
 import pathlib
 import sys
 import tempfile
@@ -22,19 +21,13 @@
 from standin import faults
 from standin import fleet as fleets
 from standin import load
+from standin import stage as stages
 from standin import story as stories
 from standin import summary
 
-MANIFEST = fleets.ROOT / 'examples' / 'reykjavik' / 'manifest.json'
 EXIT_KEPT = 0
 EXIT_BROKEN = 1
 
-# The upstreams: service, number, mean service time in ms.
-SERVICES = (
-    ('portal', 3, 15.0),
-    ('settlement', 3, 30.0),
-    ('docvault', 2, 40.0),
-)
 GRAY = 'portal-2'
 GRAY_FAULTS = faults.Faults(slow=30.0, hang_share=0.3, health='good')
 DRAINED = 'settlement-3'
@@ -48,10 +41,12 @@
 PER_S = 60.0
 # Upstreams that leave go on taking work for so long, seconds.
 GRACE_S = 2.0
+CREWS = (
+    stages.Crew('portal', 3, {'service_ms': 15.0, 'grace_s': GRACE_S}),
+    stages.Crew('settlement', 3, {'service_ms': 30.0, 'grace_s': GRACE_S}),
+    stages.Crew('docvault', 2, {'service_ms': 40.0, 'grace_s': GRACE_S}),
+)
 
-READY_S = 20.0
-IN_FORCE_S = 9.0
-PATIENCE_S = 8.0
 EVENTS = 5000
 
 WORK = (
@@ -74,7 +69,7 @@
     def __init__(self, fleet: fleets.Fleet, seed: int) -> None:
         self.fleet = fleet
         self.seed = seed
-        self.document = json.loads(MANIFEST.read_text())
+        self.stage = stages.Stage(fleet, CREWS)
         self.marks: dict[str, int] = {}
         self.answers: list[load.Answer] = []
         self.skipped = 0
@@ -85,13 +80,15 @@
         events: list[timeline.Event] = []
         statuses: list[dict] = []
         try:
-            await self.start()
+            say('Starting 1 control host, 4 nodes and 8 upstreams.')
+            await self.stage.start()
             await self.drive()
             events = await self.events()
             statuses = [await self.fleet.status(n) for n in self.fleet.nodes()]
         except (TimeoutError, OSError, aiohttp.ClientError) as error:
             problem = '%s: %s' % (type(error).__name__, error)
-        await self.stop()
+        say('Stopping all.')
+        await self.stage.stop()
         return stories.Story(
             tuple(self.answers),
             self.skipped,
@@ -109,86 +106,6 @@
         """Take note of the wall time of a step."""
         self.marks[name] = clock.wall_ms()
 
-    # Start
-
-    async def start(self) -> None:
-        """Start every process and put the manifest in force."""
-        say('Starting 1 control host, 4 nodes and 8 upstreams.')
-        region, place = next(iter(self.document['regions'].items()))
-        self.fleet.region = region
-        centres = place['data_centres']
-        self.fleet.add_host('control-1', centres[0], fleets.CONTROL)
-        for number, centre in enumerate(centres, 1):
-            self.fleet.add_host('node-%d' % number, centre, fleets.NODE)
-        for name in self.fleet.hosts:
-            await self.fleet.start_host(name)
-        await self.start_upstreams()
-        admin = self.fleet.controls()[0].admin
-        await self.fleet.until(
-            lambda: self.answers_at(admin), 'the admin API', READY_S
-        )
-        say('Submitting the manifest of Reykjavik.')
-        await self.submit('none')
-        await self.fleet.until(self.ready, 'all nodes ready', READY_S)
-
-    async def start_upstreams(self) -> None:
-        """Start the upstreams, spread over the nodes."""
-        nodes = [host.name for host in self.fleet.nodes()]
-        named = (
-            (service, '%s-%d' % (service, number), ms)
-            for service, count, ms in SERVICES
-            for number in range(1, count + 1)
-        )
-        for place, (service, id, ms) in enumerate(named):
-            host = nodes[place % len(nodes)]
-            await self.fleet.start_upstream(
-                service, id, host, service_ms=ms, grace_s=GRACE_S
-            )
-
-    async def answers_at(self, address: str) -> bool:
-        """Tell whether the administration API answers."""
-        try:
-            await self.fleet.get(address, '/v1/status')
-        except (aiohttp.ClientError, asyncio.TimeoutError):
-            return False
-        return True
-
-    async def ready(self) -> bool:
-        """Tell whether each node is ready and knows every upstream."""
-        statuses = [await self.fleet.status(n) for n in self.fleet.nodes()]
-        expected = {s: count for s, count, _ms in SERVICES}
-        return all(
-            status
-            and status['ready']
-            and expected.items()
-            <= {
-                service['name']: len(service['upstreams'])
-                for service in status['services']
-            }.items()
-            for status in statuses
-        )
-
-    async def submit(self, parent: str) -> str:
-        """Submit the manifest by the command-line tool.
-
-        :return: the version accepted.
-        """
-        file = self.fleet.folder / 'manifest.json'
-        file.write_text(json.dumps(self.document))
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            *('-m', 'carawaystair.ui.main', 'submit', str(file)),
-            *('--parent', parent, '--json'),
-            *('--api', 'http://' + self.fleet.controls()[0].admin),
-            cwd=fleets.ROOT,
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.PIPE,
-        )
-        out, errors = await process.communicate()
-        if process.returncode:
-            raise OSError('submit failed: %s' % errors.decode())
-        return json.loads(out)['version']
-
     # Under load
 
     async def drive(self) -> None:
@@ -206,7 +123,8 @@
     def plan(self) -> load.Plan:
         """Return the plan of the load: one customer is dominant."""
         names = sorted(
-            self.document['customers'].items(), key=lambda c: -c[1]['weight']
+            self.stage.document['customers'].items(),
+            key=lambda c: -c[1]['weight'],
         )
         others = (1 - DOMINANT_SHARE) / (len(names) - 1)
         customers = tuple(
@@ -244,16 +162,11 @@
         """Submit a changed manifest and wait until it is in force."""
         say('Submitting a changed manifest.')
         route = {'prefix': '/archive', 'service': 'docvault', 'kind': 'bulk'}
-        self.document['routes'].append(route)
-        version = await self.submit('current')
+        self.stage.document['routes'].append(route)
+        version = await self.stage.submit('current')
         self.mark(stories.ACCEPTED)
 
-        async def in_force() -> bool:
-            nodes = self.fleet.nodes()
-            statuses = [await self.fleet.status(node) for node in nodes]
-            return all(s and s['version'] == version for s in statuses)
-
-        await self.fleet.until(in_force, 'the change', IN_FORCE_S)
+        await self.stage.in_force(version)
         self.mark(stories.IN_FORCE)
 
     async def events(self) -> list[timeline.Event]:
@@ -271,21 +184,6 @@
         """Return the events of one process."""
         return await self.fleet.get(address, path)
 
-    # Stop
-
-    async def stop(self) -> None:
-        """Stop everything by SIGTERM: upstreams, nodes, control."""
-        say('Stopping all.')
-        upstreams = [
-            n for n in self.fleet.processes if n in self.fleet.upstreams
-        ]
-        await self.fleet.stop(upstreams, PATIENCE_S)
-        nodes = [h.name for h in self.fleet.nodes()]
-        controls = [h.name for h in self.fleet.controls()]
-        for names in (nodes, controls):
-            running = [n for n in names if n in self.fleet.processes]
-            await self.fleet.stop(running, PATIENCE_S)
-
 
 async def until(time_s: float) -> None:
     """Sleep until a monotonic time."""
