--- a/test/pipes.py
+++ b/test/pipes.py
@@ -14,6 +14,7 @@
 DELAY_S = 0.0002
 HIGH_BYTES = 64 * 1024
 LOW_BYTES = 16 * 1024
+PIECE_BYTES = 64 * 1024
 
 
 class Pipe(asyncio.Transport):
@@ -42,7 +43,8 @@
         if self.closing or self.lost or not data:
             return
         self.written += len(data)
-        self._queue(bytes(data))
+        for start in range(0, len(data), PIECE_BYTES):
+            self._queue(bytes(data[start : start + PIECE_BYTES]))
 
     def writelines(self, list_of_data) -> None:
         self.write(b''.join(list_of_data))
