Request path: late answers, silence, hygiene and stops, with their tests

Cause: a late attempt weighed on its upstream only at the moment it was noticed; hedges on silent connections were never doubted; a request whose connections were all silent waited for its deadline; a malformed Expect was looked at only when there was a body; a stop waited for attempts that nobody waits for; with one upstream usable of two, a region sent nothing away. Change: a late answer counts more the longer it takes; doubts come up for every attempt and a request races them itself; callers waiting on a connection found lost learn of it at once; the share of work that leaves the region is what the region lacks (shares.py); a stop cancels mere watches.

--- a/carawaystair/request/attempt.py
+++ b/carawaystair/request/attempt.py
@@ -61,7 +61,8 @@
         self.extra = extra
         self.fresh = fresh
         self.connection: connections.Connection | None = None
-        # Rings when the connection itself is to be doubted.
+        # Rings when the connection is to be doubted; set once the answer
+        # is late.
         self.alarm: asyncio.TimerHandle | None = None
         self.message = None
         self.payload = None
--- a/carawaystair/request/caller.py
+++ b/carawaystair/request/caller.py
@@ -60,6 +60,8 @@
 
 def target(request: incoming.Request) -> Target:
     """Return where a request goes; raises :class:`Refused`."""
+    if request.method in REFUSED_METHODS:
+        raise Refused(codes.METHOD_REFUSED, request.method)
     path = request.raw_path
     host = request.headers.get('Host', '')
     authority = ''
@@ -103,8 +105,6 @@
     """
     given = request.headers
     method = request.method
-    if method in REFUSED_METHODS:
-        raise Refused(codes.METHOD_REFUSED, method)
     if 'Via' in given and _looped(given.getall('Via'), host):
         raise Refused(codes.LOOP)
     customer = _customer(given)
--- a/carawaystair/request/choosing.py
+++ b/carawaystair/request/choosing.py
@@ -1,7 +1,6 @@
 """Which upstreams may get a request, and which of them does."""
 
 import bisect
-import itertools
 import math
 import random
 import typing
@@ -11,20 +10,10 @@
 from carawaystair import rendezvous
 from carawaystair.request import call as calls
 from carawaystair.request import connections
+from carawaystair.request import shares
 from carawaystair.request import target as targets
 from carawaystair import routing as routings
 
-# A node sends to so many upstreams of a service at most.  With thousands of
-# nodes before tens of thousands of upstreams, a node that used them all
-# would find no connection open, and an upstream would have one with every
-# node.
-SUBSET = 10
-# An upstream of this node's data centre gets so many times the work of one
-# elsewhere in the region.
-NEAR_FACTOR = 2.0
-# Other regions get work only when this region's usable slots, times this
-# factor, fall below its known ones.
-SPARE = 1.4
 # The shares of starting upstreams are taken anew after so long, seconds.
 WARMING_S = 0.25
 DEFAULT = 'peak'
@@ -53,7 +42,7 @@
     ejected: frozenset[str]
     until: float
     candidates: targets.Candidates
-    others: tuple[targets.Target, ...]
+    others: typing.Sequence[targets.Target]
 
 
 class Chooser:
@@ -142,7 +131,7 @@
         chosen = self.candidates(service, now)
         candidates = chosen.candidates
         if tried:
-            candidates = _without(chosen, tried)
+            candidates = shares.without(candidates, chosen.others, tried)
         if not candidates.targets:
             return None
         balancer = self.balancer(service, call.match.service.balancer)
@@ -179,15 +168,18 @@
             and not routing.drained(upstream.host, upstream.data_centre)
         ]
         usable.sort(key=self._rank)
-        near = self._near(service, routing, usable)
-        used, others = near[:SUBSET], near[SUBSET:]
-        warming = any(target.warmth(now) < 1.0 for target in used)
-        until = now + WARMING_S if warming else math.inf
-        shares = itertools.accumulate(
-            self._share(target, now) for target in used
+        region = routing.region(self.place.region)
+        here = {self.place.data_centre}.union(
+            region.data_centres if region else ()
+        )
+        part = shares.near_part(
+            self.directory.upstreams(service), usable, here
         )
-        candidates = targets.Candidates(tuple(used), tuple(shares))
-        return Chosen(routing, ejected, until, candidates, tuple(others))
+        used = shares.split(usable, here)
+        made = shares.candidates(used, part, self.place.data_centre, now)
+        warming = any(target.warmth(now) < 1.0 for target in made.targets)
+        until = now + WARMING_S if warming else math.inf
+        return Chosen(routing, ejected, until, made, used.others)
 
     def _rank(self, target: targets.Target) -> tuple[int, str]:
         """Order upstreams for this node; other nodes have another order."""
@@ -195,30 +187,6 @@
         weight = -rendezvous.score(self.place.host, upstream.id)
         return weight, upstream.id
 
-    def _near(
-        self,
-        service: str,
-        routing: routings.Routing,
-        usable: list[targets.Target],
-    ) -> list[targets.Target]:
-        """Return the upstreams of this region, or all when it lacks slots."""
-        place = routing.region(self.place.region)
-        here = {self.place.data_centre, *(place.data_centres if place else ())}
-        near = [t for t in usable if t.upstream.data_centre in here]
-        known = sum(
-            upstream.slots
-            for upstream in self.directory.upstreams(service)
-            if upstream.data_centre in here
-        )
-        slots = sum(target.upstream.slots for target in near)
-        return near if near and slots * SPARE >= known else usable
-
-    def _share(self, target: targets.Target, now: float) -> float:
-        upstream = target.upstream
-        near = upstream.data_centre == self.place.data_centre
-        factor = NEAR_FACTOR if near else 1.0
-        return upstream.weight * factor * target.warmth(now)
-
     def target(
         self, upstream: interfaces.Upstream, now: float
     ) -> targets.Target:
@@ -251,34 +219,8 @@
         return balancer
 
 
-def _without(
-    chosen: Chosen, tried: typing.Collection[str]
-) -> targets.Candidates:
-    """Return the candidates that have had no attempt yet.
-
-    An upstream beyond the subset steps in for each that has.
-    """
-    used, sums = chosen.candidates
-    shares = (b - a for a, b in itertools.pairwise((0.0, *sums)))
-    kept = [
-        (target, share)
-        for target, share in zip(used, shares, strict=True)
-        if target.upstream.id not in tried
-    ]
-    if not kept:
-        kept = [
-            (target, 1.0)
-            for target in chosen.others
-            if target.upstream.id not in tried
-        ]
-    names = tuple(target for target, _share in kept)
-    return targets.Candidates(
-        names, tuple(itertools.accumulate(share for _target, share in kept))
-    )
-
-
 def pick(candidates: targets.Candidates, rng: random.Random) -> targets.Target:
     """Return a candidate at random, by its share of the work."""
-    shares = candidates.shares
-    index = bisect.bisect(shares, rng.random() * shares[-1])
-    return candidates.targets[min(index, len(shares) - 1)]
+    sums = candidates.shares
+    index = bisect.bisect(sums, rng.random() * sums[-1])
+    return candidates.targets[min(index, len(sums) - 1)]
--- a/carawaystair/request/handler.py
+++ b/carawaystair/request/handler.py
@@ -110,7 +110,7 @@
         if self.ends is not None:
             self._check_stopping(call)
         length = bodies.declared(request)
-        if length != 0:
+        if length != 0 or 'Expect' in request.headers:
             call = await self._take_body(request, call, exchange, length)
         if call.key:
             await self._keyed(call, exchange)
--- a/carawaystair/request/race.py
+++ b/carawaystair/request/race.py
@@ -24,7 +24,7 @@
 # would keep its slots busy for nothing.
 MAX_LINGERING = 2
 # The race itself watches the time; attempts stop a little later.
-LATE_S = 1.0
+LATE_S = 0.001
 
 
 class Race:
@@ -52,6 +52,7 @@
         self.running: dict[asyncio.Task, attempts.Attempt] = {}
         self.tried = [first.upstream.id] if first is not None else []
         self.hedged = False
+        self.raced = False
         # What the caller gets when no attempt does better.
         self.failed: answers.Failed | None = None
         self.fallback: answers.Answer | None = None
@@ -62,9 +63,7 @@
 
     def overdue(self, attempt: attempts.Attempt) -> None:
         """Go on with an attempt whose answer is late."""
-        now = clock.now()
-        attempt.target.observe(now - attempt.started, now)
-        silence.watch(attempt, now)
+        silence.watch(attempt, clock.now() - attempt.started)
         self._run(attempt, attempt.answer(self.call.deadline + LATE_S))
 
     def lost(self, failed: answers.Failed) -> None:
@@ -93,6 +92,11 @@
 
     async def _send(self, attempt: attempts.Attempt) -> answers.Answer:
         await self.sender.put(attempt)
+        until = self.sender.hedge_at(self.call)
+        try:
+            return await attempt.answer(until)
+        except TimeoutError:
+            silence.watch(attempt, until - attempt.started)
         return await attempt.answer(self.call.deadline + LATE_S)
 
     def _another(self, kept: float) -> bool:
@@ -145,13 +149,14 @@
                 self._another(budgets.KEPT_FOR_RETRIES)
         if not self.running and not self._retry():
             return self._give_up()
-        left_s = max(self.call.deadline - clock.now(), 0.0)
+        self._race_doubted()
+        until = self._next_look()
         done, _running = await asyncio.wait(
             self.running,
-            timeout=left_s,
+            timeout=max(until - clock.now(), 0.0),
             return_when=asyncio.FIRST_COMPLETED,
         )
-        if not done:
+        if not done and until >= self.call.deadline:
             raise self._late()
         won = [self._ended(task) for task in done]
         good = [answer for answer in won if answer is not None]
@@ -161,6 +166,30 @@
                 self.sender.cut(answer.rest)
         return good[0] if good else None
 
+    def _race_doubted(self) -> None:
+        """Race a connection that is doubted with a new one."""
+        doubted = (
+            attempt.target
+            for attempt in self.running.values()
+            if attempt.target.doubted is attempt
+        )
+        target = next(doubted, None)
+        if target is None or self.raced or not self.budget.spend():
+            return
+        self.raced = True
+        self.launch(target, fresh=True)
+
+    def _next_look(self) -> float:
+        """Return when a doubt may come up, or the deadline."""
+        alarms = [
+            attempt.alarm.when() + silence.PAUSE_S
+            for attempt in self.running.values()
+            if attempt.alarm is not None and not self.raced
+        ]
+        now = clock.now()
+        later = [when for when in alarms if when > now]
+        return min((*later, self.call.deadline))
+
     def _retry(self) -> bool:
         if clock.now() >= self.call.deadline:
             return False
@@ -207,5 +236,5 @@
                 task.cancel()
                 self.sender.abandon(attempt, interfaces.CANCELLED)
             else:
-                self.sender.spawn(silence.linger(self.sender, task, attempt))
+                self.sender.watch(silence.linger(self.sender, task, attempt))
         self.running = {}
--- a/carawaystair/request/sender.py
+++ b/carawaystair/request/sender.py
@@ -7,6 +7,7 @@
 from carawaystair import codes
 from carawaystair import interfaces
 from carawaystair import invariants
+from carawaystair import metrics
 from carawaystair.request import answer as answers
 from carawaystair.request import attempt as attempts
 from carawaystair.request import budget as budgets
@@ -60,7 +61,10 @@
         self.evidence = evidence
         self.budgets: dict[str, budgets.Budget] = {}
         self.routes = latencies.Routes()
+        # What runs beside the requests: work that a stop waits for, and
+        # attempts that are only watched.
         self.tasks: set[asyncio.Task] = set()
+        self.watches: set[asyncio.Task] = set()
 
     async def send(self, call: calls.Call, slot: slots.Slot) -> answers.Answer:
         """Return the answer to a request.
@@ -246,15 +250,23 @@
     def fail(self, attempt: attempts.Attempt, failed: answers.Failed) -> None:
         """End an attempt that brought no answer."""
         outcome = failed.outcome
-        stale = attempt.reused and clock.now() - attempt.connection.used > 1.0
-        if outcome == interfaces.BROKEN and stale and attempt.silent:
-            # An idle connection that the upstream closed just then: this
-            # says nothing about how it works.
-            outcome = interfaces.CANCELLED
+        if outcome == interfaces.BROKEN and attempt.silent:
+            outcome = self._broken(attempt)
         self.record(attempt, outcome)
         silence.ended(attempt)
         self.cut(attempt)
 
+    def _broken(self, attempt: attempts.Attempt) -> str:
+        """Tell what the end of a connection without a byte shows."""
+        if self.lost(attempt):
+            return interfaces.SILENT
+        idle_s = attempt.started - attempt.connection.used
+        if attempt.reused and idle_s > connections.LIVE_S:
+            # An idle connection that the upstream closed just then: this
+            # says nothing about how it works.
+            return interfaces.CANCELLED
+        return interfaces.BROKEN
+
     def drop(self, attempt: attempts.Attempt) -> None:
         """Close the connection of an attempt, doubtful or not."""
         if attempt.pump is not None and attempt.pump.task is not None:
@@ -277,13 +289,14 @@
 
     def blame(self, attempt: attempts.Attempt) -> str:
         """Tell whether an upstream or its connection kept silent."""
-        connection = attempt.connection
-        lost = (
+        return interfaces.SILENT if self.lost(attempt) else interfaces.TIMEOUT
+
+    def lost(self, attempt: attempts.Attempt) -> bool:
+        """Tell whether an attempt's connection was found to be lost."""
+        return (
             attempt.silent
-            and connection is not None
-            and connection.opened < attempt.target.renewed
+            and attempt.connection.opened < attempt.target.renewed
         )
-        return interfaces.SILENT if lost else interfaces.TIMEOUT
 
     def abandon(
         self,
@@ -305,7 +318,7 @@
             slot.hold()
         if attempt.pump is not None:
             attempt.pump.task.cancel()
-        self.spawn(self._let_go(attempt, slot))
+        self.watch(self._let_go(attempt, slot))
 
     async def _let_go(
         self, attempt: attempts.Attempt, slot: slots.Slot | None
@@ -325,6 +338,7 @@
         attempt.ended = True
         if attempt.alarm is not None:
             attempt.alarm.cancel()
+            attempt.target.late.remove(attempt)
         now = clock.now()
         call = attempt.call
         target = attempt.target
@@ -361,11 +375,27 @@
         if self.tasks:
             left_s = max(until - clock.now(), 0.0)
             await asyncio.wait(self.tasks, timeout=left_s)
-        for task in self.tasks:
+        left = self.tasks | self.watches
+        for task in left:
             task.cancel()
+        await asyncio.gather(*left, return_exceptions=True)
         for target in self.chooser.targets.values():
             connections.close_idle(target)
 
+    def samples(self) -> typing.Iterator[metrics.Sample]:
+        """Yield what the retry budgets have seen."""
+        for service, budget in self.budgets.items():
+            label = ('service', service)
+            for kind, count in (
+                ('first', budget.firsts),
+                ('further', budget.spent),
+            ):
+                labels = (label, ('kind', kind))
+                yield metrics.Sample('attempts_total', count, labels)
+            yield metrics.Sample(
+                'retries_refused_total', budget.refused, (label,)
+            )
+
     # Small things
 
     def hedge_at(self, call: calls.Call) -> float:
@@ -384,10 +414,20 @@
 
     def spawn(self, coroutine: typing.Coroutine) -> asyncio.Task:
         """Run something beside the requests, to its end."""
-        task = asyncio.create_task(coroutine)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-        return task
+        return _keep(coroutine, self.tasks)
+
+    def watch(self, coroutine: typing.Coroutine) -> asyncio.Task:
+        """Run something beside the requests that a stop may cancel."""
+        return _keep(coroutine, self.watches)
+
+
+def _keep(
+    coroutine: typing.Coroutine, tasks: set[asyncio.Task]
+) -> asyncio.Task:
+    task = asyncio.create_task(coroutine)
+    tasks.add(task)
+    task.add_done_callback(tasks.discard)
+    return task
 
 
 def refused(answer: answers.Answer) -> bool:
--- a/carawaystair/request/service.py
+++ b/carawaystair/request/service.py
@@ -65,6 +65,7 @@
         )
         counts = meters.Meters(self.kernel.timeline)
         metrics.collect(counts.samples)
+        metrics.collect(self.sender.samples)
         # The time of the start keeps ids of two runs of this host apart.
         start = clock.wall_ms() & 0xFFFFFFFF
         self.handler = handlers.Handler(
--- a/carawaystair/request/silence.py
+++ b/carawaystair/request/silence.py
@@ -21,10 +21,13 @@
 from carawaystair.request import answer as answers
 from carawaystair.request import attempt as attempts
 from carawaystair.request import connections
+from carawaystair.request import target as targets
 
 # A connection is doubted after so many times the delay of a hedge.
 FACTOR = 3.0
 LEAST_S = 0.02
+# A doubt is looked for so long after it may come up.
+PAUSE_S = 0.001
 # Connections opened within this time after others were found lost are not
 # doubted again.
 TRUST_S = 30.0
@@ -38,18 +41,22 @@
 # Doubt
 
 
-def watch(attempt: attempts.Attempt, now: float) -> None:
-    """Doubt the connection of a late attempt when it stays silent."""
-    if attempt.silent and attempt.reused:
-        wait_s = max((now - attempt.started) * FACTOR, LEAST_S)
-        loop = asyncio.get_running_loop()
-        attempt.alarm = loop.call_at(attempt.started + wait_s, _doubt, attempt)
+def watch(attempt: attempts.Attempt, waited_s: float) -> None:
+    """Note that an answer is late; doubt its connection if it stays silent.
+
+    :param waited_s: how long it has taken so far.
+    """
+    attempt.target.late.append(attempt)
+    attempt.alarm = asyncio.get_running_loop().call_at(
+        attempt.started + max(waited_s * FACTOR, LEAST_S), _doubt, attempt
+    )
 
 
 def _doubt(attempt: attempts.Attempt) -> None:
     target = attempt.target
     trusted = clock.now() - target.renewed <= TRUST_S
-    if attempt.silent and target.doubted is None and not trusted:
+    doubtful = attempt.silent and attempt.reused and not trusted
+    if doubtful and target.doubted is None:
         target.doubted = attempt
 
 
@@ -69,9 +76,18 @@
         target.doubted = None
     elif not attempt.reused:
         target.doubted = None
-        target.renewed = attempt.connection.opened
-        target.cost = 0.0
-        connections.close_idle(target)
+        _renew(target, attempt.connection.opened)
+
+
+def _renew(target: targets.Target, opened: float) -> None:
+    """Give up the connections of an upstream that are older than this."""
+    target.renewed = opened
+    target.cost = 0.0
+    connections.close_idle(target)
+    for late in target.late:
+        if late.silent and late.connection.opened < opened:
+            # Whoever waits there learns of it now, not at the deadline.
+            late.connection.proto.abort()
 
 
 # Attempts that nobody waits for
@@ -100,12 +116,9 @@
     deadline = attempt.call.deadline
     if attempt.alarm is not None:
         left_s = min(attempt.alarm.when(), deadline) - clock.now()
-        await asyncio.wait((task,), timeout=max(left_s, 0.0) + LEAST_S)
+        await asyncio.wait((task,), timeout=max(left_s, 0.0) + PAUSE_S)
     if attempt.target.doubted is attempt:
         await race(sender, attempt)
-    connection = attempt.connection
-    if connection is not None and connection.opened < attempt.target.renewed:
-        return
     left_s = max(deadline - clock.now(), 0.0)
     await asyncio.wait((task,), timeout=left_s)
 
--- a/carawaystair/request/target.py
+++ b/carawaystair/request/target.py
@@ -26,6 +26,7 @@
         'doubted',
         'idle',
         'in_flight',
+        'late',
         'lingering',
         'renewed',
         'seen',
@@ -38,6 +39,8 @@
         # Open connections that wait for work, the last used at the end.
         self.idle: list = []
         self.in_flight = 0
+        # Attempts whose answers are late, oldest first.
+        self.late: list = []
         # Attempts that run on although nobody waits for them.
         self.lingering = 0
         # Peak-sensitive average of latency, and the time it was taken.
@@ -55,12 +58,17 @@
 
         The peak-sensitive exponential average of Finagle's load balancer.
         """
-        cost = self.latency(now)
+        cost = self.cost * math.exp((self.stamp - now) / DECAY_S)
         self.stamp = now
         self.cost = max(latency_s, cost + (latency_s - cost) * 0.1)
 
     def latency(self, now: float) -> float:
-        """Return the average latency, which fades with time, in seconds."""
+        """Return the average latency, which fades with time, in seconds.
+
+        A late answer counts as long as it has not come, and ever more.
+        """
+        if self.late:
+            return max(now - self.late[0].started, self.cost)
         age_s = now - self.stamp
         if age_s < FRESH_S:
             return self.cost
--- a/test/request_setup.py
+++ b/test/request_setup.py
@@ -124,6 +124,9 @@
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             self.gone += 1
+        except asyncio.CancelledError:
+            # The test is over.
+            pass
         finally:
             writer.close()
 
@@ -143,7 +146,7 @@
         self.health = parts.get('health') or inert.Health()
         self.evidence = inert.Evidence()
         self.admission = parts.get('admission') or inert.Admission()
-        self.reservations = inert.Reservations()
+        self.reservations = parts.get('reservations') or (inert.Reservations())
         self.routing = make_routing(service, routes)
         text = (
             '{"host": "h1", "data_centre": "a", "region": "r", "node":'
@@ -204,7 +207,9 @@
     )._replace(**changes)
 
 
-def make_routing(service, routes=()) -> routing.Routing:
+def make_routing(
+    service, routes=(), drains=manifest.Drains()
+) -> routing.Routing:
     """Return a configuration."""
     document = manifest.Manifest(
         1,
@@ -213,6 +218,7 @@
         {'portal': service},
         (manifest.Route('/portal', 'portal'), *routes),
         {'acme': manifest.Customer()},
+        drains,
     )
     return routing.Routing(rows.Version(1, 1), rows.from_manifest(document))
 
--- /dev/null
+++ b/test/test_request_late.py
@@ -0,0 +1,281 @@
+"""Late answers: hedges, trials, and silence of connections or upstreams."""
+
+import asyncio
+import random
+
+import pytest
+
+from carawaystair import interfaces
+from carawaystair import manifest
+from carawaystair.request import inert
+from carawaystair.request import target as targets
+from carawaystairplug import balancer_peak
+from carawaystairplug import balancer_roundrobin
+from test import pipes
+from test import request_setup as setups
+
+
+async def quick(upstream, seen, writer):
+    """Answer after 10 ms."""
+    await asyncio.sleep(0.01)
+    writer.write(setups.reply(upstream.name.encode()))
+
+
+async def hang(upstream, seen, writer):
+    """Never answer."""
+    await asyncio.sleep(1000)
+
+
+async def warm(setup, count=60):
+    """Let the path learn what answers take."""
+    for _n in range(count):
+        await setup.ask()
+
+
+def test_hedge():
+    """Symptom: a stranded family waits for a status page.
+    Sequence: one upstream hangs on a request.
+    Cause: when an answer is later than most, a second attempt goes to
+    another upstream; the first shows how its upstream does meanwhile.
+    """
+
+    async def scenario():
+        upstreams = [setups.Upstream(9001 + n, quick) for n in range(3)]
+        async with setups.running(*upstreams) as setup:
+            await warm(setup)
+            upstreams[0].script = hang
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            answers = [await setup.ask() for _n in range(30)]
+            took = loop.time() - started
+            running = sum(
+                t.in_flight for t in setup.path.chooser.targets.values()
+            )
+            await asyncio.sleep(6.0)
+            return answers, took, running, setup
+
+    answers, took, running, setup = pipes.run(scenario())
+    assert {answer.body for answer in answers} == {b'u9002', b'u9003'}
+    assert took < 30 * 0.012 + 0.1
+    assert running in (1, 2)
+    # The hanging attempts were blamed when their time was over.
+    assert setup.outcomes()['timeout'] == running
+    targets_now = setup.path.chooser.targets.values()
+    assert all(t.in_flight == t.lingering == 0 for t in targets_now)
+
+
+def test_no_hedge_for_what_may_run_once():
+    """Symptom: a hold is placed twice.
+    Sequence: the upstream is slow to answer it.
+    Cause: only work that may be repeated is hedged.
+    """
+
+    async def scenario():
+        upstreams = [setups.Upstream(9001 + n, quick) for n in range(3)]
+        async with setups.running(*upstreams) as setup:
+            await warm(setup)
+            for upstream in upstreams:
+                upstream.script = hang
+                upstream.runs.clear()
+            return await setup.ask(method='POST', body=b'x'), setup.runs
+
+    answer, runs = pipes.run(scenario())
+    assert (answer.outcome, answer.code) == ('unknown', 'CS-4004')
+    assert len(runs) == 1
+
+
+def silent(count, script=quick):
+    """Let open connections of all upstreams go silent; then ask."""
+
+    async def scenario():
+        upstreams = [setups.Upstream(9001 + n, quick) for n in range(count)]
+        async with setups.running(*upstreams) as setup:
+            await asyncio.gather(*(warm(setup) for _n in range(3)))
+            loop = asyncio.get_running_loop()
+            lost = sum(loop.silence(u.port) for u in upstreams)
+            for upstream in upstreams:
+                upstream.script = script
+            setup.evidence.attempts.clear()
+            started = loop.time()
+            answers = [await setup.ask() for _n in range(20)]
+            took = loop.time() - started
+            await asyncio.sleep(10.0)
+            return answers, took, lost, setup.outcomes()
+
+    return pipes.run(scenario())
+
+
+@pytest.mark.parametrize('count', [1, 2, 8])
+def test_silent_connections(count):
+    """Symptom: healthy upstreams are ejected when a firewall restarts.
+    Sequence: all open connections go silent for good; new ones work.
+    Cause: an answer on a new connection, while the old one is silent, shows
+    that the connection is at fault.
+    """
+    answers, took, lost, outcomes = silent(count)
+    assert lost >= count
+    assert {answer.outcome for answer in answers} == {'complete'}
+    assert 'timeout' not in outcomes
+    assert count <= outcomes['silent'] <= 2 * count
+    assert took < 1.0
+
+
+def test_hanging_upstream_is_not_cleared():
+    """Symptom: an upstream that hangs keeps its work for long.
+    Sequence: one upstream hangs on every request; its connections are open.
+    Cause: new connections do not answer either, so the upstream is blamed.
+    """
+    _answers, _took, _lost, outcomes = silent(1, script=hang)
+    assert outcomes['timeout'] >= 3
+    assert 'silent' not in outcomes
+
+
+def test_doubt_is_given_once():
+    """Symptom: an upstream that hangs on some requests is never blamed.
+    Sequence: it hangs on every third request, and answers the others on new
+    connections.
+    Cause: after its connections were cleared once, the next hang within a
+    while is its own.
+    """
+
+    async def third(upstream, seen, writer):
+        hangs = len(upstream.runs) % 3 == 0
+        await (hang if hangs else quick)(upstream, seen, writer)
+
+    async def scenario():
+        upstreams = [setups.Upstream(9001 + n, quick) for n in range(2)]
+        async with setups.running(*upstreams) as setup:
+            await warm(setup)
+            upstreams[0].script = third
+            setup.evidence.attempts.clear()
+            await warm(setup, 300)
+            await asyncio.sleep(10.0)
+            return setup.outcomes()
+
+    outcomes = pipes.run(scenario())
+    assert outcomes['timeout'] >= 1
+    assert outcomes['silent'] == 1
+
+
+def test_trial():
+    """A copy for trial goes out beside the first attempt, and both end."""
+
+    class Curious(inert.Health):
+        wishes = ['u9002']
+
+        def trial(self, service):
+            return self.wishes.pop() if self.wishes else None
+
+        def ejected(self, service):
+            return frozenset(['u9002'])
+
+    async def slow(upstream, seen, writer):
+        await asyncio.sleep(0.5)
+        writer.write(setups.reply(b'slow'))
+
+    async def scenario():
+        upstreams = setups.Upstream(9001, quick), setups.Upstream(9002, slow)
+        async with setups.running(*upstreams, health=Curious()) as setup:
+            answer = await setup.ask()
+            await asyncio.sleep(1.0)
+            return answer, setup
+
+    answer, setup = pipes.run(scenario())
+    assert answer.body == b'u9001'
+    assert setup.outcomes() == {interfaces.GOOD: 2}
+    assert max(a.latency_s for a in setup.evidence.attempts) > 0.5
+
+
+# Choosing
+
+
+def candidates(*details):
+    """Return candidates and a chooser's balancer over them."""
+    made = [
+        targets.Target(
+            interfaces.Upstream('u%d' % n, 's', 'x:1', 'h', 'a', 5), 0.0
+        )
+        for n, _cost in enumerate(details)
+    ]
+    for target, cost in zip(made, details, strict=True):
+        target.observe(cost, 0.0)
+    shares = tuple(float(n + 1) for n in range(len(made)))
+    return targets.Candidates(tuple(made), shares)
+
+
+def drawn(balancer, found, count=400):
+    """Return how often each candidate is chosen."""
+    chosen = [balancer.choose(found, '', 0.05) for _n in range(count)]
+    return [chosen.count(target) for target in found.targets]
+
+
+def test_peak_avoids_the_slow():
+    """One slow answer makes an upstream the last choice at once."""
+    peak = balancer_peak.Peak(random.Random(1), inert.Health())
+    counts = drawn(peak, candidates(0.01, 0.01, 0.01, 1.0))
+    assert counts[3] < 30
+    assert min(counts[:3]) > 80
+
+
+def test_peak_heeds_load_and_weight():
+    """Requests in flight and soft weights count."""
+
+    class Doubting(inert.Health):
+        def weight(self, upstream, customer=''):
+            return 0.01 if upstream == 'u1' else 1.0
+
+    peak = balancer_peak.Peak(random.Random(1), Doubting())
+    found = candidates(0.01, 0.01, 0.01)
+    found.targets[2].in_flight = 3
+    counts = drawn(peak, found)
+    assert counts[0] > counts[2] > counts[1]
+
+
+def test_roundrobin():
+    """The baseline goes round."""
+    turns = balancer_roundrobin.RoundRobin(random.Random(1), inert.Health())
+    assert drawn(turns, candidates(0.1, 9.0)) == [200, 200]
+
+
+def chosen(setup):
+    """Return the ids of the candidates and their shares."""
+    found = setup.path.chooser.candidates('portal', 1.0).candidates
+    shares = (b - a for a, b in zip((0.0, *found.shares), found.shares))
+    return dict(zip((t.upstream.id for t in found.targets), shares))
+
+
+def test_candidates():
+    """Drains, places, warm-up and weights decide who is a candidate."""
+
+    async def scenario():
+        upstreams = [setups.Upstream(9001 + n) for n in range(5)]
+        async with setups.running(*upstreams) as setup:
+            change = {
+                0: {'state': 'draining'},
+                1: {'data_centre': 'b', 'weight': 3.0},
+                2: {'warmup_s': 10.0},
+                3: {'data_centre': 'far'},
+                4: {'host': 'stopping'},
+            }
+            for number, changes in change.items():
+                setup.directory.put(
+                    setups.announce(upstreams[number], **changes)
+                )
+            drains = manifest.Drains(hosts=('stopping',))
+            setup.routing = setups.make_routing(
+                manifest.Service(), drains=drains
+            )
+            near = chosen(setup)
+            for number in (1, 2):
+                setup.directory.put(
+                    setups.announce(upstreams[number], state='draining')
+                )
+            return near, chosen(setup)
+
+    near, far = pipes.run(scenario())
+    assert near.keys() == {'u9002', 'u9003', 'u9004'}
+    assert near['u9002'] == 3.0
+    assert 0.2 <= near['u9003'] < 0.5
+    # Half the region's slots are usable: 1.4 halves of the work stay.
+    assert near['u9004'] / sum(near.values()) == pytest.approx(0.3)
+    assert far.keys() == {'u9004'}
--- /dev/null
+++ b/test/test_request_stop.py
@@ -0,0 +1,100 @@
+"""A stop cuts off no request in flight."""
+
+import asyncio
+
+import pytest
+
+from carawaystair import manifest
+from test import pipes
+from test import request_setup as setups
+
+BULK = (manifest.Route('/bulk', 'portal', kind='bulk'),)
+
+
+async def slow(upstream, seen, writer):
+    """Answer after a second, long transfers after four."""
+    await asyncio.sleep(4.0 if '/bulk' in seen.line else 1.0)
+    size = 500_000 if '/bulk' in seen.line else 2
+    writer.write(setups.reply(bytes(size)))
+
+
+def test_stop():
+    """Symptom: a deployment breaks downloads and payouts.
+    Sequence: a node stops while requests are in flight and others arrive.
+    Cause: what is in flight is finished; what comes on open connections is
+    answered if it can't be cut, else refused before it starts.
+    """
+
+    async def scenario():
+        upstream = setups.Upstream(9001, slow)
+        async with setups.running(upstream, routes=BULK, drain_s=6.0) as setup:
+            open_one, open_two = await setups.connect(), await setups.connect()
+            await setups.ask(*open_one)
+            await setups.ask(*open_two)
+            tasks = [
+                asyncio.create_task(setup.ask('/portal/x')),
+                asyncio.create_task(setup.ask('/bulk/x')),
+                asyncio.create_task(
+                    setup.ask(method='POST', body=b'x', Idempotency_Key='k')
+                ),
+            ]
+            await asyncio.sleep(0.1)
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            stop = asyncio.create_task(setup.path.stop())
+            await asyncio.sleep(0.1)
+            with pytest.raises(ConnectionRefusedError):
+                await setup.ask()
+            late = await setups.ask(*open_one, Caraway_Deadline_Ms='2000')
+            refused = await setups.ask(*open_two, '/bulk/x')
+            answers = await asyncio.gather(*tasks)
+            await stop
+            return answers, late, refused, loop.time() - started
+
+    answers, late, refused, took = pipes.run(scenario())
+    assert all(answer.ended for answer in answers)
+    assert {answer.outcome for answer in answers} == {'complete'}
+    assert len(answers[1].body) == 500_000
+    assert (late.outcome, late.headers['connection']) == ('complete', 'close')
+    assert (refused.outcome, refused.code) == ('not-run', 'CS-3003')
+    assert 3.8 < took < 4.5
+
+
+def test_stop_has_an_end():
+    """Symptom: a node can't be stopped.
+    Sequence: a request in flight does not end.
+    Cause: after drain_s what is left is broken, visibly.
+    """
+
+    async def never(upstream, seen, writer):
+        writer.write(setups.reply(bytes(500_000))[:300_000])
+        await asyncio.sleep(1000)
+
+    async def scenario():
+        upstream = setups.Upstream(9001, never)
+        async with setups.running(upstream, routes=BULK, drain_s=3.0) as setup:
+            task = asyncio.create_task(setup.ask('/bulk/x'))
+            await asyncio.sleep(0.1)
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            await setup.path.stop()
+            took = loop.time() - started
+            return await task, took, setup.admission.held
+
+    answer, took, held = pipes.run(scenario())
+    assert not answer.ended
+    assert 3.0 <= took < 4.0
+    assert held == 0
+
+
+def test_not_ready():
+    """A node without a configuration says so."""
+
+    async def scenario():
+        async with setups.running(setups.Upstream(9001)) as setup:
+            setup.routing = None
+            return await setup.ask(), setup.runs
+
+    answer, runs = pipes.run(scenario())
+    assert (answer.outcome, answer.code) == ('not-run', 'CS-3002')
+    assert runs == []
