Soak: three control hosts and changes of the manifest

Cause: the long runs had one control host and one manifest, so the replicated log under kills was not part of them. Change: three control hosts, submissions at random ones during the run; at the end every node must have the newest accepted version. Conclusion: the fleet's parts are now under fire together.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -29,6 +29,7 @@
 EXIT_KEPT = 0
 EXIT_BROKEN = 1
 
+CONTROL_HOSTS = 3
 PER_S = 80.0
 RESEND_SHARE = 0.3
 # Pauses between two events, seconds.
@@ -52,6 +53,8 @@
     :param events: how often each kind of event took place.
     :param found: broken promises.
     :param broken: invariants that nodes counted as broken.
+    :param accepted: versions that submissions were told.
+    :param behind: nodes without the newest of them at the end.
     """
 
     seed: int
@@ -61,11 +64,13 @@
     events: dict[str, int]
     found: audit.Audit
     broken: dict[str, int]
+    accepted: tuple[str, ...]
+    behind: tuple[str, ...]
 
     @property
     def clean(self) -> bool:
         """Tell whether every promise was kept."""
-        return self.found.clean and not self.broken
+        return self.found.clean and not self.broken and not self.behind
 
 
 class Soak(demo.Demo):
@@ -82,13 +87,16 @@
         self.random = random.Random(seed)
         self.counts: dict[str, int] = {}
         self.broken: dict[str, int] = {}
+        self.accepted: list[str] = []
+        self.behind: list[str] = []
         self.tasks: set[asyncio.Task] = set()
         # Hosts and upstreams that an event has in hand.
         self.busy: set[str] = set()
 
     async def whole(self) -> Kept:
         """Run from start to audit."""
-        await self.stage.start()
+        await self.stage.start(CONTROL_HOSTS)
+        self.accepted.append(self.stage.accepted)
         client = load.Load(self.plan())
         running = asyncio.create_task(client.run())
         until = clock.now() + self.seconds
@@ -101,7 +109,7 @@
             await self._set(name, faults.Faults())
         answers = await running
         await asyncio.sleep(SETTLE_S)
-        await self.read_invariants()
+        await self.read_nodes()
         await self.fleet.stop(list(self.fleet.processes), PATIENCE_S)
         return Kept(
             self.seed,
@@ -111,6 +119,8 @@
             self.counts,
             audit.audit(answers, self.fleet.runs()),
             self.broken,
+            tuple(self.accepted),
+            tuple(self.behind),
         )
 
     def plan(self) -> load.Plan:
@@ -123,10 +133,13 @@
             )
         )
 
-    async def read_invariants(self) -> None:
-        """Add up what the nodes counted."""
+    async def read_nodes(self) -> None:
+        """Add up what the nodes counted, and who lacks the newest version."""
+        newest = max(map(_version, self.accepted))
         for node in self.fleet.nodes():
             status = await self.fleet.status(node) or {}
+            if _version(status.get('version', '0.0')) < newest:
+                self.behind.append(node.name)
             for name, count in status.get('invariants_broken', {}).items():
                 self.broken[name] = self.broken.get(name, 0) + count
 
@@ -144,6 +157,8 @@
                 self.freeze_upstream,
                 self.leave,
                 self.kill_control,
+                self.change,
+                self.change,
             )
         )
         name = event.__name__
@@ -218,6 +233,19 @@
         await self.fleet.start_host(name)
         self.busy.discard(name)
 
+    async def change(self) -> None:
+        """Submit a changed manifest at some control host; races may lose."""
+        services = self.stage.document['services']
+        chosen = services[self.random.choice(sorted(services))]
+        chosen['queue'] = self.random.randint(200, 300)
+        control = self.random.choice(self.fleet.controls())
+        try:
+            self.accepted.append(await self.stage.submit('current', control))
+        except OSError:
+            self.counts['not accepted'] = (
+                self.counts.get('not accepted', 0) + 1
+            )
+
     async def leave(self) -> None:
         """Let an upstream leave in order and come back."""
         name = self.take(self.fleet.upstreams)
@@ -268,16 +296,23 @@
         '  answers: %s' % _counts(kept.verdicts),
         '  codes: %s' % _counts(kept.codes),
         '  events: %s' % _counts(kept.events),
+        '  accepted versions: %s' % ' '.join(kept.accepted),
     ]
     lines.extend(
         '  %s: %s' % (name, ', '.join(markers[:10]))
         for name, markers in kept.found._asdict().items()
         if markers
     )
+    if kept.behind:
+        lines.append('  behind: %s' % ', '.join(kept.behind))
     lines.extend('  invariant %s: %d' % item for item in kept.broken.items())
     return '\n'.join(lines)
 
 
+def _version(text: str) -> tuple[int, ...]:
+    return tuple(map(int, text.split('.')))
+
+
 def _counts(counts: dict[str, int]) -> str:
     pairs = sorted(counts.items(), key=lambda item: -item[1])
     return ', '.join('%s %d' % (name or 'none', n) for name, n in pairs)
--- a/standin/stage.py
+++ b/standin/stage.py
@@ -44,6 +44,7 @@
     ) -> None:
         self.fleet = fleet
         self.crews = crews
+        self.accepted = ''
         self.document = document or json.loads(MANIFEST.read_text())
 
     async def start(self, controls: int = 1) -> None:
@@ -63,7 +64,7 @@
             await self.fleet.start_host(name)
         await self.start_upstreams()
         await self.fleet.until(self.has_control, 'the admin API', READY_S)
-        await self.submit('none')
+        await self.fleet.until(self.first, 'the first version', READY_S)
         await self.fleet.until(self.ready, 'all nodes ready', READY_S)
 
     async def start_upstreams(self) -> None:
@@ -102,20 +103,35 @@
         expected = {crew.service: crew.count for crew in self.crews}
         return status['ready'] and expected.items() <= known.items()
 
-    async def submit(self, parent: str) -> str:
+    async def first(self) -> bool:
+        """Submit the manifest, unless control has no leader yet."""
+        # An answer may be lost; the manifest is then in force already.
+        for parent in ('none', 'current'):
+            try:
+                self.accepted = await self.submit(parent)
+                return True
+            except OSError:
+                continue
+        return False
+
+    async def submit(
+        self, parent: str, control: fleets.Host | None = None
+    ) -> str:
         """Submit the manifest by the command-line tool.
 
         :param parent: as the tool takes it, such as ``current``.
+        :param control: the control host to ask; the first one by default.
         :return: the version accepted.
         :raises OSError: with what the tool said, when it was refused.
         """
+        control = control or self.fleet.controls()[0]
         file = self.fleet.folder / 'manifest.json'
         file.write_text(json.dumps(self.document))
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             *('-m', 'carawaystair.ui.main', 'submit', str(file)),
             *('--parent', parent, '--json'),
-            *('--api', 'http://' + self.fleet.controls()[0].admin),
+            *('--api', 'http://' + control.admin),
             cwd=fleets.ROOT,
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -19,4 +19,5 @@
         print('\n' + soak.show(kept))
     assert kept.found == ((), (), (), ())
     assert kept.broken == {}
+    assert kept.behind == ()
     assert kept.verdicts['whole'] > 0
