Tests: room for a busy machine in the bound on outstanding requests

Change: they give up after 5 s, far beyond the 0.2 s of sending. Conclusion: the same assertions, independent of the machine's load.

--- a/test/test_standin_load.py
+++ b/test/test_standin_load.py
@@ -128,7 +128,7 @@
         async def never(request):
             await asyncio.Event().wait()
 
-        client = await against(never, outstanding=10, timeout_s=0.5)
+        client = await against(never, outstanding=10, timeout_s=5.0)
         assert client.skipped == 50
         assert load.tally(client.answers, 'verdict') == {load.TIMEOUT: 10}
 
