Keys: links prove who connects, and keys change without a stop

Cause: keygen made key files that nothing used; anyone who reached a host's address could vote, eject or configure. Change: Links take keys instead of a callback. Each accepted key has a listener of its own on the one port; the client's key is checked by the authenticator of pyzmq; strangers are counted. SIGHUP takes the keys that the settings name now; open links go over, a dropped key is cut. Datagrams older by 10 s than the newest of their sender are refused.

--- a/bench/exp_links.py
+++ b/bench/exp_links.py
@@ -9,6 +9,7 @@
 
 from bench import figures
 from carawaystair import datagrams
+from carawaystair import keys
 from carawaystair import links
 from carawaystair import wire
 
@@ -35,7 +36,8 @@
     number: int
 
 
-def _addresses(count: int) -> list[str]:
+def addresses(count: int) -> list[str]:
+    """Return loopback addresses that nobody uses right now."""
     probes = [socket.socket() for _each in range(count)]
     for probe in probes:
         probe.bind(('127.0.0.1', 0))
@@ -45,9 +47,12 @@
     return found
 
 
-async def _answered(count: int) -> float:
-    """Return processor seconds of ``count`` questions with answers."""
-    one, two = (links.Links(address) for address in _addresses(2))
+async def answered(count: int, held: typing.Sequence[keys.Key] = ()) -> float:
+    """Return processor seconds of ``count`` questions with answers.
+
+    :param held: keys of the links, none for plain ones.
+    """
+    one, two = (links.Links(a, held=held) for a in addresses(2))
     await one.start()
     await two.start()
 
@@ -69,11 +74,14 @@
     return spent
 
 
-async def _datagrams(count: int) -> float:
-    """Return processor seconds of ``count`` signed datagrams, both ends."""
-    one, two = (
-        datagrams.Datagrams(address, keys=[KEY]) for address in _addresses(2)
-    )
+async def thrown(
+    count: int, signing: typing.Sequence[bytes] = (KEY,)
+) -> float:
+    """Return processor seconds of ``count`` datagrams, both ends.
+
+    :param signing: keys of the datagrams, none for plain ones.
+    """
+    one, two = (datagrams.Datagrams(a, keys=signing) for a in addresses(2))
     await one.start()
     await two.start()
     heard = itertools.count(1)
@@ -98,9 +106,9 @@
     return spent
 
 
-async def _memory(peers: int) -> float:
+async def memory(peers: int) -> float:
     """Return bytes of this process for each of ``peers`` open links."""
-    hub, *others = (links.Links(a) for a in _addresses(peers + 1))
+    hub, *others = (links.Links(a) for a in addresses(peers + 1))
     for link in (hub, *others):
         await link.start()
 
@@ -124,14 +132,14 @@
     counts = [n // scale for n in (1000, 2000, 4000)]
     # Both ends are in this process: an end costs half.  A question and its
     # answer are two messages, so each message has one quarter at each end.
-    asked = [(n, asyncio.run(_answered(n)) * 1e6 / 4) for n in counts]
-    thrown = [(n, asyncio.run(_datagrams(n)) * 1e6 / 2) for n in counts]
-    held = [(n, asyncio.run(_memory(n))) for n in (16, 32, 64)]
+    asked = [(n, asyncio.run(answered(n)) * 1e6 / 4) for n in counts]
+    sent = [(n, asyncio.run(thrown(n)) * 1e6 / 2) for n in counts]
+    held = [(n, asyncio.run(memory(n))) for n in (16, 32, 64)]
     sample = wire.encode(Load(1), '127.0.0.1:10000', 7, False, 1 << 60)
     empty = wire.encode(Load(1, ''), '127.0.0.1:10000', 7, False, 1 << 60)
     return [
         figures.fit('links.cpu_us.by_messages', 'us/message end', asked),
-        figures.fit('datagrams.cpu_us.by_messages', 'us/end', thrown),
+        figures.fit('datagrams.cpu_us.by_messages', 'us/end', sent),
         figures.fit('links.bytes.by_links', 'bytes/link, both ends', held),
         figures.Figure('wire.sample', len(sample), 'bytes'),
         figures.Figure('wire.header', len(empty) - 3, 'bytes'),
--- a/carawaystair/daemon.py
+++ b/carawaystair/daemon.py
@@ -4,12 +4,18 @@
 import asyncio
 import signal
 import sys
+import typing
 
+import expression
+
+from carawaystair.admin import tls
 from carawaystair import codes
 from carawaystair import kernel
+from carawaystair import keys
 from carawaystair import logs
 from carawaystair import plugins
 from carawaystair import settings as settings_module
+from carawaystair import shape
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -24,15 +30,72 @@
         prog='carawaystaird',
         description='Run one process of the carawaystair proxy fleet.',
         epilog='Example: carawaystaird --settings /etc/carawaystair/node.json'
-        ' -- SIGTERM finishes what is in flight, then stops.',
+        ' -- SIGTERM finishes what is in flight, then stops; SIGHUP takes'
+        ' the keys that the settings name now.',
     )
     parser_help = 'settings file, see docs/SETTINGS.md'
     result.add_argument('--settings', required=True, help=parser_help)
     return result
 
 
+class Start(typing.NamedTuple):
+    """What a process starts with.
+
+    :param settings: the checked settings.
+    :param held: the keys that they name.
+    """
+
+    settings: settings_module.Settings
+    held: tuple[keys.Key, ...]
+
+
+def read(path: str) -> expression.Result[Start, settings_module.Problem]:
+    """Read settings and all the files that they name.
+
+    :return: what a process starts with, or every mistake found.
+    """
+    loaded = settings_module.load(path)
+    if loaded.is_error():
+        return loaded
+    settings = loaded.ok
+    held = keys.read_all(settings.keys)
+    if held.is_error():
+        return _problem(held.error)
+    if 'control' in settings.roles and settings.control.tls is not None:
+        made = tls.context(settings.control.tls)
+        if made.is_error():
+            return _problem(made.error)
+    return expression.Ok(Start(settings, held.ok))
+
+
+def _problem(failure: codes.Failure) -> expression.Result:
+    mistakes = [shape.Mistake('$', failure.detail)]
+    return expression.Error((failure.code, mistakes))
+
+
+async def reload_keys(process: kernel.Kernel, path: str) -> None:
+    """Take the keys that the settings name now; nothing else of them.
+
+    Whatever is wrong with them leaves the process as it was.
+    """
+    start = read(path)
+    if start.is_error():
+        code, mistakes = start.error
+        why = '; '.join([code.label, *map(str, mistakes)])
+        LOG.error('Kept the old keys.', why=why)
+        return
+    if bool(start.ok.held) != bool(process.links.keys):
+        LOG.error('Kept the old keys.', why='the first key wants a restart')
+        return
+    if start.ok.held != process.links.keys:
+        await process.use_keys(start.ok.held)
+
+
 async def run(
-    settings: settings_module.Settings, registry: plugins.Registry
+    settings: settings_module.Settings,
+    registry: plugins.Registry,
+    held: typing.Sequence[keys.Key] = (),
+    path: str = '',
 ) -> int:
     """Run the process until SIGTERM, SIGINT or a crash of a part.
 
@@ -40,12 +103,21 @@
     all others go on: a node could keep routing by old knowledge for days.
     So the whole process ends, with an error, and whoever watches over it
     starts it again.
+
+    :param settings: the checked settings.
+    :param registry: the plug-ins.
+    :param held: keys of the fleet.
+    :param path: the settings file, read again for its keys at SIGHUP.
     """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    process = kernel.Kernel(settings, registry)
+    process = kernel.Kernel(settings, registry, held)
+    loop.add_signal_handler(
+        signal.SIGHUP,
+        lambda: process.add_future(reload_keys(process, path)),
+    )
     try:
         await process.start()
         LOG.info('Started.', roles=list(settings.roles))
@@ -67,16 +139,17 @@
 def main(arguments: list[str] | None = None) -> int:
     """Entry point of ``carawaystaird``."""
     options = parser().parse_args(arguments)
-    result = settings_module.load(options.settings)
+    result = read(options.settings)
     if result.is_error():
         code, mistakes = result.error
         print(codes.Failure(code).sentence(), file=sys.stderr)
         for mistake in mistakes:
             print('  %s' % (mistake,), file=sys.stderr)
         return EXIT_SETTINGS
-    settings = result.ok
+    settings = result.ok.settings
     logs.setup(settings.log.level, settings.log.form, settings.host)
-    return asyncio.run(run(settings, plugins.load()))
+    running = run(settings, plugins.load(), result.ok.held, options.settings)
+    return asyncio.run(running)
 
 
 if __name__ == '__main__':
--- a/carawaystair/datagrams.py
+++ b/carawaystair/datagrams.py
@@ -8,6 +8,7 @@
 import mode
 
 from carawaystair import clock
+from carawaystair import freshness
 from carawaystair import logs
 from carawaystair import timeline
 from carawaystair import wire
@@ -61,7 +62,10 @@
         self.endpoint: asyncio.DatagramTransport | None = None
         self.sent = 0
         self.sent_bytes = 0
+        self.fresh = freshness.Freshness()
         self.refused = 0
+        self.strangers = 0
+        self.replayed = 0
         self.logged = 0.0
 
     async def on_start(self) -> None:
@@ -77,6 +81,10 @@
         if self.endpoint is not None:
             self.endpoint.close()
 
+    def use(self, keys: typing.Sequence[bytes]) -> None:
+        """Take other keys, as the constructor does."""
+        self.keys = tuple(keys)
+
     def handle(self, kind: type, handler: typing.Callable) -> None:
         """Give datagrams of ``kind`` to ``handler(sender, message)``."""
         self.handlers[kind] = handler
@@ -98,23 +106,31 @@
         """Check, decode and hand over one datagram."""
         if self.keys:
             mark, data = data[:TAG_BYTES], data[TAG_BYTES:]
-            known = [
-                key
-                for key in self.keys
-                if hmac.compare_digest(mark, tag(key, data))
-            ]
-            if not known:
+            if not self._authentic(mark, data):
+                self.strangers += 1
                 self._refuse('wrong authenticator')
                 return
         result = wire.decode(data)
         if result.is_error():
             self._refuse(result.error.sentence())
             return
+        header = result.ok.header
+        # Without a key anyone could name any sender.
+        if self.keys and not self.fresh.accept(header.sender, header.time):
+            self.replayed += 1
+            self._refuse('sent again, long after its time')
+            return
         self.hybrid.merge(result.ok.header.time)
         handler = self.handlers.get(type(result.ok.message))
         if handler is not None:
             handler(result.ok.header.sender, result.ok.message)
 
+    def _authentic(self, mark: bytes, data: bytes) -> bool:
+        """Tell whether any key accounts for an authenticator."""
+        return any(
+            hmac.compare_digest(mark, tag(key, data)) for key in self.keys
+        )
+
     def _refuse(self, why: str) -> None:
         self.refused += 1
         if clock.now() - self.logged >= LOG_EVERY_S:
--- a/carawaystair/kernel.py
+++ b/carawaystair/kernel.py
@@ -9,6 +9,7 @@
 from carawaystair import clock
 from carawaystair import datagrams
 from carawaystair import invariants
+from carawaystair import keys
 from carawaystair import links
 from carawaystair import logs
 from carawaystair import plugins
@@ -25,12 +26,14 @@
 
     :param settings: the checked settings.
     :param registry: the plug-ins.
+    :param held: keys of the fleet; the first signs, any is accepted.
     """
 
     def __init__(
         self,
         settings: settings_module.Settings,
         registry: plugins.Registry,
+        held: typing.Sequence[keys.Key] = (),
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
@@ -40,14 +43,29 @@
             settings.host, settings.timeline_events
         )
         hybrid = self.timeline.clock
-        self.links = links.Links(settings.peer, hybrid)
-        self.datagrams = datagrams.Datagrams(settings.gossip, hybrid)
+        self.links = links.Links(settings.peer, hybrid, held)
+        self.datagrams = datagrams.Datagrams(
+            settings.gossip, hybrid, [key.datagram_bytes() for key in held]
+        )
         self.roles: list[mode.Service] = []
         self.parts: dict[str, typing.Any] = {}
         # Wall time orders the starts of one host; the sequence within is
         # the owner's.
         self.incarnation = 0
 
+    async def use_keys(self, held: typing.Sequence[keys.Key]) -> None:
+        """Take other keys of the fleet, without a stop.
+
+        :param held: as for the constructor, not empty.
+        """
+        # Datagrams first: they are accepted in the old and the new way at
+        # once, while links take a moment.
+        self.datagrams.use([key.datagram_bytes() for key in held])
+        await self.links.use(held)
+        names = ', '.join(key.id for key in held)
+        self.timeline.record('keys-changed', 'now %s' % names)
+        LOG.info('Took other keys.', keys=names)
+
     def data(self, name: str) -> pathlib.Path | None:
         """Return a folder below the data folder, made when missing.
 
--- a/carawaystair/keys.py
+++ b/carawaystair/keys.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import secrets
+import stat
 import typing
 
 import expression
@@ -41,6 +42,10 @@
     curve_secret: str
     datagram: str
 
+    def datagram_bytes(self) -> bytes:
+        """Return the key of the datagrams' authenticators."""
+        return bytes.fromhex(self.datagram)
+
 
 def generate() -> Key:
     """Return a new random key."""
@@ -76,7 +81,12 @@
 def read(path: str) -> expression.Result[Key, codes.Failure]:
     """Read and check a key file."""
     try:
-        data = pathlib.Path(path).read_bytes()
+        file = pathlib.Path(path)
+        if file.stat().st_mode & stat.S_IRWXO:
+            # Whoever reads the key can join the fleet and eject upstreams.
+            text = '%s: others than its owner may use it' % path
+            return codes.fail(codes.KEY_FILE_INVALID, text)
+        data = file.read_bytes()
     except OSError as error:
         return codes.fail(codes.KEY_FILE_INVALID, '%s: %s' % (path, error))
     decoded = documents.decode(data, MAX_BYTES)
@@ -89,6 +99,20 @@
     return _invalid(path, mistakes) if mistakes else expression.Ok(key)
 
 
+def read_all(
+    paths: typing.Iterable[str],
+) -> expression.Result[tuple[Key, ...], codes.Failure]:
+    """Read the key files of the settings, in their order."""
+    results = [read(path) for path in paths]
+    wrong = next((result for result in results if result.is_error()), None)
+    if wrong is not None:
+        return wrong
+    held = tuple(result.ok for result in results)
+    if len({key.id for key in held}) < len(held):
+        return codes.fail(codes.KEY_FILE_INVALID, 'two files hold one key')
+    return expression.Ok(held)
+
+
 def _invalid(
     path: str, mistakes: typing.Iterable[shape.Mistake]
 ) -> expression.Result:
--- a/carawaystair/links.py
+++ b/carawaystair/links.py
@@ -1,8 +1,8 @@
 """Messages between processes over pyzmq.
 
-Each process binds one ROUTER socket and connects one DEALER socket for each
-peer that it talks to.  An answer returns on the connection of its question.
-One task receives on the ROUTER and one on each DEALER.
+Each process binds a ROUTER socket, one for each key that it accepts, and
+connects one DEALER socket for each peer that it talks to.  An answer returns
+on the connection of its question.  One task receives on each socket.
 """
 
 import asyncio
@@ -16,6 +16,8 @@
 
 from carawaystair import clock
 from carawaystair import codes
+from carawaystair import curve
+from carawaystair import keys
 from carawaystair import logs
 from carawaystair import timeline
 from carawaystair import wire
@@ -30,6 +32,11 @@
 IDLE_S = 120.0
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 2000
+# After a change of keys a link still takes the answers that are on the way.
+RETIRE_S = 10.0
+# At most one log line in this time about strangers, who must not be able to
+# fill the disk.
+LOG_EVERY_S = 1.0
 
 LOG = logs.get('links')
 
@@ -47,27 +54,41 @@
     used: list
 
 
+class Door(typing.NamedTuple):
+    """A listening side of the links, for the holders of one key.
+
+    :param router: its ROUTER socket.
+    :param tasks: the tasks that receive and that count strangers.
+    """
+
+    router: zmq.asyncio.Socket
+    tasks: tuple[asyncio.Task, ...]
+
+
 class Links(mode.Service):
     """The messages of one process, see ``interfaces.Transport``.
 
     :param address: ``ip:port`` to bind.
     :param hybrid: the clock that travels with every message.
-    :param secure: prepares a socket for encryption, see ``keys``.
+    :param held: keys of the fleet; the first connects, any is accepted.
+        Empty for links that are neither encrypted nor checked.
     """
 
     def __init__(
         self,
         address: str,
         hybrid: timeline.HybridClock | None = None,
-        secure: typing.Callable | None = None,
+        held: typing.Sequence[keys.Key] = (),
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
         self.address = address
         self.hybrid = hybrid or timeline.HybridClock()
-        self.secure = secure
+        self.keys = tuple(held)
         self.context = zmq.asyncio.Context()
-        self.router: zmq.asyncio.Socket | None = None
+        self.gatekeeper = curve.Gatekeeper(self.context)
+        self.doors: dict[str, Door] = {}
+        self.retired: list[Peer] = []
         self.peers: dict[str, Peer] = {}
         self.handlers: dict[type, typing.Callable] = {}
         self.pending: dict[int, asyncio.Future] = {}
@@ -75,33 +96,65 @@
         self.running: set[asyncio.Task] = set()
         self.dropped = 0
         self.refused = 0
+        self.strangers = 0
+        self.logged = 0.0
         self.sent = 0
         self.sent_bytes = 0
 
     async def on_start(self) -> None:
-        """Bind the ROUTER socket."""
-        self.router = self.context.socket(zmq.ROUTER)
-        self.router.linger = 0
-        self.router.sndhwm = QUEUE
-        if self.secure is not None:
-            self.secure(self.router, True)
-        try:
-            self.router.bind('tcp://%s' % self.address)
-        except zmq.ZMQError as error:
-            raise OSError('%s: %s' % (self.address, error)) from error
+        """Listen.
+
+        :raises OSError: when the address cannot be bound.
+        """
+        if not self.keys:
+            self._open_door(None)
+            return
+        curve.check_free(self.address)
+        self.gatekeeper.start()
+        for key in self.keys:
+            self.gatekeeper.admit(key)
+            self._open_door(key)
 
     async def on_stop(self) -> None:
         """Close every socket; what still waits is dropped."""
         for address in list(self.peers):
-            self._close(address)
+            self._close(self.peers.pop(address))
+        while self.retired:
+            self._close(self.retired.pop())
         for task in list(self.running):
             task.cancel()
         for future in self.pending.values():
             future.cancel()
-        if self.router is not None:
-            self.router.close(0)
+        for name in list(self.doors):
+            await self._close_door(name)
+        if self.keys:
+            self.gatekeeper.stop()
         self.context.term()
 
+    async def use(self, held: typing.Sequence[keys.Key]) -> None:
+        """Take other keys, without a stop.
+
+        Links that are open go over to the first key.  A key that is no
+        longer held makes no new link; those made with it are cut when the
+        answers on the way are in.
+
+        :param held: as for the constructor, not empty, and only where the
+            links had keys before.
+        """
+        moved = self.keys[0].id != held[0].id
+        dropped = [key for key in self.keys if key not in held]
+        self.keys = tuple(held)
+        for key in held:
+            self.gatekeeper.admit(key)
+            if key.id not in self.doors:
+                self._open_door(key)
+        for key in dropped:
+            self.gatekeeper.dismiss(key)
+            self.add_future(self._close_unheld(key.id))
+        if moved:
+            for address in list(self.peers):
+                self.add_future(self._retire(self.peers.pop(address)))
+
     def handle(self, kind: type, handler: typing.Callable) -> None:
         """Give messages of ``kind`` to ``await handler(sender, message)``."""
         self.handlers[kind] = handler
@@ -127,12 +180,63 @@
         finally:
             self.pending.pop(call, None)
 
-    @mode.Service.task
-    async def _receive(self) -> None:
+    def _open_door(self, key: keys.Key | None) -> None:
+        """Listen for the holders of ``key``, or for anyone."""
+        router = self.context.socket(zmq.ROUTER)
+        router.linger = 0
+        router.sndhwm = QUEUE
+        try:
+            if key is None:
+                router.bind('tcp://%s' % self.address)
+            else:
+                curve.serve(router, key, self.address)
+        except (zmq.ZMQError, OSError) as error:
+            router.close(0)
+            raise OSError('%s: %s' % (self.address, error)) from error
+        tasks = [self._supervised(self._receive(router))]
+        if key is not None:
+            watching = curve.watch(router, self._stranger)
+            tasks.append(self._supervised(watching))
+        self.doors[key.id if key else ''] = Door(router, tuple(tasks))
+
+    def _supervised(self, work: typing.Coroutine) -> asyncio.Task:
+        """Run something whose crash ends the process.
+
+        Without its receiving task a process would hear nobody, and never
+        know.
+        """
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self.add_future(self.crash(task.exception()))
+
+    async def _close_door(self, name: str) -> None:
+        door = self.doors.pop(name)
+        for task in door.tasks:
+            task.cancel()
+        await asyncio.gather(*door.tasks, return_exceptions=True)
+        door.router.close(0)
+
+    async def _close_unheld(self, name: str) -> None:
+        """Cut the links of a key, once answers on the way are in."""
+        await asyncio.sleep(RETIRE_S)
+        if name in self.doors and name not in {key.id for key in self.keys}:
+            await self._close_door(name)
+
+    async def _receive(self, router: zmq.asyncio.Socket) -> None:
         """Receive questions and one-way messages."""
-        while not self.should_stop:
-            identity, *frames = await self.router.recv_multipart()
-            self._question(identity, frames[-1] if frames else b'')
+        while True:
+            identity, *frames = await router.recv_multipart()
+            self._question(router, identity, frames[-1] if frames else b'')
+
+    def _stranger(self) -> None:
+        self.strangers += 1
+        if clock.now() - self.logged >= LOG_EVERY_S:
+            self.logged = clock.now()
+            LOG.warning('Refused a stranger.', total=self.strangers)
 
     @mode.Service.task
     async def _expire(self) -> None:
@@ -142,7 +246,7 @@
             old = clock.now() - IDLE_S
             idle = [a for a, peer in self.peers.items() if peer.used[0] < old]
             for address in idle:
-                self._close(address)
+                self._close(self.peers.pop(address))
 
     def _t(self) -> int:
         return self.hybrid.tick()
@@ -164,18 +268,25 @@
         socket.sndhwm = QUEUE
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
-        if self.secure is not None:
-            self.secure(socket, False)
+        if self.keys:
+            curve.connect(socket, self.keys[0])
         socket.connect('tcp://%s' % address)
         task = asyncio.create_task(self._answers(socket))
         self.peers[address] = Peer(socket, task, [clock.now()])
         return self.peers[address]
 
-    def _close(self, address: str) -> None:
-        peer = self.peers.pop(address)
+    def _close(self, peer: Peer) -> None:
         peer.task.cancel()
         peer.socket.close(0)
 
+    async def _retire(self, peer: Peer) -> None:
+        """Send no more on a link, and close it when answers are in."""
+        self.retired.append(peer)
+        await asyncio.sleep(RETIRE_S)
+        if peer in self.retired:
+            self.retired.remove(peer)
+            self._close(peer)
+
     async def _answers(self, socket: zmq.asyncio.Socket) -> None:
         """Receive the answers of one peer."""
         while True:
@@ -195,7 +306,9 @@
         self.hybrid.merge(result.ok.header.time)
         return result.ok
 
-    def _question(self, identity: bytes, data: bytes) -> None:
+    def _question(
+        self, router: zmq.asyncio.Socket, identity: bytes, data: bytes
+    ) -> None:
         envelope = self._decode(data)
         if envelope is None:
             return
@@ -203,13 +316,16 @@
         if handler is None or len(self.running) >= MAX_HANDLERS:
             self.refused += 1
             return
-        task = asyncio.create_task(self._run(handler, identity, envelope))
+        task = asyncio.create_task(
+            self._run(handler, router, identity, envelope)
+        )
         self.running.add(task)
         task.add_done_callback(self.running.discard)
 
     async def _run(
         self,
         handler: typing.Callable,
+        router: zmq.asyncio.Socket,
         identity: bytes,
         envelope: wire.Envelope,
     ) -> None:
@@ -223,9 +339,7 @@
             return
         data = wire.encode(answer, self.address, header.call, True, self._t())
         try:
-            zmq.Socket.send_multipart(
-                self.router, [identity, data], zmq.DONTWAIT
-            )
+            zmq.Socket.send_multipart(router, [identity, data], zmq.DONTWAIT)
             self.sent += 1
             self.sent_bytes += len(data)
         except (zmq.Again, zmq.ZMQError):
