--- a/bench/exp_latency.py
+++ b/bench/exp_latency.py
@@ -215,11 +215,33 @@
         for path, values in excess.items():
             label = '%s.%s.added.%s' % (case, path, name)
             yield figures.bootstrap(label, 'ms', values, seed=seed)
+        if name != 'p50':
+            # The difference of two 99th percentiles may be noise about zero,
+            # and a ratio of such says nothing; that of the whole does.
+            yield whole_ratio(case, by_path, name, share, seed)
+            continue
         naive, node = map(statistics.median, excess.values())
         label = '%s.added.%s.node_to_naive' % (case, name)
         yield figures.Figure(label, node / naive if naive else 0.0, 'ratio')
 
 
+def whole_ratio(
+    case: str,
+    by_path: dict[str, list[Round]],
+    name: str,
+    share: float,
+    seed: int,
+) -> figures.Figure:
+    """Return a percentile through a node over that through the relay."""
+    ratios = [
+        figures.percentile(node.latencies_ms, share)
+        / figures.percentile(naive.latencies_ms, share)
+        for node, naive in zip(by_path[NODE], by_path[NAIVE])
+    ]
+    label = '%s.%s.node_to_naive' % (case, name)
+    return figures.bootstrap(label, 'ratio', ratios, seed=seed)
+
+
 def processor(
     case: str, by_path: dict[str, list[Round]], seed: int
 ) -> typing.Iterator[figures.Figure]:
