Outlier detection: common causes, old connections, first failures

Cause: at 5 requests a second an upstream, good answers from before a fault diluted the first failures; overdue answers on old connections were scored by one rare level and capped below suspicion; when a whole service slowed down, evidence gathered in the first half second ejected some of its upstreams. Change: a cumulative sum beside the windows; unproven answers by level, which hold but never eject; scores relative to what three in four siblings exceed now; evidence weighed anew when many turn suspect together.

--- a/bench/detection_model.py
+++ b/bench/detection_model.py
@@ -38,6 +38,11 @@
 # A connection is known to work when it answered within this time.
 FRESH_S = 1.0
 ERROR_S = 0.003
+# Copies share the budget of retries: extra attempts earned by a first one,
+# the most that is kept, and what is left for retries.
+EXTRA = 0.1
+RESERVE = 10.0
+KEPT = 3.0
 
 
 class Site(typing.NamedTuple):
@@ -141,7 +146,7 @@
         self.hung = False
         self.errors = 0.0
         self.deaf_to: frozenset[int] = frozenset()
-        self.factor: typing.Callable[[Request], float] = _usual
+        self.factor: typing.Callable[[Request], float] = usual
         self.stuck: list[Request] = []
 
     def offer(self, request: Request) -> None:
@@ -186,7 +191,8 @@
             self._start(self.queue.popleft())
 
 
-def _usual(_request: Request) -> float:
+def usual(_request: Request) -> float:
+    """Return the factor of an upstream that is well."""
     return 1.0
 
 
@@ -221,6 +227,7 @@
         self.flying: collections.Counter = collections.Counter()
         self.answered: dict[int, float] = {}
         self.paused_until = 0.0
+        self.tokens = RESERVE
         self.timeline = timeline.Timeline('host-%03d' % number)
         self.outlier = world.outlier(number, self)
 
@@ -248,10 +255,14 @@
             self.world.refused += 1
             return
         self._attempt(server, route, customer, True)
+        self.tokens = min(self.tokens + EXTRA, RESERVE)
         if not (route.idempotent and self.world.policy.copies):
             return
+        if self.tokens < 1.0 + KEPT:
+            return
         wanted = self.outlier.trial(SERVICE)
         if wanted is not None and wanted != server.name:
+            self.tokens -= 1.0
             copy = self.world.by_name[wanted]
             self._attempt(copy, route, customer, False)
 
@@ -404,6 +415,8 @@
         self.silent_since = -math.inf
         self.silent_server = -1
         self.refused = 0
+        # Restarts of upstreams so far; their incarnations.
+        self.starts = 0
         self.sent: list[Sent] = []
         self.latencies: list[float] = []
         self.members = [
@@ -488,6 +501,15 @@
         for frontend in self.frontends:
             await frontend.outlier.stop()
 
+    def ejected(self) -> frozenset[str]:
+        """Return the upstreams that any node ejects."""
+        return frozenset(
+            itertools.chain.from_iterable(
+                frontend.outlier.ejected(SERVICE)
+                for frontend in self.frontends
+            )
+        )
+
     def events(self, *kinds: str) -> list[timeline.Event]:
         """Return the events of some kinds from all nodes, in order."""
         rings = (frontend.timeline.ring for frontend in self.frontends)
--- a/carawaystair/outlier/allbad.py
+++ b/carawaystair/outlier/allbad.py
@@ -63,7 +63,7 @@
         table = self.ledger.known.table(self.ledger.service)
         out = {track.upstream for track in self.ledger.held() if track.out}
         judged = [one for one in table.values() if self._judged(one, out)]
-        means = [self.pool.mean(one.id, now) for one in judged]
+        means = [self.pool.recent.of(one.id, now) for one in judged]
         means = [mean for mean in means if mean.count >= ATTEMPTS]
         if len(means) < LEAST_UPSTREAMS:
             return 0.0
--- a/carawaystair/outlier/detectors.py
+++ b/carawaystair/outlier/detectors.py
@@ -38,6 +38,11 @@
         """Start anew for an upstream."""
 
 
+# Scores of a gray upstream are taken as exponential with the mean
+# 1 / (1 - TILT) = 5, those of a healthy one with the mean 1.
+TILT = 0.8
+TILT_BASE = math.log(1.0 - TILT)
+
 Factory = typing.Callable[[], Detector]
 
 
@@ -55,3 +60,11 @@
         return -math.log(max(upper, 1e-9))
     low = lower * (1.0 - math.log(lower)) if lower > 0.0 else 0.0
     return (upper * (1.0 - math.log(upper)) - low) / (upper - lower)
+
+
+def likelihood(score: float) -> float:
+    """Return the log likelihood ratio of one attempt, gray over healthy.
+
+    :param score: of the attempt, see the module.
+    """
+    return TILT_BASE + TILT * score
--- a/carawaystair/outlier/evidence.py
+++ b/carawaystair/outlier/evidence.py
@@ -30,7 +30,7 @@
     interfaces.REFUSED: levels.BROKEN,
     interfaces.SILENT: levels.SILENT,
 }
-FAILED = frozenset((levels.ERROR, levels.BROKEN, levels.UNPROVEN))
+FAILED = frozenset((levels.ERROR, levels.BROKEN))
 PATH_BAD = frozenset((levels.LATE, levels.OVERDUE, levels.BROKEN))
 
 Tell = typing.Callable[[messages.Report], None]
@@ -111,6 +111,9 @@
         if outcome == interfaces.GOOD:
             outbox.sample(route, latency_s, self.rng)
         customer_class = levels.customer_class(attempt.customer)
+        if outcome == interfaces.SILENT and pending and pending.flagged:
+            # The connection was at fault; the upstream gets its share back.
+            self.health.weights.forget(attempt.upstream)
         self._local(attempt, category, now)
         if not self._pooled(attempt.service):
             return
@@ -122,9 +125,7 @@
         cell = outbox.count(attempt.upstream, customer_class, category, 1)
         lease = self.health.lease(attempt.service, attempt.upstream)
         tried = lease is not None and lease.since <= attempt.started
-        if tried and outcome == interfaces.GOOD and category < levels.SLOW:
-            cell[-1] += 1
-        if category == levels.UNRATED and tried:
+        if tried and outcome == interfaces.GOOD:
             cell[-1] += 1
         urgent = category in FAILED or (
             outbox.urgent_level <= category < levels.LEVELS
@@ -174,13 +175,15 @@
         if overdue.level >= levels.LATE:
             late = overdue.level == levels.LATE
             factor = local.LATE_FACTOR if late else local.OVERDUE_FACTOR
+            if not pending.fresh:
+                factor = local.UNPROVEN_FACTOR
             self.health.weights.lower(pending.upstream, factor, now)
         if category == before or not self._pooled(pending.service):
             return
         if overdue.before:
             outbox.count(pending.upstream, pending.customer_class, before, -1)
         outbox.count(pending.upstream, pending.customer_class, category, 1)
-        if category >= outbox.urgent_level:
+        if overdue.level >= outbox.urgent_level:
             self._hurry(outbox)
 
     def _local(self, attempt, category, now) -> None:
@@ -262,7 +265,7 @@
 def _flag(pending: watches.Pending, level: int) -> int:
     """Return the category of an answer that is overdue."""
     if level and not pending.fresh:
-        return levels.UNPROVEN
+        return levels.unproven(level)
     return level
 
 
--- a/carawaystair/outlier/intake.py
+++ b/carawaystair/outlier/intake.py
@@ -19,16 +19,13 @@
         levels.OVERDUE,
         levels.ERROR,
         levels.BROKEN,
-        levels.UNPROVEN,
+        *range(levels.UNPROVEN, levels.ILL),
     )
 )
 # One node adds at most so many bad attempts to an episode, unless a large
 # part of the work comes through it: its own path may be at fault.
 MOST_BAD_OF_ONE = 2.0
 LARGE_SHARE = 0.4
-# Overdue answers on old connections may hold an upstream, never eject it:
-# the connections may have gone silent while new ones work.
-MOST_UNPROVEN = 2.0
 # Health endpoints lag or mislead.  One that says ill counts as one slow
 # answer, too little to hold an upstream by itself; one that says well brings
 # the next trial forward.  Neither counts more often than this, seconds.
@@ -108,9 +105,16 @@
         bad = any(cell.counts[category] for category in BAD)
         weight = 1.0 if bad else 1.0 / report.share
         self._hint(cell, now)
+        # Overdue answers on old connections may hold an upstream, never eject
+        # it: the connections may have gone silent while new ones work.  What
+        # is taken back still counts.
+        old = cell.counts[levels.UNPROVEN : levels.ILL]
+        doubtful = sum(old) >= 0 and self._suspected(cell.upstream)
         for category, count in enumerate(cell.counts[: levels.ILL]):
             if count and category in BAD:
                 counted = self._bad(cell, category, count, report, now)
+                if doubtful and category >= levels.UNPROVEN:
+                    counted = 0.0
                 self._add(cell, category, count, counted, report, now)
             elif count:
                 scaled = count * weight
@@ -137,16 +141,14 @@
         episode.add(_source(cell, report), count, 0.0)
         if count > 0:
             episode.last_bad = now
-        if category == levels.UNPROVEN:
-            unproven, episode.unproven = (
-                episode.unproven,
-                (episode.unproven + count),
-            )
-            count = _capped(unproven, count, MOST_UNPROVEN)
         if self.reporters.share(report.host) < LARGE_SHARE:
             count = _capped(before, count, MOST_BAD_OF_ONE)
         return count
 
+    def _suspected(self, upstream: str) -> bool:
+        track = self.ledger.tracks.get(upstream)
+        return track is not None and track.state != tracks.HEALTHY
+
     def _forget_groups(self, track) -> None:
         if track.episode is not None:
             for key in track.episode.keys(track.upstream):
--- a/carawaystair/outlier/lead.py
+++ b/carawaystair/outlier/lead.py
@@ -24,6 +24,8 @@
 from carawaystair import timeline as timelines
 
 TICK_S = 0.05
+# The same while this process coordinates nothing.
+IDLE_TICK_S = 0.25
 # Members asked that may have coordinated before, and how long each gets to
 # answer, seconds.
 PREDECESSORS = 3
@@ -135,7 +137,7 @@
     async def _tick(self) -> None:
         """Do what time alone brings about."""
         while not self.should_stop:
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(TICK_S if self.seats else IDLE_TICK_S)
             now = clock.now()
             self.choice.refresh()
             for service in list(self.seats):
--- a/carawaystair/outlier/levels.py
+++ b/carawaystair/outlier/levels.py
@@ -24,10 +24,11 @@
 BROKEN = 7  # no answer: timeout, broken or refused connection
 SILENT = 8  # an open connection went silent while new ones work
 UNRATED = 9  # a good answer on a route without bounds
-UNPROVEN = 10  # overdue on a connection that may itself be silent
-ILL = 11  # what a health endpoint says, not an attempt
-WELL = 12
-CATEGORIES = 13
+# 10 to 12: slow, late and overdue on a connection that may itself be silent.
+UNPROVEN = 10
+ILL = 13  # what a health endpoint says, not an attempt
+WELL = 14
+CATEGORIES = 15
 
 # Shares of good answers at or below the measured bounds.
 QUANTILES = (0.5, 0.9, 0.99)
@@ -51,6 +52,9 @@
 # tail of a power law does, held within these.
 LEAST_RATIO = 1.5
 GREATEST_RATIO = 4.0
+# From so many answers on the 99.9th percentile is measured instead.
+ENOUGH_FOR_LATE = 1500
+LATE_QUANTILE = 0.999
 
 CLASSES = 8
 
@@ -89,6 +93,16 @@
     return xxhash.xxh32_intdigest(customer.encode()) % CLASSES
 
 
+def unproven(level: int) -> int:
+    """Return the category of an overdue answer on an old connection."""
+    return UNPROVEN + level - SLOW
+
+
+def proven(category: int) -> int:
+    """Return the latency level that an unproven category stands for."""
+    return category - UNPROVEN + SLOW
+
+
 class Latencies:
     """Latencies of good answers of one route, the recent ones.
 
@@ -115,16 +129,21 @@
         """Return how many answers are remembered, decayed."""
         return self.total * math.exp((self.zero - now) / MEMORY_S)
 
-    def bounds(self, least_s: float) -> Bounds:
+    def bounds(self, least_s: float, many: bool = False) -> Bounds:
         """Return the bounds.
 
+        :param many: whether there are enough answers to measure the rarer.
         :param least_s: no bound from the 99th percentile on is below this,
             since a pause of a node itself is no news about an upstream.
         """
         median, p90, p99 = (self.quantile(share) for share in QUANTILES)
         p99 = max(p99, least_s, p90 * LEAST_RATIO)
         ratio = min(max(p99 / p90, LEAST_RATIO), GREATEST_RATIO)
-        return Bounds(median, p90, p99, p99 * ratio, p99 * ratio * ratio)
+        late = p99 * ratio
+        if many:
+            measured = self.quantile(LATE_QUANTILE)
+            late = min(max(measured, p99 * LEAST_RATIO**0.5), late)
+        return Bounds(median, p90, p99, late, late * ratio)
 
     def quantile(self, share: float) -> float:
         """Return a quantile, the upper edge of its bin, in seconds."""
@@ -162,9 +181,9 @@
     def bounds(self, least_s: float, now: float) -> dict[int, Bounds]:
         """Return the bounds of each route that has enough answers."""
         return {
-            route: latencies.bounds(least_s)
+            route: latencies.bounds(least_s, count >= ENOUGH_FOR_LATE)
             for route, latencies in self.table.items()
-            if latencies.count(now) >= ENOUGH
+            if (count := latencies.count(now)) >= ENOUGH
         }
 
     def forget(self, now: float) -> None:
--- a/carawaystair/outlier/local.py
+++ b/carawaystair/outlier/local.py
@@ -17,6 +17,8 @@
 # The same for an answer that is late or overdue while still awaited.
 LATE_FACTOR = 0.3
 OVERDUE_FACTOR = 0.15
+# On a connection that may have gone silent by itself.
+UNPROVEN_FACTOR = 0.5
 LEAST_WEIGHT = 0.02
 # A weight that nothing happens to gets back two thirds of its loss in this
 # time, seconds; it doubles when the next attempt after a while fails too, so
@@ -72,6 +74,10 @@
         loss = (1.0 - old.weight(now)) * (1.0 - RECOVERY_SHARE)
         self._keep(upstream, Soft(loss, now, RECOVERY_S))
 
+    def forget(self, upstream: str) -> None:
+        """Set a weight back to 1.0."""
+        self.table.pop(upstream, None)
+
     def weight(self, upstream: str, now: float) -> float:
         """Return a weight, which recovers with time."""
         soft = self.table.get(upstream)
--- a/carawaystair/outlier/messages.py
+++ b/carawaystair/outlier/messages.py
@@ -22,8 +22,8 @@
     :param customer_class: see ``levels.customer_class``.
     :param counts: attempts by category, see ``levels``; a negative number
         takes back what an earlier report said too early.
-    :param tested: how many of them were good and began after the upstream
-        came under suspicion or trial.
+    :param tested: how many of them were answered, quickly or not, and
+        began after the upstream came under suspicion or trial.
     """
 
     upstream: str
--- a/carawaystair/outlier/path.py
+++ b/carawaystair/outlier/path.py
@@ -6,6 +6,7 @@
 LEAST_BAD = 4
 SHARE = 0.75
 MOST_UPSTREAMS = 256
+LOOK_EVERY_S = 0.2
 
 
 class Path:
@@ -15,6 +16,7 @@
         self.good: dict[str, float] = {}
         self.bad: dict[str, float] = {}
         self.suspect = False
+        self.looked = -LOOK_EVERY_S
 
     def note(self, upstream: str, bad: bool, now: float) -> None:
         """Take note of what an upstream showed."""
@@ -30,6 +32,9 @@
 
         :return: whether the path has just become suspect.
         """
+        if now - self.looked < LOOK_EVERY_S:
+            return False
+        self.looked = now
         for table in (self.good, self.bad):
             old = [name for name, at in table.items() if now - at > MEMORY_S]
             for name in old:
--- a/carawaystair/outlier/pool.py
+++ b/carawaystair/outlier/pool.py
@@ -9,61 +9,31 @@
 
 import array
 import math
-import typing
 
 from carawaystair.outlier import detectors
 from carawaystair.outlier import levels
+from carawaystair.outlier import recent as recents
 from carawaystair.outlier import shares
 
-# What holds just now counts for a third after this, seconds: bursts, or a
-# service that is slow as a whole.
-RECENT_S = 2.0
-# It is averaged with so many usual attempts.
-RECENT_PRIOR = 8.0
 # Shares before anything is known weigh as much as so many attempts; a class
 # of customers is taken as the average until it has as many of its own.
 PRIOR = 50.0
 CLASS_PRIOR = 20.0
 USUAL_FAILURES = 0.001
-FAILED = frozenset((levels.LATE, levels.OVERDUE, levels.ERROR, levels.BROKEN))
+FAILED = frozenset(
+    (
+        levels.LATE,
+        levels.OVERDUE,
+        levels.ERROR,
+        levels.BROKEN,
+        levels.unproven(levels.LATE),
+        levels.unproven(levels.OVERDUE),
+    )
+)
 # No share is taken as rarer: the score of a failure is 8.6 at most.
 LEAST_SHARE = 0.0005
 
 
-class Recent(typing.NamedTuple):
-    """Scores of late, not compared with those of just now.
-
-    :param count: attempts, decayed.
-    :param total: their scores, decayed.
-    :param failed: those without an answer or with one far too late.
-    :param time: of the last attempt.
-    """
-
-    count: float
-    total: float
-    failed: float
-    time: float
-
-    def at(self, now: float) -> 'Recent':
-        """Return the same, decayed until ``now``."""
-        fade = math.exp((self.time - now) / RECENT_S)
-        return Recent(
-            self.count * fade, self.total * fade, self.failed * fade, now
-        )
-
-    def plus(
-        self, count: float, score: float, failed: bool, now: float
-    ) -> 'Recent':
-        """Return the same with more attempts."""
-        old = self.at(now)
-        return Recent(
-            old.count + count,
-            old.total + count * score,
-            old.failed + count * failed,
-            now,
-        )
-
-
 class Pool:
     """The pooled evidence of one service.
 
@@ -75,8 +45,7 @@
         self.scale = shares.Scale(now)
         self.total = shares.table()
         self.tables: dict[str, array.array] = {}
-        self.recent: dict[str, Recent] = {}
-        self.all_recent = Recent(0.0, 0.0, 0.0, now)
+        self.recent = recents.Recent()
         self.excluded: set[str] = set()
 
     def add(
@@ -105,8 +74,8 @@
             shares.add(self.total, customer_class, category, count * unit)
         if category == levels.UNRATED:
             return None
-        usual = self._usual(upstream, now)
-        self._note(upstream, count, score, category in FAILED, now)
+        usual = self.recent.usual(upstream, now)
+        self.recent.add(upstream, count, score, category in FAILED, now)
         return score / usual
 
     def exclude(self, upstream: str) -> None:
@@ -122,17 +91,19 @@
         if upstream in self.excluded:
             self.excluded.discard(upstream)
             self.tables.pop(upstream, None)
-            self.recent.pop(upstream, None)
 
     def forget(self, upstream: str) -> None:
         """Drop an upstream that is gone."""
         self.exclude(upstream)
         self.include(upstream)
+        self.recent.forget(upstream)
 
     def rate(self, now: float) -> float:
         """Return attempts a second of the upstreams not excluded."""
         attempts = self.total[shares.ALL * shares.WIDTH + shares.ATTEMPTS]
-        memory = min(shares.MEMORY_S, max(now - self.began, 1.0))
+        # The sum of a decaying memory that began a while ago.
+        age = max(now - self.began, 1.0)
+        memory = shares.MEMORY_S * -math.expm1(-age / shares.MEMORY_S)
         return attempts / self.scale.unit(now) / memory
 
     def class_share(self, customer_class: int) -> float:
@@ -141,10 +112,6 @@
         part = self.total[customer_class * shares.WIDTH + shares.ATTEMPTS]
         return part / whole if whole > 0.0 else 1.0
 
-    def mean(self, upstream: str, now: float) -> Recent:
-        """Return an upstream's scores of late."""
-        return self.recent.get(upstream, Recent(0.0, 0.0, 0.0, now)).at(now)
-
     def _unit(self, now: float) -> float:
         unit = self.scale.unit(now)
         if unit < shares.RESCALE:
@@ -154,27 +121,6 @@
         self.scale = shares.Scale(now)
         return 1.0
 
-    def _note(self, upstream, count, score, failed, now) -> None:
-        recent = self.recent.get(upstream, Recent(0.0, 0.0, 0.0, now))
-        self.recent[upstream] = recent.plus(count, score, failed, now)
-        if upstream not in self.excluded:
-            self.all_recent = self.all_recent.plus(count, score, failed, now)
-
-    def _usual(self, upstream: str, now: float) -> float:
-        """Return the siblings' mean score of just now, at least 1.0.
-
-        Bad attempts are told at once and good ones later, so the expected
-        number of attempts stands in for what is not yet told.
-        """
-        whole = self.all_recent.at(now)
-        count, total = whole.count, whole.total
-        if upstream not in self.excluded:
-            own = self.mean(upstream, now)
-            count, total = count - own.count, total - own.total
-        expected = max(count, self.rate(now) * RECENT_S)
-        quiet = expected - count + RECENT_PRIOR
-        return max((total + quiet) / (count + quiet), 1.0)
-
     def _score(self, upstream, customer_class, category, unit) -> float:
         own = self.tables.get(upstream)
         own = None if upstream in self.excluded else own
@@ -205,8 +151,10 @@
             return detectors.score(
                 share(shares.BROKENS, shares.ATTEMPTS, USUAL_FAILURES)
             )
-        if category in (levels.UNRATED, levels.UNPROVEN):
-            category = levels.LATE
+        if category == levels.UNRATED:
+            return 1.0
+        if category >= levels.UNPROVEN:
+            category = levels.proven(category)
         reached = range(category, min(category + 2, levels.LEVELS))
         return detectors.score(
             *(share(one, 0, levels.USUAL_TAILS[one]) for one in reached)
--- a/carawaystair/outlier/scope.py
+++ b/carawaystair/outlier/scope.py
@@ -81,8 +81,6 @@
     def __init__(self, now: float) -> None:
         self.began = now
         self.last_bad = now
-        # Bad attempts on connections that may themselves be at fault.
-        self.unproven = 0.0
         self.groups: dict[str, dict[str, Seen]] = {
             REPORTER: {},
             DATA_CENTRE: {},
--- a/carawaystair/outlier/shares.py
+++ b/carawaystair/outlier/shares.py
@@ -29,7 +29,7 @@
     levels.ERROR: (ERRORS, ATTEMPTS),
     levels.BROKEN: (BROKENS, ATTEMPTS),
     levels.UNRATED: (ATTEMPTS,),
-    levels.UNPROVEN: (ATTEMPTS,),
+    **{levels.unproven(one): (ATTEMPTS,) for one in range(levels.SLOW, 6)},
 }
 
 
--- a/carawaystair/outlier/track.py
+++ b/carawaystair/outlier/track.py
@@ -53,6 +53,9 @@
         self.flaps_time = now
         self.refused = -1e9
         self.hinted = -1e9
+        self.suspected_at = -1e9
+        # When the evidence was weighed anew, see ``judge``.
+        self.weighed_at = -1e9
         self.incarnation: int | None = None
         # Whether nodes beyond those that use the service were told.
         self.told_all = False
--- a/carawaystairplug/detector_sequential.py
+++ b/carawaystairplug/detector_sequential.py
@@ -11,10 +11,6 @@
 from carawaystair.outlier import detectors
 from carawaystair import plugins
 
-# Scores of a gray upstream are taken as exponential with the mean
-# 1 / (1 - TILT) = 5, those of a healthy one with the mean 1.
-TILT = 0.8
-BASE = math.log(1.0 - TILT)
 # Evidence that nothing confirms fades, seconds for a third.
 FADE_S = 20.0
 MOST = 60.0
@@ -39,7 +35,7 @@
         self, upstream: str, score: float, count: float, now: float
     ) -> None:
         """Move the sum."""
-        step = count * (BASE + TILT * score)
+        step = count * detectors.likelihood(score)
         value = min(self.evidence(upstream, now) + step, MOST)
         if value <= 0.0:
             self.sums.pop(upstream, None)
--- a/carawaystairplug/detector_siblings.py
+++ b/carawaystairplug/detector_siblings.py
@@ -6,6 +6,10 @@
 finds the size of the fault by itself: a hang within a few attempts, a mild
 slowdown within a longer window.  The longer the window, the larger the least
 mean that counts, since healthy siblings are never quite equal.
+
+Good answers from before a fault dilute the first failures in every window, so
+a cumulative sum (CUSUM; Page, 1954) runs beside them, which forgets the good
+ones; alone it would be alarmed by every rare answer, hence the penalty.
 """
 
 import math
@@ -34,15 +38,24 @@
 )
 
 
+# Taken off the cumulative sum, nats: one failure is then enough to suspect an
+# upstream where detection is fast, one slow answer is not.
+PENALTY = 1.2
+# The sum fades when nothing confirms it, seconds for a third.
+FADE_S = 10.0
+MOST = 60.0
+
+
 class Tally:
-    """Attempts and scores of one upstream in each window."""
+    """Attempts and scores of one upstream."""
 
-    __slots__ = ('time', 'counts', 'sums')
+    __slots__ = ('time', 'counts', 'sums', 'run')
 
     def __init__(self, now: float) -> None:
         self.time = now
         self.counts = [0.0] * len(WINDOWS)
         self.sums = [0.0] * len(WINDOWS)
+        self.run = 0.0
 
     def add(self, score: float, count: float, now: float) -> None:
         """Add attempts."""
@@ -53,10 +66,24 @@
             self.counts[index] = self.counts[index] * fade + count
             self.sums[index] = self.sums[index] * fade + count * score
 
+        step = count * detectors.likelihood(score)
+        run = self.run * math.exp(gone / FADE_S) + step
+        self.run = min(max(run, 0.0), MOST)
+
     def evidence(self, now: float) -> float:
-        """Return the greatest evidence of all windows."""
+        """Return the greatest evidence of the sum and all windows."""
         gone = self.time - now
         return max(
+            self.run * math.exp(gone / FADE_S) - PENALTY,
+            *self._windows(gone),
+        )
+
+    def _windows(self, gone: float) -> typing.Iterator[float]:
+        """Yield the evidence of each window.
+
+        :param gone: minus the seconds since the last attempt.
+        """
+        return (
             ratio_test(count, total, window.least)
             * math.exp(gone / window.memory_s)
             for count, total, window in zip(self.counts, self.sums, WINDOWS)
