--- a/carawaystair/membership/__init__.py
+++ b/carawaystair/membership/__init__.py
@@ -30,6 +30,6 @@
         kernel.timeline,
         kernel.random('membership'),
         incarnation=kernel.incarnation,
-        seeds=settings.seeds + settings.control_hosts,
+        seeds=settings.seeds,
         lease_s=settings.node.lease_s,
     )
