--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -27,6 +27,7 @@
     def __init__(self, folder: pathlib.Path = results.FOLDER) -> None:
         self.values: dict[str, float] = {}
         self.sources: dict[str, str] = {}
+        self.greatest: dict[str, float] = {}
         kept = [results.read(path) for path in folder.glob('*.json')]
         for result in sorted(kept, key=lambda each: each.date):
             if not result.quick:
@@ -39,6 +40,7 @@
         for slope in result.slopes:
             self.values[slope.name] = slope.slope
             self.values[slope.name + '.intercept'] = slope.intercept
+            self.greatest[slope.name] = max(y for _x, y in slope.points)
             self.sources[slope.name] = result.name
 
     def __getitem__(self, name: str) -> float:
--- a/bench/capacity_lines.py
+++ b/bench/capacity_lines.py
@@ -39,6 +39,10 @@
 POLL_S = 2.0
 NEWS_FANOUT = 3
 NEWS_BYTES = 60
+# A record of a host with 11 upstreams, and how often it arrives at a node: at
+# a restart it leaves and joins, over each of a few links.
+RECORD_BYTES = 900
+RECORD_COPIES = 6
 EVENTS = timeline.DEFAULT_CAPACITY
 
 MEASURED = 'measured'
@@ -152,6 +156,54 @@
     )
 
 
+def _members(measured) -> Line:
+    """Members and upstreams, of which every node knows all."""
+    slope = measured['control.memory.by_nodes']
+    size = slope * NODES + measured['control.memory.by_nodes.intercept']
+    return Line(
+        'members and upstreams',
+        memory_mb=size / 1e6,
+        mechanism='one record a host with all its upstreams',
+        basis='control: %d bytes a host of 11 upstreams' % slope,
+    )
+
+
+def _traffic(measured) -> Line:
+    """Liveness, anti-entropy and reports, all parts together.
+
+    They do not grow with the nodes and level off with the services, so the
+    greatest measured value stands in for the full size.
+    """
+    sent = measured.greatest['control.messages_s.by_services']
+    socket = measured['datagrams.cpu_us.by_messages']
+    cpu = measured.greatest['control.cpu_us_s.by_services']
+    return Line(
+        'liveness, anti-entropy, reports, ejections',
+        2 * sent,
+        cpu + 2 * sent * socket,
+        2 * measured.greatest['control.bytes_s.by_services'],
+        0.0,
+        'constant probes a node, paced reports, leases by the coordinator',
+        'control at 20 requests/s a node, greatest point; sockets: links',
+    )
+
+
+def _changes_of_hosts(measured) -> Line:
+    """Each restart of a host travels to every node once, a few copies."""
+    restarts = RESTARTS_DAY / DAY_S
+    messages = restarts * RECORD_COPIES * 2
+    cpu = messages * measured['links.cpu_us.by_messages']
+    return Line(
+        'records of hosts that restart',
+        messages,
+        cpu,
+        messages * RECORD_BYTES,
+        0.0,
+        'flooding over a bounded overlay',
+        RECKONED,
+    )
+
+
 def node(measured) -> Role:
     """Return what every node pays."""
     text = (
@@ -161,6 +213,9 @@
     lines = (
         _table(measured),
         _timeline(measured),
+        _members(measured),
+        _traffic(measured),
+        _changes_of_hosts(measured),
         _polls(measured),
         _news(measured),
     )
@@ -228,6 +283,15 @@
             'see the node below',
             RECKONED,
         ),
+        Bound(
+            'added to a request, 99 in 100',
+            '%g ms' % ADDED_MS,
+            '%.2f ms at the median; 99 in 100: see the text'
+            % measured['latency.get.136.node.added.p50'],
+            '',
+            'one hop, own connections, no work for good requests',
+            'latency: 136 requests/s at one node',
+        ),
         Bound(
             'a change in force everywhere',
             '%g s' % IN_FORCE_S,
