--- a/carawaystair/admin/changes.py
+++ b/carawaystair/admin/changes.py
@@ -1,12 +1,11 @@
-"""Resources that change the configuration."""
+"""Resources of submissions: submit, dry run, rollback, ask again."""
 
+import functools
 import typing
 
-from aiohttp import web
 import expression
 
-from carawaystair.admin import audit
-from carawaystair.admin import document
+from carawaystair.admin import calls
 from carawaystair.admin import fields
 from carawaystair.admin import guard as guards
 from carawaystair.admin import replies
@@ -16,24 +15,12 @@
 from carawaystair import manifest as manifests
 from carawaystair import rows
 
-# A planned stop is not built on a version; when another change comes between
-# it is checked and sent again so often.
-DRAIN_TRIES = 5
+# Refusals of a change that may have been accepted before.
+PERHAPS_KNOWN = (codes.CONFLICT, codes.VERSION_UNKNOWN)
 # Submissions read and checked at once; each may hold a manifest of many MB.
 MAX_READING = 4
 
 
-class Call(typing.NamedTuple):
-    """One request, with who sent it.
-
-    :param request: the request.
-    :param caller: who sent it.
-    """
-
-    request: web.Request
-    caller: teams.Caller
-
-
 class DryRun(typing.NamedTuple):
     """What a submission would change.
 
@@ -58,41 +45,28 @@
     row: str
 
 
-class Stop(typing.NamedTuple):
-    """The body of a planned stop.
+class Back(typing.NamedTuple):
+    """The body of a rollback.
 
-    :param hosts: hosts to stop.
-    :param data_centres: data centres to stop.
-    :param undo: give them new work again instead.
+    :param to: the version to go back to.
     """
 
-    hosts: tuple[str, ...] = ()
-    data_centres: tuple[str, ...] = ()
-    undo: bool = False
+    to: str
 
 
-class Stopped(typing.NamedTuple):
-    """The answer to a planned stop.
+class Wanted(typing.NamedTuple):
+    """A change on its way.
 
-    :param version: the version that holds it.
-    :param digest: its digest, hex.
-    :param submission: id of the submission.
-    :param drains: all planned stops now.
+    :param id: of the submission, behind its team.
+    :param parent: digest of the version that it is built on.
+    :param preview: asks the control group what it would change.
+    :param make: has the control group make it.
     """
 
-    version: str
-    digest: str
-    submission: str
-    drains: manifests.Drains
-
-
-class Back(typing.NamedTuple):
-    """The body of a rollback.
-
-    :param to: the version to go back to.
-    """
-
-    to: str
+    id: str
+    parent: bytes
+    preview: guards.Preview
+    make: typing.Callable[[], typing.Awaitable[replies.Reply]]
 
 
 class Changes:
@@ -100,21 +74,14 @@
 
     :param group: the control group.
     :param guard: checks changes.
-    :param trail: takes note of refused ones.
     """
 
-    def __init__(
-        self,
-        group: control.Control,
-        guard: guards.Guard,
-        trail: audit.Trail,
-    ) -> None:
+    def __init__(self, group: control.Control, guard: guards.Guard) -> None:
         self.group = group
         self.guard = guard
-        self.trail = trail
         self.reading = 0
 
-    async def submit(self, call: Call) -> replies.Reply:
+    async def submit(self, call: calls.Call) -> replies.Reply:
         """Submit a manifest, or with ``dry_run`` show what it changes."""
         if self.reading >= MAX_READING:
             return replies.refuse(codes.ADMIN_BUSY)
@@ -122,19 +89,11 @@
         try:
             if fields.flag(call.request, 'dry_run'):
                 return await self._dry_run(call)
-            return await self._noted(call, 'submit', self._submit)
+            return await self._submit(call)
         finally:
             self.reading -= 1
 
-    async def rollback(self, call: Call) -> replies.Reply:
-        """Put an earlier version in force again, as a new one."""
-        return await self._noted(call, 'rollback', self._rollback)
-
-    async def drain(self, call: Call) -> replies.Reply:
-        """Plan a stop, or end one."""
-        return await self._noted(call, 'drain', self._drain)
-
-    async def answer(self, call: Call) -> replies.Reply:
+    async def answer(self, call: calls.Call) -> replies.Reply:
         """Return the answer of a submission again."""
         name = call.request.match_info['id']
         wanted = fields.checked_id(name, 'id')
@@ -145,23 +104,15 @@
         current = await self.group.current()
         if current.is_error():
             return current
-        result = await self.group.answer(_full_id(call.caller, name))
-        return result.map(lambda ok: _accepted(ok, name))
-
-    async def _noted(self, call: Call, action: str, run) -> replies.Reply:
-        result = await run(call)
-        if result.is_error():
-            name = call.request.headers.get(fields.SUBMISSION, '')
-            author = call.caller.author()
-            shown = name[: fields.MAX_ID]
-            self.trail.refuse(author, action, shown, result.error)
-        return result
-
-    async def _dry_run(self, call: Call) -> replies.Reply:
+        result = await self.group.answer(calls.full_id(call.caller, name))
+        return result.map(lambda ok: calls.accepted(ok, name))
+
+    async def _dry_run(self, call: calls.Call) -> replies.Reply:
         body = await fields.body(call.request, manifests.MAX_BYTES)
         if body.is_error():
             return body
-        seen = await self.guard.preview(body.ok)
+        ask = functools.partial(self.group.preview, body.ok)
+        seen = await self.guard.preview(ask)
         if seen.is_error():
             return seen
         base, delta = seen.ok
@@ -172,7 +123,7 @@
         found = _changes(base.table, delta)
         return expression.Ok(DryRun(str(base.version), digest, found))
 
-    async def _submit(self, call: Call) -> replies.Reply:
+    async def _submit(self, call: calls.Call) -> replies.Reply:
         head = fields.all_of(
             fields.submission(call.request), fields.parent(call.request)
         )
@@ -183,63 +134,21 @@
         if body.is_error():
             return body
         wanted = control.Submission(
-            _full_id(call.caller, name),
+            calls.full_id(call.caller, name),
             call.caller.author(),
             parent,
             body.ok,
         )
-        result = await self._submit_once(call.caller, wanted)
-        if result.is_error() and result.error.code == codes.CONFLICT:
-            # The winner may be this very submission, sent twice at once.
-            known = await self._known(wanted.id)
-            result = known if known.is_ok() else result
-        return result.map(lambda ok: _accepted(ok, name))
-
-    async def _submit_once(
-        self, caller: teams.Caller, wanted: control.Submission
-    ) -> replies.Reply:
-        known = await self._known(wanted.id)
-        if known.is_ok():
-            return known
-        checked = await self._check(caller, wanted, known.error)
-        if checked.is_error():
-            return checked
-        return await self.group.submit(wanted)
-
-    async def _check(
-        self,
-        caller: teams.Caller,
-        wanted: control.Submission,
-        why: control.Refusal,
-    ) -> replies.Reply:
-        """Check a submission whose id has no answer yet."""
-        if why.code != codes.SUBMISSION_UNKNOWN:
-            return expression.Error(why)
-        seen = await self.guard.preview(wanted.manifest)
-        if seen.is_error():
-            return seen
-        base, delta = seen.ok
-        if base.digest != wanted.parent:
-            return self._conflict(base)
-        return await self.guard.check(base, delta, caller)
-
-    def _conflict(self, base: guards.Base) -> replies.Reply:
-        refusal = control.Refusal(
-            codes.CONFLICT,
-            'version %s is in force' % str(base.version),
-            version=base.version,
-            digest=base.digest,
+        change = Wanted(
+            wanted.id,
+            parent,
+            functools.partial(self.group.preview, wanted.manifest),
+            functools.partial(self.group.submit, wanted),
         )
-        return expression.Error(refusal)
+        return await self._once(call.caller, change, name)
 
-    async def _known(self, full_id: str) -> replies.Reply:
-        """Return the answer that an id already has, surely up to date."""
-        current = await self.group.current()
-        if current.is_error():
-            return current
-        return await self.group.answer(full_id)
-
-    async def _rollback(self, call: Call) -> replies.Reply:
+    async def rollback(self, call: calls.Call) -> replies.Reply:
+        """Put an earlier version in force again, as a new one."""
         head = fields.all_of(
             fields.submission(call.request), fields.parent(call.request)
         )
@@ -253,71 +162,75 @@
         if to.is_error():
             return to
         wanted = control.Rollback(
-            _full_id(call.caller, name),
+            calls.full_id(call.caller, name),
             call.caller.author(),
             parent,
             to.ok,
         )
-        result = await self.group.rollback(wanted)
-        return result.map(lambda ok: _accepted(ok, name))
-
-    async def _drain(self, call: Call) -> replies.Reply:
-        head = fields.submission(call.request)
-        if head.is_error():
-            return head
-        body = await fields.record(call.request, Stop)
-        if body.is_error():
-            return body
-        if not body.ok.hosts and not body.ok.data_centres:
-            return fields.bad('$', 'names neither host nor data centre')
-        return await self._plan(call.caller, head.ok, body.ok)
+        change = Wanted(
+            wanted.id,
+            parent,
+            functools.partial(self.group.preview_rollback, to.ok),
+            functools.partial(self.group.rollback, wanted),
+        )
+        return await self._once(call.caller, change, name)
 
-    async def _plan(
-        self, caller: teams.Caller, name: str, stop: Stop
+    async def _once(
+        self, caller: teams.Caller, change: Wanted, name: str
     ) -> replies.Reply:
-        """Check and submit a stop until no other change comes between."""
-        full_id = _full_id(caller, name)
-        for _try in range(DRAIN_TRIES):
-            known = await self._known(full_id)
-            if known.is_ok():
-                break
-            if known.error.code != codes.SUBMISSION_UNKNOWN:
-                return known
-            known = await self._plan_once(caller, full_id, stop)
-            again = known.is_error() and known.error.code == codes.CONFLICT
-            if not again:
-                break
-        return known.map(lambda ok: self._stopped(ok, name))
-
-    async def _plan_once(
-        self, caller: teams.Caller, full_id: str, stop: Stop
+        """Check a change and have it made; or answer its id again."""
+        result = await self._try(caller, change)
+        if result.is_error() and result.error.code in PERHAPS_KNOWN:
+            result = await self._again(change, result)
+        return result.map(lambda ok: calls.accepted(ok, name))
+
+    async def _again(
+        self, change: Wanted, refused: replies.Reply
     ) -> replies.Reply:
-        base = self.guard.base()
-        if not base.table:
-            return replies.refuse(codes.VERSION_UNKNOWN, 'no manifest yet')
-        wanted = _merge(document.drains(base.table), stop)
-        checked = await self.guard.stops(base, wanted)
+        """Answer a change that was sent before, or is sent twice at once."""
+        known = await self._known(change.id)
+        if known.is_ok():
+            # The log answers an id that it accepted, and compares what was
+            # sent; it makes nothing.
+            return await change.make()
+        remembered = known.error.code == codes.CONFLICT
+        return known if remembered else refused
+
+    async def _try(
+        self, caller: teams.Caller, change: Wanted
+    ) -> replies.Reply:
+        current = await self.group.current()
+        if current.is_error():
+            return current
+        seen = await self.guard.preview(change.preview)
+        if seen.is_error():
+            return seen
+        base, delta = seen.ok
+        if base.digest != change.parent:
+            # Never passed on: what is checked here is not what the change
+            # is built on, and that version may come back.
+            return _conflict(base)
+        checked = await self.guard.check(base, delta, caller)
         if checked.is_error():
             return checked
-        table = document.with_drains(base.table, wanted)
-        manifest = document.encode(table)
-        submission = control.Submission(
-            full_id, caller.author(), base.digest, manifest
-        )
-        return await self.group.submit(submission)
-
-    def _stopped(self, ok: control.Accepted, name: str) -> Stopped:
-        drains = document.drains(self.group.table())
-        return Stopped(str(ok.version), ok.digest.hex(), name, drains)
+        return await change.make()
 
-
-def _full_id(caller: teams.Caller, name: str) -> str:
-    """Return an id that no other team can take or ask for."""
-    return '%s/%s' % (caller.team, name)
+    async def _known(self, full_id: str) -> replies.Reply:
+        """Return the answer that an id already has, surely up to date."""
+        current = await self.group.current()
+        if current.is_error():
+            return current
+        return await self.group.answer(full_id)
 
 
-def _accepted(ok: control.Accepted, name: str) -> replies.Accepted:
-    return replies.Accepted(str(ok.version), ok.digest.hex(), name)
+def _conflict(base: guards.Base) -> replies.Reply:
+    refusal = control.Refusal(
+        codes.CONFLICT,
+        'version %s is in force' % str(base.version),
+        version=base.version,
+        digest=base.digest,
+    )
+    return expression.Error(refusal)
 
 
 def _changes(table: rows.Table, delta: rows.Delta) -> list[Change]:
@@ -326,17 +239,3 @@
         for key, _value in delta.put
     ]
     return put + [Change('removed', key) for key in delta.drop]
-
-
-def _merge(old: manifests.Drains, stop: Stop) -> manifests.Drains:
-    """Return the planned stops after one more, or one fewer."""
-
-    def _names(before, named) -> tuple[str, ...]:
-        if stop.undo:
-            return tuple(n for n in before if n not in named)
-        return tuple(dict.fromkeys((*before, *named)))
-
-    return manifests.Drains(
-        _names(old.hosts, stop.hosts),
-        _names(old.data_centres, stop.data_centres),
-    )
--- a/carawaystair/admin/guard.py
+++ b/carawaystair/admin/guard.py
@@ -20,6 +20,7 @@
 # A base that moves while a change is being checked is read again so often.
 TRIES = 3
 
+Preview = typing.Callable[[], typing.Awaitable[replies.Reply]]
 Nodes = typing.Callable[[], typing.Sequence[str]]
 
 
@@ -66,14 +67,15 @@
         group = self.group
         return Base(group.version(), group.digest(), group.table())
 
-    async def preview(self, manifest: bytes) -> replies.Reply:
-        """Check a manifest.
+    async def preview(self, ask: Preview) -> replies.Reply:
+        """Learn what a change would do.
 
+        :param ask: asks the control group for it.
         :return: the :class:`Base` and the ``rows.Delta`` from it.
         """
         for _try in range(TRIES):
             base = self.base()
-            result = await self.group.preview(manifest)
+            result = await ask()
             if result.is_error():
                 return result
             if result.ok.base == base.version:
--- a/carawaystair/admin/observe.py
+++ b/carawaystair/admin/observe.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from carawaystair.admin import audit
-from carawaystair.admin import changes
+from carawaystair.admin import calls
 from carawaystair.admin import document
 from carawaystair.admin import fields
 from carawaystair.admin import fleet as fleets
@@ -156,7 +156,7 @@
         self.trail = trail
         self.events = events
 
-    async def current(self, _call: changes.Call) -> replies.Reply:
+    async def current(self, _call: calls.Call) -> replies.Reply:
         """Return the manifest in force, marked when it may be stale."""
         stale, age_s = await self._freshness()
         table = self.group.table()
@@ -169,7 +169,7 @@
         )
         return expression.Ok(msgspec.json.encode(value._asdict()))
 
-    async def history(self, call: changes.Call) -> replies.Reply:
+    async def history(self, call: calls.Call) -> replies.Reply:
         """Return the newest accepted versions."""
         limit = fields.number(call.request, 'limit', HISTORY, MAX_HISTORY)
         if limit.is_error():
@@ -177,12 +177,12 @@
         records = self.group.history(limit.ok)
         return expression.Ok([_entry(record) for record in records])
 
-    async def audit(self, call: changes.Call) -> replies.Reply:
+    async def audit(self, call: calls.Call) -> replies.Reply:
         """Return the newest changes, accepted and refused."""
         limit = fields.number(call.request, 'limit', HISTORY, MAX_HISTORY)
         return limit.map(self.trail.entries)
 
-    async def status(self, _call: changes.Call) -> replies.Reply:
+    async def status(self, _call: calls.Call) -> replies.Reply:
         """Return the control group and every node."""
         stale, age_s = await self._freshness()
         nodes = await self.fleet.nodes()
@@ -202,18 +202,18 @@
         )
         return expression.Ok(status)
 
-    async def timeline(self, call: changes.Call) -> replies.Reply:
+    async def timeline(self, call: calls.Call) -> replies.Reply:
         """Return events of this process, the oldest first."""
         limit = fields.number(call.request, 'limit', EVENTS, MAX_EVENTS)
         since = fields.number(call.request, 'since', 0, MAX_TIME)
         asked = fields.all_of(limit, since)
         return asked.map(lambda both: self.events.since(both[1], both[0]))
 
-    async def metrics(self, _call: changes.Call) -> replies.Reply:
+    async def metrics(self, _call: calls.Call) -> replies.Reply:
         """Return the metrics in the Prometheus text format."""
         return expression.Ok(web.Response(text=metrics.text()))
 
-    async def openapi(self, _call: changes.Call) -> replies.Reply:
+    async def openapi(self, _call: calls.Call) -> replies.Reply:
         """Return the description of the API."""
         return expression.Ok(OPENAPI.read_bytes())
 
@@ -244,7 +244,6 @@
 
 
 def _group(status: control.Status) -> Group:
-    members = tuple(Member(m.name, m.peer, m.voting) for m in status.members)
     failure = status.failure.sentence() if status.failure else ''
     return Group(
         status.name,
@@ -254,6 +253,11 @@
         status.commit,
         status.applied,
         status.last,
-        members,
+        members(status),
         failure,
     )
+
+
+def members(status: control.Status) -> tuple[Member, ...]:
+    """Return the members of the control group, as the API shows them."""
+    return tuple(Member(m.name, m.peer, m.voting) for m in status.members)
--- a/carawaystair/control/interfaces.py
+++ b/carawaystair/control/interfaces.py
@@ -189,6 +189,11 @@
     ) -> expression.Result[rows.Delta, Refusal]:
         """Check a manifest and return what it would change; a dry run."""
 
+    async def preview_rollback(
+        self, to: rows.Version
+    ) -> expression.Result[rows.Delta, Refusal]:
+        """Return what a rollback would change, or ``VERSION_UNKNOWN``."""
+
     async def answer(
         self, submission_id: str
     ) -> expression.Result[Accepted, Refusal]:
--- a/carawaystair/control/replicated.py
+++ b/carawaystair/control/replicated.py
@@ -156,6 +156,18 @@
         )
         return expression.Ok(delta)
 
+    async def preview_rollback(
+        self, to: rows.Version
+    ) -> expression.Result[rows.Delta, interfaces.Refusal]:
+        """Return what a rollback would change."""
+        version = self.machine.version
+        back = self.machine.versions.back(to)
+        if back is None:
+            return _refuse(codes.VERSION_UNKNOWN, str(to))
+        put, drop, digest = back
+        after = rows.Version(version.term, version.index + 1)
+        return expression.Ok(rows.Delta(version, after, put, drop, digest))
+
     async def answer(self, submission_id: str) -> Accepted:
         """Return the answer that a submission got."""
         if submission_id not in self.machine.answers:
--- a/test/test_admin.py
+++ b/test/test_admin.py
@@ -14,12 +14,22 @@
 from carawaystair.admin import changes
 from carawaystair.admin import fields
 from carawaystair.admin import fleet as fleets
+from carawaystair.admin import gate
 from carawaystair.admin import guard as guards
+from carawaystair.admin import members
 from carawaystair.admin import observe
+from carawaystair.admin import resources
 from carawaystair.admin import service
+from carawaystair.admin import stops
 from carawaystair.admin import teams
 from carawaystair import codes
+from carawaystair.control import disk
+from carawaystair.control import files
 from carawaystair.control import interfaces as control
+from carawaystair.control import joining
+from carawaystair.control import replica as replicas
+from carawaystair.control import replicated
+from carawaystair.control import submissions
 from carawaystair import interfaces
 from carawaystair import publisher
 from carawaystair import routing
@@ -27,7 +37,6 @@
 from carawaystair import settings as settings_module
 from carawaystair import timeline as timelines
 from test import fakes
-from test import single_group
 
 CONTROL = '127.0.0.1:7000'
 NODE = '127.0.0.1:7001'
@@ -48,8 +57,8 @@
 }
 
 
-class Group(single_group.Single):
-    """A group of one, in memory, whose quorum a test can take away."""
+class Group(replicated.Replicated):
+    """A group of one on real files, whose quorum a test can take away."""
 
     lost = False
 
@@ -59,16 +68,29 @@
         return await super().current()
 
 
+def group_of_one(transport, timeline, folder) -> Group:
+    """Return a control group of one host."""
+    machine = submissions.Submissions()
+    seat = joining.Seat('control-1', CONTROL)
+    replica = replicas.make(
+        seat,
+        (seat,),
+        transport,
+        files.Folder(folder),
+        disk.make(),
+        machine,
+        random.Random(1),
+    )
+    return Group(replica, machine, timeline)
+
+
 class Publisher:
-    """Knows one node, or what a test puts here."""
+    """Knows one node, at the version that a test puts here."""
 
-    def __init__(self) -> None:
-        version = rows.Version(1, 1)
-        known = publisher.NodeVersion('rvk-a-1', NODE, version, 0.0)
-        self.known = [known]
+    version = rows.NONE
 
     def nodes(self):
-        return self.known
+        return [publisher.NodeVersion('rvk-a-1', NODE, self.version, 0.0)]
 
 
 class Health:
@@ -81,11 +103,11 @@
 class Rig:
     """One control host and one node behind fakes, and an HTTP client."""
 
-    def __init__(self, *given: settings_module.Team) -> None:
+    def __init__(self, folder, *given: settings_module.Team) -> None:
         self.network = fakes.Network(delay_s=(0.0, 0.0))
         self.links = self.network.transport(CONTROL)
         self.timeline = timelines.Timeline('control-1')
-        self.group = Group('control-1', self.timeline)
+        self.group = group_of_one(self.links, self.timeline, folder)
         self.directory = fakes.Directory()
         capacity.Answerer(
             self.network.transport(NODE),
@@ -96,22 +118,31 @@
         settings = settings_module.Control(
             CONTROL, given, None, reads_per_s=50.0, changes_per_s=50.0
         )
-        fleet = fleets.Fleet(self.links, Publisher(), ())
+        self.publisher = Publisher()
+        fleet = fleets.Fleet(self.links, self.publisher, ())
         rng = random.Random(1)
         guard = guards.Guard(self.group, self.links, fleet.addresses, rng)
-        self.trail = audit.Trail(self.group, self.timeline)
-        self.changes = changes.Changes(self.group, guard, self.trail)
-        look = observe.Observe(self.group, fleet, self.trail, self.timeline)
-        served = service.resources(self.changes, look)
-        self.admin = service.Admin(settings, teams.Teams(given), served)
+        trail = audit.Trail(self.group, self.timeline)
+        served = resources.every(
+            changes.Changes(self.group, guard),
+            stops.Stops(self.group, guard),
+            members.Members(self.group),
+            observe.Observe(self.group, fleet, trail, self.timeline),
+        )
+        entrance = gate.make(settings)
+        self.admin = service.Admin(settings, entrance, trail, served)
 
     def drive(self, scenario) -> None:
         """Run ``await scenario(self)`` against a listening API."""
 
         async def _run() -> None:
+            await self.group.start()
+            while self.group.status().role != control.LEADER:
+                await asyncio.sleep(0.001)
             server = test_utils.TestServer(self.admin.app)
             async with test_utils.TestClient(server) as self.client:
                 await scenario(self)
+            await self.group.stop()
 
         asyncio.run(_run())
 
@@ -171,13 +202,15 @@
     team('docs', 'read', 'submit', 'drain'),
     team('ops', 'admin'),
     team('viewer', 'read'),
+    team('roller', 'rollback'),
 )
 
 
-def test_submission_is_in_force_and_shown():
+def test_submission_is_in_force_and_shown(tmp_path):
     async def scenario(rig):
         status, answer = await rig.submit(MANIFEST, 'one')
-        assert (status, answer['version']) == (200, '1.1')
+        assert status == 200
+        assert answer['version'] == str(rig.group.version())
         _status, current = await rig.ask('GET', '/v1/manifests/current')
         assert current['digest'] == answer['digest']
         assert not current['stale']
@@ -186,10 +219,10 @@
         _status, dry = await rig.submit(again, 'x', path='?dry_run=1')
         assert dry['changes'] == []
 
-    Rig().drive(scenario)
+    Rig(tmp_path).drive(scenario)
 
 
-def test_repeated_submission_gets_the_first_answer():
+def test_repeated_submission_gets_the_first_answer(tmp_path):
     """An operator resends a change after losing the answer.
 
     Symptom: the change is refused as a conflict, or made twice.
@@ -206,10 +239,10 @@
         status, answer = await rig.ask('GET', '/v1/submissions/never')
         assert (status, answer['code']) == (404, 'CS-8004')
 
-    Rig().drive(scenario)
+    Rig(tmp_path).drive(scenario)
 
 
-def test_racing_operators_get_one_winner_and_a_numbered_conflict():
+def test_racing_operators_get_one_winner_and_a_numbered_conflict(tmp_path):
     """Two operators build on the same version.
 
     Symptom: the second silently undoes the first.  Sequence: both read
@@ -225,13 +258,14 @@
         )
         assert sorted(status for status, _answer in both) == [200, 409]
         loser = next(answer for status, answer in both if status == 409)
-        assert (loser['code'], loser['version']) == ('CS-8002', '1.2')
+        assert loser['code'] == 'CS-8002'
+        assert loser['version'] == str(rig.group.version())
         assert loser['digest'] == rig.group.digest().hex()
 
-    Rig().drive(scenario)
+    Rig(tmp_path).drive(scenario)
 
 
-def test_every_mistake_of_a_manifest_is_listed():
+def test_every_mistake_of_a_manifest_is_listed(tmp_path):
     async def scenario(rig):
         wrong = changed(routes=[{'prefix': 'x', 'service': 'no'}])
         status, answer = await rig.submit(wrong, 'one')
@@ -240,17 +274,17 @@
         assert paths == {'$.routes[0].prefix', '$.routes[0].service'}
         assert rig.group.version() == rows.NONE
 
-    Rig().drive(scenario)
+    Rig(tmp_path).drive(scenario)
 
 
-def test_missing_headers_are_listed_at_once():
+def test_missing_headers_are_listed_at_once(tmp_path):
     async def scenario(rig):
         status, answer = await rig.ask('POST', '/v1/manifests', MANIFEST)
         assert (status, answer['code']) == (400, 'CS-8106')
         paths = [mistake['path'] for mistake in answer['mistakes']]
         assert paths == [fields.SUBMISSION, fields.PARENT]
 
-    Rig().drive(scenario)
+    Rig(tmp_path).drive(scenario)
 
 
 @pytest.mark.parametrize(
@@ -261,16 +295,16 @@
         ({'token': 'viewer'}, 'CS-8102'),
     ],
 )
-def test_strangers_and_missing_scopes_are_refused(given, code):
+def test_strangers_and_missing_scopes_are_refused(tmp_path, given, code):
     async def scenario(rig):
         _status, answer = await rig.submit(MANIFEST, 'one', **given)
         assert answer['code'] == code
         assert rig.group.version() == rows.NONE
 
-    Rig(*ALL).drive(scenario)
+    Rig(tmp_path, *ALL).drive(scenario)
 
 
-def test_a_team_changes_only_its_own_services():
+def test_a_team_changes_only_its_own_services(tmp_path):
     """A team's pipeline submits a manifest with another team's part changed.
 
     Symptom: a rival firm's routes or limits change.  Sequence: one team
@@ -281,7 +315,8 @@
     async def scenario(rig):
         await rig.submit(MANIFEST, 'base', token='ops')
         services = MANIFEST['services']
-        mine = changed(services=services | {'portal': {'team': 'portal'}})
+        own = {'team': 'portal', 'floor_percent': 40}
+        mine = changed(services=services | {'portal': own})
         status, _answer = await rig.submit(mine, 'one', token='portal')
         assert status == 200
         for number, wrong in enumerate(_foreign_changes()):
@@ -290,9 +325,9 @@
             )
             assert (status, answer['code']) == (403, 'CS-8103'), wrong
             assert answer['mistakes']
-        assert rig.group.version() == rows.Version(1, 2)
+        assert len(rig.group.history()) == 2
 
-    Rig(*ALL).drive(scenario)
+    Rig(tmp_path, *ALL).drive(scenario)
 
 
 def _foreign_changes() -> list[dict]:
@@ -325,7 +360,7 @@
     ]
 
 
-def test_an_id_of_another_team_is_another_submission():
+def test_an_id_of_another_team_is_another_submission(tmp_path):
     async def scenario(rig):
         await rig.submit(MANIFEST, 'same', token='ops')
         status, answer = await rig.ask(
@@ -333,10 +368,10 @@
         )
         assert (status, answer['code']) == (404, 'CS-8004')
 
-    Rig(*ALL).drive(scenario)
+    Rig(tmp_path, *ALL).drive(scenario)
 
 
-def test_planned_stop_respects_the_floor():
+def test_planned_stop_respects_the_floor(tmp_path):
     """Two hosts are drained, one after the other, of three.
 
     Symptom: a service falls below its floor and its callers queue.
@@ -371,10 +406,10 @@
         _status, answer = await rig.submit(wrong, 'around')
         assert answer['code'] == 'CS-8107'
 
-    Rig().drive(scenario)
+    Rig(tmp_path).drive(scenario)
 
 
-def test_planned_stop_needs_a_node_that_answers():
+def test_planned_stop_needs_a_node_that_answers(tmp_path):
     """No node can be reached.
 
     Symptom: the last hosts of a service are stopped.  Sequence: control is
@@ -390,10 +425,80 @@
         )
         assert (status, answer['code']) == (503, 'CS-8108')
 
-    Rig().drive(scenario)
+    Rig(tmp_path).drive(scenario)
+
+
+def test_id_of_another_content_is_not_answered_for_it(tmp_path):
+    """A pipeline forgets to change the id.
+
+    Symptom: it is told "accepted", but its change is not in force.
+    Sequence: a change is accepted, another is sent with the same id.
+    Cause: the id alone was looked at.
+    """
+
+    async def scenario(rig):
+        await rig.submit(MANIFEST, 'one')
+        status, answer = await rig.submit(changed(name='x'), 'one')
+        assert (status, answer['code']) == (409, codes.ID_REUSED.label)
+        status, answer = await rig.submit(changed(name='z'), 'one', '')
+        assert (status, answer['code']) == (409, codes.ID_REUSED.label)
+        # An id that was refused was used up by nothing.
+        await rig.submit(changed(name='y'), 'two', '')
+        status, _answer = await rig.submit(changed(name='y'), 'two')
+        assert status == 200
+
+    Rig(tmp_path).drive(scenario)
+
+
+def test_rollback_is_a_new_version_and_checked_like_any_change(tmp_path):
+    """A rollback brings back what others changed since, or a planned stop.
+
+    Symptom: a rival firm's change is undone, or a service falls below its
+    floor.  Sequence: a team rolls back its own mistake, further than that.
+    Cause: only the scope was checked.
+    """
+
+    async def scenario(rig):
+        rig.directory.put(upstream('u', 'portal', 'h', 'rvk-a'))
+        _status, first = await rig.submit(MANIFEST, 'base', token='ops')
+        stop = await rig.ask(
+            'POST',
+            '/v1/drains',
+            {'hosts': ['x']},
+            'ops',
+            Caraway_Submission='s',
+        )
+        await rig.submit(changed(name='x'), 'two', token='ops')
+        back = {'to': first['version']}
+
+        async def roll(name, token, to=back):
+            return await rig.ask(
+                'POST',
+                '/v1/manifests/rollback',
+                to,
+                token,
+                Caraway_Parent=rig.group.digest().hex(),
+                Caraway_Submission=name,
+            )
+
+        status, answer = await roll('r', 'roller')
+        assert (status, answer['code']) == (403, 'CS-8103')
+        paths = [mistake['path'] for mistake in answer['mistakes']]
+        assert paths == ['drains/all', 'head/manifest']
+        status, answer = await roll('r', 'ops')
+        assert (status, answer['digest']) == (200, first['digest'])
+        assert answer['version'] > stop[1]['version']
+        # Where its host has the last upstream, the stop must not come back.
+        rig.directory.put(upstream('u', 'portal', 'x', 'rvk-a'))
+        status, answer = await roll('q', 'ops', {'to': stop[1]['version']})
+        assert (status, answer['code']) == (409, 'CS-8107')
+        status, answer = await roll('p', 'ops', {'to': '9.9'})
+        assert (status, answer['code']) == (404, 'CS-8006')
+
+    Rig(tmp_path, *ALL).drive(scenario)
 
 
-def test_reads_without_a_quorum_are_marked_stale():
+def test_reads_without_a_quorum_are_marked_stale(tmp_path):
     """A control host is cut off and still believes that it is current.
 
     Symptom: an operator trusts an old version.  Sequence: the host loses
@@ -411,12 +516,13 @@
         status, answer = await rig.ask('GET', '/v1/submissions/base')
         assert (status, answer['code']) == (503, 'CS-8001')
 
-    Rig().drive(scenario)
+    Rig(tmp_path).drive(scenario)
 
 
-def test_status_lists_nodes_behind():
+def test_status_lists_nodes_behind(tmp_path):
     async def scenario(rig):
         await rig.submit(MANIFEST, 'base')
+        rig.publisher.version = rig.group.version()
         _status, answer = await rig.ask('GET', '/v1/status')
         assert (answer['nodes_at_version'], answer['nodes_behind']) == (1, 0)
         await rig.submit(changed(name='x'), 'two')
@@ -425,24 +531,89 @@
         assert answer['nodes'][0]['host'] == 'rvk-a-1'
         assert answer['control']['role'] == control.LEADER
 
-    Rig().drive(scenario)
+    Rig(tmp_path).drive(scenario)
+
 
+def test_what_is_checked_is_what_the_change_is_built_on(tmp_path):
+    """A team slips a rival's change out by a version that comes back.
+
+    Symptom: a rival firm's change is undone by a team that may not.
+    Sequence: the rival's change is accepted and rolled back; the team sends
+    a manifest without it, built on the version that had it; while the
+    manifest is checked, the rival's change is accepted again.
+    Cause: the change was checked on one version and made on another.
+    """
 
-def test_refused_changes_stand_in_the_audit_trail():
+    async def scenario(rig):
+        docs = MANIFEST['services']['docvault'] | {'timeout_ms': 9}
+        theirs = changed(services=MANIFEST['services'] | {'docvault': docs})
+        await rig.submit(MANIFEST, 'base', token='ops')
+        parent = (await rig.submit(theirs, 'a', token='docs'))[1]['digest']
+        await rig.submit(MANIFEST, 'b', token='docs')
+        submit = rig.group.submit
+
+        async def late(wanted):
+            rig.group.submit = submit
+            await rig.submit(theirs, 'c', token='docs')
+            return await submit(wanted)
+
+        rig.group.submit = late
+        own = MANIFEST['services']['portal'] | {'timeout_ms': 7}
+        mine = changed(services=MANIFEST['services'] | {'portal': own})
+        _status, answer = await rig.submit(mine, 'd', parent, 'portal')
+        assert answer['code'] == 'CS-8002'
+        assert all(r.author != 'portal' for r in rig.group.history())
+
+    Rig(tmp_path, *ALL).drive(scenario)
+
+
+def test_members_of_the_control_group_change_one_at_a_time(tmp_path):
+    async def scenario(rig):
+        async def change(**body):
+            busy = codes.VOTERS_BUSY.label
+            while True:
+                status, answer = await rig.ask('POST', '/v1/members', body)
+                # The founding entry may still be on its way.
+                if answer.get('code') != busy:
+                    return status, answer
+                await asyncio.sleep(0.05)
+
+        status, answer = await change(action='add', name='c2', peer='x')
+        assert (status, answer['mistakes'][0]['path']) == (400, '$.peer')
+        status, answer = await change(action='promote', name='c2')
+        assert (status, answer['code']) == (409, codes.VOTER_UNFIT.label)
+        status, answer = await change(action='remove', name='control-1')
+        assert (status, answer['code']) == (409, codes.VOTER_UNFIT.label)
+        _status, answer = await rig.ask('GET', '/v1/status')
+        names = [member['name'] for member in answer['control']['members']]
+        assert names == ['control-1']
+
+    Rig(tmp_path).drive(scenario)
+
+
+def test_refused_changes_stand_in_the_audit_trail(tmp_path):
     async def scenario(rig):
         await rig.submit(MANIFEST, 'bad', 'ff' * 16, token='ops')
         _status, entries = await rig.ask('GET', '/v1/audit', token='viewer')
         assert entries[0]['author'] == 'ops'
         assert entries[0]['code'] == 'CS-8002'
         assert entries[0]['submission'] == 'bad'
+        await rig.submit(MANIFEST, 'no', token='viewer')
+        _status, entries = await rig.ask('GET', '/v1/audit', token='viewer')
+        assert entries[0]['author'] == 'viewer'
+        assert entries[0]['code'] == 'CS-8102'
+        await rig.submit(MANIFEST, 'yes', token='ops', path='?')
+        _status, entries = await rig.ask('GET', '/v1/audit', token='viewer')
+        assert entries[0]['code'] == 'CS-0000'
+        assert entries[0]['submission'] == 'yes'
 
-    Rig(*ALL).drive(scenario)
+    Rig(tmp_path, *ALL).drive(scenario)
 
 
-def test_a_team_that_asks_too_often_waits_and_others_do_not():
+def test_a_team_that_asks_too_often_waits_and_others_do_not(tmp_path):
     async def scenario(rig):
-        rig.admin.reads.size = 2.0
-        rig.admin.reads.rate = 0.001
+        rig.admin.gate.reads.size = 2.0
+        rig.admin.gate.reads.rate = 0.001
         path = '/v1/manifests/history'
         statuses = [
             (await rig.ask('GET', path, token='viewer'))[0] for _n in range(3)
@@ -450,10 +621,10 @@
         assert statuses == [200, 200, 429]
         assert (await rig.ask('GET', path, token='ops'))[0] == 200
 
-    Rig(*ALL).drive(scenario)
+    Rig(tmp_path, *ALL).drive(scenario)
 
 
-def test_bodies_and_unknown_paths_are_bounded_and_numbered():
+def test_bodies_and_unknown_paths_are_bounded_and_numbered(tmp_path):
     async def scenario(rig):
         large = 'x' * fields.MAX_BODY
 
@@ -469,4 +640,4 @@
             status, answer = await rig.ask(method, path)
             assert (status, answer['code']) == (404, 'CS-8109')
 
-    Rig().drive(scenario)
+    Rig(tmp_path).drive(scenario)
--- a/test/test_admin_openapi.py
+++ b/test/test_admin_openapi.py
@@ -9,9 +9,11 @@
 from carawaystair.admin import audit
 from carawaystair.admin import changes
 from carawaystair.admin import fleet
+from carawaystair.admin import members
 from carawaystair.admin import observe
 from carawaystair.admin import replies
-from carawaystair.admin import service
+from carawaystair.admin import resources
+from carawaystair.admin import stops
 from carawaystair import manifest as manifests
 from carawaystair import shape
 from carawaystair import timeline as timelines
@@ -29,6 +31,7 @@
     'AuditEntry': audit.Entry,
     'Back': changes.Back,
     'Change': changes.Change,
+    'Changed': members.Changed,
     'Current': observe.Current,
     'Drains': manifests.Drains,
     'DryRun': changes.DryRun,
@@ -36,19 +39,22 @@
     'Event': timelines.Event,
     'Group': observe.Group,
     'Member': observe.Member,
+    'MemberChange': members.MemberChange,
     'Mistake': shape.Mistake,
     'Problem': replies.Problem,
     'Seen': fleet.Seen,
     'Status': observe.Status,
-    'Stop': changes.Stop,
-    'Stopped': changes.Stopped,
+    'Stop': stops.Stop,
+    'Stopped': stops.Stopped,
 }
 
 
-def served() -> tuple[service.Resource, ...]:
+def served() -> tuple[resources.Resource, ...]:
     """Return the resources, bound to nothing."""
-    return service.resources(
-        changes.Changes(None, None, None),
+    return resources.every(
+        changes.Changes(None, None),
+        stops.Stops(None, None),
+        members.Members(None),
         observe.Observe(None, None, None, None),
     )
 
--- a/test/test_ui.py
+++ b/test/test_ui.py
@@ -196,3 +196,16 @@
     assert file.stat().st_mode & 0o077 == 0
     assert main.main(['keygen', str(file)]) == command.EXIT_REFUSED
     assert file.read_bytes() == before
+
+
+def test_members_shows_and_changes_the_control_group(server, capsys):
+    group = {'members': [{'name': 'c1', 'peer': 'x:1', 'voting': True}]}
+    server.answers['GET', '/v1/status'] = (200, {'control': group})
+    server.answers['POST', '/v1/members'] = (200, group | {'index': 7})
+    api = ['--api', server.base]
+    assert main.main(['members', *api]) == command.EXIT_OK
+    assert 'voter' in capsys.readouterr().out
+    line = ['members', 'add', 'c2', '--peer', '127.0.0.1:7401']
+    assert main.main([*line, *api]) == command.EXIT_OK
+    assert json.loads(server.seen[-1].body)['action'] == 'add'
+    assert main.main(['members', 'add', *api]) == command.EXIT_USAGE
