Bench: one naive relay for both experiments

Cause: exp_request had a relay of its own beside that of the latency experiment. Change: bench/naive.py gives its handler away.

--- a/bench/exp_request.py
+++ b/bench/exp_request.py
@@ -12,10 +12,10 @@
 import types
 import typing
 
-import aiohttp
 from aiohttp import web
 
 from bench import figures
+from bench import naive
 from carawaystair import interfaces
 from carawaystair import manifest
 from carawaystair import plugins
@@ -91,36 +91,6 @@
             self.done.set_result(self.times)
 
 
-class Naive:
-    """The relay that one would write in an hour, over aiohttp."""
-
-    def __init__(self, addresses: list[str]) -> None:
-        self.addresses = addresses
-        self.session = aiohttp.ClientSession(
-            cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False
-        )
-
-    async def handle(self, incoming: web.BaseRequest) -> web.Response:
-        """Pass one request on to an upstream at random."""
-        address = random.choice(self.addresses)
-        async with self.session.request(
-            incoming.method,
-            'http://%s%s' % (address, incoming.raw_path),
-            headers=incoming.headers,
-            data=await incoming.read() or None,
-        ) as answer:
-            body = await answer.read()
-            skip = ('Content-Length', 'Transfer-Encoding', 'Connection')
-            headers = {
-                name: value
-                for name, value in answer.headers.items()
-                if name not in skip
-            }
-            return web.Response(
-                status=answer.status, headers=headers, body=body
-            )
-
-
 class Way(typing.NamedTuple):
     """What one way of asking cost.
 
@@ -238,11 +208,13 @@
         await loop.create_server(Upstream, '127.0.0.1', port) for port in ports
     ]
     addresses = ['127.0.0.1:%d' % port for port in ports]
-    naive = Naive(addresses)
+    client = naive.session()
     relay_port, path_port = FIRST_PORT + 20, FIRST_PORT + 21
     servers.append(
         await loop.create_server(
-            web.Server(naive.handle, access_log=None), '127.0.0.1', relay_port
+            web.Server(naive.relay(client, addresses), access_log=None),
+            '127.0.0.1',
+            relay_port,
         )
     )
     path = make_path(path_port, addresses)
@@ -261,7 +233,7 @@
         for name, (port, method) in ways.items():
             found[name].append(await drive(port, count, method))
     await path.stop()
-    await naive.session.close()
+    await client.close()
     for server in servers:
         server.close()
     return found
--- a/bench/naive.py
+++ b/bench/naive.py
@@ -38,17 +38,23 @@
     }
 
 
-async def run(options: Options) -> None:
-    """Relay until a signal."""
-    turn = itertools.cycle(options.upstreams.split(','))
-    session = aiohttp.ClientSession(
+def session() -> aiohttp.ClientSession:
+    """Return a session that does no more than it must."""
+    return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=0),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
     )
 
+
+def relay(
+    client: aiohttp.ClientSession, upstreams: typing.Sequence[str]
+) -> typing.Callable:
+    """Return the handler that relays."""
+    turn = itertools.cycle(upstreams)
+
     async def _relay(request: web.BaseRequest) -> web.Response:
-        async with session.request(
+        async with client.request(
             request.method,
             'http://' + next(turn) + request.path_qs,
             headers=kept(request.headers),
@@ -60,13 +66,20 @@
                 body=await answer.read(),
             )
 
-    runner = web.ServerRunner(web.Server(_relay, access_log=None))
+    return _relay
+
+
+async def run(options: Options) -> None:
+    """Relay until a signal."""
+    client = session()
+    handler = relay(client, options.upstreams.split(','))
+    runner = web.ServerRunner(web.Server(handler, access_log=None))
     await runner.setup()
     ip, _colon, port = options.listen.rpartition(':')
     await web.TCPSite(runner, ip, int(port)).start()
     await process.until_signal()
     await runner.cleanup()
-    await session.close()
+    await client.close()
 
 
 if __name__ == '__main__':
