--- a/carawaystair/request/answer.py
+++ b/carawaystair/request/answer.py
@@ -70,3 +70,11 @@
     if length is None or not length.isdecimal() or not length.isascii():
         raise ValueError('no length')
     return int(length)
+
+
+def refused(answer: Answer) -> bool:
+    """Tell whether an upstream says that it refused before running."""
+    return (
+        answer.status == 503
+        and headers.value(answer.headers, b'caraway-outcome') == b'not-run'
+    )
--- a/carawaystair/request/race.py
+++ b/carawaystair/request/race.py
@@ -10,6 +10,7 @@
 import typing
 
 from carawaystair import clock
+from carawaystair import codes
 from carawaystair import interfaces
 from carawaystair.request import answer as answers
 from carawaystair.request import attempt as attempts
@@ -73,7 +74,12 @@
             self.failed = failed
 
     def spoilt(self, answer: answers.Answer) -> None:
-        """Take note of an answer that is a server error."""
+        """Take note of an answer that is a server error or a refusal."""
+        if answers.refused(answer):
+            self.lost(
+                answers.Failed(interfaces.SHED, codes.UPSTREAM_REFUSED, False)
+            )
+            return
         self.sent = True
         self.fallback = answer
 
@@ -203,6 +209,11 @@
             self.sender.fail(attempt, error)
             self.lost(error)
             return None
+        if isinstance(error, TimeoutError):
+            # This process was stopped for a while and woke after the
+            # deadline, when both its own time and the race's were over.
+            self.lost(self.sender.late(attempt, self.slot))
+            return None
         if error is not None:
             self.sender.cut(attempt)
             raise error
--- a/carawaystair/request/sender.py
+++ b/carawaystair/request/sender.py
@@ -109,7 +109,7 @@
             tried.append(target.upstream.id)
             try:
                 answer = await self._whole(attempt, slot)
-                if not refused(answer):
+                if not answers.refused(answer):
                     return answer
                 failed = answers.Failed(
                     interfaces.SHED, codes.UPSTREAM_REFUSED, False
@@ -430,20 +430,13 @@
     return task
 
 
-def refused(answer: answers.Answer) -> bool:
-    """Tell whether an upstream says that it refused before running."""
-    return (
-        answer.status == 503
-        and headers.value(answer.headers, b'caraway-outcome') == b'not-run'
-    )
-
-
 def outcome_of(answer: answers.Answer) -> str:
     """Return what an answer shows about its upstream."""
     if answer.status < 500:
         return interfaces.GOOD
     if answer.status == 503 and (
-        refused(answer) or headers.value(answer.headers, b'retry-after')
+        answers.refused(answer)
+        or headers.value(answer.headers, b'retry-after')
     ):
         return interfaces.SHED
     return interfaces.ERROR
--- a/carawaystair/request/silence.py
+++ b/carawaystair/request/silence.py
@@ -131,6 +131,9 @@
     if isinstance(error, answers.Failed):
         sender.fail(attempt, error)
         return
+    if isinstance(error, TimeoutError):
+        sender.abandon(attempt, sender.blame(attempt))
+        return
     if error is not None:
         sender.cut(attempt)
         raise error
--- a/test/test_request_late.py
+++ b/test/test_request_late.py
@@ -68,6 +68,26 @@
     assert all(t.in_flight == t.lingering == 0 for t in targets_now)
 
 
+def test_wakes_after_the_deadline():
+    """Symptom: a caller is told of a defect (CS-9001).
+    Sequence: this process is stopped while a request waits for two late
+    answers, and goes on after the request's deadline.
+    Cause: the attempts' own time and the race's are over at once then.
+    """
+
+    async def scenario():
+        upstreams = [setups.Upstream(9001 + n, hang) for n in range(2)]
+        async with setups.running(*upstreams) as setup:
+            task = asyncio.create_task(setup.ask())
+            await asyncio.sleep(2.0)
+            asyncio.get_running_loop().virtual.time += 60.0
+            return await task, setup.outcomes()
+
+    answer, outcomes = pipes.run(scenario())
+    assert (answer.outcome, answer.code) == ('unknown', 'CS-4004')
+    assert outcomes == {'timeout': 2}
+
+
 def test_no_hedge_for_what_may_run_once():
     """Symptom: a hold is placed twice.
     Sequence: the upstream is slow to answer it.
