--- a/carawaystair/manifest_rules.py
+++ b/carawaystair/manifest_rules.py
@@ -117,6 +117,10 @@
         yield from _check_name(path, name)
         yield from _check_name((path, 'team'), service.team)
         yield from _check_bounds(path, service, SERVICE_BOUNDS)
+        if service.key_region and service.key_region not in manifest.regions:
+            shown = service.key_region[: shape.MAX_SHOWN]
+            text = 'no region is named %r' % shown
+            yield shape.Mistake(shape.show((path, 'key_region')), text)
         yield from _check_plugin(path, service, 'detector', 'detectors')
         yield from _check_plugin(path, service, 'balancer', 'balancers')
 
--- a/carawaystairplug/commands_changes.py
+++ b/carawaystairplug/commands_changes.py
@@ -46,7 +46,7 @@
     made.add(
         '--operator',
         metavar='NAME',
-        help='who you are, for the audit trail (default: %(default)s)',
+        help='who you are, for the audit trail (default: your login)',
         default=_me(),
     )
     return api.with_api(made).with_json()
--- a/test/test_manifest.py
+++ b/test/test_manifest.py
@@ -78,6 +78,12 @@
         '$.services.portal.detector',
         'siblings',
     ),
+    (
+        ('services', 'portal', 'key_region'),
+        'x',
+        '$.services.portal.key_region',
+        'no region',
+    ),
     (('routes', 0, 'service'), 'no', '$.routes[0].service', 'no service'),
     (('routes', 0, 'prefix'), 'x', '$.routes[0].prefix', 'leading slash'),
     (('routes', 0, 'prefix'), '/a//b', '$.routes[0].prefix', 'leading slash'),
