Links: an answer that arrives just before a send is read

Cause: a send through the plain socket takes the wakeup of the descriptor, which pyzmq's asynchronous sockets get once for each state; an answer that had arrived while the event loop was busy then lay unread until the next message, and the question timed out. Change: sends go through the asynchronous socket, which looks for that. The new test times out without the change.

--- a/carawaystair/links.py
+++ b/carawaystair/links.py
@@ -254,13 +254,21 @@
     def _send(self, to: str, data: bytes) -> None:
         peer = self.peers.get(to) or self._open(to)
         peer.used[0] = clock.now()
-        try:
-            # The underlying call is synchronous and cheaper than a future.
-            zmq.Socket.send(peer.socket, data, zmq.DONTWAIT)
-            self.sent += 1
-            self.sent_bytes += len(data)
-        except zmq.Again:
+        self._count(peer.socket.send(data, zmq.DONTWAIT), data)
+
+    def _count(self, sending: asyncio.Future, data: bytes) -> None:
+        """Count a message as sent or, with a full queue, as dropped.
+
+        The sending is over already.  It goes through the asynchronous socket
+        all the same: a send takes the wakeup of its socket, which comes once,
+        and an answer that arrived just before would lie unread.  Only the
+        asynchronous socket looks for that.
+        """
+        if sending.exception() is not None:
             self.dropped += 1
+            return
+        self.sent += 1
+        self.sent_bytes += len(data)
 
     def _open(self, address: str) -> Peer:
         socket = self.context.socket(zmq.DEALER)
@@ -339,8 +347,7 @@
             return
         data = wire.encode(answer, self.address, header.call, True, self._t())
         try:
-            zmq.Socket.send_multipart(router, [identity, data], zmq.DONTWAIT)
-            self.sent += 1
-            self.sent_bytes += len(data)
-        except (zmq.Again, zmq.ZMQError):
+            parts = [identity, data]
+            self._count(router.send_multipart(parts, zmq.DONTWAIT), data)
+        except zmq.ZMQError:
             self.dropped += 1
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import socket
+import time
 import typing
 
+import zmq
+
 from carawaystair import codes
 from carawaystair import datagrams
 from carawaystair import links
@@ -135,3 +138,46 @@
         await target.stop()
 
     asyncio.run(scenario())
+
+
+def _echo(address, count):
+    """Answer some questions from a thread, without an event loop."""
+    with zmq.Context() as context, context.socket(zmq.ROUTER) as router:
+        router.linger = 0
+        router.bind('tcp://%s' % address)
+        for _question in range(count):
+            identity, data = router.recv_multipart()
+            header = wire.decode(data).ok.header
+            answer = Pong(header.call)
+            data = wire.encode(answer, address, header.call, True)
+            router.send_multipart([identity, data])
+        # The one-way message that ends the test.
+        router.recv_multipart()
+
+
+def test_an_answer_that_arrives_just_before_a_send_is_read():
+    """An answer comes in while the process is busy, then it sends.
+
+    Symptom: questions time out though they were answered at once.
+    Sequence: question, a busy event loop, the answer arrives, a send on the
+    same socket.  Cause: the send takes the wakeup of the socket, which comes
+    once, for itself.
+    """
+
+    async def scenario():
+        address = free_address()
+        other = asyncio.create_task(asyncio.to_thread(_echo, address, 2))
+        link = links.Links(free_address())
+        await link.start()
+        # The first question waits until the connection stands.
+        assert (await link.call(address, Ping(1), 10)).is_ok()
+        question = asyncio.create_task(link.call(address, Ping(2), 2))
+        await asyncio.sleep(0)
+        # The event loop is busy on purpose, until the answer is there.
+        time.sleep(0.2)
+        link.send(address, Ping(3))
+        assert (await question).is_ok()
+        await other
+        await link.stop()
+
+    asyncio.run(scenario())
