--- a/carawaystair/membership/flood.py
+++ b/carawaystair/membership/flood.py
@@ -20,9 +20,10 @@
 # A batch that is not answered in this time is sent again, in seconds.  Two
 # losses in a row must still leave most of the two seconds that a leave has.
 RETRY_S = 0.25
-# After more failures in a row the pause doubles up to this, in seconds: a
-# neighbour that hears nothing must not cost what a live one costs.
-BACKOFF_MAX_S = 2.0
+# After so many failures in a row the pause grows: a neighbour that hears
+# nothing must not cost what a live one costs.
+PATIENCE = 8
+BACKOFF_S = 2.0
 BATCH_BYTES = 32 * 1024
 # Bytes per second to one neighbour; a returning data centre brings hundreds
 # of records at once, which must not crowd out requests.
@@ -149,7 +150,7 @@
 
     async def _feed(self, feed: Feed) -> None:
         """Feed one neighbour."""
-        pause = RETRY_S
+        failures = 0
         while True:
             await feed.event.wait()
             batch = self._batch(feed)
@@ -163,10 +164,10 @@
             if result.is_error():
                 for record in batch:
                     feed.add(record.host)
-                await asyncio.sleep(pause - RETRY_S)
-                pause = min(pause * 2, BACKOFF_MAX_S)
+                failures += 1
+                await asyncio.sleep(BACKOFF_S if failures > PATIENCE else 0)
                 continue
-            pause = RETRY_S
+            failures = 0
             self.take(result.ok.newer)
             size = sum(len(record.body) for record in batch)
             await asyncio.sleep(size / RATE)
--- a/carawaystair/membership/gossip.py
+++ b/carawaystair/membership/gossip.py
@@ -65,9 +65,9 @@
     async def _spread(self) -> None:
         """Send news on its own while there is some."""
         while not self.should_stop:
+            await self.queue.filled.wait()
             await asyncio.sleep(PERIOD_S)
-            if self.queue.items:
-                self._tell(FANOUT)
+            self._tell(FANOUT)
 
     def _tell(self, count: int) -> None:
         up = self.table.up()
@@ -76,7 +76,10 @@
         # Those under suspicion likely hear nothing.
         others.sort(key=operator.attrgetter('state'))
         for entry in others[:count]:
-            rumour = messages.Rumour(self.table.host, self.queue.pick())
+            news = self.queue.pick()
+            if not news:
+                return
+            rumour = messages.Rumour(self.table.host, news)
             self.datagrams.send(entry.member.gossip, rumour)
 
     def _rumoured(self, _sender: str, rumour: messages.Rumour) -> None:
--- a/carawaystair/membership/news.py
+++ b/carawaystair/membership/news.py
@@ -6,6 +6,7 @@
 reached every process with high probability (SWIM, section 4.1).
 """
 
+import asyncio
 import heapq
 import itertools
 import math
@@ -50,12 +51,15 @@
         self.size = size
         # By host, then by who says it.
         self.items: dict[str, dict[str, Item]] = {}
+        # Set while there is news.
+        self.filled = asyncio.Event()
 
     def add(self, news: messages.News) -> None:
         """Spread a piece of news, in place of older news of the host."""
         if news.state != messages.SUSPECT:
             self.items.pop(news.host, None)
         self.items.setdefault(news.host, {})[news.by] = Item(news)
+        self.filled.set()
         if len(self.items) > MAX_HOSTS:
             del self.items[next(iter(self.items))]
 
@@ -66,6 +70,7 @@
     def pick(self) -> tuple[messages.News, ...]:
         """Return the news for one datagram and count it as sent."""
         if not self.items:
+            self.filled.clear()
             return ()
         limit = MULTIPLIER * math.ceil(math.log10(self.size() + 1))
         waiting = itertools.chain.from_iterable(
--- a/carawaystair/membership/registry.py
+++ b/carawaystair/membership/registry.py
@@ -23,7 +23,7 @@
 MAX_WEIGHT = 1000.0
 MAX_WARMUP_S = 3600.0
 # Expired leases are looked for this often, in seconds.
-SWEEP_S = 0.25
+SWEEP_S = 0.5
 
 STATES = (interfaces.UP, interfaces.DRAINING, interfaces.GONE)
 
--- a/carawaystair/membership/suspicion.py
+++ b/carawaystair/membership/suspicion.py
@@ -25,6 +25,8 @@
 # Processes that must suspect it, besides the first, for the least time.
 CONFIRMATIONS = 3
 SWEEP_S = 0.1
+# Without a suspicion there is less to look at; each wakeup costs some 80 us.
+IDLE_S = 0.5
 # Last probes under way at once; further hosts wait for the next sweep.
 MAX_LAST = 64
 # A sweep that comes later than this shows that the process stood still.
@@ -148,9 +150,10 @@
         """End the suspicions whose time is over."""
         last = clock.now()
         while not self.should_stop:
-            await asyncio.sleep(SWEEP_S)
+            pause_s = SWEEP_S if self.cases else IDLE_S
+            await asyncio.sleep(pause_s)
             now = clock.now()
-            late = now - last - SWEEP_S
+            late = now - last - pause_s
             last = now
             if late > LATE_S:
                 for callback in self.stood_still:
