Admission: adaptive concurrency around the announced slots

Cause: announced slots may mislead. Where upstreams truly had two of five and shed the rest, a small customer lost more than half of its requests beside a dominant one; where they had ten, half of the capacity lay idle. A shed gave its slot back at once, to the next in turn, who was shed too.

Change: the multiple of the slots that is used falls with the share of sheds and rises again (AIMD); beyond the announced slots only while latency stays near that of requests that began while little ran. A slot that an upstream shed stays taken for the mean time of a request.

--- a/bench/admission_model.py
+++ b/bench/admission_model.py
@@ -24,6 +24,10 @@
 GOOD = 'good'
 SHED = 'shed'
 LATE = 'late'
+# Second tries after a shed, as a share of first ones.
+RETRY_SHARE = 0.1
+# There and back, when an upstream sheds at once.
+SHED_S = 0.002
 
 
 class Kind(typing.NamedTuple):
@@ -194,6 +198,8 @@
         self.nodes = [make(self, number) for number in range(plan.nodes)]
         self.busy = [[0] * plan.servers for _number in range(plan.nodes)]
         self.samples: list[Sample] = []
+        self.tries = 0
+        self.retries = 0
         self.tasks: set[asyncio.Task] = set()
 
     def directory(self) -> fakes.Directory:
@@ -234,31 +240,50 @@
         await self._attempt(permit, customer, node, kind, begun)
 
     async def _attempt(self, permit, customer, node, kind, begun) -> None:
-        busy = self.busy[node]
-        number = self._choose(busy)
-        busy[number] += 1
         started = clock.now()
         seconds = kind.mean_s * kind.spread(self.rng)
-        left = begun + kind.patience_s - started
-        try:
-            serving = self.servers[number].serve(seconds)
-            served = await asyncio.wait_for(serving, left)
-            outcome = GOOD if served else SHED
-        except asyncio.TimeoutError:
-            outcome = LATE
-        busy[number] -= 1
+        deadline = begun + kind.patience_s
+        first = self._choose(self.busy[node], None)
+        outcome = await self._serve(node, first, seconds, deadline)
+        self.tries += 1
+        # A shed request was not run: a second try is safe, within a budget.
+        if outcome is SHED and self.retries < RETRY_SHARE * self.tries:
+            self.retries += 1
+            other = self._choose(self.busy[node], first)
+            outcome = await self._serve(node, other, seconds, deadline)
         held = clock.now() - started
         word = {GOOD: interfaces.GOOD, SHED: interfaces.SHED}
         permit.release(word.get(outcome, interfaces.TIMEOUT), held)
         self._note(customer, kind, begun, outcome, held)
 
-    def _choose(self, busy: list[int]) -> int:
-        """Choose by two random choices on this node's own requests."""
-        one, other = (
-            self.rng.randrange(len(busy)),
-            self.rng.randrange(len(busy)),
-        )
-        return one if busy[one] <= busy[other] else other
+    async def _serve(self, node, number, seconds, deadline) -> str:
+        """Make one attempt at one upstream."""
+        busy = self.busy[node]
+        busy[number] += 1
+        try:
+            serving = self.servers[number].serve(seconds)
+            left = deadline - clock.now()
+            served = await asyncio.wait_for(serving, left)
+        except asyncio.TimeoutError:
+            return LATE
+        finally:
+            busy[number] -= 1
+        if not served:
+            await asyncio.sleep(SHED_S)
+        return GOOD if served else SHED
+
+    def _choose(self, busy: list[int], avoid: int | None) -> int:
+        """Choose an upstream by this node's own requests.
+
+        Two random choices; when both have all announced slots taken by this
+        node alone, the one with the fewest.
+        """
+        choices = [n for n in range(len(busy)) if n != avoid] or [0]
+        two = [self.rng.choice(choices) for _number in range(2)]
+        number = min(two, key=busy.__getitem__)
+        if busy[number] < self.plan.announced:
+            return number
+        return min(choices, key=busy.__getitem__)
 
     def _note(self, customer, kind, begun, outcome, held) -> None:
         if begun >= self.plan.warm_s:
--- a/carawaystair/admission/controller.py
+++ b/carawaystair/admission/controller.py
@@ -102,7 +102,7 @@
             if self.routing() is not self.current:
                 self._configure()
             for gate in self.gates.values():
-                self._set_limit(gate)
+                self._set_share(gate)
                 self._forget(gate)
 
     def _gate(self, service: str) -> gates.Gate:
@@ -114,7 +114,7 @@
             functools.partial(self._event, service),
         )
         self.gates[service] = gate
-        self._set_limit(gate)
+        self._set_share(gate)
         return gate
 
     def _event(self, service: str, kind: str, text: str) -> None:
@@ -141,18 +141,18 @@
                 fresh = self._flow(flow.customer)
                 flow.weight, flow.cap = fresh.weight, fresh.cap
 
-    def _set_limit(self, gate: gates.Gate) -> None:
+    def _set_share(self, gate: gates.Gate) -> None:
         """Give a gate this node's static share of the slots."""
         slots = self.slots(gate.service)
         share = slots / max(len(self.members.alive()), 1)
-        limit = max(share, 1.0) if slots else 0.0
-        if limit != gate.limit:
-            gate.set_limit(limit)
+        share = max(share, 1.0) if slots else 0.0
+        if share != gate.share:
+            gate.set_share(share)
 
     def _upstream_changed(self, upstream: interfaces.Upstream) -> None:
         gate = self.gates.get(upstream.service)
         if gate is not None:
-            self._set_limit(gate)
+            self._set_share(gate)
 
     def _forget(self, gate: gates.Gate) -> None:
         """Forget idle customers when a gate knows too many."""
--- a/carawaystair/admission/gate.py
+++ b/carawaystair/admission/gate.py
@@ -8,6 +8,7 @@
 
 from carawaystair.admission import estimates
 from carawaystair.admission import flows
+from carawaystair.admission import limiter
 from carawaystair import clock
 from carawaystair import codes
 from carawaystair import interfaces
@@ -17,6 +18,8 @@
 MAX_REST_S = 5.0
 # Smallest fraction of a slot that a node may use.
 LEAST_LIMIT = 0.02
+# Little runs when the limit is this many times as high.
+QUIET = 2
 # Weight of a new sample in the mean number of short requests.
 DEMAND_SMOOTHING = 1 / 64
 # Charged for a request as long as no other has shown its time.
@@ -36,11 +39,12 @@
     :param flow: the customer's flow that it is charged to.
     :param bulk: whether it is a long transfer.
     :param paced: whether it holds the fractional slot.
+    :param quiet: whether little ran when it began.
     :param cost: slot time charged at its start, in seconds.
     :param started: monotonic time of its start.
     """
 
-    __slots__ = ('bulk', 'cost', 'flow', 'gate', 'paced', 'started')
+    __slots__ = ('bulk', 'cost', 'flow', 'gate', 'paced', 'quiet', 'started')
 
     def __init__(
         self,
@@ -48,6 +52,7 @@
         flow: flows.Flow,
         bulk: bool,
         paced: bool,
+        quiet: bool,
         cost: float,
         started: float,
     ) -> None:
@@ -55,6 +60,7 @@
         self.flow = flow
         self.bulk = bulk
         self.paced = paced
+        self.quiet = quiet
         self.cost = cost
         self.started = started
 
@@ -100,6 +106,9 @@
             False: estimates.HoldTime(),
             True: estimates.HoldTime(),
         }
+        # The slots due to this node, and what is used of them.
+        self.share = 0.0
+        self.limiter: limiter.Limiter | None = None
         self.limit = 0.0
         self.whole = 0
         self.running = 0
@@ -291,16 +300,35 @@
 
     # Slots
 
-    def set_limit(self, limit: float) -> None:
-        """Change how many requests may run at once.
+    def set_share(self, share: float) -> None:
+        """Change the slots that are due to this node.
 
-        :param limit: slots; a fraction is used for that part of the time.
+        :param share: slots; a fraction is used for that part of the time.
         """
-        self.limit = limit
-        self.whole = int(limit)
+        self.share = share
+        factor = self.limiter.factor if self.limiter is not None else 1.0
+        self._set_limit(factor)
+
+    def _set_limit(self, factor: float) -> None:
+        """Use a multiple of the share, but no less than one slot of it."""
+        self.limit = max(self.share * factor, min(self.share, 1.0))
+        self.whole = int(self.limit)
         if self.queue.size:
             self.dispatch()
 
+    def _learn(self, permit: Permit, outcome: str, latency_s: float) -> None:
+        """Let answers show how many slots there truly are."""
+        now = clock.now()
+        if self.limiter is None:
+            self.limiter = limiter.Limiter(now)
+        if outcome == interfaces.GOOD:
+            waiting = self.queue.size > 0
+            self.limiter.answered(latency_s, permit.quiet, waiting)
+        elif outcome == interfaces.SHED:
+            self.limiter.shed()
+        if self.limiter.due(now):
+            self._set_limit(self.limiter.update(now))
+
     def _room(self, now: float) -> bool:
         """Tell whether a slot is free."""
         if self.running - self.running_paced < self.whole:
@@ -329,29 +357,43 @@
         self.queue.charge(flow, cost)
         short = self.running - self.running_bulk + self.queue.size_short
         self.short_demand += (short - self.short_demand) * DEMAND_SMOOTHING
+        quiet = self.running * QUIET <= self.limit
         flow.running += 1
         self.running += 1
         self.running_bulk += bulk
         self.running_paced += paced
         self.admitted += 1
-        return Permit(self, flow, bulk, paced, cost, now)
+        return Permit(self, flow, bulk, paced, quiet, cost, now)
 
     def finish(self, permit: Permit, outcome: str, latency_s: float) -> None:
         """Take a slot back and give it to the next in turn."""
-        now = clock.now()
-        held = now - permit.started
-        flow = permit.flow
-        flow.running -= 1
-        self.running -= 1
-        self.running_bulk -= permit.bulk
-        self.queue.settle(flow, held - permit.cost)
-        if permit.paced:
-            self._rest(held, now)
+        held = clock.now() - permit.started
         times = self.times[permit.bulk]
-        if outcome != interfaces.CANCELLED:
+        if outcome == interfaces.SHED and times.mean > held:
+            # An upstream had no such slot.  Were it free at once, the next
+            # in turn would be shed too, and a whole queue within moments.
+            loop = asyncio.get_running_loop()
+            loop.call_later(times.mean - held, self._free, permit, 0.0)
+        else:
+            self._free(permit, held)
+        if outcome not in (interfaces.CANCELLED, interfaces.SHED):
             times.held(held)
         if outcome == interfaces.GOOD:
             times.answered(latency_s)
+        if not permit.bulk:
+            self._learn(permit, outcome, latency_s)
+
+    def _free(self, permit: Permit, held: float) -> None:
+        """Give a slot to the next in turn.
+
+        :param held: slot time that the customer is charged, in seconds.
+        """
+        permit.flow.running -= 1
+        self.running -= 1
+        self.running_bulk -= permit.bulk
+        self.queue.settle(permit.flow, held - permit.cost)
+        if permit.paced:
+            self._rest(held, clock.now())
         if self.queue.size:
             self.dispatch()
 
--- a/test/test_admission_gate.py
+++ b/test/test_admission_gate.py
@@ -258,7 +258,7 @@
         await asyncio.sleep(0.05)
         gate = node.gates[SERVICE]
         if granted:
-            gate.set_limit(2)
+            gate.set_share(2)
         waiting[0].cancel()
         await asyncio.gather(*tasks, *waiting, return_exceptions=True)
         return gate.queue.size, gate.running, done
@@ -353,7 +353,7 @@
         node, done = _node(1, 100), []
         tasks = _start(node, 'big', done, 1)
         await asyncio.sleep(0)
-        node.gates[SERVICE].set_limit(0.25)
+        node.gates[SERVICE].set_share(0.25)
         tasks += _start(node, 'big', done, 30, patience=99.0)
         await asyncio.sleep(8.0)
         for task in tasks:
