--- a/test/test_raft.py
+++ b/test/test_raft.py
@@ -12,6 +12,7 @@
 from carawaystair.control import journal as journals
 from carawaystair.control import log as log_module
 from carawaystair.control import messages
+from carawaystair.control import recover
 from carawaystair.control import replica as replicas
 from carawaystair.control import state as states
 from test import control_fakes
@@ -369,3 +370,33 @@
         stranger.send(host.seat.peer, message)
     await asyncio.sleep(1.0)
     assert (await group.leader()).replica.shared.term == version.term
+
+
+@control_fakes.group_run(3)
+async def test_last_host_goes_on_alone_when_told_to(group):
+    """Two of three disks are lost for good; the last host is recovered."""
+    version = await group.propose(b'kept')
+    await group.settle(version.index)
+    for host in group.hosts:
+        await host.crash()
+    last = group.hosts[2]
+    failure = await recover.recover(
+        last.folder, control_fakes.Disk(group.random), *last.seat
+    )
+    assert failure is None
+    await last.start()
+    newer = await group.propose(b'more')
+    assert newer > version and newer.term > 1000
+    assert last.machine.entries == [b'kept', b'more']
+    back = group.hosts[0]
+    back.lose_disk()
+    await back.start()
+    add = messages.MemberChange(changing.ADD, *back.seat)
+    await asyncio.sleep(1.0)
+    assert (await last.replica.change(add)).is_ok()
+    await asyncio.sleep(2.0)
+    promote = messages.MemberChange(changing.PROMOTE, back.seat.name)
+    assert (await last.replica.change(promote)).is_ok()
+    version = await group.propose(b'again')
+    await group.settle(version.index)
+    assert back.machine.entries == [b'kept', b'more', b'again']
