--- a/carawaystair/request/choosing.py
+++ b/carawaystair/request/choosing.py
@@ -101,7 +101,9 @@
         if started or old.address != new.address:
             # The process behind the open connections is gone.
             target.renewed = now
-        if started or new.state == interfaces.GONE:
+        if started or new.state != interfaces.UP:
+            # An upstream that is leaving may wait for its connections to
+            # end before it stops.
             connections.close_idle(target)
         if new.state == interfaces.GONE:
             self.targets.pop(new.id, None)
--- a/carawaystair/request/connections.py
+++ b/carawaystair/request/connections.py
@@ -9,6 +9,7 @@
 import functools
 import typing
 
+from carawaystair import interfaces
 from carawaystair.request import target as targets
 from carawaystair.request import wire
 
@@ -95,6 +96,7 @@
     proto = connection.proto
     proto.busy = False
     keep = proto.sound and connection.opened >= target.renewed
+    keep = keep and target.upstream.state == interfaces.UP
     if keep and len(target.idle) < MAX_IDLE:
         target.idle.append(connection)
     else:
--- a/carawaystair/request/handler.py
+++ b/carawaystair/request/handler.py
@@ -15,6 +15,7 @@
 from carawaystair.request import exchange as exchanges
 from carawaystair.request import incoming
 from carawaystair.request import keyed as keyeds
+from carawaystair.request import ledger
 from carawaystair.request import meters as meters_module
 from carawaystair.request import sender as senders
 from carawaystair.request import slot as slots
@@ -161,7 +162,7 @@
         try:
             answer = await self.sender.send(call, slot)
             await self._pass_on(call, answer, exchange, slot)
-            slot.show(senders.outcome_of(answer), clock.now() - started)
+            slot.show(ledger.outcome_of(answer), clock.now() - started)
         except answers.Failed as failed:
             slot.show(failed.outcome, clock.now() - started)
             raise
@@ -183,7 +184,7 @@
         started = clock.now()
         try:
             answer = await self.sender.send(call, slot)
-            slot.show(senders.outcome_of(answer), clock.now() - started)
+            slot.show(ledger.outcome_of(answer), clock.now() - started)
             return answer
         except answers.Failed as failed:
             slot.show(failed.outcome, clock.now() - started)
--- a/carawaystair/request/sender.py
+++ b/carawaystair/request/sender.py
@@ -6,7 +6,6 @@
 from carawaystair import clock
 from carawaystair import codes
 from carawaystair import interfaces
-from carawaystair import invariants
 from carawaystair import metrics
 from carawaystair.request import answer as answers
 from carawaystair.request import attempt as attempts
@@ -14,35 +13,16 @@
 from carawaystair.request import call as calls
 from carawaystair.request import choosing
 from carawaystair.request import connections
-from carawaystair.request import headers
-from carawaystair.request import latencies
+from carawaystair.request import ledger
 from carawaystair.request import race as races
-from carawaystair.request import silence
 from carawaystair.request import slot as slots
 from carawaystair.request import target as targets
 
 # Attempts of one request at most, be they retries or hedges.
 MAX_ATTEMPTS = 3
-# A failure makes an upstream look as slow as this, at least: one that fails
-# fast must not draw work by its speed.
-PENALTY_S = 1.0
-# An upstream that was told a deadline is taken to have stopped so long
-# after it, whatever it says.
-FREE_AFTER_S = 0.5
-# New work for an upstream that has begun to leave breaks a promise after
-# this time.
-DRAIN_S = 3.0
-FAILURES = frozenset(
-    (
-        interfaces.ERROR,
-        interfaces.TIMEOUT,
-        interfaces.BROKEN,
-        interfaces.REFUSED,
-    )
-)
 
 
-class Sender:
+class Sender(ledger.Ledger):
     """Sends requests; one for each node.
 
     :param chooser: chooses upstreams.
@@ -56,15 +36,8 @@
         health: interfaces.Health,
         evidence: interfaces.Evidence,
     ) -> None:
-        self.chooser = chooser
+        super().__init__(chooser, evidence)
         self.health = health
-        self.evidence = evidence
-        self.budgets: dict[str, budgets.Budget] = {}
-        self.routes = latencies.Routes()
-        # What runs beside the requests: work that a stop waits for, and
-        # attempts that are only watched.
-        self.tasks: set[asyncio.Task] = set()
-        self.watches: set[asyncio.Task] = set()
 
     async def send(self, call: calls.Call, slot: slots.Slot) -> answers.Answer:
         """Return the answer to a request.
@@ -191,182 +164,6 @@
         wanted = self.chooser.named(call.service, name)
         return wanted if wanted is not None and budget.spend() else None
 
-    # The life of an attempt
-
-    def start(
-        self,
-        call: calls.Call,
-        target: targets.Target,
-        extra: bytes = b'',
-        fresh: bool = False,
-    ) -> attempts.Attempt:
-        """Begin an attempt."""
-        attempt = attempts.Attempt(call, target, extra, fresh)
-        target.in_flight += 1
-        return attempt
-
-    async def put(self, attempt: attempts.Attempt) -> None:
-        """Send a request to its upstream; raises ``answers.Failed``."""
-        await attempt.connect()
-        attempt.send()
-        call = attempt.call
-        self.evidence.begin(
-            call.service,
-            attempt.target.upstream.id,
-            call.charged,
-            attempt.started,
-            call.match.key,
-            attempt.fresh,
-        )
-        since = self.chooser.leaving.get(attempt.target.upstream.id)
-        if since is not None:
-            invariants.check(
-                invariants.NO_WORK_AFTER_DRAIN,
-                clock.now() - since <= DRAIN_S,
-                attempt.target.upstream.id,
-            )
-
-    def complete(
-        self, attempt: attempts.Attempt, answer: answers.Answer
-    ) -> None:
-        """Take note of an answer, and of its connection when it is whole."""
-        self.record(attempt, outcome_of(answer))
-        silence.answered(attempt)
-        if answer.rest is None:
-            self.finish(attempt)
-
-    def finish(self, attempt: attempts.Attempt) -> None:
-        """Let the connection of an answer that was read whole go on."""
-        attempt.target.in_flight -= 1
-        connection = attempt.connection
-        if attempt.pump is not None and not attempt.pump.done:
-            # The answer came before the body was taken: what is left of the
-            # body must not be read as another request.
-            attempt.pump.task.cancel()
-            connection.proto.abort()
-        else:
-            connections.give(connection, clock.now())
-
-    def fail(self, attempt: attempts.Attempt, failed: answers.Failed) -> None:
-        """End an attempt that brought no answer."""
-        outcome = failed.outcome
-        if outcome == interfaces.BROKEN and attempt.silent:
-            outcome = self._broken(attempt)
-        self.record(attempt, outcome)
-        silence.ended(attempt)
-        self.cut(attempt)
-
-    def _broken(self, attempt: attempts.Attempt) -> str:
-        """Tell what the end of a connection without a byte shows."""
-        if self.lost(attempt):
-            return interfaces.SILENT
-        idle_s = attempt.started - attempt.connection.used
-        if attempt.reused and idle_s > connections.LIVE_S:
-            # An idle connection that the upstream closed just then: this
-            # says nothing about how it works.
-            return interfaces.CANCELLED
-        return interfaces.BROKEN
-
-    def drop(self, attempt: attempts.Attempt) -> None:
-        """Close the connection of an attempt, doubtful or not."""
-        if attempt.pump is not None and attempt.pump.task is not None:
-            attempt.pump.task.cancel()
-        if attempt.connection is not None:
-            attempt.connection.proto.abort()
-
-    def cut(self, attempt: attempts.Attempt) -> None:
-        """End an attempt that has answered but is not read to its end."""
-        attempt.target.in_flight -= 1
-        self.drop(attempt)
-
-    def late(
-        self, attempt: attempts.Attempt, slot: slots.Slot
-    ) -> answers.Failed:
-        """End an attempt whose time is over, and return the failure."""
-        outcome = self.blame(attempt)
-        self.abandon(attempt, outcome, slot)
-        return answers.Failed(outcome, codes.ANSWER_LATE, attempt.sent)
-
-    def blame(self, attempt: attempts.Attempt) -> str:
-        """Tell whether an upstream or its connection kept silent."""
-        return interfaces.SILENT if self.lost(attempt) else interfaces.TIMEOUT
-
-    def lost(self, attempt: attempts.Attempt) -> bool:
-        """Tell whether an attempt's connection was found to be lost."""
-        return (
-            attempt.silent
-            and attempt.connection.opened < attempt.target.renewed
-        )
-
-    def abandon(
-        self,
-        attempt: attempts.Attempt,
-        outcome: str,
-        slot: slots.Slot | None = None,
-    ) -> None:
-        """Cancel an attempt, whose slot counts until it is known to be free.
-
-        :param slot: the admission's slot that is given back then, too.
-        """
-        self.record(attempt, outcome)
-        silence.ended(attempt)
-        if not attempt.sent:
-            attempt.target.in_flight -= 1
-            self.drop(attempt)
-            return
-        if slot is not None:
-            slot.hold()
-        if attempt.pump is not None:
-            attempt.pump.task.cancel()
-        self.watch(self._let_go(attempt, slot))
-
-    async def _let_go(
-        self, attempt: attempts.Attempt, slot: slots.Slot | None
-    ) -> None:
-        until = max(attempt.call.deadline, clock.now()) + FREE_AFTER_S
-        try:
-            await connections.let_go(attempt.connection, until)
-        finally:
-            attempt.target.in_flight -= 1
-            if slot is not None:
-                slot.drop()
-
-    def record(self, attempt: attempts.Attempt, outcome: str) -> None:
-        """Record what an attempt showed, once."""
-        if attempt.ended:
-            return
-        attempt.ended = True
-        if attempt.alarm is not None:
-            attempt.alarm.cancel()
-            attempt.target.late.remove(attempt)
-        now = clock.now()
-        call = attempt.call
-        target = attempt.target
-        latency_s = now - attempt.started
-        if outcome == interfaces.GOOD:
-            target.observe(latency_s, now)
-            self.routes.of(call.match.key).add(latency_s)
-        elif outcome in FAILURES:
-            target.observe(max(latency_s, PENALTY_S), now)
-        self.note(attempt, outcome, latency_s)
-
-    def note(
-        self, attempt: attempts.Attempt, outcome: str, latency_s: float
-    ) -> None:
-        """Pass evidence on."""
-        call = attempt.call
-        self.evidence.record(
-            interfaces.Attempt(
-                call.service,
-                attempt.target.upstream.id,
-                call.charged,
-                outcome,
-                latency_s,
-                attempt.started,
-                call.match.key,
-            )
-        )
-
     async def stop(self, until: float) -> None:
         """Wait for what runs beside the requests, then close everything.
 
@@ -395,48 +192,3 @@
             yield metrics.Sample(
                 'retries_refused_total', budget.refused, (label,)
             )
-
-    # Small things
-
-    def hedge_at(self, call: calls.Call) -> float:
-        """Return when a hedge of a request goes out, monotonic time."""
-        now = clock.now()
-        left_s = call.deadline - now
-        wait_s = self.routes.of(call.match.key).hedge_s(left_s)
-        return min(now + wait_s, call.deadline)
-
-    def budget(self, service: str) -> budgets.Budget:
-        """Return the retry budget of a service."""
-        budget = self.budgets.get(service)
-        if budget is None:
-            budget = self.budgets[service] = budgets.Budget()
-        return budget
-
-    def spawn(self, coroutine: typing.Coroutine) -> asyncio.Task:
-        """Run something beside the requests, to its end."""
-        return _keep(coroutine, self.tasks)
-
-    def watch(self, coroutine: typing.Coroutine) -> asyncio.Task:
-        """Run something beside the requests that a stop may cancel."""
-        return _keep(coroutine, self.watches)
-
-
-def _keep(
-    coroutine: typing.Coroutine, tasks: set[asyncio.Task]
-) -> asyncio.Task:
-    task = asyncio.create_task(coroutine)
-    tasks.add(task)
-    task.add_done_callback(tasks.discard)
-    return task
-
-
-def outcome_of(answer: answers.Answer) -> str:
-    """Return what an answer shows about its upstream."""
-    if answer.status < 500:
-        return interfaces.GOOD
-    if answer.status == 503 and (
-        answers.refused(answer)
-        or headers.value(answer.headers, b'retry-after')
-    ):
-        return interfaces.SHED
-    return interfaces.ERROR
--- a/test/test_request_stop.py
+++ b/test/test_request_stop.py
@@ -87,6 +87,35 @@
     assert held == 0
 
 
+def test_upstream_leaves():
+    """Symptom: a deployment of an upstream breaks requests, or hangs.
+    Sequence: it announces that it leaves while it has requests in flight,
+    and stops when the last of its connections has ended.
+    Cause: what is in flight ends by itself, and its connections are not
+    kept for later.
+    """
+
+    async def scenario():
+        upstream = setups.Upstream(9001, slow)
+        async with setups.running(upstream) as setup:
+            await asyncio.gather(*(setup.ask() for _n in range(3)))
+            await asyncio.sleep(0.5)
+            task = asyncio.create_task(setup.ask())
+            other = asyncio.create_task(setup.ask(method='POST', body=b'x'))
+            await asyncio.sleep(0.5)
+            setup.directory.put(setups.announce(upstream, state='draining'))
+            await asyncio.sleep(0.1)
+            early = upstream.gone
+            answers = [await task, await other, await setup.ask()]
+            await asyncio.sleep(0.1)
+            return answers, early, upstream.gone
+
+    answers, early, gone = pipes.run(scenario())
+    outcomes = [answer.outcome for answer in answers]
+    assert outcomes == ['complete', 'complete', 'not-run']
+    assert (early, gone) == (1, 3)
+
+
 def test_not_ready():
     """A node without a configuration says so."""
 
