Reservations: by datagram, and to a majority first

Cause: any node asks the replicas of any key, so that over links a node would open one to each of the other 2,499, at 84 KB each; and a key was stored at all replicas although a majority suffices. Change: asks, votes and outcomes are datagrams; answers are packed and kept up to 1,024 bytes; as many replicas as a majority needs are asked first, always the same for a key, the rest after 50 ms or a no. Backoff follows what an attempt took. A lost attempt is taken back from every replica it asked: one that said no may get a second copy of the ask later, which had left votes that nobody took back and kept all racers from winning.

--- a/carawaystair/reservations/__init__.py
+++ b/carawaystair/reservations/__init__.py
@@ -22,6 +22,7 @@
     """
     return service.Reservations(
         kernel.links,
+        kernel.datagrams,
         members,
         routing,
         kernel.settings.control_hosts,
--- a/carawaystair/reservations/activation.py
+++ b/carawaystair/reservations/activation.py
@@ -197,6 +197,8 @@
             if result.is_error() or seat.row is not row:
                 return messages.UNABLE
             page: messages.Page = result.ok
+            if page.rows is not None:
+                self.replica.book.take(messages.unpack(page.rows))
             if page.standing == messages.BEHIND:
                 seat.session = page.session + 1
             if page.standing not in (messages.SEALED, messages.ACTIVE):
--- /dev/null
+++ b/carawaystair/reservations/answers.py
@@ -0,0 +1,37 @@
+"""Stored answers, packed so that each fits one datagram and little memory."""
+
+import zlib
+
+# Bytes of a packed answer at most: an outcome and a vote that repeats it must
+# each fit one datagram, and memory is bounded by this times the keys.
+MAX_KEPT = 1024
+# Longer answers are not worth trying.
+MAX_ANSWER = 32 * 1024
+# Shorter ones gain little.
+PACK_FROM = 256
+LEVEL = 1
+
+PLAIN = b'p'
+PACKED = b'z'
+
+
+def pack(answer: bytes) -> bytes | None:
+    """Return an answer as replicas keep it, or None when it is too large."""
+    if len(answer) > MAX_ANSWER:
+        return None
+    packed = PLAIN + answer
+    if len(answer) >= PACK_FROM:
+        packed = min(packed, PACKED + zlib.compress(answer, LEVEL), key=len)
+    return packed if len(packed) <= MAX_KEPT else None
+
+
+def unpack(packed: bytes) -> bytes | None:
+    """Return the answer that :func:`pack` packed, None when it is broken."""
+    if packed[:1] == PLAIN:
+        return packed[1:]
+    unpacker = zlib.decompressobj()
+    try:
+        answer = unpacker.decompress(packed[1:], MAX_ANSWER)
+    except zlib.error:
+        return None
+    return answer if unpacker.eof else None
--- a/carawaystair/reservations/ballot.py
+++ b/carawaystair/reservations/ballot.py
@@ -1,4 +1,9 @@
-"""Counts the votes of one attempt to win a key."""
+"""Collects the votes of one attempt to win a key.
+
+Only as many replicas are asked at first as a majority needs, and for one key
+always the same ones: so a key costs the memory of a majority and not of all.
+The rest is asked when one of those does not answer soon, or says no.
+"""
 
 import asyncio
 import collections
@@ -16,6 +21,8 @@
     :param split: rivals share the replicas and none is known to have won.
     :param rival: the token that most replicas hold the key for.
     :param moved: the placement changed; the same token asks anew.
+    :param holders: addresses of replicas that may hold the key for this
+        token; None when any may.
     """
 
     granted: bool = False
@@ -23,41 +30,87 @@
     split: bool = False
     rival: bytes = b''
     moved: bool = False
+    holders: frozenset[str] | None = None
 
 
 class Ballot:
     """One attempt that collects votes.
 
-    :param ask: what was asked.
+    :param ask: what to ask.
     :param row: whom.
+    :param send: sends a datagram.
+    :param silent: hosts that did not answer lately; they are asked last.
     """
 
-    def __init__(self, ask: messages.Ask, row: placement.Placement) -> None:
+    def __init__(
+        self,
+        ask: messages.Ask,
+        row: placement.Placement,
+        send: typing.Callable[[str, typing.Any], None],
+        silent: typing.Container[str],
+    ) -> None:
         self.ask = ask
         self.row = row
+        self.send = send
         self.votes: dict[str, messages.Vote] = {}
         self.end: asyncio.Future = asyncio.get_running_loop().create_future()
-
-    def missing(self) -> list[placement.Replica]:
-        """Return the replicas that have not voted."""
-        return [m for m in self.row.members if m.host not in self.votes]
+        self.first = preferred(ask.name, row, silent)
+        self.widened = False
+        for member in self.first:
+            send(member.gossip, ask)
+
+    def widen(self) -> None:
+        """Ask the replicas that were left out at first."""
+        if self.widened:
+            return
+        self.widened = True
+        for member in self.row.members:
+            if member not in self.first:
+                self.send(member.gossip, self.ask)
+
+    def again(self) -> list[str]:
+        """Ask all that have not voted; return hosts that were silent."""
+        silent = [m.host for m in self.first if m.host not in self.votes]
+        self.widened = True
+        for member in self.row.members:
+            if member.host not in self.votes:
+                self.send(member.gossip, self.ask)
+        return silent
+
+    def holders(self) -> frozenset[str]:
+        """Return addresses of replicas that may hold the key for the token.
+
+        One that said that another token holds the key is among them: a
+        second copy of the ask may reach it when it has given that one up.
+        """
+        asked = self.row.members if self.widened else self.first
+        refused = {
+            host
+            for host, vote in self.votes.items()
+            if vote.verdict in _DECISIVE
+        }
+        return frozenset(m.gossip for m in asked if m.host not in refused)
 
     def moved(self) -> None:
         """End the attempt because the placement changed."""
         self._finish(Verdict(moved=True))
 
-    def take(self, vote: messages.Vote) -> None:
+    def take(self, sender: str, vote: messages.Vote) -> None:
         """Take a vote and end the attempt when it decides."""
-        if vote.epoch != self.ask.epoch or self.row.member(vote.host) is None:
+        member = self.row.sender(sender)
+        if vote.epoch != self.ask.epoch or member is None:
             return
         if vote.verdict == messages.ABSENT:
             # It may be active soon; it is asked again.
+            self.widen()
             return
-        self.votes[vote.host] = vote
+        self.votes[member.host] = vote
         self._drop_void()
         verdict = self.verdict()
         if verdict is not None:
             self._finish(verdict)
+        elif all(m.host in self.votes for m in self.first):
+            self.widen()
 
     def _finish(self, verdict: Verdict) -> None:
         if not self.end.done():
@@ -116,6 +169,18 @@
         return Verdict(vote=next(iter([*held, *_refusals(votes)]), None))
 
 
+def preferred(
+    name: bytes,
+    row: placement.Placement,
+    silent: typing.Container[str],
+) -> list[placement.Replica]:
+    """Return the replicas to ask first, the same ones at every node."""
+    start = name[-1] % len(row.members)
+    turned = row.members[start:] + row.members[:start]
+    turned = sorted(turned, key=lambda member: member.host in silent)
+    return turned[: row.quorum]
+
+
 _DECISIVE = (messages.SETTLED, messages.LARGE, messages.REUSED)
 
 
--- a/carawaystair/reservations/messages.py
+++ b/carawaystair/reservations/messages.py
@@ -60,7 +60,6 @@
     """A replica's answer to an :class:`Ask`.
 
     :param token: of the ask.
-    :param host: the replica.
     :param epoch: of the placement under which it answers.
     :param verdict: one of the constants of this module.
     :param sessions: the newest sessions of the placement's members, in
@@ -71,7 +70,6 @@
     """
 
     token: bytes
-    host: str
     epoch: int
     verdict: int
     sessions: tuple[int, ...] = ()
@@ -112,12 +110,12 @@
 class Done(typing.NamedTuple):
     """Acknowledges a :class:`Settle` or :class:`Release`.
 
+    Only a replica that was active when it stored the outcome says so.
+
     :param token: of that message.
-    :param host: the replica, active when it stored the outcome.
     """
 
     token: bytes
-    host: str
 
 
 @wire.register(105)
@@ -151,6 +149,32 @@
     data: bytes
 
 
+class Row(typing.NamedTuple):
+    """A placement whose replicas are numbers of a list beside it."""
+
+    partition: int
+    epoch: int
+    stamp: int
+    members: tuple[int, ...]
+    previous: tuple[int, ...] = ()
+
+
+@wire.register(108)
+class Rows(typing.NamedTuple):
+    """Placements, in answer to :class:`AskRows` or unasked.
+
+    :param space: None when the asker has it already.
+    :param replicas: those that the rows refer to.
+    :param rows: the placements.
+    :param more: whether there are more.
+    """
+
+    space: placement.Space | None
+    replicas: tuple[placement.Replica, ...]
+    rows: tuple[Row, ...]
+    more: bool = False
+
+
 @wire.register(106)
 class Page(typing.NamedTuple):
     """A part of the keys of a partition.
@@ -160,6 +184,7 @@
     :param sessions: hosts and their newest sessions that it knows.
     :param entries: keys.
     :param next: start of the next page, 0 at the end.
+    :param rows: newer placements than the asker's.
     """
 
     standing: int
@@ -167,16 +192,7 @@
     sessions: tuple[tuple[str, int], ...] = ()
     entries: tuple[Entry, ...] = ()
     next: int = 0
-
-
-class Row(typing.NamedTuple):
-    """A placement whose replicas are numbers of a list beside it."""
-
-    partition: int
-    epoch: int
-    stamp: int
-    members: tuple[int, ...]
-    previous: tuple[int, ...] = ()
+    rows: Rows | None = None
 
 
 @wire.register(107)
@@ -202,22 +218,6 @@
     partition: int
 
 
-@wire.register(108)
-class Rows(typing.NamedTuple):
-    """Placements, in answer to :class:`AskRows` or unasked.
-
-    :param space: None when the asker has it already.
-    :param replicas: those that the rows refer to.
-    :param rows: the placements.
-    :param more: whether there are more.
-    """
-
-    space: placement.Space | None
-    replicas: tuple[placement.Replica, ...]
-    rows: tuple[Row, ...]
-    more: bool = False
-
-
 @wire.register(109)
 class Propose(typing.NamedTuple):
     """Proposes a change of the ledger to a control host.
--- a/carawaystair/reservations/outcomes.py
+++ b/carawaystair/reservations/outcomes.py
@@ -21,12 +21,16 @@
 class Pending(typing.NamedTuple):
     """One outcome under way.
 
-    :param hosts: replicas that have acknowledged it.
+    :param epoch: of the placement under which the token asked.
+    :param holders: addresses of the replicas that need it; None for all.
+    :param addresses: of the replicas that have acknowledged it.
     :param majority: set when these are a majority.
     :param changed: set with every acknowledgement.
     """
 
-    hosts: set
+    epoch: int
+    holders: frozenset[str] | None
+    addresses: set
     majority: asyncio.Event
     changed: asyncio.Event
 
@@ -34,7 +38,7 @@
 class Outcomes:
     """The outcomes that one process spreads.
 
-    :param send: sends a message to a peer.
+    :param send: sends a datagram.
     :param book: the placements.
     """
 
@@ -49,12 +53,21 @@
         self.tasks: set[asyncio.Task] = set()
         self.given_up = 0
 
-    def start(self, message) -> asyncio.Event:
+    def start(
+        self, message, holders: frozenset[str] | None = None
+    ) -> asyncio.Event:
         """Spread a ``Settle`` or ``Release``.
 
+        :param holders: addresses of the replicas that may hold the key for
+            the token; None for all.
         :return: an event that is set once a majority has it.
         """
-        pending = Pending(set(), asyncio.Event(), asyncio.Event())
+        pending = Pending(
+            message.epoch, holders, set(), asyncio.Event(), asyncio.Event()
+        )
+        if holders is not None and not holders:
+            pending.majority.set()
+            return pending.majority
         if len(self.pending) >= MAX_PENDING:
             self._send(message, pending)
             pending.majority.set()
@@ -66,11 +79,11 @@
         task.add_done_callback(self.tasks.discard)
         return pending.majority
 
-    def done(self, _sender: str, message: messages.Done) -> None:
+    def done(self, sender: str, message: messages.Done) -> None:
         """Take a replica's word that it has an outcome."""
         pending = self.pending.get(message.token)
         if pending is not None:
-            pending.hosts.add(message.host)
+            pending.addresses.add(sender)
             pending.changed.set()
 
     def stop(self) -> None:
@@ -98,10 +111,11 @@
         row = self.book.get(message.partition)
         if row is None:
             return False
-        have = {m.host for m in row.members} & pending.hosts
-        if len(have) >= row.quorum:
+        wanted = _wanted(row, pending)
+        have = wanted & pending.addresses
+        if len(have) >= min(row.quorum, len(wanted)):
             pending.majority.set()
-        return len(have) == len(row.members)
+        return have == wanted
 
     def _send(self, message, pending: Pending) -> None:
         """Send to the replicas of the newest epoch that lack it."""
@@ -109,9 +123,20 @@
         if row is None:
             return
         fresh = message._replace(epoch=row.epoch)
-        for member in row.members:
-            if member.host not in pending.hosts:
-                self.send(member.peer, fresh)
+        for address in sorted(_wanted(row, pending) - pending.addresses):
+            self.send(address, fresh)
+
+
+def _wanted(row: placement.Placement, pending: Pending) -> frozenset[str]:
+    """Return the addresses of the replicas that need an outcome.
+
+    In a later epoch that is everyone: who took over from whom is not known
+    here.
+    """
+    members = frozenset(member.gossip for member in row.members)
+    if pending.holders is None or row.epoch != pending.epoch:
+        return members
+    return members & pending.holders
 
 
 async def _wait(event: asyncio.Event, timeout: float) -> bool:
--- a/carawaystair/reservations/owner.py
+++ b/carawaystair/reservations/owner.py
@@ -13,6 +13,7 @@
 from carawaystair import clock
 from carawaystair import codes
 from carawaystair import interfaces
+from carawaystair.reservations import answers
 from carawaystair.reservations import ballot as ballots
 from carawaystair.reservations import messages
 from carawaystair.reservations import names
@@ -20,10 +21,12 @@
 from carawaystair.reservations import placement
 from carawaystair.reservations import windows
 
-# An ask that got no answer is sent again after so long; doubled each time up
-# to the second figure.
-RESEND_S = 0.05
+# Replicas left out at first are asked after so long, and those that did not
+# answer again; doubled each time up to the second figure.
+WIDEN_S = 0.05
 RESEND_MOST_S = 0.5
+# A replica that did not answer is asked last for so long.
+SILENT_S = 5.0
 # Timers may fire a little early; a wait is never shorter than this, so that
 # the last one before a deadline is not made over and over.
 LEAST_WAIT_S = 0.001
@@ -31,16 +34,15 @@
 # must not come long after the votes behind it, see ``windows.MARGIN_S``.
 ATTEMPT_S = 10.0
 # Rivals that share the replicas give their votes back and try again after a
-# random time below this, doubled each time up to the second figure.
+# random time below this and below what the attempt took, whichever is more,
+# doubled each time up to the second figure.
 BACKOFF_S = 0.005
-BACKOFF_MOST_S = 0.1
+BACKOFF_MOST_S = 2.0
 # A rival that is seen in so many attempts one after another is no racer that
 # gives back its votes: it runs, or its process is gone.
 SAME_RIVAL = 4
 # The callers of settle and release wait this long at most.
 OUTCOME_WAIT_S = 1.0
-# Larger answers are not kept; a repeated key then gets status and digest.
-MAX_ANSWER = 2048
 
 Result = expression.Result[interfaces.Reserved, codes.Failure]
 
@@ -85,16 +87,18 @@
 
     :param ask: what it won.
     :param since: monotonic time of the grant.
+    :param holders: see ``ballot.Verdict``.
     """
 
     ask: messages.Ask
     since: float
+    holders: frozenset[str] | None
 
 
 class Owner:
     """The reservations that one process asks for.
 
-    :param send: sends a message to a peer.
+    :param send: sends a datagram.
     :param book: the placements.
     :param tokens: makes tokens.
     :param rng: for backoff.
@@ -116,6 +120,7 @@
         self.refresh = refresh
         self.outcomes = outcomes.Outcomes(send, book)
         self.ballots: dict[bytes, ballots.Ballot] = {}
+        self.silent: dict[str, float] = {}
         self.grants: dict[str, Grant] = {}
         book.listeners.append(self._placed)
 
@@ -132,11 +137,13 @@
         rivals: list[bytes] = []
         while True:
             token = self.tokens.make()
+            begun = clock.now()
             verdict = await self._campaign(wish, token, deadline)
             if verdict.granted:
                 return expression.Ok(interfaces.Reserved(True, token.hex()))
             rivals.append(verdict.rival)
             same = rivals[-SAME_RIVAL:].count(verdict.rival) == SAME_RIVAL
+            backoff = max(backoff, clock.now() - begun)
             late = clock.now() + backoff >= deadline
             if not verdict.split or same or late:
                 return _result(verdict)
@@ -149,21 +156,26 @@
         """Collect votes for one token, over changes of the placement."""
         verdict = ballots.Verdict(moved=True)
         ask = wish.ask(token, 0)
+        holders = None
         try:
             while verdict.moved and clock.now() < deadline:
                 row = self.book.get(wish.partition)
                 if row is None:
                     break
+                again = ask.epoch > 0
                 ask = wish.ask(token, row.epoch)
                 verdict = await self._attempt(ask, row, deadline)
+                # Votes of the epoch before may have been taken over by any.
+                holders = None if again else verdict.holders
             if verdict.granted:
-                self.grants[token.hex()] = Grant(ask, clock.now())
+                grant = Grant(ask, clock.now(), holders)
+                self.grants[token.hex()] = grant
             return verdict
         finally:
             # Also when the caller went away: a vote that is not given back
             # would keep the key from everyone until its window ends.
             if token.hex() not in self.grants:
-                self.outcomes.start(_release(ask))
+                self.outcomes.start(_release(ask), holders)
 
     async def _attempt(
         self,
@@ -172,31 +184,38 @@
         deadline: float,
     ) -> ballots.Verdict:
         """Ask until the votes decide or time is up."""
-        ballot = ballots.Ballot(ask, row)
+        ballot = ballots.Ballot(ask, row, self.send, self.silent)
         self.ballots[ask.token] = ballot
-        wait = RESEND_S
+        wait = WIDEN_S
         try:
             while clock.now() < deadline:
-                for member in ballot.missing():
-                    self.send(member.peer, ask)
                 left = max(deadline - clock.now(), LEAST_WAIT_S)
                 timeout = min(wait, left)
                 done, _not = await asyncio.wait({ballot.end}, timeout=timeout)
                 # A process that stood still may find the votes long after
                 # its time was up; they don't count then.
                 if done and clock.now() <= deadline:
-                    return ballot.end.result()
-                self.refresh()
+                    verdict = ballot.end.result()
+                    return verdict._replace(holders=ballot.holders())
+                self._quiet(ballot.again())
                 wait = min(2 * wait, RESEND_MOST_S)
-            return ballot.undecided()
+            verdict = ballot.undecided()
+            return verdict._replace(holders=ballot.holders())
         finally:
             del self.ballots[ask.token]
 
-    def vote(self, _sender: str, message: messages.Vote) -> None:
+    def vote(self, sender: str, message: messages.Vote) -> None:
         """Take a replica's vote."""
         ballot = self.ballots.get(message.token)
         if ballot is not None:
-            ballot.take(message)
+            ballot.take(sender, message)
+
+    def _quiet(self, hosts: list[str]) -> None:
+        """Ask silent replicas last for a while, and look for newer ones."""
+        now = clock.now()
+        self.silent |= dict.fromkeys(hosts, now + SILENT_S)
+        self.silent = {h: end for h, end in self.silent.items() if end > now}
+        self.refresh()
 
     def _placed(self, row: placement.Placement) -> None:
         """Begin the attempts on a partition anew in its new epoch."""
@@ -213,7 +232,8 @@
         if grant is None:
             return
         ask = grant.ask
-        kept = len(answer) <= MAX_ANSWER
+        packed = answers.pack(answer)
+        kept = packed is not None
         message = messages.Settle(
             ask.partition,
             ask.epoch,
@@ -221,10 +241,10 @@
             ask.token,
             status,
             kept,
-            answer if kept else names.answer(answer),
+            packed if kept else names.answer(answer),
             clock.now() - grant.since,
         )
-        await _majority(self.outcomes.start(message))
+        await _majority(self.outcomes.start(message, grant.holders))
 
     async def release(self, token: str) -> None:
         """Give a key back whose request was provably not run."""
@@ -263,7 +283,10 @@
     if vote.verdict in _FAILURES:
         return codes.fail(_FAILURES[vote.verdict])
     if vote.verdict == messages.SETTLED:
-        return expression.Ok(interfaces.Reserved(False, answer=vote.answer))
+        answer = answers.unpack(vote.answer)
+        return expression.Ok(
+            interfaces.Reserved(False, answer=answer, running=answer is None)
+        )
     if vote.verdict == messages.LARGE:
         return expression.Ok(
             interfaces.Reserved(False, status=vote.status, digest=vote.answer)
--- a/carawaystair/reservations/placement.py
+++ b/carawaystair/reservations/placement.py
@@ -18,6 +18,7 @@
 
     :param host: its host, unique in the fleet.
     :param peer: ``ip:port`` for messages.
+    :param gossip: ``ip:port`` for datagrams.
     :param data_centre: where it stands.
     :param session: names one run of its process; a process that starts
         again has another one, normally a greater one.
@@ -25,6 +26,7 @@
 
     host: str
     peer: str
+    gossip: str
     data_centre: str
     session: int
 
@@ -56,6 +58,10 @@
         """Return the member on a host."""
         return next((m for m in self.members if m.host == host), None)
 
+    def sender(self, address: str) -> Replica | None:
+        """Return the member that sends datagrams from an address."""
+        return next((m for m in self.members if m.gossip == address), None)
+
     def before(self, host: str) -> bool:
         """Tell whether a host was a member in the epoch before."""
         return any(m.host == host for m in self.previous)
--- a/carawaystair/reservations/replica.py
+++ b/carawaystair/reservations/replica.py
@@ -39,7 +39,7 @@
     :param session: of this process.
     :param book: the placements.
     :param budget: the memory for records.
-    :param send: sends a message to a peer.
+    :param send: sends a datagram.
     :param refresh: called when the book must be old.
     """
 
@@ -84,9 +84,7 @@
         if seat is None:
             self.send(
                 sender,
-                messages.Vote(
-                    message.token, self.host, message.epoch, messages.ABSENT
-                ),
+                messages.Vote(message.token, message.epoch, messages.ABSENT),
             )
             return
         now = clock.now()
@@ -140,7 +138,6 @@
             sender,
             messages.Vote(
                 message.token,
-                self.host,
                 message.epoch,
                 verdict,
                 seat.sessions(self.host),
@@ -181,7 +178,7 @@
         the outcome; the owner must send it again.
         """
         if self._seat(sender, message) is not None:
-            self.send(sender, messages.Done(message.token, self.host))
+            self.send(sender, messages.Done(message.token))
 
     def _settled(
         self, record: store.Record, message: messages.Settle
--- a/carawaystair/reservations/service.py
+++ b/carawaystair/reservations/service.py
@@ -31,10 +31,29 @@
 CAPACITY = 16 * 1024 * 1024
 
 
+BY_DATAGRAM = (
+    messages.Ask,
+    messages.Vote,
+    messages.Settle,
+    messages.Release,
+    messages.Done,
+    messages.Rows,
+)
+BY_LINK = (
+    messages.Rows,
+    messages.Fetch,
+    messages.Probe,
+    messages.AskPeerRows,
+)
+
+
 class Reservations(mode.Service):
     """The keys of this node's requests, and those that it keeps for others.
 
-    :param transport: for messages.
+    :param transport: for messages, between few processes or large ones.
+    :param datagrams: for asks, votes and outcomes: any node talks to the
+        replicas of any key, and a link to every other node would cost more
+        memory than control may.
     :param members: the membership.
     :param routing: returns the current configuration.
     :param control_hosts: addresses of the control hosts.
@@ -47,6 +66,7 @@
     def __init__(
         self,
         transport: interfaces.Transport,
+        datagrams,
         members: interfaces.Members,
         routing: typing.Callable[[], routings.Routing],
         control_hosts: typing.Sequence[str],
@@ -58,11 +78,11 @@
     ) -> None:
         super().__init__(**kwargs)
         self.transport = transport
+        self.datagrams = datagrams
         self.members = members
         self.routing = routing
         self.rng = rng
         self.host = members.me.host
-        self.address = members.me.peer
         self.session = names.session(wall_ms, rng)
         self.budget = store.Budget(capacity)
         self.book = placement.Book()
@@ -84,7 +104,7 @@
             routing,
             self.following,
             transport.call,
-            self._send,
+            transport.send,
             timeline,
         )
         self.handlers = {
@@ -98,7 +118,9 @@
             messages.Probe: self._probe,
             messages.AskPeerRows: self._peer_rows,
         }
-        for kind in self.handlers:
+        for kind in BY_DATAGRAM:
+            datagrams.handle(kind, self.handlers[kind])
+        for kind in BY_LINK:
             transport.handle(kind, self._receive)
 
     async def on_stop(self) -> None:
@@ -163,11 +185,11 @@
     # Messages
 
     def _send(self, to: str, message) -> None:
-        if to == self.address:
+        if to == self.members.me.gossip:
             loop = asyncio.get_running_loop()
             loop.call_soon(self.handlers[type(message)], to, message)
         else:
-            self.transport.send(to, message)
+            self.datagrams.send(to, message)
 
     async def _receive(self, sender: str, message):
         return self.handlers[type(message)](sender, message)
@@ -183,7 +205,9 @@
     def _probe(self, _sender: str, ask: messages.Probe) -> messages.Probed:
         me = self.members.me
         return messages.Probed(
-            placement.Replica(me.host, me.peer, me.data_centre, self.session),
+            placement.Replica(
+                me.host, me.peer, me.gossip, me.data_centre, self.session
+            ),
             self.replica.active(ask.partitions),
             self.budget.used / self.budget.capacity,
         )
--- a/carawaystair/reservations/transfer.py
+++ b/carawaystair/reservations/transfer.py
@@ -41,15 +41,15 @@
             return False
         return clock.now() - self.started >= windows.abstain_s(window)
 
-    def fetch(self, sender: str, ask: messages.Fetch) -> messages.Page:
+    def fetch(self, _sender: str, ask: messages.Fetch) -> messages.Page:
         """Answer one page."""
         replica = self.replica
         replica.book.take([ask.row])
         seat = replica.seats.get(ask.row.partition)
         if seat is None or seat.row.epoch != ask.row.epoch:
             row = replica.book.get(ask.row.partition)
-            replica.send(sender, messages.pack([row]))
-            return messages.Page(messages.UNABLE)
+            known = messages.pack([row] if row else [])
+            return messages.Page(messages.UNABLE, rows=known)
         standing = self._standing(seat, ask.why)
         if standing == messages.UNABLE:
             return messages.Page(standing)
