Reservations: refuse at once before there are replicas, found sooner

Cause: a keyed request that came before the replicas of its key were known waited until its deadline, and only one node gave services their home: while that one was cut off or its planning had failed, no key could be reserved. Change: the wait is 0.3 s at most and none before any region holds keys; a region is founded when each data centre of the manifest has a member, looked for four times a second; any node that needs a home proposes it, the ledger keeps the first; a failed round of planning does not end the later ones.

--- a/carawaystair/reservations/planner.py
+++ b/carawaystair/reservations/planner.py
@@ -28,9 +28,13 @@
 from carawaystair import timeline as timelines
 
 TICK_S = 1.0
+# The same while no region holds keys.
+FIRST_TICK_S = 0.25
 # A region's first placements wait until its members have stayed the same for
 # so long, since each later change of them is a handover.
 SETTLE_S = 2.0
+# With a member in every data centre of the manifest they wait so long only.
+COMPLETE_S = 0.25
 # A host that is away is replaced after so long: an ordinary restart takes
 # less, and costs a recovery in place.
 REPLACE_AFTER_S = 60.0
@@ -82,6 +86,7 @@
         self.view: tuple[interfaces.Member, ...] = ()
         self.nodes: dict[str, interfaces.Member] = {}
         self.mine = False
+        self.wanted = False
         self.since = 0.0
         # Hosts of placements that are away, and since when.
         self.away: dict[str, float] = {}
@@ -89,10 +94,36 @@
     async def run(self) -> None:
         """Plan for as long as the process lives."""
         while True:
-            await asyncio.sleep(TICK_S)
-            self.look()
-            if self.mine:
-                await self.tick()
+            founded = bool(self.book.space.homes)
+            await asyncio.sleep(TICK_S if founded else FIRST_TICK_S)
+            try:
+                self.look()
+                if self.mine:
+                    await self.tick()
+                elif self.wanted:
+                    await self.homes()
+            except Exception as error:
+                # Without planning, dead replicas are never replaced; one
+                # failed round must not end all later ones.
+                LOG.exception('A round of planning failed.', error=str(error))
+
+    def need_home(self) -> None:
+        """Take note that a request came for a service without a home."""
+        self.wanted = True
+
+    async def homes(self) -> None:
+        """Propose homes also when it is another node's turn to plan.
+
+        That node may be cut off or not have the configuration yet; whoever
+        proposes first, the ledger keeps one home.
+        """
+        self.wanted = False
+        routing = self.routing()
+        if not routing.services() or not await self.follows.refresh():
+            return
+        add = upkeep.homeless(routing, self.book.space)
+        if add:
+            await self._propose(ledger.Homes(add))
 
     def look(self) -> None:
         """Take note of who is alive, and whether it is this node's turn."""
@@ -122,7 +153,7 @@
         for change in self.upkeep.due(routing, self.book.space):
             await self._propose(change)
         regions = self._regions(routing)
-        if clock.now() - self.since >= SETTLE_S:
+        if clock.now() - self.since >= self._settle_s(routing):
             await self._found(regions)
         dead = self._dead(routing)
         await self._finish()
@@ -132,6 +163,12 @@
 
     # Who there is
 
+    def _settle_s(self, routing: routings.Routing) -> float:
+        """Return how long members must stay the same before founding."""
+        here = {member.data_centre for member in self.nodes.values()}
+        named = set(upkeep.data_centres(routing))
+        return COMPLETE_S if named and named <= here else SETTLE_S
+
     def _regions(
         self, routing: routings.Routing
     ) -> dict[str, list[planning.Host]]:
--- a/carawaystair/reservations/service.py
+++ b/carawaystair/reservations/service.py
@@ -24,9 +24,10 @@
 from carawaystair import timeline as timelines
 
 EXPIRE_EVERY_S = 5.0
-# A request that comes before this node knows the replicas waits for them in
-# steps of this.
-NOT_PLACED_S = 0.1
+# A request whose key's replicas this node does not know yet waits for them in
+# steps of the first, up to the second: whoever is refused must be told soon.
+NOT_PLACED_S = 0.05
+NOT_PLACED_MOST_S = 0.3
 # Memory for the keys kept here.
 CAPACITY = 16 * 1024 * 1024
 
@@ -172,14 +173,21 @@
     async def _partition(
         self, service: str, name: bytes, deadline: float
     ) -> int | None:
-        """Return the key's partition, once its placement is known."""
+        """Return the key's partition, once its placement is known.
+
+        Before any region holds keys there is nothing to wait for.
+        """
+        until = min(deadline, clock.now() + NOT_PLACED_MOST_S)
         while True:
             number = self.book.partition(service, name)
             if number is not None and self.book.get(number) is not None:
                 return number
-            if clock.now() + NOT_PLACED_S >= deadline:
-                return None
             self.following.hurry()
+            if number is None and self.book.space.regions:
+                self.planner.need_home()
+            late = clock.now() + NOT_PLACED_S >= until
+            if late or not self.book.space.regions:
+                return None
             await asyncio.sleep(NOT_PLACED_S)
 
     # Messages
--- a/carawaystair/reservations/upkeep.py
+++ b/carawaystair/reservations/upkeep.py
@@ -1,12 +1,15 @@
 """What the ledger must know of the manifest: homes and the longest window."""
 
+import itertools
 import typing
 
 from carawaystair import clock
+from carawaystair import manifest as manifests
 from carawaystair.reservations import ledger
 from carawaystair.reservations import placement
 from carawaystair.reservations import windows
 from carawaystair import routing as routings
+from carawaystair import rows
 
 
 class Upkeep:
@@ -57,12 +60,33 @@
         }
         late = windows.abstain_s(space.window_s)
         drop = [name for name, at in self.gone.items() if now - at > late]
-        add = [
-            (name, _home(routing, name, space.regions))
-            for name in sorted(services - known)
-        ]
+        add = homeless(routing, space)
         if add or drop:
-            yield ledger.Homes(tuple(add), tuple(sorted(drop)))
+            yield ledger.Homes(add, tuple(sorted(drop)))
+
+
+def data_centres(routing: routings.Routing) -> tuple[str, ...]:
+    """Return the data centres that the manifest names."""
+    table = routing.table
+    places = (
+        rows.decode(manifests.Place, table.get(key))
+        for key in table.small
+        if key.startswith(rows.REGION)
+    )
+    return tuple(
+        itertools.chain.from_iterable(place.data_centres for place in places)
+    )
+
+
+def homeless(
+    routing: routings.Routing, space: placement.Space
+) -> tuple[tuple[str, str], ...]:
+    """Return the services that have no home, with the one they get."""
+    known = {service for service, _home in space.homes}
+    new = sorted(set(routing.services()) - known)
+    if not space.regions:
+        return ()
+    return tuple((name, _home(routing, name, space.regions)) for name in new)
 
 
 def _home(
