Outlier detection: a suspect's answers no longer raise its own bounds

Cause: with three siblings and a few seconds of history, a third of the good answers were the gray upstream's own; the bounds of its route rose from 40 to 819 ms within 3 s and its answers counted as usual. Ruled out: too little evidence as such, since it peaked at 13.8 of 20 nats and fell again. Change: samples name their upstream, wait 5 s once their route has bounds, and those of a suspect are dropped, unless suspects are most of the service. Conclusion: a gray upstream among few siblings is now ejected.

--- a/carawaystair/outlier/evidence.py
+++ b/carawaystair/outlier/evidence.py
@@ -109,7 +109,7 @@
         bounds = pending.bounds if pending else outbox.bounds.get(route)
         category = _category(outcome, bounds, latency_s)
         if outcome == interfaces.GOOD:
-            outbox.sample(route, latency_s, self.rng)
+            outbox.sample(route, attempt.upstream, latency_s, self.rng)
         customer_class = levels.customer_class(attempt.customer)
         if outcome == interfaces.SILENT and pending and pending.flagged:
             # The connection was at fault; the upstream gets its share back.
--- a/carawaystair/outlier/intake.py
+++ b/carawaystair/outlier/intake.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from carawaystair.outlier import baseline as baselines
 from carawaystair.outlier import detectors
 from carawaystair.outlier import ledger as ledgers
 from carawaystair.outlier import levels
@@ -56,7 +57,7 @@
         self.pool = pool
         self.detector = detector
         self.reporters = reporters
-        self.routes = routes
+        self.baseline = baselines.Baseline(ledger, routes)
 
     def take(
         self, report: messages.Report, address: str, now: float
@@ -67,8 +68,7 @@
         :return: ids of the upstreams to judge.
         """
         self._reporter(report, address, now)
-        for sample in report.samples:
-            self.routes.add(sample.route, sample.latency_us / 1e6, now)
+        self.baseline.take(report.samples, now)
         table = self.ledger.known.table(report.service)
         cells = [
             cell
--- a/carawaystair/outlier/levels.py
+++ b/carawaystair/outlier/levels.py
@@ -87,6 +87,12 @@
     return xxhash.xxh32_intdigest(route.encode())
 
 
+@functools.lru_cache(4096)
+def short(upstream: str) -> int:
+    """Return a short number for an upstream's id."""
+    return xxhash.xxh32_intdigest(upstream.encode())
+
+
 @functools.lru_cache(4096)
 def customer_class(customer: str) -> int:
     """Return the class of a customer: one of a few stable groups."""
@@ -178,6 +184,11 @@
             latencies = self.table[route] = Latencies(now)
         latencies.add(latency_s, now)
 
+    def bounded(self, route: int, now: float) -> bool:
+        """Tell whether a route has answers enough for bounds."""
+        latencies = self.table.get(route)
+        return latencies is not None and latencies.count(now) >= ENOUGH
+
     def bounds(self, least_s: float, now: float) -> dict[int, Bounds]:
         """Return the bounds of each route that has enough answers."""
         return {
--- a/carawaystair/outlier/messages.py
+++ b/carawaystair/outlier/messages.py
@@ -37,10 +37,12 @@
 
     :param route: see ``levels.route_number``.
     :param latency_us: microseconds.
+    :param upstream: short number of the upstream, see ``levels.short``.
     """
 
     route: int
     latency_us: int
+    upstream: int = 0
 
 
 @wire.register(80)
--- a/carawaystair/outlier/reporter.py
+++ b/carawaystair/outlier/reporter.py
@@ -60,10 +60,17 @@
         cell[category] += count
         return cell
 
-    def sample(self, route: int, latency_s: float, rng: random.Random) -> None:
+    def sample(
+        self,
+        route: int,
+        upstream: str,
+        latency_s: float,
+        rng: random.Random,
+    ) -> None:
         """Keep some of the latencies (reservoir sampling; Vitter, 1985)."""
         self.offered += 1
-        sample = messages.Sample(route, int(latency_s * 1e6))
+        number = levels.short(upstream)
+        sample = messages.Sample(route, int(latency_s * 1e6), number)
         if len(self.samples) < MOST_SAMPLES:
             self.samples.append(sample)
             return
