--- a/carawaystair/request/caller.py
+++ b/carawaystair/request/caller.py
@@ -75,6 +75,8 @@
     if '/.' in path or '%' in path or '\\' in path:
         if DOTS.search(path.partition('?')[0]):
             raise Refused(codes.PATH_REFUSED)
+    if not path.isascii() or not host.isascii():
+        raise Refused(codes.REQUEST_MALFORMED, 'bytes beyond ASCII')
     if not host.endswith(']'):
         host = host.rpartition(':')[0] or host
     return Target(host.lower(), path.partition('#')[0], authority)
@@ -96,12 +98,14 @@
     name: str,
     host: str,
     now: float,
+    longest_s: float,
 ) -> calls.Call:
     """Read the head of a request; raises :class:`Refused`.
 
     :param known: returns what the manifest says of a customer, or None.
     :param name: the request's own id.
     :param host: the host of this node.
+    :param longest_s: time that a request may have at most.
     """
     given = request.headers
     method = request.method
@@ -119,7 +123,7 @@
         match,
         customer,
         charged,
-        now + budget_ms(given, match.service) / 1000,
+        now + min(budget_ms(given, match.service) / 1000, longest_s),
         idempotent,
         '' if idempotent else _key(given),
         method,
@@ -139,15 +143,14 @@
     raw = request.raw_headers
     if place.authority:
         raw = [pair for pair in raw if pair[0].lower() != b'host']
-    first = '%s %s HTTP/1.1\r\nVia: 1.1 %s\r\n%s%s' % (
-        request.method,
-        place.path,
+    first = '%s %s HTTP/1.1\r\n' % (request.method, place.path)
+    last = 'Via: 1.1 %s\r\n%s%s' % (
         host,
         'Caraway-Customer: %s\r\n' % customer if customer else '',
         'Host: %s\r\n' % place.authority if place.authority else '',
     )
-    sent = first.encode('utf-8', 'surrogateescape')
-    return sent + headers.lines(raw, connection)
+    # Via names the hops in their order, so ours comes last.
+    return first.encode() + headers.lines(raw, connection) + last.encode()
 
 
 def _single(given, name: str, code: codes.Code) -> str | None:
--- a/carawaystair/request/handler.py
+++ b/carawaystair/request/handler.py
@@ -1,6 +1,7 @@
 """A caller's request, from its head to the last byte of its answer."""
 
 import itertools
+import math
 import typing
 
 
@@ -31,6 +32,8 @@
 
     :param host: the host of the node.
     :param prefix: begins the ids of requests, other at every start.
+    :param drain_s: time that a stop gives to requests in flight; none may
+        have more, or a stop would cut it off.
     :param admission: decides when a request may start.
     :param reservations: holds idempotency keys.
     :param routing: returns the configuration in force.
@@ -42,6 +45,7 @@
         self,
         host: str,
         prefix: str,
+        drain_s: float,
         admission: interfaces.Admission,
         reservations: interfaces.Reservations,
         routing: typing.Callable[[], routings.Routing | None],
@@ -51,11 +55,15 @@
         self.host = host
         self.prefix = prefix
         self.numbers = itertools.count(1)
+        # Without a drain, a stop cuts off whatever there is.
+        self.longest_s = drain_s or math.inf
         self.admission = admission
         self.routing = routing
         self.sender = sender
         self.meters = meters
-        self.keyed = keyeds.Keyed(reservations, self._send_keyed, sender.spawn)
+        self.keyed = keyeds.Keyed(
+            reservations, self._send_keyed, sender.spawn, sender.cut
+        )
         self.held = bodies.Held()
         self.active = 0
         # While the node stops: the time by which everything must be over.
@@ -106,6 +114,7 @@
             exchange.id,
             self.host,
             now,
+            self.longest_s,
         )
         exchange.id = call.id
         if self.ends is not None:
--- a/carawaystair/request/keyed.py
+++ b/carawaystair/request/keyed.py
@@ -24,6 +24,7 @@
     :param reservations: holds the keys.
     :param run: sends a request, with a slot of its own.
     :param spawn: runs something to its end even when the caller goes away.
+    :param cut: ends an attempt whose long answer nobody takes.
     """
 
     def __init__(
@@ -31,10 +32,12 @@
         reservations: interfaces.Reservations,
         run: Run,
         spawn: typing.Callable[[typing.Coroutine], asyncio.Task],
+        cut: typing.Callable[[typing.Any], None],
     ) -> None:
         self.reservations = reservations
         self.run = run
         self.spawn = spawn
+        self.cut = cut
 
     async def answer(self, call: calls.Call) -> answers.Answer:
         """Return the answer to a keyed request, be it this run's or not.
@@ -58,7 +61,18 @@
         # The caller may go away, and with it this task; what has been sent
         # runs all the same, and its outcome must be stored for the repeat.
         task = self.spawn(self._granted(call, reserved.token))
-        return await asyncio.shield(task)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            task.add_done_callback(self._unwanted)
+            raise
+
+    def _unwanted(self, task: asyncio.Task) -> None:
+        """End the long answer of a run whose caller has gone."""
+        if task.cancelled() or task.exception() is not None:
+            return
+        if task.result().rest is not None:
+            self.cut(task.result().rest)
 
     async def _granted(self, call: calls.Call, token: str) -> answers.Answer:
         try:
--- a/carawaystair/request/service.py
+++ b/carawaystair/request/service.py
@@ -71,6 +71,7 @@
         self.handler = handlers.Handler(
             settings.host,
             '%s-%x' % (settings.host, start),
+            settings.node.drain_s,
             parts.admission,
             parts.reservations,
             parts.routing,
--- a/carawaystair/request/shares.py
+++ b/carawaystair/request/shares.py
@@ -17,6 +17,7 @@
 # Work leaves the region only when the region's usable slots, times this
 # factor, fall below its known ones; and then only the part that it lacks.
 SPARE = 1.4
+LEAST_PART = 0.01
 
 Targets = typing.Sequence[targets.Target]
 
@@ -75,7 +76,8 @@
     if not used.far or (used.near and part >= 1.0):
         return _made(used.near, near)
     # So that the shares of the far ones sum up to what the region lacks.
-    factor = sum(near) * (1.0 - part) / (part * sum(far)) if near else 1.0
+    lacking = (1.0 - part) / max(part, LEAST_PART)
+    factor = sum(near) * lacking / sum(far) if near else 1.0
     far = [share * factor for share in far]
     return _made((*used.near, *used.far), (*near, *far))
 
--- a/test/test_request_http.py
+++ b/test/test_request_http.py
@@ -100,6 +100,11 @@
     'plain dots': (HEAD.replace(b'/x', b'/../y') + b'\r\n', 'CS-3013'),
     'expectation': (HEAD + b'Expect: more\r\n\r\n', 'CS-3014'),
     'loop': (HEAD + b'Via: 1.0 x, 1.1 h1 (y)\r\n\r\n', 'CS-3015'),
+    'path beyond ascii': (HEAD.replace(b'/x', b'/\xff') + b'\r\n', 'CS-3004'),
+    'host beyond ascii': (
+        HEAD.replace(b'Host: h', b'Host: h\xff') + b'\r\n',
+        'CS-3004',
+    ),
     'no route': (HEAD.replace(b'portal', b'other') + b'\r\n', 'CS-3001'),
 }
 
--- a/test/test_request_keyed.py
+++ b/test/test_request_keyed.py
@@ -71,6 +71,29 @@
     assert len(setup.runs) == 1
 
 
+def test_long_answer_that_nobody_takes():
+    """Symptom: upstreams seem busy for ever.
+    Sequence: the caller of a keyed request leaves before its long answer.
+    Cause: what nobody takes is ended by whoever notices.
+    """
+
+    async def script(upstream, seen, writer):
+        await asyncio.sleep(1.0)
+        writer.write(setups.reply(bytes(500_000)))
+
+    async def scenario():
+        upstream = setups.Upstream(9001, script)
+        async with setups.running(upstream) as setup:
+            task = asyncio.create_task(with_key(setup))
+            await asyncio.sleep(0.2)
+            task.cancel()
+            await asyncio.sleep(2.0)
+            targets = setup.path.chooser.targets.values()
+            return [target.in_flight for target in targets], upstream.gone
+
+    assert pipes.run(scenario()) == ([0], 1)
+
+
 def test_unknown_end_keeps_the_key():
     """Symptom: a payout is made twice.
     Sequence: the upstream dies after it took the request; the caller
--- a/test/test_request_stop.py
+++ b/test/test_request_stop.py
@@ -29,7 +29,7 @@
         upstream = setups.Upstream(9001, slow)
         async with setups.running(upstream, routes=BULK, drain_s=6.0) as setup:
             open_one, open_two = await setups.connect(), await setups.connect()
-            await setups.ask(*open_one)
+            await setups.ask(*open_one, Caraway_Deadline_Ms='3000000')
             await setups.ask(*open_two)
             tasks = [
                 asyncio.create_task(setup.ask('/portal/x')),
@@ -46,6 +46,11 @@
             with pytest.raises(ConnectionRefusedError):
                 await setup.ask()
             late = await setups.ask(*open_one, Caraway_Deadline_Ms='2000')
+            # None may have more time than a stop gives.
+            assert {
+                float(seen.headers['caraway-deadline-ms']) <= 6000.0
+                for seen in setup.runs
+            } == {True}
             refused = await setups.ask(*open_two, '/bulk/x')
             answers = await asyncio.gather(*tasks)
             await stop
