Stand-in: a refusal says that it was not run

Cause: docs/operate/answers.md lets only 503 with Caraway-Outcome: not-run count as proof; without it, POSTs that a stand-in refused before running were passed on as complete and never went to another upstream. Change: the header on its refusals.

--- a/standin/upstream.py
+++ b/standin/upstream.py
@@ -285,7 +285,10 @@
         self.counts[why] += 1
         return web.Response(
             status=503,
-            headers={'Retry-After': RETRY_AFTER_S},
+            headers={
+                'Caraway-Outcome': 'not-run',
+                'Retry-After': RETRY_AFTER_S,
+            },
             text='not run: %s' % why,
         )
 
