--- a/carawaystair/admin/capacity.py
+++ b/carawaystair/admin/capacity.py
@@ -1,9 +1,9 @@
 """What a planned stop would leave of each service.
 
 Control hosts know the manifest only; nodes know the upstreams.  So a control
-host asks a few nodes what a stop would leave, and believes the worst answer:
-a node that has not yet heard of new upstreams refuses a stop that another
-would allow, never the other way round.
+host asks a few nodes what a stop would leave, and takes the strictest of all
+that they say: a node that has not yet heard of new upstreams makes it refuse
+a stop that another would allow, never the other way round.
 """
 
 import asyncio
@@ -138,7 +138,7 @@
 
     :param nodes: addresses of nodes.
     :param stops: all planned stops, as they would be.
-    :return: the worst :class:`Capacity` of each service, by name; or
+    :return: the strictest :class:`Capacity` of each service, by name; or
         ``CAPACITY_UNKNOWN``.
     """
     question = AskCapacity(stops.hosts, stops.data_centres)
@@ -156,12 +156,22 @@
 
 
 def _worst(answers: typing.Iterable[TellCapacity]) -> dict[str, Capacity]:
+    """Return the strictest view of each service.
+
+    A node that has just started knows few upstreams: it would see little
+    left, but a low floor as well.  So what is known is the most that any
+    node knows, and what is left the least.
+    """
     every = itertools.chain.from_iterable(a.services for a in answers)
     worst: dict[str, Capacity] = {}
     for each in every:
-        known = worst.get(each.service)
-        if known is None or each.left < known.left:
-            worst[each.service] = each
+        seen = worst.setdefault(each.service, each)
+        worst[each.service] = Capacity(
+            each.service,
+            max(seen.known, each.known),
+            max(seen.now, each.now),
+            min(seen.left, each.left),
+        )
     return worst
 
 
--- a/carawaystair/admin/service.py
+++ b/carawaystair/admin/service.py
@@ -186,7 +186,7 @@
     trail = audit.Trail(group, kernel.timeline)
     served = resources.every(
         changes.Changes(group, guard),
-        stops.Stops(group, guard),
+        stops.Stops(group, guard, fleet),
         members.Members(group),
         observe.Observe(group, fleet, trail, kernel.timeline),
     )
--- a/carawaystair/admin/stops.py
+++ b/carawaystair/admin/stops.py
@@ -1,10 +1,14 @@
 """Planned stops of hosts and data centres."""
 
+import asyncio
 import typing
 
+import expression
+
 from carawaystair.admin import calls
 from carawaystair.admin import document
 from carawaystair.admin import fields
+from carawaystair.admin import fleet as fleets
 from carawaystair.admin import guard as guards
 from carawaystair.admin import replies
 from carawaystair.admin import teams
@@ -37,12 +41,15 @@
     :param digest: its digest, hex.
     :param submission: id of the submission.
     :param drains: all planned stops now.
+    :param unheard: hosts of this stop that no control host has heard of
+        lately; perhaps a misspelt name.
     """
 
     version: str
     digest: str
     submission: str
     drains: manifests.Drains
+    unheard: tuple[str, ...]
 
 
 class Stops:
@@ -50,11 +57,18 @@
 
     :param group: the control group.
     :param guard: checks them against the capacity floors.
+    :param fleet: knows the hosts.
     """
 
-    def __init__(self, group: control.Control, guard: guards.Guard) -> None:
+    def __init__(
+        self,
+        group: control.Control,
+        guard: guards.Guard,
+        fleet: fleets.Fleet,
+    ) -> None:
         self.group = group
         self.guard = guard
+        self.fleet = fleet
 
     async def drain(self, call: calls.Call) -> replies.Reply:
         """Plan a stop, or end one."""
@@ -83,7 +97,11 @@
             again = result.is_error() and result.error.code == codes.CONFLICT
             if not again:
                 break
-        return result.map(lambda ok: self._stopped(ok, name))
+        if result.is_error():
+            return result
+        known = {node.host for node in await self.fleet.nodes()}
+        unheard = tuple(host for host in stop.hosts if host not in known)
+        return expression.Ok(self._stopped(result.ok, name, unheard))
 
     async def _plan_once(
         self, caller: teams.Caller, full_id: str, stop: Stop
@@ -96,15 +114,18 @@
         if checked.is_error():
             return checked
         table = document.with_drains(base.table, wanted)
-        manifest = document.encode(table)
+        manifest = await asyncio.to_thread(document.encode, table)
         submission = control.Submission(
             full_id, caller.author(), base.digest, manifest
         )
         return await self.group.submit(submission)
 
-    def _stopped(self, ok: control.Accepted, name: str) -> Stopped:
+    def _stopped(
+        self, ok: control.Accepted, name: str, unheard: tuple[str, ...]
+    ) -> Stopped:
         drains = document.drains(self.group.table())
-        return Stopped(str(ok.version), ok.digest.hex(), name, drains)
+        version, digest = str(ok.version), ok.digest.hex()
+        return Stopped(version, digest, name, drains, unheard)
 
 
 def _merge(old: manifests.Drains, stop: Stop) -> manifests.Drains:
--- a/carawaystair/control/replicated.py
+++ b/carawaystair/control/replicated.py
@@ -31,6 +31,8 @@
 # How long the leader may take for one change that was passed on to it.
 PASS_ON_S = 3.0
 PAUSE_S = 0.2
+# How long a manifest that was read is remembered.
+RECENT_S = 10.0
 CONTENT_BYTES = 16
 # Refusals that another try may turn into an answer.
 PASSING = (codes.NOT_LEADER, codes.OUTCOME_UNKNOWN, codes.PEER_SILENT)
@@ -43,6 +45,19 @@
 Outcome = expression.Result[tuple[rows.Version, bytes], codes.Failure]
 
 
+class Recent(typing.NamedTuple):
+    """A manifest that was read a moment ago.
+
+    :param manifest: its bytes.
+    :param table: its rows.
+    :param read: monotonic time at which it was read.
+    """
+
+    manifest: bytes
+    table: rows.Table
+    read: float
+
+
 class Replicated(mode.Service):
     """Keeps ``interfaces.Control``.
 
@@ -68,6 +83,7 @@
         self.machine = machine
         self.timeline = timeline
         self.offload = offload
+        self.recent: Recent | None = None
         self.transport = replica.shared.transport
         self.confirming = confirming.Confirming(replica)
         self.transport.handle(messages.Propose, self._on_propose)
@@ -99,9 +115,7 @@
             return read
         wanted = read.ok
         await self._catch_up(submission.parent)
-        delta = await self.offload(
-            rows.difference, self.machine.table, wanted, rows.NONE, rows.NONE
-        )
+        delta = await self._difference(wanted)
         change = submissions.Change(
             submission.id,
             submission.author,
@@ -146,15 +160,7 @@
         read = await self._read(manifest)
         if read.is_error():
             return read
-        version = self.machine.version
-        delta = await self.offload(
-            rows.difference,
-            self.machine.table,
-            read.ok,
-            version,
-            rows.Version(version.term, version.index + 1),
-        )
-        return expression.Ok(delta)
+        return expression.Ok(await self._difference(read.ok))
 
     async def preview_rollback(
         self, to: rows.Version
@@ -181,12 +187,39 @@
         return _accepted(answer)
 
     async def _read(self, manifest: bytes) -> expression.Result:
-        """Return the rows of a manifest, or all its mistakes."""
+        """Return the rows of a manifest, or all its mistakes.
+
+        A submission is previewed, checked and then made, with the same
+        bytes.  At the size to design for it takes half a second to read
+        them, so the last ones are remembered for a moment.
+        """
+        if self.recent is not None and self.recent.manifest is manifest:
+            return expression.Ok(self.recent.table)
         read = await self.offload(manifests.read, manifest)
         if read.is_error():
             code, mistakes = read.error
             return _refuse(code, mistakes=tuple(mistakes))
-        return expression.Ok(await self.offload(rows.from_manifest, read.ok))
+        table = await self.offload(rows.from_manifest, read.ok)
+        self.recent = Recent(manifest, table, clock.now())
+        return expression.Ok(table)
+
+    def _forget(self) -> None:
+        """Let go of the manifest that was read last, when it is old."""
+        if self.recent and clock.now() - self.recent.read > RECENT_S:
+            self.recent = None
+
+    async def _difference(self, wanted: rows.Table) -> rows.Delta:
+        """Return what leads from the table applied here to another one."""
+        machine = self.machine
+        version = machine.version
+        return await self.offload(
+            rows.difference,
+            machine.table,
+            wanted,
+            version,
+            rows.Version(version.term, version.index + 1),
+            machine.digest,
+        )
 
     async def _catch_up(self, parent: bytes) -> None:
         """Make sure that a parent unknown here is not merely news."""
@@ -293,6 +326,8 @@
         self,
     ) -> expression.Result[rows.Version, interfaces.Refusal]:
         """Return the version in force, confirmed by a quorum just now."""
+        # Nodes ask all the time.
+        self._forget()
         result = await self.confirming.confirm()
         if result.is_error():
             return self._refused(result.error)
--- a/carawaystair/rows.py
+++ b/carawaystair/rows.py
@@ -7,6 +7,7 @@
 """
 
 import hashlib
+import itertools
 import typing
 
 import msgspec
@@ -151,16 +152,26 @@
 
 
 def difference(
-    old: Table, new: Table, base: Version, version: Version
+    old: Table,
+    new: Table,
+    base: Version,
+    version: Version,
+    before: bytes = b'',
 ) -> Delta:
-    """Return the delta that leads from ``old`` to ``new``."""
-    put = tuple(
-        (key, value)
-        for key, value in sorted(new.items())
-        if old.get(key) != value
-    )
-    drop = tuple(sorted(key for key in old if key not in new))
-    return Delta(base, version, put, drop, digest(new))
+    """Return the delta that leads from ``old`` to ``new``.
+
+    :param before: digest of ``old`` where it is known; the digest of ``new``
+        then costs what changes and not what stays.
+    """
+    changed = [item for item in new.items() if old.get(item[0]) != item[1]]
+    put, drop = tuple(sorted(changed)), tuple(sorted(old.keys() - new.keys()))
+    if not before:
+        return Delta(base, version, put, drop, digest(new))
+    total = int.from_bytes(before)
+    total += sum(row_digest(key, value) for key, value in put)
+    touched = itertools.chain((key for key, _value in put), drop)
+    total -= sum(row_digest(key, old[key]) for key in touched if key in old)
+    return Delta(base, version, put, drop, (total % MODULUS).to_bytes(16))
 
 
 def apply(table: Table, delta: Delta) -> Table:
--- a/carawaystairplug/commands_changes.py
+++ b/carawaystairplug/commands_changes.py
@@ -260,3 +260,5 @@
     print('Hosts: %s' % (', '.join(drains.get('hosts', ())) or 'none'))
     named = ', '.join(drains.get('data_centres', ())) or 'none'
     print('Data centres: %s' % named)
+    for host in answer.get('unheard', ()):
+        output.note('No host named %s was heard of lately.' % host)
--- a/carawaystairplug/commands_node.py
+++ b/carawaystairplug/commands_node.py
@@ -21,6 +21,8 @@
 
 PAGE = 1000
 FOLLOW_S = 1.0
+# Processes read at the same time.
+AT_ONCE = 32
 # Filters of "timeline", by option and field of the event alike.
 FILTERS = ('request', 'upstream', 'service', 'version', 'host', 'kind')
 
@@ -195,15 +197,13 @@
 ) -> _News:
     """Read what is newer than ``marks`` and move the marks on."""
     exit_code = command.EXIT_OK
-    rings = []
-    for index, source in enumerate(sources):
-        read = asyncio.run(_read(source, marks[index]))
+    reads = asyncio.run(_read_every(sources, marks))
+    for index, read in enumerate(reads):
         if read.refusal is not None:
             exit_code = api.refused(read.refusal)
         marks[index] = max([marks[index], *(e.time for e in read.events)])
-        rings.append(read.events)
     # A process that holds both roles answers at both of its addresses.
-    merged = dict.fromkeys(timelines.merge(*rings))
+    merged = dict.fromkeys(timelines.merge(*(read.events for read in reads)))
     return _News(exit_code, [e for e in merged if _wanted(options, e)])
 
 
@@ -214,6 +214,19 @@
     refusal: client.Refusal | None = None
 
 
+async def _read_every(
+    sources: list[client.Client], marks: list[int]
+) -> list[_Read]:
+    """Read all processes, a few at a time."""
+    few = asyncio.Semaphore(AT_ONCE)
+
+    async def _one(source: client.Client, mark: int) -> _Read:
+        async with few:
+            return await _read(source, mark)
+
+    return await asyncio.gather(*map(_one, sources, marks))
+
+
 async def _read(source: client.Client, since: int) -> _Read:
     """Read all pages of one process; say why when one is missing."""
     events: list[timelines.Event] = []
--- a/carawaystairplug/commands_watch.py
+++ b/carawaystairplug/commands_watch.py
@@ -113,14 +113,15 @@
             each['name'],
             len(each['upstreams']),
             sum(u['state'] == 'draining' for u in each['upstreams']),
-            len(each['ejected']),
-            ', '.join(each['ejected']),
+            '%(healthy)d of %(slots)d' % each,
+            each['bound'],
+            ', '.join(each['ejected']) or '-',
         )
         for each in services
     ]
     if rows:
-        heads = ('service', 'upstreams', 'draining', 'ejected', 'which')
-        output.table(heads, rows)
+        heads = ('upstreams', 'draining', 'healthy slots', 'floor', 'ejected')
+        output.table(('service', *heads), rows)
 
 
 # current
--- a/test/test_admin.py
+++ b/test/test_admin.py
@@ -4,9 +4,12 @@
 import copy
 import json
 import random
+import urllib.parse
 
 from aiohttp import test_utils
 import expression
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from carawaystair.admin import audit
@@ -31,12 +34,15 @@
 from carawaystair.control import replicated
 from carawaystair.control import submissions
 from carawaystair import interfaces
+from carawaystair import manifest as manifests
 from carawaystair import publisher
 from carawaystair import routing
 from carawaystair import rows
 from carawaystair import settings as settings_module
 from carawaystair import timeline as timelines
 from test import fakes
+from test import test_admin_openapi
+from test import test_manifest
 
 CONTROL = '127.0.0.1:7000'
 NODE = '127.0.0.1:7001'
@@ -125,7 +131,7 @@
         trail = audit.Trail(self.group, self.timeline)
         served = resources.every(
             changes.Changes(self.group, guard),
-            stops.Stops(self.group, guard),
+            stops.Stops(self.group, guard, fleet),
             members.Members(self.group),
             observe.Observe(self.group, fleet, trail, self.timeline),
         )
@@ -147,15 +153,21 @@
         asyncio.run(_run())
 
     async def ask(self, method, path, body=None, token='', **headers):
-        """Ask the API; return status and decoded answer."""
+        """Ask the API; return status and decoded answer.
+
+        :param body: a JSON value, or the bytes or stream to send as it is.
+        """
         named = {k.replace('_', '-'): v for k, v in headers.items()}
         if token:
             named['Authorization'] = 'Bearer %s' % token
-        raw = body is None or hasattr(body, '__aiter__')
+        raw = isinstance(body, (bytes, type(None)))
+        raw = raw or hasattr(body, '__aiter__')
         data = body if raw else json.dumps(body).encode()
         answer = await self.client.request(
             method, path, data=data, headers=named
         )
+        if answer.content_type != 'application/json':
+            return answer.status, await answer.text()
         value = await answer.json()
         assert answer.headers['Caraway-Code'] == value_code(value)
         return answer.status, value
@@ -399,6 +411,7 @@
         ]
         assert [status for status, _a in answers] == [200, 409, 409, 200]
         assert answers[0][1]['drains']['hosts'] == ['host-0']
+        assert answers[0][1]['unheard'] == ['host-0']
         assert answers[1][1]['code'] == 'CS-8107'
         assert 'portal would keep 4 of 12' in answers[1][1]['detail']
         assert answers[3][1]['drains']['hosts'] == []
@@ -498,6 +511,38 @@
     Rig(tmp_path, *ALL).drive(scenario)
 
 
+def test_node_that_knows_little_lets_no_stop_pass():
+    """A node has just started and knows one upstream of three.
+
+    Symptom: a stop passes that leaves a third of a service.  Sequence: the
+    node with the least left is believed, and its floor, too.  Cause: little
+    known means a low floor.
+    """
+
+    async def scenario():
+        network = fakes.Network()
+        manifest = manifests.read(json.dumps(MANIFEST).encode()).ok
+        table = rows.from_manifest(manifest)
+        now = routing.Routing(rows.Version(1, 1), table)
+        every = [upstream(h, 'portal', h, 'rvk-a') for h in 'abc']
+        nodes = ['127.0.0.1:1', '127.0.0.1:2']
+        for address, known in zip(nodes, (every, every[:1])):
+            capacity.Answerer(
+                network.transport(address),
+                fakes.Directory(*known),
+                Health(),
+                lambda: now,
+            )
+        stops = manifests.Drains(hosts=('b', 'c'))
+        asked = await capacity.ask(
+            network.transport(CONTROL), nodes, stops, random.Random(1)
+        )
+        assert len(capacity.broken(table, asked.ok)) == 1
+        assert '4 of 12' in capacity.broken(table, asked.ok)[0]
+
+    fakes.run(scenario())
+
+
 def test_reads_without_a_quorum_are_marked_stale(tmp_path):
     """A control host is cut off and still believes that it is current.
 
@@ -641,3 +686,46 @@
             assert (status, answer['code']) == (404, 'CS-8109')
 
     Rig(tmp_path).drive(scenario)
+
+
+HEADER = strategies.text(
+    strategies.characters(min_codepoint=33, max_codepoint=126), max_size=40
+)
+REQUESTS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            [(r.method, r.path) for r in test_admin_openapi.served()]
+        ),
+        strategies.binary(max_size=60)
+        | test_manifest.JSON.map(lambda v: json.dumps(v).encode()),
+        HEADER,
+        HEADER,
+        HEADER,
+    ),
+    min_size=20,
+    max_size=40,
+)
+
+
+@hypothesis.given(requests=REQUESTS)
+@hypothesis.settings(
+    max_examples=12, deadline=None, phases=[hypothesis.Phase.generate]
+)
+def test_no_request_makes_the_api_fail(tmp_path_factory, requests):
+    """Whatever is sent is answered with a number that is no defect."""
+
+    async def scenario(rig):
+        for (method, path), body, one, two, three in requests:
+            status, _answer = await rig.ask(
+                method,
+                path.replace('{id}', urllib.parse.quote(one))
+                + '?limit='
+                + urllib.parse.quote(two),
+                body,
+                Caraway_Parent=one,
+                Caraway_Submission=two,
+                Caraway_Operator=three,
+            )
+            assert status < 500, (method, path, body, one, two, three)
+
+    Rig(tmp_path_factory.mktemp('fuzz')).drive(scenario)
--- a/test/test_admin_openapi.py
+++ b/test/test_admin_openapi.py
@@ -53,7 +53,7 @@
     """Return the resources, bound to nothing."""
     return resources.every(
         changes.Changes(None, None),
-        stops.Stops(None, None),
+        stops.Stops(None, None, None),
         members.Members(None),
         observe.Observe(None, None, None, None),
     )
--- a/test/test_keys.py
+++ b/test/test_keys.py
@@ -4,6 +4,10 @@
 import contextlib
 import json
 import os
+import pathlib
+import signal
+import subprocess
+import sys
 
 import pytest
 import zmq
@@ -17,6 +21,7 @@
 from carawaystair import timeline
 from carawaystair import wire
 from test import fakes
+from test import test_daemon
 from test import test_links
 
 OLD, NEW, OTHER = keys.generate(), keys.generate(), keys.generate()
@@ -294,3 +299,44 @@
     file.write_text(json.dumps(settings))
     assert daemon.main(['--settings', str(file)]) == daemon.EXIT_SETTINGS
     assert codes.KEY_FILE_INVALID.label in capsys.readouterr().err
+
+
+def test_daemon_takes_the_keys_of_its_settings_at_sighup(tmp_path):
+    """Keys are rotated on a running process; one step goes wrong.
+
+    Symptom: the process stops, or goes on without keys.  Sequence: settings
+    name the new key and SIGHUP is sent; then they name a file that is not
+    there.  Cause: the old keys are let go before the new ones are read.
+    """
+    paths = [str(tmp_path / name) for name in ('old.key', 'new.key')]
+    for key, path in zip((OLD, NEW), paths):
+        keys.write(key, pathlib.Path(path))
+    file = test_daemon.settings(tmp_path, keys=paths[:1])
+    local = json.loads(file.read_text())['node']['local']
+    process = subprocess.Popen(
+        [sys.executable, '-m', 'carawaystair.daemon', '--settings', file],
+        cwd=pathlib.Path(__file__).parent.parent,
+        stderr=subprocess.PIPE,
+    )
+    try:
+        test_daemon._get('http://%s/v1/status' % local)
+        document = json.loads(file.read_text())
+        for named in (paths, [str(tmp_path / 'none')]):
+            file.write_text(json.dumps(document | {'keys': named}))
+            process.send_signal(signal.SIGHUP)
+            told = _told(process, 'Took other keys', 'Kept the old keys')
+        assert 'Kept the old keys' in told and 'CS-1014' in told
+        events = test_daemon._get('http://%s/v1/timeline' % local)
+        changed = [e['text'] for e in events if e['kind'] == 'keys-changed']
+        assert changed == ['now %s, %s' % (OLD.id, NEW.id)]
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def _told(process: subprocess.Popen, *texts: str) -> str:
+    """Return the next log line that holds one of ``texts``."""
+    for line in process.stderr:
+        if any(text in line.decode() for text in texts):
+            return line.decode()
+    raise AssertionError('the process ended')
--- a/test/test_rows.py
+++ b/test/test_rows.py
@@ -1,5 +1,7 @@
 """Tests of the configuration as rows, and of routing by them."""
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from carawaystair import manifest as manifests
@@ -39,6 +41,20 @@
     assert rows.digest(new) == delta.digest != rows.digest(old)
 
 
+TABLES = strategies.dictionaries(
+    strategies.text(max_size=2), strategies.binary(max_size=2), max_size=6
+)
+
+
+@hypothesis.given(old=TABLES, new=TABLES)
+def test_digest_that_follows_from_the_old_one_is_that_of_the_new(old, new):
+    one, two = rows.Version(1, 1), rows.Version(1, 2)
+    delta = rows.difference(old, new, one, two, rows.digest(old))
+    assert delta == rows.difference(old, new, one, two)
+    assert delta.digest == rows.digest(new)
+    assert rows.apply(old, delta) == new
+
+
 @pytest.mark.parametrize(
     ('host', 'path', 'key'),
     [
