Capacity: restarts of hosts from the membership's slopes

Cause: the line rested on guessed copies and sizes. Change: it takes messages, bytes and CPU a change from exp_gossip. Conclusion: measured but for the five changes.

--- a/bench/capacity_lines.py
+++ b/bench/capacity_lines.py
@@ -39,10 +39,9 @@
 POLL_S = 2.0
 NEWS_FANOUT = 3
 NEWS_BYTES = 60
-# A record of a host with 11 upstreams, and how often it arrives at a node: at
-# a restart it leaves and joins, over each of a few links.
-RECORD_BYTES = 900
-RECORD_COPIES = 6
+# What a restart changes in its host's record: it leaves, comes back, and its
+# upstreams come up in a few steps.
+CHANGES_A_RESTART = 5
 EVENTS = timeline.DEFAULT_CAPACITY
 
 MEASURED = 'measured'
@@ -190,17 +189,20 @@
 
 def _changes_of_hosts(measured) -> Line:
     """Each restart of a host travels to every node once, a few copies."""
-    restarts = RESTARTS_DAY / DAY_S
-    messages = restarts * RECORD_COPIES * 2
-    cpu = messages * measured['links.cpu_us.by_messages']
+    changes = RESTARTS_DAY / DAY_S * CHANGES_A_RESTART
+
+    def _at_size(name: str) -> float:
+        name = 'gossip.change.' + name
+        return measured[name] * NODES + measured[name + '.intercept']
+
     return Line(
         'records of hosts that restart',
-        messages,
-        cpu,
-        messages * RECORD_BYTES,
+        2 * changes * _at_size('messages.by_nodes'),
+        changes * _at_size('cpu_us.by_nodes'),
+        2 * changes * _at_size('bytes.by_nodes'),
         0.0,
-        'flooding over a bounded overlay',
-        RECKONED,
+        'flooding over a bounded overlay, digests behind it',
+        'gossip; %d changes a restart are assumed' % CHANGES_A_RESTART,
     )
 
 
