Outlier detection: eject later, since a hold already protects callers

Cause: 1 to 4 healthy upstreams an hour were ejected under tails, one slow customer or a slow service with detection fast. Change: 14 nats over 0.4 s instead of 11 over 0.15 s, and a penalty of 5 nats for a group of callers instead of 3.

--- a/carawaystair/outlier/judge.py
+++ b/carawaystair/outlier/judge.py
@@ -19,7 +19,7 @@
 REFUSED_EVERY_S = 30.0
 # One of many groups is bad by chance more often than all callers together;
 # nats.
-GROUP_PENALTY = 3.0
+GROUP_PENALTY = 5.0
 # When so many others became suspect within so long, a common cause is likely:
 # the evidence is then weighed anew, against siblings as they are now.
 MANY_SHARE = 0.3
--- a/carawaystair/outlier/tuning.py
+++ b/carawaystair/outlier/tuning.py
@@ -41,9 +41,9 @@
 
 FAST = Tuning(
     suspect=3.5,
-    eject=11.0,
+    eject=14.0,
     clear=1.0,
-    span_s=0.15,
+    span_s=0.4,
     held_weight=0.02,
     hold_s=1.0,
     backoff_s=5.0,
