--- a/bench/detection_faults.py
+++ b/bench/detection_faults.py
@@ -179,6 +179,31 @@
         one.factor = model.usual
 
 
+async def mixed(world, server, end) -> None:
+    """Let long tails, bursts, pauses and a slow customer come and go."""
+    rng = random.Random(world.rng.random())
+    state = {'slow': False}
+    big = model.CUSTOMERS[0]
+
+    def factor(request):
+        slow = SLOW if state['slow'] and request.customer == big else 1.0
+        return slow * (TAIL if rng.random() < TAIL_SHARE / 2 else 1.0)
+
+    for one in world.servers:
+        one.factor = factor
+    while not end.done():
+        kind = rng.choice(('burst', 'pause', 'customer', 'quiet'))
+        world.rate_factor = 4.0 if kind == 'burst' else 1.0
+        state['slow'] = kind == 'customer'
+        if kind == 'pause':
+            await pause_node(world, rng.uniform(0.2, 1.5))
+        lasts = 1.0 if kind == 'burst' else rng.uniform(2.0, 12.0)
+        await asyncio.wait([end], timeout=lasts)
+    world.rate_factor = 1.0
+    for one in world.servers:
+        one.factor = model.usual
+
+
 # Faults of an upstream for every caller: it ought to be ejected.
 GRAY: dict[str, Fault] = {
     'hang': hang,
@@ -202,4 +227,5 @@
     'tails': tails,
     'customer-everywhere': customer,
     'all-slow': everything_slow,
+    'mixed': mixed,
 }
--- a/bench/detection_runs.py
+++ b/bench/detection_runs.py
@@ -28,6 +28,7 @@
     :param fault: name of the fault.
     :param seed: of all randomness.
     :param episodes: faults in a row, each of another upstream.
+    :param fault_s: length of each, seconds.
     """
 
     site: model.Site
@@ -35,6 +36,7 @@
     fault: str
     seed: int
     episodes: int
+    fault_s: float = FAULT_S
 
 
 class Episode(typing.NamedTuple):
@@ -42,6 +44,8 @@
 
     :param detection_s: from its start to the last first attempt that was
         sent to the upstream during it; its whole length at most.
+    :param first_s: from its start to the first attempt of any kind: no
+        policy can react before.
     :param sent: first attempts of those concerned, sent to the upstream.
     :param after: those later than three seconds after the start.
     :param fair: what an equal share of such work would have been, after.
@@ -53,6 +57,7 @@
     """
 
     detection_s: float
+    first_s: float
     sent: int
     after: int
     fair: float
@@ -122,7 +127,7 @@
     end = loop.create_future()
     every = faults.GRAY | faults.PARTIAL | faults.NOISE
     task = asyncio.ensure_future(every[plan.fault](world, server, end))
-    await asyncio.sleep(FAULT_S)
+    await asyncio.sleep(plan.fault_s)
     stop = loop.time()
     end.set_result(None)
     await task
@@ -141,6 +146,7 @@
     held = [e for e in events if e.kind == 'upstream-suspected']
     return Episode(
         max(first, default=0.0),
+        min((one.time - start for one in mine), default=plan.fault_s),
         len(first),
         sum(taken > AFTER_S for taken in first),
         len(later) / len(world.servers),
