Outlier detection: shares of work where there are no copies

Change: where a share of the work is meant (trials without copies, slow start, warm-up), that share of the requests sees full weight; holds with copies get no work at all; what did not weigh is not taken back.

--- a/carawaystair/outlier/health.py
+++ b/carawaystair/outlier/health.py
@@ -53,8 +53,11 @@
         weight = self.weights.weight(upstream, now)
         factor = self.factors.get(upstream)
         if factor is not None:
-            weight *= factor.at(customer, now)
-        return weight * self.known.ramp(upstream)
+            weight *= factor.at(customer, now, self.rng)
+        ramp = self.known.ramp(upstream)
+        if ramp < 1.0 and self.rng.random() >= ramp:
+            weight *= views.LEAST_WEIGHT
+        return weight
 
     def trial(self, service: str) -> str | None:
         """Return an upstream that wants a copy of the next request."""
--- a/carawaystair/outlier/intake.py
+++ b/carawaystair/outlier/intake.py
@@ -113,8 +113,8 @@
         for category, count in enumerate(cell.counts[: levels.ILL]):
             if count and category in BAD:
                 counted = self._bad(cell, category, count, report, now)
-                if doubtful and category >= levels.UNPROVEN:
-                    counted = 0.0
+                if category >= levels.UNPROVEN:
+                    counted = self._unproven(cell, counted, doubtful)
                 self._add(cell, category, count, counted, report, now)
             elif count:
                 scaled = count * weight
@@ -131,7 +131,7 @@
         :return: how many of them count.
         """
         if not self.reporters.believable(report.suspect):
-            return 0.0
+            count = 0
         track = self.ledger.track(cell.upstream, now)
         if track.episode is None or track.episode.over(now):
             self._forget_groups(track)
@@ -145,6 +145,19 @@
             count = _capped(before, count, MOST_BAD_OF_ONE)
         return count
 
+    def _unproven(self, cell, counted, doubtful) -> float:
+        """Return how much of an unproven count weighs.
+
+        What did not weigh when it was told must not weigh when it is taken
+        back either.
+        """
+        episode = self.ledger.tracks[cell.upstream].episode
+        if doubtful:
+            return 0.0
+        counted = max(counted, -episode.unproven)
+        episode.unproven += counted
+        return counted
+
     def _suspected(self, upstream: str) -> bool:
         track = self.ledger.tracks.get(upstream)
         return track is not None and track.state != tracks.HEALTHY
--- a/carawaystair/outlier/messages.py
+++ b/carawaystair/outlier/messages.py
@@ -89,6 +89,8 @@
     :param severity: the worse first, when a node can't honour all.
     :param data_centre: only for nodes of this data centre, or empty.
     :param customer_class: only for this class of customers, or -1.
+    :param trickle: share of requests that treat it as if it were well, in
+        thousandths.
     """
 
     upstream: str
@@ -100,6 +102,7 @@
     severity: int = 0
     data_centre: str = ''
     customer_class: int = -1
+    trickle: int = 0
 
 
 @wire.register(81)
--- a/carawaystair/outlier/scope.py
+++ b/carawaystair/outlier/scope.py
@@ -81,6 +81,8 @@
     def __init__(self, now: float) -> None:
         self.began = now
         self.last_bad = now
+        # Unproven attempts that weigh, see ``intake``.
+        self.unproven = 0.0
         self.groups: dict[str, dict[str, Seen]] = {
             REPORTER: {},
             DATA_CENTRE: {},
--- a/carawaystair/outlier/track.py
+++ b/carawaystair/outlier/track.py
@@ -16,9 +16,6 @@
 OUT = 0.1
 # Weight of a suspect whose hold was softened or refused.
 SOFT_WEIGHT = 0.3
-# Share of ordinary work that tries an ejected upstream where no copies of
-# requests are to be had.
-TRIED_WEIGHT = 0.05
 # Ejections of late count half after this, seconds.
 FLAP_HALF_S = 300.0
 MOST_DOUBLINGS = 5
@@ -132,6 +129,7 @@
             int(self.severity * MILLI),
             self.scope.group if place else '',
             int(self.scope.group) if customer else -1,
+            int(tuning.trickle * MILLI) if tried and not self.copied else 0,
         )
 
 
--- a/carawaystair/outlier/tuning.py
+++ b/carawaystair/outlier/tuning.py
@@ -13,7 +13,8 @@
     :param clear: evidence below which a suspicion ends.
     :param span_s: bad attempts must arrive over at least this time: a short
         stall of an upstream is no gray failure.
-    :param held_weight: share of work while held.
+    :param trickle: share of ordinary work that goes to an upstream under
+        test where no copies of requests are to be had.
     :param hold_s: a hold without new evidence is softened after this.
     :param backoff_s: time from an ejection to the first trial.
     :param slow_start_s: time in which a returned upstream gets its share.
@@ -29,7 +30,7 @@
     eject: float
     clear: float
     span_s: float
-    held_weight: float
+    trickle: float
     hold_s: float
     backoff_s: float
     slow_start_s: float
@@ -44,7 +45,7 @@
     eject=14.0,
     clear=1.0,
     span_s=0.4,
-    held_weight=0.02,
+    trickle=0.1,
     hold_s=1.0,
     backoff_s=5.0,
     slow_start_s=8.0,
@@ -58,7 +59,7 @@
     eject=20.0,
     clear=1.0,
     span_s=2.0,
-    held_weight=0.2,
+    trickle=0.2,
     hold_s=3.0,
     backoff_s=10.0,
     slow_start_s=20.0,
--- a/carawaystair/outlier/view.py
+++ b/carawaystair/outlier/view.py
@@ -12,9 +12,12 @@
 from carawaystair.outlier import tuning as tunings
 
 # Share of work of an upstream whose ejection the floor does not allow here.
-CLAMPED_WEIGHT = 0.3
+CLAMPED_WEIGHT = 0.2
 OUT_MILLI = 100
-LEAST_WEIGHT = 0.1
+# A returning upstream starts with this share of its work.
+LEAST_SHARE = 0.1
+# Weight for the other requests: only when all others are full.
+LEAST_WEIGHT = 0.02
 # A view is worked out again after this even when nothing was heard: leases
 # end and upstreams get warm by time alone.
 REFRESH_S = 1.0
@@ -23,8 +26,13 @@
 class Factor(typing.NamedTuple):
     """What a lease makes of the weight of an upstream.
 
-    :param weight: share of work, 0.0 to 1.0.
+    Where a share of the work is meant, that share of the requests sees full
+    weight and the others hardly any: with a small weight for all of them, a
+    balancer that compares two upstreams would hardly ever choose it.
+
+    :param weight: 0.0 to 1.0.
     :param customer_class: for this class only, or -1.
+    :param share: of the requests that see full weight.
     :param full_at: monotonic time at which a returning upstream has its
         whole share; 0.0 for others.
     :param ramp_s: how long that takes, seconds.
@@ -32,20 +40,22 @@
 
     weight: float
     customer_class: int = -1
+    share: float = 0.0
     full_at: float = 0.0
     ramp_s: float = 1.0
 
-    def at(self, customer: str, now: float) -> float:
-        """Return the factor for a customer, or for any when empty."""
+    def at(self, customer: str, now: float, rng: random.Random) -> float:
+        """Return the factor for a request of a customer."""
+        if self.customer_class >= 0:
+            if not customer:
+                return 1.0
+            if levels.customer_class(customer) != self.customer_class:
+                return 1.0
+        share = self.share
         if self.full_at:
             left = (self.full_at - now) / self.ramp_s
-            return min(max(1.0 - left, LEAST_WEIGHT), 1.0)
-        if self.customer_class < 0:
-            return self.weight
-        mine = customer and (
-            levels.customer_class(customer) == self.customer_class
-        )
-        return self.weight if mine else 1.0
+            share = max(1.0 - left, LEAST_SHARE)
+        return 1.0 if share and rng.random() < share else self.weight
 
 
 class Trial(typing.NamedTuple):
@@ -157,10 +167,10 @@
     entry: messages.Entry, allowed: bool, until: float, tuning: tunings.Tuning
 ) -> Factor:
     if entry.kind == messages.RETURNING:
-        return Factor(1.0, -1, until, tuning.slow_start_s)
-    weight = entry.weight / 1000
+        return Factor(LEAST_WEIGHT, -1, 0.0, until, tuning.slow_start_s)
+    weight, share = entry.weight / 1000, entry.trickle / 1000
     if entry.customer_class >= 0:
-        return Factor(max(weight, tuning.held_weight), entry.customer_class)
+        return Factor(max(weight, LEAST_WEIGHT), entry.customer_class, share)
     if entry.weight < OUT_MILLI and not allowed:
         weight = CLAMPED_WEIGHT
-    return Factor(weight)
+    return Factor(weight, -1, share)
--- a/carawaystairplug/detector_siblings.py
+++ b/carawaystairplug/detector_siblings.py
@@ -42,7 +42,7 @@
 # upstream where detection is fast, one slow answer is not.
 PENALTY = 1.2
 # The sum fades when nothing confirms it, seconds for a third.
-FADE_S = 10.0
+FADE_S = 30.0
 MOST = 60.0
 
 
--- a/test/test_outlier_fleet.py
+++ b/test/test_outlier_fleet.py
@@ -8,6 +8,7 @@
 
 from bench import detection_model as model
 from carawaystair import interfaces
+from carawaystair import invariants
 from test import fakes
 
 FAST = model.Policy('fast', 'fast')
@@ -18,6 +19,8 @@
 def story(body, seed=1, site=SITE, policy=FAST, warm_s=8.0):
     """Run ``body(world)`` once a world has warmed up."""
 
+    invariants.BROKEN.clear()
+
     async def _run():
         world = model.World(site, policy, seed)
         await world.start()
@@ -26,6 +29,8 @@
         await world.stop()
 
     fakes.run(_run())
+    # Handlers run in tasks of their own, where a raise would go unseen.
+    assert not invariants.BROKEN
 
 
 def out(world):
--- a/test/test_outlier_node.py
+++ b/test/test_outlier_node.py
@@ -236,6 +236,24 @@
     fakes.run(story())
 
 
+def test_returning_upstream_gets_a_growing_share_of_work():
+    """A small weight would keep it idle: the balancer prefers all others."""
+
+    async def story():
+        part = node(fakes.Directory(upstream(1), upstream(2)))
+        back = entry('u1', messages.RETURNING, weight=1000)
+        part.health.accept(state(back._replace(ttl_ms=20_000)))
+        shares = []
+        for _step in range(3):
+            drawn = [part.weight('u1') for _request in range(1000)]
+            shares.append(drawn.count(1.0) / 1000)
+            await asyncio.sleep(9)
+        assert 0.05 < shares[0] < 0.2
+        assert shares[0] + 0.2 < shares[1] < shares[2] - 0.2
+
+    fakes.run(story())
+
+
 def test_pause_of_the_node_itself_accuses_nobody():
     """The process stands still for two seconds with requests in flight.
 
