Clean-up: what stood twice, and what the change itself made dead

Cause: reading the whole change once more. Two functions made the same short number; two experiments had a command line of their own beside bench.run; the bench of control copied the start of a session, which went round by a wrong text coding; the request path's stand-in parts had shipped with the product although only tests and a bench use them; three constants and one invariant were named and never used, and the page said that the program asserts it. Change: one levels.short; the two command lines, the constants and the invariant's name and row are gone; sessions take their manifest and the bench starts as they do; inert.py lives with the tests. Conclusion: behaviour is the same, with less to read.

--- a/bench/capacity_lines.py
+++ b/bench/capacity_lines.py
@@ -20,7 +20,6 @@
 CHANGES_DAY = 10_000
 IN_FORCE_S = 9.0
 RESTARTS_DAY = 5400
-FAILED_DAY = 32
 CONTROL_HOSTS = 8
 DATA_CENTRES = 5
 ADDED_MS = 1.1
@@ -46,7 +45,6 @@
 
 MEASURED = 'measured'
 RECKONED = 'reckoned'
-NOT_BUILT = 'not built'
 
 
 class Line(typing.NamedTuple):
@@ -91,7 +89,7 @@
     :param reckoned: what we reckon.
     :param margin: bound over reckoned.
     :param mechanism: what carries it.
-    :param basis: whether it is measured, reckoned or not built.
+    :param basis: whether it is measured or reckoned, and by what.
     """
 
     what: str
--- a/bench/exp_control.py
+++ b/bench/exp_control.py
@@ -19,7 +19,6 @@
 from carawaystair import logs
 from carawaystair import manifest as manifests
 from carawaystair.membership import registry
-from carawaystair import rows
 from test import fakes
 from test import test_sessions
 
@@ -47,29 +46,18 @@
     """
 
     def __init__(self, nodes: int, services: int, seed: int) -> None:
-        super().__init__(nodes, seed)
         self.names = ['service-%d' % number for number in range(services)]
         services = dict.fromkeys(self.names, manifests.Service())
-        self.manifest = test_sessions.MANIFEST._replace(
+        manifest = test_sessions.MANIFEST._replace(
             services=services,
             routes=tuple(
                 manifests.Route('/' + name, name) for name in self.names
             ),
         )
+        super().__init__(nodes, seed, manifest)
 
-    async def begin(self) -> None:
-        """Start all nodes and let them settle."""
-        self.group.rows = rows.from_manifest(self.manifest)
-        self.group.held = rows.Version(1, 1)
-        for node in self.nodes:
-            await node.start()
-        for number, node in enumerate(self.nodes):
-            self.tasks.append(asyncio.create_task(self._renewals(number)))
-            self.tasks.append(asyncio.create_task(self._callers(node)))
-        await asyncio.sleep(SETTLE_S)
-
-    async def _renewals(self, number: int) -> None:
-        node = self.nodes[number]
+    async def _renew(self, node) -> None:
+        number = self.nodes.index(node)
         while True:
             for place in range(UPSTREAMS):
                 name = self.names[(number + place) % len(self.names)]
@@ -83,7 +71,7 @@
                 )
             await asyncio.sleep(2)
 
-    async def _callers(self, node) -> None:
+    async def _ask(self, node) -> None:
         rng = random.Random(node.kernel.settings.host)
         while True:
             await asyncio.sleep(rng.expovariate(REQUESTS_S))
@@ -112,7 +100,7 @@
 async def _measure(nodes: int, services: int, seed: int) -> Bill:
     """Return the bill of a node."""
     busy = Busy(nodes, services, seed)
-    await busy.begin()
+    await busy.start(SETTLE_S)
     network = busy.network
     sent, size = network.carried, network.carried_bytes
     begin = time.process_time()
@@ -133,7 +121,7 @@
 
     async def _settled() -> float:
         busy = Busy(nodes, FIXED_SERVICES, seed)
-        await busy.begin()
+        await busy.start(SETTLE_S)
         gc.collect()
         held = tracemalloc.get_traced_memory()[0]
         await busy.stop()
--- a/bench/exp_fairness.py
+++ b/bench/exp_fairness.py
@@ -4,12 +4,10 @@
 for the cost of the fast path.
 """
 
-import argparse
 import asyncio
 import functools
 import itertools
 import statistics
-import sys
 import time
 import tracemalloc
 import typing
@@ -225,18 +223,3 @@
 def run(seed: int, quick: bool) -> list:
     """Run the experiment, see ``figures.Experiment``."""
     return [*fast_path(quick), *memory(quick), *kinds(seed, quick)]
-
-
-def main(arguments: list[str] | None = None) -> int:
-    """Print the figures."""
-    parser = argparse.ArgumentParser(description=TITLE)
-    parser.add_argument('--seed', type=int, default=1)
-    parser.add_argument('--quick', action='store_true')
-    options = parser.parse_args(arguments)
-    for figure in run(options.seed, options.quick):
-        print(figure)
-    return 0
-
-
-if __name__ == '__main__':
-    sys.exit(main())
--- a/bench/exp_overload.py
+++ b/bench/exp_overload.py
@@ -1,9 +1,7 @@
 """Admission under overload, in virtual time."""
 
-import argparse
 import itertools
 import statistics
-import sys
 import typing
 
 from bench import admission_model as model
@@ -127,18 +125,3 @@
 def run(seed: int, quick: bool) -> list:
     """Run the experiment, see ``figures.Experiment``."""
     return list(misleading(seed, quick))
-
-
-def main(arguments: list[str] | None = None) -> int:
-    """Print the figures."""
-    parser = argparse.ArgumentParser(description=TITLE)
-    parser.add_argument('--seed', type=int, default=1)
-    parser.add_argument('--quick', action='store_true')
-    options = parser.parse_args(arguments)
-    for figure in run(options.seed, options.quick):
-        print(figure)
-    return 0
-
-
-if __name__ == '__main__':
-    sys.exit(main())
--- a/bench/exp_request.py
+++ b/bench/exp_request.py
@@ -20,11 +20,11 @@
 from carawaystair import manifest
 from carawaystair import plugins
 from carawaystair import request
-from carawaystair.request import inert
 from carawaystair import routing as routings
 from carawaystair import rows
 from carawaystair import settings
 from carawaystair import timeline
+from test import inert
 
 TITLE = 'Processor time of the request path, against a naive relay.'
 CONCURRENCY = 4
--- a/carawaystair/invariants.py
+++ b/carawaystair/invariants.py
@@ -17,7 +17,6 @@
 ONE_LEADER = 'one-leader'
 COMMITTED_STAYS = 'committed-stays'
 SLOT_ACCOUNTING = 'slot-accounting'
-SHARES_WITHIN_SLOTS = 'shares-within-slots'
 
 RAISE = False
 BROKEN: collections.Counter = collections.Counter()
--- a/carawaystair/keys.py
+++ b/carawaystair/keys.py
@@ -21,8 +21,6 @@
 
 ID_BYTES = 4
 DATAGRAM_KEY_BYTES = 32
-# Z85 gives five signs for four bytes; CURVE keys have 32 bytes.
-CURVE_SIGNS = 40
 MAX_BYTES = 4096
 # Only the owner may read a key file.
 FILE_MODE = 0o600
--- a/carawaystair/outlier/evidence.py
+++ b/carawaystair/outlier/evidence.py
@@ -79,7 +79,7 @@
     ) -> None:
         """Take note that an attempt starts."""
         outbox = self.reporter.outbox(service, started)
-        bounds = outbox.bounds.get(levels.route_number(route))
+        bounds = outbox.bounds.get(levels.short(route))
         pending = watches.Pending(
             service,
             upstream,
@@ -105,7 +105,7 @@
         paused = self.watch.pause(pending, now)
         latency_s = max(attempt.latency_s - paused, 0.0)
         outbox = self.reporter.outbox(attempt.service, now)
-        route = levels.route_number(attempt.route)
+        route = levels.short(attempt.route)
         bounds = pending.bounds if pending else outbox.bounds.get(route)
         category = _category(outcome, bounds, latency_s)
         if outcome == interfaces.GOOD:
--- a/carawaystair/outlier/levels.py
+++ b/carawaystair/outlier/levels.py
@@ -82,15 +82,9 @@
 
 
 @functools.lru_cache(4096)
-def route_number(route: str) -> int:
-    """Return a short number for a route's key."""
-    return xxhash.xxh32_intdigest(route.encode())
-
-
-@functools.lru_cache(4096)
-def short(upstream: str) -> int:
-    """Return a short number for an upstream's id."""
-    return xxhash.xxh32_intdigest(upstream.encode())
+def short(name: str) -> int:
+    """Return a short number for a route's key or an upstream's id."""
+    return xxhash.xxh32_intdigest(name.encode())
 
 
 @functools.lru_cache(4096)
--- a/carawaystair/outlier/messages.py
+++ b/carawaystair/outlier/messages.py
@@ -35,7 +35,7 @@
 class Sample(typing.NamedTuple):
     """The latency of one good answer, for the bounds of its route.
 
-    :param route: see ``levels.route_number``.
+    :param route: see ``levels.short``.
     :param latency_us: microseconds.
     :param upstream: short number of the upstream, see ``levels.short``.
     """
@@ -127,7 +127,7 @@
 class RouteBounds(typing.NamedTuple):
     """Latency bounds of one route.
 
-    :param route: see ``levels.route_number``.
+    :param route: see ``levels.short``.
     :param bounds_us: see ``levels.Bounds``, in microseconds.
     """
 
--- a/carawaystair/request/inert.py
+++ b/test/inert.py
@@ -1,4 +1,4 @@
-"""Parts that do the least: for tests, and for a node that lacks the rest.
+"""Parts around the request path that do the least, for its tests.
 
 Nothing is ejected, everything is admitted at once, and keys are reserved
 within this process only.
--- a/test/request_setup.py
+++ b/test/request_setup.py
@@ -10,12 +10,12 @@
 from carawaystair import manifest
 from carawaystair import plugins
 from carawaystair import request
-from carawaystair.request import inert
 from carawaystair import routing
 from carawaystair import rows
 from carawaystair import settings
 from carawaystair import timeline
 from test import fakes
+from test import inert
 
 LISTEN = 8080
 
--- a/test/test_follower.py
+++ b/test/test_follower.py
@@ -28,8 +28,10 @@
 
     def accept(self, **changes) -> None:
         """Accept a version with some rows changed."""
-        coded = {k: v.encode() for k, v in changes.items()}
-        new = self.rows | coded
+        self.take(self.rows | {k: v.encode() for k, v in changes.items()})
+
+    def take(self, new) -> None:
+        """Accept a version with these rows."""
         version = rows.Version(1, self.held.index + 1)
         delta = rows.difference(self.rows, new, self.held, version)
         self.deltas[self.held] = delta
--- a/test/test_outlier_node.py
+++ b/test/test_outlier_node.py
@@ -68,7 +68,7 @@
     """Give a node bounds for the empty route: 10 to 160 ms."""
     outbox = part.evidence.reporter.outbox('s', clock.now())
     bounds = (10_000, 20_000, 40_000, 80_000, 160_000)
-    row = messages.RouteBounds(levels.route_number(''), bounds)
+    row = messages.RouteBounds(levels.short(''), bounds)
     outbox.take_pace(messages.Pace('s', 1, 60_000, 100, 3, (row,)))
     return outbox
 
--- a/test/test_request_keyed.py
+++ b/test/test_request_keyed.py
@@ -5,7 +5,7 @@
 import expression
 
 from carawaystair import codes
-from carawaystair.request import inert
+from test import inert
 from test import pipes
 from test import request_setup as setups
 
--- a/test/test_request_late.py
+++ b/test/test_request_late.py
@@ -9,10 +9,10 @@
 
 from carawaystair import interfaces
 from carawaystair import manifest
-from carawaystair.request import inert
 from carawaystair.request import target as targets
 from carawaystairplug import balancer_peak
 from carawaystairplug import balancer_roundrobin
+from test import inert
 from test import pipes
 from test import request_setup as setups
 
--- a/test/test_sessions.py
+++ b/test/test_sessions.py
@@ -88,7 +88,8 @@
 class Session:
     """A fleet of some nodes under steady load, and its time line."""
 
-    def __init__(self, nodes=4, seed=1):
+    def __init__(self, nodes=4, seed=1, manifest=MANIFEST):
+        self.manifest = manifest
         self.network = fakes.Network(seed)
         self.rng = random.Random(seed)
         self.group = test_follower.Group()
@@ -99,10 +100,9 @@
         self.nodes = [Node(self.network, number) for number in range(nodes)]
         self.tasks = []
 
-    async def start(self):
-        table = rows.from_manifest(MANIFEST)
-        self.group.accept(**{k: v.decode('latin1') for k, v in table.items()})
-        self.group.rows.update(table)
+    async def start(self, settle_s=10):
+        self.group.take(rows.from_manifest(self.manifest))
+        # Without the step the nodes read the whole table in pieces.
         self.group.deltas.clear()
         for node in self.nodes:
             await node.start()
@@ -111,7 +111,7 @@
             for node in self.nodes
             for part in (self._renew, self._ask)
         ]
-        await asyncio.sleep(10)
+        await asyncio.sleep(settle_s)
 
     async def stop(self):
         for task in self.tasks:
