--- a/carawaystair/control/changing.py
+++ b/carawaystair/control/changing.py
@@ -124,6 +124,10 @@
             version = rows.Version(state.term, state.commit)
             return expression.Ok((version, b''))
         member = state.group.named(message.name)
+        if member is None and state.timing.grow_to:
+            LOG.info('A host joins.', name=message.name)
+            state.record('control-joined', message.name)
+            return await self._propose(state.group.put(_learner(message)))
         if member is None:
             text = 'no member is named %s' % message.name
             return codes.fail(codes.VOTER_UNFIT, text)
@@ -134,14 +138,18 @@
             return codes.fail(codes.IDENTITY_IN_USE, message.name)
         LOG.info('A member has a new disk.', name=message.name)
         state.record('control-new-disk', message.name)
-        learner = member.standing == groups.LEARNER
-        standing = groups.LEARNER if learner else groups.RETURNING
-        back = groups.Member(
-            message.name, message.peer, message.identity, standing
-        )
+        back = _learner(message)
+        if member.standing != groups.LEARNER:
+            back = back._replace(standing=groups.RETURNING)
         return await self._propose(state.group.put(back))
 
 
+def _learner(message: messages.Rejoin) -> groups.Member:
+    return groups.Member(
+        message.name, message.peer, message.identity, groups.LEARNER
+    )
+
+
 def outcome(result: Result) -> messages.Outcome:
     """Return the message that carries a result to another host."""
     if result.is_error():
--- a/carawaystair/control/group.py
+++ b/carawaystair/control/group.py
@@ -64,6 +64,10 @@
         others = [m for m in self.members if m.name != member.name]
         return Group(self.id, tuple(sorted([*others, member])))
 
+    def shown(self) -> str:
+        """Return the members as a person reads them."""
+        return ', '.join('%s %s' % (m.name, m.standing) for m in self.members)
+
     def drop(self, name: str) -> 'Group':
         """Return the group without a member."""
         return Group(self.id, tuple(m for m in self.members if m.name != name))
--- a/carawaystair/control/joining.py
+++ b/carawaystair/control/joining.py
@@ -27,9 +27,6 @@
 
 # Pause between two attempts.
 PAUSE_S = 0.5
-# All voters are waited for so long; then a majority must do.  The one that
-# saw the newest promise may only be slow, or starting as well.
-PATIENCE_S = 5.0
 # Pause between two questions of a host that is no member.
 RETURN_S = 1.0
 # A host that hears no leader for so long asks whether it is still a member.
@@ -55,13 +52,20 @@
 
     :param state: what the parts share.
     :param seats: the control hosts of the settings, the founder first.
+    :param founds: whether this replica may found the group.  A deployment
+        that has run before has a group somewhere; hosts that all lost their
+        disks must not begin an empty one beside it.
     """
 
     def __init__(
-        self, state: states.State, seats: typing.Sequence[Seat]
+        self,
+        state: states.State,
+        seats: typing.Sequence[Seat],
+        founds: bool = True,
     ) -> None:
         self.state = state
         self.seats = tuple(seats)
+        self.founds = founds
         self.name = state.store.name
         self.began = 0.0
         state.transport.handle(messages.RollCall, self.on_roll_call)
@@ -163,7 +167,7 @@
             there = {answer.identity for answer in present}
             voters = {voter.identity for voter in group.voters()}
             answered = len((there & voters) | {state.identity})
-            patient = clock.now() - self.began < PATIENCE_S
+            patient = clock.now() - self.began < state.timing.patience_s
             needed = len(voters) if patient else group.quorum()
             self._prove(answered >= needed)
 
@@ -201,7 +205,7 @@
         names = {seat.name for seat in self.seats}
         fresh = {a.name: a.identity for a in present if a.fresh}
         fresh[self.name] = state.identity
-        complete = self._fresh() and names <= set(fresh)
+        complete = self.founds and self._fresh() and names <= set(fresh)
         if not complete or self.seats[0].name != self.name:
             return
         members = [
--- a/carawaystair/control/leading.py
+++ b/carawaystair/control/leading.py
@@ -9,6 +9,7 @@
 from carawaystair import clock
 from carawaystair import codes
 from carawaystair.control import group as groups
+from carawaystair.control import growth
 from carawaystair.control import interfaces
 from carawaystair.control import log as log_module
 from carawaystair.control import replicating
@@ -193,21 +194,23 @@
                 state.heard = clock.now() - self.others.quorum_age()
                 state.step_down('no quorum answers')
                 return
-            await self._return_votes()
+            await self._tend_group()
             await asyncio.sleep(state.timing.election_s / 4)
 
-    async def _return_votes(self) -> None:
-        """Give members whose disk was lost their vote back."""
-        state = self.state
-        fit = [
-            p.member
+    async def _tend_group(self) -> None:
+        """Make the change of members that is needed next, if one is."""
+        if not self.settled():
+            return
+        now = clock.now()
+        views = [
+            growth.View(p.member, self.others.caught_up(p), now - p.heard)
             for p in self.others.peers.values()
-            if p.member.standing == groups.RETURNING
-            and self.others.caught_up(p)
+            if not p.leave_index
         ]
-        if fit and self.settled():
-            voter = fit[0]._replace(standing=groups.VOTER)
-            group = state.group.put(voter)
+        grow_to = self.state.timing.grow_to
+        group = growth.next_group(self.state.group, views, grow_to)
+        if group is not None:
+            LOG.info('Changes the members.', members=group.shown())
             self.spawn(self.propose(log_module.GROUP, groups.encode(group)))
 
     def settled(self) -> bool:
--- a/carawaystair/control/replica.py
+++ b/carawaystair/control/replica.py
@@ -42,12 +42,14 @@
 
     :param state: what its parts share.
     :param seats: the control hosts of the settings.
+    :param founds: whether it may found the group.
     """
 
     def __init__(
         self,
         state: states.State,
         seats: typing.Sequence[joining.Seat],
+        founds: bool = True,
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
@@ -58,7 +60,7 @@
         self.following = following.Following(state)
         self.applying = applying.Applying(state, self.leading)
         self.changing = changing.Changing(state, self.leading)
-        self.joining = joining.Joining(state, self.seats)
+        self.joining = joining.Joining(state, self.seats, founds)
 
     async def on_start(self) -> None:
         """Read the disk."""
@@ -223,15 +225,17 @@
     timing: states.Timing = states.Timing(),
     limits: states.Limits = states.Limits(),
     record: typing.Callable = lambda _kind, _text: None,
+    founds: bool = True,
 ) -> Replica:
     """Return a replica that is not started yet.
 
     :param seat: this host.
     :param seats: all control hosts of the settings, the founder first.
     :param record: takes note of an event: ``record(kind, text)``.
+    :param founds: whether this host may found the group.
     """
     store = stores.Store(seat.name, files, disk, rng)
     state = states.State(
         transport, store, machine, rng, timing, limits, record
     )
-    return Replica(state, seats)
+    return Replica(state, seats, founds)
--- a/carawaystair/control/replicated.py
+++ b/carawaystair/control/replicated.py
@@ -19,6 +19,7 @@
 from carawaystair.control import messages
 from carawaystair.control import parts
 from carawaystair.control import replica as replicas
+from carawaystair.control import state as states
 from carawaystair.control import submissions
 from carawaystair import logs
 from carawaystair import manifest as manifests
@@ -440,6 +441,11 @@
         disks.make(),
         machines,
         kernel.random('control'),
+        states.Timing(
+            patience_s=settings.control.patience_s,
+            grow_to=settings.control.grow_to,
+        ),
         record=kernel.timeline.record,
+        founds=settings.control.founds,
     )
     return Replicated(replica, machine, kernel.timeline, ledger=ledger)
--- a/carawaystair/control/role.py
+++ b/carawaystair/control/role.py
@@ -4,6 +4,7 @@
 
 from carawaystair import admin
 from carawaystair.control import replicated
+from carawaystair import membership
 from carawaystair import publisher
 from carawaystair.reservations import keeper
 
@@ -22,8 +23,16 @@
         self.publisher = publisher.Publisher(kernel.links, self.group, rng)
         self.admin = admin.make(kernel, self.group, self.publisher)
         self.keeper = keeper.make(kernel, self.group)
-        parts = (self.group, self.publisher, self.keeper, self.admin)
-        self.parts = parts
+        # A node of the same process brings the membership of both.
+        alone = 'node' not in kernel.settings.roles
+        members = (membership.make(kernel),) if alone else ()
+        self.parts = (
+            *members,
+            self.group,
+            self.publisher,
+            self.keeper,
+            self.admin,
+        )
 
     async def on_start(self) -> None:
         """Start the parts."""
--- a/carawaystair/control/state.py
+++ b/carawaystair/control/state.py
@@ -27,12 +27,19 @@
     :param call_s: how long the answer to a question may take.
     :param install_s: how long one piece of a snapshot may take; the last
         one includes its sync.
+    :param patience_s: a replica that starts waits so long for all other
+        voters; then a majority must do.  The one that saw its newest promise
+        may only be slow, or starting as well.
+    :param grow_to: voters that the group grows to by itself, see
+        ``growth``.
     """
 
     heartbeat_s: float = 0.2
     election_s: float = 1.0
     call_s: float = 0.5
     install_s: float = 5.0
+    patience_s: float = 5.0
+    grow_to: int = 0
 
 
 class Limits(typing.NamedTuple):
--- a/carawaystair/daemon.py
+++ b/carawaystair/daemon.py
@@ -2,17 +2,20 @@
 
 import argparse
 import asyncio
+import hashlib
 import signal
 import sys
 import typing
 
 import expression
 
+import carawaystair
 from carawaystair.admin import tls
 from carawaystair import codes
 from carawaystair import kernel
 from carawaystair import keys
 from carawaystair import logs
+from carawaystair import output
 from carawaystair import plugins
 from carawaystair import settings as settings_module
 from carawaystair import shape
@@ -23,6 +26,9 @@
 
 LOG = logs.get('daemon')
 
+Reload = typing.Callable[[kernel.Kernel], typing.Coroutine]
+Extend = typing.Callable[[kernel.Kernel], None]
+
 
 def parser() -> argparse.ArgumentParser:
     """Return the parser of the command line."""
@@ -38,6 +44,12 @@
     return result
 
 
+def digest(settings: settings_module.Settings) -> str:
+    """Return a short digest of settings, to tell whether two are the same."""
+    text = repr(settings).encode()
+    return hashlib.blake2b(text, digest_size=6).hexdigest()
+
+
 class Start(typing.NamedTuple):
     """What a process starts with.
 
@@ -95,7 +107,9 @@
     settings: settings_module.Settings,
     registry: plugins.Registry,
     held: typing.Sequence[keys.Key] = (),
-    path: str = '',
+    reload: Reload | None = None,
+    sink: output.Sink | None = None,
+    extend: Extend | None = None,
 ) -> int:
     """Run the process until SIGTERM, SIGINT or a crash of a part.
 
@@ -107,20 +121,32 @@
     :param settings: the checked settings.
     :param registry: the plug-ins.
     :param held: keys of the fleet.
-    :param path: the settings file, read again for its keys at SIGHUP.
+    :param reload: called at SIGHUP.
+    :param sink: takes the lines that tell decisions.
+    :param extend: adds parts to the process before it starts.
     """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    process = kernel.Kernel(settings, registry, held)
-    loop.add_signal_handler(
-        signal.SIGHUP,
-        lambda: process.add_future(reload_keys(process, path)),
-    )
+    process = kernel.Kernel(settings, registry, held, sink)
+    if extend is not None:
+        extend(process)
+
+    def _reload() -> None:
+        LOG.info('Reloads.')
+        if reload is not None:
+            process.add_future(reload(process))
+
+    loop.add_signal_handler(signal.SIGHUP, _reload)
     try:
         await process.start()
-        LOG.info('Started.', roles=list(settings.roles))
+        LOG.info(
+            'Started.',
+            roles=list(settings.roles),
+            version=carawaystair.__version__,
+            settings=digest(settings),
+        )
         await process.wait(stop)
         if process.crashed:
             LOG.error('A part crashed.', why=repr(process.crash_reason))
@@ -147,9 +173,16 @@
             print('  %s' % (mistake,), file=sys.stderr)
         return EXIT_SETTINGS
     settings = result.ok.settings
-    logs.setup(settings.log.level, settings.log.form, settings.host)
-    running = run(settings, plugins.load(), result.ok.held, options.settings)
-    return asyncio.run(running)
+    sink = logs.setup(settings.log.level, settings.log.form, settings.host)
+    return asyncio.run(
+        run(
+            settings,
+            plugins.load(),
+            result.ok.held,
+            lambda process: reload_keys(process, options.settings),
+            sink,
+        )
+    )
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/carawaystair/decisions.py
@@ -0,0 +1,304 @@
+"""One log line for each decision that touches a request or a belief.
+
+A request's story is told by its id, over all processes: with which inputs it
+was offered to which upstream, who refused it and why, where it ran, what it
+was answered.  Each event is a type here, so that a field has one name and one
+meaning everywhere; ``docs/EVENTS.md`` lists them.
+
+The volume is bounded: each second has room for so many lines of good
+requests, of trouble, and of what the process believes.  What is left out is
+counted, and the count stands in the next line.
+"""
+
+import typing
+
+import msgspec
+
+from carawaystair import clock
+from carawaystair import output
+
+# Lines a second of each sort, 49 together.  A process of the users' sites
+# serves up to 12 requests a second, two lines each; trouble must not be
+# crowded out by good requests, nor what explains it by trouble.
+ROUTINE = 'routine'
+TROUBLE = 'trouble'
+BELIEF = 'belief'
+ROOM = {ROUTINE: 18, TROUBLE: 20, BELIEF: 11}
+
+
+class Offered(typing.NamedTuple):
+    """A node offers a request to an upstream.
+
+    :param id: the request.
+    :param service: the service that was chosen for it.
+    :param upstream: the upstream.
+    :param host: the host of its gateway.
+    :param version: configuration in force, ``TERM.INDEX``.
+    :param number: counts the offers of this request.
+    :param left_ms: time until its answer is owed, ms.
+    :param idempotent: whether it may run twice.
+    :param inner: whether a running request waits for it.
+    :param may_wait: whether it may wait there.
+    :param forced: whether it goes there although the upstream failed lately.
+    :param known_ms: age of what this node knows of the upstream's load, ms;
+        -1 when nothing is known.
+    :param load: requests that this node believes to be with it.
+    :param candidates: upstreams of the service that take work.
+    """
+
+    id: str
+    service: str
+    upstream: str
+    host: str
+    version: str
+    number: int
+    left_ms: int
+    idempotent: bool
+    inner: bool
+    may_wait: bool
+    forced: bool
+    known_ms: int
+    load: int
+    candidates: int
+
+
+class Declined(typing.NamedTuple):
+    """A gateway refused a request; it was not run there.
+
+    :param id: the request.
+    :param upstream: the upstream.
+    :param reason: why, see ``gateway.hops`` and ``load.rejecting``.
+    :param detail: the circumstances.
+    :param running: requests that ran there.
+    :param waiting: requests that waited there.
+    :param wait_ms: the wait that was expected, ms.
+    """
+
+    id: str
+    upstream: str
+    reason: str
+    detail: str
+    running: int
+    waiting: int
+    wait_ms: int
+
+
+class Broke(typing.NamedTuple):
+    """An offer brought no answer.
+
+    :param id: the request.
+    :param upstream: the upstream.
+    :param code: what went wrong, ``CS-nnnn``.
+    :param sent: whether the request may have run.
+    :param after_ms: time since the offer, ms.
+    :param detail: the circumstances.
+    """
+
+    id: str
+    upstream: str
+    code: str
+    sent: bool
+    after_ms: int
+    detail: str
+
+
+class Repeated(typing.NamedTuple):
+    """Whether a request is tried once more, after it may have run.
+
+    :param id: the request.
+    :param again: whether it is.
+    :param why: what decided.
+    :param runs: upstreams that may have run it.
+    :param most: upstreams that may.
+    """
+
+    id: str
+    again: bool
+    why: str
+    runs: int
+    most: int
+
+
+class Answered(typing.NamedTuple):
+    """A caller got its answer.
+
+    :param id: the request.
+    :param route: its route.
+    :param service: its service.
+    :param status: HTTP status.
+    :param outcome: ``complete``, ``not-run`` or ``unknown``.
+    :param code: ``CS-nnnn``.
+    :param offers: offers that were made.
+    :param total_ms: time since the request was read, ms.
+    :param detail: the circumstances of a failure.
+    """
+
+    id: str
+    route: str
+    service: str
+    status: int
+    outcome: str
+    code: str
+    offers: int
+    total_ms: int
+    detail: str
+
+
+class Left(typing.NamedTuple):
+    """A caller left before it was answered; its request is cancelled.
+
+    :param id: the request.
+    :param offers: offers that were made.
+    :param total_ms: time since the request was read, ms.
+    """
+
+    id: str
+    offers: int
+    total_ms: int
+
+
+class Began(typing.NamedTuple):
+    """A gateway sends a request to its upstream.
+
+    :param id: the request.
+    :param upstream: the upstream.
+    :param host: the host that handed it over.
+    :param waited_ms: time that it waited here, ms.
+    :param running: requests that run there, this one included.
+    :param waiting: requests that wait.
+    :param slots: requests that the upstream works on at once.
+    :param left_ms: time until its answer is owed, ms.
+    :param trial: whether the upstream failed lately.
+    """
+
+    id: str
+    upstream: str
+    host: str
+    waited_ms: int
+    running: int
+    waiting: int
+    slots: int
+    left_ms: int
+    trial: bool
+
+
+class Ended(typing.NamedTuple):
+    """What a run at an upstream came to.
+
+    :param id: the request.
+    :param upstream: the upstream.
+    :param outcome: ``good``, ``error``, ``shed``, ``broken``, ``timeout``,
+        ``refused`` or ``cancelled``.
+    :param status: HTTP status, 0 without an answer.
+    :param service_ms: time at the upstream, ms.
+    :param suspect: whether the upstream is under suspicion now.
+    :param detail: the circumstances.
+    """
+
+    id: str
+    upstream: str
+    outcome: str
+    status: int
+    service_ms: int
+    suspect: bool
+    detail: str
+
+
+class Declining(typing.NamedTuple):
+    """A gateway refuses a request; it was not run and will not be.
+
+    :param id: the request.
+    :param upstream: the upstream.
+    :param host: the host that handed it over.
+    :param reason: why.
+    :param detail: the circumstances.
+    :param running: requests that run there.
+    :param waiting: requests that wait.
+    :param slots: requests that the upstream works on at once.
+    """
+
+    id: str
+    upstream: str
+    host: str
+    reason: str
+    detail: str
+    running: int
+    waiting: int
+    slots: int
+
+
+class Noted(typing.NamedTuple):
+    """An event of the time line: what the process believes has changed.
+
+    :param kind: name of the event.
+    :param service: the service concerned, or empty.
+    :param upstream: the upstream concerned, or empty.
+    :param version: the configuration version concerned, or empty.
+    :param text: one sentence.
+    """
+
+    kind: str
+    service: str
+    upstream: str
+    version: str
+    text: str
+
+
+# Names of the events in the logs, and of the parts that write them.
+NAMES = {
+    Offered: ('relay', 'offered'),
+    Declined: ('relay', 'declined'),
+    Broke: ('relay', 'broke'),
+    Repeated: ('relay', 'repeated'),
+    Answered: ('relay', 'answered'),
+    Left: ('relay', 'left'),
+    Began: ('gateway', 'began'),
+    Ended: ('gateway', 'ended'),
+    Declining: ('gateway', 'declining'),
+    Noted: ('process', 'noted'),
+}
+
+
+class Recorder:
+    """Writes the decisions of one process.
+
+    :param host: the host's name, in each line.
+    :param sink: takes the lines; None to write none.
+    """
+
+    def __init__(self, host: str, sink: output.Sink | None = None) -> None:
+        self.host = host
+        self.sink = sink
+        self.second = 0
+        self.room = dict(ROOM)
+        # Lines left out, over the life of the process and since the last
+        # line.
+        self.left_out = 0
+        self.untold = 0
+
+    def tell(self, event: typing.NamedTuple, sort: str = ROUTINE) -> None:
+        """Write an event, if this second has room for one of its sort."""
+        if self.sink is None:
+            return
+        wall_ms = clock.wall_ms()
+        second = wall_ms // 1000
+        if second != self.second:
+            self.second = second
+            self.room = dict(ROOM)
+        if self.room[sort] <= 0:
+            self.left_out += 1
+            self.untold += 1
+            return
+        self.room[sort] -= 1
+        part, name = NAMES[type(event)]
+        line = {
+            'time_ms': wall_ms,
+            'host': self.host,
+            'part': part,
+            'event': name,
+            **event._asdict(),
+        }
+        if self.untold:
+            line['left_out'] = self.untold
+            self.untold = 0
+        self.sink.line(msgspec.json.encode(line))
--- a/carawaystair/follower.py
+++ b/carawaystair/follower.py
@@ -57,6 +57,7 @@
     :param rng: picks control hosts and peers.
     :param registry: told of each version in force, if given.
     :param memory: the version that the disk remembers, if there is a disk.
+    :param poll_s: seconds between questions for news.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         rng: random.Random,
         registry: plugins.Registry | None = None,
         memory: versionfile.VersionFile | None = None,
+        poll_s: float = POLL_S,
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
@@ -78,6 +80,7 @@
         self.rng = rng
         self.registry = registry
         self.memory = memory
+        self.poll_s = poll_s
         self.held = routing.Routing()
         self.steps = distribution.Steps()
         self.ready = False
@@ -133,7 +136,7 @@
         while not self.should_stop:
             self.wake.clear()
             heard = await self._catch_up()
-            pause = POLL_S * self.rng.uniform(0.8, 1.2)
+            pause = self.poll_s * self.rng.uniform(0.8, 1.2)
             if not self.ready or not heard:
                 pause = RETRY_S
             try:
@@ -150,13 +153,14 @@
         :return: whether anybody answered.
         """
         teller, self.teller = self.teller, ''
-        if teller and teller not in self.control_hosts:
+        hosts = self._control_hosts()
+        if teller and teller not in hosts:
             if await self._fetch(teller, distribution.AskPeer):
                 return True
         # One control host a turn: while it is away, the next turn comes
         # soon and asks another one.
-        if self.control_hosts:
-            host = self.rng.choice(self.control_hosts)
+        if hosts:
+            host = self.rng.choice(hosts)
             before = self.confirmed_at
             await self._fetch(host, distribution.Ask)
             if self.confirmed_at != before:
@@ -174,6 +178,16 @@
         self._vouch(peer.host)
         return True
 
+    def _control_hosts(self) -> list[str]:
+        """Return the control hosts known, by settings or as members.
+
+        Hosts that took the place of others stand in no settings.  Those
+        believed alive are asked first; the settings are what is left when
+        none is.
+        """
+        alive = [m.peer for m in self.members.alive() if m.control]
+        return alive or list(self.control_hosts)
+
     def _peers(self) -> list[interfaces.Member]:
         me = self.members.me
         return [
@@ -301,4 +315,5 @@
         kernel.random('follower'),
         kernel.registry,
         memory,
+        kernel.settings.node.poll_s,
     )
--- /dev/null
+++ b/carawaystair/gateway/__init__.py
@@ -0,0 +1,25 @@
+"""The path of a request in a fleet whose nodes are gateways.
+
+A caller's request goes to its own node, from there to the gateway beside the
+upstream that is to run it, and from that to the upstream.  The gateway is the
+only way to its upstream; ``docs/design/platform.md`` tells what follows.
+"""
+
+from carawaystair import decisions
+from carawaystair.gateway import service
+from carawaystair import kernel as kernels
+
+
+def make(
+    kernel: kernels.Kernel,
+    membership,
+    routing,
+    recorder: decisions.Recorder,
+) -> service.Gateway:
+    """Return the service that takes requests at a node with a gateway.
+
+    :param membership: the membership of the process.
+    :param routing: returns the configuration in force.
+    :param recorder: takes note of decisions.
+    """
+    return service.Gateway(kernel, membership, routing, recorder)
--- /dev/null
+++ b/carawaystair/gateway/door.py
@@ -0,0 +1,514 @@
+"""The gateway: the only way to the upstreams of this host.
+
+It takes requests that other nodes hand over, gives them a slot of the
+upstream or refuses them, and sees every outcome.  So it knows what runs and
+what waits, holds work to what the upstream can do, stops new work at the
+moment in which the upstream says that it leaves, and can promise that what it
+refused was not run.
+"""
+
+import asyncio
+import math
+import time
+
+from carawaystair import clock
+from carawaystair import codes
+from carawaystair import decisions
+from carawaystair.gateway import hops
+from carawaystair.gateway import inner as inners
+from carawaystair.gateway import runs as runs_module
+from carawaystair.gateway import sends
+from carawaystair.gateway import slots as slots_module
+from carawaystair.gateway import streaming
+from carawaystair import interfaces
+from carawaystair.load import waiting
+from carawaystair import logs
+from carawaystair.membership import registry as registries
+from carawaystair.request import answer as answers
+from carawaystair.request import body as bodies
+from carawaystair.request import call as calls
+from carawaystair.request import caller
+from carawaystair.request import connections
+from carawaystair.request import exchange as exchanges
+from carawaystair.request import headers
+from carawaystair.request import incoming
+from carawaystair.request import target as targets
+from carawaystair import settings
+
+# The first interim answer goes out after this time: most refusals and short
+# answers come sooner.
+FIRST_SIGN_S = 0.03
+# Then one in this time; a node that hears none for three times as long takes
+# the connection for lost.
+SIGN_EVERY_S = 0.7
+# A run is overdue, and its upstream under suspicion, after so many times
+# what its route usually takes, and this time at least.
+OVERDUE = 5.0
+OVERDUE_S = 2.0
+# Statuses that promise that a request was not run.  An upstream that says so
+# without its mark of a request that was not run is not believed.
+PROMISES = frozenset((408, 421, 429, 503))
+MISDIRECTED = 421
+OUT_OF_TIME = 504
+# Bodies are bounded by the node that took them from the caller.
+NO_LIMIT = 2**62
+MS = 1000
+
+LOG = logs.get('gateway')
+
+
+class Door:
+    """Takes requests from other nodes; one for each process.
+
+    :param registry: the upstreams of this host.
+    :param names: names of headers.
+    :param process: names this process, differently at every start.
+    :param inner: knows of failed calls that upstreams of this host made.
+    :param recorder: takes note of decisions.
+    """
+
+    def __init__(
+        self,
+        registry: registries.Registry,
+        names: settings.Headers,
+        process: str,
+        inner: inners.InnerCalls,
+        recorder: decisions.Recorder,
+    ) -> None:
+        self.registry = registry
+        self.names = names
+        self.process = process
+        self.inner = inner
+        self.recorder = recorder
+        self.runs = runs_module.Runs(process)
+        self.slots: dict[str, slots_module.Slots] = {}
+        self.targets: dict[str, targets.Target] = {}
+        self.active = 0
+        self.leaving = False
+        self.not_run = names.not_run.lower().encode()
+        self.receipt = names.receipt.lower().encode()
+        registry.callbacks.append(self.changed)
+
+    # The upstreams of this host
+
+    def changed(self, name: str) -> None:
+        """Take note of an announcement that changed."""
+        lease = self.registry.leases.get(name)
+        target = self.targets.get(name)
+        if lease is None or lease.announcement.state != interfaces.UP:
+            if name in self.slots:
+                self.slots[name].refuse_all(hops.LEAVING)
+        if target is None:
+            return
+        if lease is None:
+            # What runs there goes on; new work finds no lease.
+            connections.close_idle(target)
+            del self.targets[name]
+            self.slots.pop(name, None)
+        else:
+            target.upstream = _upstream(name, lease.announcement)
+            if target.upstream.state != interfaces.UP:
+                connections.close_idle(target)
+
+    def close(self) -> None:
+        """Take no new work: the process stops."""
+        self.leaving = True
+        for slots in self.slots.values():
+            slots.refuse_all(hops.LEAVING)
+
+    def sweep(self, now: float) -> None:
+        """Close connections to upstreams that were idle too long."""
+        for target in self.targets.values():
+            connections.sweep(target, now)
+
+    def _slots(
+        self, name: str, said: registries.Announcement
+    ) -> slots_module.Slots:
+        slots = self.slots.get(name)
+        if slots is None:
+            slots = slots_module.Slots(self.process, said.slots)
+            self.slots[name] = slots
+        slots.line.slots = said.slots
+        return slots
+
+    def _target(
+        self, name: str, said: registries.Announcement
+    ) -> targets.Target:
+        target = self.targets.get(name)
+        if target is None:
+            upstream = _upstream(name, said)
+            target = targets.Target(upstream, clock.now())
+            self.targets[name] = target
+        return target
+
+    # One request
+
+    async def handle(self, request: incoming.Request) -> bool:
+        """Answer one hop; return whether another may follow."""
+        hop = hops.read(request.headers.get(hops.HOP, ''))
+        if hop is None:
+            LOG.warning('Refused a hop that cannot be read.')
+            report = self._report('')
+            _write(request, hops.refusal(hops.MALFORMED, '', report))
+            return False
+        self.active += 1
+        signs = Signs(request)
+        try:
+            return await self._answer(hop, request, signs)
+        except ConnectionError:
+            return False
+        finally:
+            signs.stop()
+            self.active -= 1
+
+    async def _answer(
+        self, hop: hops.Hop, request: incoming.Request, signs: 'Signs'
+    ) -> bool:
+        try:
+            answer = await self._run(hop, request)
+        except slots_module.Refused as refused:
+            signs.stop()
+            self._refuse(hop, request, refused)
+            return _whole(request)
+        except answers.Failed as failed:
+            signs.stop()
+            report = self._report(hop.upstream)
+            label = failed.code.label
+            _write(request, hops.failure(label, failed.detail, report))
+            return _whole(request)
+        except caller.Refused:
+            # The body broke off: whoever sent it has gone.
+            return False
+        signs.stop()
+        exchange = exchanges.Exchange(request, hop.id)
+        extra = hops.report_line(self._report(hop.upstream))
+        if answer.rest is None:
+            exchange.whole(answer, codes.OK, extra)
+            await exchange.drained()
+            return exchange.keep_alive
+        try:
+            why = await streaming.pass_on(answer.rest, answer, exchange, extra)
+        finally:
+            answer.rest.release()
+        if why:
+            LOG.warning('An answer broke off.', id=hop.id, why=why)
+        return exchange.keep_alive and not why
+
+    async def _run(
+        self, hop: hops.Hop, request: incoming.Request
+    ) -> answers.Answer:
+        """Run a request, or wait for its run."""
+        body, source = await self._body(hop, request)
+        if hop.idempotent:
+            return await self._work(hop, request, body, source)
+        # A process that was stopped for a while finds the request and its
+        # sender's leaving at the same moment; the latter is seen one turn of
+        # the loop later, and must come first.
+        await asyncio.sleep(0)
+        return await self.runs.once(
+            hop,
+            lambda: self._work(hop, request, body, source),
+            lambda: request.connection.broken,
+        )
+
+    async def _body(
+        self, hop: hops.Hop, request: incoming.Request
+    ) -> tuple[bytes | None, bodies.Source | None]:
+        """Return the body, or where it is read from when it is long."""
+        length = bodies.declared(request)
+        if length == 0:
+            return b'', None
+        content = request.content
+        if length is not None and length > bodies.HOLD_BYTES:
+            return None, bodies.Source(content, length, b'', NO_LIMIT)
+        until = clock.now() + hop.left_ms / MS
+        begun = await bodies.begin(content, NO_LIMIT, until)
+        if begun.whole:
+            return begun.data, None
+        return None, bodies.Source(content, None, begun.data, NO_LIMIT)
+
+    async def _work(
+        self,
+        hop: hops.Hop,
+        request: incoming.Request,
+        body: bytes | None,
+        source: bodies.Source | None,
+    ) -> answers.Answer:
+        """Give a request a slot and send it to its upstream."""
+        said = self._announced(hop)
+        slots = self._slots(hop.upstream, said)
+        now = clock.now()
+        trial = slots.suspicion.suspect
+        if not hop.forced and not slots.suspicion.admits(hop.idempotent, now):
+            raise slots_module.Refused(hops.SUSPECT)
+        call = _call(hop, request, body, now)
+        goal = now + hop.goal_ms / MS if hop.goal_ms >= 0 else now
+        want = waiting.Want(
+            hop.id, hop.route, call.deadline, goal, hop.priority, hop.inner
+        )
+        waited_s = await slots.take(want, hop.may_wait)
+        line = slots.line
+        self.recorder.tell(
+            decisions.Began(
+                hop.id,
+                hop.upstream,
+                hop.host,
+                int(waited_s * MS),
+                line.running,
+                len(line.waiting),
+                line.slots,
+                int((call.deadline - clock.now()) * MS),
+                trial,
+            )
+        )
+        target = self._target(hop.upstream, said)
+        attempt = sends.ToUpstream(
+            call, target, self.names, hop.caller_service, source
+        )
+        freed = False
+        try:
+            answer = await self._send(hop, slots, attempt)
+            if answer.rest is not None:
+                attempt.release = slots.free
+                freed = True
+            return answer
+        finally:
+            if not freed:
+                slots.free()
+
+    def _announced(self, hop: hops.Hop) -> registries.Announcement:
+        """Return what the upstream said of itself, if it takes new work."""
+        lease = self.registry.leases.get(hop.upstream)
+        if lease is None:
+            raise slots_module.Refused(hops.ABSENT)
+        if self.leaving or lease.announcement.state != interfaces.UP:
+            raise slots_module.Refused(hops.LEAVING)
+        return lease.announcement
+
+    # At the upstream
+
+    async def _send(
+        self,
+        hop: hops.Hop,
+        slots: slots_module.Slots,
+        attempt: sends.ToUpstream,
+    ) -> answers.Answer:
+        began = clock.now()
+        expected_s = slots.line.durations.of(hop.route)
+        overdue = asyncio.get_running_loop().call_later(
+            max(OVERDUE * expected_s, OVERDUE_S),
+            self._failed,
+            hop,
+            slots,
+        )
+        status, detail = 0, ''
+        outcome = interfaces.CANCELLED
+        try:
+            answer = await sends.answer_of(attempt, attempt.call.deadline)
+            status = answer.status
+            outcome = self._outcome(answer)
+            return self._checked(answer, outcome)
+        except answers.Failed as failed:
+            outcome, detail = failed.outcome, failed.detail
+            if not failed.sent:
+                raise slots_module.Refused(
+                    hops.UNREACHABLE, failed.detail
+                ) from None
+            raise
+        finally:
+            overdue.cancel()
+            took_s = clock.now() - began
+            self._learn(hop, slots, outcome, status, took_s)
+            good = outcome == interfaces.GOOD
+            self.recorder.tell(
+                decisions.Ended(
+                    hop.id,
+                    hop.upstream,
+                    outcome,
+                    status,
+                    int(took_s * MS),
+                    slots.suspicion.suspect,
+                    detail,
+                ),
+                decisions.ROUTINE if good else decisions.TROUBLE,
+            )
+
+    def _outcome(self, answer: answers.Answer) -> str:
+        """Return what an answer shows of its upstream."""
+        marked = headers.value(answer.headers, self.not_run) is not None
+        if marked or answer.status == MISDIRECTED:
+            return interfaces.SHED
+        if answer.status >= 500 or answer.status in PROMISES:
+            return interfaces.ERROR
+        good = 200 <= answer.status < 300
+        unsigned = (
+            self.receipt
+            and good
+            and not headers.value(answer.headers, self.receipt)
+        )
+        return interfaces.BROKEN if unsigned else interfaces.GOOD
+
+    def _checked(self, answer: answers.Answer, outcome: str) -> answers.Answer:
+        """Return an answer that may be passed on."""
+        if outcome == interfaces.SHED:
+            _drop(answer)
+            moved = answer.status == MISDIRECTED
+            raise slots_module.Refused(hops.MOVED if moved else hops.SHED)
+        if outcome == interfaces.BROKEN:
+            _drop(answer)
+            raise answers.Failed(
+                outcome, codes.ANSWER_MALFORMED, True, 'no receipt'
+            )
+        if answer.status in PROMISES:
+            # Passed on, it would promise that the request has not run.
+            _drop(answer)
+            raise answers.Failed(
+                outcome,
+                codes.ANSWER_LOST,
+                True,
+                'status %d without a mark' % answer.status,
+            )
+        return answer
+
+    def _learn(
+        self,
+        hop: hops.Hop,
+        slots: slots_module.Slots,
+        outcome: str,
+        status: int,
+        took_s: float,
+    ) -> None:
+        """Let a run count as evidence about its upstream."""
+        if outcome == interfaces.GOOD:
+            slots.line.durations.add(hop.route, took_s)
+            if slots.suspicion.good():
+                LOG.info('An upstream is sound again.', upstream=hop.upstream)
+            return
+        if outcome == interfaces.CANCELLED or status == OUT_OF_TIME:
+            return
+        if outcome == interfaces.ERROR and self.inner.failed_lately():
+            # It failed for what it had called, as a rule.
+            return
+        self._failed(hop, slots)
+
+    def _failed(self, hop: hops.Hop, slots: slots_module.Slots) -> None:
+        if slots.suspicion.failed(clock.now()):
+            LOG.info('An upstream is under suspicion.', upstream=hop.upstream)
+
+    # Refusals
+
+    def _refuse(
+        self,
+        hop: hops.Hop,
+        request: incoming.Request,
+        refused: slots_module.Refused,
+    ) -> None:
+        report = self._report(hop.upstream)
+        self.recorder.tell(
+            decisions.Declining(
+                hop.id,
+                hop.upstream,
+                hop.host,
+                refused.reason,
+                refused.detail,
+                report.running,
+                report.waiting,
+                report.slots,
+            ),
+            decisions.TROUBLE,
+        )
+        if refused.reason in hops.UNSURE:
+            label = codes.ANSWER_LOST.label
+            data = hops.failure(label, refused.reason, report)
+        else:
+            data = hops.refusal(refused.reason, refused.detail, report)
+        _write(request, data)
+
+    def _report(self, upstream: str):
+        slots = self.slots.get(upstream)
+        if slots is None:
+            slots = slots_module.Slots(self.process, 0)
+        return slots.report()
+
+
+class Signs:
+    """Interim answers, while a request waits or runs.
+
+    :param request: the request.
+    """
+
+    def __init__(self, request: incoming.Request) -> None:
+        self.request = request
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(FIRST_SIGN_S, self._sign)
+
+    def _sign(self) -> None:
+        transport = self.request.connection.transport
+        if transport is None or transport.is_closing():
+            return
+        transport.write(hops.INTERIM)
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(SIGN_EVERY_S, self._sign)
+
+    def stop(self) -> None:
+        """Send none any more: the answer comes."""
+        self.timer.cancel()
+
+
+def process_name() -> str:
+    """Return a name for this process, other at every start."""
+    return '%x' % (time.time_ns() & 0xFFFFFFFFFFFF)
+
+
+def _upstream(name: str, said: registries.Announcement) -> interfaces.Upstream:
+    return interfaces.Upstream(
+        name,
+        said.service,
+        said.address,
+        '',
+        '',
+        said.slots,
+        said.weight,
+        said.warmup_s,
+        said.state,
+        said.incarnation,
+    )
+
+
+def _call(
+    hop: hops.Hop, request: incoming.Request, body: bytes | None, now: float
+) -> calls.Call:
+    connection = request.headers.get('Connection')
+    if connection is not None:
+        connection = ','.join(request.headers.getall('Connection'))
+    first = '%s %s HTTP/1.1\r\n' % (request.method, request.raw_path)
+    return calls.Call(
+        hop.id,
+        None,
+        '',
+        '',
+        now + hop.left_ms / MS if hop.left_ms >= 0 else -math.inf,
+        hop.idempotent,
+        '',
+        request.method,
+        request.raw_path,
+        first.encode() + headers.lines(request.raw_headers, connection),
+        body,
+    )
+
+
+def _drop(answer: answers.Answer) -> None:
+    if answer.rest is not None:
+        answer.rest.drop()
+
+
+def _whole(request: incoming.Request) -> bool:
+    """Tell whether another request may follow on a connection."""
+    return request.keep_alive and request.content.is_eof()
+
+
+def _write(request: incoming.Request, data: bytes) -> None:
+    transport = request.connection.transport
+    if transport is None or transport.is_closing():
+        raise ConnectionResetError('the caller has gone')
+    transport.write(data)
--- /dev/null
+++ b/carawaystair/gateway/front.py
@@ -0,0 +1,285 @@
+"""Takes callers' requests at a node with a gateway."""
+
+import re
+import typing
+
+from carawaystair import clock
+from carawaystair import codes
+from carawaystair import decisions
+from carawaystair.gateway import inner as inners
+from carawaystair.gateway import relay as relays
+from carawaystair.gateway import splitting
+from carawaystair.gateway import streaming
+from carawaystair import manifest
+from carawaystair.request import answer as answers
+from carawaystair.request import body as bodies
+from carawaystair.request import call as calls
+from carawaystair.request import caller
+from carawaystair.request import exchange as exchanges
+from carawaystair.request import handling
+from carawaystair.request import headers
+from carawaystair.request import incoming
+from carawaystair.request import meters as meters_module
+from carawaystair import routing as routings
+from carawaystair import rows
+from carawaystair import settings as settings_module
+
+MS = 1000
+ID = re.compile(r'[!-~]{1,128}')
+# Statuses that promise that a request was not run.
+PROMISES = frozenset((408, 421, 429, 503))
+NOT_RUN_STATUS = 503
+UNKNOWN_STATUS = 502
+
+
+class Front(handling.Handling):
+    """Answers callers; one for each node.
+
+    :param settings: of the process.
+    :param prefix: begins the ids of requests that bring none.
+    :param routing: returns the configuration in force.
+    :param relay: sends requests to gateways.
+    :param splits: chooses among the services of a route.
+    :param inner: is told of failed calls of this host's upstreams.
+    :param meters: counts what callers are told.
+    :param recorder: takes note of decisions.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        prefix: str,
+        routing: typing.Callable[[], routings.Routing],
+        relay: relays.Relay,
+        splits: splitting.Splitter,
+        inner: inners.InnerCalls,
+        meters: meters_module.Meters,
+        recorder: decisions.Recorder,
+    ) -> None:
+        super().__init__(prefix, 0.0, routing, meters)
+        self.names = settings.headers
+        self.service = settings.node.service
+        self.relay = relay
+        self.splits = splits
+        self.inner = inner
+        self.recorder = recorder
+        # While the node stops: until when new requests are taken.
+        self.last_new: float | None = None
+        # These are ours to set; what a caller sends under them is dropped.
+        self.ours = frozenset(
+            name.lower().encode()
+            for name in (
+                self.names.deadline_ms,
+                self.names.upstream,
+                self.names.caller_service,
+            )
+        )
+
+    def bounds(self) -> incoming.Bounds:
+        """Return what callers may send, by the configuration in force."""
+        limits = self.routing().limits
+        return incoming.Bounds(
+            limits.max_header_bytes,
+            limits.header_timeout_ms / MS,
+            limits.idle_timeout_ms / MS,
+        )
+
+    def _name(self, request: incoming.Request) -> str:
+        """Return the caller's id of a request, or one of our own."""
+        given = request.headers.get(self.names.request_id, '')
+        return given if ID.fullmatch(given) else super()._name(request)
+
+    async def _answer(
+        self, request: incoming.Request, exchange: exchanges.Exchange
+    ) -> None:
+        began = clock.now()
+        routing = self.routing()
+        if routing.version == rows.NONE:
+            raise caller.Refused(codes.NOT_READY)
+        if self.last_new is not None and began > self.last_new:
+            raise caller.Refused(codes.LEAVING)
+        trip = await self._read(request, exchange, routing, began)
+        try:
+            await self._pass_on(trip, exchange, began)
+        except caller.Refused as refused:
+            self._tell(trip, exchange, began, refused.code, refused.detail)
+            raise
+        except answers.Failed as failed:
+            self._tell(trip, exchange, began, failed.code, failed.detail)
+            raise
+        except ConnectionError:
+            self._tell_left(trip, began)
+            raise
+        except BaseException:
+            self._tell_left(trip, began)
+            raise
+
+    # Reading
+
+    async def _read(
+        self,
+        request: incoming.Request,
+        exchange: exchanges.Exchange,
+        routing: routings.Routing,
+        now: float,
+    ) -> relays.Trip:
+        """Read a request; raises :class:`caller.Refused`."""
+        place = caller.target(request)
+        match = routing.match(place.host, place.path.partition('?')[0])
+        if match is None:
+            raise caller.Refused(codes.NO_ROUTE)
+        route = match.route
+        name = self.splits.service(match.key, route)
+        service = routing.service(name)
+        if service is None:
+            raise caller.Refused(codes.NO_ROUTE)
+        match = routings.Match(match.key, route, service)
+        call = self._call(request, exchange, place, match, now)
+        limits = routing.limits
+        length = bodies.declared(request)
+        bodies.check(length, limits.max_body_bytes)
+        if length != 0 or 'Expect' in request.headers:
+            call = await self._take_body(request, call, exchange, length)
+        goal_s = route.goal_ms / MS if route.goal_ms else call.deadline - now
+        need = relays.Need(
+            name,
+            now + goal_s,
+            route.priority,
+            self._inner(request),
+            self.service,
+            route.max_attempts or relays.MOST_RUNS,
+            str(routing.version),
+        )
+        return relays.Trip(call, need)
+
+    def _call(
+        self,
+        request: incoming.Request,
+        exchange: exchanges.Exchange,
+        place: caller.Target,
+        match: routings.Match,
+        now: float,
+    ) -> calls.Call:
+        route = match.route
+        idempotent = route.idempotent
+        if idempotent is None:
+            idempotent = request.method not in caller.NON_IDEMPOTENT
+        most_ms = route.timeout_ms or match.service.timeout_ms
+        left_ms = caller.budget_ms(
+            request.headers, match.service, self.names.deadline_ms
+        )
+        return calls.Call(
+            exchange.id,
+            match,
+            '',
+            manifest.OTHER,
+            now + min(left_ms, most_ms) / MS,
+            idempotent,
+            '',
+            request.method,
+            place.path,
+            self._head(request, place),
+        )
+
+    def _head(self, request: incoming.Request, place: caller.Target) -> bytes:
+        """Return the request line and the headers that go on."""
+        connection = request.headers.get('Connection')
+        if connection is not None:
+            connection = ','.join(request.headers.getall('Connection'))
+        raw = [
+            pair
+            for pair in request.raw_headers
+            if pair[0].lower() not in self.ours
+        ]
+        if place.authority:
+            raw = [pair for pair in raw if pair[0].lower() != b'host']
+            raw.append((b'Host', place.authority.encode()))
+        first = '%s %s HTTP/1.1\r\n' % (request.method, place.path)
+        return first.encode() + headers.lines(raw, connection)
+
+    def _inner(self, request: incoming.Request) -> bool:
+        """Tell whether a running request waits for this one."""
+        transport = request.connection.transport
+        peer = transport.get_extra_info('peername') if transport else None
+        here = transport.get_extra_info('sockname') if transport else None
+        return bool(peer and here and peer[0] == here[0])
+
+    # Answering
+
+    async def _pass_on(
+        self, trip: relays.Trip, exchange: exchanges.Exchange, began: float
+    ) -> None:
+        answer = await self.relay.send(trip)
+        why = ''
+        if answer.rest is None:
+            exchange.whole(answer, codes.OK)
+            await exchange.drained()
+        else:
+            why = await streaming.pass_on(answer.rest, answer, exchange)
+        if why:
+            exchange.keep_alive = False
+            self.meters.cut(trip.call.id, why)
+        else:
+            self.meters.complete(clock.now() - began)
+        if trip.need.inner and answer.status >= 500:
+            self.inner.failed()
+        code = codes.ANSWER_LOST if why else codes.OK
+        self._tell(trip, exchange, began, code, why, answer.status)
+
+    def _tell(
+        self,
+        trip: relays.Trip,
+        exchange: exchanges.Exchange,
+        began: float,
+        code: codes.Code,
+        detail: str,
+        status: int = 0,
+    ) -> None:
+        good = code is codes.OK and status < 500
+        if not status and trip.need.inner:
+            self.inner.failed()
+        self.recorder.tell(
+            decisions.Answered(
+                trip.call.id,
+                trip.call.match.key,
+                trip.need.service,
+                status or code.status,
+                exchange.outcome or '',
+                code.label,
+                trip.offers,
+                int((clock.now() - began) * MS),
+                detail,
+            ),
+            decisions.ROUTINE if good else decisions.TROUBLE,
+        )
+
+    def _tell_left(self, trip: relays.Trip, began: float) -> None:
+        total_ms = int((clock.now() - began) * MS)
+        self.recorder.tell(
+            decisions.Left(trip.call.id, trip.offers, total_ms),
+            decisions.TROUBLE,
+        )
+
+    def _refuse(
+        self,
+        exchange: exchanges.Exchange,
+        code: codes.Code,
+        outcome: str,
+        detail: str,
+        retry_after_s: float = 1.0,
+    ) -> None:
+        """Answer with a status that promises what is true, and no more.
+
+        A caller repeats a request after 503, whatever else the answer says,
+        and takes a 502 or 504 of one that was not run for a run.
+        """
+        status = code.status
+        if outcome == codes.NOT_RUN and status >= 500:
+            status = NOT_RUN_STATUS
+        elif outcome != codes.NOT_RUN and status in PROMISES:
+            status = UNKNOWN_STATUS
+        self.meters.failed(outcome, code, exchange.id, detail)
+        try:
+            exchange.refuse(code, outcome, detail, retry_after_s, status)
+        except ConnectionError:
+            exchange.keep_alive = False
--- /dev/null
+++ b/carawaystair/gateway/hops.py
@@ -0,0 +1,138 @@
+"""What one node tells another about a request that it hands over.
+
+A request travels as HTTP/1.1 on a kept connection, one at a time on each:
+its own head and body unchanged, with one header of ours in front.  So bodies
+of any length pass with back-pressure, a caller that leaves shows as a closed
+connection within a round trip, and a long answer never holds up a short one.
+
+The gateway answers with an interim answer (102) as soon as it has the
+request, and again while it works: silence means a lost connection, not a slow
+upstream.  Then comes the upstream's answer, a refusal, which promises that
+the request has not run and will not run, or a failure, which promises
+nothing.
+"""
+
+import typing
+
+import msgspec
+
+from carawaystair.load import placing
+
+HOP = 'Caraway-Hop'
+REPORT = b'caraway-report'
+REFUSAL = b'caraway-refusal'
+FAILURE = b'caraway-failure'
+
+# Why a gateway refuses a request, beside the reasons of ``load.rejecting``.
+SUSPECT = 'suspect'  # the upstream failed lately
+LEAVING = 'leaving'  # the upstream or its node is about to stop
+ABSENT = 'absent'  # no such upstream is announced here
+UNREACHABLE = 'unreachable'  # no connection to the upstream could be made
+SHED = 'shed'  # the upstream itself refused; it was sent there
+MOVED = 'moved'  # another upstream has the address; it was sent there
+STALE = 'stale'  # a later send of the same request was seen before
+RESTARTED = 'restarted'  # another process had the request; it may have run
+MALFORMED = 'malformed'  # the hop could not be read
+
+# Refusals after which the upstream has seen the request, without running it.
+ARRIVED = frozenset((SHED, MOVED))
+# A refusal that is none: the earlier process may have run the request.
+UNSURE = frozenset((RESTARTED, STALE))
+
+INTERIM = b'HTTP/1.1 102 Processing\r\n\r\n'
+
+
+class Hop(typing.NamedTuple):
+    """A request on its way between two nodes.
+
+    :param id: its id.
+    :param host: the host that hands it over.
+    :param upstream: id of the upstream that is to run it.
+    :param service: the service.
+    :param caller_service: the service on the host where it began.
+    :param route: key of its route.
+    :param left_ms: time until its answer is owed, ms.
+    :param goal_ms: time until which its answer is worth most, ms; negative
+        when that has passed.
+    :param priority: rank of its kind, 0 first.
+    :param idempotent: whether it may run twice.
+    :param inner: whether another running request waits for it.
+    :param may_wait: whether it may wait here for a slot.
+    :param forced: whether it is to run although the upstream failed lately.
+    :param number: counts the sends of this request to this gateway.
+    :param process: the process that got the first send, when this is a
+        further one; empty for the first.
+    """
+
+    id: str
+    host: str
+    upstream: str
+    service: str
+    caller_service: str
+    route: str
+    left_ms: int
+    goal_ms: int
+    priority: int
+    idempotent: bool
+    inner: bool
+    may_wait: bool
+    forced: bool
+    number: int = 1
+    process: str = ''
+
+
+_HOPS = msgspec.json.Decoder(Hop)
+_REPORTS = msgspec.json.Decoder(placing.Report)
+
+
+def line(hop: Hop) -> bytes:
+    """Return the header line that carries a hop."""
+    return b'%b: %b\r\n' % (HOP.encode(), msgspec.json.encode(hop))
+
+
+def read(value: str) -> Hop | None:
+    """Return the hop that :func:`line` wrote, None for anything else."""
+    try:
+        return _HOPS.decode(value)
+    except (msgspec.DecodeError, UnicodeError):
+        return None
+
+
+def report_line(report: placing.Report) -> bytes:
+    """Return the header line that carries a report."""
+    return b'%b: %b\r\n' % (REPORT, msgspec.json.encode(report))
+
+
+def read_report(value: bytes) -> placing.Report | None:
+    """Return the report that :func:`report_line` wrote."""
+    try:
+        return _REPORTS.decode(value)
+    except msgspec.DecodeError:
+        return None
+
+
+def refusal(reason: str, detail: str, report: placing.Report) -> bytes:
+    """Return the bytes of a refusal."""
+    return _own(b'503 Service Unavailable', REFUSAL, reason, detail, report)
+
+
+def failure(code: str, detail: str, report: placing.Report) -> bytes:
+    """Return the bytes of a failure.
+
+    :param code: label of the code that the caller is told.
+    """
+    return _own(b'502 Bad Gateway', FAILURE, code, detail, report)
+
+
+def _own(
+    status: bytes, name: bytes, what: str, detail: str, report: placing.Report
+) -> bytes:
+    body = detail.encode('utf-8', 'replace')
+    return b'HTTP/1.1 %b\r\n%b: %b\r\n%bContent-Length: %d\r\n\r\n%b' % (
+        status,
+        name,
+        what.encode(),
+        report_line(report),
+        len(body),
+        body,
+    )
--- /dev/null
+++ b/carawaystair/gateway/known.py
@@ -0,0 +1,98 @@
+"""The upstreams that a node sends to, as the directory has them now."""
+
+import random
+import typing
+
+from carawaystair import clock
+from carawaystair import interfaces
+from carawaystair.load import placing
+from carawaystair.request import connections
+from carawaystair.request import target as targets
+from carawaystair import routing as routings
+
+
+class Known:
+    """Upstreams, their gateways and what is known of their load.
+
+    :param data_centre: where this node stands.
+    :param directory: the upstreams.
+    :param routing: returns the configuration in force.
+    :param rng: the source of randomness.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        directory: interfaces.Directory,
+        routing: typing.Callable[[], routings.Routing],
+        rng: random.Random,
+    ) -> None:
+        self.data_centre = data_centre
+        self.directory = directory
+        self.routing = routing
+        self.board = placing.Board(rng)
+        self.targets: dict[str, targets.Target] = {}
+        directory.subscribe(self.changed)
+
+    def changed(self, upstream: interfaces.Upstream) -> None:
+        """Take note of an upstream that changed."""
+        target = self.targets.get(upstream.id)
+        if target is None:
+            return
+        if target.upstream.address != upstream.address:
+            connections.close_idle(target)
+        target.upstream = upstream
+        if upstream.state == interfaces.GONE:
+            connections.close_idle(target)
+            del self.targets[upstream.id]
+            self.board.forget(upstream.id)
+
+    def sweep(self, now: float) -> None:
+        """Close connections that were idle for long."""
+        for target in self.targets.values():
+            connections.sweep(target, now)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for target in self.targets.values():
+            connections.close_idle(target)
+
+    def target(self, upstream: interfaces.Upstream) -> targets.Target:
+        """Return what this node knows of an upstream."""
+        target = self.targets.get(upstream.id)
+        if target is None:
+            target = targets.Target(upstream, clock.now())
+            self.targets[upstream.id] = target
+        return target
+
+    def choose(
+        self, service: str, tried: typing.Container[str], now: float
+    ) -> tuple[targets.Target | None, int]:
+        """Return the upstream to offer a request to.
+
+        :return: the upstream, None when there is none that was not tried;
+            and how many take work.
+        """
+        routing = self.routing()
+        usable = {
+            upstream.id: upstream
+            for upstream in self.directory.upstreams(service)
+            if upstream.state == interfaces.UP
+            and not routing.drained(upstream.host, upstream.data_centre)
+        }
+        candidates = [self._candidate(u, now) for u in usable.values()]
+        chosen = self.board.choose(candidates, tried, now)
+        if chosen is None:
+            return None, len(usable)
+        return self.target(usable[chosen.id]), len(usable)
+
+    def _candidate(
+        self, upstream: interfaces.Upstream, now: float
+    ) -> placing.Candidate:
+        target = self.target(upstream)
+        return placing.Candidate(
+            upstream.id,
+            upstream.data_centre == self.data_centre,
+            upstream.slots,
+            now - target.seen < upstream.warmup_s,
+        )
--- /dev/null
+++ b/carawaystair/gateway/runs.py
@@ -0,0 +1,152 @@
+"""At most one run for each request that may not run twice.
+
+The gateway is the only way to its upstream, so it alone decides.  A
+connection between two nodes may be lost while a request is on its way, while
+it runs, or while its answer returns.  The node that handed it over then asks
+again, under the same id, on a new connection: a request that never arrived is
+run, one that runs is waited for, and a ready answer is delivered.
+
+Symptom without it: a connection that is lost for a moment costs the answer of
+a request that may not be repeated, though it was run and paid for.
+"""
+
+import asyncio
+import collections
+import typing
+
+from carawaystair import clock
+from carawaystair.gateway import hops
+from carawaystair.gateway import slots
+from carawaystair.request import answer as answers
+
+# A run that nobody waits for is cancelled after so long, when its connection
+# broke: whoever handed it over notices within this time and asks again.
+ORPHAN_S = 2.5
+# A ready answer is kept for so long, seconds.
+KEEP_S = 20.0
+# An id is remembered for so long: requests have shorter deadlines, and a
+# send that was held up by a cut must not run behind them.
+REMEMBER_S = 90.0
+MOST = 20_000
+
+
+class Run:
+    """One request that may not run twice.
+
+    :param number: the highest number of its sends that was seen.
+    """
+
+    __slots__ = ('holders', 'number', 'seen', 'task')
+
+    def __init__(self, number: int, seen: float) -> None:
+        self.number = number
+        self.seen = seen
+        # None when it was refused, and when its answer is forgotten.
+        self.task: asyncio.Task | None = None
+        self.holders = 0
+
+
+class Runs:
+    """The requests that this process was handed.
+
+    :param process: names this process.
+    """
+
+    def __init__(self, process: str) -> None:
+        self.process = process
+        self.runs: collections.OrderedDict[str, Run] = (
+            collections.OrderedDict()
+        )
+        self.joined = 0
+
+    async def once(
+        self,
+        hop: hops.Hop,
+        work: typing.Callable[[], typing.Coroutine],
+        broken: typing.Callable[[], bool],
+    ) -> answers.Answer:
+        """Run a request unless it was run; return its answer.
+
+        :param work: runs it; called at most once in a run's life.
+        :param broken: tells, once the waiter is cancelled, whether its
+            connection broke rather than being closed.
+        :raises slots.Refused: when it was not run and will not be.
+        :raises answers.Failed: when it may have run.
+        """
+        run = self._find(hop)
+        if run.task is None:
+            run.task = asyncio.ensure_future(self._whole(run, work))
+        else:
+            self.joined += 1
+        run.holders += 1
+        try:
+            return await asyncio.shield(run.task)
+        finally:
+            run.holders -= 1
+            if not run.holders and not run.task.done():
+                self._leave(run, broken())
+
+    def _find(self, hop: hops.Hop) -> Run:
+        now = clock.now()
+        self._forget(now)
+        run = self.runs.get(hop.id)
+        if run is None:
+            if hop.process not in ('', self.process):
+                raise slots.Refused(hops.RESTARTED)
+            run = self.runs[hop.id] = Run(hop.number, now)
+            return run
+        refused = run.task is None or (
+            run.task.done() and _refusal(run.task) is not None
+        )
+        if refused:
+            if hop.number <= run.number:
+                # Its sender was told that it did not run.
+                raise slots.Refused(hops.STALE)
+            run.task = None
+        run.number = max(run.number, hop.number)
+        return run
+
+    async def _whole(
+        self, run: Run, work: typing.Callable[[], typing.Coroutine]
+    ) -> answers.Answer:
+        """Run a request; keep only answers that are here whole."""
+        answer = await work()
+        loop = asyncio.get_running_loop()
+        loop.call_later(KEEP_S, self._drop_answer, run)
+        return answer
+
+    def _drop_answer(self, run: Run) -> None:
+        """Forget an answer, but not that the request was run."""
+        run.task = asyncio.get_running_loop().create_future()
+        run.task.set_exception(slots.Refused(hops.RESTARTED))
+        # Nobody may ever look at it.
+        run.task.exception()
+
+    def _leave(self, run: Run, broken: bool) -> None:
+        if not broken:
+            run.task.cancel()
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(ORPHAN_S, self._cancel_orphan, run)
+
+    def _cancel_orphan(self, run: Run) -> None:
+        if not run.holders and run.task is not None:
+            run.task.cancel()
+
+    def _forget(self, now: float) -> None:
+        runs = self.runs
+        while runs:
+            first = next(iter(runs.values()))
+            if len(runs) < MOST and now - first.seen < REMEMBER_S:
+                return
+            runs.popitem(last=False)
+
+
+def _refusal(task: asyncio.Future) -> slots.Refused | None:
+    """Return the promise of a run that it was not run, if it made one."""
+    if task.cancelled():
+        return None
+    error = task.exception()
+    if isinstance(error, slots.Refused) and error.reason not in hops.UNSURE:
+        return error
+    return None
--- /dev/null
+++ b/carawaystair/gateway/sends.py
@@ -0,0 +1,209 @@
+"""One send of a request: to another node's gateway, or to an upstream."""
+
+import socket
+import struct
+import typing
+
+import aiohttp
+from aiohttp import http_exceptions
+
+from carawaystair import clock
+from carawaystair import codes
+from carawaystair import interfaces
+from carawaystair.request import answer as answers
+from carawaystair.request import attempt as attempts
+from carawaystair.request import body as bodies
+from carawaystair.request import call as calls
+from carawaystair.request import target as targets
+from carawaystair import settings
+
+# What breaks a connection.
+BROKEN = (
+    aiohttp.ClientError,
+    http_exceptions.HttpProcessingError,
+    ConnectionError,
+    OSError,
+)
+# Foreign answers that are passed over on one connection.  An upstream that
+# sends more has lost track of its connection.
+MOST_FOREIGN = 3
+# Upstreams close connections that were idle for some seconds, and may do so
+# sooner than they say; one that was used so lately is sound as a rule.
+IDLE_S = 4.0
+# Closing with this sends a reset, which also takes back the bytes that are
+# still on their way.
+RESET = struct.pack('ii', 1, 0)
+
+
+class ToUpstream(attempts.Attempt):
+    """A request on its way from the gateway to its upstream.
+
+    :param call: the request, whose head has the callers' headers only.
+    :param target: the upstream.
+    :param names: names of headers.
+    :param caller_service: the service on the host where it began.
+    :param source: its body where that is not held here.
+    """
+
+    __slots__ = (
+        'body_source',
+        'caller_service',
+        'foreign',
+        'names',
+        'release',
+    )
+
+    def __init__(
+        self,
+        call: calls.Call,
+        target: targets.Target,
+        names: settings.Headers,
+        caller_service: str,
+        source: bodies.Source | None = None,
+    ) -> None:
+        super().__init__(call, target)
+        self.names = names
+        self.caller_service = caller_service
+        self.body_source = source
+        self.foreign = 0
+        # Gives the slot back once a long answer has passed.
+        self.release: typing.Callable[[], None] | None = None
+
+    def idle_s(self) -> float:
+        """Return how long the connection may have been idle, in seconds."""
+        return min(super().idle_s(), IDLE_S)
+
+    def marks(self, left_ms: int) -> bytes:
+        """Return what the upstream is told beside the caller's headers."""
+        names = self.names
+        lines = '%s: %d\r\n%s: %s\r\n%s: %s\r\n' % (
+            names.deadline_ms,
+            left_ms,
+            names.upstream,
+            self.target.upstream.id,
+            names.caller_service,
+            self.caller_service,
+        )
+        return lines.encode()
+
+    def source(self) -> bodies.Source:
+        """Return the body that is not held here."""
+        return self.body_source
+
+    async def _head(self, until: float) -> None:
+        """Wait for the answer; pass over those to earlier requests.
+
+        An upstream may send a second answer to a request that it has
+        answered.  It arrives where the next answer is expected, and only its
+        id tells.
+        """
+        while True:
+            proto = self.connection.proto
+            message, payload = await proto.head(until)
+            if message.code < 200:
+                self.interim(message)
+                continue
+            named = message.headers.get(self.names.request_id)
+            if named in (None, self.call.id):
+                self.message, self.payload = message, payload
+                return
+            self.foreign += 1
+            if self.foreign > MOST_FOREIGN:
+                raise self._failure(codes.ANSWER_FOREIGN, named)
+            while not payload.at_eof():
+                await payload.readany()
+
+    def length(self, message) -> int | None:
+        """Return the declared length; None for an answer that ends with its
+        connection, too.
+        """
+        if message.chunked or 'Content-Length' in message.headers:
+            return super().length(message)
+        return None
+
+
+class ToGateway(attempts.Attempt):
+    """A request on its way to another node's gateway.
+
+    :param call: the request.
+    :param target: the upstream, whose address is that of its gateway.
+    :param hop: the header line that carries the hop.
+    """
+
+    __slots__ = ('accepted', 'hop', 'signs')
+
+    def __init__(
+        self,
+        call: calls.Call,
+        target: targets.Target,
+        hop: bytes,
+        fresh: bool = False,
+    ) -> None:
+        super().__init__(call, target, fresh=fresh)
+        self.hop = hop
+        # Whether the gateway has said that it has the request.
+        self.accepted = False
+        self.signs = 0
+
+    def marks(self, left_ms: int) -> bytes:
+        """Return the hop."""
+        del left_ms
+        return self.hop
+
+    async def sign(self, until: float) -> bool:
+        """Wait for the next sign of life; tell whether it is the answer.
+
+        :raises TimeoutError: when none comes.
+        """
+        proto = self.connection.proto
+        message, payload = await proto.head(until)
+        if message.code < 200:
+            self.interim(message)
+            self.accepted = True
+            self.signs += 1
+            return False
+        self.message, self.payload = message, payload
+        return True
+
+    def length(self, message) -> int | None:
+        """Return the declared length, None for chunks."""
+        if message.chunked:
+            return None
+        return super().length(message)
+
+    def take_back(self) -> None:
+        """Break the connection so that what was sent on it is lost.
+
+        Behind a cut, the request may not have arrived yet.  Were the
+        connection closed in the normal way, it would arrive when the cut
+        heals, long after its caller was told something else.
+        """
+        connection = self.connection
+        transport = connection.proto.transport if connection else None
+        if transport is not None:
+            raw = transport.get_extra_info('socket')
+            if raw is not None:
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        self.drop()
+
+
+async def answer_of(attempt: attempts.Attempt, until: float) -> answers.Answer:
+    """Connect, send and return the answer, whole or its beginning.
+
+    :raises answers.Failed: when there is none; a late one, too.
+    """
+    try:
+        await attempt.connect()
+        attempt.send()
+        answer = await attempt.answer(until)
+    except TimeoutError:
+        attempt.drop()
+        raise answers.Failed(
+            interfaces.TIMEOUT, codes.ANSWER_LATE, attempt.sent
+        ) from None
+    except BaseException:
+        attempt.drop()
+        raise
+    if answer.rest is None:
+        attempt.settle(clock.now())
+    return answer
--- /dev/null
+++ b/carawaystair/gateway/service.py
@@ -0,0 +1,143 @@
+"""The request path of a node with a gateway: its start and its stop."""
+
+import asyncio
+import typing
+
+import mode
+
+from carawaystair import clock
+from carawaystair import decisions
+from carawaystair.gateway import door as doors
+from carawaystair.gateway import front as fronts
+from carawaystair.gateway import inner as inners
+from carawaystair.gateway import known as knowns
+from carawaystair.gateway import relay as relays
+from carawaystair.gateway import splitting
+from carawaystair import metrics
+from carawaystair.request import connections
+from carawaystair.request import listener as listeners
+from carawaystair.request import meters as meters_module
+
+STOP_POLL_S = 0.02
+# A stop ends so long before the time given to it, seconds: the parts behind
+# this one have to end, too.
+STOP_SLACK_S = 0.6
+
+
+class Gateway(mode.Service):
+    """Takes requests of callers and of other nodes.
+
+    :param kernel: the process.
+    :param membership: the upstreams of this host and of others.
+    :param routing: returns the configuration in force.
+    :param recorder: takes note of decisions.
+    """
+
+    def __init__(
+        self,
+        kernel,
+        membership,
+        routing: typing.Callable,
+        recorder: decisions.Recorder,
+        **kwargs,
+    ) -> None:
+        super().__init__(**kwargs)
+        settings = kernel.settings
+        self.settings = settings
+        self.membership = membership
+        self.routing = routing
+        rng = kernel.random('gateway')
+        process = doors.process_name()
+        inner = inners.InnerCalls()
+        self.known = knowns.Known(
+            settings.data_centre, membership.directory, routing, rng
+        )
+        self.meters = meters_module.Meters(kernel.timeline)
+        self.most_nodes = 1
+        self.relay = relays.Relay(
+            settings.host,
+            self.known,
+            settings.node,
+            self._nodes,
+            rng,
+            recorder,
+        )
+        self.front = fronts.Front(
+            settings,
+            '%s-%s' % (settings.host, process),
+            routing,
+            self.relay,
+            splitting.Splitter(rng),
+            inner,
+            self.meters,
+            recorder,
+        )
+        self.door = doors.Door(
+            membership.registry, settings.headers, process, inner, recorder
+        )
+        self.callers = listeners.Listener(self.front.handle, self.front.bounds)
+        self.nodes = listeners.Listener(self.door.handle)
+        self.stopping = False
+
+    def _nodes(self) -> int:
+        """Return how many nodes share the bound of repeats.
+
+        The most that were ever seen: a part of the fleet that is cut off
+        must not take the whole bound for itself.
+        """
+        alive = sum(not m.control for m in self.membership.members.alive())
+        self.most_nodes = max(self.most_nodes, alive)
+        return self.most_nodes
+
+    def ejected(self, service: str) -> frozenset[str]:
+        """Return the upstreams that last were said to fail."""
+        views = self.known.board.views
+        return frozenset(
+            upstream.id
+            for upstream in self.membership.directory.upstreams(service)
+            if upstream.id in views
+            and views[upstream.id].report is not None
+            and views[upstream.id].report.suspect
+        )
+
+    async def on_start(self) -> None:
+        """Listen for other nodes, then for callers."""
+        metrics.collect(self.meters.samples)
+        await self.nodes.listen(self.settings.node.gateway)
+        await self.callers.listen(self.settings.node.listen)
+
+    @mode.Service.task
+    async def _sweep(self) -> None:
+        """Close connections that were idle too long."""
+        while not self.should_stop:
+            await self.sleep(connections.SWEEP_S)
+            now = clock.now()
+            self._nodes()
+            self.known.sweep(now)
+            self.door.sweep(now)
+
+    async def on_stop(self) -> None:
+        """Let callers and other nodes leave, finish, then close.
+
+        Callers notice that this node is not ready only after a while; their
+        requests are served until then.  Other nodes are told at once, and
+        refused at once: they have other gateways to ask.
+        """
+        self.stopping = True
+        node = self.settings.node
+        now = clock.now()
+        ends = now + max(node.drain_s - STOP_SLACK_S, 0.0)
+        self.front.ends = ends
+        self.front.last_new = min(now + node.lame_duck_s, ends)
+        self.membership.registry.close()
+        self.door.close()
+        while clock.now() < self.front.last_new:
+            await asyncio.sleep(STOP_POLL_S)
+        self.callers.close()
+        self.callers.close_idle()
+        while clock.now() < ends and (self.front.active or self.door.active):
+            await asyncio.sleep(STOP_POLL_S)
+        self.nodes.close()
+        await self.callers.abort()
+        await self.nodes.abort()
+        self.known.close()
--- /dev/null
+++ b/carawaystair/gateway/slots.py
@@ -0,0 +1,112 @@
+"""The slots of one upstream, and the tasks that wait for them."""
+
+import asyncio
+
+from carawaystair import clock
+from carawaystair.load import placing
+from carawaystair.load import rejecting
+from carawaystair.load import suspicion
+from carawaystair.load import waiting
+
+MS = 1000
+
+
+class Refused(Exception):
+    """A request gets no slot.
+
+    :param reason: why, see ``hops`` and ``load.rejecting``.
+    :param detail: the circumstances, for a person.
+    """
+
+    def __init__(self, reason: str, detail: str = '') -> None:
+        super().__init__(reason, detail)
+        self.reason = reason
+        self.detail = detail
+
+
+class Slots:
+    """Hands out the slots of one upstream.
+
+    :param process: names this process in reports.
+    :param count: the slots.
+    """
+
+    def __init__(self, process: str, count: int) -> None:
+        self.process = process
+        self.line = waiting.Line(count)
+        self.suspicion = suspicion.Suspicion()
+        self.waiters: dict[str, asyncio.Future] = {}
+
+    async def take(self, want: waiting.Want, may_wait: bool) -> float:
+        """Wait for a slot; return the seconds that it took.
+
+        :raises Refused: when there is none in time.
+        """
+        began = clock.now()
+        verdict = self.line.ask(want, began, may_wait)
+        if verdict.reason:
+            raise Refused(verdict.reason, 'wait %.2f s' % verdict.wait_s)
+        if verdict.starts:
+            return 0.0
+        loop = asyncio.get_running_loop()
+        future = self.waiters[want.id] = loop.create_future()
+        timer = loop.call_at(
+            self.line.last_start(want), self._give_up, want.id
+        )
+        try:
+            if not await future:
+                raise Refused(rejecting.HOPELESS, 'its time is over')
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled() and future.result():
+                # It was given a slot in the moment in which it left.
+                self.free()
+            raise
+        finally:
+            timer.cancel()
+            self.line.leave(want.id)
+            self.waiters.pop(want.id, None)
+        return clock.now() - began
+
+    def free(self) -> None:
+        """Give a slot back."""
+        self.line.end()
+        self.serve()
+
+    def serve(self) -> None:
+        """Let those start who have a slot now."""
+        while started := self.line.start(clock.now()):
+            for name in started:
+                future = self.waiters.get(name)
+                if future is None or future.done():
+                    # It left just now.
+                    self.line.end()
+                else:
+                    future.set_result(True)
+
+    def refuse_all(self, reason: str) -> None:
+        """Refuse all that wait: the upstream takes no more work."""
+        for name, future in list(self.waiters.items()):
+            self.line.leave(name)
+            if not future.done():
+                future.set_exception(Refused(reason))
+
+    def _give_up(self, name: str) -> None:
+        future = self.waiters.get(name)
+        if future is not None and not future.done():
+            self.line.leave(name)
+            future.set_result(False)
+
+    def report(self) -> placing.Report:
+        """Return what other nodes should know."""
+        line = self.line
+        busy = line.running + len(line.waiting) + 1 - line.slots
+        wait_s = max(busy, 0) * line.durations.mean / max(line.slots, 1)
+        return placing.Report(
+            self.process,
+            self.suspicion.suspect,
+            line.running,
+            len(line.waiting),
+            line.slots,
+            int(wait_s * MS),
+            int(line.durations.mean * MS),
+        )
--- /dev/null
+++ b/carawaystair/gateway/streaming.py
@@ -0,0 +1,62 @@
+"""Passes a long answer on, as fast as the other side takes it."""
+
+import asyncio
+
+import aiohttp
+from aiohttp import http_exceptions
+
+from carawaystair import clock
+from carawaystair import codes
+from carawaystair.request import answer as answers
+from carawaystair.request import attempt as attempts
+from carawaystair.request import exchange as exchanges
+from carawaystair.request import headers
+
+# An answer that stands still for so long in its middle has broken off,
+# seconds.  Links lose packets for some seconds and recover; upstreams that
+# answer at all send what they have at once.
+STALL_S = 8.0
+BROKEN = (
+    aiohttp.ClientError,
+    http_exceptions.HttpProcessingError,
+    ConnectionError,
+    TimeoutError,
+)
+
+
+async def pass_on(
+    attempt: attempts.Attempt,
+    answer: answers.Answer,
+    exchange: exchanges.Exchange,
+    extra: bytes = b'',
+) -> str:
+    """Pass a long answer on; return why it broke off, or nothing.
+
+    A broken answer must never look whole, so the caller's connection is cut.
+
+    :param extra: header lines to add.
+    """
+    length = headers.value(answer.headers, b'content-length')
+    whole = False
+    try:
+        exchange.begin(answer, None if length is None else int(length), extra)
+        writer = exchange.request.writer
+        await writer.write(answer.body, drain=False)
+        payload = attempt.payload
+        while not payload.at_eof():
+            async with asyncio.timeout(STALL_S):
+                chunk = await payload.readany()
+            await writer.write(chunk, drain=False)
+            await exchange.drained()
+        if writer.chunked:
+            await writer.write_eof()
+        whole = True
+        return ''
+    except BROKEN as error:
+        exchange.cut()
+        return '%s: %s' % (codes.ANSWER_LOST.label, error)
+    finally:
+        if whole:
+            attempt.settle(clock.now())
+        else:
+            attempt.drop()
--- a/carawaystair/kernel.py
+++ b/carawaystair/kernel.py
@@ -8,10 +8,12 @@
 
 from carawaystair import clock
 from carawaystair import datagrams
+from carawaystair import decisions
 from carawaystair import invariants
 from carawaystair import keys
 from carawaystair import links
 from carawaystair import logs
+from carawaystair import output
 from carawaystair import plugins
 from carawaystair import settings as settings_module
 from carawaystair import timeline
@@ -27,6 +29,7 @@
     :param settings: the checked settings.
     :param registry: the plug-ins.
     :param held: keys of the fleet; the first signs, any is accepted.
+    :param sink: takes the lines that tell decisions; None to tell none.
     """
 
     def __init__(
@@ -34,20 +37,25 @@
         settings: settings_module.Settings,
         registry: plugins.Registry,
         held: typing.Sequence[keys.Key] = (),
+        sink: output.Sink | None = None,
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
         self.settings = settings
+        self.recorder = decisions.Recorder(settings.host, sink)
         self.registry = registry
         self.timeline = timeline.Timeline(
             settings.host, settings.timeline_events
         )
+        self.timeline.listeners.append(self._note)
         hybrid = self.timeline.clock
         self.links = links.Links(settings.peer, hybrid, held)
         self.datagrams = datagrams.Datagrams(
             settings.gossip, hybrid, [key.datagram_bytes() for key in held]
         )
         self.roles: list[mode.Service] = []
+        # Make further parts, once the roles run.
+        self.extensions: list[typing.Callable[['Kernel'], mode.Service]] = []
         self.parts: dict[str, typing.Any] = {}
         # Wall time orders the starts of one host; the sequence within is
         # the owner's.
@@ -97,6 +105,8 @@
         for name in sorted(self.settings.roles):
             self.roles.append(factories[name](self))
             await self.add_runtime_dependency(self.roles[-1])
+        for make in self.extensions:
+            await self.add_runtime_dependency(make(self))
         self.timeline.record('process-started', ', '.join(self.settings.roles))
         self.registry.send(plugins.STARTED, kernel=self)
 
@@ -107,6 +117,22 @@
         if self._broken in invariants.LISTENERS:
             invariants.LISTENERS.remove(self._broken)
 
+    def _note(self, event: timeline.Event) -> None:
+        """Write an event of the time line to the logs."""
+        if event.request:
+            # The parts that decide on requests tell more of them.
+            return
+        self.recorder.tell(
+            decisions.Noted(
+                event.kind,
+                event.service,
+                event.upstream,
+                event.version,
+                event.text,
+            ),
+            decisions.BELIEF,
+        )
+
     def _broken(self, name: str, detail: str) -> None:
         self.timeline.record('invariant-broken', '%s: %s' % (name, detail))
         LOG.error('An invariant is broken.', name=name, detail=detail)
--- a/carawaystair/links.py
+++ b/carawaystair/links.py
@@ -31,7 +31,21 @@
 # only the links that it uses.
 IDLE_S = 120.0
 RECONNECT_MS = 100
-RECONNECT_MAX_MS = 2000
+RECONNECT_MAX_MS = 1000
+# What stands between two ends may lose track of an open connection, or the
+# other host may have lost its power: neither shows by itself.  Pings every
+# HEARTBEAT_MS show it after HEARTBEAT_TIMEOUT_MS, well below the time within
+# which a change must be everywhere.
+HEARTBEAT_MS = 700
+HEARTBEAT_TIMEOUT_MS = 1500
+# An attempt to connect to a host that does not answer is given up so soon.
+# The system would repeat it ever more rarely, and be seconds late when the
+# host is back.
+CONNECT_TIMEOUT_MS = 1000
+# A link without any answer for so long, though questions were asked, is
+# opened anew: the library never tries again after a listener refused it,
+# which happens to the links that meet a key which is being dropped.
+RENEW_S = 1.0
 # After a change of keys a link still takes the answers that are on the way.
 RETIRE_S = 10.0
 # At most one log line in this time about strangers, who must not be able to
@@ -47,11 +61,14 @@
     :param socket: its DEALER socket.
     :param task: the task that receives the answers.
     :param used: one-element list with the monotonic time of last use.
+    :param heard: one-element list with the monotonic time of the last
+        answer, or of the opening.
     """
 
     socket: zmq.asyncio.Socket
     task: asyncio.Task
     used: list
+    heard: list
 
 
 class Door(typing.NamedTuple):
@@ -176,15 +193,23 @@
             answer = await asyncio.wait_for(future, timeout_s)
             return expression.Ok(answer)
         except asyncio.TimeoutError:
+            self._renew_silent(to)
             return codes.fail(codes.PEER_SILENT, to)
         finally:
             self.pending.pop(call, None)
 
+    def _renew_silent(self, address: str) -> None:
+        """Close a link on which nothing came for long; a use reopens it."""
+        peer = self.peers.get(address)
+        if peer is not None and clock.now() - peer.heard[0] >= RENEW_S:
+            self._close(self.peers.pop(address))
+
     def _open_door(self, key: keys.Key | None) -> None:
         """Listen for the holders of ``key``, or for anyone."""
         router = self.context.socket(zmq.ROUTER)
         router.linger = 0
         router.sndhwm = QUEUE
+        _watch(router)
         try:
             if key is None:
                 router.bind('tcp://%s' % self.address)
@@ -276,11 +301,14 @@
         socket.sndhwm = QUEUE
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        _watch(socket)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
         if self.keys:
             curve.connect(socket, self.keys[0])
         socket.connect('tcp://%s' % address)
-        task = asyncio.create_task(self._answers(socket))
-        self.peers[address] = Peer(socket, task, [clock.now()])
+        heard = [clock.now()]
+        task = asyncio.create_task(self._answers(socket, heard))
+        self.peers[address] = Peer(socket, task, [clock.now()], heard)
         return self.peers[address]
 
     def _close(self, peer: Peer) -> None:
@@ -295,10 +323,11 @@
             self.retired.remove(peer)
             self._close(peer)
 
-    async def _answers(self, socket: zmq.asyncio.Socket) -> None:
+    async def _answers(self, socket: zmq.asyncio.Socket, heard: list) -> None:
         """Receive the answers of one peer."""
         while True:
             envelope = self._decode(await socket.recv())
+            heard[0] = clock.now()
             if envelope is None:
                 continue
             future = self.pending.get(envelope.header.call)
@@ -351,3 +380,10 @@
             self._count(router.send_multipart(parts, zmq.DONTWAIT), data)
         except zmq.ZMQError:
             self.dropped += 1
+
+
+def _watch(socket: zmq.asyncio.Socket) -> None:
+    """Let a socket notice connections that have gone silent."""
+    socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+    socket.setsockopt(zmq.TCP_MAXRT, HEARTBEAT_TIMEOUT_MS)
--- /dev/null
+++ b/carawaystair/load/placing.py
@@ -0,0 +1,175 @@
+"""Which upstream a request is offered to.
+
+The load that this answers: upstreams differ in speed, some are full, some are
+gray, and every node sees each of them only now and then.  What a node knows
+comes with each answer and each refusal of a gateway, and it ages: with 27
+nodes and 45 requests a second a node hears of one upstream every few seconds,
+while its load changes ten times a second.  So the choice needs only to be
+good on average, because the gateway that is asked decides: it refuses at once
+when it has no free slot, and another one is asked.
+
+Upstreams in the same data centre go first while they have room: bytes between
+data centres cost time and money.
+"""
+
+import random
+import typing
+
+# What a gateway said about its load counts for so long, in seconds; about one
+# service time.
+LOAD_FRESH_S = 0.5
+# What it said about failures counts for so long: it lets a trial through
+# about as often.
+SUSPECT_FRESH_S = 0.4
+# A gateway that could not be reached is left alone for so long, seconds.
+UNREACHABLE_S = 1.0
+# An upstream that is still warming up is taken for so many times slower.
+COLD_FACTOR = 2.0
+# Expected service time where no report has come yet, seconds.
+UNKNOWN_S = 0.4
+
+
+class Report(typing.NamedTuple):
+    """What a gateway says of its upstream, with every answer.
+
+    :param process: names the start of the gateway's process.
+    :param suspect: whether the upstream failed lately.
+    :param running: requests that run at it.
+    :param waiting: requests that wait for it.
+    :param slots: requests that it works on at once.
+    :param wait_ms: expected wait of one more request, ms.
+    :param service_ms: mean service time, ms.
+    """
+
+    process: str
+    suspect: bool
+    running: int
+    waiting: int
+    slots: int
+    wait_ms: int
+    service_ms: int
+
+
+class Candidate(typing.NamedTuple):
+    """An upstream that may get a request.
+
+    :param id: the upstream.
+    :param near: whether it stands in this node's data centre.
+    :param slots: requests that it works on at once.
+    :param cold: whether it is still warming up.
+    """
+
+    id: str
+    near: bool
+    slots: int
+    cold: bool = False
+
+
+class View:
+    """What this node knows of one upstream."""
+
+    __slots__ = ('at', 'mine', 'report', 'unreachable')
+
+    def __init__(self) -> None:
+        self.report: Report | None = None
+        self.at = 0.0
+        # Requests of this node that are with it now.
+        self.mine = 0
+        self.unreachable = 0.0
+
+
+class Board:
+    """What this node knows of all upstreams that it sends to.
+
+    :param rng: the source of randomness.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.views: dict[str, View] = {}
+
+    def view(self, upstream: str) -> View:
+        """Return what is known of an upstream."""
+        found = self.views.get(upstream)
+        if found is None:
+            found = self.views[upstream] = View()
+        return found
+
+    def forget(self, upstream: str) -> None:
+        """Forget an upstream that is gone."""
+        self.views.pop(upstream, None)
+
+    def heard(self, upstream: str, report: Report, now: float) -> None:
+        """Take note of a report."""
+        view = self.view(upstream)
+        view.report = report
+        view.at = now
+        view.unreachable = 0.0
+
+    def missed(self, upstream: str, now: float) -> None:
+        """Take note that a gateway could not be reached."""
+        self.view(upstream).unreachable = now + UNREACHABLE_S
+
+    def process(self, upstream: str) -> str:
+        """Return the process that last answered for an upstream."""
+        report = self.view(upstream).report
+        return '' if report is None else report.process
+
+    def choose(
+        self,
+        candidates: typing.Iterable[Candidate],
+        tried: typing.Container[str],
+        now: float,
+    ) -> Candidate | None:
+        """Return the upstream to offer a request to, None when all are tried.
+
+        Of the best class two are drawn and the one that should be done
+        earlier is taken.
+        """
+        best: tuple | None = None
+        drawn: list[Candidate] = []
+        for candidate in candidates:
+            if candidate.id in tried:
+                continue
+            rank = self.rank(candidate, now)
+            if best is None or rank < best:
+                best, drawn = rank, [candidate]
+            elif rank == best:
+                drawn.append(candidate)
+        if not drawn:
+            return None
+        pair = self.rng.sample(drawn, min(2, len(drawn)))
+        return min(pair, key=lambda candidate: self.cost(candidate, now))
+
+    def rank(self, candidate: Candidate, now: float) -> tuple:
+        """Return the class of an upstream; the least is best."""
+        view = self.views.get(candidate.id)
+        if view is None:
+            return (False, False, False, not candidate.near)
+        suspect = (
+            view.report is not None
+            and view.report.suspect
+            and now - view.at < SUSPECT_FRESH_S
+        )
+        busy = self.load(candidate, now) >= candidate.slots
+        return (now < view.unreachable, suspect, busy, not candidate.near)
+
+    def load(self, candidate: Candidate, now: float) -> int:
+        """Return the requests that are with an upstream, as far as known."""
+        view = self.views.get(candidate.id)
+        if view is None:
+            return 0
+        if view.report is None or now - view.at > LOAD_FRESH_S:
+            return view.mine
+        return max(view.report.running + view.report.waiting, view.mine)
+
+    def cost(self, candidate: Candidate, now: float) -> float:
+        """Return the seconds that a request should take there."""
+        view = self.views.get(candidate.id)
+        report = None if view is None else view.report
+        service_s = UNKNOWN_S
+        if report is not None and report.service_ms:
+            service_s = report.service_ms / 1000
+        if candidate.cold:
+            service_s *= COLD_FACTOR
+        return service_s * (1 + self.load(candidate, now) / candidate.slots)
--- /dev/null
+++ b/carawaystair/load/retrying.py
@@ -0,0 +1,90 @@
+"""How many repeats of requests may reach the upstreams of a service.
+
+The load that this answers: all upstreams of a service fail or shed, and every
+request is sent again; the load doubles and keeps them failing.  The bound
+holds for the fleet: repeats stay within a share of the first sends and a
+slack.  No node asks another one: each has the share of its own first sends
+and an equal part of the slack, so that the sum over all nodes keeps the bound
+whatever they know of each other.
+"""
+
+import collections
+
+# The part of the bound that is used.  Work started by a repeat counts as
+# repeated as well where it calls other services, and no node sees that.
+USED = 0.75
+# Counts are kept by spans of this length, in seconds.
+SPAN_S = 0.5
+
+
+class Budget:
+    """The repeats of one service at one node.
+
+    :param ratio: repeats as a share of first sends.
+    :param slack: repeats beyond it in one window, of the whole fleet.
+    :param window_s: length of the window.
+    """
+
+    __slots__ = (
+        'firsts',
+        'ratio',
+        'refused',
+        'repeats',
+        'slack',
+        'total_firsts',
+        'total_repeats',
+        'window_s',
+    )
+
+    def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+        self.ratio = ratio
+        self.slack = slack
+        self.window_s = window_s
+        self.firsts: collections.deque = collections.deque()
+        self.repeats: collections.deque = collections.deque()
+        # For metrics.
+        self.total_firsts = 0
+        self.total_repeats = 0
+        self.refused = 0
+
+    def first(self, now: float) -> None:
+        """Count the first send of a request."""
+        self.total_firsts += 1
+        _add(self.firsts, now)
+
+    def may_repeat(self, now: float, nodes: int) -> bool:
+        """Tell whether one more repeat stays within the bound.
+
+        :param nodes: nodes that share the slack.
+        """
+        _forget(self.firsts, now - self.window_s)
+        _forget(self.repeats, now - self.window_s)
+        earned = self.ratio * _sum(self.firsts)
+        allowed = USED * (earned + self.slack / max(nodes, 1))
+        return _sum(self.repeats) + 1 <= allowed
+
+    def repeat(self, now: float, nodes: int) -> bool:
+        """Take one repeat from the budget; tell whether there was one."""
+        if not self.may_repeat(now, nodes):
+            self.refused += 1
+            return False
+        self.total_repeats += 1
+        _add(self.repeats, now)
+        return True
+
+
+def _add(spans: collections.deque, now: float) -> None:
+    span = int(now / SPAN_S)
+    if spans and spans[-1][0] == span:
+        spans[-1][1] += 1
+    else:
+        spans.append([span, 1])
+
+
+def _forget(spans: collections.deque, before: float) -> None:
+    while spans and spans[0][0] * SPAN_S < before:
+        spans.popleft()
+
+
+def _sum(spans: collections.deque) -> int:
+    return sum(count for _span, count in spans)
--- /dev/null
+++ b/carawaystair/load/suspicion.py
@@ -0,0 +1,65 @@
+"""Whether an upstream that failed gets work that can't be repeated.
+
+The load that this answers: an upstream fails most of what it is given for
+some seconds while its health answer is good, and requests that may run only
+once are lost there one after another.  Sound upstreams fail about one request
+in a hundred, gray ones most; where a tenth of them may be gray at any time,
+one failure makes it likely that the next request fails, too.  So one failure
+is enough to keep work that can't be repeated away while others have room, and
+repeatable requests, which can be tried elsewhere, show when it is sound
+again.
+"""
+
+# So many good answers in a row end a suspicion.
+GOOD_RUN = 2
+# Repeatable requests are let through as trials so far apart, in seconds: an
+# upstream that is still gray then costs few repeats.
+TRIAL_EVERY_S = 0.3
+# Without any failure for so long, a request that can't be repeated is let
+# through as a trial: gray failures last some seconds, and a service may have
+# no other requests.
+PROBATION_S = 3.0
+
+
+class Suspicion:
+    """What the answers of one upstream make of it."""
+
+    def __init__(self) -> None:
+        self.suspect = False
+        self.good_run = 0
+        self.failed_at = 0.0
+        self.tried_at = 0.0
+        self.failures = 0
+
+    def good(self) -> bool:
+        """Take note of a good answer; tell whether a suspicion ended."""
+        self.failures = 0
+        if not self.suspect:
+            return False
+        self.good_run += 1
+        if self.good_run < GOOD_RUN:
+            return False
+        self.suspect = False
+        return True
+
+    def failed(self, now: float) -> bool:
+        """Take note of a failure; tell whether a suspicion began."""
+        self.good_run = 0
+        self.failures += 1
+        self.failed_at = now
+        began = not self.suspect
+        if began:
+            self.suspect = True
+            self.tried_at = now
+        return began
+
+    def admits(self, repeatable: bool, now: float) -> bool:
+        """Tell whether a request should run here; a trial is counted."""
+        if not self.suspect:
+            return True
+        quiet = now - self.failed_at > PROBATION_S
+        due = now - self.tried_at >= TRIAL_EVERY_S
+        if due and (repeatable or quiet):
+            self.tried_at = now
+            return True
+        return False
--- /dev/null
+++ b/carawaystair/load/waiting.py
@@ -0,0 +1,140 @@
+"""The requests that wait for a slot of one upstream.
+
+The load that this answers: a burst, or upstreams lost, for some seconds.  In
+order of arrival every request is then answered late, although there is room
+to answer many in time.  So those that can still meet their response-time goal
+go first, the most urgent kind before others, then by goal; those that can't
+come after them, by deadline, and are still served when a slot is left.
+Requests that a running one waits for go before all: while they wait, the
+slot of the other one is held for nothing, and if they fail, all its work is
+lost.
+
+No more run at once than the upstream has slots.  What it would queue by
+itself can't be ordered, counted or taken back any more.
+"""
+
+import math
+import typing
+
+from carawaystair.load import rejecting
+
+# Expected seconds of work where nothing has been seen yet.
+FIRST_GUESS_S = 0.4
+# Weight of a new service time in the running mean: about ten answers count,
+# so that a change of a slow upstream shows within some seconds.
+NEW_SHARE = 0.15
+# Routes whose service times are remembered.
+MOST_ROUTES = 512
+
+
+class Want(typing.NamedTuple):
+    """What a request wants of an upstream.
+
+    :param id: names the request.
+    :param route: key of its route.
+    :param deadline: monotonic time by which the answer is owed.
+    :param goal: monotonic time until which the answer is worth most;
+        infinite where it has no goal.
+    :param priority: rank of its kind, 0 first.
+    :param inner: whether another running request waits for it.
+    """
+
+    id: str
+    route: str
+    deadline: float
+    goal: float = math.inf
+    priority: int = 0
+    inner: bool = False
+
+
+class Durations:
+    """Mean service times by route, of answers that came to a good end."""
+
+    def __init__(self) -> None:
+        self.means: dict[str, float] = {}
+        self.mean = FIRST_GUESS_S
+
+    def add(self, route: str, service_s: float) -> None:
+        """Take note of one service time."""
+        old = self.means.pop(route, service_s)
+        self.means[route] = old + NEW_SHARE * (service_s - old)
+        self.mean += NEW_SHARE * (service_s - self.mean)
+        if len(self.means) > MOST_ROUTES:
+            del self.means[next(iter(self.means))]
+
+    def of(self, route: str) -> float:
+        """Return the expected service time of a route, in seconds."""
+        return self.means.get(route, self.mean)
+
+
+class Line:
+    """Decides who runs and who waits at one upstream.
+
+    :param slots: requests that the upstream works on at once.
+    """
+
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self.running = 0
+        self.waiting: dict[str, Want] = {}
+        self.durations = Durations()
+
+    def ask(self, want: Want, now: float, may_wait: bool) -> rejecting.Verdict:
+        """Decide on a request that asks for a slot.
+
+        :param may_wait: whether it stays here when there is no free one.
+        """
+        if self.running < self.slots and not self.waiting:
+            self.running += 1
+            return rejecting.Verdict(True)
+        wait_s = self.wait_s(want, now)
+        service_s = self.durations.of(want.route)
+        reason = ''
+        if not may_wait:
+            reason = rejecting.BUSY
+        elif rejecting.hopeless(now, wait_s, service_s, want.deadline):
+            reason = rejecting.HOPELESS
+        elif len(self.waiting) >= rejecting.MOST_WAITING:
+            reason = rejecting.FULL
+        else:
+            self.waiting[want.id] = want
+        return rejecting.Verdict(False, reason, wait_s)
+
+    def wait_s(self, want: Want, now: float) -> float:
+        """Return the expected seconds until a request would have a slot."""
+        if self.running < self.slots and not self.waiting:
+            return 0.0
+        mine = self.rank(want, now)
+        ahead = sum(self.rank(w, now) <= mine for w in self.waiting.values())
+        return (ahead + 1) * self.durations.mean / max(self.slots, 1)
+
+    def rank(self, want: Want, now: float) -> tuple:
+        """Return what orders the requests that wait; the least goes first."""
+        late = now + self.durations.of(want.route) > want.goal
+        due = want.deadline if late else want.goal
+        return (not want.inner, late, want.priority, due, want.id)
+
+    def leave(self, request: str) -> None:
+        """Forget a request that waits no more."""
+        self.waiting.pop(request, None)
+
+    def end(self) -> None:
+        """Take note that a request that ran has ended."""
+        self.running -= 1
+
+    def start(self, now: float) -> list[str]:
+        """Return who gets the free slots now; they count as running."""
+        started = []
+        while self.running < self.slots and self.waiting:
+            first = min(
+                self.waiting.values(), key=lambda want: self.rank(want, now)
+            )
+            del self.waiting[first.id]
+            self.running += 1
+            started.append(first.id)
+        return started
+
+    def last_start(self, want: Want) -> float:
+        """Return until when it makes sense for a request to wait."""
+        service_s = self.durations.of(want.route)
+        return rejecting.last_start(service_s, want.deadline)
--- a/carawaystair/logs.py
+++ b/carawaystair/logs.py
@@ -6,6 +6,8 @@
 
 import structlog
 
+from carawaystair import output
+
 CONSOLE = 'console'
 JSON = 'json'
 
@@ -26,13 +28,18 @@
     return event
 
 
-def setup(level: str = 'info', form: str = CONSOLE, host: str = '') -> None:
-    """Configure the logs of this process; they go to standard error.
+def setup(
+    level: str = 'info', form: str = CONSOLE, host: str = ''
+) -> output.Output | None:
+    """Configure the logs of this process.
 
     :param level: one of :data:`LEVELS`.
-    :param form: :data:`CONSOLE` for people or :data:`JSON` for machines.
+    :param form: :data:`CONSOLE` for people, on standard error, or
+        :data:`JSON` for machines, on standard output.
     :param host: the host's name, added to each JSON line.
+    :return: what takes JSON lines; None for the console.
     """
+    sink = output.standard() if form == JSON else None
     number = getattr(logging, level.upper())
     # The libraries below log through the standard library; only their
     # warnings are worth a line here.
@@ -50,7 +57,8 @@
             *last,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(number),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(sink or sys.stderr),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(host=host)
+    return sink
--- a/carawaystair/manifest.py
+++ b/carawaystair/manifest.py
@@ -56,6 +56,11 @@
     :param key_region: the region that holds the idempotency keys; taken
         when the service is first seen and then kept.  Empty for the first
         region of the fleet.
+    :param health_path: path of the upstreams' own health answer, or empty.
+    :param max_connections: connections that an upstream takes from all
+        callers together; 0 where it does not say.
+    :param notes: what the pipeline keeps with the service; handed back as it
+        came and not read.
     """
 
     team: str = 'operators'
@@ -70,24 +75,60 @@
     key_window_s: int = 3600
     max_body: int = 8 * 1024 * 1024
     key_region: str = ''
+    health_path: str = ''
+    max_connections: int = 0
+    notes: str = ''
+
+
+class Share(typing.NamedTuple):
+    """A service's part of the requests of a route.
+
+    :param service: name of the service.
+    :param weight: its part, in proportion to the other weights.
+    """
+
+    service: str
+    weight: int
 
 
 class Route(typing.NamedTuple):
     """Which requests go to a service.
 
     :param prefix: path prefix, matched at segment borders.
-    :param service: name of the service.
+    :param service: name of the service; empty where ``split`` names several.
     :param host: the Host header, or empty for any.
     :param idempotent: whether a request may be run twice; None decides by
         method: POST and PATCH may not.
     :param kind: ``short`` answers or ``bulk`` transfers.
+    :param name: names the route for whoever changes it; may be empty.
+    :param split: the services that share the requests.
+    :param timeout_ms: a request gets so long at most; 0 for the timeout of
+        the service.
+    :param goal_ms: an answer within this time is worth most; 0 for none.
+    :param priority: rank among the routes of a service, 0 first.
+    :param max_attempts: upstreams that may get one request; 0 leaves it to
+        the node.
+    :param notes: as with a service.
     """
 
     prefix: str
-    service: str
+    service: str = ''
     host: str = ''
     idempotent: bool | None = None
     kind: typing.Literal['short', 'bulk'] = SHORT
+    name: str = ''
+    split: tuple[Share, ...] = ()
+    timeout_ms: int = 0
+    goal_ms: int = 0
+    priority: int = 0
+    max_attempts: int = 0
+    notes: str = ''
+
+    def services(self) -> tuple[str, ...]:
+        """Return the services that requests of this route may go to."""
+        if not self.split:
+            return (self.service,)
+        return tuple(share.service for share in self.split)
 
 
 class Customer(typing.NamedTuple):
@@ -113,6 +154,23 @@
     data_centres: tuple[str, ...] = ()
 
 
+class Limits(typing.NamedTuple):
+    """What a caller may send to a node, and how long it may take.
+
+    :param max_header_bytes: bytes of one header line, or of the first line.
+    :param max_body_bytes: bytes of a body, over any service's own bound.
+    :param header_timeout_ms: time for a request's head once it has begun.
+    :param idle_timeout_ms: an idle connection is kept open for so long.
+    :param notes: as with a service.
+    """
+
+    max_header_bytes: int = 8 * 1024
+    max_body_bytes: int = 2**40
+    header_timeout_ms: int = 10_000
+    idle_timeout_ms: int = 75_000
+    notes: str = ''
+
+
 class Manifest(typing.NamedTuple):
     """The whole document.
 
@@ -124,6 +182,9 @@
         and one with a host goes before one without.
     :param customers: customers by name.
     :param drains: planned stops.
+    :param limits: bounds of what callers may send.
+    :param revision: the pipeline's own number of the document, which grows;
+        0 where it has none.
     """
 
     format: int
@@ -133,6 +194,8 @@
     routes: tuple[Route, ...]
     customers: dict[str, Customer] = {}
     drains: Drains = Drains()
+    limits: Limits = Limits()
+    revision: int = 0
 
 
 # Reading
--- a/carawaystair/manifest_rules.py
+++ b/carawaystair/manifest_rules.py
@@ -35,6 +35,7 @@
         _check_routes(manifest),
         _check_customers(manifest),
         _check_drains(manifest),
+        _check_bounds('$.limits', manifest.limits, LIMIT_BOUNDS),
     )
 
 
@@ -105,7 +106,21 @@
     ('queue', 1, 100_000),
     ('key_window_s', 1, 7 * 86_400),
     ('max_body', 0, 2**40),
+    ('max_connections', 0, 10**6),
 )
+LIMIT_BOUNDS = (
+    ('max_header_bytes', 256, 2**20),
+    ('max_body_bytes', 0, 2**40),
+    ('header_timeout_ms', 1, 600_000),
+    ('idle_timeout_ms', 1, 3_600_000),
+)
+ROUTE_BOUNDS = (
+    ('timeout_ms', 0, 600_000),
+    ('goal_ms', 0, 3_600_000),
+    ('priority', 0, 10**6),
+    ('max_attempts', 0, 100),
+)
+MAX_WEIGHT = 10**9
 
 
 def _check_services(
@@ -160,9 +175,12 @@
     for index, route in enumerate(manifest.routes):
         path = ('$.routes', index)
         yield from _check_route(path, route)
-        if route.service not in manifest.services:
-            text = 'no service is named %r' % route.service[: shape.MAX_SHOWN]
-            yield shape.Mistake(shape.show((path, 'service')), text)
+        yield from _check_bounds(path, route, ROUTE_BOUNDS)
+        yield from _check_split(path, route)
+        for name in route.services():
+            if name not in manifest.services:
+                text = 'no service is named %r' % name[: shape.MAX_SHOWN]
+                yield shape.Mistake(shape.show((path, 'service')), text)
         first = seen.setdefault((route.host.lower(), route.prefix), index)
         if first != index:
             text = 'has the host and prefix of $.routes[%d]' % first
@@ -180,6 +198,22 @@
         yield shape.Mistake(shape.show((path, 'host')), text)
 
 
+def _check_split(
+    path: shape.Path, route: 'manifests.Route'
+) -> typing.Iterator[shape.Mistake]:
+    """Check that the shares of a route add up to something."""
+    where = shape.show((path, 'split'))
+    if not route.split:
+        return
+    if route.service:
+        yield shape.Mistake(where, 'stands beside a service')
+    weights = [share.weight for share in route.split]
+    if not all(0 <= weight <= MAX_WEIGHT for weight in weights):
+        yield shape.Mistake(where, 'has a weight below 0 or too large')
+    elif not sum(weights):
+        yield shape.Mistake(where, 'has weights that add up to 0')
+
+
 CUSTOMER_BOUNDS = (('weight', 1, 10_000), ('limit', 0, 10**6))
 
 
--- a/carawaystair/membership/__init__.py
+++ b/carawaystair/membership/__init__.py
@@ -32,4 +32,5 @@
         incarnation=kernel.incarnation,
         seeds=settings.seeds,
         lease_s=settings.node.lease_s,
+        gateway=settings.node.gateway,
     )
--- a/carawaystair/membership/registry.py
+++ b/carawaystair/membership/registry.py
@@ -69,14 +69,27 @@
     :param lease_s: seconds that an announcement holds.
     :param publish: called after every change that others must know; returns
         the sequence of the next record.
+    :param gateway: the address that others send work for these upstreams
+        to; None for the upstreams' own addresses.
     """
 
     def __init__(
-        self, lease_s: float, publish: typing.Callable[[bool], None], **kwargs
+        self,
+        lease_s: float,
+        publish: typing.Callable[[bool], None],
+        gateway: str | None = None,
+        **kwargs,
     ) -> None:
         super().__init__(**kwargs)
         self.lease_s = lease_s
         self.publish = publish
+        self.gateway = gateway
+        # Called with each id whose announcement changed here.
+        self.callbacks: list[typing.Callable[[str], None]] = []
+        # While the host's process stops, none of them gets new work.
+        self.closing = False
+        # The highest number that an announcement of each id bore.
+        self.numbers: dict[str, int] = {}
         self.leases: dict[str, Lease] = {}
         # Upstreams that left, and until when an announcement without a
         # newer incarnation is refused.
@@ -84,16 +97,24 @@
         self.sequence = 0
 
     def announce(
-        self, name: str, announcement: Announcement, wall_ms: int
+        self,
+        name: str,
+        announcement: Announcement,
+        wall_ms: int,
+        number: int = 0,
     ) -> expression.Result[Announcement, codes.Failure]:
         """Take an announcement or a renewal.
 
         :param name: id of the upstream.
         :param wall_ms: becomes the incarnation where none is given.
+        :param number: grows with each announcement of an upstream, so that
+            one that was delayed is told; 0 where they bear none.
         """
         wrong = _wrong(name, announcement)
         if wrong:
             return codes.fail(codes.ANNOUNCEMENT_INVALID, wrong)
+        if number and number <= self.numbers.get(name, 0):
+            return codes.fail(codes.ANNOUNCEMENT_OLD, name)
         known = self.leases.get(name) or self.left.get(name)
         if known is None and len(self.leases) >= MAX_UPSTREAMS:
             return codes.fail(codes.TOO_MANY_UPSTREAMS, name)
@@ -102,9 +123,49 @@
         if not announcement.incarnation:
             started = known.announcement.incarnation if known else wall_ms
             announcement = announcement._replace(incarnation=started)
+        self._supersede(name, announcement)
+        if number:
+            self._count(name, number)
         self._store(name, announcement)
         return expression.Ok(announcement)
 
+    def _count(self, name: str, number: int) -> None:
+        self.numbers.pop(name, None)
+        self.numbers[name] = number
+        while len(self.numbers) > MAX_UPSTREAMS:
+            del self.numbers[next(iter(self.numbers))]
+
+    def _supersede(self, name: str, said: Announcement) -> None:
+        """End the leases of others at the same address behind a gateway.
+
+        An upstream that crashed says nothing.  Its successor at its address
+        has another id; until the old lease ended by itself, half of the work
+        would be meant for an upstream that is gone.
+        """
+        if self.gateway is None:
+            return
+        ended = [
+            other
+            for other, lease in self.leases.items()
+            if other != name and lease.announcement.address == said.address
+        ]
+        for other in ended:
+            del self.leases[other]
+            self._tell(other)
+        if ended:
+            self.sequence += 1
+            self.publish(True)
+
+    def close(self) -> None:
+        """Announce all upstreams as leaving: this host's process stops."""
+        self.closing = True
+        self.sequence += 1
+        self.publish(True)
+
+    def _tell(self, name: str) -> None:
+        for callback in self.callbacks:
+            callback(name)
+
     def remove(
         self, name: str, incarnation: int = 0
     ) -> expression.Result[None, codes.Failure]:
@@ -121,7 +182,8 @@
     def rows(self) -> tuple[messages.Row, ...]:
         """Return the rows of the record."""
         return tuple(
-            _row(name, lease) for name, lease in sorted(self.leases.items())
+            _row(name, lease, self.gateway, self.closing)
+            for name, lease in sorted(self.leases.items())
         )
 
     @mode.Service.task
@@ -152,6 +214,7 @@
         ended = [n for n, lease in self.leases.items() if lease.until <= now]
         for name in ended:
             del self.leases[name]
+            self._tell(name)
         old = [n for n, lease in self.left.items() if lease.until <= now]
         for name in old:
             del self.left[name]
@@ -177,20 +240,24 @@
         self.sequence += 1
         if announcement.state != interfaces.GONE:
             self.leases[name] = Lease(announcement, until, self.sequence)
+        self._tell(name)
         # Leaving can't wait for others; arriving can.
         self.publish(announcement.state != interfaces.UP)
 
 
-def _row(name: str, lease: Lease) -> messages.Row:
+def _row(
+    name: str, lease: Lease, gateway: str | None, closing: bool
+) -> messages.Row:
     said = lease.announcement
+    state = interfaces.DRAINING if closing else said.state
     return messages.Row(
         name,
         said.service,
-        said.address,
+        gateway or said.address,
         said.slots,
         round(said.weight * messages.MILLI),
         round(said.warmup_s * messages.MILLI),
-        messages.STATES.index(said.state),
+        messages.STATES.index(state),
         said.incarnation,
         lease.sequence,
     )
--- a/carawaystair/membership/service.py
+++ b/carawaystair/membership/service.py
@@ -71,6 +71,7 @@
     :param incarnation: grows with every start of the process.
     :param seeds: addresses for messages of some other processes.
     :param lease_s: seconds that an upstream's announcement holds.
+    :param gateway: where others send work for the upstreams of this host.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         incarnation: int,
         seeds: typing.Sequence[str] = (),
         lease_s: float = 6.0,
+        gateway: str | None = None,
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
@@ -102,7 +104,7 @@
         self.table.outdated = self.renumber
         self.members = member_lists.Members(self.table, timeline)
         self.directory = directories.Directory(self.table, timeline)
-        self.registry = registries.Registry(lease_s, self.publish)
+        self.registry = registries.Registry(lease_s, self.publish, gateway)
         self.table.own(self._record(), self._liveness())
         self.flood = floods.Flood(self.table, transport)
         self.gossip = gossip.Gossip(self.table, datagrams, rng)
--- a/carawaystair/node.py
+++ b/carawaystair/node.py
@@ -5,6 +5,7 @@
 from carawaystair.admin import capacity
 from carawaystair import admission
 from carawaystair import follower
+from carawaystair import gateway
 from carawaystair import localapi
 from carawaystair import membership
 from carawaystair import metrics
@@ -82,6 +83,61 @@
         )
 
 
-def make(kernel) -> Node:
+class GatewayNode(mode.Service):
+    """One node whose requests go through gateways.
+
+    Its gateway sees all that its upstreams do, so that it needs no pooled
+    evidence about them, and no shares of their slots.
+
+    :param kernel: the kernel of the process.
+    """
+
+    def __init__(self, kernel, **kwargs) -> None:
+        super().__init__(**kwargs)
+        self.kernel = kernel
+        self.membership = membership.make(kernel)
+        members = self.membership.members
+        self.follower = follower.make(kernel, members)
+        self.gateway = gateway.make(
+            kernel, self.membership, self.follower.routing, kernel.recorder
+        )
+        routes = [
+            *self.membership.routes(),
+            *localapi.observer_routes(kernel, self.report),
+        ]
+        self.local = localapi.LocalApi(kernel.settings.node.local, routes)
+        self.parts = (
+            self.membership,
+            self.follower,
+            self.local,
+            self.gateway,
+        )
+
+    async def on_start(self) -> None:
+        """Start the parts."""
+        for part in self.parts:
+            await self.add_runtime_dependency(part)
+        metrics.collect(nodemetrics.KernelMetrics(self.kernel).samples)
+        metrics.collect(nodemetrics.NodeMetrics(self.report).samples)
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether this node serves callers and will go on doing so."""
+        return self.follower.ready and not self.gateway.stopping
+
+    def report(self) -> report.Report:
+        """Return what this node says of itself."""
+        return report.make(
+            self.kernel.settings,
+            self.follower,
+            self.membership.members,
+            self.membership.directory,
+            self.gateway,
+        )
+
+
+def make(kernel) -> Node | GatewayNode:
     """Return the node of a process."""
+    if kernel.settings.node.gateway is not None:
+        return GatewayNode(kernel)
     return Node(kernel)
--- a/carawaystair/request/attempt.py
+++ b/carawaystair/request/attempt.py
@@ -81,9 +81,7 @@
         """Get a connection; raises :class:`answers.Failed`."""
         now = self.started
         if not self.fresh:
-            again = self.call.idempotent
-            idle_s = connections.IDLE_S if again else connections.LIVE_S
-            self.connection = connections.take(self.target, idle_s, now)
+            self.connection = connections.take(self.target, self.idle_s(), now)
         if self.connection is not None:
             self.fresh = now - self.connection.used <= connections.LIVE_S
         else:
@@ -102,6 +100,11 @@
                 ) from None
         self.connection.owner = self
 
+    def idle_s(self) -> float:
+        """Return how long the connection may have been idle, in seconds."""
+        again = self.call.idempotent
+        return connections.IDLE_S if again else connections.LIVE_S
+
     def send(self) -> None:
         """Send the request; raises :class:`answers.Failed`."""
         call = self.call
@@ -117,19 +120,14 @@
             )
         proto = self.connection.proto
         proto.expect(call.method == 'HEAD')
-        head = b'%b%bCaraway-Request-Id: %b\r\nCaraway-Deadline-Ms: %d\r\n' % (
-            call.head,
-            self.extra,
-            call.id.encode(),
-            left_ms,
-        )
+        head = b'%b%b%b' % (call.head, self.extra, self.marks(left_ms))
         if not proto.open:
             raise answers.Failed(
                 interfaces.CANCELLED, codes.CONNECT_FAILED, False, 'ended'
             )
         self.sent = True
         if call.body is None:
-            self.pump = bodies.Pump(call, proto)
+            self.pump = bodies.Pump(self.source(), proto)
             self.pump.start(head)
         elif call.body or call.method not in bodies.BODILESS_METHODS:
             length = b'Content-Length: %d\r\n\r\n' % len(call.body)
@@ -137,6 +135,39 @@
         else:
             proto.transport.write(head + b'\r\n')
 
+    def marks(self, left_ms: int) -> bytes:
+        """Return the header lines that change with every attempt.
+
+        :param left_ms: time that is left for the request, ms.
+        """
+        return b'Caraway-Request-Id: %b\r\nCaraway-Deadline-Ms: %d\r\n' % (
+            self.call.id.encode(),
+            left_ms,
+        )
+
+    def source(self) -> bodies.Source:
+        """Return the body, where it is not held here."""
+        return bodies.source(self.call)
+
+    # The end
+
+    def settle(self, now: float) -> None:
+        """Let the connection of an answer that was read whole go on."""
+        if self.pump is not None and not self.pump.done:
+            # The answer came before the body was taken: what is left of the
+            # body must not be read as another request.
+            self.pump.task.cancel()
+            self.connection.proto.abort()
+        else:
+            connections.give(self.connection, now)
+
+    def drop(self) -> None:
+        """Close the connection, doubtful or not."""
+        if self.pump is not None and self.pump.task is not None:
+            self.pump.task.cancel()
+        if self.connection is not None:
+            self.connection.proto.abort()
+
     # The answer
 
     async def answer(self, until: float) -> answers.Answer:
@@ -175,29 +206,34 @@
         proto = self.connection.proto
         message, payload = await proto.head(until)
         while message.code < 200:
-            if message.code == 101:
-                # Nobody asked for another protocol.
-                raise self._failure(codes.ANSWER_MALFORMED, 'unasked 101')
+            self.interim(message)
             message, payload = await proto.head(until)
+        self.check_own(message)
+        self.message = message
+        self.payload = payload
+
+    def interim(self, message) -> None:
+        """Take note of an answer that only precedes the real one."""
+        if message.code == 101:
+            # Nobody asked for another protocol.
+            raise self._failure(codes.ANSWER_MALFORMED, 'unasked 101')
+
+    def check_own(self, message) -> None:
+        """Make sure that an answer belongs to this request.
+
+        The upstream may have mixed up its answers, or answers late to a
+        request that was given up: passed on, it would show one caller what
+        belongs to another.
+        """
         named = message.headers.get(headers.REQUEST_ID)
         if named is not None and named != self.call.id:
-            # The upstream mixed up its answers, or answers late to a request
-            # that was given up: passed on, it would show one caller what
-            # belongs to another.
             raise self._failure(codes.ANSWER_FOREIGN, named)
-        self.message = message
-        self.payload = payload
 
     async def _body(self) -> answers.Answer:
         message = self.message
         if answers.bodiless(message, self.call.method):
             return self._made(b'')
-        try:
-            length = answers.declared(message)
-        except ValueError as error:
-            both = message.chunked
-            code = codes.ANSWER_MALFORMED if both else codes.ANSWER_UNBOUNDED
-            raise self._failure(code, error) from None
+        length = self.length(message)
         if length is not None and length > HOLD_BYTES:
             return self._made(b'', self)
         payload = self.payload
@@ -209,6 +245,15 @@
                 return self._made(b''.join(self.chunks), self)
         return self._made(b''.join(self.chunks))
 
+    def length(self, message) -> int | None:
+        """Return the declared length of an answer, None where it has none."""
+        try:
+            return answers.declared(message)
+        except ValueError as error:
+            both = message.chunked
+            code = codes.ANSWER_MALFORMED if both else codes.ANSWER_UNBOUNDED
+            raise self._failure(code, error) from None
+
     def _made(self, body: bytes, rest=None) -> answers.Answer:
         message = self.message
         owner = self.connection.owner
--- a/carawaystair/request/body.py
+++ b/carawaystair/request/body.py
@@ -132,15 +132,36 @@
     return Begun(b''.join(chunks), content.at_eof())
 
 
+class Source(typing.NamedTuple):
+    """A body that is passed on as it comes.
+
+    :param stream: where it is read from.
+    :param length: its length, None when it comes in chunks.
+    :param begun: the part that was read already.
+    :param limit: bytes at most.
+    """
+
+    stream: streams.StreamReader
+    length: int | None
+    begun: bytes
+    limit: int
+
+
+def source(call: calls.Call) -> Source:
+    """Return the body of a request that is not held here."""
+    limit = call.match.service.max_body
+    return Source(call.stream, call.length, call.begun, limit)
+
+
 class Pump:
     """Passes a body on to an upstream, as fast as that takes it.
 
-    :param call: the request, whose body is a stream.
+    :param source: the body.
     :param proto: the upstream's connection.
     """
 
-    def __init__(self, call: calls.Call, proto) -> None:
-        self.call = call
+    def __init__(self, source: Source, proto) -> None:
+        self.source = source
         self.proto = proto
         self.writer = http.StreamWriter(proto, asyncio.get_running_loop())
         self.task: asyncio.Task | None = None
@@ -149,11 +170,11 @@
 
     def start(self, head: bytes) -> None:
         """Send the head, and the body from a task of its own."""
-        if self.call.length is None:
+        if self.source.length is None:
             head += b'Transfer-Encoding: chunked\r\n\r\n'
             self.writer.enable_chunking()
         else:
-            head += b'Content-Length: %d\r\n\r\n' % self.call.length
+            head += b'Content-Length: %d\r\n\r\n' % self.source.length
         self.proto.transport.write(head)
         self.task = asyncio.create_task(self.run())
 
@@ -163,12 +184,12 @@
         Cutting it is what keeps an upstream from taking half a body for a
         whole one.
         """
-        limit = self.call.match.service.max_body
-        passed = len(self.call.begun)
-        content = self.call.stream
+        limit = self.source.limit
+        passed = len(self.source.begun)
+        content = self.source.stream
         try:
             if passed:
-                await self.writer.write(self.call.begun)
+                await self.writer.write(self.source.begun)
             while not content.at_eof():
                 chunk = await content.readany()
                 passed += len(chunk)
--- a/carawaystair/request/caller.py
+++ b/carawaystair/request/caller.py
@@ -179,9 +179,14 @@
     return value
 
 
-def budget_ms(given, service: manifest.Service) -> int:
-    """Return the time that a request has, in ms."""
-    value = _single(given, headers.DEADLINE, codes.DEADLINE_INVALID)
+def budget_ms(
+    given, service: manifest.Service, name: str = headers.DEADLINE
+) -> int:
+    """Return the time that a request has, in ms.
+
+    :param name: the header that says so.
+    """
+    value = _single(given, name, codes.DEADLINE_INVALID)
     if value is None:
         return service.timeout_ms
     if not DIGITS.fullmatch(value) or int(value) > MAX_DEADLINE_MS:
--- a/carawaystair/request/exchange.py
+++ b/carawaystair/request/exchange.py
@@ -46,8 +46,13 @@
         # What the caller was told, None so far.
         self.outcome: str | None = None
 
-    def whole(self, answer: answers.Answer, code: codes.Code) -> None:
-        """Write an upstream's whole answer."""
+    def whole(
+        self, answer: answers.Answer, code: codes.Code, extra: bytes = b''
+    ) -> None:
+        """Write an upstream's whole answer.
+
+        :param extra: header lines to add.
+        """
         bodiless = answer.status in answers.BODILESS
         if self.request.method == 'HEAD' or answer.status == 304:
             length = headers.value(answer.headers, b'content-length')
@@ -56,13 +61,19 @@
         framing = b''
         if length is not None:
             framing = b'Content-Length: %b\r\n' % length
-        head = self.head(answer, codes.COMPLETE, code, framing)
+        head = self.head(answer, codes.COMPLETE, code, framing + extra)
         self.write(head + answer.body)
 
-    def begin(self, answer: answers.Answer, length: int | None) -> None:
+    def begin(
+        self,
+        answer: answers.Answer,
+        length: int | None,
+        extra: bytes = b'',
+    ) -> None:
         """Write the head of a long answer.
 
         :param length: bytes of its body, None when they are not known.
+        :param extra: header lines to add.
         """
         if length is not None:
             framing = b'Content-Length: %d\r\n' % length
@@ -72,6 +83,7 @@
         else:
             framing = b''
             self.keep_alive = False
+        framing += extra
         self.write(self.head(answer, codes.COMPLETE, codes.OK, framing))
 
     def refuse(
@@ -80,9 +92,13 @@
         outcome: str,
         detail: str = '',
         retry_after_s: float = 1.0,
+        status: int = 0,
     ) -> None:
-        """Write an answer of this node's own."""
-        answer = own(code, detail, self.id, retry_after_s)
+        """Write an answer of this node's own.
+
+        :param status: its status; 0 for that of the code.
+        """
+        answer = own(code, detail, self.id, retry_after_s, status)
         framing = b'Content-Length: %d\r\n' % len(answer.body)
         head = self.head(answer, outcome, code, framing)
         self.write(
@@ -166,15 +182,25 @@
 
 
 def own(
-    code: codes.Code, detail: str, id: str, retry_after_s: float
+    code: codes.Code,
+    detail: str,
+    id: str,
+    retry_after_s: float,
+    status: int = 0,
 ) -> answers.Answer:
-    """Return an answer of this node's own."""
+    """Return an answer of this node's own.
+
+    :param retry_after_s: whole seconds, or a fraction where callers read
+        one.
+    :param status: its status; 0 for that of the code.
+    """
+    status = status or code.status
     problem = Problem(code.label, code.name, code.text, detail, id)
     body = msgspec.json.encode(problem._asdict())
     extra = [(b'Content-Type', b'application/json')]
-    if code.status in (429, 503) or code is codes.KEY_RUNNING:
-        extra.append((b'Retry-After', b'%d' % max(retry_after_s, 1)))
-    return answers.Answer(code.status, phrase(code.status), extra, None, body)
+    if status in (429, 503) or code is codes.KEY_RUNNING:
+        extra.append((b'Retry-After', b'%g' % round(retry_after_s, 2)))
+    return answers.Answer(status, phrase(status), extra, None, body)
 
 
 def problem(code: codes.Code, outcome: str, detail: str, id: str) -> bytes:
--- a/carawaystair/request/handler.py
+++ b/carawaystair/request/handler.py
@@ -1,19 +1,16 @@
 """A caller's request, from its head to the last byte of its answer."""
 
-import itertools
-import math
 import typing
 
-
 from carawaystair import clock
 from carawaystair import codes
 from carawaystair import interfaces
-from carawaystair import logs
 from carawaystair.request import answer as answers
 from carawaystair.request import body as bodies
 from carawaystair.request import call as calls
 from carawaystair.request import caller
 from carawaystair.request import exchange as exchanges
+from carawaystair.request import handling
 from carawaystair.request import incoming
 from carawaystair.request import keyed as keyeds
 from carawaystair.request import ledger
@@ -24,11 +21,9 @@
 from carawaystair import routing as routings
 from carawaystair import rows
 
-LOG = logs.get('request')
-
 
-class Handler:
-    """Answers requests; one for each node.
+class Handler(handling.Handling):
+    """Sends requests to upstreams; one for each node.
 
     :param host: the host of the node.
     :param prefix: begins the ids of requests, other at every start.
@@ -52,51 +47,13 @@
         sender: senders.Sender,
         meters: meters_module.Meters,
     ) -> None:
+        super().__init__(prefix, drain_s, routing, meters)
         self.host = host
-        self.prefix = prefix
-        self.numbers = itertools.count(1)
-        # Without a drain, a stop cuts off whatever there is.
-        self.longest_s = drain_s or math.inf
         self.admission = admission
-        self.routing = routing
         self.sender = sender
-        self.meters = meters
         self.keyed = keyeds.Keyed(
             reservations, self._send_keyed, sender.spawn, sender.cut
         )
-        self.held = bodies.Held()
-        self.active = 0
-        # While the node stops: the time by which everything must be over.
-        self.ends: float | None = None
-
-    async def handle(self, request: incoming.Request) -> bool:
-        """Answer one request; return whether another may follow."""
-        name = '%s-%x' % (self.prefix, next(self.numbers))
-        exchange = exchanges.Exchange(request, name)
-        if self.ends is not None:
-            exchange.keep_alive = False
-        self.active += 1
-        try:
-            await self._answer(request, exchange)
-        except caller.Refused as refused:
-            self._refuse(
-                exchange,
-                refused.code,
-                codes.NOT_RUN,
-                refused.detail,
-                refused.retry_after_s,
-            )
-        except answers.Failed as failed:
-            outcome = codes.UNKNOWN if failed.sent else codes.NOT_RUN
-            self._refuse(exchange, failed.code, outcome, failed.detail)
-        except ConnectionError:
-            # The caller has gone before it was answered.
-            exchange.keep_alive = False
-        except Exception as error:
-            self._defect(exchange, error)
-        finally:
-            self.active -= 1
-        return exchange.keep_alive
 
     async def _answer(
         self, request: incoming.Request, exchange: exchanges.Exchange
@@ -128,38 +85,6 @@
             await self._plain(call, exchange)
         self.meters.complete(clock.now() - now)
 
-    def _check_stopping(self, call: calls.Call) -> None:
-        """Refuse what might have to be cut when the node is gone."""
-        if call.bulk or call.deadline > self.ends:
-            raise caller.Refused(codes.LEAVING)
-
-    # The body of the request
-
-    async def _take_body(
-        self,
-        request: incoming.Request,
-        call: calls.Call,
-        exchange: exchanges.Exchange,
-        length: int | None,
-    ) -> calls.Call:
-        """Return the request with its body, or with the way to read it."""
-        limit = call.match.service.max_body
-        bodies.check(length, limit)
-        if bodies.expectation(request):
-            exchange.proceed()
-        content = request.content
-        if call.key:
-            body = await self.held.hold(content, length, limit, call.deadline)
-            return call._replace(body=body)
-        if length is not None and length > bodies.HOLD_BYTES:
-            return call._replace(body=None, stream=content, length=length)
-        begun = await bodies.begin(content, limit, call.deadline)
-        if begun.whole:
-            return call._replace(body=begun.data)
-        return call._replace(
-            body=None, stream=content, length=None, begun=begun.data
-        )
-
     # Sending
 
     async def _plain(
@@ -236,31 +161,3 @@
         if not await passing.run():
             exchange.keep_alive = False
             self.meters.cut(call.id, 'The answer broke off.')
-
-    # What goes wrong
-
-    def _refuse(
-        self,
-        exchange: exchanges.Exchange,
-        code: codes.Code,
-        outcome: str,
-        detail: str,
-        retry_after_s: float = 1.0,
-    ) -> None:
-        self.meters.failed(outcome, code, exchange.id, detail)
-        try:
-            exchange.refuse(code, outcome, detail, retry_after_s)
-        except ConnectionError:
-            exchange.keep_alive = False
-
-    def _defect(self, exchange: exchanges.Exchange, error: Exception) -> None:
-        """Answer although this program is at fault.
-
-        The caller is promised nothing, and a half-written answer is broken.
-        """
-        LOG.error('A request failed.', id=exchange.id, error=repr(error))
-        if exchange.outcome is not None:
-            exchange.keep_alive = False
-            exchange.cut()
-            return
-        self._refuse(exchange, codes.INVARIANT_BROKEN, codes.UNKNOWN, '')
--- /dev/null
+++ b/carawaystair/request/handling.py
@@ -0,0 +1,147 @@
+"""What every answer to a caller needs, whoever sends the request on."""
+
+import itertools
+import math
+import typing
+
+from carawaystair import codes
+from carawaystair import logs
+from carawaystair.request import answer as answers
+from carawaystair.request import body as bodies
+from carawaystair.request import call as calls
+from carawaystair.request import caller
+from carawaystair.request import exchange as exchanges
+from carawaystair.request import incoming
+from carawaystair.request import meters as meters_module
+from carawaystair import routing as routings
+
+LOG = logs.get('request')
+
+
+class Handling:
+    """Takes requests, and answers what can't be served.
+
+    :param prefix: begins the ids of requests, other at every start.
+    :param drain_s: time that a stop gives to requests in flight; none may
+        have more, or a stop would cut it off.
+    :param routing: returns the configuration in force.
+    :param meters: counts what callers are told.
+    """
+
+    def __init__(
+        self,
+        prefix: str,
+        drain_s: float,
+        routing: typing.Callable[[], routings.Routing | None],
+        meters: meters_module.Meters,
+    ) -> None:
+        self.prefix = prefix
+        self.numbers = itertools.count(1)
+        # Without a drain, a stop cuts off whatever there is.
+        self.longest_s = drain_s or math.inf
+        self.routing = routing
+        self.meters = meters
+        self.held = bodies.Held()
+        self.active = 0
+        # While the node stops: the time by which everything must be over.
+        self.ends: float | None = None
+
+    async def handle(self, request: incoming.Request) -> bool:
+        """Answer one request; return whether another may follow."""
+        exchange = exchanges.Exchange(request, self._name(request))
+        if self.ends is not None:
+            exchange.keep_alive = False
+        self.active += 1
+        try:
+            await self._answer(request, exchange)
+        except caller.Refused as refused:
+            self._refuse(
+                exchange,
+                refused.code,
+                codes.NOT_RUN,
+                refused.detail,
+                refused.retry_after_s,
+            )
+        except answers.Failed as failed:
+            outcome = codes.UNKNOWN if failed.sent else codes.NOT_RUN
+            self._refuse(exchange, failed.code, outcome, failed.detail)
+        except ConnectionError:
+            # The caller has gone before it was answered.
+            exchange.keep_alive = False
+        except Exception as error:
+            self._defect(exchange, error)
+        finally:
+            self.active -= 1
+        return exchange.keep_alive
+
+    def _name(self, request: incoming.Request) -> str:
+        """Return the id of a request."""
+        return '%s-%x' % (self.prefix, next(self.numbers))
+
+    async def _answer(
+        self, request: incoming.Request, exchange: exchanges.Exchange
+    ) -> None:
+        """Answer a request that was read; raises what it is refused for."""
+        raise NotImplementedError
+
+    def _check_stopping(self, call: calls.Call) -> None:
+        """Refuse what might have to be cut when the node is gone."""
+        if call.bulk or call.deadline > self.ends:
+            raise caller.Refused(codes.LEAVING)
+
+    # The body of the request
+
+    async def _take_body(
+        self,
+        request: incoming.Request,
+        call: calls.Call,
+        exchange: exchanges.Exchange,
+        length: int | None,
+    ) -> calls.Call:
+        """Return the request with its body, or with the way to read it."""
+        limit = call.match.service.max_body
+        bodies.check(length, limit)
+        if bodies.expectation(request):
+            exchange.proceed()
+        content = request.content
+        if call.key:
+            body = await self.held.hold(content, length, limit, call.deadline)
+            return call._replace(body=body)
+        if length is not None and length > bodies.HOLD_BYTES:
+            return call._replace(body=None, stream=content, length=length)
+        begun = await bodies.begin(content, limit, call.deadline)
+        if begun.whole:
+            return call._replace(body=begun.data)
+        return call._replace(
+            body=None, stream=content, length=None, begun=begun.data
+        )
+
+    # What goes wrong
+
+    def _refuse(
+        self,
+        exchange: exchanges.Exchange,
+        code: codes.Code,
+        outcome: str,
+        detail: str,
+        retry_after_s: float = 1.0,
+    ) -> None:
+        self.meters.failed(outcome, code, exchange.id, detail)
+        try:
+            # Callers read whole seconds.
+            whole_s = float(max(int(retry_after_s), 1))
+            exchange.refuse(code, outcome, detail, whole_s)
+        except ConnectionError:
+            exchange.keep_alive = False
+
+    def _defect(self, exchange: exchanges.Exchange, error: Exception) -> None:
+        """Answer although this program is at fault.
+
+        The caller is promised nothing, and a half-written answer is broken.
+        """
+        LOG.error('A request failed.', id=exchange.id, error=repr(error))
+        if exchange.outcome is not None:
+            exchange.keep_alive = False
+            exchange.cut()
+            return
+        self._refuse(exchange, codes.INVARIANT_BROKEN, codes.UNKNOWN, '')
--- a/carawaystair/request/incoming.py
+++ b/carawaystair/request/incoming.py
@@ -34,6 +34,22 @@
 MESSAGE = http.RawRequestMessage
 
 
+class Bounds(typing.NamedTuple):
+    """What a caller may send, and how long it may take.
+
+    :param line_bytes: bytes of one header line, or of the first line.
+    :param head_s: time for a head that has begun, seconds.
+    :param idle_s: an idle connection stays open so long, seconds.
+    """
+
+    line_bytes: int = MAX_LINE_BYTES
+    head_s: float = HEAD_S
+    idle_s: float = IDLE_S
+
+
+DEFAULT_BOUNDS = Bounds()
+
+
 class Request:
     """One request as it was read.
 
@@ -89,6 +105,7 @@
     :param handle: answers a request; returns whether another may follow.
     :param refuse: answers what is no request, see ``errors.Malformed``.
     :param connections: all connections of the listener.
+    :param bounds: what the caller may send.
     """
 
     def __init__(
@@ -97,14 +114,15 @@
         handle: Handle,
         refuse: typing.Callable[['Connection', errors.Malformed], None],
         connections: set['Connection'],
+        bounds: Bounds = DEFAULT_BOUNDS,
     ) -> None:
         parser = http.HttpRequestParser(
             self,
             loop,
             READ_BYTES,
-            max_line_size=MAX_LINE_BYTES,
+            max_line_size=bounds.line_bytes,
             max_headers=MAX_HEADERS,
-            max_field_size=MAX_LINE_BYTES,
+            max_field_size=bounds.line_bytes,
             auto_decompress=False,
             max_msg_queue_size=MAX_AHEAD,
         )
@@ -113,6 +131,9 @@
         self.handle = handle
         self.refuse = refuse
         self.connections = connections
+        self.bounds = bounds
+        # Whether the connection broke, rather than being closed.
+        self.broken = False
         self.queue: collections.deque = collections.deque()
         self.content = streams.EMPTY_PAYLOAD
         # Why no further request can be read.
@@ -150,7 +171,7 @@
         """Wait for a request; tell whether there is one."""
         if not self.queue and self.error is None:
             self.begun = False
-            self._arm(self.loop.time() + IDLE_S)
+            self._arm(self.loop.time() + self.bounds.idle_s)
             self.waiter = self.loop.create_future()
             try:
                 await self.waiter
@@ -211,7 +232,7 @@
                 self._pause_reading_for_buffer()
         elif self.waiter is not None and not self.begun and data:
             self.begun = True
-            self._arm(self.loop.time() + HEAD_S)
+            self._arm(self.loop.time() + self.bounds.head_s)
 
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Read on, if reading was paused.
@@ -224,6 +245,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel what is being done for the caller."""
         super().connection_lost(exc)
+        self.broken = exc is not None
         self.connections.discard(self)
         if self.timer is not None:
             self.timer.cancel()
--- a/carawaystair/request/ledger.py
+++ b/carawaystair/request/ledger.py
@@ -110,14 +110,7 @@
     def finish(self, attempt: attempts.Attempt) -> None:
         """Let the connection of an answer that was read whole go on."""
         attempt.target.in_flight -= 1
-        connection = attempt.connection
-        if attempt.pump is not None and not attempt.pump.done:
-            # The answer came before the body was taken: what is left of the
-            # body must not be read as another request.
-            attempt.pump.task.cancel()
-            connection.proto.abort()
-        else:
-            connections.give(connection, clock.now())
+        attempt.settle(clock.now())
 
     def fail(self, attempt: attempts.Attempt, failed: answers.Failed) -> None:
         """End an attempt that brought no answer."""
@@ -139,17 +132,10 @@
             return interfaces.CANCELLED
         return interfaces.BROKEN
 
-    def drop(self, attempt: attempts.Attempt) -> None:
-        """Close the connection of an attempt, doubtful or not."""
-        if attempt.pump is not None and attempt.pump.task is not None:
-            attempt.pump.task.cancel()
-        if attempt.connection is not None:
-            attempt.connection.proto.abort()
-
     def cut(self, attempt: attempts.Attempt) -> None:
         """End an attempt that has answered but is not read to its end."""
         attempt.target.in_flight -= 1
-        self.drop(attempt)
+        attempt.drop()
 
     def late(
         self, attempt: attempts.Attempt, slot: slots.Slot
@@ -184,7 +170,7 @@
         silence.ended(attempt)
         if not attempt.sent:
             attempt.target.in_flight -= 1
-            self.drop(attempt)
+            attempt.drop()
             return
         if slot is not None:
             slot.hold()
--- a/carawaystair/request/listener.py
+++ b/carawaystair/request/listener.py
@@ -1,6 +1,7 @@
 """Takes callers' connections."""
 
 import asyncio
+import typing
 
 from carawaystair import codes
 from carawaystair.request import errors
@@ -15,10 +16,16 @@
     """Makes the connections of callers.
 
     :param handle: answers requests.
+    :param bounds: returns what callers may send, asked for each connection.
     """
 
-    def __init__(self, handle: incoming.Handle) -> None:
+    def __init__(
+        self,
+        handle: incoming.Handle,
+        bounds: typing.Callable[[], incoming.Bounds] = incoming.Bounds,
+    ) -> None:
         self.handle = handle
+        self.bounds = bounds
         self.connections: set[incoming.Connection] = set()
         self.server: asyncio.Server | None = None
 
@@ -38,7 +45,9 @@
         if len(self.connections) >= MAX_CONNECTIONS:
             return Full()
         loop = asyncio.get_running_loop()
-        return incoming.Connection(loop, self.handle, refuse, self.connections)
+        return incoming.Connection(
+            loop, self.handle, refuse, self.connections, self.bounds()
+        )
 
     def close(self) -> None:
         """Take no new connections."""
--- a/carawaystair/request/wire.py
+++ b/carawaystair/request/wire.py
@@ -38,6 +38,8 @@
         self.error: BaseException | None = None
         # Whether a request is on its way.
         self.busy = False
+        # Whether the answer ends with the connection.
+        self.unframed = False
         # Whether another request may follow.
         self.lasting = True
         self.ready: asyncio.Future | None = None
@@ -160,6 +162,9 @@
             self.payload = payload
             if message.should_close:
                 self.lasting = False
+            self.unframed = not (
+                message.chunked or 'Content-Length' in message.headers
+            )
             self.heads.append((message, payload))
         if upgraded:
             self._fail(http.HttpProcessingError(message='another protocol'))
@@ -175,7 +180,13 @@
             super().resume_reading(resume_parser)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """End the connection."""
+        """End the connection.
+
+        A close may be the end of an answer without a length; a reset never
+        is, since what was lost with it is not known.
+        """
+        if exc is None and self.unframed and not self.payload.is_eof():
+            self.payload.feed_eof()
         super().connection_lost(exc)
         if self.timer is not None:
             self.timer.cancel()
--- a/carawaystair/routing.py
+++ b/carawaystair/routing.py
@@ -20,12 +20,12 @@
 
     :param key: names the route, for evidence.
     :param route: the route.
-    :param service: its service.
+    :param service: its service; None where several share the route.
     """
 
     key: str
     route: manifests.Route
-    service: manifests.Service
+    service: manifests.Service | None
 
 
 class Routing:
@@ -52,6 +52,8 @@
         self.region = functools.lru_cache(CACHE)(self._region)
         self.drains = self._read(rows.DRAINS, manifests.Drains)
         self.drains = self.drains or manifests.Drains()
+        self.limits = self._read(rows.LIMITS, manifests.Limits)
+        self.limits = self.limits or manifests.Limits()
 
     def services(self) -> tuple[str, ...]:
         """Return the names of all services."""
--- a/carawaystair/rows.py
+++ b/carawaystair/rows.py
@@ -23,6 +23,8 @@
 ROUTE = 'route/'
 CUSTOMER = 'customer/'
 DRAINS = 'drains/all'
+# Present only where limits differ from the defaults.
+LIMITS = 'limits/all'
 
 Table = dict[str, bytes]
 
@@ -32,10 +34,12 @@
 
     :param format: version of the manifest's format.
     :param name: name of the deployment.
+    :param revision: the pipeline's own number of the document.
     """
 
     format: int
     name: str
+    revision: int = 0
 
 
 _DECODERS = {
@@ -44,6 +48,7 @@
         Head,
         manifests.Customer,
         manifests.Drains,
+        manifests.Limits,
         manifests.Place,
         manifests.Route,
         manifests.Service,
@@ -115,9 +120,11 @@
 def from_manifest(manifest: manifests.Manifest) -> Table:
     """Return the rows of a manifest."""
     table = {
-        HEAD: encode(Head(manifest.format, manifest.name)),
+        HEAD: encode(Head(manifest.format, manifest.name, manifest.revision)),
         DRAINS: encode(manifest.drains),
     }
+    if manifest.limits != manifests.Limits():
+        table[LIMITS] = encode(manifest.limits)
     table |= {REGION + k: encode(v) for k, v in manifest.regions.items()}
     table |= {SERVICE + k: encode(v) for k, v in manifest.services.items()}
     table |= {CUSTOMER + k: encode(v) for k, v in manifest.customers.items()}
@@ -148,6 +155,10 @@
         tuple(_part(ROUTE, manifests.Route).values()),
         _part(CUSTOMER, manifests.Customer),
         decode(manifests.Drains, table[DRAINS]),
+        decode(manifests.Limits, table[LIMITS])
+        if LIMITS in table
+        else manifests.Limits(),
+        head.revision,
     )
 
 
--- a/carawaystair/settings.py
+++ b/carawaystair/settings.py
@@ -42,12 +42,54 @@
     :param local: ``ip:port`` for upstreams of this host, status, metrics.
     :param lease_s: seconds until an unrenewed announcement ends.
     :param drain_s: seconds that requests in flight get at a stop.
+    :param gateway: ``ip:port`` where other nodes hand over requests for the
+        upstreams of this host; None where nodes send to upstreams directly.
+    :param service: the service that runs on this host, told to upstreams
+        that its requests go to; empty where none does.
+    :param poll_s: seconds between questions for a newer configuration.
+    :param lame_duck_s: seconds at a stop in which new requests are still
+        taken, until whoever sends them has noticed.
+    :param retry_ratio: repeats of a request that reach upstreams, as a
+        share of the first sends of the whole fleet.
+    :param retry_slack: repeats beyond that share, of the whole fleet.
+    :param retry_window_s: the window in which repeats are counted, seconds.
     """
 
     listen: str
     local: str
     lease_s: float
     drain_s: float
+    gateway: str | None = None
+    service: str = ''
+    poll_s: float = 2.0
+    lame_duck_s: float = 2.5
+    retry_ratio: float = 0.2
+    retry_slack: int = 50
+    retry_window_s: float = 10.0
+
+
+class Headers(typing.NamedTuple):
+    """Names of the headers between callers, gateways and upstreams.
+
+    A deployment whose callers and upstreams speak other names sets them
+    here.  They hold for nodes with a gateway.
+
+    :param request_id: names a request; callers give it, upstreams echo it.
+    :param deadline_ms: time that is left for the request, ms.
+    :param upstream: id of the one upstream that may run the request.
+    :param caller_service: the service on the host where a request began.
+    :param receipt: borne by every whole good answer of an upstream; empty
+        where upstreams give none.
+    :param not_run: borne by answers of an upstream that did not run the
+        request.
+    """
+
+    request_id: str = 'Caraway-Request-Id'
+    deadline_ms: str = 'Caraway-Deadline-Ms'
+    upstream: str = 'Caraway-Upstream'
+    caller_service: str = 'Caraway-Caller-Service'
+    receipt: str = ''
+    not_run: str = 'Caraway-Not-Run'
 
 
 class Team(typing.NamedTuple):
@@ -95,6 +137,12 @@
     :param changes_per_s: changes a second of each team, in the long run.
     :param voters: the hosts that found the control group, in the same order
         on all of them; empty for a group of this host alone.
+    :param founds: whether a host without state may found the group; false
+        once the deployment has run before.
+    :param grow_to: hosts that join by themselves get votes up to this
+        number of voters; 0 leaves members to operators.
+    :param patience_s: seconds for which a starting voter waits for all the
+        others before a majority of them must do.
     """
 
     admin: str
@@ -103,6 +151,9 @@
     reads_per_s: float
     changes_per_s: float
     voters: tuple[Voter, ...] = ()
+    founds: bool = True
+    grow_to: int = 0
+    patience_s: float = 5.0
 
 
 class Settings(typing.NamedTuple):
@@ -122,6 +173,7 @@
     timeline_events: int
     node: Node
     control: Control
+    headers: Headers = Headers()
 
 
 Problem = tuple[codes.Code, list[shape.Mistake]]
--- a/carawaystair/settings_rules.py
+++ b/carawaystair/settings_rules.py
@@ -27,6 +27,13 @@
     ('timeline_events', 100, 1_000_000),
     ('node.lease_s', 0.5, 3600.0),
     ('node.drain_s', 0.0, 3600.0),
+    ('node.poll_s', 0.05, 60.0),
+    ('node.lame_duck_s', 0.0, 3600.0),
+    ('node.retry_ratio', 0.0, 1.0),
+    ('node.retry_slack', 0, 1_000_000),
+    ('node.retry_window_s', 1.0, 600.0),
+    ('control.grow_to', 0, 7),
+    ('control.patience_s', 0.0, 60.0),
     ('control.reads_per_s', 0.1, 1e6),
     ('control.changes_per_s', 0.1, 1e6),
 )
@@ -94,6 +101,7 @@
         '$.node.listen': settings.node.listen,
         '$.node.local': settings.node.local,
         '$.control.admin': settings.control.admin,
+        **_gateway(settings),
         **{
             '$.%s[%d]' % (name, index): address
             for name in ('seeds', 'control_hosts')
@@ -102,9 +110,20 @@
     }
 
 
+def _gateway(settings) -> dict[str, str]:
+    gateway = settings.node.gateway
+    return {} if gateway is None else {'$.node.gateway': gateway}
+
+
 def _check_addresses(settings) -> typing.Iterator[shape.Mistake]:
     # These are told to others, who could not connect to "any address".
-    told = ('$.peer', '$.gossip', '$.seeds', '$.control_hosts')
+    told = (
+        '$.peer',
+        '$.gossip',
+        '$.seeds',
+        '$.control_hosts',
+        '$.node.gateway',
+    )
     for path, address in _addresses(settings).items():
         if not address_ok(address):
             text = '%r is not an IPv4 number and a port'
@@ -118,7 +137,7 @@
     """Check that no two listeners of this process share an address."""
     bound = ['$.peer']
     if NODE in settings.roles:
-        bound += ['$.node.listen', '$.node.local']
+        bound += ['$.node.listen', '$.node.local', *_gateway(settings)]
     if CONTROL in settings.roles:
         bound += ['$.control.admin']
     addresses = _addresses(settings)
--- a/carawaystair/timeline.py
+++ b/carawaystair/timeline.py
@@ -72,6 +72,8 @@
         self.clock = HybridClock()
         self.ring = collections.deque(maxlen=capacity)
         self.total = 0
+        # Called with each event.
+        self.listeners: list[typing.Callable[[Event], None]] = []
 
     def record(
         self,
@@ -95,6 +97,8 @@
         )
         self.ring.append(event)
         self.total += 1
+        for listener in self.listeners:
+            listener(event)
         return event
 
     def since(self, time: int = 0, limit: int = 1000) -> tuple[Event, ...]:
