Gateways: proofs of sound work, detours round cut ways, repeats counted there

Cause: upstreams turn gray for some seconds about every eight, and each lost about one request in seven that can't be repeated; ways between two hosts are cut while others reach both, which cost 350 ms or the request; each node had its own part of the repeats and used little of it. Ruled out: health probes (they pass while work fails); fewer upstreams at once (breaks floors). Change: work that can't be repeated goes where sound work was seen within 250 ms, short repeatable calls go where it was seen longest ago; a lost hand-over is asked for by id, directly and through a third node; gateways count repeats; calls are told by their parent's id.

--- /dev/null
+++ b/carawaystair/gateway/detours.py
@@ -0,0 +1,122 @@
+"""Passes a request on to the gateway that another node can't reach."""
+
+from carawaystair import clock
+from carawaystair import codes
+from carawaystair.gateway import hops
+from carawaystair.gateway import sends
+from carawaystair.gateway import streaming
+from carawaystair import interfaces
+from carawaystair.load import placing
+from carawaystair import logs
+from carawaystair.request import answer as answers
+from carawaystair.request import body as bodies
+from carawaystair.request import call as calls
+from carawaystair.request import caller
+from carawaystair.request import exchange as exchanges
+from carawaystair.request import headers
+from carawaystair.request import incoming
+from carawaystair.request import target as targets
+
+MS = 1000
+# Bodies of detours are held whole; longer ones are not sent this way.
+MOST_BODY = bodies.HOLD_BYTES
+# What a node says that knows nothing of an upstream.
+NOTHING = placing.Report('', False, 0, 0, 0, 0, 0, 0)
+
+LOG = logs.get('gateway')
+
+
+async def pass_on(hop: hops.Hop, request: incoming.Request) -> bool:
+    """Hand a request to its gateway and its answer back.
+
+    Signs of life are passed on and none are made here: the sender wants to
+    know of that gateway, not of this node.
+
+    :return: whether another request may follow on the connection.
+    """
+    now = clock.now()
+    deadline = now + hop.left_ms / MS
+    try:
+        body = await bodies.read(
+            request.content, MOST_BODY, MOST_BODY, deadline
+        )
+    except caller.Refused:
+        return False
+    onward = hop._replace(detour='')
+    call = calls.Call(
+        hop.id,
+        None,
+        '',
+        '',
+        deadline,
+        hop.idempotent,
+        '',
+        request.method,
+        request.raw_path,
+        _head(request),
+        body.data,
+    )
+    upstream = interfaces.Upstream(
+        hop.upstream, hop.service, hop.detour, '', '', 0
+    )
+    target = targets.Target(upstream, now)
+    attempt = sends.ToGateway(call, target, hops.line(onward), True)
+    try:
+        await attempt.connect()
+        attempt.send()
+        while not await attempt.sign(deadline):
+            _write(request, hops.INTERIM)
+        answer = await attempt.answer(deadline)
+    except (answers.Failed, TimeoutError, *sends.BROKEN) as error:
+        attempt.take_back()
+        _write(request, _no_answer(attempt, error))
+        return request.keep_alive
+    except BaseException:
+        attempt.drop()
+        raise
+    return await _answer(hop, request, attempt, answer)
+
+
+def _no_answer(attempt: sends.ToGateway, error: Exception) -> bytes:
+    if attempt.sent:
+        return hops.failure(codes.ANSWER_LOST.label, repr(error), NOTHING)
+    return hops.refusal(hops.UNREACHABLE, repr(error), NOTHING)
+
+
+async def _answer(
+    hop: hops.Hop,
+    request: incoming.Request,
+    attempt: sends.ToGateway,
+    answer: answers.Answer,
+) -> bool:
+    told = hops.says(answer, hops.REFUSAL) or hops.says(answer, hops.FAILURE)
+    if told:
+        attempt.drop()
+        _write(request, hops.passed_on(answer))
+        return request.keep_alive
+    exchange = exchanges.Exchange(request, hop.id)
+    extra = hops.lines(answer.headers)
+    if answer.rest is None:
+        attempt.drop()
+        exchange.whole(answer, codes.OK, extra)
+        await exchange.drained()
+        return exchange.keep_alive
+    why = await streaming.pass_on(attempt, answer, exchange, extra)
+    if why:
+        LOG.warning('An answer broke off on a detour.', id=hop.id, why=why)
+    return exchange.keep_alive and not why
+
+
+def _head(request: incoming.Request) -> bytes:
+    connection = request.headers.get('Connection')
+    if connection is not None:
+        connection = ','.join(request.headers.getall('Connection'))
+    first = '%s %s HTTP/1.1\r\n' % (request.method, request.raw_path)
+    return first.encode() + headers.lines(request.raw_headers, connection)
+
+
+def _write(request: incoming.Request, data: bytes) -> None:
+    transport = request.connection.transport
+    if transport is None or transport.is_closing():
+        raise ConnectionResetError('the sender has gone')
+    transport.write(data)
--- a/carawaystair/gateway/door.py
+++ b/carawaystair/gateway/door.py
@@ -9,11 +9,11 @@
 
 import asyncio
 import math
-import time
 
 from carawaystair import clock
 from carawaystair import codes
 from carawaystair import decisions
+from carawaystair.gateway import detours
 from carawaystair.gateway import hops
 from carawaystair.gateway import inner as inners
 from carawaystair.gateway import runs as runs_module
@@ -21,6 +21,8 @@
 from carawaystair.gateway import slots as slots_module
 from carawaystair.gateway import streaming
 from carawaystair import interfaces
+from carawaystair.load import retrying
+from carawaystair.load import suspicion as suspicion_module
 from carawaystair.load import waiting
 from carawaystair import logs
 from carawaystair.membership import registry as registries
@@ -33,7 +35,7 @@
 from carawaystair.request import headers
 from carawaystair.request import incoming
 from carawaystair.request import target as targets
-from carawaystair import settings
+from carawaystair import settings as settings_module
 
 # The first interim answer goes out after this time: most refusals and short
 # answers come sooner.
@@ -60,34 +62,43 @@
 class Door:
     """Takes requests from other nodes; one for each process.
 
-    :param registry: the upstreams of this host.
-    :param names: names of headers.
-    :param process: names this process, differently at every start.
-    :param inner: knows of failed calls that upstreams of this host made.
+    :param membership: the upstreams of this host, and who else there is.
+    :param settings: of the process.
+    :param inner: knows of calls that upstreams of this host made.
     :param recorder: takes note of decisions.
     """
 
     def __init__(
         self,
-        registry: registries.Registry,
-        names: settings.Headers,
-        process: str,
+        membership,
+        settings: settings_module.Settings,
         inner: inners.InnerCalls,
         recorder: decisions.Recorder,
     ) -> None:
-        self.registry = registry
-        self.names = names
-        self.process = process
+        self.membership = membership
+        self.registry = membership.registry
+        self.names = names = settings.headers
+        self.node = settings.node
         self.inner = inner
         self.recorder = recorder
-        self.runs = runs_module.Runs(process)
+        self.runs = runs_module.Runs(self._mine)
+        self.budgets: dict[str, retrying.Budget] = {}
+        # The most gateways that each service was seen to have.
+        self.sharers: dict[str, int] = {}
         self.slots: dict[str, slots_module.Slots] = {}
         self.targets: dict[str, targets.Target] = {}
         self.active = 0
         self.leaving = False
         self.not_run = names.not_run.lower().encode()
         self.receipt = names.receipt.lower().encode()
-        registry.callbacks.append(self.changed)
+        self.registry.callbacks.append(self.changed)
+
+    def process(self) -> str:
+        """Return the name of this process, as other nodes know it."""
+        return str(self.membership.incarnation)
+
+    def _mine(self, process: str) -> bool:
+        return process == self.process()
 
     # The upstreams of this host
 
@@ -164,6 +175,9 @@
     async def _answer(
         self, hop: hops.Hop, request: incoming.Request, signs: 'Signs'
     ) -> bool:
+        if hop.detour:
+            signs.stop()
+            return await detours.pass_on(hop, request)
         try:
             answer = await self._run(hop, request)
         except slots_module.Refused as refused:
@@ -199,8 +213,11 @@
     ) -> answers.Answer:
         """Run a request, or wait for its run."""
         body, source = await self._body(hop, request)
-        if hop.idempotent:
-            return await self._work(hop, request, body, source)
+        if source is not None:
+            # Its sender can't send it again, and won't ask for it.
+            return runs_module.claimed(
+                await self._work(hop, request, body, source)
+            )
         # A process that was stopped for a while finds the request and its
         # sender's leaving at the same moment; the latter is seen one turn of
         # the loop later, and must come first.
@@ -239,8 +256,8 @@
         slots = self._slots(hop.upstream, said)
         now = clock.now()
         trial = slots.suspicion.suspect
-        if not hop.forced and not slots.suspicion.admits(hop.idempotent, now):
-            raise slots_module.Refused(hops.SUSPECT)
+        self._check_sound(hop, slots, now)
+        self._check_repeat(hop, now)
         call = _call(hop, request, body, now)
         goal = now + hop.goal_ms / MS if hop.goal_ms >= 0 else now
         want = waiting.Want(
@@ -261,6 +278,7 @@
                 trial,
             )
         )
+        self._count(hop)
         target = self._target(hop.upstream, said)
         attempt = sends.ToUpstream(
             call, target, self.names, hop.caller_service, source
@@ -276,6 +294,55 @@
             if not freed:
                 slots.free()
 
+    def _check_sound(
+        self, hop: hops.Hop, slots: slots_module.Slots, now: float
+    ) -> None:
+        """Keep what can't be repeated from an upstream that may be gray."""
+        if hop.forced:
+            return
+        suspicion = slots.suspicion
+        if not suspicion.admits(hop.idempotent, now):
+            raise slots_module.Refused(hops.SUSPECT)
+        if not hop.idempotent and not suspicion.proven(now):
+            raise slots_module.Refused(hops.UNPROVEN)
+
+    def _check_repeat(self, hop: hops.Hop, now: float) -> None:
+        """Refuse a repeat that the service may not get any more."""
+        if not hop.repeat:
+            return
+        budget = self._budget(hop.service)
+        if not budget.may_repeat(now, self._sharers(hop.service)):
+            budget.refused += 1
+            raise slots_module.Refused(hops.SPENT)
+
+    def _count(self, hop: hops.Hop) -> None:
+        """Count a request that goes to its upstream now."""
+        budget = self._budget(hop.service)
+        if hop.repeat:
+            budget.repeat(clock.now(), self._sharers(hop.service))
+        else:
+            budget.first(clock.now())
+
+    def _budget(self, service: str) -> retrying.Budget:
+        budget = self.budgets.get(service)
+        if budget is None:
+            node = self.node
+            budget = self.budgets[service] = retrying.Budget(
+                node.retry_ratio, node.retry_slack, node.retry_window_s
+            )
+        return budget
+
+    def _sharers(self, service: str) -> int:
+        """Return how many gateways share the repeats of a service.
+
+        The most that were ever seen: a part of the fleet that is cut off
+        must not take the whole bound for itself.
+        """
+        now = len(self.membership.directory.upstreams(service))
+        most = max(self.sharers.get(service, 1), now)
+        self.sharers[service] = most
+        return most
+
     def _announced(self, hop: hops.Hop) -> registries.Announcement:
         """Return what the upstream said of itself, if it takes new work."""
         lease = self.registry.leases.get(hop.upstream)
@@ -295,12 +362,14 @@
     ) -> answers.Answer:
         began = clock.now()
         expected_s = slots.line.durations.of(hop.route)
-        overdue = asyncio.get_running_loop().call_later(
-            max(OVERDUE * expected_s, OVERDUE_S),
-            self._failed,
-            hop,
-            slots,
+        loop = asyncio.get_running_loop()
+        overdue = loop.call_later(
+            max(OVERDUE * expected_s, OVERDUE_S), self._failed, hop, slots
+        )
+        survived = loop.call_later(
+            suspicion_module.SURVIVED_S, slots.suspicion.survived, began
         )
+        self.inner.began(hop.id)
         status, detail = 0, ''
         outcome = interfaces.CANCELLED
         try:
@@ -317,8 +386,10 @@
             raise
         finally:
             overdue.cancel()
+            survived.cancel()
+            self.inner.ended(hop.id)
             took_s = clock.now() - began
-            self._learn(hop, slots, outcome, status, took_s)
+            self._learn(hop, slots, outcome, status, began)
             good = outcome == interfaces.GOOD
             self.recorder.tell(
                 decisions.Ended(
@@ -376,17 +447,17 @@
         slots: slots_module.Slots,
         outcome: str,
         status: int,
-        took_s: float,
+        began: float,
     ) -> None:
         """Let a run count as evidence about its upstream."""
         if outcome == interfaces.GOOD:
-            slots.line.durations.add(hop.route, took_s)
-            if slots.suspicion.good():
+            slots.line.durations.add(hop.route, clock.now() - began)
+            if slots.suspicion.good(began):
                 LOG.info('An upstream is sound again.', upstream=hop.upstream)
             return
         if outcome == interfaces.CANCELLED or status == OUT_OF_TIME:
             return
-        if outcome == interfaces.ERROR and self.inner.failed_lately():
+        if outcome == interfaces.ERROR and self.inner.to_blame(hop.id):
             # It failed for what it had called, as a rule.
             return
         self._failed(hop, slots)
@@ -455,11 +526,6 @@
         self.timer.cancel()
 
 
-def process_name() -> str:
-    """Return a name for this process, other at every start."""
-    return '%x' % (time.time_ns() & 0xFFFFFFFFFFFF)
-
-
 def _upstream(name: str, said: registries.Announcement) -> interfaces.Upstream:
     return interfaces.Upstream(
         name,
--- a/carawaystair/gateway/front.py
+++ b/carawaystair/gateway/front.py
@@ -10,6 +10,7 @@
 from carawaystair.gateway import relay as relays
 from carawaystair.gateway import splitting
 from carawaystair.gateway import streaming
+from carawaystair.gateway import trips
 from carawaystair import manifest
 from carawaystair.request import answer as answers
 from carawaystair.request import body as bodies
@@ -122,7 +123,7 @@
         exchange: exchanges.Exchange,
         routing: routings.Routing,
         now: float,
-    ) -> relays.Trip:
+    ) -> trips.Trip:
         """Read a request; raises :class:`caller.Refused`."""
         place = caller.target(request)
         match = routing.match(place.host, place.path.partition('?')[0])
@@ -141,16 +142,16 @@
         if length != 0 or 'Expect' in request.headers:
             call = await self._take_body(request, call, exchange, length)
         goal_s = route.goal_ms / MS if route.goal_ms else call.deadline - now
-        need = relays.Need(
+        need = trips.Need(
             name,
             now + goal_s,
             route.priority,
-            self._inner(request),
+            bool(self.inner.parent(call.id)),
             self.service,
             route.max_attempts or relays.MOST_RUNS,
             str(routing.version),
         )
-        return relays.Trip(call, need)
+        return trips.Trip(call, need)
 
     def _call(
         self,
@@ -197,17 +198,10 @@
         first = '%s %s HTTP/1.1\r\n' % (request.method, place.path)
         return first.encode() + headers.lines(raw, connection)
 
-    def _inner(self, request: incoming.Request) -> bool:
-        """Tell whether a running request waits for this one."""
-        transport = request.connection.transport
-        peer = transport.get_extra_info('peername') if transport else None
-        here = transport.get_extra_info('sockname') if transport else None
-        return bool(peer and here and peer[0] == here[0])
-
     # Answering
 
     async def _pass_on(
-        self, trip: relays.Trip, exchange: exchanges.Exchange, began: float
+        self, trip: trips.Trip, exchange: exchanges.Exchange, began: float
     ) -> None:
         answer = await self.relay.send(trip)
         why = ''
@@ -222,13 +216,13 @@
         else:
             self.meters.complete(clock.now() - began)
         if trip.need.inner and answer.status >= 500:
-            self.inner.failed()
+            self.inner.failed(trip.call.id)
         code = codes.ANSWER_LOST if why else codes.OK
         self._tell(trip, exchange, began, code, why, answer.status)
 
     def _tell(
         self,
-        trip: relays.Trip,
+        trip: trips.Trip,
         exchange: exchanges.Exchange,
         began: float,
         code: codes.Code,
@@ -237,7 +231,7 @@
     ) -> None:
         good = code is codes.OK and status < 500
         if not status and trip.need.inner:
-            self.inner.failed()
+            self.inner.failed(trip.call.id)
         self.recorder.tell(
             decisions.Answered(
                 trip.call.id,
@@ -253,7 +247,7 @@
             decisions.ROUTINE if good else decisions.TROUBLE,
         )
 
-    def _tell_left(self, trip: relays.Trip, began: float) -> None:
+    def _tell_left(self, trip: trips.Trip, began: float) -> None:
         total_ms = int((clock.now() - began) * MS)
         self.recorder.tell(
             decisions.Left(trip.call.id, trip.offers, total_ms),
--- /dev/null
+++ b/carawaystair/gateway/handover.py
@@ -0,0 +1,203 @@
+"""Hands a request over to one gateway and returns what comes of it.
+
+A connection may be lost while the request is on its way, while it runs, or
+while its answer returns.  The gateway knows requests by their ids, so it is
+asked again: by the direct way, and through a third node when only the way
+between the two is cut.  Only when that brings nothing the request counts as
+lost.
+"""
+
+import asyncio
+import typing
+
+from carawaystair import clock
+from carawaystair import codes
+from carawaystair.gateway import hops
+from carawaystair.gateway import paths as paths_module
+from carawaystair.gateway import sends
+from carawaystair.gateway import trips
+from carawaystair import interfaces
+from carawaystair.load import placing
+from carawaystair.request import answer as answers
+from carawaystair.request import target as targets
+
+# A gateway that has not shown within this time that it has a request is
+# asked by another way, seconds.  It shows it after FIRST_SIGN_S and a round
+# trip between data centres; asking it twice does no harm.
+SIGN_S = 0.15
+# And one that has, when it is silent for three times its usual interval.
+SILENCE_S = 2.1
+# Pause between two questions for a request whose connection was lost.
+RESUME_PAUSE_S = 0.1
+# A request that may run elsewhere is not asked for any longer than this.
+RESUME_REPEATABLE_S = 0.6
+MS = 1000
+# Failures after which the same gateway may still have the request.
+LOST = frozenset((interfaces.BROKEN, interfaces.SILENT))
+
+
+class Handover:
+    """Hands requests over; one for each node.
+
+    :param host: the host of this node.
+    :param paths: the ways to gateways.
+    :param board: takes the reports of gateways.
+    :param process: returns the process of a host, as far as is known.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        paths: paths_module.Paths,
+        board: placing.Board,
+        process: typing.Callable[[str], str],
+    ) -> None:
+        self.host = host
+        self.paths = paths
+        self.board = board
+        self.process = process
+        self.resumed = 0
+
+    async def exchange(
+        self, trip: trips.Trip, target: targets.Target, stays: bool
+    ) -> answers.Answer:
+        """Hand a request over and return its answer.
+
+        :param stays: whether it may wait there, and goes there although the
+            upstream failed lately.
+        :raises trips.Declined: when it was not run there and will not be.
+        :raises answers.Failed: when there is no answer.
+        """
+        process = self.process(target.upstream.host)
+        first = trip.hop(self.host, target, stays, process)
+        view = self.board.view(target.upstream.id)
+        began = clock.now()
+        try:
+            return await self._send(trip, target, first, not view.reachable)
+        except answers.Failed as failed:
+            whole = trip.call.body is not None
+            lost = failed.sent and failed.outcome in LOST
+            if not lost or not whole or not process:
+                raise
+            last = failed
+        return await self._resume(trip, target, first, began, last)
+
+    async def _resume(
+        self,
+        trip: trips.Trip,
+        target: targets.Target,
+        first: hops.Hop,
+        began: float,
+        last: answers.Failed,
+    ) -> answers.Answer:
+        """Ask for a request whose connection was lost."""
+        until = trip.call.deadline
+        if trip.call.idempotent:
+            until = min(until, began + SIGN_S + RESUME_REPEATABLE_S)
+        detour = True
+        while clock.now() < until:
+            if target.upstream.state == interfaces.GONE:
+                # Its host is dead, or the upstream has left since.
+                raise last
+            self.resumed += 1
+            hop = trip.hop(self.host, target, True, first.process)
+            hop = hop._replace(again=True)
+            try:
+                return await self._send(trip, target, hop, detour)
+            except trips.Declined as declined:
+                if declined.reason != hops.UNREACHABLE:
+                    raise
+                if trip.call.idempotent:
+                    raise last from None
+            except answers.Failed as failed:
+                if failed.sent and failed.outcome not in LOST:
+                    raise
+            detour = not detour
+            await asyncio.sleep(RESUME_PAUSE_S)
+        if clock.now() < trip.call.deadline:
+            raise last
+        raise answers.Failed(
+            interfaces.TIMEOUT, codes.ANSWER_LATE, True, last.detail
+        )
+
+    async def _send(
+        self,
+        trip: trips.Trip,
+        target: targets.Target,
+        hop: hops.Hop,
+        detour: bool,
+    ) -> answers.Answer:
+        """Send once, directly or through a third node."""
+        helper = self.paths.helper(target) if detour else None
+        if helper is not None and trip.call.body is not None:
+            hop = hop._replace(detour=target.upstream.address)
+            attempt = sends.ToGateway(trip.call, helper, hops.line(hop))
+        else:
+            fresh = hop.again
+            line = hops.line(hop)
+            attempt = sends.ToGateway(trip.call, target, line, fresh)
+        answer = await self._answer(trip, attempt)
+        return self._understood(target, answer)
+
+    async def _answer(
+        self, trip: trips.Trip, attempt: sends.ToGateway
+    ) -> answers.Answer:
+        """Return the answer to one send; raises what it means if none."""
+        deadline = trip.call.deadline
+        try:
+            await attempt.connect()
+            attempt.send()
+            silence_s = SIGN_S
+            while not await attempt.sign(
+                min(clock.now() + silence_s, deadline)
+            ):
+                silence_s = SILENCE_S
+            answer = await attempt.answer(deadline)
+        except TimeoutError:
+            attempt.take_back()
+            late = clock.now() >= deadline
+            if not late:
+                self.paths.lost(attempt.target)
+            outcome = interfaces.TIMEOUT if late else interfaces.SILENT
+            code = codes.ANSWER_LATE if late else codes.ANSWER_LOST
+            raise answers.Failed(outcome, code, attempt.sent) from None
+        except answers.Failed as failed:
+            attempt.take_back()
+            if failed.outcome == interfaces.REFUSED:
+                self.paths.lost(attempt.target)
+            raise
+        except sends.BROKEN as error:
+            attempt.take_back()
+            raise answers.Failed(
+                interfaces.BROKEN, codes.ANSWER_LOST, attempt.sent, str(error)
+            ) from None
+        except BaseException:
+            # The caller has gone, as a rule.
+            attempt.drop()
+            raise
+        if answer.rest is None:
+            attempt.settle(clock.now())
+        return answer
+
+    def _understood(
+        self, target: targets.Target, answer: answers.Answer
+    ) -> answers.Answer:
+        """Return an upstream's answer; raises what a gateway says."""
+        value = hops.says(answer, hops.REPORT)
+        report = hops.read_report(value.encode()) if value else None
+        if report is not None and report.process:
+            self.board.heard(target.upstream.id, report, clock.now())
+        refusal = hops.says(answer, hops.REFUSAL)
+        if refusal:
+            raise trips.Declined(refusal, report)
+        failure = hops.says(answer, hops.FAILURE)
+        if failure:
+            code = codes.TABLE[int(failure.rpartition('-')[2])]
+            late = code is codes.ANSWER_LATE
+            raise answers.Failed(
+                interfaces.TIMEOUT if late else interfaces.ERROR,
+                code,
+                True,
+                answer.body.decode('utf-8', 'replace'),
+            )
+        return answer
--- a/carawaystair/gateway/hops.py
+++ b/carawaystair/gateway/hops.py
@@ -17,6 +17,8 @@
 import msgspec
 
 from carawaystair.load import placing
+from carawaystair.request import answer as answers
+from carawaystair.request import headers
 
 HOP = 'Caraway-Hop'
 REPORT = b'caraway-report'
@@ -28,6 +30,8 @@
 LEAVING = 'leaving'  # the upstream or its node is about to stop
 ABSENT = 'absent'  # no such upstream is announced here
 UNREACHABLE = 'unreachable'  # no connection to the upstream could be made
+UNPROVEN = 'unproven'  # the upstream has shown no sound work lately
+SPENT = 'spent'  # no more repeats may reach the service
 SHED = 'shed'  # the upstream itself refused; it was sent there
 MOVED = 'moved'  # another upstream has the address; it was sent there
 STALE = 'stale'  # a later send of the same request was seen before
@@ -59,9 +63,14 @@
     :param inner: whether another running request waits for it.
     :param may_wait: whether it may wait here for a slot.
     :param forced: whether it is to run although the upstream failed lately.
-    :param number: counts the sends of this request to this gateway.
-    :param process: the process that got the first send, when this is a
-        further one; empty for the first.
+    :param repeat: whether it may have run elsewhere, or was sent to an
+        upstream that refused it.
+    :param number: counts its sends; grows with each.
+    :param process: the process of the gateway, as the sender knows it; empty
+        when it does not.
+    :param again: whether an earlier send to this gateway may have arrived.
+    :param detour: address of the gateway that is to get it, when it is
+        handed to another node on the way; empty otherwise.
     """
 
     id: str
@@ -77,8 +86,11 @@
     inner: bool
     may_wait: bool
     forced: bool
-    number: int = 1
-    process: str = ''
+    repeat: bool
+    number: int
+    process: str
+    again: bool = False
+    detour: str = ''
 
 
 _HOPS = msgspec.json.Decoder(Hop)
@@ -113,7 +125,8 @@
 
 def refusal(reason: str, detail: str, report: placing.Report) -> bytes:
     """Return the bytes of a refusal."""
-    return _own(b'503 Service Unavailable', REFUSAL, reason, detail, report)
+    line = report_line(report)
+    return _own(b'503 Service Unavailable', REFUSAL, reason, detail, line)
 
 
 def failure(code: str, detail: str, report: placing.Report) -> bytes:
@@ -121,18 +134,45 @@
 
     :param code: label of the code that the caller is told.
     """
-    return _own(b'502 Bad Gateway', FAILURE, code, detail, report)
+    line = report_line(report)
+    return _own(b'502 Bad Gateway', FAILURE, code, detail, line)
+
+
+def lines(raw: headers.Raw) -> bytes:
+    """Return the header lines of a gateway's answer that are for nodes."""
+    return b''.join(
+        b'%b: %b\r\n' % pair
+        for pair in raw
+        if pair[0].lower() in (REPORT, REFUSAL, FAILURE)
+    )
+
+
+def passed_on(answer: answers.Answer) -> bytes:
+    """Return a refusal or a failure of another gateway as it came."""
+    return b'HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n\r\n%b' % (
+        answer.status,
+        answer.reason.encode('ascii', 'replace'),
+        lines(answer.headers),
+        len(answer.body),
+        answer.body,
+    )
+
+
+def says(answer: answers.Answer, name: bytes) -> str:
+    """Return what a gateway's answer says under a name, or nothing."""
+    value = headers.value(answer.headers, name)
+    return '' if value is None else value.decode('ascii', 'replace')
 
 
 def _own(
-    status: bytes, name: bytes, what: str, detail: str, report: placing.Report
+    status: bytes, name: bytes, what: str, detail: str, report: bytes
 ) -> bytes:
     body = detail.encode('utf-8', 'replace')
     return b'HTTP/1.1 %b\r\n%b: %b\r\n%bContent-Length: %d\r\n\r\n%b' % (
         status,
         name,
         what.encode(),
-        report_line(report),
+        report,
         len(body),
         body,
     )
--- a/carawaystair/gateway/inner.py
+++ b/carawaystair/gateway/inner.py
@@ -1,27 +1,56 @@
 """Calls that the upstreams of this host make while they run a request.
 
-An upstream that fails because a service that it called has failed is not
-gray.  The node sees both: the call goes out through it, and the answer of the
-request comes back through its gateway.
+A running request holds its slot while it waits for its calls, so they go
+before others; and an upstream that fails because a service that it called has
+failed is not gray.  A call is told by its id, which extends that of the
+running request by a dot and a part of its own.
 """
 
+import collections
+
 from carawaystair import clock
 
 # An upstream answers its own caller so soon after a call of it failed,
 # seconds: it has nothing left to do.
-BLAME_S = 0.25
+BLAME_S = 0.5
+MOST = 1024
 
 
 class InnerCalls:
     """What this host knows of the calls of its upstreams."""
 
     def __init__(self) -> None:
-        self.failed_at = -BLAME_S
-
-    def failed(self) -> None:
+        # How many runs of a request are at the upstreams of this host.
+        self.running: collections.Counter = collections.Counter()
+        # When a call of a request failed last.
+        self.failed_at: dict[str, float] = {}
+
+    def began(self, request: str) -> None:
+        """Take note that a request runs here."""
+        self.running[request] += 1
+
+    def ended(self, request: str) -> None:
+        """Take note that a run has ended."""
+        self.running[request] -= 1
+        if not self.running[request]:
+            del self.running[request]
+
+    def parent(self, request: str) -> str:
+        """Return the running request that waits for this one, or nothing."""
+        name = request.rpartition('.')[0]
+        return name if name in self.running else ''
+
+    def failed(self, call: str) -> None:
         """Take note that a call failed just now."""
-        self.failed_at = clock.now()
-
-    def failed_lately(self) -> bool:
-        """Tell whether a failure of an upstream may come from a call."""
-        return clock.now() - self.failed_at <= BLAME_S
+        parent = self.parent(call)
+        if not parent:
+            return
+        self.failed_at.pop(parent, None)
+        self.failed_at[parent] = clock.now()
+        while len(self.failed_at) > MOST:
+            del self.failed_at[next(iter(self.failed_at))]
+
+    def to_blame(self, request: str) -> bool:
+        """Tell whether a failure of a request may come from its call."""
+        when = self.failed_at.pop(request, None)
+        return when is not None and clock.now() - when <= BLAME_S
--- a/carawaystair/gateway/known.py
+++ b/carawaystair/gateway/known.py
@@ -32,6 +32,8 @@
         self.routing = routing
         self.board = placing.Board(rng)
         self.targets: dict[str, targets.Target] = {}
+        # Services that got requests that can't be repeated.
+        self.unrepeatable: set[str] = set()
         directory.subscribe(self.changed)
 
     def changed(self, upstream: interfaces.Upstream) -> None:
@@ -66,10 +68,18 @@
         return target
 
     def choose(
-        self, service: str, tried: typing.Container[str], now: float
+        self,
+        service: str,
+        tried: typing.Container[str],
+        now: float,
+        repeatable: bool,
+        short: bool,
     ) -> tuple[targets.Target | None, int]:
         """Return the upstream to offer a request to.
 
+        :param repeatable: whether it may be run twice.
+        :param short: whether it is short, so that its upstream may be chosen
+            for what it shows.
         :return: the upstream, None when there is none that was not tried;
             and how many take work.
         """
@@ -81,7 +91,8 @@
             and not routing.drained(upstream.host, upstream.data_centre)
         }
         candidates = [self._candidate(u, now) for u in usable.values()]
-        chosen = self.board.choose(candidates, tried, now)
+        trial = short and service in self.unrepeatable
+        chosen = self.board.choose(candidates, tried, now, repeatable, trial)
         if chosen is None:
             return None, len(usable)
         return self.target(usable[chosen.id]), len(usable)
--- a/carawaystair/gateway/runs.py
+++ b/carawaystair/gateway/runs.py
@@ -15,13 +15,18 @@
 import typing
 
 from carawaystair import clock
+from carawaystair import codes
 from carawaystair.gateway import hops
 from carawaystair.gateway import slots
+from carawaystair import interfaces
 from carawaystair.request import answer as answers
 
 # A run that nobody waits for is cancelled after so long, when its connection
 # broke: whoever handed it over notices within this time and asks again.
 ORPHAN_S = 2.5
+# One that may be run again is not worth holding a slot for as long.
+ORPHAN_SHORT_S = 0.4
+KEEP_SHORT_S = 1.0
 # A ready answer is kept for so long, seconds.
 KEEP_S = 20.0
 # An id is remembered for so long: requests have shorter deadlines, and a
@@ -49,11 +54,11 @@
 class Runs:
     """The requests that this process was handed.
 
-    :param process: names this process.
+    :param mine: tells whether a name is one of this process.
     """
 
-    def __init__(self, process: str) -> None:
-        self.process = process
+    def __init__(self, mine: typing.Callable[[str], bool]) -> None:
+        self.mine = mine
         self.runs: collections.OrderedDict[str, Run] = (
             collections.OrderedDict()
         )
@@ -75,23 +80,24 @@
         """
         run = self._find(hop)
         if run.task is None:
-            run.task = asyncio.ensure_future(self._whole(run, work))
+            run.task = asyncio.ensure_future(work())
+            run.task.add_done_callback(lambda _task: self._ended(hop, run))
         else:
             self.joined += 1
         run.holders += 1
         try:
-            return await asyncio.shield(run.task)
+            return claimed(await asyncio.shield(run.task))
         finally:
             run.holders -= 1
-            if not run.holders and not run.task.done():
-                self._leave(run, broken())
+            if not run.holders:
+                self._leave(hop, run, broken())
 
     def _find(self, hop: hops.Hop) -> Run:
         now = clock.now()
         self._forget(now)
         run = self.runs.get(hop.id)
         if run is None:
-            if hop.process not in ('', self.process):
+            if hop.again and not self.mine(hop.process):
                 raise slots.Refused(hops.RESTARTED)
             run = self.runs[hop.id] = Run(hop.number, now)
             return run
@@ -106,32 +112,40 @@
         run.number = max(run.number, hop.number)
         return run
 
-    async def _whole(
-        self, run: Run, work: typing.Callable[[], typing.Coroutine]
-    ) -> answers.Answer:
-        """Run a request; keep only answers that are here whole."""
-        answer = await work()
+    def _ended(self, hop: hops.Hop, run: Run) -> None:
+        """Keep the answer for a while, or only that there was one."""
         loop = asyncio.get_running_loop()
-        loop.call_later(KEEP_S, self._drop_answer, run)
-        return answer
+        if hop.idempotent:
+            # It is still waited for by those who are here; later ones may
+            # run it again.
+            loop.call_later(KEEP_SHORT_S, self._drop_answer, hop, run)
+        else:
+            loop.call_later(KEEP_S, self._drop_answer, hop, run)
 
-    def _drop_answer(self, run: Run) -> None:
+    def _drop_answer(self, hop: hops.Hop, run: Run) -> None:
         """Forget an answer, but not that the request was run."""
+        if hop.idempotent or _refusal(run.task) is not None:
+            run.task = None
+            return
         run.task = asyncio.get_running_loop().create_future()
         run.task.set_exception(slots.Refused(hops.RESTARTED))
         # Nobody may ever look at it.
         run.task.exception()
 
-    def _leave(self, run: Run, broken: bool) -> None:
+    def _leave(self, hop: hops.Hop, run: Run, broken: bool) -> None:
+        """Cancel what nobody waits for, unless it may be asked for again."""
+        if run.task is None:
+            return
         if not broken:
-            run.task.cancel()
+            _cancel(run.task)
             return
         loop = asyncio.get_running_loop()
-        loop.call_later(ORPHAN_S, self._cancel_orphan, run)
+        wait_s = ORPHAN_SHORT_S if hop.idempotent else ORPHAN_S
+        loop.call_later(wait_s, self._cancel_orphan, run)
 
     def _cancel_orphan(self, run: Run) -> None:
         if not run.holders and run.task is not None:
-            run.task.cancel()
+            _cancel(run.task)
 
     def _forget(self, now: float) -> None:
         runs = self.runs
@@ -150,3 +164,31 @@
     if isinstance(error, slots.Refused) and error.reason not in hops.UNSURE:
         return error
     return None
+
+
+def claimed(answer: answers.Answer) -> answers.Answer:
+    """Return an answer that nobody else passes on.
+
+    A long answer comes once; whoever asks for it again is too late.
+    """
+    if answer.rest is not None:
+        if answer.rest.claimed:
+            raise answers.Failed(
+                interfaces.BROKEN, codes.ANSWER_LOST, True, 'passed on before'
+            )
+        answer.rest.claimed = True
+    return answer
+
+
+def _cancel(task: asyncio.Future) -> None:
+    """Cancel a run, or drop its long answer when nobody took it."""
+    if not task.done():
+        task.cancel()
+        return
+    if task.cancelled() or task.exception() is not None:
+        return
+    rest = task.result().rest
+    if rest is not None and not rest.claimed:
+        rest.claimed = True
+        rest.drop()
+        rest.release()
--- a/carawaystair/gateway/sends.py
+++ b/carawaystair/gateway/sends.py
@@ -48,6 +48,7 @@
     __slots__ = (
         'body_source',
         'caller_service',
+        'claimed',
         'foreign',
         'names',
         'release',
@@ -66,6 +67,8 @@
         self.caller_service = caller_service
         self.body_source = source
         self.foreign = 0
+        # Whether somebody passes its long answer on.
+        self.claimed = False
         # Gives the slot back once a long answer has passed.
         self.release: typing.Callable[[], None] | None = None
 
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -9,8 +9,10 @@
 from carawaystair import decisions
 from carawaystair.gateway import door as doors
 from carawaystair.gateway import front as fronts
+from carawaystair.gateway import handover as handovers
 from carawaystair.gateway import inner as inners
 from carawaystair.gateway import known as knowns
+from carawaystair.gateway import paths
 from carawaystair.gateway import relay as relays
 from carawaystair.gateway import splitting
 from carawaystair import metrics
@@ -47,24 +49,22 @@
         self.membership = membership
         self.routing = routing
         rng = kernel.random('gateway')
-        process = doors.process_name()
         inner = inners.InnerCalls()
         self.known = knowns.Known(
             settings.data_centre, membership.directory, routing, rng
         )
         self.meters = meters_module.Meters(kernel.timeline)
-        self.most_nodes = 1
-        self.relay = relays.Relay(
-            settings.host,
-            self.known,
-            settings.node,
-            self._nodes,
-            rng,
-            recorder,
+        self.paths = paths.Paths(
+            self.known, settings.host, self.add_future, rng
+        )
+        self.handover = handovers.Handover(
+            settings.host, self.paths, self.known.board, self._process
         )
+        self.relay = relays.Relay(self.known, self.handover, rng, recorder)
+        # The time of the start keeps ids of two runs of this host apart.
         self.front = fronts.Front(
             settings,
-            '%s-%s' % (settings.host, process),
+            '%s-%x' % (settings.host, kernel.incarnation & 0xFFFFFFFF),
             routing,
             self.relay,
             splitting.Splitter(rng),
@@ -72,22 +72,15 @@
             self.meters,
             recorder,
         )
-        self.door = doors.Door(
-            membership.registry, settings.headers, process, inner, recorder
-        )
+        self.door = doors.Door(membership, settings, inner, recorder)
         self.callers = listeners.Listener(self.front.handle, self.front.bounds)
         self.nodes = listeners.Listener(self.door.handle)
         self.stopping = False
 
-    def _nodes(self) -> int:
-        """Return how many nodes share the bound of repeats.
-
-        The most that were ever seen: a part of the fleet that is cut off
-        must not take the whole bound for itself.
-        """
-        alive = sum(not m.control for m in self.membership.members.alive())
-        self.most_nodes = max(self.most_nodes, alive)
-        return self.most_nodes
+    def _process(self, host: str) -> str:
+        """Return the process that runs on a host, as far as is known."""
+        entry = self.membership.table.entries.get(host)
+        return '' if entry is None else str(entry.record.incarnation)
 
     def ejected(self, service: str) -> frozenset[str]:
         """Return the upstreams that last were said to fail."""
@@ -112,7 +105,6 @@
         while not self.should_stop:
             await self.sleep(connections.SWEEP_S)
             now = clock.now()
-            self._nodes()
             self.known.sweep(now)
             self.door.sweep(now)
 
--- a/carawaystair/gateway/slots.py
+++ b/carawaystair/gateway/slots.py
@@ -1,6 +1,7 @@
 """The slots of one upstream, and the tasks that wait for them."""
 
 import asyncio
+import typing
 
 from carawaystair import clock
 from carawaystair.load import placing
@@ -9,6 +10,8 @@
 from carawaystair.load import waiting
 
 MS = 1000
+# Ages beyond this are all the same, seconds.
+MOST_AGE_S = 60.0
 
 
 class Refused(Exception):
@@ -27,11 +30,11 @@
 class Slots:
     """Hands out the slots of one upstream.
 
-    :param process: names this process in reports.
+    :param process: returns the name of this process, for reports.
     :param count: the slots.
     """
 
-    def __init__(self, process: str, count: int) -> None:
+    def __init__(self, process: typing.Callable[[], str], count: int) -> None:
         self.process = process
         self.line = waiting.Line(count)
         self.suspicion = suspicion.Suspicion()
@@ -102,11 +105,12 @@
         busy = line.running + len(line.waiting) + 1 - line.slots
         wait_s = max(busy, 0) * line.durations.mean / max(line.slots, 1)
         return placing.Report(
-            self.process,
+            self.process(),
             self.suspicion.suspect,
             line.running,
             len(line.waiting),
             line.slots,
             int(wait_s * MS),
             int(line.durations.mean * MS),
+            int(min(clock.now() - self.suspicion.proof_at, MOST_AGE_S) * MS),
         )
--- /dev/null
+++ b/carawaystair/gateway/trips.py
@@ -0,0 +1,114 @@
+"""One request on its way from a caller's node to an upstream."""
+
+import typing
+
+from carawaystair import clock
+from carawaystair.gateway import hops
+from carawaystair.load import placing
+from carawaystair.request import answer as answers
+from carawaystair.request import call as calls
+from carawaystair.request import target as targets
+
+MS = 1000
+
+
+class Declined(Exception):
+    """A gateway refused a request; it was not run there.
+
+    :param reason: why, see ``hops``.
+    :param report: what the gateway says of its upstream.
+    """
+
+    def __init__(self, reason: str, report: placing.Report | None) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.report = report
+
+
+class Need(typing.NamedTuple):
+    """What a request needs, beside what its call says.
+
+    :param service: the service that is to run it.
+    :param goal: monotonic time until which its answer is worth most.
+    :param priority: rank of its kind, 0 first.
+    :param inner: whether another running request waits for it.
+    :param caller_service: the service on this host.
+    :param most_runs: upstreams that may run it.
+    :param version: configuration that it was read with.
+    """
+
+    service: str
+    goal: float
+    priority: int
+    inner: bool
+    caller_service: str
+    most_runs: int
+    version: str
+
+
+class Trip:
+    """One request on its way.
+
+    :param call: the request.
+    :param need: what it needs.
+    """
+
+    __slots__ = (
+        'call',
+        'declined',
+        'fallback',
+        'failed',
+        'need',
+        'offers',
+        'runs',
+        'sends',
+        'sent',
+        'tried',
+    )
+
+    def __init__(self, call: calls.Call, need: Need) -> None:
+        self.call = call
+        self.need = need
+        self.tried: set[str] = set()
+        # Refusals that waiting may turn, by upstream.
+        self.declined: dict[str, tuple[targets.Target, Declined]] = {}
+        # Gateways that were asked, and all sends to them.
+        self.offers = 0
+        self.sends = 0
+        # Upstreams that may have run it, and sends that reached one.
+        self.runs = 0
+        self.sent = 0
+        self.failed: answers.Failed | None = None
+        self.fallback: answers.Answer | None = None
+
+    def hop(
+        self, host: str, target: targets.Target, stays: bool, process: str
+    ) -> hops.Hop:
+        """Return what the next send of this request tells a gateway.
+
+        :param host: the host of this node.
+        :param stays: whether it may wait there, and goes there although the
+            upstream failed lately.
+        :param process: the process of the gateway, as far as is known.
+        """
+        self.sends += 1
+        now = clock.now()
+        call, need = self.call, self.need
+        return hops.Hop(
+            call.id,
+            host,
+            target.upstream.id,
+            need.service,
+            need.caller_service,
+            call.match.key,
+            int((call.deadline - now) * MS),
+            max(int((need.goal - now) * MS), -1),
+            need.priority,
+            call.idempotent,
+            need.inner,
+            stays,
+            stays,
+            self.sent > 0,
+            self.sends,
+            process,
+        )
--- a/carawaystair/load/placing.py
+++ b/carawaystair/load/placing.py
@@ -21,8 +21,8 @@
 # What it said about failures counts for so long: it lets a trial through
 # about as often.
 SUSPECT_FRESH_S = 0.4
-# A gateway that could not be reached is left alone for so long, seconds.
-UNREACHABLE_S = 1.0
+# Age of the last sign of sound work where nothing is known, seconds.
+UNKNOWN_PROOF_S = 60.0
 # An upstream that is still warming up is taken for so many times slower.
 COLD_FACTOR = 2.0
 # Expected service time where no report has come yet, seconds.
@@ -39,6 +39,8 @@
     :param slots: requests that it works on at once.
     :param wait_ms: expected wait of one more request, ms.
     :param service_ms: mean service time, ms.
+    :param proof_ms: age of the last sign that the upstream does sound work,
+        ms.
     """
 
     process: str
@@ -48,6 +50,7 @@
     slots: int
     wait_ms: int
     service_ms: int
+    proof_ms: int
 
 
 class Candidate(typing.NamedTuple):
@@ -68,14 +71,15 @@
 class View:
     """What this node knows of one upstream."""
 
-    __slots__ = ('at', 'mine', 'report', 'unreachable')
+    __slots__ = ('at', 'mine', 'reachable', 'report')
 
     def __init__(self) -> None:
         self.report: Report | None = None
         self.at = 0.0
         # Requests of this node that are with it now.
         self.mine = 0
-        self.unreachable = 0.0
+        # Whether its gateway answers on the direct way.
+        self.reachable = True
 
 
 class Board:
@@ -104,27 +108,24 @@
         view = self.view(upstream)
         view.report = report
         view.at = now
-        view.unreachable = 0.0
-
-    def missed(self, upstream: str, now: float) -> None:
-        """Take note that a gateway could not be reached."""
-        self.view(upstream).unreachable = now + UNREACHABLE_S
-
-    def process(self, upstream: str) -> str:
-        """Return the process that last answered for an upstream."""
-        report = self.view(upstream).report
-        return '' if report is None else report.process
 
     def choose(
         self,
         candidates: typing.Iterable[Candidate],
         tried: typing.Container[str],
         now: float,
+        repeatable: bool = True,
+        trial: bool = False,
     ) -> Candidate | None:
         """Return the upstream to offer a request to, None when all are tried.
 
         Of the best class two are drawn and the one that should be done
-        earlier is taken.
+        earlier is taken.  A request that can't be repeated goes where sound
+        work was seen last.
+
+        :param repeatable: whether it may be run twice.
+        :param trial: whether it goes where sound work was seen longest ago,
+            to show how that upstream does.
         """
         best: tuple | None = None
         drawn: list[Candidate] = []
@@ -138,6 +139,10 @@
                 drawn.append(candidate)
         if not drawn:
             return None
+        if not repeatable:
+            return min(drawn, key=lambda c: (self.proof_s(c, now), c.id))
+        if trial:
+            return max(drawn, key=lambda c: (self.proof_s(c, now), c.id))
         pair = self.rng.sample(drawn, min(2, len(drawn)))
         return min(pair, key=lambda candidate: self.cost(candidate, now))
 
@@ -152,7 +157,7 @@
             and now - view.at < SUSPECT_FRESH_S
         )
         busy = self.load(candidate, now) >= candidate.slots
-        return (now < view.unreachable, suspect, busy, not candidate.near)
+        return (not view.reachable, suspect, busy, not candidate.near)
 
     def load(self, candidate: Candidate, now: float) -> int:
         """Return the requests that are with an upstream, as far as known."""
@@ -163,6 +168,13 @@
             return view.mine
         return max(view.report.running + view.report.waiting, view.mine)
 
+    def proof_s(self, candidate: Candidate, now: float) -> float:
+        """Return the age of the last known sign of sound work, seconds."""
+        view = self.views.get(candidate.id)
+        if view is None or view.report is None:
+            return UNKNOWN_PROOF_S
+        return view.report.proof_ms / 1000 + now - view.at
+
     def cost(self, candidate: Candidate, now: float) -> float:
         """Return the seconds that a request should take there."""
         view = self.views.get(candidate.id)
--- a/carawaystair/load/suspicion.py
+++ b/carawaystair/load/suspicion.py
@@ -10,8 +10,22 @@
 again.
 """
 
-# So many good answers in a row end a suspicion.
-GOOD_RUN = 2
+import math
+
+# So many good answers in a row end a suspicion.  An upstream that fails half
+# of its requests passes two by chance in one case of four.
+GOOD_RUN = 3
+# An upstream turns gray from one moment to the next, once in some seconds.
+# A request that can't be repeated is therefore given to one that showed
+# sound work within this time, if any did, in seconds; others show theirs by
+# requests that can.
+PROOF_S = 0.25
+# An upstream that has not failed a run after so long has not turned gray
+# before it began: gray ones fail at once, as a rule; seconds.
+SURVIVED_S = 0.05
+# Of the upstreams that showed no sound work for t seconds, about t parts in
+# this many have turned gray meanwhile.
+GRAY_EVERY_S = 8.0
 # Repeatable requests are let through as trials so far apart, in seconds: an
 # upstream that is still gray then costs few repeats.
 TRIAL_EVERY_S = 0.3
@@ -30,10 +44,28 @@
         self.failed_at = 0.0
         self.tried_at = 0.0
         self.failures = 0
+        # When it last began a run that showed sound work.
+        self.proof_at = -math.inf
+
+    def survived(self, began: float) -> None:
+        """Take note that a run did not fail at once.
+
+        :param began: when it began.
+        """
+        if began > self.failed_at:
+            self.proof_at = max(self.proof_at, began)
+
+    def proven(self, now: float) -> bool:
+        """Tell whether sound work was seen lately."""
+        return now - self.proof_at <= PROOF_S
+
+    def good(self, began: float) -> bool:
+        """Take note of a good answer; tell whether a suspicion ended.
 
-    def good(self) -> bool:
-        """Take note of a good answer; tell whether a suspicion ended."""
+        :param began: when its run began.
+        """
         self.failures = 0
+        self.survived(began)
         if not self.suspect:
             return False
         self.good_run += 1
