Gateways: bounds of repeats hold, logs never block, tests of both

Writing to a pipe that polls writable blocked all the same on one kernel and stalled the process. Change: calls of repeated runs are counted, a repeat is taken when it is checked, three sends a request at most; a thread writes the logs.

--- a/carawaystair/daemon.py
+++ b/carawaystair/daemon.py
@@ -159,6 +159,8 @@
         LOG.info('Stopping.')
         await process.stop()
         LOG.info('Stopped.')
+        if sink is not None:
+            sink.close()
     return EXIT_OK
 
 
--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -32,7 +32,7 @@
     :param id: the request.
     :param service: the service that was chosen for it.
     :param upstream: the upstream.
-    :param host: the host of its gateway.
+    :param gateway: the host of its gateway.
     :param version: configuration in force, ``TERM.INDEX``.
     :param number: counts the offers of this request.
     :param left_ms: time until its answer is owed, ms.
@@ -49,7 +49,7 @@
     id: str
     service: str
     upstream: str
-    host: str
+    gateway: str
     version: str
     number: int
     left_ms: int
@@ -162,7 +162,7 @@
 
     :param id: the request.
     :param upstream: the upstream.
-    :param host: the host that handed it over.
+    :param sender: the host that handed it over.
     :param waited_ms: time that it waited here, ms.
     :param running: requests that run there, this one included.
     :param waiting: requests that wait.
@@ -173,7 +173,7 @@
 
     id: str
     upstream: str
-    host: str
+    sender: str
     waited_ms: int
     running: int
     waiting: int
@@ -209,7 +209,7 @@
 
     :param id: the request.
     :param upstream: the upstream.
-    :param host: the host that handed it over.
+    :param sender: the host that handed it over.
     :param reason: why.
     :param detail: the circumstances.
     :param running: requests that run there.
@@ -219,7 +219,7 @@
 
     id: str
     upstream: str
-    host: str
+    sender: str
     reason: str
     detail: str
     running: int
--- a/carawaystair/gateway/detours.py
+++ b/carawaystair/gateway/detours.py
@@ -72,7 +72,7 @@
         _write(request, _no_answer(attempt, error))
         return request.keep_alive
     except BaseException:
-        attempt.drop()
+        attempt.leave()
         raise
     return await _answer(hop, request, attempt, answer)
 
--- a/carawaystair/gateway/door.py
+++ b/carawaystair/gateway/door.py
@@ -42,7 +42,7 @@
 FIRST_SIGN_S = 0.03
 # Then one in this time; a node that hears none for three times as long takes
 # the connection for lost.
-SIGN_EVERY_S = 0.7
+SIGN_EVERY_S = 0.3
 # A run is overdue, and its upstream under suspicion, after so many times
 # what its route usually takes, and this time at least.
 OVERDUE = 5.0
@@ -308,19 +308,18 @@
 
     def _check_repeat(self, hop: hops.Hop, now: float) -> None:
         """Refuse a repeat that the service may not get any more."""
+        budget = self._budget(hop.service)
         if not hop.repeat:
             return
-        budget = self._budget(hop.service)
-        if not budget.may_repeat(now, self._sharers(hop.service)):
-            budget.refused += 1
+        if not budget.repeat(now, self._sharers(hop.service)):
             raise slots_module.Refused(hops.SPENT)
 
     def _count(self, hop: hops.Hop) -> None:
         """Count a request that goes to its upstream now."""
         budget = self._budget(hop.service)
-        if hop.repeat:
-            budget.repeat(clock.now(), self._sharers(hop.service))
-        else:
+        if hop.echo and not hop.repeat:
+            budget.force(clock.now())
+        elif not hop.repeat:
             budget.first(clock.now())
 
     def _budget(self, service: str) -> retrying.Budget:
@@ -369,7 +368,7 @@
         survived = loop.call_later(
             suspicion_module.SURVIVED_S, slots.suspicion.survived, began
         )
-        self.inner.began(hop.id)
+        self.inner.began(hop.id, hop.repeat or hop.echo)
         status, detail = 0, ''
         outcome = interfaces.CANCELLED
         try:
--- a/carawaystair/gateway/front.py
+++ b/carawaystair/gateway/front.py
@@ -70,6 +70,7 @@
         self.ours = frozenset(
             name.lower().encode()
             for name in (
+                self.names.request_id,
                 self.names.deadline_ms,
                 self.names.upstream,
                 self.names.caller_service,
@@ -142,11 +143,13 @@
         if length != 0 or 'Expect' in request.headers:
             call = await self._take_body(request, call, exchange, length)
         goal_s = route.goal_ms / MS if route.goal_ms else call.deadline - now
+        parent = self.inner.parent(call.id)
         need = trips.Need(
             name,
             now + goal_s,
             route.priority,
-            bool(self.inner.parent(call.id)),
+            bool(parent),
+            parent in self.inner.repeated,
             self.service,
             route.max_attempts or relays.MOST_RUNS,
             str(routing.version),
--- a/carawaystair/gateway/handover.py
+++ b/carawaystair/gateway/handover.py
@@ -26,7 +26,7 @@
 # trip between data centres; asking it twice does no harm.
 SIGN_S = 0.15
 # And one that has, when it is silent for three times its usual interval.
-SILENCE_S = 2.1
+SILENCE_S = 0.9
 # Pause between two questions for a request whose connection was lost.
 RESUME_PAUSE_S = 0.1
 # A request that may run elsewhere is not asked for any longer than this.
@@ -71,7 +71,6 @@
         process = self.process(target.upstream.host)
         first = trip.hop(self.host, target, stays, process)
         view = self.board.view(target.upstream.id)
-        began = clock.now()
         try:
             return await self._send(trip, target, first, not view.reachable)
         except answers.Failed as failed:
@@ -80,20 +79,19 @@
             if not lost or not whole or not process:
                 raise
             last = failed
-        return await self._resume(trip, target, first, began, last)
+        return await self._resume(trip, target, first, last)
 
     async def _resume(
         self,
         trip: trips.Trip,
         target: targets.Target,
         first: hops.Hop,
-        began: float,
         last: answers.Failed,
     ) -> answers.Answer:
         """Ask for a request whose connection was lost."""
         until = trip.call.deadline
         if trip.call.idempotent:
-            until = min(until, began + SIGN_S + RESUME_REPEATABLE_S)
+            until = min(until, clock.now() + RESUME_REPEATABLE_S)
         detour = True
         while clock.now() < until:
             if target.upstream.state == interfaces.GONE:
@@ -131,7 +129,8 @@
         helper = self.paths.helper(target) if detour else None
         if helper is not None and trip.call.body is not None:
             hop = hop._replace(detour=target.upstream.address)
-            attempt = sends.ToGateway(trip.call, helper, hops.line(hop))
+            line = hops.line(hop)
+            attempt = sends.ToGateway(trip.call, helper, line, helper=True)
         else:
             fresh = hop.again
             line = hops.line(hop)
@@ -173,7 +172,7 @@
             ) from None
         except BaseException:
             # The caller has gone, as a rule.
-            attempt.drop()
+            attempt.leave()
             raise
         if answer.rest is None:
             attempt.settle(clock.now())
--- a/carawaystair/gateway/hops.py
+++ b/carawaystair/gateway/hops.py
@@ -65,6 +65,7 @@
     :param forced: whether it is to run although the upstream failed lately.
     :param repeat: whether it may have run elsewhere, or was sent to an
         upstream that refused it.
+    :param echo: whether it is a call of a run that was itself a repeat.
     :param number: counts its sends; grows with each.
     :param process: the process of the gateway, as the sender knows it; empty
         when it does not.
@@ -87,6 +88,7 @@
     may_wait: bool
     forced: bool
     repeat: bool
+    echo: bool
     number: int
     process: str
     again: bool = False
--- a/carawaystair/gateway/inner.py
+++ b/carawaystair/gateway/inner.py
@@ -22,18 +22,27 @@
     def __init__(self) -> None:
         # How many runs of a request are at the upstreams of this host.
         self.running: collections.Counter = collections.Counter()
+        # Those that were sent to another upstream before.
+        self.repeated: set[str] = set()
         # When a call of a request failed last.
         self.failed_at: dict[str, float] = {}
 
-    def began(self, request: str) -> None:
-        """Take note that a request runs here."""
+    def began(self, request: str, repeat: bool) -> None:
+        """Take note that a request runs here.
+
+        :param repeat: whether it was sent to an upstream before, so that its
+            calls are made once more, too.
+        """
         self.running[request] += 1
+        if repeat:
+            self.repeated.add(request)
 
     def ended(self, request: str) -> None:
         """Take note that a run has ended."""
         self.running[request] -= 1
         if not self.running[request]:
             del self.running[request]
+            self.repeated.discard(request)
 
     def parent(self, request: str) -> str:
         """Return the running request that waits for this one, or nothing."""
--- a/carawaystair/gateway/relay.py
+++ b/carawaystair/gateway/relay.py
@@ -7,7 +7,6 @@
 the caller is told at once and when to come back.
 """
 
-import math
 import random
 
 from carawaystair import clock
@@ -27,18 +26,20 @@
 from carawaystair.request import target as targets
 
 # Gateways that are asked before a request stays at one of them.
-MOST_ASKED = 4
+MOST_ASKED = 6
 # And those beside them that can't serve it at all, such as those that leave.
 MOST_OFFERS = 12
 # Gateways at which a request may be left to wait, one after the other.
 MOST_STAYS = 2
+# Sends that may reach an upstream, whether it runs them or sheds them.  When
+# a service sheds half of its work, each further send of one request takes the
+# place of the second of another one.
+MOST_SENT = 3
 # Upstreams that may run a request whose route does not say.
 MOST_RUNS = 2
 # A likely failure weighs as much as so many seconds of waiting: a lost
 # answer that can't be repeated costs more than a late one.
 RISK_S = 3.0
-# The share of requests that an upstream under suspicion fails.
-SUSPECT_RISK = 0.75
 MS = 1000
 # Refusals that another question may turn into a run.
 WAITABLE = frozenset((rejecting.BUSY, hops.SUSPECT, hops.UNPROVEN))
@@ -81,9 +82,13 @@
             if target is None:
                 break
             trip.tried.add(target.upstream.id)
-            answer = await self._try(trip, target, count, False)
+            # A body that is not held here can't be offered twice.
+            stays = trip.call.body is None
+            answer = await self._try(trip, target, count, stays)
             if answer is not None:
                 return answer
+            if stays:
+                break
         if trip.fallback is not None or trip.failed is not None:
             return self._best(trip)
         return await self._stay(trip)
@@ -108,12 +113,12 @@
             return False
         if not trip.sent:
             return True
-        again = trip.runs < trip.need.most_runs
+        again = trip.runs < trip.need.most_runs and trip.sent < MOST_SENT
         self.recorder.tell(
             decisions.Repeated(
                 trip.call.id,
                 again,
-                '' if again else 'as many upstreams as may run it have',
+                '' if again else 'it reached as many upstreams as it may',
                 trip.runs,
                 trip.need.most_runs,
             ),
@@ -128,14 +133,24 @@
         raise trip.failed
 
     async def _stay(self, trip: trips.Trip) -> answers.Answer:
-        """Leave a request where it should be answered first."""
+        """Leave a request where it should be answered first.
+
+        Gateways that were not reached come last: they are asked through a
+        third node.
+        """
+        if trip.call.body is None:
+            raise self._rejection(trip)
         found = sorted(
             trip.declined.values(),
             key=lambda pair: patience(trip.call.idempotent, pair[1]),
         )
-        for target, declined in found[:MOST_STAYS]:
-            if self._too_late(trip, declined):
-                continue
+        open_ones = [
+            target
+            for target, declined in found
+            if not self._too_late(trip, declined)
+        ]
+        open_ones += trip.missed
+        for target in open_ones[:MOST_STAYS]:
             answer = await self._try(trip, target, len(found), True)
             if answer is not None:
                 return answer
@@ -201,6 +216,7 @@
         except answers.Failed as failed:
             self._tell_broken(trip, upstream.id, failed, began)
             if not failed.sent:
+                trip.missed.append(target)
                 return None
             trip.sent += 1
             trip.runs += 1
@@ -308,9 +324,6 @@
     report = declined.report
     if report is None:
         return RISK_S
-    risk = 1.0 - math.exp(-report.proof_ms / MS / suspicion.GRAY_EVERY_S)
-    if repeatable:
-        risk = 0.0
-    if report.suspect:
-        risk = SUSPECT_RISK
+    proof_s = 0.0 if repeatable else report.proof_ms / MS
+    risk = suspicion.risk(proof_s, report.suspect)
     return report.wait_ms / MS + RISK_S * risk
--- a/carawaystair/gateway/sends.py
+++ b/carawaystair/gateway/sends.py
@@ -79,7 +79,9 @@
     def marks(self, left_ms: int) -> bytes:
         """Return what the upstream is told beside the caller's headers."""
         names = self.names
-        lines = '%s: %d\r\n%s: %s\r\n%s: %s\r\n' % (
+        lines = '%s: %s\r\n%s: %d\r\n%s: %s\r\n%s: %s\r\n' % (
+            names.request_id,
+            self.call.id,
             names.deadline_ms,
             left_ms,
             names.upstream,
@@ -131,9 +133,10 @@
     :param call: the request.
     :param target: the upstream, whose address is that of its gateway.
     :param hop: the header line that carries the hop.
+    :param helper: whether that gateway only passes it on to another one.
     """
 
-    __slots__ = ('accepted', 'hop', 'signs')
+    __slots__ = ('accepted', 'helper', 'hop', 'signs')
 
     def __init__(
         self,
@@ -141,9 +144,11 @@
         target: targets.Target,
         hop: bytes,
         fresh: bool = False,
+        helper: bool = False,
     ) -> None:
         super().__init__(call, target, fresh=fresh)
         self.hop = hop
+        self.helper = helper
         # Whether the gateway has said that it has the request.
         self.accepted = False
         self.signs = 0
@@ -153,6 +158,13 @@
         del left_ms
         return self.hop
 
+    def leaving(self) -> bool:
+        """Tell whether the upstream takes no new work any more.
+
+        A host whose own upstream leaves can still pass requests on.
+        """
+        return not self.helper and super().leaving()
+
     async def sign(self, until: float) -> bool:
         """Wait for the next sign of life; tell whether it is the answer.
 
@@ -174,6 +186,16 @@
             return None
         return super().length(message)
 
+    def leave(self) -> None:
+        """Tell the gateway that nobody waits any more.
+
+        It takes a closed connection for that, a broken one for an accident.
+        """
+        if self.pump is not None and self.pump.task is not None:
+            self.pump.task.cancel()
+        if self.connection is not None:
+            self.connection.proto.close()
+
     def take_back(self) -> None:
         """Break the connection so that what was sent on it is lost.
 
--- a/carawaystair/gateway/trips.py
+++ b/carawaystair/gateway/trips.py
@@ -32,6 +32,7 @@
     :param goal: monotonic time until which its answer is worth most.
     :param priority: rank of its kind, 0 first.
     :param inner: whether another running request waits for it.
+    :param echo: whether that one was sent to an upstream before.
     :param caller_service: the service on this host.
     :param most_runs: upstreams that may run it.
     :param version: configuration that it was read with.
@@ -41,6 +42,7 @@
     goal: float
     priority: int
     inner: bool
+    echo: bool
     caller_service: str
     most_runs: int
     version: str
@@ -58,6 +60,7 @@
         'declined',
         'fallback',
         'failed',
+        'missed',
         'need',
         'offers',
         'runs',
@@ -72,6 +75,8 @@
         self.tried: set[str] = set()
         # Refusals that waiting may turn, by upstream.
         self.declined: dict[str, tuple[targets.Target, Declined]] = {}
+        # Those whose gateways could not be reached directly.
+        self.missed: list[targets.Target] = []
         # Gateways that were asked, and all sends to them.
         self.offers = 0
         self.sends = 0
@@ -109,6 +114,7 @@
             stays,
             stays,
             self.sent > 0,
+            need.echo,
             self.sends,
             process,
         )
--- a/carawaystair/load/retrying.py
+++ b/carawaystair/load/retrying.py
@@ -10,8 +10,8 @@
 
 import collections
 
-# The part of the bound that is used.  Work started by a repeat counts as
-# repeated as well where it calls other services, and no node sees that.
+# The part of the bound that is used.  Gateways see the first sends of a
+# window at other moments than those who check the bound.
 USED = 0.75
 # Counts are kept by spans of this length, in seconds.
 SPAN_S = 0.5
@@ -68,9 +68,13 @@
         if not self.may_repeat(now, nodes):
             self.refused += 1
             return False
+        self.force(now)
+        return True
+
+    def force(self, now: float) -> None:
+        """Count a repeat that nobody could have kept back."""
         self.total_repeats += 1
         _add(self.repeats, now)
-        return True
 
 
 def _add(spans: collections.deque, now: float) -> None:
--- a/carawaystair/load/suspicion.py
+++ b/carawaystair/load/suspicion.py
@@ -23,9 +23,12 @@
 # An upstream that has not failed a run after so long has not turned gray
 # before it began: gray ones fail at once, as a rule; seconds.
 SURVIVED_S = 0.05
-# Of the upstreams that showed no sound work for t seconds, about t parts in
-# this many have turned gray meanwhile.
-GRAY_EVERY_S = 8.0
+# About this share of the upstreams is gray at any time, each for some seconds
+# in ten; what was seen of one tells less and less for about so long, seconds.
+GRAY_SHARE = 0.3
+FORGET_S = 2.0
+# The share of its requests that an upstream under suspicion fails.
+SUSPECT_RISK = 0.75
 # Repeatable requests are let through as trials so far apart, in seconds: an
 # upstream that is still gray then costs few repeats.
 TRIAL_EVERY_S = 0.3
@@ -95,3 +98,14 @@
             self.tried_at = now
             return True
         return False
+
+
+def risk(proof_s: float, suspect: bool) -> float:
+    """Return how likely a request fails for a gray upstream.
+
+    :param proof_s: age of the last sign of sound work, seconds.
+    :param suspect: whether the upstream is under suspicion.
+    """
+    if suspect:
+        return SUSPECT_RISK
+    return GRAY_SHARE * (1.0 - math.exp(-proof_s / FORGET_S))
--- a/carawaystair/load/waiting.py
+++ b/carawaystair/load/waiting.py
@@ -77,6 +77,8 @@
         self.slots = slots
         self.running = 0
         self.waiting: dict[str, Want] = {}
+        # Those that were let in although they will miss their goals.
+        self.late: set[str] = set()
         self.durations = Durations()
 
     def ask(self, want: Want, now: float, may_wait: bool) -> rejecting.Verdict:
@@ -90,16 +92,29 @@
         wait_s = self.wait_s(want, now)
         service_s = self.durations.of(want.route)
         reason = ''
+        late = rejecting.hopeless(now, wait_s, service_s, want.goal)
         if not may_wait:
             reason = rejecting.BUSY
         elif rejecting.hopeless(now, wait_s, service_s, want.deadline):
             reason = rejecting.HOPELESS
+        elif late and len(self.late) >= rejecting.LATE_ROOM * self.slots:
+            # Those that are late get what others leave.  After a short burst
+            # that is much, and they are served; while the load stays too
+            # high it is nothing, and each is held for nothing.
+            reason = rejecting.HOPELESS
         elif len(self.waiting) >= rejecting.MOST_WAITING:
             reason = rejecting.FULL
         else:
             self.waiting[want.id] = want
+            if late:
+                self.late.add(want.id)
         return rejecting.Verdict(False, reason, wait_s)
 
+    def is_late(self, want: Want, now: float) -> bool:
+        """Tell whether a request is to be answered after its goal."""
+        missed = now + self.durations.of(want.route) > want.goal
+        return missed or want.id in self.late
+
     def wait_s(self, want: Want, now: float) -> float:
         """Return the expected seconds until a request would have a slot."""
         if self.running < self.slots and not self.waiting:
@@ -110,13 +125,14 @@
 
     def rank(self, want: Want, now: float) -> tuple:
         """Return what orders the requests that wait; the least goes first."""
-        late = now + self.durations.of(want.route) > want.goal
+        late = self.is_late(want, now)
         due = want.deadline if late else want.goal
         return (not want.inner, late, want.priority, due, want.id)
 
     def leave(self, request: str) -> None:
         """Forget a request that waits no more."""
         self.waiting.pop(request, None)
+        self.late.discard(request)
 
     def end(self) -> None:
         """Take note that a request that ran has ended."""
@@ -129,7 +145,10 @@
             first = min(
                 self.waiting.values(), key=lambda want: self.rank(want, now)
             )
-            del self.waiting[first.id]
+            self.leave(first.id)
+            if now > self.last_start(first):
+                # Whoever waits for it has given up, or is about to.
+                continue
             self.running += 1
             started.append(first.id)
         return started
--- a/carawaystair/membership/registry.py
+++ b/carawaystair/membership/registry.py
@@ -113,7 +113,7 @@
         wrong = _wrong(name, announcement)
         if wrong:
             return codes.fail(codes.ANNOUNCEMENT_INVALID, wrong)
-        if number and number <= self.numbers.get(name, 0):
+        if number and number < self.numbers.get(name, 0):
             return codes.fail(codes.ANNOUNCEMENT_OLD, name)
         known = self.leases.get(name) or self.left.get(name)
         if known is None and len(self.leases) >= MAX_UPSTREAMS:
--- a/carawaystair/output.py
+++ b/carawaystair/output.py
@@ -2,26 +2,29 @@
 
 Symptom without it: whoever reads the logs stops reading, the pipe fills up
 within seconds, the next line waits for ever and with it every request of the
-process.  So a line is written only when the pipe can take it at once; what
-can't be written is kept up to a bound, then dropped and counted, and the
-count stands in the next line that is written.
+process.  So a thread writes, and only it ever waits.  What it has not written
+yet is kept up to a bound; what comes beyond that is dropped and counted.
 """
 
 import collections
 import os
-import select
+import threading
+import time
 import typing
 
-# A pipe that is ready takes at least this many bytes without blocking
-# (POSIX, PIPE_BUF).
-ATOMIC_BYTES = 4096
-# Lines that are kept while nobody reads: a few seconds' worth at the most
-# that one process may write.
+# Lines that are kept while nobody reads: some seconds' worth of the most that
+# one process may write.
 MOST_KEPT = 200
+# A longer line is cut: one line must not take the place of hundreds.
+MOST_BYTES = 4096
+# Lines are gathered for so long, so that a busy second costs few wakeups.
+GATHER_S = 0.02
+# At the end of the process, what is left may take so long, seconds.
+FLUSH_S = 0.3
 
 
 class Output:
-    """Writes lines to a descriptor.
+    """Writes lines to a descriptor, in a thread of its own.
 
     :param descriptor: an open file, pipe or terminal.
     """
@@ -30,34 +33,43 @@
         self.descriptor = descriptor
         self.kept: collections.deque[bytes] = collections.deque()
         self.dropped = 0
-        self.poll = select.poll()
-        self.poll.register(descriptor, select.POLLOUT)
+        self.waiting = threading.Event()
+        self.idle = threading.Event()
+        self.idle.set()
+        # It ends with the process, also while it waits for a reader.
+        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.thread.start()
 
     def line(self, data: bytes) -> None:
-        """Write one line, or keep it until the reader takes more."""
+        """Keep one line until it is written; returns at once."""
         if len(self.kept) >= MOST_KEPT:
             self.dropped += 1
             return
-        self.kept.append(data[: ATOMIC_BYTES - 1] + b'\n')
-        self.pass_on()
-
-    def pass_on(self) -> None:
-        """Write what can be written without waiting."""
-        while self.kept and self._ready():
-            batch = [self.kept.popleft()]
-            size = len(batch[0])
-            while self.kept and size + len(self.kept[0]) <= ATOMIC_BYTES:
-                batch.append(self.kept.popleft())
-                size += len(batch[-1])
+        self.kept.append(data[:MOST_BYTES] + b'\n')
+        if not self.waiting.is_set():
+            self.idle.clear()
+            self.waiting.set()
+
+    def _run(self) -> None:
+        while True:
+            self.waiting.wait()
+            time.sleep(GATHER_S)
+            self.waiting.clear()
+            self._write()
+            if not self.kept:
+                self.idle.set()
+
+    def _write(self) -> None:
+        """Write all that is kept; waits for the reader."""
+        while self.kept:
+            count = len(self.kept)
+            batch = b''.join(self.kept.popleft() for _ in range(count))
             try:
-                os.write(self.descriptor, b''.join(batch))
+                while batch:
+                    batch = batch[os.write(self.descriptor, batch) :]
             except OSError:
                 # Nobody will ever read it; there is nowhere to say so.
-                self.dropped += len(batch)
-
-    def _ready(self) -> bool:
-        found = self.poll.poll(0)
-        return bool(found) and bool(found[0][1] & select.POLLOUT)
+                self.dropped += count
 
     # As a text stream, for the logs of the parts.
 
@@ -69,8 +81,11 @@
         return len(text)
 
     def flush(self) -> None:
-        """Write what can be written without waiting."""
-        self.pass_on()
+        """Do nothing: lines are written soon by themselves."""
+
+    def close(self) -> None:
+        """Wait a moment for what is left, before the process ends."""
+        self.idle.wait(FLUSH_S)
 
 
 def standard() -> Output:
--- a/carawaystair/request/attempt.py
+++ b/carawaystair/request/attempt.py
@@ -113,7 +113,7 @@
             raise answers.Failed(
                 interfaces.CANCELLED, codes.DEADLINE_EXPIRED, False
             )
-        if self.target.upstream.state != interfaces.UP:
+        if self.leaving():
             # It began to leave while the connection was made.
             raise answers.Failed(
                 interfaces.CANCELLED, codes.UPSTREAM_REFUSED, False, 'leaving'
@@ -135,6 +135,10 @@
         else:
             proto.transport.write(head + b'\r\n')
 
+    def leaving(self) -> bool:
+        """Tell whether the upstream takes no new work any more."""
+        return self.target.upstream.state != interfaces.UP
+
     def marks(self, left_ms: int) -> bytes:
         """Return the header lines that change with every attempt.
 
--- a/carawaystair/request/wire.py
+++ b/carawaystair/request/wire.py
@@ -60,6 +60,7 @@
             READ_BYTES,
             payload_exception=aiohttp.ClientPayloadError,
             response_with_body=not bodiless,
+            read_until_eof=True,
             auto_decompress=False,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
@@ -87,6 +88,11 @@
             and self.open
         )
 
+    def close(self) -> None:
+        """Close the connection in the normal way."""
+        if self.transport is not None:
+            self.transport.close()
+
     def abort(self) -> None:
         """Break the connection."""
         if self.transport is not None:
--- /dev/null
+++ b/test/gateway_setup.py
@@ -0,0 +1,244 @@
+"""Nodes with gateways and scripted upstreams, in virtual time."""
+
+import asyncio
+import contextlib
+import random
+import types
+
+from carawaystair import decisions
+from carawaystair import gateway
+from carawaystair import interfaces
+from carawaystair import manifest
+from carawaystair.membership import registry as registries
+from carawaystair import plugins
+from carawaystair import routing as routings
+from carawaystair import rows
+from carawaystair import settings
+from carawaystair import timeline
+from test import fakes
+from test import request_setup as setups
+
+SERVICE = manifest.Service(max_body=2**30)
+ROUTES = (
+    manifest.Route('/pay/', 'portal', idempotent=False, goal_ms=2000),
+    manifest.Route('/read/', 'portal', idempotent=True, goal_ms=2000),
+    manifest.Route('/tight/', 'portal', idempotent=True, timeout_ms=300),
+)
+
+
+class Lines:
+    """Takes log lines."""
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []
+
+    def line(self, data: bytes) -> None:
+        """Keep one line."""
+        self.lines.append(data)
+
+
+class Membership:
+    """What a gateway needs of membership, for one node."""
+
+    def __init__(self, node: 'Node', fleet: 'Fleet') -> None:
+        self.node = node
+        self.fleet = fleet
+        self.incarnation = 100 + node.number
+        self.directory = fakes.Directory()
+        self.registry = registries.Registry(
+            6.0, self.publish, node.gateway_address
+        )
+
+    @property
+    def table(self):
+        """Return the processes of all hosts."""
+        entries = {
+            other.host: types.SimpleNamespace(
+                record=types.SimpleNamespace(
+                    incarnation=other.membership.incarnation
+                )
+            )
+            for other in self.fleet.nodes
+        }
+        return types.SimpleNamespace(entries=entries)
+
+    def publish(self, _urgent: bool) -> None:
+        """Tell all nodes of the upstreams of this one."""
+        told = {row.id: row for row in self.registry.rows()}
+        for name in set(self.node.told) - set(told):
+            gone = self.node.told[name]._replace(state=interfaces.GONE)
+            self.fleet.tell(gone)
+        self.node.told = {
+            row.id: interfaces.Upstream(
+                row.id,
+                row.service,
+                row.address,
+                self.node.host,
+                'a',
+                row.slots,
+                state=('up', 'draining')[row.state],
+            )
+            for row in told.values()
+        }
+        for upstream in self.node.told.values():
+            self.fleet.tell(upstream)
+
+
+class Node:
+    """One node with its gateway, and an upstream beside it or none.
+
+    :param number: names it and its ports.
+    """
+
+    def __init__(self, number: int, fleet: 'Fleet', upstream, **node) -> None:
+        self.number = number
+        self.host = 'h%d' % number
+        self.listen = 8000 + number
+        self.gateway = 7000 + number
+        self.gateway_address = '127.0.0.1:%d' % self.gateway
+        self.told: dict[str, interfaces.Upstream] = {}
+        self.upstream = upstream
+        self.membership = Membership(self, fleet)
+        self.lines = Lines()
+        text = {
+            'host': self.host,
+            'data_centre': 'a',
+            'region': 'r',
+            'headers': {'receipt': 'X-Receipt'},
+            'node': {
+                'listen': '127.0.0.1:%d' % self.listen,
+                'gateway': self.gateway_address,
+                'service': 'shop',
+                'drain_s': 6.0,
+                **node,
+            },
+        }
+        parsed = settings.parse(fakes.json.dumps(text))
+        self.kernel = types.SimpleNamespace(
+            settings=parsed.ok,
+            registry=plugins.Registry(()),
+            timeline=timeline.Timeline(self.host),
+            incarnation=self.membership.incarnation,
+            random=lambda part: random.Random('%s %d' % (part, number)),
+        )
+        self.recorder = decisions.Recorder(self.host, self.lines)
+        self.service = gateway.make(
+            self.kernel,
+            self.membership,
+            lambda: fleet.routing,
+            self.recorder,
+        )
+
+    def announce(self, state: str = 'up', slots: int = 5) -> None:
+        """Let the upstream of this host announce itself."""
+        said = registries.Announcement(
+            'portal',
+            '127.0.0.1:%d' % self.upstream.port,
+            slots,
+            state=state,
+        )
+        self.membership.registry.announce(self.upstream.name, said, 1)
+
+    def story(self, request: str) -> list[dict]:
+        """Return the events about a request in this node's log."""
+        events = [fakes.json.loads(line) for line in self.lines.lines]
+        return [event for event in events if event.get('id') == request]
+
+
+class Fleet:
+    """Several nodes.
+
+    :param scripts: one for each node with an upstream; None for a node
+        without one.
+    """
+
+    def __init__(self, scripts, slots: int = 5, routes=ROUTES, **node) -> None:
+        self.routing = _routing(routes)
+        self.nodes: list[Node] = []
+        self.slots = slots
+        for number, script in enumerate(scripts):
+            upstream = None
+            if script is not None:
+                upstream = setups.Upstream(9000 + number, script)
+            self.nodes.append(Node(number, self, upstream, **node))
+
+    def tell(self, upstream: interfaces.Upstream) -> None:
+        """Tell all nodes of an upstream."""
+        for node in self.nodes:
+            node.membership.directory.put(upstream)
+
+    @property
+    def runs(self) -> list[setups.Seen]:
+        """Return what all upstreams ran."""
+        return [
+            seen
+            for node in self.nodes
+            if node.upstream is not None
+            for seen in node.upstream.runs
+        ]
+
+    async def ask(
+        self, path: str, method: str = 'GET', node: int = 0, **options
+    ) -> setups.Answer:
+        """Ask one node on a connection of its own."""
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.nodes[node].listen, limit=2**21
+        )
+        try:
+            return await setups.ask(reader, writer, path, method, **options)
+        finally:
+            writer.close()
+
+
+def _routing(routes) -> routings.Routing:
+    document = manifest.Manifest(
+        1,
+        'test',
+        {'r': manifest.Place(('a', 'b'))},
+        {'portal': SERVICE, 'other': SERVICE},
+        routes,
+    )
+    return routings.Routing(rows.Version(1, 1), rows.from_manifest(document))
+
+
+@contextlib.asynccontextmanager
+async def running(*scripts, **options):
+    """Run nodes; those with a script have an upstream that follows it."""
+    fleet = Fleet(scripts, **options)
+    for node in fleet.nodes:
+        if node.upstream is not None:
+            await node.upstream.start()
+        await node.service.start()
+    for node in fleet.nodes:
+        if node.upstream is not None:
+            node.announce(slots=fleet.slots)
+    try:
+        yield fleet
+    finally:
+        for node in fleet.nodes:
+            await node.service.stop()
+
+
+def good(body: bytes = b'done', **headers: str) -> bytes:
+    """Return the bytes of a good answer with its receipt."""
+    return setups.reply(body, X_Receipt='r', **headers)
+
+
+async def serve(upstream, seen, writer) -> None:
+    """Answer at once."""
+    writer.write(good(upstream.name.encode()))
+
+
+def slow(seconds: float):
+    """Return a script that works for some time."""
+
+    async def script(upstream, seen, writer):
+        await asyncio.sleep(seconds)
+        writer.write(good(upstream.name.encode()))
+
+    return script
+
+
+async def fail(upstream, seen, writer) -> None:
+    """Fail at once."""
+    writer.write(setups.reply(b'no', 500, X_Receipt='r'))
--- /dev/null
+++ b/test/test_gateway.py
@@ -0,0 +1,417 @@
+"""Requests between nodes with gateways: what callers and upstreams see."""
+
+import asyncio
+
+import pytest
+
+from carawaystair import decisions
+from carawaystair import manifest
+from carawaystair.request import connections
+from test import gateway_setup as fleets
+from test import pipes
+from test import request_setup as setups
+
+
+def test_request_reaches_upstream_with_the_deployments_headers():
+    async def scenario():
+        async with fleets.running(None, fleets.serve) as fleet:
+            answer = await fleet.ask(
+                '/read/x?y=1',
+                Caraway_Request_Id='abc',
+                Caraway_Deadline_Ms='900',
+                Caraway_Caller_Service='spoofed',
+            )
+            return answer, fleet.runs, fleet.nodes[0].story('abc')
+
+    answer, runs, story = pipes.run(scenario())
+    assert (answer.status, answer.body) == (200, b'u9001')
+    assert runs[0].line == 'GET /read/x?y=1 HTTP/1.1'
+    told = runs[0].headers
+    assert told['caraway-request-id'] == 'abc'
+    assert told['caraway-upstream'] == 'u9001'
+    assert told['caraway-caller-service'] == 'shop'
+    assert 850 < int(told['caraway-deadline-ms']) <= 900
+    assert [event['event'] for event in story] == ['offered', 'answered']
+
+
+def test_full_gateway_refuses_at_once_and_another_one_serves():
+    """Symptom: requests wait although another upstream is free.
+    Sequence: one upstream has a slot taken; the next request meets it.
+    Cause: load is known at the gateway alone, so it must say so at once.
+    """
+
+    async def scenario():
+        scripts = (fleets.slow(1.0), fleets.slow(1.0))
+        async with fleets.running(*scripts, slots=1) as fleet:
+            started = asyncio.get_running_loop().time()
+            found = await asyncio.gather(
+                fleet.ask('/read/a'), fleet.ask('/read/b')
+            )
+            took = asyncio.get_running_loop().time() - started
+            return found, took
+
+    found, took = pipes.run(scenario())
+    assert {answer.body for answer in found} == {b'u9000', b'u9001'}
+    assert took < 1.5
+
+
+def test_request_that_cannot_be_served_in_time_is_refused_at_once():
+    """Symptom: a request is held until its deadline and then fails.
+    Sequence: the only slot is busy for longer than the deadline.
+    Cause: the expected wait was not held against the deadline.
+    """
+
+    async def scenario():
+        async with fleets.running(fleets.slow(2.0), slots=1) as fleet:
+            first = asyncio.ensure_future(fleet.ask('/read/a'))
+            await asyncio.sleep(0.1)
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            answer = await fleet.ask('/tight/b')
+            waited = loop.time() - began
+            await first
+            return answer, waited, len(fleet.runs)
+
+    answer, waited, runs = pipes.run(scenario())
+    assert (answer.status, answer.outcome) == (503, 'not-run')
+    assert float(answer.headers['retry-after']) > 0
+    assert waited < 0.1
+    assert runs == 1
+
+
+@pytest.mark.parametrize('moment', [0.05, 0.3], ids=['sent', 'running'])
+def test_lost_connection_does_not_lose_the_answer_nor_run_it_twice(moment):
+    """Symptom: a payout was made, its caller is told that nobody knows.
+    Sequence: the connection between two nodes is lost silently while the
+    request runs.
+    Cause: the answer returns on the lost connection only.
+    """
+
+    async def scenario():
+        async with fleets.running(None, fleets.slow(1.5), None) as fleet:
+            # One request before it, so that the nodes know each other.
+            await fleet.ask('/read/warm')
+            asking = asyncio.ensure_future(
+                fleet.ask('/pay/x', 'POST', body=b'pay')
+            )
+            await asyncio.sleep(moment)
+            asyncio.get_running_loop().silence(fleet.nodes[1].gateway)
+            answer = await asking
+            return answer, [seen.line for seen in fleet.runs]
+
+    answer, lines = pipes.run(scenario())
+    assert (answer.status, answer.body) == (200, b'u9001')
+    assert lines.count('POST /pay/x HTTP/1.1') == 1
+
+
+def test_way_that_is_cut_is_gone_round_through_a_third_node(monkeypatch):
+    """Symptom: a payout fails though its upstream is well.
+    Sequence: packets from one host to another are lost, both reach others.
+    Cause: the only way that was tried is the direct one.
+    """
+    connect = connections.connect
+    cut: list = []
+
+    async def connect_unless_cut(target, until):
+        if target in cut:
+            raise TimeoutError
+        return await connect(target, until)
+
+    monkeypatch.setattr(connections, 'connect', connect_unless_cut)
+
+    async def scenario():
+        scripts = (None, fleets.slow(0.3), fleets.serve)
+        async with fleets.running(*scripts) as fleet:
+            for _ in range(4):
+                await fleet.ask('/read/warm')
+            # From now on the third node serves as a way only.
+            fleet.nodes[2].announce('draining')
+            known = fleet.nodes[0].service.known
+            cut.append(known.targets['u9001'])
+            asyncio.get_running_loop().silence(fleet.nodes[1].gateway)
+            answer = await fleet.ask('/pay/x', 'POST', body=b'pay')
+            return answer, [seen.line for seen in fleet.runs]
+
+    answer, lines = pipes.run(scenario())
+    assert (answer.status, answer.body) == (200, b'u9001')
+    assert lines.count('POST /pay/x HTTP/1.1') == 1
+
+
+def test_gateway_that_started_again_says_that_it_does_not_know():
+    """Symptom: a payout runs twice.
+    Sequence: the gateway's process dies while the request runs and a new one
+    is asked for it.
+    Cause: the new process has no memory of the run and takes it for new.
+    """
+
+    async def scenario():
+        async with fleets.running(None, fleets.slow(1.5)) as fleet:
+            await fleet.ask('/read/warm')
+            asking = asyncio.ensure_future(
+                fleet.ask('/pay/x', 'POST', body=b'pay')
+            )
+            await asyncio.sleep(0.3)
+            door = fleet.nodes[1].service.door
+            fleet.nodes[1].membership.incarnation += 1000
+            door.runs.runs.clear()
+            asyncio.get_running_loop().silence(fleet.nodes[1].gateway)
+            answer = await asking
+            return answer, [seen.line for seen in fleet.runs]
+
+    answer, lines = pipes.run(scenario())
+    assert (answer.status, answer.outcome) == (502, 'unknown')
+    assert lines.count('POST /pay/x HTTP/1.1') == 1
+
+
+def test_caller_that_leaves_frees_the_upstream():
+    """Symptom: upstreams work for callers that have long gone.
+    Sequence: a caller closes its connection while its request runs.
+    Cause: the leaving must cross two hops and close the last connection.
+    """
+
+    async def scenario():
+        async with fleets.running(None, fleets.slow(5.0)) as fleet:
+            reader, writer = await asyncio.open_connection('127.0.0.1', 8000)
+            writer.write(b'GET /read/x HTTP/1.1\r\nHost: h\r\n\r\n')
+            await asyncio.sleep(0.5)
+            busy = fleet.nodes[1].service.door.slots['u9001'].line.running
+            writer.close()
+            await asyncio.sleep(0.3)
+            line = fleet.nodes[1].service.door.slots['u9001'].line
+            return busy, line.running
+
+    assert pipes.run(scenario()) == (1, 0)
+
+
+def test_draining_upstream_gets_no_new_work_from_the_acknowledgement_on():
+    """Symptom: requests reach an upstream that has said it leaves.
+    Sequence: it says so; other nodes have not heard of it yet.
+    Cause: the gateway itself must hold work back, not only those who choose.
+    """
+
+    async def scenario():
+        async with fleets.running(None, fleets.serve) as fleet:
+            await fleet.ask('/read/a')
+            fleet.nodes[1].membership.publish = lambda urgent: None
+            fleet.nodes[1].membership.registry.publish = lambda urgent: None
+            fleet.nodes[1].announce('draining')
+            answer = await fleet.ask('/read/b')
+            return answer, len(fleet.runs)
+
+    answer, runs = pipes.run(scenario())
+    assert (answer.status, answer.outcome, runs) == (503, 'not-run', 1)
+
+
+def test_second_answer_to_an_earlier_request_is_passed_over():
+    """Symptom: a caller gets the answer to somebody else's request.
+    Sequence: an upstream sends a second answer when the next request is
+    already on the connection.
+    Cause: only the id in the answer tells whose it is.
+    """
+
+    async def script(upstream, seen, writer):
+        name = seen.headers['caraway-request-id']
+        if name == 'two':
+            writer.write(fleets.good(b'one again', Caraway_Request_Id='one'))
+        answer = fleets.good(name.encode(), Caraway_Request_Id=name)
+        writer.write(answer)
+
+    async def scenario():
+        async with fleets.running(script) as fleet:
+            first = await fleet.ask('/read/a', Caraway_Request_Id='one')
+            second = await fleet.ask('/read/b', Caraway_Request_Id='two')
+            return first.body, second.body, fleet.nodes[0].upstream.connections
+
+    assert pipes.run(scenario()) == (b'one', b'two', 1)
+
+
+def test_answer_without_a_receipt_is_no_success():
+    async def script(upstream, seen, writer):
+        writer.write(setups.reply(b'whatever'))
+
+    async def scenario():
+        async with fleets.running(script) as fleet:
+            return await fleet.ask('/pay/a', 'POST', body=b'x')
+
+    answer = pipes.run(scenario())
+    assert (answer.status, answer.outcome) == (502, 'unknown')
+
+
+def test_answer_without_length_is_whole_when_its_connection_is_closed():
+    async def script(upstream, seen, writer):
+        writer.write(b'HTTP/1.1 200 OK\r\nX-Receipt: r\r\n\r\nall of it')
+        writer.close()
+
+    async def scenario():
+        async with fleets.running(script) as fleet:
+            return await fleet.ask('/read/a')
+
+    answer = pipes.run(scenario())
+    assert (answer.status, answer.body) == (200, b'all of it')
+
+
+def test_promise_without_its_mark_is_not_passed_on():
+    """Symptom: a caller repeats a payout that was made.
+    Sequence: an upstream answers 503 after it ran a request.
+    Cause: 503 tells callers that the request was not run.
+    """
+
+    async def script(upstream, seen, writer):
+        writer.write(setups.reply(b'oops', 503, X_Receipt='r'))
+
+    async def scenario():
+        async with fleets.running(script) as fleet:
+            return await fleet.ask('/pay/a', 'POST', body=b'x')
+
+    answer = pipes.run(scenario())
+    assert (answer.status, answer.outcome) == (502, 'unknown')
+
+
+def test_refusal_of_an_upstream_is_tried_elsewhere_and_told_as_not_run():
+    async def shed(upstream, seen, writer):
+        upstream.runs.pop()
+        writer.write(setups.reply(b'full', 503, Caraway_Not_Run='1'))
+
+    async def scenario():
+        async with fleets.running(shed) as fleet:
+            alone = await fleet.ask('/pay/a', 'POST', body=b'x')
+        async with fleets.running(shed, fleets.serve) as fleet:
+            both = [
+                (await fleet.ask('/pay/a', 'POST', body=b'x')).status
+                for _ in range(3)
+            ]
+        return alone, both
+
+    alone, both = pipes.run(scenario())
+    assert (alone.status, alone.outcome) == (503, 'not-run')
+    assert both == [200, 200, 200]
+
+
+def test_repeatable_request_that_fails_is_tried_elsewhere():
+    async def scenario():
+        async with fleets.running(fleets.fail, fleets.serve) as fleet:
+            return [(await fleet.ask('/read/a')).status for _ in range(6)]
+
+    assert pipes.run(scenario()) == [200] * 6
+
+
+def test_work_that_can_not_be_repeated_avoids_an_upstream_that_failed():
+    """Symptom: payouts fail one after another at one upstream.
+    Sequence: it turns gray: fails all, while others are sound.
+    Cause: nobody holds its failures against it.
+    """
+
+    async def scenario():
+        async with fleets.running(fleets.fail, fleets.serve) as fleet:
+            found = []
+            for _ in range(10):
+                answer = await fleet.ask('/pay/a', 'POST', body=b'x')
+                found.append(answer.status)
+            return found
+
+    found = pipes.run(scenario())
+    assert found.count(500) <= 1
+    assert set(found) <= {200, 500}
+
+
+def test_stop_cuts_nothing_and_takes_requests_until_callers_have_left():
+    """Symptom: answers are cut off when a node stops.
+    Sequence: the node is told to stop; its callers notice two seconds later.
+    Cause: it must serve them until then, and finish what it has.
+    """
+
+    async def scenario():
+        async with fleets.running(
+            None, fleets.slow(1.0), lame_duck_s=2.4
+        ) as fleet:
+            early = asyncio.ensure_future(fleet.ask('/read/a'))
+            await asyncio.sleep(0.1)
+            stopping = asyncio.ensure_future(fleet.nodes[0].service.stop())
+            await asyncio.sleep(2.0)
+            late = await fleet.ask('/pay/b', 'POST', body=b'x')
+            await stopping
+            return (await early).status, late.status
+
+    assert pipes.run(scenario()) == (200, 200)
+
+
+def test_long_answers_pass_whole_and_a_cut_one_never_looks_whole():
+    body = bytes(range(256)) * 4096
+
+    async def whole(upstream, seen, writer):
+        writer.write(fleets.good(body))
+
+    async def cut(upstream, seen, writer):
+        writer.write(fleets.good(body)[:-5])
+        await writer.drain()
+        writer.close()
+
+    async def scenario(script):
+        async with fleets.running(None, script) as fleet:
+            answer = await fleet.ask('/read/a')
+            line = fleet.nodes[1].service.door.slots['u9001'].line
+            return answer, line.running
+
+    answer, running = pipes.run(scenario(whole))
+    assert (answer.body, answer.ended, running) == (body, True, 0)
+    answer, running = pipes.run(scenario(cut))
+    assert (answer.ended, running) == (False, 0)
+
+
+def test_long_bodies_pass_unchanged():
+    body = bytes(range(256)) * 2048
+
+    async def scenario():
+        async with fleets.running(None, fleets.serve) as fleet:
+            answer = await fleet.ask('/pay/a', 'POST', body=body)
+            return answer.status, fleet.runs[0].body
+
+    assert pipes.run(scenario()) == (200, body)
+
+
+def test_split_keeps_its_shares():
+    share = manifest.Share
+    split = (share('portal', 9), share('other', 1))
+    routes = (manifest.Route('/read/', split=split, idempotent=True),)
+
+    async def scenario():
+        async with fleets.running(None, fleets.serve, routes=routes) as fleet:
+            return [(await fleet.ask('/read/a')).status for _ in range(100)]
+
+    found = pipes.run(scenario())
+    # The other service has no upstream: its share is refused, not moved.
+    assert found.count(200) == 90
+    assert found.count(503) == 10
+
+
+def test_malformed_hop_is_refused_without_harm():
+    async def scenario():
+        async with fleets.running(None, fleets.serve) as fleet:
+            reader, writer = await asyncio.open_connection('127.0.0.1', 7001)
+            writer.write(
+                b'GET /read/x HTTP/1.1\r\nHost: h\r\n'
+                b'Caraway-Hop: [1,2]\r\n\r\n'
+            )
+            answer = await setups.read_answer(reader)
+            good = await fleet.ask('/read/a')
+            return answer, good.status
+
+    answer, status = pipes.run(scenario())
+    assert answer.headers['caraway-refusal'] == 'malformed'
+    assert status == 200
+
+
+def test_lines_of_a_second_are_bounded_and_what_is_left_out_is_counted():
+    lines = fleets.Lines()
+    recorder = decisions.Recorder('h', lines)
+
+    async def scenario():
+        for number in range(500):
+            recorder.tell(decisions.Left('r%d' % number, 1, 1))
+        await asyncio.sleep(1.0)
+        recorder.tell(decisions.Left('last', 1, 1))
+
+    pipes.run(scenario())
+    assert len(lines.lines) == decisions.ROOM[decisions.ROUTINE] + 1
+    last = fleets.fakes.json.loads(lines.lines[-1])
+    assert last['left_out'] == 500 - decisions.ROOM[decisions.ROUTINE]
