--- /dev/null
+++ b/test/test_platform_border.py
@@ -0,0 +1,88 @@
+"""What the platform calls stays in one folder, and that one stays small."""
+
+import pathlib
+import platform
+import re
+import subprocess
+import sys
+
+from carawaystair import settings
+from test import platform_setup  # makes the next import possible
+
+from adapter import place
+
+ROOT = pathlib.Path(__file__).parent.parent
+OUTSIDE = ('carawaystair', 'carawaystairplug', 'standin', 'bench', 'tools')
+# Paths, fields and headers of the platform.
+NAMES = re.compile(
+    r'X-(Request-Id|Deadline-Ms|Target-Instance|Caller-Service|'
+    r'Response-Signature|Not-Executed|Instance-Id)|'
+    r'/carawaystair/(ready|instances|config)|'
+    r'heartbeat_addr|cold_remaining|base_version|traffic_split|path_prefix|'
+    r'route_type|target_latency|resource_type|control_plane|sidecar|'
+    r'CARAWAYSTAIR_CONFIG|\bapp_addr\b|\bnode_name\b',
+    re.IGNORECASE,
+)
+MOST_LINES = 1500
+
+
+def test_standard_module_is_still_found():
+    assert platform.python_implementation()
+    script = 'import platform; print(platform.python_version())'
+    found = subprocess.run(
+        [sys.executable, '-c', script],
+        cwd=ROOT,
+        capture_output=True,
+        check=True,
+    )
+    assert found.stdout.decode().startswith('3.')
+
+
+def test_nobody_else_names_what_the_platform_names():
+    found = [
+        '%s:%d: %s' % (path, number, line.strip())
+        for folder in OUTSIDE
+        for path in sorted((ROOT / folder).rglob('*.py'))
+        for number, line in enumerate(path.read_text().splitlines(), 1)
+        if NAMES.search(line)
+    ]
+    assert found == []
+
+
+def test_nobody_else_imports_the_adapter():
+    importing = re.compile(r'^\s*(from|import) adapter\b')
+    found = [
+        str(path)
+        for folder in OUTSIDE
+        for path in sorted((ROOT / folder).rglob('*.py'))
+        for line in path.read_text().splitlines()
+        if importing.search(line)
+    ]
+    assert found == []
+
+
+def test_adapter_is_small():
+    lines = sum(
+        len(path.read_text().splitlines())
+        for path in platform_setup.FOLDER.rglob('*.py')
+    )
+    assert lines < MOST_LINES
+
+
+def test_headers_of_the_platform_are_those_of_the_settings():
+    assert set(place.HEADERS) == set(settings.Headers._fields)
+
+
+def test_process_with_a_wrong_settings_file_ends_with_one_line(tmp_path):
+    path = tmp_path / 'local.toml'
+    path.write_text('[self]\nip = "10.0.0.1"\n')
+    found = subprocess.run(
+        [sys.executable, str(platform_setup.FOLDER / 'start.py')],
+        cwd=ROOT,
+        env={'CARAWAYSTAIR_CONFIG': str(path), 'PATH': '/usr/bin'},
+        capture_output=True,
+        check=False,
+    )
+    assert found.returncode == 2
+    lines = found.stderr.decode().splitlines()
+    assert lines == ['settings: settings.network is missing.']
--- /dev/null
+++ b/test/test_platform_documents.py
@@ -0,0 +1,293 @@
+"""Documents of the platform: read right, or refused with a sentence."""
+
+import json
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from carawaystair import interfaces
+from carawaystair import manifest as manifests
+from carawaystair import rows
+from test import platform_setup
+
+from adapter import configuration
+from adapter import fields
+from adapter import place
+from adapter import upstreams
+
+TERMS = configuration.Terms({'r': ('a', 'b')}, 70, 20)
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False)
+    | strategies.text(max_size=8),
+    lambda inner: strategies.lists(inner, max_size=4)
+    | strategies.dictionaries(strategies.text(max_size=8), inner, max_size=4),
+    max_leaves=12,
+)
+
+
+def read(document, whole=True):
+    """Read a configuration that is given as a document."""
+    return configuration.read(json.dumps(document).encode(), whole, TERMS)
+
+
+def manifest_of(document):
+    """Return the checked manifest of a whole configuration."""
+    made = configuration.applied(read(document), None, TERMS)
+    result = manifests.read(configuration.document(made))
+    assert result.is_ok(), result.error
+    return result.ok
+
+
+# Settings
+
+
+def test_settings_of_a_host_with_an_upstream():
+    made = place.fleet_settings(place.read(platform_setup.settings()))
+    assert made.host == '10.1.0.41'
+    assert made.roles == ('node',)
+    assert made.node.listen == '10.1.0.41:8629'
+    assert made.node.gateway == '10.1.0.41:8624'
+    assert made.node.service == 'wuno96b'
+    assert made.seeds[0] == '10.1.0.48:7600'
+    assert made.node.drain_s < 6.0
+    assert made.node.retry_slack == 58
+
+
+def test_settings_of_a_control_host():
+    document = platform_setup.settings(
+        self__serves=['control_plane'],
+        self__ip='10.1.0.48',
+        self__data_dir='/data',
+        self__bootstrap=False,
+        self__service=None,
+        network__listen={'control': '10.1.0.48:8620'},
+    )
+    made = place.fleet_settings(place.read(document))
+    assert made.roles == ('control',)
+    assert made.data_folder == '/data'
+    assert not made.control.founds
+    assert made.control.grow_to == 5
+    assert [v.peer for v in made.control.voters] == list(made.seeds)
+
+
+@pytest.mark.parametrize(
+    'path, value, named',
+    [
+        ('self__ip', None, 'self.ip is missing'),
+        ('self__ip', 7, 'self.ip must be text'),
+        ('self__bootstrap', 'yes', 'self.bootstrap must be'),
+        ('network__listen__ready', None, 'network.listen.ready is missing'),
+        ('network__internal_port_range', [7600], 'internal_port_range'),
+        ('network__seeds', 'all', 'network.seeds must be a list'),
+        ('terms__bounds__grace', '6 s', 'terms.bounds.grace must be a time'),
+        ('terms__bounds__budget_slack', 'x', 'budget_slack must be'),
+        ('terms', None, 'settings.terms is missing'),
+    ],
+)
+def test_mistake_in_settings_is_named(path, value, named):
+    document = platform_setup.settings(**{path: value})
+    with pytest.raises(fields.Malformed, match=named):
+        place.read(document)
+
+
+def test_unknown_settings_are_passed_over():
+    document = platform_setup.settings(self__colour='blue')
+    document['weather'] = {'rain': True}
+    assert place.read(document).ip == '10.1.0.41'
+
+
+@hypothesis.given(JSON)
+def test_any_settings_are_read_or_refused(document):
+    try:
+        place.read(document if isinstance(document, dict) else {})
+    except fields.Malformed as error:
+        assert str(error)
+
+
+# Configurations
+
+
+def test_configuration_comes_back_as_it_was_sent():
+    split = [
+        {'service': 'one', 'weight': 90},
+        {'service': 'two', 'weight': 10},
+    ]
+    sent = platform_setup.configuration(
+        platform_setup.route(),
+        platform_setup.route(
+            'r-2',
+            path_prefix='/x/y/',
+            route_type='unsafe',
+            service=None,
+            traffic_split=split,
+            colour='blue',
+        ),
+        platform_setup.route('r-3', path_prefix='/z/', route_type='download'),
+    )
+    manifest = manifest_of(sent)
+    stored = rows.to_manifest(rows.from_manifest(manifest))
+    back = configuration.written(stored)
+    assert back['version'] == sent['version']
+
+    def _sorted(document):
+        return sorted(document['resources'], key=json.dumps)
+
+    def _plain(document):
+        return [json.dumps(item, sort_keys=True) for item in _sorted(document)]
+
+    assert sorted(_plain(back)) == sorted(_plain(sent))
+
+
+def test_kinds_of_routes_say_what_may_be_repeated():
+    sent = platform_setup.configuration(
+        platform_setup.route('a', path_prefix='/a/'),
+        platform_setup.route('b', path_prefix='/b/', route_type='unsafe'),
+        platform_setup.route('c', path_prefix='/c/', route_type='download'),
+    )
+    found = {r.name: r for r in manifest_of(sent).routes}
+    assert [found[n].idempotent for n in 'abc'] == [True, False, True]
+    assert found['c'].kind == manifests.BULK
+    assert found['a'].timeout_ms == 8000
+    assert found['a'].goal_ms == 1500
+
+
+def test_change_of_named_items():
+    now = manifest_of(
+        platform_setup.configuration(
+            platform_setup.route('a', path_prefix='/a/'),
+            platform_setup.route('b', path_prefix='/b/'),
+        )
+    )
+    change = {
+        'version': 9,
+        'base_version': 7,
+        'upsert': {
+            'resources': [
+                platform_setup.route('a', path_prefix='/a/', service='two'),
+                platform_setup.route('c', path_prefix='/c/'),
+            ]
+        },
+        'remove': {'routes': ['b']},
+    }
+    made = configuration.applied(read(change, whole=False), now, TERMS)
+    assert {r.name: r.service for r in made.routes} == {
+        'a': 'two',
+        'c': 'one',
+    }
+    assert made.limits == now.limits
+    assert made.revision == 9
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'service': 'nobody'},
+        {'timeout': '601s'},
+        {'timeout': None},
+        {'max_attempts': 0},
+        {'route_type': 'odd'},
+        {
+            'service': None,
+            'traffic_split': [{'service': 'one', 'weight': 0}],
+        },
+        {
+            'service': None,
+            'traffic_split': [
+                {'service': 'one', 'weight': -1},
+                {'service': 'two', 'weight': 5},
+            ],
+        },
+        {'service': None, 'traffic_split': []},
+    ],
+    ids=str,
+)
+def test_invalid_routes_are_refused(changes):
+    sent = platform_setup.configuration(platform_setup.route(**changes))
+    try:
+        made = configuration.applied(read(sent), None, TERMS)
+    except fields.Malformed as error:
+        assert str(error).endswith('.')
+        return
+    assert manifests.read(configuration.document(made)).is_error()
+
+
+def test_configuration_that_is_cut_short_is_refused():
+    data = json.dumps(platform_setup.configuration()).encode()
+    for end in range(0, len(data) - 1, 37):
+        with pytest.raises(fields.Malformed):
+            configuration.read(data[:end], True, TERMS)
+
+
+@hypothesis.given(JSON, strategies.booleans())
+def test_any_configuration_is_read_or_refused(document, whole):
+    try:
+        read(document, whole)
+    except fields.Malformed as error:
+        assert str(error)
+
+
+@hypothesis.given(strategies.binary(max_size=64))
+def test_any_bytes_are_refused_as_a_configuration(data):
+    with pytest.raises(fields.Malformed):
+        configuration.read(data, True, TERMS)
+
+
+# Heartbeats
+
+BEAT = {
+    'service': 'huvo11a',
+    'address': '10.128.0.9:8080',
+    'zone': 'a',
+    'version': 'v1',
+    'slots': 4,
+    'state': 'ready',
+    'cold_remaining': '1500ms',
+    'seq': 4,
+}
+
+
+def test_heartbeat_becomes_an_announcement():
+    beat = upstreams.read(json.dumps(BEAT).encode())
+    said = beat.announcement
+    assert (said.service, said.slots, said.state) == (
+        'huvo11a',
+        4,
+        interfaces.UP,
+    )
+    assert (said.warmup_s, beat.number) == (1.5, 4)
+    leaving = upstreams.read(json.dumps(BEAT | {'state': 'draining'}).encode())
+    assert leaving.announcement.state == interfaces.DRAINING
+
+
+@pytest.mark.parametrize('name', ['service', 'address', 'slots', 'state'])
+def test_heartbeat_without_a_field_is_refused(name):
+    beat = {key: value for key, value in BEAT.items() if key != name}
+    with pytest.raises(fields.Malformed, match='heartbeat.%s' % name):
+        upstreams.read(json.dumps(beat).encode())
+
+
+@hypothesis.given(JSON)
+def test_any_heartbeat_is_read_or_refused(document):
+    try:
+        upstreams.read(json.dumps(document).encode())
+    except fields.Malformed as error:
+        assert str(error)
+
+
+@pytest.mark.parametrize(
+    'text, ms', [('1500ms', 1500), ('2.5s', 2500), ('0ms', 0), ('0.5ms', 0)]
+)
+def test_times(text, ms):
+    assert fields.time_ms({'t': text}, 't', 'x') == ms
+
+
+@pytest.mark.parametrize(
+    'text', ['', '5', '5 s', '-1s', '1h', 's', 5, None, '1e9s', '90000s']
+)
+def test_times_that_are_none(text):
+    with pytest.raises(fields.Malformed):
+        fields.time_ms({'t': text}, 't', 'x')
