Relay: a request whose first run failed waits for a sound upstream; fewer trials

Every refusal was a line of its own at both ends, so that most of a story was left out. Ruled out: more repeats (the bound is the platform's).

--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -27,7 +27,7 @@
 
 
 class Offered(typing.NamedTuple):
-    """A node offers a request to an upstream.
+    """A node offered a request to a gateway that took it, or was silent.
 
     :param id: the request.
     :param service: the service that was chosen for it.
@@ -38,12 +38,14 @@
     :param left_ms: time until its answer is owed, ms.
     :param idempotent: whether it may run twice.
     :param inner: whether a running request waits for it.
-    :param may_wait: whether it may wait there.
-    :param forced: whether it goes there although the upstream failed lately.
+    :param stays: whether it may wait there, and goes there although the
+        upstream failed lately.
     :param known_ms: age of what this node knows of the upstream's load, ms;
         -1 when nothing is known.
     :param load: requests that this node believes to be with it.
     :param candidates: upstreams of the service that take work.
+    :param refused: gateways that refused it before, ``UPSTREAM:REASON``
+        each, see ``gateway.hops`` and ``load.rejecting``.
     """
 
     id: str
@@ -55,32 +57,11 @@
     left_ms: int
     idempotent: bool
     inner: bool
-    may_wait: bool
-    forced: bool
+    stays: bool
     known_ms: int
     load: int
     candidates: int
-
-
-class Declined(typing.NamedTuple):
-    """A gateway refused a request; it was not run there.
-
-    :param id: the request.
-    :param upstream: the upstream.
-    :param reason: why, see ``gateway.hops`` and ``load.rejecting``.
-    :param detail: the circumstances.
-    :param running: requests that ran there.
-    :param waiting: requests that waited there.
-    :param wait_ms: the wait that was expected, ms.
-    """
-
-    id: str
-    upstream: str
-    reason: str
-    detail: str
-    running: int
-    waiting: int
-    wait_ms: int
+    refused: str
 
 
 class Broke(typing.NamedTuple):
@@ -102,21 +83,24 @@
     detail: str
 
 
-class Repeated(typing.NamedTuple):
-    """Whether a request is tried once more, after it may have run.
+class Spent(typing.NamedTuple):
+    """A request that reached an upstream is not sent to another one.
 
     :param id: the request.
-    :param again: whether it is.
-    :param why: what decided.
+    :param allowed: whether one more upstream might have got it; if so, none
+        took it.
     :param runs: upstreams that may have run it.
     :param most: upstreams that may.
+    :param sent: sends that reached one.
+    :param refused: gateways that refused it, ``UPSTREAM:REASON`` each.
     """
 
     id: str
-    again: bool
-    why: str
+    allowed: bool
     runs: int
     most: int
+    sent: int
+    refused: str
 
 
 class Answered(typing.NamedTuple):
@@ -247,9 +231,8 @@
 # Names of the events in the logs, and of the parts that write them.
 NAMES = {
     Offered: ('relay', 'offered'),
-    Declined: ('relay', 'declined'),
     Broke: ('relay', 'broke'),
-    Repeated: ('relay', 'repeated'),
+    Spent: ('relay', 'spent'),
     Answered: ('relay', 'answered'),
     Left: ('relay', 'left'),
     Began: ('gateway', 'began'),
--- a/carawaystair/gateway/relay.py
+++ b/carawaystair/gateway/relay.py
@@ -30,7 +30,7 @@
 # And those beside them that can't serve it at all, such as those that leave.
 MOST_OFFERS = 12
 # Gateways at which a request may be left to wait, one after the other.
-MOST_STAYS = 2
+MOST_STAYS = 3
 # Sends that may reach an upstream, whether it runs them or sheds them.  When
 # a service sheds half of its work, each further send of one request takes the
 # place of the second of another one.
@@ -89,8 +89,6 @@
                 return answer
             if stays:
                 break
-        if trip.fallback is not None or trip.failed is not None:
-            return self._best(trip)
         return await self._stay(trip)
 
     def _choose(self, trip: trips.Trip) -> tuple[targets.Target | None, int]:
@@ -111,26 +109,32 @@
             return False
         if len(trip.declined) >= MOST_ASKED or trip.offers >= MOST_OFFERS:
             return False
-        if not trip.sent:
-            return True
-        again = trip.runs < trip.need.most_runs and trip.sent < MOST_SENT
-        self.recorder.tell(
-            decisions.Repeated(
-                trip.call.id,
-                again,
-                '' if again else 'it reached as many upstreams as it may',
-                trip.runs,
-                trip.need.most_runs,
-            ),
-            decisions.TROUBLE,
-        )
-        return again
+        return self._may_send(trip)
+
+    def _may_send(self, trip: trips.Trip) -> bool:
+        """Tell whether one more upstream may get a request."""
+        runs = trip.need.most_runs
+        return trip.runs < runs and trip.sent < max(MOST_SENT, runs)
 
-    def _best(self, trip: trips.Trip) -> answers.Answer:
-        """Return what an earlier run came to."""
+    def _end(self, trip: trips.Trip) -> answers.Answer:
+        """Return what an earlier run came to; raises what it is if none."""
+        if trip.sent:
+            self.recorder.tell(
+                decisions.Spent(
+                    trip.call.id,
+                    self._may_send(trip),
+                    trip.runs,
+                    trip.need.most_runs,
+                    trip.sent,
+                    ' '.join(trip.refusals),
+                ),
+                decisions.TROUBLE,
+            )
         if trip.fallback is not None:
             return trip.fallback
-        raise trip.failed
+        if trip.failed is not None:
+            raise trip.failed
+        raise self._rejection(trip)
 
     async def _stay(self, trip: trips.Trip) -> answers.Answer:
         """Leave a request where it should be answered first.
@@ -139,7 +143,7 @@
         third node.
         """
         if trip.call.body is None:
-            raise self._rejection(trip)
+            return self._end(trip)
         found = sorted(
             trip.declined.values(),
             key=lambda pair: patience(trip.call.idempotent, pair[1]),
@@ -151,12 +155,12 @@
         ]
         open_ones += trip.missed
         for target in open_ones[:MOST_STAYS]:
+            if not self._may_send(trip):
+                break
             answer = await self._try(trip, target, len(found), True)
             if answer is not None:
                 return answer
-            if trip.fallback is not None or trip.failed is not None:
-                return self._best(trip)
-        raise self._rejection(trip)
+        return self._end(trip)
 
     def _too_late(self, trip: trips.Trip, declined: trips.Declined) -> bool:
         report = declined.report
@@ -204,7 +208,7 @@
         """
         upstream = target.upstream
         trip.offers += 1
-        self._tell_offer(trip, upstream, count, stays)
+        offer = self._offer(trip, upstream, count, stays)
         view = self.board.view(upstream.id)
         view.mine += 1
         began = clock.now()
@@ -214,6 +218,7 @@
             self._declined(trip, target, declined)
             return None
         except answers.Failed as failed:
+            self.recorder.tell(offer, decisions.TROUBLE)
             self._tell_broken(trip, upstream.id, failed, began)
             if not failed.sent:
                 trip.missed.append(target)
@@ -226,6 +231,10 @@
             return None
         finally:
             view.mine -= 1
+        bad = answer.status >= 500
+        self.recorder.tell(
+            offer, decisions.TROUBLE if bad else decisions.ROUTINE
+        )
         if answer.status < 500 or not trip.call.idempotent:
             return answer
         if answer.rest is not None:
@@ -241,24 +250,12 @@
         target: targets.Target,
         declined: trips.Declined,
     ) -> None:
-        report = declined.report
         name = target.upstream.id
+        trip.refusals.append('%s:%s' % (name, declined.reason))
         if declined.reason in hops.ARRIVED:
             trip.sent += 1
         if declined.reason in WAITABLE:
             trip.declined[name] = (target, declined)
-        self.recorder.tell(
-            decisions.Declined(
-                trip.call.id,
-                name,
-                declined.reason,
-                '',
-                report.running if report else 0,
-                report.waiting if report else 0,
-                report.wait_ms if report else 0,
-            ),
-            decisions.TROUBLE,
-        )
 
     # What is told
 
@@ -281,35 +278,34 @@
             decisions.TROUBLE,
         )
 
-    def _tell_offer(
+    def _offer(
         self,
         trip: trips.Trip,
         upstream: interfaces.Upstream,
         count: int,
         stays: bool,
-    ) -> None:
+    ) -> decisions.Offered:
+        """Return what is told of an offer, by what is known before it."""
         now = clock.now()
         view = self.board.view(upstream.id)
         known = view.report is not None
         candidate = placing.Candidate(upstream.id, False, upstream.slots)
         need = trip.need
-        self.recorder.tell(
-            decisions.Offered(
-                trip.call.id,
-                need.service,
-                upstream.id,
-                upstream.host,
-                need.version,
-                trip.offers,
-                int((trip.call.deadline - now) * MS),
-                trip.call.idempotent,
-                need.inner,
-                stays,
-                stays,
-                int((now - view.at) * MS) if known else -1,
-                self.board.load(candidate, now),
-                count,
-            )
+        return decisions.Offered(
+            trip.call.id,
+            need.service,
+            upstream.id,
+            upstream.host,
+            need.version,
+            trip.offers,
+            int((trip.call.deadline - now) * MS),
+            trip.call.idempotent,
+            need.inner,
+            stays,
+            int((now - view.at) * MS) if known else -1,
+            self.board.load(candidate, now),
+            count,
+            ' '.join(trip.refusals),
         )
 
 
--- a/carawaystair/gateway/trips.py
+++ b/carawaystair/gateway/trips.py
@@ -63,6 +63,7 @@
         'missed',
         'need',
         'offers',
+        'refusals',
         'runs',
         'sends',
         'sent',
@@ -75,6 +76,8 @@
         self.tried: set[str] = set()
         # Refusals that waiting may turn, by upstream.
         self.declined: dict[str, tuple[targets.Target, Declined]] = {}
+        # All refusals, as the log tells them.
+        self.refusals: list[str] = []
         # Those whose gateways could not be reached directly.
         self.missed: list[targets.Target] = []
         # Gateways that were asked, and all sends to them.
--- a/carawaystair/load/placing.py
+++ b/carawaystair/load/placing.py
@@ -20,7 +20,7 @@
 LOAD_FRESH_S = 0.5
 # What it said about failures counts for so long: it lets a trial through
 # about as often.
-SUSPECT_FRESH_S = 0.4
+SUSPECT_FRESH_S = 0.8
 # Age of the last sign of sound work where nothing is known, seconds.
 UNKNOWN_PROOF_S = 60.0
 # An upstream that is still warming up is taken for so many times slower.
--- a/carawaystair/load/suspicion.py
+++ b/carawaystair/load/suspicion.py
@@ -29,9 +29,13 @@
 FORGET_S = 2.0
 # The share of its requests that an upstream under suspicion fails.
 SUSPECT_RISK = 0.75
-# Repeatable requests are let through as trials so far apart, in seconds: an
-# upstream that is still gray then costs few repeats.
-TRIAL_EVERY_S = 0.3
+# Repeatable requests are let through as trials so far apart, in seconds.  Of
+# eight upstreams two or three are gray at a time, and most trials of those
+# cost a repeat: three trials a second each took all repeats that a service
+# of the smallest kind may have.
+TRIAL_EVERY_S = 0.8
+# After a good trial the next one may follow so soon, seconds.
+NEXT_TRIAL_S = 0.1
 # Without any failure for so long, a request that can't be repeated is let
 # through as a trial: gray failures last some seconds, and a service may have
 # no other requests.
@@ -93,7 +97,8 @@
         if not self.suspect:
             return True
         quiet = now - self.failed_at > PROBATION_S
-        due = now - self.tried_at >= TRIAL_EVERY_S
+        every_s = NEXT_TRIAL_S if self.good_run else TRIAL_EVERY_S
+        due = now - self.tried_at >= every_s
         if due and (repeatable or quiet):
             self.tried_at = now
             return True
--- a/carawaystair/localapi.py
+++ b/carawaystair/localapi.py
@@ -19,14 +19,19 @@
 
     :param address: ``ip:port`` to listen on.
     :param routes: the routes of all parts.
+    :param max_body: bytes of a request's body at most.
     """
 
     def __init__(
-        self, address: str, routes: typing.Iterable[web.RouteDef], **kwargs
+        self,
+        address: str,
+        routes: typing.Iterable[web.RouteDef],
+        max_body: int = MAX_BODY,
+        **kwargs,
     ) -> None:
         super().__init__(**kwargs)
         self.address = address
-        self.app = web.Application(client_max_size=MAX_BODY)
+        self.app = web.Application(client_max_size=max_body)
         self.app.add_routes(routes)
         self.runner = web.AppRunner(self.app, access_log=None)
 
