Explaining a failure: events, carawaystair explain, metrics of gateways and control

Cause: on-call engineers have logs and metrics alone; a story was spread over processes in no order. Change: docs/EVENTS.md and docs/METRICS.md, each held to the code by a test; carawaystair explain ID FILE... puts one request's lines in causal order and names the cause; control hosts and gateways count.

--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,4 @@
 docs: venv
 	$(RUN) -m tools.codes_page > docs/CODES.md
 	$(RUN) -m tools.cli_page > docs/CLI.md
+	$(RUN) -m tools.events_page > docs/EVENTS.md
--- a/carawaystair/control/role.py
+++ b/carawaystair/control/role.py
@@ -5,6 +5,8 @@
 from carawaystair import admin
 from carawaystair.control import replicated
 from carawaystair import membership
+from carawaystair import metrics
+from carawaystair import nodemetrics
 from carawaystair import publisher
 from carawaystair.reservations import keeper
 
@@ -38,6 +40,10 @@
         """Start the parts."""
         for part in self.parts:
             await self.add_runtime_dependency(part)
+        metrics.collect(nodemetrics.ControlMetrics(self.group).samples)
+        if 'node' not in self.kernel.settings.roles:
+            kernel = nodemetrics.KernelMetrics(self.kernel)
+            metrics.collect(kernel.samples)
 
 
 def make(kernel) -> Control:
--- /dev/null
+++ b/carawaystair/explain.py
@@ -0,0 +1,130 @@
+"""Tells one request's story from the logs of several processes.
+
+A request keeps its id on every hop, and calls that an upstream makes for it
+extend it by a dot; so one id finds everything.  Lines of several hosts are
+put in order by their wall clocks, and those of one hop by cause: a gateway
+begins what a node has offered before.
+"""
+
+import json
+import typing
+
+# The order of events that bear the same time, by cause.
+ORDER = ('declining', 'began', 'ended', 'offered', 'broke', 'spent')
+SENTENCES = {
+    'offered': 'offered {service} to {upstream} at {gateway}'
+    ' ({idempotence}, offer {number}, {left_ms} ms left, load known to be'
+    ' {load} {age}, {candidates} upstreams take work, configuration'
+    ' {version}){before}',
+    'declining': 'refused by the gateway of {upstream}: {reason} {detail}'
+    ' ({running} run, {waiting} wait, {slots} slots)',
+    'began': 'sent to {upstream} after {waited_ms} ms of waiting ({running}'
+    ' run, {waiting} wait, {slots} slots, {left_ms} ms left){trial_text}',
+    'ended': '{upstream} made it {outcome}, status {status}, after'
+    ' {service_ms} ms{suspect_text} {detail}',
+    'broke': 'no answer from {upstream}: {code}, {sent_text}, after'
+    ' {after_ms} ms {detail}',
+    'spent': 'not sent to another upstream: {runs} of {most} may have run it,'
+    ' {sent} got it; {refused}',
+    'answered': 'answered with {status} {outcome} {code} after {total_ms} ms,'
+    ' {offers} offers {detail}',
+    'left': 'cancelled: the caller left after {total_ms} ms',
+}
+
+
+def read(lines: typing.Iterable[str]) -> typing.Iterator[dict]:
+    """Yield the events in log lines; whatever stands before is passed over.
+
+    :param lines: of any log; those that hold no event are skipped.
+    """
+    for line in lines:
+        start = line.find('{')
+        if start < 0:
+            continue
+        try:
+            event = json.loads(line[start:])
+        except ValueError:
+            continue
+        if isinstance(event, dict) and event.get('id'):
+            yield event
+
+
+def story(events: typing.Iterable[dict], request: str) -> list[dict]:
+    """Return the events of a request and of its calls, in order."""
+    mine = [
+        event
+        for event in events
+        if event['id'] == request or event['id'].startswith(request + '.')
+    ]
+    return sorted(mine, key=_when)
+
+
+def _when(event: dict) -> tuple:
+    name = event['event']
+    rank = ORDER.index(name) if name in ORDER else len(ORDER)
+    return event.get('time_ms', 0), rank
+
+
+def sentence(event: dict) -> str:
+    """Return an event as one line for a person."""
+    pattern = SENTENCES.get(event['event'])
+    if pattern is None:
+        return event['event']
+    text = pattern.format_map(_Shown(event))
+    return ' '.join(text.split())
+
+
+def cause(events: typing.Sequence[dict]) -> str:
+    """Return why a request ended as it did, as far as its events tell."""
+    names = {event['event'] for event in events}
+    last = [event for event in events if event['event'] == 'answered']
+    bad = [
+        sentence(event)
+        for event in events
+        if event['event'] in ('broke', 'ended')
+        and event.get('outcome') not in ('good',)
+    ]
+    refused = [sentence(e) for e in events if e['event'] == 'declining']
+    if 'left' in names and not last:
+        return 'its caller left'
+    if last and last[-1]['status'] < 400:
+        return 'it was answered'
+    if bad:
+        return bad[-1]
+    if refused:
+        return refused[-1]
+    return sentence(last[-1]) if last else 'no line tells its end'
+
+
+class _Shown(dict):
+    """The fields of an event, and what is made of them."""
+
+    def __missing__(self, name: str) -> str:
+        make = {
+            'idempotence': self._idempotence,
+            'age': self._age,
+            'before': self._before,
+            'trial_text': lambda: self._flag('trial', '; it failed lately'),
+            'suspect_text': lambda: self._flag(
+                'suspect', '; it is under suspicion'
+            ),
+            'sent_text': self._sent,
+        }.get(name)
+        return make() if make is not None else '?'
+
+    def _idempotence(self) -> str:
+        return 'may be repeated' if self['idempotent'] else 'runs once'
+
+    def _age(self) -> str:
+        known = self['known_ms']
+        return 'from nothing' if known < 0 else '%d ms ago' % known
+
+    def _before(self) -> str:
+        refused = self['refused']
+        return '; refused before: %s' % refused if refused else ''
+
+    def _flag(self, name: str, text: str) -> str:
+        return text if self[name] else ''
+
+    def _sent(self) -> str:
+        return 'it may have run' if self['sent'] else 'it was not sent'
--- a/carawaystair/gateway/door.py
+++ b/carawaystair/gateway/door.py
@@ -14,6 +14,7 @@
 from carawaystair import codes
 from carawaystair import decisions
 from carawaystair.gateway import detours
+from carawaystair.gateway import figures as figures_module
 from carawaystair.gateway import hops
 from carawaystair.gateway import inner as inners
 from carawaystair.gateway import runs as runs_module
@@ -65,6 +66,7 @@
     :param membership: the upstreams of this host, and who else there is.
     :param settings: of the process.
     :param inner: knows of calls that upstreams of this host made.
+    :param figures: counts refusals and runs.
     :param recorder: takes note of decisions.
     """
 
@@ -73,6 +75,7 @@
         membership,
         settings: settings_module.Settings,
         inner: inners.InnerCalls,
+        figures: figures_module.Figures,
         recorder: decisions.Recorder,
     ) -> None:
         self.membership = membership
@@ -80,6 +83,7 @@
         self.names = names = settings.headers
         self.node = settings.node
         self.inner = inner
+        self.figures = figures
         self.recorder = recorder
         self.runs = runs_module.Runs(self._mine)
         self.budgets: dict[str, retrying.Budget] = {}
@@ -285,7 +289,7 @@
         )
         freed = False
         try:
-            answer = await self._send(hop, slots, attempt)
+            answer = await self._send(hop, slots, attempt, waited_s)
             if answer.rest is not None:
                 attempt.release = slots.free
                 freed = True
@@ -358,7 +362,12 @@
         hop: hops.Hop,
         slots: slots_module.Slots,
         attempt: sends.ToUpstream,
+        waited_s: float,
     ) -> answers.Answer:
+        """Send a request to its upstream and learn from what comes.
+
+        :param waited_s: how long it waited for its slot.
+        """
         began = clock.now()
         expected_s = slots.line.durations.of(hop.route)
         loop = asyncio.get_running_loop()
@@ -389,6 +398,7 @@
             self.inner.ended(hop.id)
             took_s = clock.now() - began
             self._learn(hop, slots, outcome, status, began)
+            self.figures.ran(hop.service, outcome, waited_s, took_s)
             good = outcome == interfaces.GOOD
             self.recorder.tell(
                 decisions.Ended(
@@ -474,6 +484,7 @@
         refused: slots_module.Refused,
     ) -> None:
         report = self._report(hop.upstream)
+        self.figures.refused(hop.service, refused.reason)
         self.recorder.tell(
             decisions.Declining(
                 hop.id,
--- a/carawaystair/gateway/front.py
+++ b/carawaystair/gateway/front.py
@@ -6,6 +6,7 @@
 from carawaystair import clock
 from carawaystair import codes
 from carawaystair import decisions
+from carawaystair.gateway import figures as figures_module
 from carawaystair.gateway import inner as inners
 from carawaystair.gateway import relay as relays
 from carawaystair.gateway import splitting
@@ -43,6 +44,7 @@
     :param splits: chooses among the services of a route.
     :param inner: is told of failed calls of this host's upstreams.
     :param meters: counts what callers are told.
+    :param figures: counts requests by route and outcome.
     :param recorder: takes note of decisions.
     """
 
@@ -55,6 +57,7 @@
         splits: splitting.Splitter,
         inner: inners.InnerCalls,
         meters: meters_module.Meters,
+        figures: figures_module.Figures,
         recorder: decisions.Recorder,
     ) -> None:
         super().__init__(prefix, 0.0, routing, meters)
@@ -63,6 +66,7 @@
         self.relay = relay
         self.splits = splits
         self.inner = inner
+        self.figures = figures
         self.recorder = recorder
         # While the node stops: until when new requests are taken.
         self.last_new: float | None = None
@@ -104,10 +108,12 @@
         try:
             await self._pass_on(trip, exchange, began)
         except caller.Refused as refused:
-            self._tell(trip, exchange, began, refused.code, refused.detail)
+            outcome = codes.NOT_RUN
+            self._tell(trip, outcome, began, refused.code, refused.detail)
             raise
         except answers.Failed as failed:
-            self._tell(trip, exchange, began, failed.code, failed.detail)
+            outcome = codes.UNKNOWN if failed.sent else codes.NOT_RUN
+            self._tell(trip, outcome, began, failed.code, failed.detail)
             raise
         except ConnectionError:
             self._tell_left(trip, began)
@@ -221,30 +227,34 @@
         if trip.need.inner and answer.status >= 500:
             self.inner.failed(trip.call.id)
         code = codes.ANSWER_LOST if why else codes.OK
-        self._tell(trip, exchange, began, code, why, answer.status)
+        self._tell(trip, codes.COMPLETE, began, code, why, answer.status)
 
     def _tell(
         self,
         trip: trips.Trip,
-        exchange: exchanges.Exchange,
+        outcome: str,
         began: float,
         code: codes.Code,
         detail: str,
         status: int = 0,
     ) -> None:
+        """Take note of what a caller was told."""
+        total_s = clock.now() - began
+        key, service = trip.call.match.key, trip.need.service
+        self.figures.answered(key, service, outcome, code.label, total_s)
         good = code is codes.OK and status < 500
         if not status and trip.need.inner:
             self.inner.failed(trip.call.id)
         self.recorder.tell(
             decisions.Answered(
                 trip.call.id,
-                trip.call.match.key,
-                trip.need.service,
-                status or code.status,
-                exchange.outcome or '',
+                key,
+                service,
+                status or _status(code, outcome),
+                outcome,
                 code.label,
                 trip.offers,
-                int((clock.now() - began) * MS),
+                int(total_s * MS),
                 detail,
             ),
             decisions.ROUTINE if good else decisions.TROUBLE,
@@ -270,13 +280,18 @@
         A caller repeats a request after 503, whatever else the answer says,
         and takes a 502 or 504 of one that was not run for a run.
         """
-        status = code.status
-        if outcome == codes.NOT_RUN and status >= 500:
-            status = NOT_RUN_STATUS
-        elif outcome != codes.NOT_RUN and status in PROMISES:
-            status = UNKNOWN_STATUS
+        status = _status(code, outcome)
         self.meters.failed(outcome, code, exchange.id, detail)
         try:
             exchange.refuse(code, outcome, detail, retry_after_s, status)
         except ConnectionError:
             exchange.keep_alive = False
+
+
+def _status(code: codes.Code, outcome: str) -> int:
+    """Return the status that tells callers of an outcome."""
+    if outcome == codes.NOT_RUN and code.status >= 500:
+        return NOT_RUN_STATUS
+    if outcome != codes.NOT_RUN and code.status in PROMISES:
+        return UNKNOWN_STATUS
+    return code.status
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -8,6 +8,7 @@
 from carawaystair import clock
 from carawaystair import decisions
 from carawaystair.gateway import door as doors
+from carawaystair.gateway import figures as figures_module
 from carawaystair.gateway import front as fronts
 from carawaystair.gateway import handover as handovers
 from carawaystair.gateway import inner as inners
@@ -62,6 +63,7 @@
         )
         self.relay = relays.Relay(self.known, self.handover, rng, recorder)
         # The time of the start keeps ids of two runs of this host apart.
+        self.figures = figures_module.Figures()
         self.front = fronts.Front(
             settings,
             '%s-%x' % (settings.host, kernel.incarnation & 0xFFFFFFFF),
@@ -70,9 +72,13 @@
             splitting.Splitter(rng),
             inner,
             self.meters,
+            self.figures,
             recorder,
         )
-        self.door = doors.Door(membership, settings, inner, recorder)
+        self.door = doors.Door(
+            membership, settings, inner, self.figures, recorder
+        )
+        self.recorder = recorder
         self.callers = listeners.Listener(self.front.handle, self.front.bounds)
         self.nodes = listeners.Listener(self.door.handle)
         self.stopping = False
@@ -96,9 +102,32 @@
     async def on_start(self) -> None:
         """Listen for other nodes, then for callers."""
         metrics.collect(self.meters.samples)
+        metrics.collect(self.figures.samples)
+        metrics.collect(self.samples)
         await self.nodes.listen(self.settings.node.gateway)
         await self.callers.listen(self.settings.node.listen)
 
+    def samples(self) -> typing.Iterator[metrics.Sample]:
+        """Yield what the parts of the path know of themselves."""
+        yield metrics.Sample('resumed_total', self.handover.resumed)
+        yield metrics.Sample('joined_runs_total', self.door.runs.joined)
+        yield metrics.Sample('lines_left_out_total', self.recorder.left_out)
+        for name, slots in self.door.slots.items():
+            labels = (('upstream', name),)
+            line = slots.line
+            yield metrics.Sample('gateway_running', line.running, labels)
+            yield metrics.Sample('gateway_waiting', len(line.waiting), labels)
+            suspect = int(slots.suspicion.suspect)
+            yield metrics.Sample('gateway_suspect', suspect, labels)
+        for service, budget in self.door.budgets.items():
+            labels = (('service', service),)
+            yield metrics.Sample(
+                'gateway_firsts_total', budget.total_firsts, labels
+            )
+            yield metrics.Sample(
+                'gateway_repeats_total', budget.total_repeats, labels
+            )
+
     @mode.Service.task
     async def _sweep(self) -> None:
         """Close connections that were idle too long."""
--- a/carawaystair/localapi.py
+++ b/carawaystair/localapi.py
@@ -56,6 +56,17 @@
     )
 
 
+def metrics_route() -> web.RouteDef:
+    """Return the route of the metrics of this process."""
+
+    async def _metrics(_request: web.Request) -> web.Response:
+        return web.Response(
+            text=metrics.text(), content_type='text/plain', charset='utf-8'
+        )
+
+    return web.get('/metrics', _metrics)
+
+
 def observer_routes(
     kernel, report: typing.Callable[[], reports.Report]
 ) -> list[web.RouteDef]:
@@ -78,16 +89,11 @@
         events = kernel.timeline.since(since, limit)
         return json_response([event._asdict() for event in events])
 
-    async def _metrics(_request: web.Request) -> web.Response:
-        return web.Response(
-            text=metrics.text(), content_type='text/plain', charset='utf-8'
-        )
-
     return [
         web.get('/', _page),
         web.get('/v1/status', _status),
         web.get('/v1/timeline', _timeline),
-        web.get('/metrics', _metrics),
+        metrics_route(),
     ]
 
 
--- a/carawaystair/nodemetrics.py
+++ b/carawaystair/nodemetrics.py
@@ -3,6 +3,7 @@
 import collections
 import typing
 
+from carawaystair.control import interfaces as control
 from carawaystair import invariants
 from carawaystair import metrics
 
@@ -64,3 +65,31 @@
         yield metrics.Sample('slots_known', service.slots, labels)
         yield metrics.Sample('slots_healthy', service.healthy, labels)
         yield metrics.Sample('slots_floor', service.bound, labels)
+
+
+class ControlMetrics:
+    """Metrics of a control host.
+
+    :param group: the control group, see ``control.interfaces.Control``.
+    """
+
+    def __init__(self, group) -> None:
+        self.group = group
+
+    def samples(self) -> typing.Iterator[metrics.Sample]:
+        """Yield the samples."""
+        status = self.group.status()
+        version = self.group.version()
+        yield metrics.Sample('version_term', version.term)
+        yield metrics.Sample('version_index', version.index)
+        for role in (control.LEADER, control.FOLLOWER, control.LEARNER):
+            labels = (('role', role),)
+            yield metrics.Sample(
+                'control_role', int(status.role == role), labels
+            )
+        yield metrics.Sample('control_term', status.term)
+        yield metrics.Sample('control_commit_index', status.commit)
+        yield metrics.Sample('control_applied_index', status.applied)
+        yield metrics.Sample('control_stale_seconds', status.stale_s)
+        voters = sum(member.voting for member in status.members)
+        yield metrics.Sample('control_voters', voters)
--- /dev/null
+++ b/test/test_explaining.py
@@ -0,0 +1,142 @@
+"""Explaining a failed request from logs; the pages of events and metrics."""
+
+import json
+import pathlib
+import re
+import types
+
+import pytest
+
+from carawaystair.control import interfaces as control
+from carawaystair import explain
+from carawaystair import nodemetrics
+from carawaystair import rows
+from carawaystair.ui import main
+from test import gateway_setup as fleets
+from test import pipes
+from tools import events_page
+
+ROOT = pathlib.Path(__file__).parent.parent
+DOCS = ROOT / 'docs'
+
+
+def logs_of(fleet) -> list[str]:
+    """Return the log lines of all nodes, as a collector mixes them."""
+    return [
+        '   1.234 node %s' % line.decode()
+        for node in fleet.nodes
+        for line in node.lines.lines
+    ]
+
+
+def failing(script, path, **options):
+    """Return the log lines and the answer of one request that fails."""
+
+    async def scenario():
+        async with fleets.running(None, script) as fleet:
+            answer = await fleet.ask(path, Caraway_Request_Id='abc', **options)
+            return logs_of(fleet), answer
+
+    return pipes.run(scenario())
+
+
+def test_story_of_a_failure_is_in_causal_order_and_names_its_cause():
+    lines, answer = failing(fleets.fail, '/read/x')
+    events = explain.story(explain.read(lines), 'abc')
+    names = [event['event'] for event in events]
+    assert answer.status == 500
+    assert names.index('began') < names.index('ended')
+    assert names[-1] == 'answered'
+    assert 'u9001 made it error' in explain.cause(events)
+
+
+def test_story_tells_a_rejection_with_its_inputs():
+    async def shed(upstream, seen, writer):
+        writer.write(fleets.setups.reply(b'full', 503, Caraway_Not_Run='1'))
+
+    lines, answer = failing(shed, '/pay/x', method='POST', body=b'x')
+    events = explain.story(explain.read(lines), 'abc')
+    assert answer.status == 503
+    told = ' '.join(map(explain.sentence, events))
+    assert 'refused by the gateway of u9001: shed' in told
+    assert 'not-run' in told
+    assert '?' not in told
+
+
+def test_calls_of_a_request_belong_to_its_story():
+    lines = [
+        json.dumps({'id': name, 'event': 'left', 'total_ms': 1, 'time_ms': t})
+        for t, name in enumerate(('a', 'a.b', 'ab', 'a.b.c'))
+    ]
+    found = explain.story(explain.read([*lines, 'no event', '{"x"']), 'a')
+    assert [event['id'] for event in found] == ['a', 'a.b', 'a.b.c']
+
+
+def test_command_prints_text_and_json(tmp_path, capsys):
+    lines, _answer = failing(fleets.fail, '/read/x')
+    path = tmp_path / 'log'
+    path.write_text('\n'.join(lines))
+    assert main.main(['explain', 'abc', str(path)]) == 0
+    assert 'Cause: u9001 made it error' in capsys.readouterr().out
+    assert main.main(['explain', 'abc', '--json', str(path)]) == 0
+    assert json.loads(capsys.readouterr().out)['events']
+    assert main.main(['explain', 'nobody', str(path)]) == 1
+    assert main.main(['explain', 'abc', str(tmp_path / 'none')]) == 2
+
+
+def test_every_event_has_a_sentence():
+    events = {name for _part, name in events_page.decisions.NAMES.values()}
+    assert events - set(explain.SENTENCES) == {'noted'}
+
+
+def test_page_of_events_is_made_of_the_types():
+    text = (DOCS / 'EVENTS.md').read_text()
+    assert text == events_page.page(), 'run "make docs"'
+
+
+def test_page_of_metrics_has_every_name():
+    named = re.compile(r"(?:Sample|summary)\(\s*'([a-z_]+)'")
+    code = {
+        name
+        for path in (ROOT / 'carawaystair').rglob('*.py')
+        for name in named.findall(path.read_text())
+    }
+    for part in ('links', 'datagrams'):
+        code |= {part + e for e in ('_sent_total', '_sent_bytes_total')}
+        code.add(part + '_refused_total')
+    page = (DOCS / 'METRICS.md').read_text()
+    rows = [line.split(' | ')[0] for line in page.splitlines()]
+    told = {
+        name
+        for row in rows
+        if row.startswith('| `')
+        for name in re.findall(r'`([a-z_]+)`', row)
+    }
+    assert told == code
+
+
+@pytest.mark.parametrize('name', ['relayed_total', 'gateway_runs_total'])
+def test_gateway_counts(name):
+    async def scenario():
+        async with fleets.running(fleets.serve) as fleet:
+            await fleet.ask('/read/a')
+            samples = list(fleet.nodes[0].service.figures.samples())
+            samples += list(fleet.nodes[0].service.samples())
+            return {sample.name: sample.value for sample in samples}
+
+    assert pipes.run(scenario())[name] == 1
+
+
+def test_control_host_counts():
+    member = control.Voter('a', '127.0.0.1:1')
+    status = control.Status(
+        'a', control.LEADER, 3, 'a', '', 7, 7, 8, 0.0, (member,)
+    )
+    group = types.SimpleNamespace(
+        status=lambda: status, version=lambda: rows.Version(3, 7)
+    )
+    found = nodemetrics.ControlMetrics(group).samples()
+    counted = {(s.name, *s.labels): s.value for s in found}
+    assert counted['control_voters',] == 1
+    assert counted['control_term',] == 3
+    assert counted['control_role', ('role', 'leader')] == 1
--- a/test/test_platform_border.py
+++ b/test/test_platform_border.py
@@ -5,10 +5,12 @@
 import re
 import subprocess
 import sys
+import tomllib
 
 from carawaystair import settings
 from test import platform_setup  # makes the next import possible
 
+from adapter import main
 from adapter import place
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -73,6 +75,15 @@
     assert set(place.HEADERS) == set(settings.Headers._fields)
 
 
+def test_deploy_file_names_the_port_of_the_metrics_and_pinned_libraries():
+    deploy = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())
+    ports = {role['metrics'] for role in deploy['roles'].values()}
+    assert ports == {'%d/metrics' % main.METRICS_PORT}
+    project = tomllib.loads((ROOT / 'pyproject.toml').read_text())
+    pinned = (ROOT / 'requirements.txt').read_text().split()
+    assert sorted(pinned) == sorted(project['project']['dependencies'])
+
+
 def test_process_with_a_wrong_settings_file_ends_with_one_line(tmp_path):
     path = tmp_path / 'local.toml'
     path.write_text('[self]\nip = "10.0.0.1"\n')
--- a/test/test_platform_documents.py
+++ b/test/test_platform_documents.py
@@ -23,8 +23,12 @@
     | strategies.integers()
     | strategies.floats(allow_nan=False)
     | strategies.text(max_size=8),
-    lambda inner: strategies.lists(inner, max_size=4)
-    | strategies.dictionaries(strategies.text(max_size=8), inner, max_size=4),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(
+            strategies.text(max_size=8), inner, max_size=4
+        )
+    ),
     max_leaves=12,
 )
 
