--- /dev/null
+++ b/test/test_platform_operators.py
@@ -0,0 +1,245 @@
+"""Operators' configurations over HTTP, before a control group of one."""
+
+import asyncio
+import contextlib
+import json
+
+from aiohttp import test_utils
+
+from carawaystair import localapi
+from carawaystair import manifest as manifests
+from carawaystair import timeline as timelines
+from test import fakes
+from test import platform_setup
+from test import test_admin
+
+from adapter import configuration
+from adapter import operators
+from adapter import upstreams
+from carawaystair.membership import registry as registries
+
+TERMS = configuration.Terms({'r': ('a', 'b')}, 70, 20)
+PATH = operators.PATH
+
+
+@contextlib.asynccontextmanager
+async def running(folder):
+    """Run a control host with the platform's listener."""
+    transport = fakes.Network().transport(test_admin.CONTROL)
+    timeline = timelines.Timeline('c')
+    group = test_admin.group_of_one(transport, timeline, folder)
+    await group.start()
+    served = operators.Operators(group, TERMS)
+    local = localapi.LocalApi(
+        '127.0.0.1:1', served.routes(), manifests.MAX_BYTES
+    )
+    client = test_utils.TestClient(test_utils.TestServer(local.app))
+    await client.start_server()
+    try:
+        await group.current()
+        yield group, client
+    finally:
+        await client.close()
+        await group.stop()
+
+
+def played(folder, scenario):
+    """Run a scenario before a control host."""
+
+    async def _run():
+        async with running(folder) as (group, client):
+            return await scenario(group, client)
+
+    return asyncio.run(_run())
+
+
+async def put(client, document, method='PUT'):
+    """Send a configuration; return the status."""
+    answer = await client.request(method, PATH, json=document)
+    body = await answer.json()
+    assert body['message']
+    return answer.status
+
+
+def test_configuration_is_taken_read_back_and_taken_again(tmp_path):
+    sent = platform_setup.configuration(version=2)
+
+    async def scenario(_group, client):
+        before = (await client.get(PATH)).status
+        first = await put(client, sent)
+        again = await put(client, sent)
+        back = await (await client.get(PATH)).json()
+        return before, first, again, back
+
+    before, first, again, back = played(tmp_path, scenario)
+    assert (before, first, again) == (503, 200, 200)
+    assert back['version'] == 2
+    assert len(back['resources']) == len(sent['resources'])
+
+
+def test_of_two_changes_on_the_same_version_one_is_refused(tmp_path):
+    """Symptom: two operators are both told that their change is in force.
+    Sequence: both build on the same version and send at the same time.
+    Cause: each is held against the version that was read, not against the
+    one in the log at its turn.
+    """
+
+    async def scenario(_group, client):
+        await put(client, platform_setup.configuration(version=2))
+        changes = [
+            platform_setup.configuration(
+                platform_setup.route(path_prefix='/%s/' % name),
+                version=3,
+                base=2,
+            )
+            for name in 'ab'
+        ]
+        found = await asyncio.gather(*(put(client, c) for c in changes))
+        again = [await put(client, change) for change in changes]
+        return found, again
+
+    found, again = played(tmp_path, scenario)
+    assert sorted(found) == [200, 412]
+    assert again == found
+
+
+def test_accepted_order_is_acknowledged_again_after_others(tmp_path):
+    async def scenario(_group, client):
+        first = platform_setup.configuration(version=2)
+        change = {
+            'version': 5,
+            'base_version': 2,
+            'upsert': {'resources': []},
+            'remove': {'routes': []},
+        }
+        return (
+            await put(client, first),
+            await put(client, change, 'PATCH'),
+            await put(client, first),
+            await put(client, change | {'version': 6}, 'PATCH'),
+        )
+
+    assert played(tmp_path, scenario) == (200, 200, 200, 412)
+
+
+def test_invalid_orders_change_nothing(tmp_path):
+    good = platform_setup.configuration(version=2)
+    bad = [
+        platform_setup.configuration(version=2, base=2),
+        platform_setup.configuration(
+            platform_setup.route(service='nobody'), version=3, base=2
+        ),
+        {'version': 'x', 'base_version': 2, 'resources': []},
+        {},
+        [],
+        None,
+    ]
+
+    async def scenario(_group, client):
+        await put(client, good)
+        statuses = [await put(client, document) for document in bad]
+        cut = await client.put(PATH, data=json.dumps(good)[:-5])
+        back = await (await client.get(PATH)).json()
+        return statuses, cut.status, back['version']
+
+    statuses, cut, version = played(tmp_path, scenario)
+    assert all(400 <= status < 500 for status in [*statuses, cut])
+    assert version == 2
+
+
+def test_host_that_can_not_be_sure_says_so(tmp_path):
+    async def scenario(group, client):
+        await put(client, platform_setup.configuration(version=2))
+        group.lost = True
+        read = (await client.get(PATH)).status
+        change = platform_setup.configuration(version=3, base=2)
+        return read, await put(client, change)
+
+    assert played(tmp_path, scenario) == (503, 503)
+
+
+def test_large_configurations_are_taken(tmp_path):
+    """Symptom: a valid change is never acknowledged.
+    Sequence: it adds hundreds of routes; its body is over 64 KiB.
+    Cause: the listener's bound of bodies is that of small calls.
+    """
+    routes = [
+        platform_setup.route('r-%d' % n, path_prefix='/p%d/' % n)
+        for n in range(700)
+    ]
+    sent = platform_setup.configuration(*routes, version=2)
+    assert len(json.dumps(sent)) > 128 * 1024
+
+    async def scenario(_group, client):
+        return await put(client, sent)
+
+    assert played(tmp_path, scenario) == 200
+
+
+# The upstream beside a node
+
+BEAT = {
+    'service': 's',
+    'address': '10.0.0.9:80',
+    'slots': 4,
+    'state': 'ready',
+    'seq': 1,
+}
+
+
+def test_heartbeats_announce_drain_and_end_an_upstream():
+    published = []
+    registry = registries.Registry(6.0, published.append, '10.0.0.1:1')
+    local = localapi.LocalApi(
+        '127.0.0.1:1', upstreams.Upstreams(registry).routes()
+    )
+
+    async def scenario():
+        client = test_utils.TestClient(test_utils.TestServer(local.app))
+        await client.start_server()
+
+        async def beat(name='i-1', **changes):
+            path = '/carawaystair/instances/%s' % name
+            answer = await client.put(path, json={**BEAT, **changes})
+            return answer.status
+
+        try:
+            found = [
+                await beat(seq=4),
+                await beat(seq=4),
+                await beat(seq=3),
+                await beat(seq=5, state='draining'),
+                await beat(seq=6),
+                await beat(seq=7, slots='many'),
+                await beat(seq=8, address='nowhere'),
+            ]
+            gone = await client.delete('/carawaystair/instances/i-1')
+            return found, gone.status
+        finally:
+            await client.close()
+
+    found, gone = asyncio.run(scenario())
+    # Late ones and a way back from draining are refused, a repetition not.
+    assert found == [200, 200, 409, 200, 409, 400, 400]
+    assert gone == 200
+    assert registry.rows() == ()
+
+
+def test_successor_at_an_address_ends_the_lease_of_a_crashed_upstream():
+    """Symptom: half of the requests meet an upstream that is gone.
+    Sequence: an upstream crashes; another one starts at its address.
+    Cause: nobody ends the lease of the first before it runs out.
+    """
+    registry = registries.Registry(6.0, lambda urgent: None, '10.0.0.1:1')
+
+    async def scenario():
+        for name in ('i-1', 'i-2'):
+            said = registries.Announcement('s', '10.0.0.9:80', 4)
+            registry.announce(name, said, 1, 5)
+        first = [row.id for row in registry.rows()]
+        # A heartbeat of the first that was held up is no new sign of life.
+        said = registries.Announcement('s', '10.0.0.9:80', 4)
+        late = registry.announce('i-1', said, 1, 4)
+        return first, late.is_error(), [row.id for row in registry.rows()]
+
+    assert asyncio.run(scenario()) == (['i-2'], True, ['i-2'])
