--- a/carawaystair/kernel.py
+++ b/carawaystair/kernel.py
@@ -113,6 +113,13 @@
     async def on_stop(self) -> None:
         """Tell of the stop; the roles then stop, links last."""
         self.timeline.record('process-stopping')
+        LOG.info(
+            'Sent this much.',
+            links=self.links.sent,
+            links_bytes=self.links.sent_bytes,
+            datagrams=self.datagrams.sent,
+            datagrams_bytes=self.datagrams.sent_bytes,
+        )
         self.registry.send(plugins.STOPPING, kernel=self)
         if self._broken in invariants.LISTENERS:
             invariants.LISTENERS.remove(self._broken)
