Gray upstreams: those that fail at once are cleared at once; no repeat is a trial

Trials were counted when their answers came, half a second late. A call that had failed as a trial was a trial again. Waits were reckoned with the mean of all work.

--- a/carawaystair/gateway/door.py
+++ b/carawaystair/gateway/door.py
@@ -22,6 +22,7 @@
 from carawaystair.gateway import slots as slots_module
 from carawaystair.gateway import streaming
 from carawaystair import interfaces
+from carawaystair.load import placing
 from carawaystair.load import retrying
 from carawaystair.load import suspicion as suspicion_module
 from carawaystair.load import waiting
@@ -190,7 +191,7 @@
             return _whole(request)
         except answers.Failed as failed:
             signs.stop()
-            report = self._report(hop.upstream)
+            report = self._report(hop.upstream, hop.route)
             label = failed.code.label
             _write(request, hops.failure(label, failed.detail, report))
             return _whole(request)
@@ -199,7 +200,7 @@
             return False
         signs.stop()
         exchange = exchanges.Exchange(request, hop.id)
-        extra = hops.report_line(self._report(hop.upstream))
+        extra = hops.report_line(self._report(hop.upstream, hop.route))
         if answer.rest is None:
             exchange.whole(answer, codes.OK, extra)
             await exchange.drained()
@@ -291,12 +292,12 @@
         try:
             answer = await self._send(hop, slots, attempt, waited_s)
             if answer.rest is not None:
-                attempt.release = slots.free
+                attempt.release = lambda: slots.free(hop.id)
                 freed = True
             return answer
         finally:
             if not freed:
-                slots.free()
+                slots.free(hop.id)
 
     def _check_sound(
         self, hop: hops.Hop, slots: slots_module.Slots, now: float
@@ -305,7 +306,9 @@
         if hop.forced:
             return
         suspicion = slots.suspicion
-        if not suspicion.admits(hop.idempotent, now):
+        # One that failed elsewhere is no trial: it must not fail again.
+        trial = hop.idempotent and not hop.repeat
+        if not suspicion.admits(trial, now):
             raise slots_module.Refused(hops.SUSPECT)
         if not hop.idempotent and not suspicion.proven(now):
             raise slots_module.Refused(hops.UNPROVEN)
@@ -372,10 +375,14 @@
         expected_s = slots.line.durations.of(hop.route)
         loop = asyncio.get_running_loop()
         overdue = loop.call_later(
-            max(OVERDUE * expected_s, OVERDUE_S), self._failed, hop, slots
+            max(OVERDUE * expected_s, OVERDUE_S),
+            self._failed,
+            hop,
+            slots,
+            OVERDUE_S,
         )
         survived = loop.call_later(
-            suspicion_module.SURVIVED_S, slots.suspicion.survived, began
+            suspicion_module.SURVIVED_S, self._survived, hop, slots, began
         )
         self.inner.began(hop.id, hop.repeat or hop.echo)
         status, detail = 0, ''
@@ -462,17 +469,28 @@
         if outcome == interfaces.GOOD:
             slots.line.durations.add(hop.route, clock.now() - began)
             if slots.suspicion.good(began):
-                LOG.info('An upstream is sound again.', upstream=hop.upstream)
+                self._tell_sound(hop)
             return
         if outcome == interfaces.CANCELLED or status == OUT_OF_TIME:
             return
         if outcome == interfaces.ERROR and self.inner.to_blame(hop.id):
             # It failed for what it had called, as a rule.
             return
-        self._failed(hop, slots)
+        self._failed(hop, slots, clock.now() - began)
+
+    def _survived(
+        self, hop: hops.Hop, slots: slots_module.Slots, began: float
+    ) -> None:
+        if slots.suspicion.survived(began):
+            self._tell_sound(hop)
 
-    def _failed(self, hop: hops.Hop, slots: slots_module.Slots) -> None:
-        if slots.suspicion.failed(clock.now()):
+    def _tell_sound(self, hop: hops.Hop) -> None:
+        LOG.info('An upstream is sound again.', upstream=hop.upstream)
+
+    def _failed(
+        self, hop: hops.Hop, slots: slots_module.Slots, took_s: float
+    ) -> None:
+        if slots.suspicion.failed(clock.now(), took_s):
             LOG.info('An upstream is under suspicion.', upstream=hop.upstream)
 
     # Refusals
@@ -483,7 +501,7 @@
         request: incoming.Request,
         refused: slots_module.Refused,
     ) -> None:
-        report = self._report(hop.upstream)
+        report = self._report(hop.upstream, hop.route)
         self.figures.refused(hop.service, refused.reason)
         self.recorder.tell(
             decisions.Declining(
@@ -505,11 +523,11 @@
             data = hops.refusal(refused.reason, refused.detail, report)
         _write(request, data)
 
-    def _report(self, upstream: str):
+    def _report(self, upstream: str, route: str = '') -> placing.Report:
         slots = self.slots.get(upstream)
         if slots is None:
             slots = slots_module.Slots(self.process, 0)
-        return slots.report()
+        return slots.report(route)
 
 
 class Signs:
--- a/carawaystair/gateway/relay.py
+++ b/carawaystair/gateway/relay.py
@@ -169,7 +169,7 @@
         return rejecting.hopeless(
             clock.now(),
             report.wait_ms / MS,
-            report.service_ms / MS,
+            report.route_ms / MS,
             trip.call.deadline,
         )
 
--- a/carawaystair/gateway/slots.py
+++ b/carawaystair/gateway/slots.py
@@ -1,6 +1,7 @@
 """The slots of one upstream, and the tasks that wait for them."""
 
 import asyncio
+import math
 import typing
 
 from carawaystair import clock
@@ -62,7 +63,7 @@
         except asyncio.CancelledError:
             if future.done() and not future.cancelled() and future.result():
                 # It was given a slot in the moment in which it left.
-                self.free()
+                self.free(want.id)
             raise
         finally:
             timer.cancel()
@@ -70,9 +71,9 @@
             self.waiters.pop(want.id, None)
         return clock.now() - began
 
-    def free(self) -> None:
-        """Give a slot back."""
-        self.line.end()
+    def free(self, request: str) -> None:
+        """Give the slot of a request back."""
+        self.line.end(request)
         self.serve()
 
     def serve(self) -> None:
@@ -82,7 +83,7 @@
                 future = self.waiters.get(name)
                 if future is None or future.done():
                     # It left just now.
-                    self.line.end()
+                    self.line.end(name)
                 else:
                     future.set_result(True)
 
@@ -99,11 +100,15 @@
             self.line.leave(name)
             future.set_result(False)
 
-    def report(self) -> placing.Report:
-        """Return what other nodes should know."""
+    def report(self, route: str = '') -> placing.Report:
+        """Return what other nodes should know.
+
+        :param route: key of the route that was asked for.
+        """
         line = self.line
-        busy = line.running + len(line.waiting) + 1 - line.slots
-        wait_s = max(busy, 0) * line.durations.mean / max(line.slots, 1)
+        now = clock.now()
+        # One more request that is neither urgent nor late.
+        wait_s = line.wait_s(waiting.Want('', route, math.inf), now)
         return placing.Report(
             self.process(),
             self.suspicion.suspect,
@@ -112,5 +117,6 @@
             line.slots,
             int(wait_s * MS),
             int(line.durations.mean * MS),
-            int(min(clock.now() - self.suspicion.proof_at, MOST_AGE_S) * MS),
+            int(min(now - self.suspicion.proof_at, MOST_AGE_S) * MS),
+            int(line.durations.of(route) * MS),
         )
--- a/carawaystair/load/placing.py
+++ b/carawaystair/load/placing.py
@@ -41,6 +41,8 @@
     :param service_ms: mean service time, ms.
     :param proof_ms: age of the last sign that the upstream does sound work,
         ms.
+    :param route_ms: mean service time of the route that was asked for, ms;
+        it may be a tenth of that of others.
     """
 
     process: str
@@ -51,6 +53,7 @@
     wait_ms: int
     service_ms: int
     proof_ms: int
+    route_ms: int = 0
 
 
 class Candidate(typing.NamedTuple):
--- a/carawaystair/load/suspicion.py
+++ b/carawaystair/load/suspicion.py
@@ -50,17 +50,29 @@
         self.good_run = 0
         self.failed_at = 0.0
         self.tried_at = 0.0
-        self.failures = 0
+        # Whether it failed at once, when it did last.
+        self.fast = False
+        # Beginnings of runs that were counted when they had survived.
+        self.counted: set[float] = set()
         # When it last began a run that showed sound work.
         self.proof_at = -math.inf
 
-    def survived(self, began: float) -> None:
+    def survived(self, began: float) -> bool:
         """Take note that a run did not fail at once.
 
-        :param began: when it began.
+        Where the upstream failed at once before, that shows as much as a
+        good answer, and half a second earlier.
+
+        :param began: when the run began.
+        :return: whether a suspicion ended.
         """
-        if began > self.failed_at:
-            self.proof_at = max(self.proof_at, began)
+        if began <= self.failed_at:
+            return False
+        self.proof_at = max(self.proof_at, began)
+        if not self.fast:
+            return False
+        self.counted.add(began)
+        return self._good()
 
     def proven(self, now: float) -> bool:
         """Tell whether sound work was seen lately."""
@@ -71,8 +83,13 @@
 
         :param began: when its run began.
         """
-        self.failures = 0
-        self.survived(began)
+        self.proof_at = max(self.proof_at, began)
+        if began in self.counted:
+            self.counted.discard(began)
+            return False
+        return self._good()
+
+    def _good(self) -> bool:
         if not self.suspect:
             return False
         self.good_run += 1
@@ -81,10 +98,14 @@
         self.suspect = False
         return True
 
-    def failed(self, now: float) -> bool:
-        """Take note of a failure; tell whether a suspicion began."""
+    def failed(self, now: float, took_s: float = 0.0) -> bool:
+        """Take note of a failure; tell whether a suspicion began.
+
+        :param took_s: how long the run took that failed.
+        """
         self.good_run = 0
-        self.failures += 1
+        self.fast = took_s < SURVIVED_S
+        self.counted.clear()
         self.failed_at = now
         began = not self.suspect
         if began:
--- a/carawaystair/load/waiting.py
+++ b/carawaystair/load/waiting.py
@@ -13,6 +13,7 @@
 itself can't be ordered, counted or taken back any more.
 """
 
+import heapq
 import math
 import typing
 
@@ -23,6 +24,9 @@
 # Weight of a new service time in the running mean: about ten answers count,
 # so that a change of a slow upstream shows within some seconds.
 NEW_SHARE = 0.15
+# One that runs longer than its route usually takes is expected to take this
+# share of that time more.
+OVERRUN = 0.25
 # Routes whose service times are remembered.
 MOST_ROUTES = 512
 
@@ -75,19 +79,25 @@
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
-        self.running = 0
+        # When each request that runs began, and how long it should take.
+        self.begun: dict[str, tuple[float, float]] = {}
         self.waiting: dict[str, Want] = {}
         # Those that were let in although they will miss their goals.
         self.late: set[str] = set()
         self.durations = Durations()
 
+    @property
+    def running(self) -> int:
+        """Return how many requests run."""
+        return len(self.begun)
+
     def ask(self, want: Want, now: float, may_wait: bool) -> rejecting.Verdict:
         """Decide on a request that asks for a slot.
 
         :param may_wait: whether it stays here when there is no free one.
         """
         if self.running < self.slots and not self.waiting:
-            self.running += 1
+            self._begin(want, now)
             return rejecting.Verdict(True)
         wait_s = self.wait_s(want, now)
         service_s = self.durations.of(want.route)
@@ -116,12 +126,27 @@
         return missed or want.id in self.late
 
     def wait_s(self, want: Want, now: float) -> float:
-        """Return the expected seconds until a request would have a slot."""
+        """Return the expected seconds until a request would have a slot.
+
+        What runs is expected to end when its route usually does; those ahead
+        take the slots that come free, one after the other.
+        """
         if self.running < self.slots and not self.waiting:
             return 0.0
+        free = [0.0] * max(self.slots - self.running, 0)
+        free += [
+            _left_s(began + takes_s - now, takes_s)
+            for began, takes_s in self.begun.values()
+        ]
+        if not free:
+            return self.durations.mean
+        heapq.heapify(free)
         mine = self.rank(want, now)
-        ahead = sum(self.rank(w, now) <= mine for w in self.waiting.values())
-        return (ahead + 1) * self.durations.mean / max(self.slots, 1)
+        for other in self.waiting.values():
+            if self.rank(other, now) <= mine:
+                takes_s = self.durations.of(other.route)
+                heapq.heapreplace(free, free[0] + takes_s)
+        return free[0]
 
     def rank(self, want: Want, now: float) -> tuple:
         """Return what orders the requests that wait; the least goes first."""
@@ -134,9 +159,12 @@
         self.waiting.pop(request, None)
         self.late.discard(request)
 
-    def end(self) -> None:
+    def _begin(self, want: Want, now: float) -> None:
+        self.begun[want.id] = (now, self.durations.of(want.route))
+
+    def end(self, request: str) -> None:
         """Take note that a request that ran has ended."""
-        self.running -= 1
+        del self.begun[request]
 
     def start(self, now: float) -> list[str]:
         """Return who gets the free slots now; they count as running."""
@@ -149,7 +177,7 @@
             if now > self.last_start(first):
                 # Whoever waits for it has given up, or is about to.
                 continue
-            self.running += 1
+            self._begin(first, now)
             started.append(first.id)
         return started
 
@@ -157,3 +185,8 @@
         """Return until when it makes sense for a request to wait."""
         service_s = self.durations.of(want.route)
         return rejecting.last_start(service_s, want.deadline)
+
+
+def _left_s(left_s: float, takes_s: float) -> float:
+    """Return the seconds that a request should still run."""
+    return left_s if left_s > 0.0 else OVERRUN * takes_s
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -295,6 +295,52 @@
     assert pipes.run(scenario()) == [200] * 6
 
 
+def test_request_that_failed_is_no_trial_for_another_suspect():
+    """Symptom: calls fail although sound upstreams have room.
+    Sequence: a call is a trial for a gray upstream and fails; its repeat
+    meets another gray one.
+    Cause: the repeat is let through as a trial, too.
+    """
+
+    async def scenario():
+        scripts = (fleets.fail, fleets.fail, fleets.serve)
+        async with fleets.running(*scripts) as fleet:
+            found = []
+            for _ in range(40):
+                found.append((await fleet.ask('/read/a')).status)
+                await asyncio.sleep(0.3)
+            return found
+
+    found = pipes.run(scenario())
+    # Both gray ones are unknown to begin with.
+    assert found[3:].count(500) == 0
+
+
+def test_wait_for_short_work_is_not_judged_by_long_work():
+    """Symptom: a call is refused or sent to a gray upstream though a sound
+    one would have served it in time.
+    Sequence: upstreams do long work mostly; a short call has little time.
+    Cause: the mean of all work is held against its deadline.
+    """
+
+    async def script(upstream, seen, writer):
+        short = seen.line.startswith('GET /tight')
+        await asyncio.sleep(0.02 if short else 1.0)
+        writer.write(fleets.good(b'ok'))
+
+    async def scenario():
+        async with fleets.running(script, slots=1) as fleet:
+            await fleet.ask('/read/a')
+            await fleet.ask('/tight/a')
+            long = asyncio.ensure_future(fleet.ask('/read/b'))
+            await asyncio.sleep(0.9)
+            answer = await fleet.ask('/tight/b')
+            await long
+            return answer.status
+
+    assert pipes.run(scenario()) == 200
+
+
 def test_work_that_can_not_be_repeated_avoids_an_upstream_that_failed():
     """Symptom: payouts fail one after another at one upstream.
     Sequence: it turns gray: fails all, while others are sound.
--- a/test/test_load.py
+++ b/test/test_load.py
@@ -59,7 +59,7 @@
         now, name = end
         self.answered[name] = now
         self.line.durations.add('r', service_s)
-        self.line.end()
+        self.line.end(name)
         for started in self.line.start(now):
             self.ends.append((now + service_s, started))
 
@@ -141,9 +141,8 @@
         want('call', priority=9, inner=True),
     ):
         assert made.ask(one, 0.0, True).waits
-    made.end()
-    made.end()
-    made.end()
+    for index in range(3):
+        made.end('run%d' % index)
     assert made.start(0.0) == ['call', 'urgent', 'plain']
 
 
@@ -153,7 +152,7 @@
         made.ask(want('run%d' % index), 0.0, True)
     made.ask(want('late', goal_s=0.2, priority=0), 0.0, True)
     made.ask(want('in-time', goal_s=2.0, priority=3), 0.0, True)
-    made.end()
+    made.end('run0')
     assert made.start(0.0) == ['in-time']
 
 
@@ -179,8 +178,7 @@
             if made.ask(one, now, rng.random() < 0.8).starts:
                 running.append(one.id)
         elif running:
-            running.pop(rng.randrange(len(running)))
-            made.end()
+            made.end(running.pop(rng.randrange(len(running))))
             running += made.start(now)
         assert made.running == len(running) <= SLOTS
 
@@ -232,6 +230,33 @@
     assert now <= suspicion.TRIAL_EVERY_S + 5 * suspicion.NEXT_TRIAL_S
 
 
+def test_upstream_that_fails_at_once_is_cleared_before_its_answers_come():
+    """Symptom: sound upstreams stand idle while others have queues.
+    Sequence: an upstream that failed every request at once is sound again;
+    its work takes half a second.
+    Cause: only answers count, and three of them take two seconds.
+    """
+    seen = suspicion.Suspicion()
+    seen.failed(0.0, took_s=0.001)
+    now = suspicion.TRIAL_EVERY_S
+    cleared = []
+    for _trial in range(suspicion.GOOD_RUN):
+        assert seen.admits(True, now)
+        cleared.append(seen.survived(now))
+        now += 1.01 * suspicion.NEXT_TRIAL_S
+    assert cleared == [False, False, True]
+    # The answers of these runs do not count once more.
+    assert not seen.good(suspicion.TRIAL_EVERY_S)
+
+
+def test_upstream_that_hangs_is_not_cleared_by_what_hangs_at_it():
+    seen = suspicion.Suspicion()
+    seen.failed(0.0, took_s=2.0)
+    for step in range(1, 20):
+        seen.survived(float(step))
+    assert seen.suspect
+
+
 def test_service_without_repeatable_requests_gets_its_upstream_back():
     seen = suspicion.Suspicion()
     seen.failed(0.0)
