--- a/carawaystair/gateway/front.py
+++ b/carawaystair/gateway/front.py
@@ -1,5 +1,6 @@
 """Takes callers' requests at a node with a gateway."""
 
+import asyncio
 import math
 import re
 import typing
@@ -14,6 +15,7 @@
 from carawaystair.gateway import splitting
 from carawaystair.gateway import streaming
 from carawaystair.gateway import trips
+from carawaystair import interfaces
 from carawaystair import manifest
 from carawaystair.request import answer as answers
 from carawaystair.request import body as bodies
@@ -77,6 +79,8 @@
         self.recorder = recorder
         # The configuration that was last read with, and since when.
         self.version, self.version_at = rows.NONE, 0.0
+        # The tasks that answer callers now.
+        self.tasks: set[asyncio.Task] = set()
         # While the node stops: until when new requests are taken.
         self.last_new: float | None = None
         # These are ours to set; what a caller sends under them is dropped.
@@ -118,6 +122,8 @@
         except caller.Refused as refused:
             self._tell_rejected(request, exchange.id, refused)
             raise
+        task = asyncio.current_task()
+        self.tasks.add(task)
         try:
             await self._pass_on(trip, exchange, began)
         except caller.Refused as refused:
@@ -128,16 +134,44 @@
             outcome = codes.UNKNOWN if failed.sent else codes.NOT_RUN
             self._tell(trip, outcome, began, failed.code, failed.detail)
             raise
+        except asyncio.CancelledError:
+            if self._left(request) or exchange.outcome is not None:
+                self._tell_left(trip, began)
+                raise
+            # This node stops, and its caller is still there.
+            asyncio.current_task().uncancel()
+            failed = answers.Failed(
+                interfaces.CANCELLED, codes.ANSWER_LATE, True, 'node stopped'
+            )
+            outcome = codes.UNKNOWN
+            self._tell(trip, outcome, began, failed.code, failed.detail)
+            raise failed from None
         except ConnectionError:
             self._tell_left(trip, began)
             raise
         except BaseException:
             self._tell_left(trip, began)
             raise
+        finally:
+            self.tasks.discard(task)
 
     def _configured(self) -> bool:
         return self.routing().version != rows.NONE
 
+    def _left(self, request: incoming.Request) -> bool:
+        """Tell whether a caller has gone."""
+        transport = request.connection.transport
+        return transport is None or transport.is_closing()
+
+    def give_up(self) -> None:
+        """Answer what is left: this node's time to stop is over.
+
+        A connection that is closed without a word tells a caller nothing; an
+        answer tells it that the request may have run.
+        """
+        for task in list(self.tasks):
+            task.cancel()
+
     def _check_serving(self, routing: routings.Routing, now: float) -> None:
         """Refuse all while there is no configuration, and after a stop."""
         if routing.version == rows.NONE:
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -25,7 +25,9 @@
 STOP_POLL_S = 0.02
 # A stop ends so long before the time given to it, seconds: the parts behind
 # this one have to end, too.
-STOP_SLACK_S = 0.6
+STOP_SLACK_S = 0.3
+# What is left is answered, and the answers get so long to go out, seconds.
+ANSWER_S = 0.05
 
 
 class Gateway(mode.Service):
@@ -164,6 +166,8 @@
         while clock.now() < ends and (self.front.active or self.door.active):
             await asyncio.sleep(STOP_POLL_S)
         self.nodes.close()
+        self.front.give_up()
+        await asyncio.sleep(ANSWER_S)
         await self.callers.abort()
         await self.nodes.abort()
         self.known.close()
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -382,6 +382,27 @@
     assert pipes.run(scenario()) == (200, 200)
 
 
+def test_stop_whose_time_is_over_answers_what_is_left():
+    """Symptom: callers of a node that stopped hear nothing.
+    Sequence: an answer takes longer than the node has to stop.
+    Cause: its connections are closed without a word.
+    """
+
+    async def scenario():
+        async with fleets.running(
+            None, fleets.slow(60.0), drain_s=3.0, lame_duck_s=1.0
+        ) as fleet:
+            long = asyncio.ensure_future(
+                fleet.ask('/pay/a', 'POST', body=b'x')
+            )
+            await asyncio.sleep(0.1)
+            await fleet.nodes[0].service.stop()
+            return await long
+
+    answer = pipes.run(scenario())
+    assert (answer.status, answer.outcome) == (504, 'unknown')
+
+
 def test_long_answers_pass_whole_and_a_cut_one_never_looks_whole():
     body = bytes(range(256)) * 4096
 
