Nodes notice connections that went silent; calls have the rank of their request

Ruled out: asking the sender before each start (a round trip a request). Change: TCP_USER_TIMEOUT of 1 s between nodes; rank of a call is that of the request that waits for it, before others of that rank and never late; heads of callers pass between nodes at any length.

--- a/carawaystair/gateway/door.py
+++ b/carawaystair/gateway/door.py
@@ -384,7 +384,7 @@
         survived = loop.call_later(
             suspicion_module.SURVIVED_S, self._survived, hop, slots, began
         )
-        self.inner.began(hop.id, hop.repeat or hop.echo)
+        self.inner.began(hop.id, hop.priority, hop.repeat or hop.echo)
         status, detail = 0, ''
         outcome = interfaces.CANCELLED
         try:
--- a/carawaystair/gateway/front.py
+++ b/carawaystair/gateway/front.py
@@ -210,7 +210,7 @@
         need = trips.Need(
             name,
             now + goal_s,
-            route.priority,
+            self.inner.rank(call.id, route.priority),
             bool(parent),
             parent in self.inner.repeated,
             self.service,
--- a/carawaystair/gateway/inner.py
+++ b/carawaystair/gateway/inner.py
@@ -20,20 +20,24 @@
     """What this host knows of the calls of its upstreams."""
 
     def __init__(self) -> None:
-        # How many runs of a request are at the upstreams of this host.
+        # How many runs of a request are at the upstreams of this host, and
+        # the rank of each.
         self.running: collections.Counter = collections.Counter()
+        self.ranks: dict[str, int] = {}
         # Those that were sent to another upstream before.
         self.repeated: set[str] = set()
         # When a call of a request failed last.
         self.failed_at: dict[str, float] = {}
 
-    def began(self, request: str, repeat: bool) -> None:
+    def began(self, request: str, rank: int, repeat: bool) -> None:
         """Take note that a request runs here.
 
+        :param rank: the rank of its kind, 0 first.
         :param repeat: whether it was sent to an upstream before, so that its
             calls are made once more, too.
         """
         self.running[request] += 1
+        self.ranks[request] = rank
         if repeat:
             self.repeated.add(request)
 
@@ -42,6 +46,7 @@
         self.running[request] -= 1
         if not self.running[request]:
             del self.running[request]
+            del self.ranks[request]
             self.repeated.discard(request)
 
     def parent(self, request: str) -> str:
@@ -49,6 +54,14 @@
         name = request.rpartition('.')[0]
         return name if name in self.running else ''
 
+    def rank(self, call: str, own: int) -> int:
+        """Return the rank of a request: that of the one that waits for it, if
+        it is less urgent.
+
+        :param own: the rank of its own kind.
+        """
+        return max(own, self.ranks.get(self.parent(call), own))
+
     def failed(self, call: str) -> None:
         """Take note that a call failed just now."""
         parent = self.parent(call)
--- a/carawaystair/gateway/sends.py
+++ b/carawaystair/gateway/sends.py
@@ -14,9 +14,15 @@
 from carawaystair.request import attempt as attempts
 from carawaystair.request import body as bodies
 from carawaystair.request import call as calls
+from carawaystair.request import incoming
 from carawaystair.request import target as targets
 from carawaystair import settings
 
+# Between two nodes, what was sent is acknowledged within this time, or the
+# connection is lost, seconds.  A gateway sends a sign every 0.3 s, so that a
+# sender that has gone without its close arriving shows within 1.3 s; the
+# system's own patience is minutes.
+SILENCE_S = 1.0
 # What breaks a connection.
 BROKEN = (
     aiohttp.ClientError,
@@ -153,6 +159,13 @@
         self.accepted = False
         self.signs = 0
 
+    async def connect(self) -> None:
+        """Get a connection; raises :class:`answers.Failed`."""
+        await super().connect()
+        transport = self.connection.proto.transport
+        if transport is not None and not self.connection.uses:
+            incoming.notice_silence(transport, SILENCE_S)
+
     def marks(self, left_ms: int) -> bytes:
         """Return the hop."""
         del left_ms
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -15,14 +15,19 @@
 from carawaystair.gateway import known as knowns
 from carawaystair.gateway import paths
 from carawaystair.gateway import relay as relays
+from carawaystair.gateway import sends
 from carawaystair.gateway import settling as settlings
 from carawaystair.gateway import splitting
 from carawaystair import metrics
 from carawaystair.request import connections
+from carawaystair.request import incoming
 from carawaystair.request import listener as listeners
 from carawaystair.request import meters as meters_module
 
 STOP_POLL_S = 0.02
+# A header line of a caller may be as long as the configuration says; nodes
+# take any that another one took.
+MOST_HEAD_BYTES = 2**20
 # A stop ends so long before the time given to it, seconds: the parts behind
 # this one have to end, too.
 STOP_SLACK_S = 0.3
@@ -87,7 +92,7 @@
         )
         self.recorder = recorder
         self.callers = listeners.Listener(self.front.handle, self.front.bounds)
-        self.nodes = listeners.Listener(self.door.handle)
+        self.nodes = listeners.Listener(self.door.handle, _node_bounds)
         self.stopping = False
 
     def _process(self, host: str) -> str:
@@ -171,3 +176,10 @@
         await self.callers.abort()
         await self.nodes.abort()
         self.known.close()
+
+
+def _node_bounds() -> incoming.Bounds:
+    """Return what other nodes may send: heads as long as callers' and ours,
+    and no connection that has gone silent.
+    """
+    return incoming.Bounds(MOST_HEAD_BYTES, silence_s=sends.SILENCE_S)
--- a/carawaystair/load/waiting.py
+++ b/carawaystair/load/waiting.py
@@ -5,9 +5,11 @@
 to answer many in time.  So those that can still meet their response-time goal
 go first, the most urgent kind before others, then by goal; those that can't
 come after them, by deadline, and are still served when a slot is left.
-Requests that a running one waits for go before all: while they wait, the
-slot of the other one is held for nothing, and if they fail, all its work is
-lost.
+Requests that a running one waits for go before others of the same rank, and
+are never late: while they wait, the slot of the other one is held for nothing,
+and if they fail, all its work is lost.  Their rank is that of the running
+request: were they to go before all, a service that is overloaded would serve
+the calls of a less urgent kind and reject the more urgent one.
 
 No more run at once than the upstream has slots.  What it would queue by
 itself can't be ordered, counted or taken back any more.
@@ -150,9 +152,9 @@
 
     def rank(self, want: Want, now: float) -> tuple:
         """Return what orders the requests that wait; the least goes first."""
-        late = self.is_late(want, now)
+        late = self.is_late(want, now) and not want.inner
         due = want.deadline if late else want.goal
-        return (not want.inner, late, want.priority, due, want.id)
+        return (late, want.priority, not want.inner, due, want.id)
 
     def leave(self, request: str) -> None:
         """Forget a request that waits no more."""
--- a/carawaystair/request/incoming.py
+++ b/carawaystair/request/incoming.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import socket
 import typing
 
 from aiohttp import base_protocol
@@ -40,11 +41,14 @@
     :param line_bytes: bytes of one header line, or of the first line.
     :param head_s: time for a head that has begun, seconds.
     :param idle_s: an idle connection stays open so long, seconds.
+    :param silence_s: a connection on which what was sent is not acknowledged
+        for so long has been lost, seconds; 0 leaves that to the system.
     """
 
     line_bytes: int = MAX_LINE_BYTES
     head_s: float = HEAD_S
     idle_s: float = IDLE_S
+    silence_s: float = 0.0
 
 
 DEFAULT_BOUNDS = Bounds()
@@ -95,6 +99,21 @@
         return self.made
 
 
+def notice_silence(transport: asyncio.BaseTransport, silence_s: float) -> None:
+    """Let a connection break when what was sent is not acknowledged.
+
+    Symptom without it: the other end has gone and its close was lost; what
+    was asked for on the connection is done minutes later for nobody.
+    """
+    raw = transport.get_extra_info('socket')
+    if raw is not None:
+        raw.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            int(silence_s * 1000),
+        )
+
+
 Handle = typing.Callable[[Request], typing.Awaitable[bool]]
 
 
@@ -213,6 +232,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to serve."""
         super().connection_made(transport)
+        if self.bounds.silence_s:
+            notice_silence(transport, self.bounds.silence_s)
         self.connections.add(self)
         self.task = self.loop.create_task(self.serve())
 
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -1,13 +1,18 @@
 """Requests between nodes with gateways: what callers and upstreams see."""
 
 import asyncio
+import socket
 
 import pytest
 
 from carawaystair import decisions
+from carawaystair.gateway import inner
+from carawaystair.gateway import sends
+from carawaystair.gateway import service
 from carawaystair.gateway import settling
 from carawaystair import manifest
 from carawaystair.request import connections
+from carawaystair.request import incoming
 from test import gateway_setup as fleets
 from test import pipes
 from test import request_setup as setups
@@ -465,6 +470,18 @@
     assert took < 0.1
 
 
+def test_calls_have_the_rank_of_the_request_that_waits_for_them():
+    known = inner.InnerCalls()
+    known.began('a', 2, False)
+    assert known.parent('a.1') == 'a'
+    assert known.rank('a.1', 1) == 2
+    assert known.rank('a.1', 3) == 3
+    assert known.rank('b.1', 1) == 1
+    known.ended('a')
+    assert known.parent('a.1') == ''
+    assert known.rank('a.1', 1) == 1
+
+
 def test_split_keeps_its_shares():
     share = manifest.Share
     split = (share('portal', 9), share('other', 1))
@@ -511,3 +528,35 @@
     assert len(lines.lines) == decisions.ROOM[decisions.ROUTINE] + 1
     last = fleets.fakes.json.loads(lines.lines[-1])
     assert last['left_out'] == 500 - decisions.ROOM[decisions.ROUTINE]
+
+
+def test_connections_between_nodes_break_when_nothing_is_acknowledged():
+    """Symptom: a request runs seconds after its caller has left.
+    Sequence: it waits at a gateway; its caller leaves; the close is lost on
+    the way between the two nodes.
+    Cause: the gateway's connection stays open for minutes.
+    """
+
+    async def scenario():
+        made = asyncio.get_running_loop().create_future()
+
+        class Seen(incoming.Connection):
+            def connection_made(self, transport):
+                super().connection_made(transport)
+                made.set_result(transport.get_extra_info('socket'))
+
+        loop = asyncio.get_running_loop()
+        bounds = incoming.Bounds(silence_s=1.0)
+        server = await loop.create_server(
+            lambda: Seen(loop, None, None, set(), bounds), '127.0.0.1', 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        _reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        raw = await made
+        found = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        writer.close()
+        server.close()
+        return found
+
+    assert asyncio.run(scenario()) == 1000
+    assert service._node_bounds().silence_s == sends.SILENCE_S
