Gateway: work at upstreams apart from hops; the demo runs gateways; links ask again

Cause: door.py had 600 lines and two jobs; slots of upstreams that had left without ever being sent to were kept; a question on a link that was refused waited for its whole time. Change: work.py runs requests and learns, door.py reads hops and answers; make demo plays a fleet of gateways through a kill, a planned stop and a gray upstream, and holds what callers were told against what upstreams ran; a link on which nothing comes for a second is opened anew and the question repeated.

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 
 demo: venv
 	$(RUN) -m standin.demo
+	$(RUN) -m standin.gateways
 
 bench: venv
 	$(RUN) -m bench.run
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -18,6 +18,7 @@
 from carawaystair.gateway import sends
 from carawaystair.gateway import settling as settlings
 from carawaystair.gateway import splitting
+from carawaystair.gateway import work as works
 from carawaystair import metrics
 from carawaystair.request import connections
 from carawaystair.request import incoming
@@ -87,9 +88,10 @@
             self.figures,
             recorder,
         )
-        self.door = doors.Door(
+        self.work = works.Work(
             membership, settings, inner, self.figures, recorder
         )
+        self.door = doors.Door(self.work, self.figures, recorder)
         self.recorder = recorder
         self.callers = listeners.Listener(self.front.handle, self.front.bounds)
         self.nodes = listeners.Listener(self.door.handle, _node_bounds)
@@ -124,14 +126,14 @@
         yield metrics.Sample('resumed_total', self.handover.resumed)
         yield metrics.Sample('joined_runs_total', self.door.runs.joined)
         yield metrics.Sample('lines_left_out_total', self.recorder.left_out)
-        for name, slots in self.door.slots.items():
+        for name, slots in self.work.slots.items():
             labels = (('upstream', name),)
             line = slots.line
             yield metrics.Sample('gateway_running', line.running, labels)
             yield metrics.Sample('gateway_waiting', len(line.waiting), labels)
             suspect = int(slots.suspicion.suspect)
             yield metrics.Sample('gateway_suspect', suspect, labels)
-        for service, budget in self.door.budgets.items():
+        for service, budget in self.work.budgets.items():
             labels = (('service', service),)
             yield metrics.Sample(
                 'gateway_firsts_total', budget.total_firsts, labels
@@ -147,7 +149,7 @@
             await self.sleep(connections.SWEEP_S)
             now = clock.now()
             self.known.sweep(now)
-            self.door.sweep(now)
+            self.work.sweep(now)
 
     async def on_stop(self) -> None:
         """Let callers and other nodes leave, finish, then close.
@@ -163,7 +165,7 @@
         self.front.ends = ends
         self.front.last_new = min(now + node.lame_duck_s, ends)
         self.membership.registry.close()
-        self.door.close()
+        self.work.close()
         while clock.now() < self.front.last_new:
             await asyncio.sleep(STOP_POLL_S)
         self.callers.close()
--- /dev/null
+++ b/carawaystair/gateway/work.py
@@ -0,0 +1,433 @@
+"""Runs requests at the upstreams of this host, and learns from each run."""
+
+import asyncio
+import math
+
+from carawaystair import clock
+from carawaystair import codes
+from carawaystair import decisions
+from carawaystair.gateway import figures as figures_module
+from carawaystair.gateway import hops
+from carawaystair.gateway import inner as inners
+from carawaystair.gateway import sends
+from carawaystair.gateway import slots as slots_module
+from carawaystair import interfaces
+from carawaystair.load import placing
+from carawaystair.load import retrying
+from carawaystair.load import suspicion as suspicion_module
+from carawaystair.load import waiting
+from carawaystair import logs
+from carawaystair.membership import registry as registries
+from carawaystair.request import answer as answers
+from carawaystair.request import body as bodies
+from carawaystair.request import call as calls
+from carawaystair.request import connections
+from carawaystair.request import headers
+from carawaystair.request import incoming
+from carawaystair.request import target as targets
+from carawaystair import settings as settings_module
+
+# A run is overdue, and its upstream under suspicion, after so many times
+# what its route usually takes, and this time at least.
+OVERDUE = 5.0
+OVERDUE_S = 2.0
+# Statuses that promise that a request was not run.  An upstream that says so
+# without its mark of a request that was not run is not believed.
+PROMISES = frozenset((408, 421, 429, 503))
+MISDIRECTED = 421
+OUT_OF_TIME = 504
+MS = 1000
+
+LOG = logs.get('gateway')
+
+
+class Work:
+    """The upstreams of this host; one for each process.
+
+    :param membership: the upstreams of this host, and who else there is.
+    :param settings: of the process.
+    :param inner: knows of calls that upstreams of this host made.
+    :param figures: counts runs.
+    :param recorder: takes note of decisions.
+    """
+
+    def __init__(
+        self,
+        membership,
+        settings: settings_module.Settings,
+        inner: inners.InnerCalls,
+        figures: figures_module.Figures,
+        recorder: decisions.Recorder,
+    ) -> None:
+        self.membership = membership
+        self.registry = membership.registry
+        self.names = names = settings.headers
+        self.node = settings.node
+        self.inner = inner
+        self.figures = figures
+        self.recorder = recorder
+        self.budgets: dict[str, retrying.Budget] = {}
+        # The most gateways that each service was seen to have.
+        self.sharers: dict[str, int] = {}
+        self.slots: dict[str, slots_module.Slots] = {}
+        self.targets: dict[str, targets.Target] = {}
+        self.leaving = False
+        self.not_run = names.not_run.lower().encode()
+        self.receipt = names.receipt.lower().encode()
+        self.registry.callbacks.append(self.changed)
+
+    def process(self) -> str:
+        """Return the name of this process, as other nodes know it."""
+        return str(self.membership.incarnation)
+
+    def mine(self, process: str) -> bool:
+        """Tell whether a name is one of this process."""
+        return process == self.process()
+
+    # The upstreams of this host
+
+    def changed(self, name: str) -> None:
+        """Take note of an announcement that changed."""
+        lease = self.registry.leases.get(name)
+        target = self.targets.get(name)
+        if lease is None or lease.announcement.state != interfaces.UP:
+            if name in self.slots:
+                self.slots[name].refuse_all(hops.LEAVING)
+        if lease is None:
+            # What runs there goes on; new work finds no lease.
+            self.slots.pop(name, None)
+            self.targets.pop(name, None)
+        if target is None:
+            return
+        if lease is None:
+            connections.close_idle(target)
+        else:
+            target.upstream = _upstream(name, lease.announcement)
+            if target.upstream.state != interfaces.UP:
+                connections.close_idle(target)
+
+    def close(self) -> None:
+        """Take no new work: the process stops."""
+        self.leaving = True
+        for slots in self.slots.values():
+            slots.refuse_all(hops.LEAVING)
+
+    def sweep(self, now: float) -> None:
+        """Close connections to upstreams that were idle too long."""
+        for target in self.targets.values():
+            connections.sweep(target, now)
+
+    def _slots(
+        self, name: str, said: registries.Announcement
+    ) -> slots_module.Slots:
+        slots = self.slots.get(name)
+        if slots is None:
+            slots = slots_module.Slots(self.process, said.slots)
+            self.slots[name] = slots
+        slots.line.slots = said.slots
+        return slots
+
+    def _target(
+        self, name: str, said: registries.Announcement
+    ) -> targets.Target:
+        target = self.targets.get(name)
+        if target is None:
+            upstream = _upstream(name, said)
+            target = targets.Target(upstream, clock.now())
+            self.targets[name] = target
+        return target
+
+    # One request
+
+    async def run(
+        self,
+        hop: hops.Hop,
+        request: incoming.Request,
+        body: bytes | None,
+        source: bodies.Source | None,
+    ) -> answers.Answer:
+        """Give a request a slot and send it to its upstream."""
+        said = self._announced(hop)
+        slots = self._slots(hop.upstream, said)
+        now = clock.now()
+        trial = slots.suspicion.suspect
+        self._check_sound(hop, slots, now)
+        self._check_repeat(hop, now)
+        call = _call(hop, request, body, now)
+        goal = now + hop.goal_ms / MS if hop.goal_ms >= 0 else now
+        want = waiting.Want(
+            hop.id, hop.route, call.deadline, goal, hop.priority, hop.inner
+        )
+        waited_s = await slots.take(want, hop.may_wait)
+        line = slots.line
+        self.recorder.tell(
+            decisions.Began(
+                hop.id,
+                hop.upstream,
+                hop.host,
+                int(waited_s * MS),
+                line.running,
+                len(line.waiting),
+                line.slots,
+                int((call.deadline - clock.now()) * MS),
+                trial,
+            )
+        )
+        self._count(hop)
+        target = self._target(hop.upstream, said)
+        attempt = sends.ToUpstream(
+            call, target, self.names, hop.caller_service, source
+        )
+        freed = False
+        try:
+            answer = await self._send(hop, slots, attempt, waited_s)
+            if answer.rest is not None:
+                attempt.release = lambda: slots.free(hop.id)
+                freed = True
+            return answer
+        finally:
+            if not freed:
+                slots.free(hop.id)
+
+    def _check_sound(
+        self, hop: hops.Hop, slots: slots_module.Slots, now: float
+    ) -> None:
+        """Keep what can't be repeated from an upstream that may be gray."""
+        if hop.forced:
+            return
+        suspicion = slots.suspicion
+        # One that failed elsewhere is no trial: it must not fail again.
+        trial = hop.idempotent and not hop.repeat
+        if not suspicion.admits(trial, now):
+            raise slots_module.Refused(hops.SUSPECT)
+        if not hop.idempotent and not suspicion.proven(now):
+            raise slots_module.Refused(hops.UNPROVEN)
+
+    def _check_repeat(self, hop: hops.Hop, now: float) -> None:
+        """Refuse a repeat that the service may not get any more."""
+        budget = self._budget(hop.service)
+        if not hop.repeat:
+            return
+        if not budget.repeat(now, self._sharers(hop.service)):
+            raise slots_module.Refused(hops.SPENT)
+
+    def _count(self, hop: hops.Hop) -> None:
+        """Count a request that goes to its upstream now."""
+        budget = self._budget(hop.service)
+        if hop.echo and not hop.repeat:
+            budget.force(clock.now())
+        elif not hop.repeat:
+            budget.first(clock.now())
+
+    def _budget(self, service: str) -> retrying.Budget:
+        budget = self.budgets.get(service)
+        if budget is None:
+            node = self.node
+            budget = self.budgets[service] = retrying.Budget(
+                node.retry_ratio, node.retry_slack, node.retry_window_s
+            )
+        return budget
+
+    def _sharers(self, service: str) -> int:
+        """Return how many gateways share the repeats of a service.
+
+        The most that were ever seen: a part of the fleet that is cut off
+        must not take the whole bound for itself.
+        """
+        now = len(self.membership.directory.upstreams(service))
+        most = max(self.sharers.get(service, 1), now)
+        self.sharers[service] = most
+        return most
+
+    def _announced(self, hop: hops.Hop) -> registries.Announcement:
+        """Return what the upstream said of itself, if it takes new work."""
+        lease = self.registry.leases.get(hop.upstream)
+        if lease is None:
+            raise slots_module.Refused(hops.ABSENT)
+        if self.leaving or lease.announcement.state != interfaces.UP:
+            raise slots_module.Refused(hops.LEAVING)
+        return lease.announcement
+
+    # At the upstream
+
+    async def _send(
+        self,
+        hop: hops.Hop,
+        slots: slots_module.Slots,
+        attempt: sends.ToUpstream,
+        waited_s: float,
+    ) -> answers.Answer:
+        """Send a request to its upstream and learn from what comes.
+
+        :param waited_s: how long it waited for its slot.
+        """
+        began = clock.now()
+        expected_s = slots.line.durations.of(hop.route)
+        loop = asyncio.get_running_loop()
+        overdue = loop.call_later(
+            max(OVERDUE * expected_s, OVERDUE_S),
+            self._failed,
+            hop,
+            slots,
+            OVERDUE_S,
+        )
+        survived = loop.call_later(
+            suspicion_module.SURVIVED_S, self._survived, hop, slots, began
+        )
+        self.inner.began(hop.id, hop.priority, hop.repeat or hop.echo)
+        status, detail = 0, ''
+        outcome = interfaces.CANCELLED
+        try:
+            answer = await sends.answer_of(attempt, attempt.call.deadline)
+            status = answer.status
+            outcome = self._outcome(answer)
+            return self._checked(answer, outcome)
+        except answers.Failed as failed:
+            outcome, detail = failed.outcome, failed.detail
+            if not failed.sent:
+                raise slots_module.Refused(
+                    hops.UNREACHABLE, failed.detail
+                ) from None
+            raise
+        finally:
+            overdue.cancel()
+            survived.cancel()
+            self.inner.ended(hop.id)
+            took_s = clock.now() - began
+            self._learn(hop, slots, outcome, status, began)
+            self.figures.ran(hop.service, outcome, waited_s, took_s)
+            good = outcome == interfaces.GOOD
+            self.recorder.tell(
+                decisions.Ended(
+                    hop.id,
+                    hop.upstream,
+                    outcome,
+                    status,
+                    int(took_s * MS),
+                    slots.suspicion.suspect,
+                    detail,
+                ),
+                decisions.ROUTINE if good else decisions.TROUBLE,
+            )
+
+    def _outcome(self, answer: answers.Answer) -> str:
+        """Return what an answer shows of its upstream."""
+        marked = headers.value(answer.headers, self.not_run) is not None
+        if marked or answer.status == MISDIRECTED:
+            return interfaces.SHED
+        if answer.status >= 500 or answer.status in PROMISES:
+            return interfaces.ERROR
+        good = 200 <= answer.status < 300
+        unsigned = (
+            self.receipt
+            and good
+            and not headers.value(answer.headers, self.receipt)
+        )
+        return interfaces.BROKEN if unsigned else interfaces.GOOD
+
+    def _checked(self, answer: answers.Answer, outcome: str) -> answers.Answer:
+        """Return an answer that may be passed on."""
+        if outcome == interfaces.SHED:
+            _drop(answer)
+            moved = answer.status == MISDIRECTED
+            raise slots_module.Refused(hops.MOVED if moved else hops.SHED)
+        if outcome == interfaces.BROKEN:
+            _drop(answer)
+            raise answers.Failed(
+                outcome, codes.ANSWER_MALFORMED, True, 'no receipt'
+            )
+        if answer.status in PROMISES:
+            # Passed on, it would promise that the request has not run.
+            _drop(answer)
+            raise answers.Failed(
+                outcome,
+                codes.ANSWER_LOST,
+                True,
+                'status %d without a mark' % answer.status,
+            )
+        return answer
+
+    def _learn(
+        self,
+        hop: hops.Hop,
+        slots: slots_module.Slots,
+        outcome: str,
+        status: int,
+        began: float,
+    ) -> None:
+        """Let a run count as evidence about its upstream."""
+        if outcome == interfaces.GOOD:
+            slots.line.durations.add(hop.route, clock.now() - began)
+            if slots.suspicion.good(began):
+                self._tell_sound(hop)
+            return
+        if outcome == interfaces.CANCELLED or status == OUT_OF_TIME:
+            return
+        if outcome == interfaces.ERROR and self.inner.to_blame(hop.id):
+            # It failed for what it had called, as a rule.
+            return
+        self._failed(hop, slots, clock.now() - began)
+
+    def _survived(
+        self, hop: hops.Hop, slots: slots_module.Slots, began: float
+    ) -> None:
+        if slots.suspicion.survived(began):
+            self._tell_sound(hop)
+
+    def _tell_sound(self, hop: hops.Hop) -> None:
+        LOG.info('An upstream is sound again.', upstream=hop.upstream)
+
+    def _failed(
+        self, hop: hops.Hop, slots: slots_module.Slots, took_s: float
+    ) -> None:
+        if slots.suspicion.failed(clock.now(), took_s):
+            LOG.info('An upstream is under suspicion.', upstream=hop.upstream)
+
+    def report(self, upstream: str, route: str = '') -> placing.Report:
+        """Return what other nodes should know of an upstream."""
+        slots = self.slots.get(upstream)
+        if slots is None:
+            slots = slots_module.Slots(self.process, 0)
+        return slots.report(route)
+
+
+def _upstream(name: str, said: registries.Announcement) -> interfaces.Upstream:
+    return interfaces.Upstream(
+        name,
+        said.service,
+        said.address,
+        '',
+        '',
+        said.slots,
+        said.weight,
+        said.warmup_s,
+        said.state,
+        said.incarnation,
+    )
+
+
+def _call(
+    hop: hops.Hop, request: incoming.Request, body: bytes | None, now: float
+) -> calls.Call:
+    connection = request.headers.get('Connection')
+    if connection is not None:
+        connection = ','.join(request.headers.getall('Connection'))
+    first = '%s %s HTTP/1.1\r\n' % (request.method, request.raw_path)
+    return calls.Call(
+        hop.id,
+        None,
+        '',
+        '',
+        now + hop.left_ms / MS if hop.left_ms >= 0 else -math.inf,
+        hop.idempotent,
+        '',
+        request.method,
+        request.raw_path,
+        first.encode() + headers.lines(request.raw_headers, connection),
+        body,
+    )
+
+
+def _drop(answer: answers.Answer) -> None:
+    if answer.rest is not None:
+        answer.rest.drop()
--- a/carawaystair/links.py
+++ b/carawaystair/links.py
@@ -188,21 +188,36 @@
         future = asyncio.get_running_loop().create_future()
         self.pending[call] = future
         data = wire.encode(message, self.address, call, False, self._t())
+        until = clock.now() + timeout_s
         self._send(to, data)
         try:
-            answer = await asyncio.wait_for(future, timeout_s)
-            return expression.Ok(answer)
-        except asyncio.TimeoutError:
-            self._renew_silent(to)
-            return codes.fail(codes.PEER_SILENT, to)
+            while not await self._settled(future, until):
+                if self._renew_silent(to):
+                    self._send(to, data)
+                if clock.now() >= until:
+                    return codes.fail(codes.PEER_SILENT, to)
+            return expression.Ok(future.result())
         finally:
             self.pending.pop(call, None)
 
-    def _renew_silent(self, address: str) -> None:
-        """Close a link on which nothing came for long; a use reopens it."""
+    async def _settled(self, future: asyncio.Future, until: float) -> bool:
+        """Wait for an answer, but no longer than a link may be silent."""
+        wait_s = min(RENEW_S, until - clock.now())
+        done, _waiting = await asyncio.wait((future,), timeout=wait_s)
+        return bool(done)
+
+    def _renew_silent(self, address: str) -> bool:
+        """Close a link on which nothing came for long; tell whether it was.
+
+        A question that was asked on it may have been lost, or its answer
+        may: whoever waits for it asks again on the new one, which does no
+        harm since messages may always be doubled.
+        """
         peer = self.peers.get(address)
-        if peer is not None and clock.now() - peer.heard[0] >= RENEW_S:
+        silent = peer is not None and clock.now() - peer.heard[0] >= RENEW_S
+        if silent:
             self._close(self.peers.pop(address))
+        return silent
 
     def _open_door(self, key: keys.Key | None) -> None:
         """Listen for the holders of ``key``, or for anyone."""
--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -42,6 +42,8 @@
     :param listen: ``ip:port`` for callers.
     :param local: ``ip:port`` of the node's local API.
     :param admin: ``ip:port`` of the administration API.
+    :param gateway: ``ip:port`` of the gateway, None where nodes send to
+        upstreams directly.
     """
 
     name: str
@@ -51,6 +53,7 @@
     listen: str
     local: str
     admin: str
+    gateway: str | None = None
 
 
 class Ended(typing.NamedTuple):
@@ -97,9 +100,14 @@
 
     :param folder: for settings, logs, data and runs of all processes.
     :param region: the one region of the fleet.
+    :param gateways: whether requests go through the node beside their
+        upstream.
     """
 
-    def __init__(self, folder: pathlib.Path, region: str) -> None:
+    def __init__(
+        self, folder: pathlib.Path, region: str, gateways: bool = False
+    ) -> None:
+        self.gateways = gateways
         self.folder = folder
         self.region = region
         self.hosts: dict[str, Host] = {}
@@ -131,7 +139,8 @@
     def add_host(self, name: str, data_centre: str, *roles: str) -> Host:
         """Add a host; start it with :meth:`start_host`."""
         addresses = [self.address() for _address in range(4)]
-        self.hosts[name] = Host(name, data_centre, roles, *addresses)
+        gateway = self.address() if self.gateways else None
+        self.hosts[name] = Host(name, data_centre, roles, *addresses, gateway)
         return self.hosts[name]
 
     def nodes(self) -> list[Host]:
@@ -156,7 +165,11 @@
             'gossip': host.peer,
             'seeds': seeds[:3],
             'control_hosts': [c.peer for c in self.controls()],
-            'node': {'listen': host.listen, 'local': host.local},
+            'node': {
+                'listen': host.listen,
+                'local': host.local,
+                'gateway': host.gateway,
+            },
             'control': {
                 'admin': host.admin,
                 'voters': [
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -180,10 +180,10 @@
             reader, writer = await asyncio.open_connection('127.0.0.1', 8000)
             writer.write(b'GET /read/x HTTP/1.1\r\nHost: h\r\n\r\n')
             await asyncio.sleep(0.5)
-            busy = fleet.nodes[1].service.door.slots['u9001'].line.running
+            busy = fleet.nodes[1].service.work.slots['u9001'].line.running
             writer.close()
             await asyncio.sleep(0.3)
-            line = fleet.nodes[1].service.door.slots['u9001'].line
+            line = fleet.nodes[1].service.work.slots['u9001'].line
             return busy, line.running
 
     assert pipes.run(scenario()) == (1, 0)
@@ -422,7 +422,7 @@
     async def scenario(script):
         async with fleets.running(None, script) as fleet:
             answer = await fleet.ask('/read/a')
-            line = fleet.nodes[1].service.door.slots['u9001'].line
+            line = fleet.nodes[1].service.work.slots['u9001'].line
             return answer, line.running
 
     answer, running = pipes.run(scenario(whole))
