Gateway: the smaller of two body limits holds; odd requests tested

Cause: a service with a body limit above the gateway's own was let through up to its own, so one upload could take more memory than the setting allows. Change: the smaller of both. Ruled out: nothing else reads the limit.

--- a/carawaystair/gateway/front.py
+++ b/carawaystair/gateway/front.py
@@ -198,11 +198,11 @@
         service = routing.service(name)
         if service is None:
             raise caller.Refused(codes.NO_ROUTE)
+        most = min(service.max_body, routing.limits.max_body_bytes)
+        service = service._replace(max_body=most)
         match = routings.Match(match.key, route, service)
         call = self._call(request, exchange, place, match, now)
-        limits = routing.limits
         length = bodies.declared(request)
-        bodies.check(length, limits.max_body_bytes)
         if length != 0 or 'Expect' in request.headers:
             call = await self._take_body(request, call, exchange, length)
         goal_s = route.goal_ms / MS if route.goal_ms else call.deadline - now
--- a/test/gateway_setup.py
+++ b/test/gateway_setup.py
@@ -152,8 +152,15 @@
         without one.
     """
 
-    def __init__(self, scripts, slots: int = 5, routes=ROUTES, **node) -> None:
-        self.routing = _routing(routes)
+    def __init__(
+        self,
+        scripts,
+        slots: int = 5,
+        routes=ROUTES,
+        limits=manifest.Limits(),
+        **node,
+    ) -> None:
+        self.routing = _routing(routes, limits)
         self.nodes: list[Node] = []
         self.slots = slots
         for number, script in enumerate(scripts):
@@ -190,13 +197,14 @@
             writer.close()
 
 
-def _routing(routes) -> routings.Routing:
+def _routing(routes, limits) -> routings.Routing:
     document = manifest.Manifest(
         1,
         'test',
         {'r': manifest.Place(('a', 'b'))},
         {'portal': SERVICE, 'other': SERVICE},
         routes,
+        limits=limits,
     )
     return routings.Routing(rows.Version(1, 1), rows.from_manifest(document))
 
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -482,6 +482,80 @@
     assert known.rank('a.1', 1) == 1
 
 
+@pytest.mark.parametrize('chunked', [False, True])
+def test_bodies_beyond_the_limit_are_refused_and_not_run(chunked):
+    limits = manifest.Limits(max_body_bytes=1000)
+
+    async def scenario():
+        async with fleets.running(fleets.serve, limits=limits) as fleet:
+            reader, writer = await asyncio.open_connection('127.0.0.1', 8000)
+            head = b'POST /pay/a HTTP/1.1\r\nHost: h\r\n'
+            if chunked:
+                writer.write(head + b'Transfer-Encoding: chunked\r\n\r\n')
+                writer.write(b'800\r\n%b\r\n0\r\n\r\n' % (b'x' * 0x800))
+            else:
+                writer.write(head + b'Content-Length: 2048\r\n\r\n')
+                writer.write(b'x' * 2048)
+            answer = await setups.read_answer(reader)
+            good = await fleet.ask('/pay/b', 'POST', body=b'x' * 1000)
+            return answer.status, good.status, len(fleet.runs)
+
+    assert pipes.run(scenario()) == (413, 200, 1)
+
+
+@pytest.mark.parametrize(
+    'data, status',
+    [
+        (
+            b'GET /read/a HTTP/1.1\r\nHost: h\r\nX: %b\r\n\r\n'
+            % (b'y' * 9000),
+            431,
+        ),
+        (b'GET /read/a HTTP/1.1\r\nHo st: h\r\n\r\n', 400),
+        (
+            b'POST /pay/a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+            400,
+        ),
+        (
+            b'POST /pay/a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n'
+            b'Content-Length: 4\r\n\r\nabcd',
+            400,
+        ),
+        (b'GET /read/../pay/ HTTP/1.1\r\nHost: h\r\n\r\n', 400),
+    ],
+    ids=['long', 'malformed', 'both lengths', 'two lengths', 'dots'],
+)
+def test_odd_requests_are_refused_without_harm_to_others(data, status):
+    async def scenario():
+        async with fleets.running(fleets.serve) as fleet:
+            reader, writer = await asyncio.open_connection('127.0.0.1', 8000)
+            writer.write(data)
+            answer = await setups.read_answer(reader)
+            good = await fleet.ask('/read/b')
+            return answer.status, good.status, len(fleet.runs)
+
+    assert pipes.run(scenario()) == (status, 200, 1)
+
+
+def test_half_a_request_is_let_go_within_the_limit():
+    limits = manifest.Limits(header_timeout_ms=500)
+
+    async def scenario():
+        async with fleets.running(fleets.serve, limits=limits) as fleet:
+            reader, writer = await asyncio.open_connection('127.0.0.1', 8000)
+            writer.write(b'GET /read/a HT')
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            data = await reader.read()
+            took = loop.time() - began
+            return data, took, len(fleet.runs)
+
+    data, took, runs = pipes.run(scenario())
+    assert took < 1.0
+    assert runs == 0
+
+
 def test_split_keeps_its_shares():
     share = manifest.Share
     split = (share('portal', 9), share('other', 1))
