Gateway: a caller's leaving is told by a close, not by a reset

Cause: the hop of a caller that left was closed with signs unread, of which the system makes a reset; the gateway takes a reset for an accident and keeps the request for 0.4 s (2.5 s when it must not run twice), in which it takes a slot and may run for nobody. Ruled out: the reset for sends that are taken back stays, it is meant. Change: our end is shut and the rest is read unseen, for 1 s at most; the same function as for upstreams.

--- a/carawaystair/gateway/sends.py
+++ b/carawaystair/gateway/sends.py
@@ -1,5 +1,6 @@
 """One send of a request: to another node's gateway, or to an upstream."""
 
+import asyncio
 import socket
 import struct
 import typing
@@ -14,6 +15,7 @@
 from carawaystair.request import attempt as attempts
 from carawaystair.request import body as bodies
 from carawaystair.request import call as calls
+from carawaystair.request import connections
 from carawaystair.request import incoming
 from carawaystair.request import target as targets
 from carawaystair import settings
@@ -36,6 +38,9 @@
 # Upstreams close connections that were idle for some seconds, and may do so
 # sooner than they say; one that was used so lately is sound as a rule.
 IDLE_S = 4.0
+# A gateway closes its end at once when it hears that a caller has left; one
+# that has not after so long is cut off, seconds.
+PART_S = 1.0
 # Closing with this sends a reset, which also takes back the bytes that are
 # still on their way.
 RESET = struct.pack('ii', 1, 0)
@@ -206,8 +211,12 @@
         """
         if self.pump is not None and self.pump.task is not None:
             self.pump.task.cancel()
-        if self.connection is not None:
-            self.connection.proto.close()
+        if self.connection is None:
+            return
+        transport = self.connection.proto.transport
+        if connections.part(self.connection) is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(PART_S, transport.abort)
 
     def take_back(self) -> None:
         """Break the connection so that what was sent on it is lost.
--- a/carawaystair/request/connections.py
+++ b/carawaystair/request/connections.py
@@ -136,19 +136,18 @@
             self.ended.set_result(None)
 
 
-async def let_go(connection: Connection, until: float) -> None:
-    """Cancel what runs on a connection and wait until that is known.
+def part(connection: Connection) -> asyncio.Future | None:
+    """Shut our end of a connection in use, and read the rest unseen.
 
-    Our end is shut for sending, which the upstream reads as the caller's
-    leaving.  Its own end comes when it has stopped working for us, be it by
-    cancellation or by finishing; only then is its slot free again.
+    A plain close would not do: with bytes unread, the system makes a reset
+    of it, which looks like an accident and not like somebody's leaving.
 
-    :param until: monotonic time at which the upstream's slot counts as free
-        whatever happens, such as the deadline it was told.
+    :return: done once the other end is shut; None when that is so already.
+        Whoever does not wait for it for ever aborts the transport.
     """
     transport = connection.proto.transport
     if transport is None or transport.is_closing():
-        return
+        return None
     ended = asyncio.get_running_loop().create_future()
     transport.set_protocol(_Discard(ended))
     try:
@@ -157,6 +156,23 @@
     except (OSError, RuntimeError):
         # The connection ended meanwhile.
         transport.abort()
+    return ended
+
+
+async def let_go(connection: Connection, until: float) -> None:
+    """Cancel what runs on a connection and wait until that is known.
+
+    Our end is shut for sending, which the upstream reads as the caller's
+    leaving.  Its own end comes when it has stopped working for us, be it by
+    cancellation or by finishing; only then is its slot free again.
+
+    :param until: monotonic time at which the upstream's slot counts as free
+        whatever happens, such as the deadline it was told.
+    """
+    transport = connection.proto.transport
+    ended = part(connection)
+    if ended is None:
+        return
     try:
         async with asyncio.timeout_at(until):
             await ended
