Gateway: a run in progress is not forgotten with an earlier refusal

Cause: a gateway refuses a request, which then comes again and waits. The timer that forgets the refusal (1 s, or 20 s when it must not run twice) forgot the run that took its place: no leaving cancelled it any more, its answer came for nobody, and a question for it could run it a second time. Ruled out: the close that was lost, and resets alone (a reset holds a request for 2.5 s at most, one was seen after 3.7 s). Change: the timer forgets only the run it was started for.

--- a/carawaystair/gateway/runs.py
+++ b/carawaystair/gateway/runs.py
@@ -81,7 +81,9 @@
         run = self._find(hop)
         if run.task is None:
             run.task = asyncio.ensure_future(work())
-            run.task.add_done_callback(lambda _task: self._ended(hop, run))
+            run.task.add_done_callback(
+                lambda task: self._ended(hop, run, task)
+            )
         else:
             self.joined += 1
         run.holders += 1
@@ -112,19 +114,26 @@
         run.number = max(run.number, hop.number)
         return run
 
-    def _ended(self, hop: hops.Hop, run: Run) -> None:
+    def _ended(self, hop: hops.Hop, run: Run, task: asyncio.Future) -> None:
         """Keep the answer for a while, or only that there was one."""
         loop = asyncio.get_running_loop()
-        if hop.idempotent:
-            # It is still waited for by those who are here; later ones may
-            # run it again.
-            loop.call_later(KEEP_SHORT_S, self._drop_answer, hop, run)
-        else:
-            loop.call_later(KEEP_S, self._drop_answer, hop, run)
-
-    def _drop_answer(self, hop: hops.Hop, run: Run) -> None:
-        """Forget an answer, but not that the request was run."""
-        if hop.idempotent or _refusal(run.task) is not None:
+        # Those who wait have an idempotent request's answer; later ones may
+        # run it again.
+        keep_s = KEEP_SHORT_S if hop.idempotent else KEEP_S
+        loop.call_later(keep_s, self._drop_answer, hop, run, task)
+
+    def _drop_answer(
+        self, hop: hops.Hop, run: Run, task: asyncio.Future
+    ) -> None:
+        """Forget an answer, but not that the request was run.
+
+        One that was refused may be on its second run by now.  That one is
+        not to be forgotten: nobody could cancel it any more, and it would
+        run for a caller who has left long ago.
+        """
+        if run.task is not task:
+            return
+        if hop.idempotent or _refusal(task) is not None:
             run.task = None
             return
         run.task = asyncio.get_running_loop().create_future()
