--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -17,9 +17,10 @@
 from carawaystair import clock
 from carawaystair import output
 
-# Lines a second of each sort, 46 together: other lines are two or three.  A process of the users' sites
-# serves up to 12 requests a second, two lines each; trouble must not be
-# crowded out by good requests, nor what explains it by trouble.
+# Lines a second of each sort, 46 together: other lines are two or three, and
+# fifty are allowed.  A process of the users' sites serves up to 12 requests a
+# second, two lines each; trouble must not be crowded out by good requests,
+# nor what explains it by trouble.
 ROUTINE = 'routine'
 TROUBLE = 'trouble'
 BELIEF = 'belief'
