Gateway: requests that bear one id get each its own answer

Cause: a gateway knew requests by the id alone, which callers choose. A second request with an id in use was taken for the question after a lost connection and got the first one's answer. Found by reading. Change: each request has a token beside its id on its way between nodes; runs and slots go by both. Figures: of four requests with one id three got the answer of the first; now each its own (GET and POST).

--- a/carawaystair/gateway/handover.py
+++ b/carawaystair/gateway/handover.py
@@ -1,7 +1,7 @@
 """Hands a request over to one gateway and returns what comes of it.
 
 A connection may be lost while the request is on its way, while it runs, or
-while its answer returns.  The gateway knows requests by their ids, so it is
+while its answer returns.  The gateway knows requests by their keys, so it is
 asked again: by the direct way, and through a third node when only the way
 between the two is cut.  Only when that brings nothing the request counts as
 lost.
--- a/carawaystair/gateway/hops.py
+++ b/carawaystair/gateway/hops.py
@@ -72,6 +72,7 @@
     :param again: whether an earlier send to this gateway may have arrived.
     :param detour: address of the gateway that is to get it, when it is
         handed to another node on the way; empty otherwise.
+    :param trip: tells apart requests that bear one id.
     """
 
     id: str
@@ -93,6 +94,12 @@
     process: str
     again: bool = False
     detour: str = ''
+    trip: str = ''
+
+    @property
+    def key(self) -> str:
+        """Return what names this request and no other one."""
+        return '%s %s' % (self.id, self.trip)
 
 
 _HOPS = msgspec.json.Decoder(Hop)
--- a/carawaystair/gateway/runs.py
+++ b/carawaystair/gateway/runs.py
@@ -3,7 +3,7 @@
 The gateway is the only way to its upstream, so it alone decides.  A
 connection between two nodes may be lost while a request is on its way, while
 it runs, or while its answer returns.  The node that handed it over then asks
-again, under the same id, on a new connection: a request that never arrived is
+again, under the same key, on a new connection: a request that never arrived is
 run, one that runs is waited for, and a ready answer is delivered.
 
 Symptom without it: a connection that is lost for a moment costs the answer of
@@ -97,11 +97,11 @@
     def _find(self, hop: hops.Hop) -> Run:
         now = clock.now()
         self._forget(now)
-        run = self.runs.get(hop.id)
+        run = self.runs.get(hop.key)
         if run is None:
             if hop.again and not self.mine(hop.process):
                 raise slots.Refused(hops.RESTARTED)
-            run = self.runs[hop.id] = Run(hop.number, now)
+            run = self.runs[hop.key] = Run(hop.number, now)
             return run
         refused = run.task is None or (
             run.task.done() and _refusal(run.task) is not None
--- a/carawaystair/gateway/trips.py
+++ b/carawaystair/gateway/trips.py
@@ -1,5 +1,6 @@
 """One request on its way from a caller's node to an upstream."""
 
+import secrets
 import typing
 
 from carawaystair import clock
@@ -10,6 +11,8 @@
 from carawaystair.request import target as targets
 
 MS = 1000
+# Two requests with one id get the same token once in 2**48 cases.
+TOKEN_BYTES = 6
 
 
 class Declined(Exception):
@@ -67,12 +70,15 @@
         'runs',
         'sends',
         'sent',
+        'token',
         'tried',
     )
 
     def __init__(self, call: calls.Call, need: Need) -> None:
         self.call = call
         self.need = need
+        # Callers choose the ids of requests, and may use one twice.
+        self.token = secrets.token_hex(TOKEN_BYTES)
         self.tried: set[str] = set()
         # Refusals that waiting may turn, by upstream.
         self.declined: dict[str, tuple[targets.Target, Declined]] = {}
@@ -120,4 +126,5 @@
             need.echo,
             self.sends,
             process,
+            trip=self.token,
         )
--- a/carawaystair/gateway/work.py
+++ b/carawaystair/gateway/work.py
@@ -156,7 +156,7 @@
         call = _call(hop, request, body, now)
         goal = now + hop.goal_ms / MS if hop.goal_ms >= 0 else now
         want = waiting.Want(
-            hop.id, hop.route, call.deadline, goal, hop.priority, hop.inner
+            hop.key, hop.route, call.deadline, goal, hop.priority, hop.inner
         )
         waited_s = await slots.take(want, hop.may_wait)
         line = slots.line
@@ -182,12 +182,12 @@
         try:
             answer = await self._send(hop, slots, attempt, waited_s)
             if answer.rest is not None:
-                attempt.release = lambda: slots.free(hop.id)
+                attempt.release = lambda: slots.free(hop.key)
                 freed = True
             return answer
         finally:
             if not freed:
-                slots.free(hop.id)
+                slots.free(hop.key)
 
     def _check_sound(
         self, hop: hops.Hop, slots: slots_module.Slots, now: float
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -556,6 +556,39 @@
     assert runs == 0
 
 
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+def test_requests_with_one_id_get_each_its_own_answer(method):
+    """Two callers, or one that asks twice, use the same id.
+
+    Symptom: the answer to another request, or a failure of the proxy.
+    Sequence: a request runs; another one with its id meets the same
+    gateway.  Cause: the gateway takes it for a question for the first one,
+    as it would be after a lost connection.
+    """
+
+    async def own(upstream, seen, writer):
+        await asyncio.sleep(0.1)
+        writer.write(fleets.good(seen.line.split()[1].encode()))
+
+    paths = ['/read/a', '/read/b', '/read/c', '/read/d']
+
+    async def scenario():
+        async with fleets.running(None, own, slots=2) as fleet:
+            body = b'x' if method == 'POST' else None
+            return await asyncio.gather(
+                *(
+                    fleet.ask(
+                        path, method=method, body=body, Caraway_Request_Id='a'
+                    )
+                    for path in paths
+                )
+            )
+
+    found = pipes.run(scenario())
+    assert [answer.body.decode() for answer in found] == paths
+    assert {answer.status for answer in found} == {200}
+
+
 def test_split_keeps_its_shares():
     share = manifest.Share
     split = (share('portal', 9), share('other', 1))
