Request path: one base of connections, one way to heads and refusals

Cause: read anew. Timer and reading stood in both sides of a connection, the request line with joined Connection values in five places, and the refusal of a node with a gateway repeated that of others. Change: one base class, headers.connection and headers.head, one refusal with a part that differs. Ruled out: a change of behaviour; tests are as they were.

--- a/carawaystair/gateway/front.py
+++ b/carawaystair/gateway/front.py
@@ -250,9 +250,6 @@
 
     def _head(self, request: incoming.Request, place: caller.Target) -> bytes:
         """Return the request line and the headers that go on."""
-        connection = request.headers.get('Connection')
-        if connection is not None:
-            connection = ','.join(request.headers.getall('Connection'))
         raw = [
             pair
             for pair in request.raw_headers
@@ -261,8 +258,7 @@
         if place.authority:
             raw = [pair for pair in raw if pair[0].lower() != b'host']
             raw.append((b'Host', place.authority.encode()))
-        first = '%s %s HTTP/1.1\r\n' % (request.method, place.path)
-        return first.encode() + headers.lines(raw, connection)
+        return headers.head(request.method, place.path, request.headers, raw)
 
     # Answering
 
@@ -342,13 +338,13 @@
             decisions.TROUBLE,
         )
 
-    def _refuse(
+    def _write_refusal(
         self,
         exchange: exchanges.Exchange,
         code: codes.Code,
         outcome: str,
         detail: str,
-        retry_after_s: float = 1.0,
+        retry_after_s: float,
     ) -> None:
         """Answer with a status that promises what is true, and no more.
 
@@ -356,11 +352,7 @@
         and takes a 502 or 504 of one that was not run for a run.
         """
         status = _status(code, outcome)
-        self.meters.failed(outcome, code, exchange.id, detail)
-        try:
-            exchange.refuse(code, outcome, detail, retry_after_s, status)
-        except ConnectionError:
-            exchange.keep_alive = False
+        exchange.refuse(code, outcome, detail, retry_after_s, status)
 
 
 def _status(code: codes.Code, outcome: str) -> int:
--- a/carawaystair/request/attempt.py
+++ b/carawaystair/request/attempt.py
@@ -264,14 +264,11 @@
         invariants.check(
             invariants.OWN_ANSWER, owner is self, 'connection shared'
         )
-        connection = message.headers.get('Connection')
-        if connection is not None:
-            connection = ','.join(message.headers.getall('Connection'))
         return answers.Answer(
             message.code,
             message.reason,
             message.raw_headers,
-            connection,
+            headers.connection(message.headers),
             body,
             rest,
         )
--- a/carawaystair/request/caller.py
+++ b/carawaystair/request/caller.py
@@ -136,21 +136,17 @@
     request: incoming.Request, place: Target, customer: str, host: str
 ) -> bytes:
     """Return the request line and headers that go upstream."""
-    given = request.headers
-    connection = given.get('Connection')
-    if connection is not None:
-        connection = ','.join(given.getall('Connection'))
     raw = request.raw_headers
     if place.authority:
         raw = [pair for pair in raw if pair[0].lower() != b'host']
-    first = '%s %s HTTP/1.1\r\n' % (request.method, place.path)
+    first = headers.head(request.method, place.path, request.headers, raw)
     last = 'Via: 1.1 %s\r\n%s%s' % (
         host,
         'Caraway-Customer: %s\r\n' % customer if customer else '',
         'Host: %s\r\n' % place.authority if place.authority else '',
     )
     # Via names the hops in their order, so ours comes last.
-    return first.encode() + headers.lines(raw, connection) + last.encode()
+    return first + last.encode()
 
 
 def _single(given, name: str, code: codes.Code) -> str | None:
--- a/carawaystair/request/handling.py
+++ b/carawaystair/request/handling.py
@@ -126,14 +126,25 @@
         detail: str,
         retry_after_s: float = 1.0,
     ) -> None:
+        """Answer with a failure of this node's own."""
         self.meters.failed(outcome, code, exchange.id, detail)
         try:
-            # Callers read whole seconds.
-            whole_s = float(max(int(retry_after_s), 1))
-            exchange.refuse(code, outcome, detail, whole_s)
+            self._write_refusal(exchange, code, outcome, detail, retry_after_s)
         except ConnectionError:
             exchange.keep_alive = False
 
+    def _write_refusal(
+        self,
+        exchange: exchanges.Exchange,
+        code: codes.Code,
+        outcome: str,
+        detail: str,
+        retry_after_s: float,
+    ) -> None:
+        # Callers read whole seconds.
+        whole_s = float(max(int(retry_after_s), 1))
+        exchange.refuse(code, outcome, detail, whole_s)
+
     def _defect(self, exchange: exchanges.Exchange, error: Exception) -> None:
         """Answer although this program is at fault.
 
--- a/carawaystair/request/headers.py
+++ b/carawaystair/request/headers.py
@@ -81,6 +81,26 @@
     return b''.join(kept)
 
 
+def connection(given) -> str | None:
+    """Return all values of ``Connection``, joined by commas.
+
+    :param given: a multidict of the headers.
+    """
+    if 'Connection' not in given:
+        return None
+    return ','.join(given.getall('Connection'))
+
+
+def head(method: str, path: str, given, raw: Raw) -> bytes:
+    """Return the request line and the lines of the headers that go on.
+
+    :param given: the headers as they arrived, for ``Connection``.
+    :param raw: those of them that may go on.
+    """
+    first = '%s %s HTTP/1.1\r\n' % (method, path)
+    return first.encode() + lines(raw, connection(given))
+
+
 def value(raw: Raw, wanted: bytes) -> bytes | None:
     """Return the first value of a header.
 
--- a/carawaystair/request/incoming.py
+++ b/carawaystair/request/incoming.py
@@ -10,11 +10,11 @@
 import socket
 import typing
 
-from aiohttp import base_protocol
 from aiohttp import http
 from aiohttp import streams
 
 from carawaystair.request import errors
+from carawaystair.request import protocol
 
 # Bounds of a request head.  Within them the memory of a connection is
 # bounded, however slowly or oddly a caller sends.
@@ -117,7 +117,7 @@
 Handle = typing.Callable[[Request], typing.Awaitable[bool]]
 
 
-class Connection(base_protocol.BaseProtocol):
+class Connection(protocol.Protocol):
     """One caller's connection.
 
     :param loop: the event loop.
@@ -146,7 +146,6 @@
             max_msg_queue_size=MAX_AHEAD,
         )
         super().__init__(loop, parser)
-        self.loop = loop
         self.handle = handle
         self.refuse = refuse
         self.connections = connections
@@ -160,8 +159,6 @@
         # Set while the task waits for a request.
         self.waiter: asyncio.Future | None = None
         self.begun = False
-        self.until = 0.0
-        self.timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task | None = None
 
     # One task a connection
@@ -255,14 +252,6 @@
             self.begun = True
             self._arm(self.loop.time() + self.bounds.head_s)
 
-    def resume_reading(self, resume_parser: bool = True) -> None:
-        """Read on, if reading was paused.
-
-        aiohttp calls this after every chunk; nothing was left unread then.
-        """
-        if self._reading_paused:
-            super().resume_reading(resume_parser)
-
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel what is being done for the caller."""
         super().connection_lost(exc)
@@ -295,19 +284,6 @@
 
     # Time
 
-    def _arm(self, until: float) -> None:
-        """Close the connection unless a request is here by then.
-
-        One timer serves many requests: it is moved on when it rings early.
-        """
-        self.until = until
-        timer = self.timer
-        if timer is not None:
-            if timer.when() <= until:
-                return
-            timer.cancel()
-        self.timer = self.loop.call_at(until, self._ring)
-
     def _ring(self) -> None:
         self.timer = None
         if self.loop.time() < self.until:
--- a/carawaystair/request/wire.py
+++ b/carawaystair/request/wire.py
@@ -9,10 +9,11 @@
 import collections
 
 import aiohttp
-from aiohttp import base_protocol
 from aiohttp import http
 from aiohttp import streams
 
+from carawaystair.request import protocol
+
 # Bounds of an upstream's answer head.
 MAX_LINE_BYTES = 16 * 1024
 MAX_HEADERS = 128
@@ -22,7 +23,7 @@
 Head = tuple[http.RawResponseMessage, streams.StreamReader]
 
 
-class Wire(base_protocol.BaseProtocol):
+class Wire(protocol.Protocol):
     """One connection to an upstream.
 
     :param loop: the event loop.
@@ -30,7 +31,6 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
-        self.loop = loop
         # Heads of answers that nobody has taken yet.
         self.heads: collections.deque[Head] = collections.deque()
         self.payload = streams.EMPTY_PAYLOAD
@@ -43,8 +43,6 @@
         # Whether another request may follow.
         self.lasting = True
         self.ready: asyncio.Future | None = None
-        self.until = 0.0
-        self.timer: asyncio.TimerHandle | None = None
 
     # Requests
 
@@ -128,15 +126,6 @@
             if self.ready is ready:
                 self.ready = None
 
-    def _arm(self, until: float) -> None:
-        self.until = until
-        timer = self.timer
-        if timer is not None:
-            if timer.when() <= until:
-                return
-            timer.cancel()
-        self.timer = self.loop.call_at(until, self._ring)
-
     def _ring(self) -> None:
         self.timer = None
         if self.ready is None:
@@ -177,14 +166,6 @@
         elif messages:
             self._wake(True)
 
-    def resume_reading(self, resume_parser: bool = True) -> None:
-        """Read on, if reading was paused.
-
-        aiohttp calls this after every chunk; nothing was left unread then.
-        """
-        if self._reading_paused:
-            super().resume_reading(resume_parser)
-
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the connection.
 
