Gateway: one way to write to a sender and to hand a request on

Cause: read anew. Two modules wrote to the sender of a hop, and two made the call that goes on from a hop, in the same words. A hop said twice whether its request stays, in two fields that were always alike. A branch for lost connections did what the next one does. Change: hops.write, hops.call, one field, one branch. Ruled out: processes of two versions talking to each other: none is deployed.

--- a/carawaystair/gateway/detours.py
+++ b/carawaystair/gateway/detours.py
@@ -10,10 +10,8 @@
 from carawaystair import logs
 from carawaystair.request import answer as answers
 from carawaystair.request import body as bodies
-from carawaystair.request import call as calls
 from carawaystair.request import caller
 from carawaystair.request import exchange as exchanges
-from carawaystair.request import headers
 from carawaystair.request import incoming
 from carawaystair.request import target as targets
 
@@ -43,19 +41,7 @@
     except caller.Refused:
         return False
     onward = hop._replace(detour='')
-    call = calls.Call(
-        hop.id,
-        None,
-        '',
-        '',
-        deadline,
-        hop.idempotent,
-        '',
-        request.method,
-        request.raw_path,
-        _head(request),
-        body.data,
-    )
+    call = hops.call(hop, request, body.data, deadline)
     upstream = interfaces.Upstream(
         hop.upstream, hop.service, hop.detour, '', '', 0
     )
@@ -65,11 +51,11 @@
         await attempt.connect()
         attempt.send()
         while not await attempt.sign(deadline):
-            _write(request, hops.INTERIM)
+            hops.write(request, hops.INTERIM)
         answer = await attempt.answer(deadline)
     except (answers.Failed, TimeoutError, *sends.BROKEN) as error:
         attempt.take_back()
-        _write(request, _no_answer(attempt, error))
+        hops.write(request, _no_answer(attempt, error))
         return request.keep_alive
     except BaseException:
         attempt.leave()
@@ -92,7 +78,7 @@
     told = hops.says(answer, hops.REFUSAL) or hops.says(answer, hops.FAILURE)
     if told:
         attempt.drop()
-        _write(request, hops.passed_on(answer))
+        hops.write(request, hops.passed_on(answer))
         return request.keep_alive
     exchange = exchanges.Exchange(request, hop.id)
     extra = hops.lines(answer.headers)
@@ -105,18 +91,3 @@
     if why:
         LOG.warning('An answer broke off on a detour.', id=hop.id, why=why)
     return exchange.keep_alive and not why
-
-
-def _head(request: incoming.Request) -> bytes:
-    connection = request.headers.get('Connection')
-    if connection is not None:
-        connection = ','.join(request.headers.getall('Connection'))
-    first = '%s %s HTTP/1.1\r\n' % (request.method, request.raw_path)
-    return first.encode() + headers.lines(request.raw_headers, connection)
-
-
-def _write(request: incoming.Request, data: bytes) -> None:
-    transport = request.connection.transport
-    if transport is None or transport.is_closing():
-        raise ConnectionResetError('the sender has gone')
-    transport.write(data)
--- a/carawaystair/gateway/door.py
+++ b/carawaystair/gateway/door.py
@@ -67,7 +67,7 @@
         if hop is None:
             LOG.warning('Refused a hop that cannot be read.')
             report = self.work.report('')
-            _write(request, hops.refusal(hops.MALFORMED, '', report))
+            hops.write(request, hops.refusal(hops.MALFORMED, '', report))
             return False
         self.active += 1
         signs = Signs(request)
@@ -95,7 +95,7 @@
             signs.stop()
             report = self.work.report(hop.upstream, hop.route)
             label = failed.code.label
-            _write(request, hops.failure(label, failed.detail, report))
+            hops.write(request, hops.failure(label, failed.detail, report))
             return _whole(request)
         except caller.Refused:
             # The body broke off: whoever sent it has gone.
@@ -179,7 +179,7 @@
             data = hops.failure(label, refused.reason, report)
         else:
             data = hops.refusal(refused.reason, refused.detail, report)
-        _write(request, data)
+        hops.write(request, data)
 
 
 class Signs:
@@ -209,10 +209,3 @@
 def _whole(request: incoming.Request) -> bool:
     """Tell whether another request may follow on a connection."""
     return request.keep_alive and request.content.is_eof()
-
-
-def _write(request: incoming.Request, data: bytes) -> None:
-    transport = request.connection.transport
-    if transport is None or transport.is_closing():
-        raise ConnectionResetError('the caller has gone')
-    transport.write(data)
--- a/carawaystair/gateway/front.py
+++ b/carawaystair/gateway/front.py
@@ -146,9 +146,6 @@
             outcome = codes.UNKNOWN
             self._tell(trip, outcome, began, failed.code, failed.detail)
             raise failed from None
-        except ConnectionError:
-            self._tell_left(trip, began)
-            raise
         except BaseException:
             self._tell_left(trip, began)
             raise
--- a/carawaystair/gateway/hops.py
+++ b/carawaystair/gateway/hops.py
@@ -18,7 +18,9 @@
 
 from carawaystair.load import placing
 from carawaystair.request import answer as answers
+from carawaystair.request import call as calls
 from carawaystair.request import headers
+from carawaystair.request import incoming
 
 HOP = 'Caraway-Hop'
 REPORT = b'caraway-report'
@@ -61,8 +63,8 @@
     :param priority: rank of its kind, 0 first.
     :param idempotent: whether it may run twice.
     :param inner: whether another running request waits for it.
-    :param may_wait: whether it may wait here for a slot.
-    :param forced: whether it is to run although the upstream failed lately.
+    :param stays: whether it may wait here for a slot, and is to run although
+        the upstream failed lately.
     :param repeat: whether it may have run elsewhere, or was sent to an
         upstream that refused it.
     :param echo: whether it is a call of a run that was itself a repeat.
@@ -86,8 +88,7 @@
     priority: int
     idempotent: bool
     inner: bool
-    may_wait: bool
-    forced: bool
+    stays: bool
     repeat: bool
     echo: bool
     number: int
@@ -106,6 +107,45 @@
 _REPORTS = msgspec.json.Decoder(placing.Report)
 
 
+def call(
+    hop: Hop, request: incoming.Request, body: bytes | None, deadline: float
+) -> calls.Call:
+    """Return a request that was handed over, as it goes on from here.
+
+    :param body: None when it is not held here.
+    :param deadline: monotonic time by which its answer is owed.
+    """
+    return calls.Call(
+        hop.id,
+        None,
+        '',
+        '',
+        deadline,
+        hop.idempotent,
+        '',
+        request.method,
+        request.raw_path,
+        headers.head(
+            request.method,
+            request.raw_path,
+            request.headers,
+            request.raw_headers,
+        ),
+        body,
+    )
+
+
+def write(request: incoming.Request, data: bytes) -> None:
+    """Write to the node that handed a request over.
+
+    :raises ConnectionResetError: when it has gone.
+    """
+    transport = request.connection.transport
+    if transport is None or transport.is_closing():
+        raise ConnectionResetError('the sender has gone')
+    transport.write(data)
+
+
 def line(hop: Hop) -> bytes:
     """Return the header line that carries a hop."""
     return b'%b: %b\r\n' % (HOP.encode(), msgspec.json.encode(hop))
--- a/carawaystair/gateway/trips.py
+++ b/carawaystair/gateway/trips.py
@@ -121,7 +121,6 @@
             call.idempotent,
             need.inner,
             stays,
-            stays,
             self.sent > 0,
             need.echo,
             self.sends,
--- a/carawaystair/gateway/work.py
+++ b/carawaystair/gateway/work.py
@@ -20,7 +20,6 @@
 from carawaystair.membership import registry as registries
 from carawaystair.request import answer as answers
 from carawaystair.request import body as bodies
-from carawaystair.request import call as calls
 from carawaystair.request import connections
 from carawaystair.request import headers
 from carawaystair.request import incoming
@@ -153,12 +152,13 @@
         trial = slots.suspicion.suspect
         self._check_sound(hop, slots, now)
         self._check_repeat(hop, now)
-        call = _call(hop, request, body, now)
+        left_s = hop.left_ms / MS if hop.left_ms >= 0 else -math.inf
+        call = hops.call(hop, request, body, now + left_s)
         goal = now + hop.goal_ms / MS if hop.goal_ms >= 0 else now
         want = waiting.Want(
             hop.key, hop.route, call.deadline, goal, hop.priority, hop.inner
         )
-        waited_s = await slots.take(want, hop.may_wait)
+        waited_s = await slots.take(want, hop.stays)
         line = slots.line
         self.recorder.tell(
             decisions.Began(
@@ -193,7 +193,7 @@
         self, hop: hops.Hop, slots: slots_module.Slots, now: float
     ) -> None:
         """Keep what can't be repeated from an upstream that may be gray."""
-        if hop.forced:
+        if hop.stays:
             return
         suspicion = slots.suspicion
         # One that failed elsewhere is no trial: it must not fail again.
@@ -406,28 +406,6 @@
     )
 
 
-def _call(
-    hop: hops.Hop, request: incoming.Request, body: bytes | None, now: float
-) -> calls.Call:
-    connection = request.headers.get('Connection')
-    if connection is not None:
-        connection = ','.join(request.headers.getall('Connection'))
-    first = '%s %s HTTP/1.1\r\n' % (request.method, request.raw_path)
-    return calls.Call(
-        hop.id,
-        None,
-        '',
-        '',
-        now + hop.left_ms / MS if hop.left_ms >= 0 else -math.inf,
-        hop.idempotent,
-        '',
-        request.method,
-        request.raw_path,
-        first.encode() + headers.lines(request.raw_headers, connection),
-        body,
-    )
-
-
 def _drop(answer: answers.Answer) -> None:
     if answer.rest is not None:
         answer.rest.drop()
--- a/test/test_gateway_runs.py
+++ b/test/test_gateway_runs.py
@@ -28,7 +28,6 @@
         number > 1,
         False,
         False,
-        False,
         number,
         'p',
     )
