--- a/carawaystair/node.py
+++ b/carawaystair/node.py
@@ -16,7 +16,49 @@
 from carawaystair import reservations
 
 
-class Node(mode.Service):
+class _Base(mode.Service):
+    """What all nodes have.
+
+    :param kernel: the kernel of the process.
+    """
+
+    # The parts, in the order in which they start.
+    parts: tuple[mode.Service, ...]
+
+    def __init__(self, kernel, **kwargs) -> None:
+        super().__init__(**kwargs)
+        self.kernel = kernel
+        self.membership = membership.make(kernel)
+        self.follower = follower.make(kernel, self.membership.members)
+        routes = [
+            *self.membership.routes(),
+            *localapi.observer_routes(kernel, self.report),
+        ]
+        self.local = localapi.LocalApi(kernel.settings.node.local, routes)
+
+    async def on_start(self) -> None:
+        """Start the parts."""
+        for part in self.parts:
+            await self.add_runtime_dependency(part)
+        metrics.collect(nodemetrics.KernelMetrics(self.kernel).samples)
+        metrics.collect(nodemetrics.NodeMetrics(self.report).samples)
+
+    def judge(self):
+        """Return the part that says which upstreams fail."""
+        raise NotImplementedError
+
+    def report(self) -> report.Report:
+        """Return what this node says of itself."""
+        return report.make(
+            self.kernel.settings,
+            self.follower,
+            self.membership.members,
+            self.membership.directory,
+            self.judge(),
+        )
+
+
+class Node(_Base):
     """One node.
 
     The parts start in the order in which they need each other and stop in
@@ -26,12 +68,9 @@
     """
 
     def __init__(self, kernel, **kwargs) -> None:
-        super().__init__(**kwargs)
-        self.kernel = kernel
-        self.membership = membership.make(kernel)
+        super().__init__(kernel, **kwargs)
         members = self.membership.members
         directory = self.membership.directory
-        self.follower = follower.make(kernel, members)
         routing = self.follower.routing
         self.outlier = outlier.make(kernel, members, directory, routing)
         self.capacity = capacity.Answerer(
@@ -50,11 +89,6 @@
             self.reservations,
             routing,
         )
-        routes = [
-            *self.membership.routes(),
-            *localapi.observer_routes(kernel, self.report),
-        ]
-        self.local = localapi.LocalApi(kernel.settings.node.local, routes)
         self.parts = (
             self.membership,
             self.follower,
@@ -65,25 +99,12 @@
             self.request,
         )
 
-    async def on_start(self) -> None:
-        """Start the parts."""
-        for part in self.parts:
-            await self.add_runtime_dependency(part)
-        metrics.collect(nodemetrics.KernelMetrics(self.kernel).samples)
-        metrics.collect(nodemetrics.NodeMetrics(self.report).samples)
-
-    def report(self) -> report.Report:
-        """Return what this node says of itself."""
-        return report.make(
-            self.kernel.settings,
-            self.follower,
-            self.membership.members,
-            self.membership.directory,
-            self.outlier,
-        )
+    def judge(self):
+        """Return the pooled evidence."""
+        return self.outlier
 
 
-class GatewayNode(mode.Service):
+class GatewayNode(_Base):
     """One node whose requests go through gateways.
 
     Its gateway sees all that its upstreams do, so that it needs no pooled
@@ -93,19 +114,10 @@
     """
 
     def __init__(self, kernel, **kwargs) -> None:
-        super().__init__(**kwargs)
-        self.kernel = kernel
-        self.membership = membership.make(kernel)
-        members = self.membership.members
-        self.follower = follower.make(kernel, members)
+        super().__init__(kernel, **kwargs)
         self.gateway = gateway.make(
             kernel, self.membership, self.follower.routing, kernel.recorder
         )
-        routes = [
-            *self.membership.routes(),
-            *localapi.observer_routes(kernel, self.report),
-        ]
-        self.local = localapi.LocalApi(kernel.settings.node.local, routes)
         self.parts = (
             self.membership,
             self.follower,
@@ -113,28 +125,15 @@
             self.gateway,
         )
 
-    async def on_start(self) -> None:
-        """Start the parts."""
-        for part in self.parts:
-            await self.add_runtime_dependency(part)
-        metrics.collect(nodemetrics.KernelMetrics(self.kernel).samples)
-        metrics.collect(nodemetrics.NodeMetrics(self.report).samples)
+    def judge(self):
+        """Return the gateway, which sees what the upstreams do."""
+        return self.gateway
 
     @property
     def ready(self) -> bool:
         """Tell whether this node serves callers and will go on doing so."""
         return self.follower.ready and not self.gateway.stopping
 
-    def report(self) -> report.Report:
-        """Return what this node says of itself."""
-        return report.make(
-            self.kernel.settings,
-            self.follower,
-            self.membership.members,
-            self.membership.directory,
-            self.gateway,
-        )
-
 
 def make(kernel) -> Node | GatewayNode:
     """Return the node of a process."""
