Logs: one bound of lines a second for decisions and libraries

Cause: read anew. The recorder of decisions and the bridge of libraries counted a second's lines and those left out in two ways. Change: output.Room serves both. Two tests of leaving made the same sockets. Ruled out: other bounds; the tests hold them as before.

--- a/bench/exp_logging.py
+++ b/bench/exp_logging.py
@@ -60,12 +60,13 @@
     :param room: lines of a sort that may be written.
     """
     recorder = decisions.Recorder('10.1.0.42', sink)
+    recorder.room = output.Room(dict.fromkeys(decisions.ROOM, room))
     found = []
     for _round in range(rounds):
         begin = time.process_time()
         for _request in range(REQUESTS):
-            recorder.room = dict.fromkeys(recorder.room, room)
-            recorder.second = decisions.clock.wall_ms() // 1000
+            # Each request begins a second of its own.
+            recorder.room.second = 0
             for event in STORY:
                 recorder.tell(event)
         if sink is not None:
--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -17,6 +17,7 @@
 from carawaystair import clock
 from carawaystair import output
 
+MS = 1000
 # Lines a second of each sort, 46 together: other lines are two or three, and
 # fifty are allowed.  A process of the users' sites serves up to 12 requests a
 # second, two lines each; trouble must not be crowded out by good requests,
@@ -280,27 +281,15 @@
     def __init__(self, host: str, sink: output.Sink | None = None) -> None:
         self.host = host
         self.sink = sink
-        self.second = 0
-        self.room = dict(ROOM)
-        # Lines left out, over the life of the process and since the last
-        # line.
-        self.left_out = 0
-        self.untold = 0
+        self.room = output.Room(ROOM)
 
     def tell(self, event: typing.NamedTuple, sort: str = ROUTINE) -> None:
         """Write an event, if this second has room for one of its sort."""
         if self.sink is None:
             return
         wall_ms = clock.wall_ms()
-        second = wall_ms // 1000
-        if second != self.second:
-            self.second = second
-            self.room = dict(ROOM)
-        if self.room[sort] <= 0:
-            self.left_out += 1
-            self.untold += 1
+        if not self.room.take(wall_ms // MS, sort):
             return
-        self.room[sort] -= 1
         part, name = NAMES[type(event)]
         line = {
             'time_ms': wall_ms,
@@ -309,7 +298,6 @@
             'event': name,
             **event._asdict(),
         }
-        if self.untold:
-            line['left_out'] = self.untold
-            self.untold = 0
+        if left_out := self.room.tell():
+            line['left_out'] = left_out
         self.sink.line(msgspec.json.encode(line))
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -125,7 +125,9 @@
         """Yield what the parts of the path know of themselves."""
         yield metrics.Sample('resumed_total', self.handover.resumed)
         yield metrics.Sample('joined_runs_total', self.door.runs.joined)
-        yield metrics.Sample('lines_left_out_total', self.recorder.left_out)
+        yield metrics.Sample(
+            'lines_left_out_total', self.recorder.room.left_out
+        )
         for name, slots in self.work.slots.items():
             labels = (('upstream', name),)
             line = slots.line
--- a/carawaystair/logs.py
+++ b/carawaystair/logs.py
@@ -12,6 +12,8 @@
 CONSOLE = 'console'
 JSON = 'json'
 
+# The part in whose name libraries speak.
+LIBRARY = 'library'
 # At most so many lines a second of what libraries report: an error in a
 # callback may come back with every request.
 LIBRARY_LINES = 3
@@ -47,28 +49,20 @@
     def __init__(self, now: typing.Callable[[], float] = clock.now) -> None:
         super().__init__(logging.WARNING)
         self.now = now
-        self.second = 0
-        self.written = 0
-        self.left_out = 0
-        self.log = get('library')
+        self.room = output.Room({LIBRARY: LIBRARY_LINES})
+        self.log = get(LIBRARY)
         self.setFormatter(logging.Formatter('%(message)s'))
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write one line, unless there were too many in this second."""
-        second = int(self.now())
-        if second != self.second:
-            self.second, self.written = second, 0
-        if self.written >= LIBRARY_LINES:
-            self.left_out += 1
+        if not self.room.take(int(self.now()), LIBRARY):
             return
-        self.written += 1
-        left_out, self.left_out = self.left_out, 0
         self.log.warning(
             'A library reported.',
             source=record.name,
             severity=record.levelname,
             said=self.format(record)[-LIBRARY_CHARS:],
-            left_out=left_out,
+            left_out=self.room.tell(),
         )
 
 
--- a/carawaystair/output.py
+++ b/carawaystair/output.py
@@ -93,6 +93,39 @@
     return Output(1)
 
 
+class Room:
+    """Bounds the lines of each second, and counts those left out.
+
+    :param lines: lines a second, by sort.
+    """
+
+    def __init__(self, lines: typing.Mapping[str, int]) -> None:
+        self.lines = lines
+        self.second = 0
+        self.left = dict(lines)
+        # Lines left out, over the life of the process and since the last
+        # line.
+        self.left_out = 0
+        self.untold = 0
+
+    def take(self, second: int, sort: str) -> bool:
+        """Tell whether there is room for one more line in a second."""
+        if second != self.second:
+            self.second = second
+            self.left = dict(self.lines)
+        if self.left[sort] <= 0:
+            self.left_out += 1
+            self.untold += 1
+            return False
+        self.left[sort] -= 1
+        return True
+
+    def tell(self) -> int:
+        """Return how many were left out since this was last asked."""
+        untold, self.untold = self.untold, 0
+        return untold
+
+
 class Sink(typing.Protocol):
     """What takes log lines."""
 
--- a/test/test_gateway_leaving.py
+++ b/test/test_gateway_leaving.py
@@ -1,6 +1,7 @@
 """How a node tells a gateway that a caller has left."""
 
 import asyncio
+import contextlib
 import socket
 
 from carawaystair import clock
@@ -21,6 +22,18 @@
     return sends.ToGateway(call, targets.Target(upstream, now), b'')
 
 
+@contextlib.asynccontextmanager
+async def _sent():
+    """Yield a send, and the socket of the gateway that it reached."""
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        attempt = _attempt('127.0.0.1:%d' % server.getsockname()[1])
+        await attempt.connect()
+        attempt.send()
+        gateway, _address = server.accept()
+        with gateway:
+            yield attempt, gateway
+
+
 def test_leave_is_a_close_also_when_signs_were_not_read():
     """A caller leaves; its gateway must take it for that.
 
@@ -32,18 +45,13 @@
     """
 
     async def scenario():
-        with socket.create_server(('127.0.0.1', 0)) as server:
-            attempt = _attempt('127.0.0.1:%d' % server.getsockname()[1])
-            await attempt.connect()
-            attempt.send()
-            gateway, _address = server.accept()
-            with gateway:
-                assert gateway.recv(4096)
-                gateway.sendall(hops.INTERIM)
-                attempt.leave()
-                await asyncio.sleep(0.05)
-                gateway.settimeout(1.0)
-                return gateway.recv(4096)
+        async with _sent() as (attempt, gateway):
+            assert gateway.recv(4096)
+            gateway.sendall(hops.INTERIM)
+            attempt.leave()
+            await asyncio.sleep(0.05)
+            gateway.settimeout(1.0)
+            return gateway.recv(4096)
 
     assert asyncio.run(scenario()) == b''
 
@@ -55,15 +63,10 @@
     monkeypatch.setattr(sends, 'PART_S', 0.05)
 
     async def scenario():
-        with socket.create_server(('127.0.0.1', 0)) as server:
-            attempt = _attempt('127.0.0.1:%d' % server.getsockname()[1])
-            await attempt.connect()
-            attempt.send()
-            gateway, _address = server.accept()
-            with gateway:
-                attempt.leave()
-                transport = attempt.connection.proto.transport
-                await asyncio.sleep(0.15)
-                assert transport is None or transport.is_closing()
+        async with _sent() as (attempt, _gateway):
+            attempt.leave()
+            transport = attempt.connection.proto.transport
+            await asyncio.sleep(0.15)
+            assert transport is None or transport.is_closing()
 
     asyncio.run(scenario())
