--- a/carawaystair/links.py
+++ b/carawaystair/links.py
@@ -189,11 +189,15 @@
         self.pending[call] = future
         data = wire.encode(message, self.address, call, False, self._t())
         until = clock.now() + timeout_s
-        self._send(to, data)
+        asked = self._send(to, data)
         try:
             while not await self._settled(future, until):
-                if self._renew_silent(to):
-                    self._send(to, data)
+                self._renew_silent(to)
+                if self.peers.get(to) is not asked:
+                    # It may have been lost with that link, or never have
+                    # left it: one that was retired while it was being made
+                    # gets no further once its key is dropped.
+                    asked = self._send(to, data)
                 if clock.now() >= until:
                     return codes.fail(codes.PEER_SILENT, to)
             return expression.Ok(future.result())
@@ -206,18 +210,16 @@
         done, _waiting = await asyncio.wait((future,), timeout=wait_s)
         return bool(done)
 
-    def _renew_silent(self, address: str) -> bool:
-        """Close a link on which nothing came for long; tell whether it was.
+    def _renew_silent(self, address: str) -> None:
+        """Close a link on which nothing came for long.
 
         A question that was asked on it may have been lost, or its answer
         may: whoever waits for it asks again on the new one, which does no
         harm since messages may always be doubled.
         """
         peer = self.peers.get(address)
-        silent = peer is not None and clock.now() - peer.heard[0] >= RENEW_S
-        if silent:
+        if peer is not None and clock.now() - peer.heard[0] >= RENEW_S:
             self._close(self.peers.pop(address))
-        return silent
 
     def _open_door(self, key: keys.Key | None) -> None:
         """Listen for the holders of ``key``, or for anyone."""
@@ -291,10 +293,12 @@
     def _t(self) -> int:
         return self.hybrid.tick()
 
-    def _send(self, to: str, data: bytes) -> None:
+    def _send(self, to: str, data: bytes) -> Peer:
+        """Send on the link that is in use; return it."""
         peer = self.peers.get(to) or self._open(to)
         peer.used[0] = clock.now()
         self._count(peer.socket.send(data, zmq.DONTWAIT), data)
+        return peer
 
     def _count(self, sending: asyncio.Future, data: bytes) -> None:
         """Count a message as sent or, with a full queue, as dropped.
--- a/test/test_keys.py
+++ b/test/test_keys.py
@@ -156,6 +156,29 @@
     asyncio.run(scenario())
 
 
+def test_question_on_a_retired_link_is_asked_again():
+    """Keys are changed while a link is still being made.
+
+    Symptom: now and then a question stays without an answer while keys
+    change.  Sequence: a link with the old key meets the listener of the
+    other one and is tried again; meanwhile the first key changes, so that
+    the link is retired with the question in it, and the peer drops the old
+    key, so that it never gets in.  Cause: only a silent link that is still
+    in use was opened anew, and nobody had asked on the new one.
+    """
+
+    async def scenario():
+        async with linked([OLD], [NEW]) as (one, two):
+            ping = test_links.Ping(1)
+            asking = asyncio.create_task(one.call(two.address, ping, CALL_S))
+            await asyncio.sleep(0.1)
+            await one.use([NEW, OLD])
+            result = await asking
+            assert result.is_ok()
+
+    asyncio.run(scenario())
+
+
 def test_open_link_of_a_dropped_key_is_cut(monkeypatch):
     """A key was stolen, and its thief has a link open.
 
