Placing: distance counts only while what is sent to a service is answered well

Cause: the class of an upstream began with its data centre, before anything that is known of failures, so that near gray upstreams got all the work and far sound ones only what overflowed. Ruled out: that the gateway's own choice suffices; it decides on what it is offered, and nothing was. Change: load/spreading.py, a running share of failures a service and node; above a tenth, and before anything was seen, all data centres are near. A line tells when that changes.

--- a/carawaystair/gateway/known.py
+++ b/carawaystair/gateway/known.py
@@ -6,10 +6,14 @@
 from carawaystair import clock
 from carawaystair import interfaces
 from carawaystair.load import placing
+from carawaystair.load import spreading
+from carawaystair import logs
 from carawaystair.request import connections
 from carawaystair.request import target as targets
 from carawaystair import routing as routings
 
+LOG = logs.get('gateway')
+
 
 class Known:
     """Upstreams, their gateways and what is known of their load.
@@ -34,6 +38,7 @@
         self.targets: dict[str, targets.Target] = {}
         # Services that got requests that can't be repeated.
         self.unrepeatable: set[str] = set()
+        self.spreadings: dict[str, spreading.Spreading] = {}
         directory.subscribe(self.changed)
 
     def changed(self, upstream: interfaces.Upstream) -> None:
@@ -49,6 +54,24 @@
             del self.targets[upstream.id]
             self.board.forget(upstream.id)
 
+    def learn(self, service: str, good: bool) -> None:
+        """Take note of what became of a request that was run."""
+        found = self._spreading(service)
+        if found.learn(good):
+            LOG.info(
+                'Distance counts no more.'
+                if found.everywhere
+                else 'Distance counts.',
+                service=service,
+                failing=round(found.failing, 2),
+            )
+
+    def _spreading(self, service: str) -> spreading.Spreading:
+        found = self.spreadings.get(service)
+        if found is None:
+            found = self.spreadings[service] = spreading.Spreading()
+        return found
+
     def sweep(self, now: float) -> None:
         """Close connections that were idle for long."""
         for target in self.targets.values():
@@ -90,7 +113,11 @@
             if upstream.state == interfaces.UP
             and not routing.drained(upstream.host, upstream.data_centre)
         }
-        candidates = [self._candidate(u, now) for u in usable.values()]
+        everywhere = self._spreading(service).everywhere
+        candidates = [
+            self._candidate(upstream, now, everywhere)
+            for upstream in usable.values()
+        ]
         trial = short and service in self.unrepeatable
         chosen = self.board.choose(candidates, tried, now, repeatable, trial)
         if chosen is None:
@@ -98,12 +125,12 @@
         return self.target(usable[chosen.id]), len(usable)
 
     def _candidate(
-        self, upstream: interfaces.Upstream, now: float
+        self, upstream: interfaces.Upstream, now: float, everywhere: bool
     ) -> placing.Candidate:
         target = self.target(upstream)
         return placing.Candidate(
             upstream.id,
-            upstream.data_centre == self.data_centre,
+            everywhere or upstream.data_centre == self.data_centre,
             upstream.slots,
             now - target.seen < upstream.warmup_s,
         )
--- a/carawaystair/gateway/relay.py
+++ b/carawaystair/gateway/relay.py
@@ -242,6 +242,7 @@
             if not failed.sent:
                 trip.missed.append(target)
                 return None
+            self.known.learn(trip.need.service, False)
             trip.sent += 1
             trip.runs += 1
             trip.failed = failed
@@ -251,6 +252,7 @@
         finally:
             view.mine -= 1
         bad = answer.status >= 500
+        self.known.learn(trip.need.service, not bad)
         self.recorder.tell(
             offer, decisions.TROUBLE if bad else decisions.ROUTINE
         )
--- a/carawaystair/load/placing.py
+++ b/carawaystair/load/placing.py
@@ -9,7 +9,7 @@
 when it has no free slot, and another one is asked.
 
 Upstreams in the same data centre go first while they have room: bytes between
-data centres cost time and money.
+data centres cost time and money.  ``load.spreading`` tells when that ends.
 """
 
 import random
@@ -60,7 +60,8 @@
     """An upstream that may get a request.
 
     :param id: the upstream.
-    :param near: whether it stands in this node's data centre.
+    :param near: whether it stands in this node's data centre, or distance
+        does not count.
     :param slots: requests that it works on at once.
     :param cold: whether it is still warming up.
     """
--- a/test/test_gateway_spread.py
+++ b/test/test_gateway_spread.py
@@ -143,8 +143,8 @@
 
 def test_far_upstreams_get_work_while_near_ones_fail():
     """All callers of a service are in one data centre, and some of the
-    upstreams there are gray.  One search in fourteen failed, most of them
-    after a second gray upstream, while 4 to 8 of 14 sound upstreams of the
+    upstreams there are gray.  One search in eighteen failed, most of them
+    after a second gray upstream, while 6 to 8 of 14 sound upstreams of the
     service had no work in two seconds: those in the other data centre got
     only what the near ones had no room for.  Distance was a class of its own
     before everything that is known of failures, so that nothing made a node
