Tests: a request that crosses the close of its connection (red)

Three ways to leave a caller without a word, found by reading: the idle timer that rings in the turn in which the request was read, a task that does not look whether its connection is closing, and any ConnectionError taken for the caller's. All four cases fail on the code as it is.

--- /dev/null
+++ b/test/test_kept_connections.py
@@ -0,0 +1,120 @@
+"""Requests on kept connections, when the node closes one at that moment.
+
+A request that crosses the close of its connection must be answered, or must
+not be passed on: its caller can't know whether it was run.
+"""
+
+import asyncio
+
+import pytest
+
+from carawaystair import manifest
+from test import gateway_setup as fleets
+from test import pipes
+from test import request_setup as setups
+
+IDLE_S = 2.0
+# Requests of one kept connection; the second one crosses its close.
+BOTH = ['GET /read/a HTTP/1.1', 'GET /read/b HTTP/1.1']
+
+
+def hold_up(seconds: float) -> None:
+    """Let the event loop do nothing for a while, as on a busy host."""
+    asyncio.get_running_loop().virtual.time += seconds
+
+
+async def ask_and_wait(writer, reader, rest_s: float) -> None:
+    """Use a connection once, and let it rest."""
+    await setups.ask(reader, writer, '/read/a')
+    await asyncio.sleep(rest_s)
+
+
+async def ask_again(reader, writer) -> setups.Answer | None:
+    """Use a kept connection; return None when it is closed instead."""
+    try:
+        return await setups.ask(reader, writer, '/read/b')
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+
+
+def test_request_that_was_read_is_answered_although_the_idle_time_is_over():
+    """A node passed a request on and closed its connection at once, so that
+    the caller heard nothing and the upstream was cut off. The event loop had
+    been held up, and one turn of it both read the request and found the idle
+    time of the connection over. The timer looked only at whether the task of
+    the connection stood at its wait, which it does until the next turn: it
+    closed the connection, then the task woke and passed the request on. A
+    record of callers that has this shape, though from connections that were
+    too young for the idle time of 15 s:
+
+        6.122 s  request sent
+        6.163 s  the connection is closed with no answer
+        6.163 s  reaches the upstream
+        6.164 s  its run ends: 0 cut
+    """
+
+    async def scenario():
+        limits = manifest.Limits(idle_timeout_ms=int(IDLE_S * 1000))
+        async with fleets.running(
+            None, fleets.slow(0.1), limits=limits
+        ) as fleet:
+            reader, writer = await asyncio.open_connection('127.0.0.1', 8000)
+            await ask_and_wait(writer, reader, IDLE_S * 0.75)
+            second = asyncio.ensure_future(ask_again(reader, writer))
+            await asyncio.sleep(0)
+            hold_up(IDLE_S)
+            answer = await second
+            return answer, [seen.line for seen in fleet.runs]
+
+    answer, runs = pipes.run(scenario())
+    assert runs == BOTH
+    assert answer is not None
+    assert (answer.status, answer.ended) == (200, True)
+
+
+def test_request_whose_caller_has_closed_already_is_not_passed_on():
+    """A request was passed on for nobody. The event loop of the node was held
+    up, and one turn brought the request and the close of its connection; the
+    task of the connection woke afterwards, and passed the request on without
+    a look at whether anybody could still be answered. The log of the node
+    said "left" with one offer, zero milliseconds after the request was read.
+    """
+
+    async def scenario():
+        async with fleets.running(None, fleets.slow(0.1)) as fleet:
+            reader, writer = await asyncio.open_connection('127.0.0.1', 8000)
+            await ask_and_wait(writer, reader, 0.5)
+            second = asyncio.ensure_future(ask_again(reader, writer))
+            await asyncio.sleep(0)
+            writer.close()
+            await second
+            await asyncio.sleep(1.0)
+            return fleet.nodes[0].lines.lines, fleet.runs
+
+    lines, runs = pipes.run(scenario())
+    assert [seen.line for seen in runs] == BOTH[:1]
+    assert [line for line in lines if b'"left"' in line] == []
+
+
+@pytest.mark.parametrize('error', [ConnectionResetError, BrokenPipeError])
+def test_broken_connection_of_another_is_no_reason_to_leave_unanswered(
+    error, monkeypatch
+):
+    """A caller's connection was closed without a word because another one
+    had broken. Whatever raises a ``ConnectionError`` while a request is
+    handled was taken for the sign that its caller has gone; the caller was
+    still there and heard nothing.
+    """
+
+    async def scenario():
+        async with fleets.running(None, fleets.serve) as fleet:
+
+            async def broken(*_arguments):
+                raise error('of another connection')
+
+            node = fleet.nodes[0].service
+            monkeypatch.setattr(node.relay.handover, 'exchange', broken)
+            return await fleet.ask('/read/a')
+
+    answer = pipes.run(scenario())
+    assert (answer.status, answer.outcome) == (500, 'unknown')
