Kept connections: no close while a request is in hand, and no error of others taken for the caller's

A task stands at its wait for one turn of the event loop after its request was read. The idle timer and the end of a stop took that for idle. They now look whether the wait is over, with the same words as all else; a request is taken up only from an open connection; a ConnectionError while the caller is still there is answered like any defect. Whether a connection is open is asked in one place for both sides of the wire.

--- a/carawaystair/gateway/door.py
+++ b/carawaystair/gateway/door.py
@@ -194,10 +194,10 @@
         self.timer = loop.call_later(FIRST_SIGN_S, self._sign)
 
     def _sign(self) -> None:
-        transport = self.request.connection.transport
-        if transport is None or transport.is_closing():
+        connection = self.request.connection
+        if not connection.open:
             return
-        transport.write(hops.INTERIM)
+        connection.transport.write(hops.INTERIM)
         loop = asyncio.get_running_loop()
         self.timer = loop.call_later(SIGN_EVERY_S, self._sign)
 
--- a/carawaystair/gateway/front.py
+++ b/carawaystair/gateway/front.py
@@ -135,7 +135,7 @@
             self._tell(trip, outcome, began, failed.code, failed.detail)
             raise
         except asyncio.CancelledError:
-            if self._left(request) or exchange.outcome is not None:
+            if not request.connection.open or exchange.outcome is not None:
                 self._tell_left(trip, began)
                 raise
             # This node stops, and its caller is still there.
@@ -155,11 +155,6 @@
     def _configured(self) -> bool:
         return self.routing().version != rows.NONE
 
-    def _left(self, request: incoming.Request) -> bool:
-        """Tell whether a caller has gone."""
-        transport = request.connection.transport
-        return transport is None or transport.is_closing()
-
     def give_up(self) -> None:
         """Answer what is left: this node's time to stop is over.
 
--- a/carawaystair/gateway/hops.py
+++ b/carawaystair/gateway/hops.py
@@ -140,10 +140,10 @@
 
     :raises ConnectionResetError: when it has gone.
     """
-    transport = request.connection.transport
-    if transport is None or transport.is_closing():
+    connection = request.connection
+    if not connection.open:
         raise ConnectionResetError('the sender has gone')
-    transport.write(data)
+    connection.transport.write(data)
 
 
 def line(hop: Hop) -> bytes:
--- a/carawaystair/request/exchange.py
+++ b/carawaystair/request/exchange.py
@@ -131,10 +131,10 @@
 
     def write(self, data: bytes) -> None:
         """Write to the caller; raises ``ConnectionError`` when it is gone."""
-        transport = self.request.connection.transport
-        if transport is None or transport.is_closing():
+        connection = self.request.connection
+        if not connection.open:
             raise ConnectionResetError('the caller has gone')
-        transport.write(data)
+        connection.transport.write(data)
 
     def proceed(self) -> None:
         """Tell a caller that waits for it to send its body."""
--- a/carawaystair/request/handling.py
+++ b/carawaystair/request/handling.py
@@ -65,9 +65,12 @@
         except answers.Failed as failed:
             outcome = codes.UNKNOWN if failed.sent else codes.NOT_RUN
             self._refuse(exchange, failed.code, outcome, failed.detail)
-        except ConnectionError:
-            # The caller has gone before it was answered.
+        except ConnectionError as error:
             exchange.keep_alive = False
+            # That of another connection tells nothing of this caller, who
+            # would hear nothing.
+            if request.connection.open:
+                self._defect(exchange, error)
         except Exception as error:
             self._defect(exchange, error)
         finally:
--- a/carawaystair/request/incoming.py
+++ b/carawaystair/request/incoming.py
@@ -166,7 +166,8 @@
     async def serve(self) -> None:
         """Answer the requests of this connection, one after another."""
         try:
-            while await self._arrived():
+            # What came with the caller's own close would run for nobody.
+            while await self._arrived() and self.open:
                 message, self.content = self.queue.popleft()
                 request = Request(message, self.content, self)
                 self._read_on()
@@ -222,7 +223,7 @@
     @property
     def idle(self) -> bool:
         """Tell whether no request is being read or answered."""
-        return self.waiter is not None and not self.begun
+        return self._waiting() and not self.begun
 
     # What asyncio calls
 
@@ -248,7 +249,7 @@
             self._wake()
             if len(self.queue) >= MAX_AHEAD and not self._buffer_paused:
                 self._pause_reading_for_buffer()
-        elif self.waiter is not None and not self.begun and data:
+        elif self.idle and data:
             self.begun = True
             self._arm(self.loop.time() + self.bounds.head_s)
 
@@ -278,8 +279,13 @@
             if not content.is_eof():
                 content.set_exception(error)
 
+    def _waiting(self) -> bool:
+        # The task stands at its wait for one more turn of the loop after a
+        # request was read; closed in that turn, its caller hears nothing.
+        return self.waiter is not None and not self.waiter.done()
+
     def _wake(self) -> None:
-        if self.waiter is not None and not self.waiter.done():
+        if self._waiting():
             self.waiter.set_result(None)
 
     # Time
@@ -288,5 +294,5 @@
         self.timer = None
         if self.loop.time() < self.until:
             self._arm(self.until)
-        elif self.waiter is not None and self.transport is not None:
+        elif self._waiting() and self.transport is not None:
             self.transport.close()
--- a/carawaystair/request/protocol.py
+++ b/carawaystair/request/protocol.py
@@ -21,6 +21,12 @@
         self.until = 0.0
         self.timer: asyncio.TimerHandle | None = None
 
+    @property
+    def open(self) -> bool:
+        """Tell whether something can be sent."""
+        transport = self.transport
+        return transport is not None and not transport.is_closing()
+
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Read on, if reading was paused.
 
--- a/carawaystair/request/wire.py
+++ b/carawaystair/request/wire.py
@@ -65,12 +65,6 @@
             max_headers=MAX_HEADERS,
         )
 
-    @property
-    def open(self) -> bool:
-        """Tell whether something can be sent."""
-        transport = self.transport
-        return transport is not None and not transport.is_closing()
-
     @property
     def sound(self) -> bool:
         """Tell whether the last answer was read to its exact end.
