--- a/test/gateway_setup.py
+++ b/test/gateway_setup.py
@@ -76,7 +76,9 @@
                 self.node.host,
                 'a',
                 row.slots,
+                warmup_s=row.warmup / 1000,
                 state=('up', 'draining')[row.state],
+                incarnation=row.incarnation,
             )
             for row in told.values()
         }
@@ -129,13 +131,19 @@
             self.recorder,
         )
 
-    def announce(self, state: str = 'up', slots: int = 5) -> None:
-        """Let the upstream of this host announce itself."""
+    def announce(
+        self, state: str = 'up', slots: int = 5, incarnation: int = 0
+    ) -> None:
+        """Let the upstream of this host announce itself.
+
+        :param incarnation: its lifetime; 0 for the one that is known.
+        """
         said = registries.Announcement(
             'portal',
             '127.0.0.1:%d' % self.upstream.port,
             slots,
             state=state,
+            incarnation=incarnation,
         )
         self.membership.registry.announce(self.upstream.name, said, 1)
 
