Membership: the lifetime of an upstream decides first

Cause: the registry kept the highest number of an id beyond the life that it is of, and knew of a life only as long as its lease. A life that started again under its id was refused (409) for as long as its former life had lasted; a late word of a former life could drain it, end it, or end its successor at its address. The directory told each row that changed as if it stood, so listeners held a moved upstream for its former life.

The life decides first, the number within it second. A leave names its life and is remembered where nothing stands. A host refuses a life that is older than the one that the fleet lists, and lets go of its own when the id goes on elsewhere. The directory tells what stands.

Numbers that would not travel any more are refused. An entry of the control log that holds no group is left out.

--- a/carawaystair/control/group.py
+++ b/carawaystair/control/group.py
@@ -82,9 +82,16 @@
     return msgspec.msgpack.encode(group)
 
 
-def decode(data: bytes) -> Group:
-    """Return the group that :func:`encode` took."""
-    return _DECODER.decode(data)
+def decode(data: bytes) -> Group | None:
+    """Return the group that :func:`encode` took, None for anything else.
+
+    It stands in the log of every replica: were it to raise, none of them
+    would start again.  All of them leave it out alike.
+    """
+    try:
+        return _DECODER.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return None
 
 
 def one_step(old: Group, new: Group) -> bool:
--- a/carawaystair/control/log.py
+++ b/carawaystair/control/log.py
@@ -112,7 +112,9 @@
         self.entries.append(entry)
         self.size += len(entry.data)
         if entry.kind == GROUP:
-            self.groups.append((entry.index, groups.decode(entry.data)))
+            group = groups.decode(entry.data)
+            if group is not None:
+                self.groups.append((entry.index, group))
 
     def cut(self, index: int) -> None:
         """Remove the entry at ``index`` and all later ones."""
--- a/carawaystair/membership/directory.py
+++ b/carawaystair/membership/directory.py
@@ -63,6 +63,11 @@
         """Return the same as ``upstreams``, without keeping it decoded."""
         return self.cache.get(service) or self._build(service)
 
+    def life(self, service: str, name: str) -> int:
+        """Return the incarnation of an upstream that stands, or 0."""
+        found = self._standing(service, name)
+        return 0 if found is None else found.incarnation
+
     def services(self) -> tuple[str, ...]:
         """Return the services that have an upstream."""
         return tuple(self.hosts)
@@ -99,7 +104,7 @@
         for row in gone:
             self._tell_gone(entry, row)
         for row in news:
-            self._tell(upstream(entry.member, row))
+            self._tell_news(entry, row)
 
     def _index(
         self, service: str, entry: tables.Entry, rows: tuple[messages.Row, ...]
@@ -154,19 +159,49 @@
         self.doubled.add(service)
         return tuple(single.values())
 
-    def _tell_gone(self, entry: tables.Entry, row: messages.Row) -> None:
-        """Tell that an upstream is gone, unless it moved to another host."""
-        moved = row.service in self.doubled or any(
-            item.id == row.id for item in self.cache.get(row.service, ())
-        )
-        if moved:
-            left = [u for u in self._build(row.service) if u.id == row.id]
-            if left:
-                self._tell(left[0])
-                return
+    def _standing(self, service: str, name: str) -> interfaces.Upstream | None:
+        """Return the newest life of an upstream, wherever it is."""
+        found = (u for u in self.peek(service) if u.id == name)
+        return next(found, None)
+
+    def _listed(self, row: messages.Row) -> interfaces.Upstream | None:
+        """Return the newest life of a row's id, in a service in use.
+
+        Services that nobody here asks for aren't decoded for this: when a
+        data centre is lost, that would be thousands at once.
+        """
+        if row.service in self.cache or row.service in self.doubled:
+            return self._standing(row.service, row.id)
+        return None
+
+    def _tell_news(self, entry: tables.Entry, row: messages.Row) -> None:
+        """Tell of a row, unless a newer life stands elsewhere.
+
+        Symptom if it were told: an upstream that has moved drains or is
+        full for those who listen, because its former life did or was.
+        """
         item = upstream(entry.member, row)
-        version = max(entry.record.sequence, item.sequence)
-        self._tell(item._replace(state=interfaces.GONE, sequence=version))
+        stands = self._listed(row)
+        if stands is None or stands.host == item.host:
+            self._tell(item)
+
+    def _tell_gone(self, entry: tables.Entry, row: messages.Row) -> None:
+        """Tell that an upstream is gone, unless it stands elsewhere.
+
+        Where its newest life was listed here, the one that stands now is
+        told in its place; where it was not, nothing has changed.
+        """
+        stands = self._listed(row)
+        if stands is None:
+            item = upstream(entry.member, row)
+            version = max(entry.record.sequence, item.sequence)
+            gone = item._replace(state=interfaces.GONE, sequence=version)
+            self._tell(gone)
+        elif (row.incarnation, row.sequence) > (
+            stands.incarnation,
+            stands.sequence,
+        ):
+            self._tell(stands)
 
     def _tell(self, item: interfaces.Upstream) -> None:
         if item.service in self.used or item.host == self.table.host:
--- a/carawaystair/membership/messages.py
+++ b/carawaystair/membership/messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from carawaystair import interfaces
+from carawaystair.membership import bounds
 from carawaystair import wire
 
 # Liveness of a host, as it travels.
@@ -20,11 +21,11 @@
 
 # The incarnation of a host's liveness counts the starts of its process in the
 # upper bits and the refutations of each start in these lower bits.
-REFUTATION_BITS = 16
+REFUTATION_BITS = bounds.REFUTATION_BITS
 
 # States of an upstream inside a record; those gone are absent from it.
 STATES = (interfaces.UP, interfaces.DRAINING)
-MILLI = 1000
+MILLI = bounds.MILLI
 # A body is compressed, which halves it: in memory, on the wire, and so that
 # it fits a datagram.  Larger than this it is refused before it is inflated:
 # a few hundred bytes could otherwise ask for gigabytes.
@@ -357,13 +358,29 @@
 
 
 def unpack(data: bytes) -> Body | None:
-    """Decode the body of a record.
+    """Decode the body of a record; upstreams that can't be are left out.
 
     :return: None when it is malformed.
     """
+    body = _decode(data)
+    if body is None or all(map(bounds.row_ok, body.upstreams)):
+        return body
+    usable = tuple(row for row in body.upstreams if bounds.row_ok(row))
+    return body._replace(upstreams=usable)
+
+
+def unusable(data: bytes) -> int:
+    """Return how many upstreams of a body :func:`unpack` leaves out."""
+    body = _decode(data)
+    rows = () if body is None else body.upstreams
+    return sum(not bounds.row_ok(row) for row in rows)
+
+
+def _decode(data: bytes) -> Body | None:
     inflater = zlib.decompressobj(RAW)
     try:
         text = inflater.decompress(data, MAX_BODY)
-        return _DECODER.decode(text) if inflater.eof else None
-    except (zlib.error, msgspec.DecodeError, UnicodeDecodeError):
+        body = _DECODER.decode(text) if inflater.eof else None
+    except (zlib.error, msgspec.DecodeError, ValueError, RecursionError):
         return None
+    return body if body is not None and bounds.body_ok(body) else None
--- a/carawaystair/membership/registry.py
+++ b/carawaystair/membership/registry.py
@@ -13,20 +13,20 @@
 from carawaystair import clock
 from carawaystair import codes
 from carawaystair import interfaces
+from carawaystair.membership import bounds
+from carawaystair.membership import lives as lives_module
 from carawaystair.membership import messages
 from carawaystair import settings
 from carawaystair import shape
 
 MAX_UPSTREAMS = 256
-MAX_NAME = 128
-MAX_SLOTS = 100_000
-MAX_WEIGHT = 1000.0
-MAX_WARMUP_S = 3600.0
+MAX_NAME = bounds.MAX_NAME
+MAX_SLOTS = bounds.MAX_SLOTS
+MAX_WEIGHT = bounds.MAX_WEIGHT
+MAX_WARMUP_S = bounds.MAX_WARMUP_S
 # Expired leases are looked for this often, in seconds.
 SWEEP_S = 0.5
 
-STATES = (interfaces.UP, interfaces.DRAINING, interfaces.GONE)
-
 
 class Announcement(typing.NamedTuple):
     """What an upstream says of itself, see docs/API-node.md.
@@ -63,6 +63,11 @@
     sequence: int
 
 
+def _nobody(_service: str, _name: str) -> int:
+    """Stand in until somebody knows of upstreams elsewhere."""
+    return 0
+
+
 class Registry(mode.Service):
     """The leases of this host's upstreams.
 
@@ -88,12 +93,14 @@
         self.callbacks: list[typing.Callable[[str], None]] = []
         # While the host's process stops, none of them gets new work.
         self.closing = False
-        # The highest number that an announcement of each id bore.
-        self.numbers: dict[str, int] = {}
         self.leases: dict[str, Lease] = {}
         # Upstreams that left, and until when an announcement without a
         # newer incarnation is refused.
         self.left: dict[str, Lease] = {}
+        self.lives = lives_module.Lives()
+        # Returns the newest incarnation of an upstream of a service that
+        # the fleet knows of.
+        self.elsewhere: typing.Callable[[str, str], int] = _nobody
         self.sequence = 0
 
     def announce(
@@ -110,30 +117,59 @@
         :param number: grows with each announcement of an upstream, so that
             one that was delayed is told; 0 where they bear none.
         """
-        wrong = _wrong(name, announcement)
+        wrong = _wrong(name, announcement, number)
         if wrong:
             return codes.fail(codes.ANNOUNCEMENT_INVALID, wrong)
-        if number and number < self.numbers.get(name, 0):
-            return codes.fail(codes.ANNOUNCEMENT_OLD, name)
         known = self.leases.get(name) or self.left.get(name)
         if known is None and len(self.leases) >= MAX_UPSTREAMS:
             return codes.fail(codes.TOO_MANY_UPSTREAMS, name)
-        if known is not None and _old(known.announcement, announcement):
-            return codes.fail(codes.ANNOUNCEMENT_OLD, name)
         if not announcement.incarnation:
-            started = known.announcement.incarnation if known else wall_ms
+            # Without one, only the number tells what is late.
+            if 0 < number < self.lives.number(name):
+                return codes.fail(codes.ANNOUNCEMENT_OLD, name)
+            started = (
+                known.announcement.incarnation
+                if known
+                else self.lives.next(name, wall_ms)
+            )
             announcement = announcement._replace(incarnation=started)
+        if self._old(name, announcement, number):
+            return codes.fail(codes.ANNOUNCEMENT_OLD, name)
         self._supersede(name, announcement)
-        if number:
-            self._count(name, number)
+        self._note(name, announcement, number)
         self._store(name, announcement)
         return expression.Ok(announcement)
 
-    def _count(self, name: str, number: int) -> None:
-        self.numbers.pop(name, None)
-        self.numbers[name] = number
-        while len(self.numbers) > MAX_UPSTREAMS:
-            del self.numbers[next(iter(self.numbers))]
+    def _old(self, name: str, said: Announcement, number: int) -> bool:
+        """Tell whether an announcement is older than what is known."""
+        if self.lives.newer(name, said.incarnation, number, said.state):
+            return True
+        if name in self.leases:
+            return False
+        if self.elsewhere(said.service, name) > said.incarnation:
+            # The newer life announces itself at another host.
+            return True
+        return said.state != interfaces.GONE and any(
+            lease.announcement.incarnation > said.incarnation
+            for lease in self._rivals(name, said).values()
+        )
+
+    def _note(self, name: str, said: Announcement, number: int) -> None:
+        now = clock.now()
+        self.lives.note(name, said.incarnation, number, said.state, now)
+
+    def _rivals(self, name: str, said: Announcement) -> dict[str, Lease]:
+        """Return the leases of others at the same address.
+
+        Behind a gateway, where an address belongs to one upstream at a time.
+        """
+        if self.gateway is None:
+            return {}
+        return {
+            other: lease
+            for other, lease in self.leases.items()
+            if other != name and lease.announcement.address == said.address
+        }
 
     def _supersede(self, name: str, said: Announcement) -> None:
         """End the leases of others at the same address behind a gateway.
@@ -142,19 +178,29 @@
         has another id; until the old lease ended by itself, half of the work
         would be meant for an upstream that is gone.
         """
-        if self.gateway is None:
+        self._end(self._rivals(name, said))
+
+    def moved(self, upstream: interfaces.Upstream) -> None:
+        """End the lease of a life that is over: its id goes on elsewhere.
+
+        :param upstream: as the directory has it.
+        """
+        lease = self.leases.get(upstream.id)
+        if lease is None:
             return
-        ended = [
-            other
-            for other, lease in self.leases.items()
-            if other != name and lease.announcement.address == said.address
-        ]
-        for other in ended:
-            del self.leases[other]
-            self._tell(other)
-        if ended:
-            self.sequence += 1
-            self.publish(True)
+        if upstream.incarnation > lease.announcement.incarnation:
+            self._end([upstream.id])
+
+    def _end(self, names: typing.Collection[str]) -> None:
+        """End leases whose upstreams are gone without a word."""
+        if not names:
+            return
+        for name in names:
+            del self.leases[name]
+        self.sequence += 1
+        for name in names:
+            self._tell(name)
+        self.publish(True)
 
     def close(self) -> None:
         """Announce all upstreams as leaving: this host's process stops."""
@@ -169,14 +215,31 @@
     def remove(
         self, name: str, incarnation: int = 0
     ) -> expression.Result[None, codes.Failure]:
-        """Take the leave of an upstream; unknown ones have left already."""
+        """Take the leave of an upstream; unknown ones have left already.
+
+        A leave may overtake the announcements of its life, the first ones
+        too: it is remembered also where nothing stands that it could end.
+
+        :param incarnation: the life that leaves; 0 for the one that stands.
+        """
         lease = self.leases.get(name)
-        if lease is None:
-            return expression.Ok(None)
-        known = lease.announcement
-        if incarnation and incarnation < known.incarnation:
+        gone = interfaces.GONE
+        if not incarnation:
+            if lease is None:
+                return expression.Ok(None)
+            incarnation = lease.announcement.incarnation
+        if not bounds.number_ok(incarnation):
+            return codes.fail(codes.ANNOUNCEMENT_INVALID, 'incarnation')
+        if not bounds.name_ok(name):
+            return codes.fail(codes.ANNOUNCEMENT_INVALID, 'id')
+        if self.lives.newer(name, incarnation, 0, gone):
             return codes.fail(codes.ANNOUNCEMENT_OLD, name)
-        self._store(name, known._replace(state=interfaces.GONE))
+        self.lives.note(name, incarnation, 0, gone, clock.now())
+        if lease is not None:
+            said = lease.announcement._replace(
+                state=gone, incarnation=incarnation
+            )
+            self._store(name, said)
         return expression.Ok(None)
 
     def rows(self) -> tuple[messages.Row, ...]:
@@ -212,15 +275,11 @@
                 for name, lease in self.leases.items()
             }
         ended = [n for n, lease in self.leases.items() if lease.until <= now]
-        for name in ended:
-            del self.leases[name]
-            self._tell(name)
+        self._end(ended)
         old = [n for n, lease in self.left.items() if lease.until <= now]
         for name in old:
             del self.left[name]
-        if ended:
-            self.sequence += 1
-            self.publish(True)
+        self.lives.forget(now, self.leases)
 
     def _store(self, name: str, announcement: Announcement) -> None:
         until = clock.now() + self.lease_s
@@ -263,23 +322,12 @@
     )
 
 
-def _old(known: Announcement, said: Announcement) -> bool:
-    """Tell whether an announcement is older than the known one.
-
-    A renewal that was sent before a drain may arrive after it; taken as
-    news, it would bring work back to an upstream that leaves.  Within one
-    incarnation the state therefore only moves towards gone.
-    """
-    if said.incarnation and said.incarnation != known.incarnation:
-        return said.incarnation < known.incarnation
-    return STATES.index(said.state) < STATES.index(known.state)
-
-
-def _wrong(name: str, said: Announcement) -> str:
+def _wrong(name: str, said: Announcement, number: int) -> str:
     """Return what is wrong with an announcement, or nothing."""
-    bounds = (
-        (0 < len(name) <= MAX_NAME, 'id'),
-        (0 < len(said.service) <= MAX_NAME, 'service'),
+    checks = (
+        (bounds.name_ok(name), 'id'),
+        (bounds.name_ok(said.service), 'service'),
+        (bounds.number_ok(number), 'number'),
         (settings.address_ok(said.address), 'address: no IP number and port'),
         (0 < said.slots <= MAX_SLOTS, 'slots: 1 to %d' % MAX_SLOTS),
         (
@@ -290,9 +338,9 @@
             0 <= said.warmup_s <= MAX_WARMUP_S,
             'warmup_s: 0 to %d' % MAX_WARMUP_S,
         ),
-        (0 <= said.incarnation < 1 << 63, 'incarnation'),
+        (bounds.number_ok(said.incarnation), 'incarnation'),
     )
-    return ', '.join(text for fine, text in bounds if not fine)
+    return ', '.join(text for fine, text in checks if not fine)
 
 
 def read(
--- a/carawaystair/membership/service.py
+++ b/carawaystair/membership/service.py
@@ -12,6 +12,7 @@
 from carawaystair import logs
 from carawaystair.membership import aging
 from carawaystair.membership import api
+from carawaystair.membership import bounds
 from carawaystair.membership import directory as directories
 from carawaystair.membership import flood as floods
 from carawaystair.membership import gossip
@@ -105,6 +106,8 @@
         self.members = member_lists.Members(self.table, timeline)
         self.directory = directories.Directory(self.table, timeline)
         self.registry = registries.Registry(lease_s, self.publish, gateway)
+        self.registry.elsewhere = self.directory.life
+        self.directory.subscribe(self._told)
         self.table.own(self._record(), self._liveness())
         self.flood = floods.Flood(self.table, transport)
         self.gossip = gossip.Gossip(self.table, datagrams, rng)
@@ -194,6 +197,15 @@
             when = max(loop.time() + GATHER_S, self.published + SPACING_S)
             self.gather = loop.call_at(when, self._publish)
 
+    def _told(self, upstream: interfaces.Upstream) -> None:
+        """Let go of a life here whose upstream goes on elsewhere.
+
+        Not while the table changes: this host's own record changes then.
+        """
+        if upstream.id in self.registry.leases:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.registry.moved, upstream)
+
     def rise(self, incarnation: int) -> None:
         """Refute what others say of this process.
 
@@ -214,6 +226,9 @@
         """
         if self.left or incarnation < self.incarnation:
             return
+        if not bounds.start_ok(incarnation + 1):
+            # Numbered above it, this process could tell nobody of itself.
+            return
         LOG.warning('Others know a later start of this host.')
         self.incarnation = incarnation + 1
         self.refutations = 0
--- a/carawaystair/membership/table.py
+++ b/carawaystair/membership/table.py
@@ -12,9 +12,15 @@
 from carawaystair import clock
 from carawaystair import interfaces
 from carawaystair import logs
+from carawaystair.membership import bounds
 from carawaystair.membership import digest
 from carawaystair.membership import messages
+from carawaystair import output
 
+# Lines a second about records that are refused, whole or in part: a peer
+# that has a malformed one offers it again with each comparison.
+REFUSED_LINES = 1
+REFUSED = 'refused'
 # More hosts than this are not taken in: a faulty or hostile peer that makes
 # up names must not fill the memory.  Four times the size designed for.
 MAX_HOSTS = 10_000
@@ -106,6 +112,7 @@
         self.accused: typing.Callable[[int], None] = _ignore
         self.outdated: typing.Callable[[int], None] = _ignore
         self.refused = 0
+        self.room = output.Room({REFUSED: REFUSED_LINES})
         self.cached: list[Entry] | None = None
 
     @property
@@ -124,6 +131,9 @@
 
         :return: whether it is news here.
         """
+        if not bounds.record_ok(record):
+            self._refuse(record, 'out of bounds')
+            return False
         entry = self.entries.get(record.host)
         if entry is not None and record.version <= entry.record.version:
             return False
@@ -135,15 +145,30 @@
         body = messages.unpack(record.body)
         full = entry is None and len(self.entries) >= MAX_HOSTS
         if body is None or full:
-            self.refused += 1
-            LOG.warning('Refused a record.', of=record.host, full=full)
+            self._refuse(record, 'no room' if full else 'malformed')
             return False
+        if left_out := messages.unusable(record.body):
+            self._tell_refused(record, '%d upstreams left out' % left_out)
         if entry is None:
             self._add(record, body)
         else:
             self._replace(entry, record, body)
         return True
 
+    def _refuse(self, record: messages.Record, why: str) -> None:
+        self.refused += 1
+        self._tell_refused(record, why)
+
+    def _tell_refused(self, record: messages.Record, why: str) -> None:
+        if self.room.take(int(clock.now()), REFUSED):
+            LOG.warning(
+                'Refused a record.',
+                of=record.host[: bounds.MAX_NAME],
+                why=why,
+                total=self.refused,
+                left_out=self.room.tell(),
+            )
+
     def own(self, record: messages.Record, incarnation: int) -> None:
         """Set the record of this process.
 
@@ -166,6 +191,9 @@
         :return: whether it is news here.
         """
         entry = self.entries.get(host)
+        if not bounds.number_ok(incarnation):
+            # Whoever refuted that would have to go above what travels.
+            return False
         if entry is None or entry.state == messages.LEFT:
             return False
         known = entry.member.incarnation
--- a/test/test_platform_documents.py
+++ b/test/test_platform_documents.py
@@ -251,6 +251,7 @@
     'state': 'ready',
     'cold_remaining': '1500ms',
     'seq': 4,
+    'born': 1_790_000_000_000,
 }
 
 
--- a/test/test_platform_operators.py
+++ b/test/test_platform_operators.py
@@ -184,6 +184,7 @@
     'slots': 4,
     'state': 'ready',
     'seq': 1,
+    'born': 1_790_000_000_000,
 }
 
 
@@ -191,7 +192,7 @@
     published = []
     registry = registries.Registry(6.0, published.append, '10.0.0.1:1')
     local = localapi.LocalApi(
-        '127.0.0.1:1', upstreams.Upstreams(registry).routes()
+        '127.0.0.1:1', upstreams.Upstreams(registry, 's'.__eq__).routes()
     )
 
     async def scenario():
