Membership: one that was late goes on in its life; strict local interface

Cause: an upstream whose announcements bear no incarnation got a new one when it came back after its lease; with lives that break off what runs in the former one, its own heartbeat would have cut its runs. The local interface answered 500 to deep nesting and to 5,000 digits, and took keys that stand twice (seen: 500 == 400, 200 == 400).

The interface decodes as documents are decoded.

Tests: test_upstream_that_was_late_goes_on_in_its_life (with the old rule: [('a', 9000)] == [('a', 77)]), test_malformed_announcement_at_the_local_ interface (six cases, failed before).

--- a/carawaystair/membership/api.py
+++ b/carawaystair/membership/api.py
@@ -7,11 +7,15 @@
 
 from carawaystair import clock
 from carawaystair import codes
+from carawaystair import documents
 from carawaystair.membership import directory as directories
 from carawaystair.membership import registry as registries
 from carawaystair import shape
 
 MAX_BODY = 16 * 1024
+# Mistakes that are told, and digits of an incarnation.
+MOST_SHOWN = 3
+MOST_DIGITS = 19
 
 
 class Answer(typing.NamedTuple):
@@ -71,12 +75,12 @@
         name = request.match_info['id']
         if (request.content_length or 0) > MAX_BODY:
             return _refuse(codes.Failure(codes.ANNOUNCEMENT_INVALID, 'size'))
-        try:
-            value = msgspec.json.decode(await request.read())
-        except msgspec.DecodeError as error:
-            failure = codes.Failure(codes.ANNOUNCEMENT_INVALID, str(error))
+        value = documents.decode(await request.read(), MAX_BODY)
+        if value.is_error():
+            text = '; '.join(map(str, value.error[:MOST_SHOWN]))
+            failure = codes.Failure(codes.ANNOUNCEMENT_INVALID, text)
             return _refuse(failure)
-        result = registries.read(value).bind(
+        result = registries.read(value.ok).bind(
             lambda said: self.registry.announce(name, said, clock.wall_ms())
         )
         if result.is_error():
@@ -98,7 +102,7 @@
         """Take the leave of an upstream."""
         name = request.match_info['id']
         text = request.query.get('incarnation', '0')
-        if not text.isdecimal():
+        if not text.isdecimal() or len(text) > MOST_DIGITS:
             failure = codes.Failure(codes.ANNOUNCEMENT_INVALID, 'incarnation')
             return _refuse(failure)
         result = self.registry.remove(name, int(text))
--- a/carawaystair/membership/lives.py
+++ b/carawaystair/membership/lives.py
@@ -70,12 +70,17 @@
         return 0 if life is None else life.number
 
     def next(self, name: str, least: int) -> int:
-        """Return an incarnation above the one that is known.
+        """Return the incarnation of an upstream that says none itself.
 
-        For an upstream that says none itself.
+        One that was late goes on in the life that it had; one that left
+        begins another.
         """
         life = self.known.get(name)
-        return least if life is None else max(least, life.incarnation + 1)
+        if life is None:
+            return least
+        if life.state != interfaces.GONE:
+            return life.incarnation
+        return max(least, life.incarnation + 1)
 
     def note(
         self, name: str, incarnation: int, number: int, state: str, now: float
--- a/test/test_lifetimes.py
+++ b/test/test_lifetimes.py
@@ -175,6 +175,26 @@
     run(_steps)
 
 
+def test_upstream_that_was_late_goes_on_in_its_life():
+    """Symptom: what runs at an upstream is broken off by its own heartbeat.
+    Sequence: its heartbeats bear no lifetime; one comes after its lease.
+    Cause: it was taken for one that started again.
+    """
+
+    def _steps(host):
+        host.say(0, 5)
+        host.registry.expire(clock.now() + 6.1, 0.0)
+        assert host.listed() == []
+        assert host.registry.announce('a', SAID, 9000, 6).is_ok()
+        assert host.listed() == [('a', 77)]
+        host.registry.remove('a')
+        host.registry.expire(clock.now() + 12.2, 0.0)
+        assert host.registry.announce('a', SAID, 9000, 7).is_ok()
+        assert host.listed() == [('a', 9000)]
+
+    run(_steps)
+
+
 def test_new_life_is_told_to_the_parts_of_its_host():
     def _steps(host):
         host.say(5, 100)
--- a/test/test_malformed_records.py
+++ b/test/test_malformed_records.py
@@ -4,6 +4,10 @@
 and the others hold.
 """
 
+import asyncio
+
+from aiohttp import test_utils
+from aiohttp import web
 import hypothesis
 from hypothesis import strategies
 import msgspec
@@ -313,3 +317,38 @@
     for text in (data, msgspec.msgpack.encode(value)):
         found = groups.decode(text)
         assert found is None or isinstance(found, groups.Group)
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'[' * 5000,
+        b'\xff',
+        b'{"service":"s","service":"t","address":"127.0.0.1:1","slots":1}',
+        b'{"service":"\\ud800","address":"127.0.0.1:1","slots":1}',
+        b'{"service":"s","address":"127.0.0.1:1","slots":1e999}',
+        b'{"service":"s","address":"127.0.0.1:1","slots":'
+        + b'9' * 5000
+        + b'}',
+    ],
+)
+def test_malformed_announcement_at_the_local_interface(data):
+    """Symptom: the local interface answers 500.
+    Sequence: an announcement of another writer.
+    Cause: errors of the decoder that were not thought of.
+    """
+
+    async def _run():
+        node = whole.make(fakes.Network(), 0)
+        app = web.Application()
+        app.add_routes(node.routes())
+        async with test_utils.TestClient(test_utils.TestServer(app)) as client:
+            answer = await client.put('/v1/upstreams/a', data=data)
+            assert answer.status == 400
+            assert (await answer.json())['code'] == 'CS-7005'
+            path = '/v1/upstreams/a?incarnation=' + '9' * 5000
+            answer = await client.delete(path)
+            assert answer.status == 400
+            assert node.registry.rows() == ()
+
+    asyncio.run(_run())
