Gateway: what is believed of an upstream belongs to one life

Cause: slots, target, suspicion and durations were kept with the id, as were the views of callers' nodes. After a start under the same id, work that may run once went out on kept connections of the former life, runs of the former life were waited for until their deadline (504), and its failures and load were held against the new life.

Change: `gateway/lives.py` holds one life: slots with line, suspicion and durations, and the target with its connections. A new life gets a new one. The former's waiting requests are refused as not run and go elsewhere; its idle connections are closed, those in use not kept, those being made carry nothing; runs on connections opened before the start are broken off as unknown (one opened after it runs in the new life, whose first heartbeat came later). Budgets stay with the service, ids stay held to one run. An answer without a length that is cut is never taken for whole (`Wire.fail`). Reports name the life; callers' nodes drop those of a former one, begin anew with a newer one, and give an id that moves a target of its own, so that the gateway of another host is never asked for a run. Events life-began and life-ended.

--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -239,6 +239,50 @@
     slots: int
 
 
+class LifeBegan(typing.NamedTuple):
+    """A gateway knows of a new life of an upstream, or of its return.
+
+    :param upstream: the upstream.
+    :param service: its service.
+    :param address: where it takes requests.
+    :param incarnation: the life: when it started, ms since 1970, as a rule.
+    :param slots: requests that it works on at once.
+    :param warmup_ms: time until it carries full load, ms.
+    :param cut: runs of its former lives that were in progress and are
+        broken now; what became of them is unknown.
+    """
+
+    upstream: str
+    service: str
+    address: str
+    incarnation: int
+    slots: int
+    warmup_ms: int
+    cut: int
+
+
+class LifeEnded(typing.NamedTuple):
+    """A gateway lets go of all that it knew of a life of an upstream.
+
+    :param upstream: the upstream.
+    :param service: its service.
+    :param incarnation: the life.
+    :param why: ``left``; ``started anew``; or ``silent``: its lease ended,
+        or another upstream has its address or goes on under its id.
+    :param running: requests that run there.
+    :param waiting: requests that wait, which are refused.
+    :param idle: kept connections, which are closed.
+    """
+
+    upstream: str
+    service: str
+    incarnation: int
+    why: str
+    running: int
+    waiting: int
+    idle: int
+
+
 class Noted(typing.NamedTuple):
     """An event of the time line: what the process believes has changed.
 
@@ -267,6 +311,8 @@
     Began: ('gateway', 'began'),
     Ended: ('gateway', 'ended'),
     Declining: ('gateway', 'declining'),
+    LifeBegan: ('gateway', 'life-began'),
+    LifeEnded: ('gateway', 'life-ended'),
     Noted: ('process', 'noted'),
 }
 
--- a/carawaystair/explain.py
+++ b/carawaystair/explain.py
@@ -35,6 +35,11 @@
     'rejected': 'rejected with {status} {code}: {method} {asked} {path}, by'
     ' configuration {version}, in force here for {version_ms} ms {detail}',
     'left': 'cancelled: the caller left after {total_ms} ms',
+    'life-began': '{upstream} of {service} began life {incarnation} at'
+    ' {address} ({slots} slots, {warmup_ms} ms of warm-up); {cut} runs of'
+    ' former lives broken off',
+    'life-ended': '{upstream} of {service} ended life {incarnation}: {why}'
+    ' ({running} run, {waiting} waited, {idle} connections closed)',
 }
 
 
--- a/carawaystair/gateway/known.py
+++ b/carawaystair/gateway/known.py
@@ -39,15 +39,30 @@
     def changed(self, upstream: interfaces.Upstream) -> None:
         """Take note of an upstream that changed."""
         target = self.targets.get(upstream.id)
-        if target is None:
-            return
-        if target.upstream.address != upstream.address:
-            connections.close_idle(target)
-        target.upstream = upstream
-        if upstream.state == interfaces.GONE:
+        if target is not None:
+            self._update(target, upstream)
+
+    def _update(
+        self, target: targets.Target, new: interfaces.Upstream
+    ) -> None:
+        """Bring a target up to date, or let go of it.
+
+        A request that is with the gateway of one host must not be asked for
+        at another one, which knows of no run and would run it again.  So an
+        id that moves gets a target of its own there.
+        """
+        old = target.upstream
+        moved = (old.host, old.address) != (new.host, new.address)
+        if moved or new.state == interfaces.GONE:
             connections.close_idle(target)
-            del self.targets[upstream.id]
-            self.board.forget(upstream.id)
+            target.upstream = old._replace(state=interfaces.GONE)
+            del self.targets[new.id]
+            self.board.forget(new.id)
+            return
+        if old.incarnation != new.incarnation:
+            target.seen = clock.now()
+            self.board.renew(new.id, new.incarnation)
+        target.upstream = new
 
     def sweep(self, now: float) -> None:
         """Close connections that were idle for long."""
@@ -62,9 +77,16 @@
     def target(self, upstream: interfaces.Upstream) -> targets.Target:
         """Return what this node knows of an upstream."""
         target = self.targets.get(upstream.id)
+        if target is not None and target.upstream is not upstream:
+            # The directory forgets services that nobody asks for, and tells
+            # nothing of their changes.
+            self._update(target, upstream)
+            target = self.targets.get(upstream.id)
         if target is None:
             target = targets.Target(upstream, clock.now())
             self.targets[upstream.id] = target
+            # Answers of a life that went on elsewhere may still come.
+            self.board.renew(upstream.id, upstream.incarnation)
         return target
 
     def choose(
--- a/carawaystair/gateway/work.py
+++ b/carawaystair/gateway/work.py
@@ -9,6 +9,7 @@
 from carawaystair.gateway import figures as figures_module
 from carawaystair.gateway import hops
 from carawaystair.gateway import inner as inners
+from carawaystair.gateway import lives as lives_module
 from carawaystair.gateway import sends
 from carawaystair.gateway import slots as slots_module
 from carawaystair import interfaces
@@ -23,7 +24,6 @@
 from carawaystair.request import connections
 from carawaystair.request import headers
 from carawaystair.request import incoming
-from carawaystair.request import target as targets
 from carawaystair import settings as settings_module
 
 # A run is overdue, and its upstream under suspicion, after so many times
@@ -68,8 +68,8 @@
         self.budgets: dict[str, retrying.Budget] = {}
         # The most gateways that each service was seen to have.
         self.sharers: dict[str, int] = {}
-        self.slots: dict[str, slots_module.Slots] = {}
-        self.targets: dict[str, targets.Target] = {}
+        self.lives: dict[str, lives_module.Life] = {}
+        self.running = lives_module.Running()
         self.leaving = False
         self.not_run = names.not_run.lower().encode()
         self.receipt = names.receipt.lower().encode()
@@ -85,56 +85,80 @@
 
     # The upstreams of this host
 
+    @property
+    def slots(self) -> dict[str, slots_module.Slots]:
+        """Return the slots of the upstreams of this host."""
+        return {name: life.slots for name, life in self.lives.items()}
+
     def changed(self, name: str) -> None:
         """Take note of an announcement that changed."""
         lease = self.registry.leases.get(name)
-        target = self.targets.get(name)
-        if lease is None or lease.announcement.state != interfaces.UP:
-            if name in self.slots:
-                self.slots[name].refuse_all(hops.LEAVING)
-        if lease is None:
+        said = None if lease is None else lease.announcement
+        life = self.lives.get(name)
+        if life is not None and not _same(life, said):
+            self._end(life, said)
+            life = None
+        if said is None:
             # What runs there goes on; new work finds no lease.
-            self.slots.pop(name, None)
-            self.targets.pop(name, None)
-        if target is None:
             return
-        if lease is None:
-            connections.close_idle(target)
-        else:
-            target.upstream = _upstream(name, lease.announcement)
-            if target.upstream.state != interfaces.UP:
-                connections.close_idle(target)
+        if life is None:
+            life = self._begin(name, said)
+        life.hear(said)
+
+    def _begin(
+        self, name: str, said: registries.Announcement
+    ) -> lives_module.Life:
+        life = lives_module.Life(name, said, self.process)
+        self.lives[name] = life
+        cut = self.running.cut(name, said.incarnation)
+        self.recorder.tell(
+            decisions.LifeBegan(
+                name,
+                said.service,
+                said.address,
+                said.incarnation,
+                said.slots,
+                int(said.warmup_s * MS),
+                cut,
+            ),
+            decisions.BELIEF,
+        )
+        return life
+
+    def _end(
+        self, life: lives_module.Life, said: registries.Announcement | None
+    ) -> None:
+        """Let go of a life that is over.
+
+        :param said: of the life that follows, None when there is none.
+        """
+        name, line = life.name, life.slots.line
+        why = 'started anew'
+        if said is None:
+            why = 'left' if name in self.registry.left else 'silent'
+        event = decisions.LifeEnded(
+            name,
+            life.said.service,
+            life.said.incarnation,
+            why,
+            line.running,
+            len(line.waiting),
+            len(life.target.idle),
+        )
+        self.recorder.tell(event, decisions.BELIEF)
+        del self.lives[name]
+        life.end()
 
     def close(self) -> None:
         """Take no new work: the process stops."""
         self.leaving = True
-        for slots in self.slots.values():
-            slots.refuse_all(hops.LEAVING)
+        for life in self.lives.values():
+            life.slots.refuse_all(hops.LEAVING)
 
     def sweep(self, now: float) -> None:
         """Close connections to upstreams that were idle too long."""
-        for target in self.targets.values():
-            connections.sweep(target, now)
-
-    def _slots(
-        self, name: str, said: registries.Announcement
-    ) -> slots_module.Slots:
-        slots = self.slots.get(name)
-        if slots is None:
-            slots = slots_module.Slots(self.process, said.slots)
-            self.slots[name] = slots
-        slots.line.slots = said.slots
-        return slots
-
-    def _target(
-        self, name: str, said: registries.Announcement
-    ) -> targets.Target:
-        target = self.targets.get(name)
-        if target is None:
-            upstream = _upstream(name, said)
-            target = targets.Target(upstream, clock.now())
-            self.targets[name] = target
-        return target
+        for life in self.lives.values():
+            connections.sweep(life.target, now)
 
     # One request
 
@@ -146,8 +170,8 @@
         source: bodies.Source | None,
     ) -> answers.Answer:
         """Give a request a slot and send it to its upstream."""
-        said = self._announced(hop)
-        slots = self._slots(hop.upstream, said)
+        life = self._life(hop)
+        slots = life.slots
         now = clock.now()
         trial = slots.suspicion.suspect
         self._check_sound(hop, slots, now)
@@ -159,6 +183,10 @@
             hop.key, hop.route, call.deadline, goal, hop.priority, hop.inner
         )
         waited_s = await slots.take(want, hop.stays)
+        if self.lives.get(hop.upstream) is not life:
+            # The life that it was given a slot of has ended meanwhile.
+            slots.free(hop.key)
+            raise slots_module.Refused(hops.LEAVING)
         line = slots.line
         self.recorder.tell(
             decisions.Began(
@@ -174,20 +202,25 @@
             )
         )
         self._count(hop)
-        target = self._target(hop.upstream, said)
         attempt = sends.ToUpstream(
-            call, target, self.names, hop.caller_service, source
+            call, life.target, self.names, hop.caller_service, source
         )
-        freed = False
+        self.running.begin(attempt)
+
+        def release() -> None:
+            self.running.end(attempt)
+            slots.free(hop.key)
+
+        passing = False
         try:
             answer = await self._send(hop, slots, attempt, waited_s)
             if answer.rest is not None:
-                attempt.release = lambda: slots.free(hop.key)
-                freed = True
+                attempt.release = release
+                passing = True
             return answer
         finally:
-            if not freed:
-                slots.free(hop.key)
+            if not passing:
+                release()
 
     def _check_sound(
         self, hop: hops.Hop, slots: slots_module.Slots, now: float
@@ -241,14 +274,14 @@
         self.sharers[service] = most
         return most
 
-    def _announced(self, hop: hops.Hop) -> registries.Announcement:
-        """Return what the upstream said of itself, if it takes new work."""
-        lease = self.registry.leases.get(hop.upstream)
-        if lease is None:
+    def _life(self, hop: hops.Hop) -> lives_module.Life:
+        """Return the life of an upstream that takes new work."""
+        life = self.lives.get(hop.upstream)
+        if life is None:
             raise slots_module.Refused(hops.ABSENT)
-        if self.leaving or lease.announcement.state != interfaces.UP:
+        if self.leaving or life.said.state != interfaces.UP:
             raise slots_module.Refused(hops.LEAVING)
-        return lease.announcement
+        return life
 
     # At the upstream
 
@@ -394,25 +427,18 @@
 
     def report(self, upstream: str, route: str = '') -> placing.Report:
         """Return what other nodes should know of an upstream."""
-        slots = self.slots.get(upstream)
-        if slots is None:
-            slots = slots_module.Slots(self.process, 0)
-        return slots.report(route)
-
-
-def _upstream(name: str, said: registries.Announcement) -> interfaces.Upstream:
-    return interfaces.Upstream(
-        name,
-        said.service,
-        said.address,
-        '',
-        '',
-        said.slots,
-        said.weight,
-        said.warmup_s,
-        said.state,
-        said.incarnation,
-    )
+        life = self.lives.get(upstream)
+        if life is None:
+            return slots_module.Slots(self.process, 0).report(route)
+        report = life.slots.report(route)
+        return report._replace(incarnation=life.said.incarnation)
+
+
+def _same(
+    life: lives_module.Life, said: registries.Announcement | None
+) -> bool:
+    """Tell whether an announcement is of a life that is known."""
+    return said is not None and said.incarnation == life.said.incarnation
 
 
 def _drop(answer: answers.Answer) -> None:
--- a/carawaystair/load/placing.py
+++ b/carawaystair/load/placing.py
@@ -43,6 +43,8 @@
         ms.
     :param route_ms: mean service time of the route that was asked for, ms;
         it may be a tenth of that of others.
+    :param incarnation: the life of the upstream that this is about, 0 where
+        none stands.
     """
 
     process: str
@@ -54,6 +56,7 @@
     service_ms: int
     proof_ms: int
     route_ms: int = 0
+    incarnation: int = 0
 
 
 class Candidate(typing.NamedTuple):
@@ -74,9 +77,11 @@
 class View:
     """What this node knows of one upstream."""
 
-    __slots__ = ('at', 'mine', 'reachable', 'report')
+    __slots__ = ('at', 'incarnation', 'mine', 'reachable', 'report')
 
-    def __init__(self) -> None:
+    def __init__(self, incarnation: int = 0) -> None:
+        # The life that it is about, 0 while that is not known.
+        self.incarnation = incarnation
         self.report: Report | None = None
         self.at = 0.0
         # Requests of this node that are with it now.
@@ -106,9 +111,30 @@
         """Forget an upstream that is gone."""
         self.views.pop(upstream, None)
 
+    def renew(self, upstream: str, incarnation: int) -> None:
+        """Begin anew with an upstream of which a newer life is known.
+
+        Requests that are with the former life count no more; only whether
+        its gateway answers is not the upstream's.
+        """
+        former = self.view(upstream)
+        if not former.incarnation:
+            former.incarnation = incarnation
+        if incarnation <= former.incarnation:
+            return
+        view = self.views[upstream] = View(incarnation)
+        view.reachable = former.reachable
+
     def heard(self, upstream: str, report: Report, now: float) -> None:
-        """Take note of a report."""
+        """Take note of a report.
+
+        One of a former life may be overtaken by the news of the new one.
+        """
+        if report.incarnation:
+            self.renew(upstream, report.incarnation)
         view = self.view(upstream)
+        if report.incarnation < view.incarnation:
+            return
         view.report = report
         view.at = now
 
--- a/carawaystair/request/wire.py
+++ b/carawaystair/request/wire.py
@@ -96,6 +96,13 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def fail(self, error: BaseException) -> None:
+        """Break the connection, and tell so whoever reads from it.
+
+        After a plain abort an answer that has no length would look whole.
+        """
+        self._fail(error)
+
     # Answers
 
     async def head(self, until: float) -> Head:
@@ -172,7 +179,8 @@
         A close may be the end of an answer without a length; a reset never
         is, since what was lost with it is not known.
         """
-        if exc is None and self.unframed and not self.payload.is_eof():
+        ended = exc is None and self.error is None
+        if ended and self.unframed and not self.payload.is_eof():
             self.payload.feed_eof()
         super().connection_lost(exc)
         if self.timer is not None:
--- a/test/test_gateway_lifetimes.py
+++ b/test/test_gateway_lifetimes.py
@@ -114,6 +114,31 @@
     assert ran.count('/pay/hang') == 1
 
 
+def test_question_for_a_run_of_the_former_life_runs_nothing():
+    """Symptom: a payout is made twice.
+    Sequence: it runs; the connection between the nodes is lost, the upstream
+    starts again, and the sender asks its gateway once more.
+    Cause: the new life knows of no run.
+    """
+
+    async def scenario():
+        async with fleets.running(None, serve_or_hang, None) as fleet:
+            await fleet.ask('/read/warm')
+            asking = asyncio.create_task(
+                fleet.ask('/pay/hang', 'POST', body=b'x')
+            )
+            await asyncio.sleep(0.2)
+            loop = asyncio.get_running_loop()
+            loop.silence(fleet.nodes[1].gateway)
+            fleet.nodes[1].announce(incarnation=clock.wall_ms())
+            answer = await asking
+            return answer, paths(fleet)
+
+    answer, ran = pipes.run(scenario())
+    assert (answer.status, answer.outcome) == (502, 'unknown')
+    assert ran.count('/pay/hang') == 1
+
+
 def test_run_that_may_run_twice_goes_on_elsewhere():
     """Symptom: a lookup is lost although another upstream is free.
     Sequence: as above, with a request that may be repeated.
@@ -339,5 +364,33 @@
         assert other is not target
         assert target.upstream.state == interfaces.GONE
         assert other.upstream == second
+        # An answer of the former life still comes.
+        late = REPORT._replace(incarnation=5)
+        known.board.heard('a', late, clock.now())
+        assert known.board.view('a').report is None
 
     fakes.run(_run())
+
+
+def test_answer_without_length_that_a_new_life_cuts_never_looks_whole():
+    """Symptom: a caller gets half of an answer as a whole one.
+    Sequence: an answer that ends with its connection is on its way, the
+    upstream starts again, the connection is cut.
+    Cause: the end of the connection was taken for that of the answer.
+    """
+
+    async def script(upstream, seen, writer):
+        writer.write(b'HTTP/1.1 200 OK\r\nX-Receipt: r\r\n\r\nhalf of it')
+        await asyncio.sleep(HANG_S)
+
+    async def scenario():
+        async with fleets.running(None, script) as fleet:
+            asking = asyncio.create_task(
+                fleet.ask('/pay/a', 'POST', body=b'x')
+            )
+            await asyncio.sleep(0.3)
+            fleet.nodes[1].announce(incarnation=clock.wall_ms())
+            return await asking
+
+    answer = pipes.run(scenario())
+    assert (answer.status, answer.outcome) == (502, 'unknown')
