Outlier detection, request path: nothing is held against a new life

Cause: a start under the same id only brought the next trial of an ejected upstream forward; soft weights, leases, a node's own ejections, cells not yet told, late answers and requests in flight stayed with the id, and attempts of the former life that ended later accused the new one.

Change: coordinator and node begin anew with an upstream whose incarnation changes; attempts that began before that are dropped for 90 s. The chooser gives a new life a target of its own, so that connections in use are not kept for it.

Tests: test_outlier_lifetimes and test_request_lifetimes failed before and pass (all but test_kept_connections_are_those_of_one_life, which passed before, too, and stays as a guard).

--- a/carawaystair/outlier/coordinator.py
+++ b/carawaystair/outlier/coordinator.py
@@ -167,20 +167,26 @@
         self.ledger.change(track)
 
     def _follow_directory(self, now: float) -> None:
-        """Let go of upstreams that are gone, and try restarted ones."""
+        """Let go of upstreams that are gone, and of lives that are over."""
         table = self.known.table(self.service)
-        for track in self.ledger.held():
+        for track in list(self.ledger.tracks.values()):
             upstream = table.get(track.upstream)
             if upstream is None:
-                if now - track.since < DIRECTORY_S:
-                    continue
-                self.judge.forget(track)
-                self.judge.clear(track, now)
+                away = now - track.since >= DIRECTORY_S
+                if away and track.state != tracks.HEALTHY:
+                    self.judge.forget(track)
+                    self.judge.clear(track, now)
             elif track.incarnation is None:
                 track.incarnation = upstream.incarnation
             elif track.incarnation != upstream.incarnation:
-                track.incarnation = upstream.incarnation
-                track.backoff_until = min(track.backoff_until, now)
+                self._renew(track, now)
+
+    def _renew(self, track: tracks.Track, now: float) -> None:
+        """Hold nothing of its former life against an upstream."""
+        self.judge.forget(track)
+        self.judge.clear(track, now)
+        self.pool.forget(track.upstream)
+        del self.ledger.tracks[track.upstream]
 
     def _clean(self, now: float) -> None:
         self.reporters.forget(now)
--- a/carawaystair/outlier/evidence.py
+++ b/carawaystair/outlier/evidence.py
@@ -67,6 +67,13 @@
         # By service: the detector's name and whether it is pooled.
         self.pooled: dict[str, tuple[str, bool]] = {}
         self.timer: asyncio.TimerHandle | None = None
+        health.known.callbacks.append(self.renew)
+
+    def renew(self, upstream: interfaces.Upstream) -> None:
+        """Tell nothing more of the former life of an upstream."""
+        outbox = self.reporter.outboxes.get(upstream.service)
+        if outbox is not None:
+            outbox.drop(upstream.id)
 
     def begin(
         self,
@@ -98,6 +105,9 @@
         outcome = attempt.outcome
         if outcome == interfaces.CANCELLED:
             return
+        if self.health.known.former(attempt.upstream, attempt.started):
+            # What a life that is over did says nothing of the next one.
+            return
         if outcome == interfaces.SHED:
             factor = local.FACTORS[outcome]
             self.health.weights.lower(attempt.upstream, factor, now)
@@ -167,6 +177,8 @@
 
     def _overdue(self, overdue: watches.Overdue, now: float) -> None:
         pending = overdue.pending
+        if self.health.known.former(pending.upstream, pending.started):
+            return
         outbox = self.reporter.outbox(pending.service, now)
         category = _flag(pending, overdue.level)
         before = _flag(pending, overdue.before)
--- a/carawaystair/outlier/health.py
+++ b/carawaystair/outlier/health.py
@@ -40,6 +40,23 @@
         self.views: dict[str, views.View] = {}
         self.factors: dict[str, views.Factor] = {}
         self.asked: dict[str, float] = {}
+        known.callbacks.append(self.renew)
+
+    def renew(self, upstream: interfaces.Upstream) -> None:
+        """Hold nothing against an upstream that has started again.
+
+        Its coordinator does so as well, as soon as it knows of that.
+        """
+        name, service = upstream.id, upstream.service
+        self.weights.forget(name)
+        holding = self.holdings.get(service)
+        if holding is not None:
+            holding.leases.pop(name, None)
+        own = self.owns.get(service)
+        if own is not None:
+            own.renew(name)
+        if service in self.views:
+            self.refresh(service)
 
     def ejected(self, service: str) -> frozenset[str]:
         """Return ids that get no new work, after this node's own clamp."""
@@ -127,6 +144,7 @@
     def sweep(self, now: float) -> None:
         """Forget what is over."""
         self.weights.sweep(now)
+        self.known.sweep(now)
         for own in self.owns.values():
             own.forget(now)
         for service in list(self.views):
--- a/carawaystair/outlier/known.py
+++ b/carawaystair/outlier/known.py
@@ -4,6 +4,7 @@
 names many upstreams.
 """
 
+import math
 import typing
 
 from carawaystair import clock
@@ -15,6 +16,11 @@
 LEAST_GRACE_S = 3.0
 # Share of work of an upstream that has just started.
 COLD_WEIGHT = 0.1
+# For so long after a life has ended, attempts that began in it may still be
+# told, seconds.
+ENDED_S = 90.0
+
+Renewed = typing.Callable[[interfaces.Upstream], None]
 
 
 class Known:
@@ -36,6 +42,10 @@
         self.seen: dict[str, tuple[int, float]] = {}
         # Upstreams that started after this process and still warm up.
         self.cold: dict[str, interfaces.Upstream] = {}
+        # When the last life of an upstream that ended did so.
+        self.ended: dict[str, float] = {}
+        # Called with each upstream that has started again under its id.
+        self.callbacks: list[Renewed] = []
         directory.subscribe(self._changed)
 
     def service(self, name: str) -> manifest.Service:
@@ -79,6 +89,19 @@
         """
         return self.age(upstream) >= LEAST_GRACE_S and self.able(upstream)
 
+    def former(self, upstream: str, started: float) -> bool:
+        """Tell whether an attempt began in a life that has ended.
+
+        :param started: when the attempt began.
+        """
+        return started < self.ended.get(upstream, -math.inf)
+
+    def sweep(self, now: float) -> None:
+        """Forget lives that ended long ago."""
+        old = [n for n, at in self.ended.items() if now - at > ENDED_S]
+        for name in old:
+            del self.ended[name]
+
     def ramp(self, upstream: str) -> float:
         """Return the share of work of an upstream that may be cold."""
         cold = self.cold.get(upstream)
@@ -103,9 +126,16 @@
         if upstream.state == interfaces.GONE:
             self.seen.pop(upstream.id, None)
             self.cold.pop(upstream.id, None)
+            self.ended[upstream.id] = clock.now()
             return
         before = self.seen.get(upstream.id)
         new = before is None or before[0] != upstream.incarnation
         self._see(upstream)
         if new and upstream.warmup_s > 0.0:
             self.cold[upstream.id] = upstream
+        elif new:
+            self.cold.pop(upstream.id, None)
+        if new and before is not None:
+            self.ended[upstream.id] = clock.now()
+            for callback in self.callbacks:
+                callback(upstream)
--- a/carawaystair/outlier/own.py
+++ b/carawaystair/outlier/own.py
@@ -42,6 +42,12 @@
             name for name, until in self.until.items() if until > now
         )
 
+    def renew(self, upstream: str) -> None:
+        """Begin anew with an upstream that has started again."""
+        self.detector.forget(upstream)
+        self.until.pop(upstream, None)
+        self.times.pop(upstream, None)
+
     def forget(self, now: float) -> bool:
         """Drop what is over.
 
--- a/carawaystair/outlier/reporter.py
+++ b/carawaystair/outlier/reporter.py
@@ -78,6 +78,12 @@
         if place < MOST_SAMPLES:
             self.samples[place] = sample
 
+    def drop(self, upstream: str) -> None:
+        """Drop what was to be told of an upstream."""
+        self.cells = {
+            key: cell for key, cell in self.cells.items() if key[0] != upstream
+        }
+
     def take_pace(self, pace: messages.Pace) -> None:
         """Follow the pace that the coordinator sets."""
         if pace.version != self.version:
--- a/carawaystair/request/choosing.py
+++ b/carawaystair/request/choosing.py
@@ -93,21 +93,30 @@
     def _update(
         self, target: targets.Target, new: interfaces.Upstream, now: float
     ) -> None:
-        old, target.upstream = target.upstream, new
+        old = target.upstream
         started = old.incarnation != new.incarnation
-        if started:
-            target.seen = now
-            target.cost = 0.0
         if started or old.address != new.address:
-            # The process behind the open connections is gone.
-            target.renewed = now
-        if started or new.state != interfaces.UP:
+            # The process behind the open connections is gone, and what was
+            # seen of it, late answers too, says nothing of the next one.
+            self._let_go(target, now)
+            if new.state != interfaces.GONE:
+                self.targets[new.id] = targets.Target(new, now)
+            return
+        target.upstream = new
+        if new.state != interfaces.UP:
             # An upstream that is leaving may wait for its connections to
             # end before it stops.
             connections.close_idle(target)
         if new.state == interfaces.GONE:
             self.targets.pop(new.id, None)
 
+    def _let_go(self, target: targets.Target, now: float) -> None:
+        """End a target: its connections in use are not kept either."""
+        connections.close_idle(target)
+        target.renewed = now
+        target.upstream = target.upstream._replace(state=interfaces.GONE)
+        self.targets.pop(target.upstream.id, None)
+
     def sweep(self, now: float) -> None:
         """Close what has been idle too long, forget what left long ago."""
         for target in self.targets.values():
@@ -199,6 +208,7 @@
             self.targets[upstream.id] = target
         elif target.upstream is not upstream:
             self._update(target, upstream, now)
+            target = self.targets.get(upstream.id, target)
         return target
 
     def named(self, service: str, name: str) -> targets.Target | None:
