Membership: news with a state that none can have changes nothing

Cause: the state of a host was kept as news told it. One that nobody knows ends the process that comes to forget old hosts; `left` stands in a host's own record alone.

Tests: test_malformed_state_in_news_changes_nothing, three cases, failed before (assert not True).

--- a/carawaystair/membership/table.py
+++ b/carawaystair/membership/table.py
@@ -17,6 +17,8 @@
 from carawaystair.membership import messages
 from carawaystair import output
 
+# What may be said of a host; that it has left stands in its record alone.
+TOLD = (messages.ALIVE, messages.SUSPECT, messages.DEAD)
 # Lines a second about records that are refused, whole or in part: a peer
 # that has a malformed one offers it again with each comparison.
 REFUSED_LINES = 1
@@ -191,8 +193,9 @@
         :return: whether it is news here.
         """
         entry = self.entries.get(host)
-        if not bounds.number_ok(incarnation):
-            # Whoever refuted that would have to go above what travels.
+        if state not in TOLD or not bounds.number_ok(incarnation):
+            # A state that nobody knows could never be forgotten, and whoever
+            # refuted such a number would have to go above what travels.
             return False
         if entry is None or entry.state == messages.LEFT:
             return False
--- a/test/test_malformed_records.py
+++ b/test/test_malformed_records.py
@@ -352,3 +352,20 @@
             assert node.registry.rows() == ()
 
     asyncio.run(_run())
+
+
+@pytest.mark.parametrize('state', [-5, messages.LEFT, 7])
+def test_malformed_state_in_news_changes_nothing(state):
+    """Symptom: a process ends when it forgets old hosts.
+    Sequence: news of a host with a state that none can have, or one that
+    only its own record can tell.
+    Cause: the state was kept as it came.
+    """
+
+    def _steps(it):
+        it.put('h1', 1)
+        incarnation = messages.first(1) + 5
+        assert not it.table.hear('h1', state, incarnation)
+        assert it.table.entries['h1'].state == messages.ALIVE
+
+    directories.run(_steps)
