Membership: a leave that names no life holds for a lease

Cause: it may be a late one of a former life. Remembered like one that names its life it kept out the life that stands for 30 s.

Test: test_leave_that_names_no_life_holds_for_a_lease, failed before (409 after the lease).

--- a/carawaystair/membership/lives.py
+++ b/carawaystair/membership/lives.py
@@ -83,13 +83,20 @@
         return max(least, life.incarnation + 1)
 
     def note(
-        self, name: str, incarnation: int, number: int, state: str, now: float
+        self,
+        name: str,
+        incarnation: int,
+        number: int,
+        state: str,
+        until: float,
     ) -> None:
-        """Take note of what was said and taken."""
+        """Take note of what was said and taken.
+
+        :param until: monotonic time up to which it is remembered.
+        """
         life = self.known.pop(name, None)
         if life is not None and life.incarnation == incarnation:
             number = max(number, life.number)
-        until = now + REMEMBER_S
         self.known[name] = Life(incarnation, number, state, until)
         while len(self.known) > MOST:
             del self.known[next(iter(self.known))]
--- a/carawaystair/membership/registry.py
+++ b/carawaystair/membership/registry.py
@@ -155,8 +155,8 @@
         )
 
     def _note(self, name: str, said: Announcement, number: int) -> None:
-        now = clock.now()
-        self.lives.note(name, said.incarnation, number, said.state, now)
+        until = clock.now() + lives_module.REMEMBER_S
+        self.lives.note(name, said.incarnation, number, said.state, until)
 
     def _rivals(self, name: str, said: Announcement) -> dict[str, Lease]:
         """Return the leases of others at the same address.
@@ -224,17 +224,22 @@
         """
         lease = self.leases.get(name)
         gone = interfaces.GONE
+        remember_s = lives_module.REMEMBER_S
         if not incarnation:
             if lease is None:
                 return expression.Ok(None)
             incarnation = lease.announcement.incarnation
+            # It may be a late one of a former life; the one that stands then
+            # goes on announcing itself, and is not kept out for longer.
+            remember_s = self.lease_s
         if not bounds.number_ok(incarnation):
             return codes.fail(codes.ANNOUNCEMENT_INVALID, 'incarnation')
         if not bounds.name_ok(name):
             return codes.fail(codes.ANNOUNCEMENT_INVALID, 'id')
         if self.lives.newer(name, incarnation, 0, gone):
             return codes.fail(codes.ANNOUNCEMENT_OLD, name)
-        self.lives.note(name, incarnation, 0, gone, clock.now())
+        until = clock.now() + remember_s
+        self.lives.note(name, incarnation, 0, gone, until)
         if lease is not None:
             said = lease.announcement._replace(
                 state=gone, incarnation=incarnation
--- a/test/test_lifetimes.py
+++ b/test/test_lifetimes.py
@@ -158,6 +158,23 @@
     run(_steps)
 
 
+def test_leave_that_names_no_life_holds_for_a_lease():
+    """Symptom: an upstream that runs gets no work for half a minute.
+    Sequence: its former life leaves without naming itself, that is held up,
+    the new life registers, the leave arrives.
+    Cause: whoever said it, it was remembered as if the new life had.
+    """
+
+    def _steps(host):
+        host.say(9, 1)
+        assert host.registry.remove('a').is_ok()
+        assert old(host.say(9, 2))
+        host.registry.expire(clock.now() + 6.1, 0.0)
+        assert host.say(9, 3).is_ok()
+
+    run(_steps)
+
+
 def test_late_word_does_not_end_the_successor_at_its_address():
     """Symptom: a new upstream is gone for some seconds after its start.
     Sequence: a life is cut off and crashes, another id registers at its
