Gateway, request path: the end of a former life elsewhere ends nothing

Cause: an id that goes on at another host for another service is told twice; the end of the former one ended what was known of the new one.

Tests: test_end_of_a_former_life_elsewhere_ends_nothing, in test_gateway_lifetimes and test_request_lifetimes, failed before ({} == {'a': ...}; (False, 'gone', ...)).

--- a/carawaystair/gateway/known.py
+++ b/carawaystair/gateway/known.py
@@ -44,7 +44,7 @@
     def changed(self, upstream: interfaces.Upstream) -> None:
         """Take note of an upstream that changed."""
         target = self.targets.get(upstream.id)
-        if target is not None:
+        if target is not None and not targets.former(target, upstream):
             self._update(target, upstream)
 
     def _update(
--- a/carawaystair/request/choosing.py
+++ b/carawaystair/request/choosing.py
@@ -81,12 +81,14 @@
     def changed(self, upstream: interfaces.Upstream) -> None:
         """Take note of an upstream that changed."""
         self.chosen.pop(upstream.service, None)
+        target = self.targets.get(upstream.id)
+        if target is not None and targets.former(target, upstream):
+            return
         now = clock.now()
         if upstream.state == interfaces.UP:
             self.leaving.pop(upstream.id, None)
         else:
             self.leaving.setdefault(upstream.id, now)
-        target = self.targets.get(upstream.id)
         if target is not None:
             self._update(target, upstream, now)
 
--- a/carawaystair/request/target.py
+++ b/carawaystair/request/target.py
@@ -82,6 +82,17 @@
         return max((now - self.seen) / warmup, COLD_SHARE)
 
 
+def former(target: Target, upstream: interfaces.Upstream) -> bool:
+    """Tell whether news is of a life that goes on at another host.
+
+    Where an id moved to another service as well, the directory tells both
+    of them; the end of the former one would end what is known of the new.
+    """
+    known = target.upstream
+    older = upstream.incarnation < known.incarnation
+    return older and upstream.host != known.host
+
+
 class Candidates(typing.NamedTuple):
     """The upstreams that may get the next request of a service.
 
--- a/test/test_gateway_lifetimes.py
+++ b/test/test_gateway_lifetimes.py
@@ -394,3 +394,24 @@
 
     answer = pipes.run(scenario())
     assert (answer.status, answer.outcome) == (502, 'unknown')
+
+
+def test_end_of_a_former_life_elsewhere_ends_nothing():
+    """Symptom: what a node knows of an upstream is gone.
+    Sequence: an id goes on at another host, for another service; then its
+    former host says that it is gone.
+    Cause: the id was taken for unique.
+    """
+
+    async def _run():
+        stands = upstream(incarnation=9)
+        directory = fakes.Directory(stands)
+        known = caller(directory)
+        target = known.target(stands)
+        former = upstream(host='h0', service='other', state='gone')
+        for callback in directory.callbacks:
+            callback(former)
+        assert known.targets == {'a': target}
+        assert target.upstream is stands
+
+    fakes.run(_run())
--- a/test/test_request_lifetimes.py
+++ b/test/test_request_lifetimes.py
@@ -71,3 +71,27 @@
 
     found = pipes.run(scenario())
     assert found == (True, interfaces.GONE, 0, [], 0.0, True)
+
+
+def test_end_of_a_former_life_elsewhere_ends_nothing():
+    """Symptom: a sound upstream is no longer chosen.
+    Sequence: an id goes on at another host; its former one says that it is
+    gone.
+    Cause: the id was taken for unique.
+    """
+
+    async def scenario():
+        upstream = setups.Upstream(9001)
+        async with setups.running(upstream) as setup:
+            chooser = setup.sender.chooser
+            stands = setups.announce(upstream, incarnation=9)
+            setup.directory.put(stands)
+            target = chooser.target(stands, clock.now())
+            former = stands._replace(
+                incarnation=5, host='h0', state=interfaces.GONE
+            )
+            chooser.changed(former)
+            kept = chooser.targets.get(upstream.name) is target
+            return kept, target.upstream.state, dict(chooser.leaving)
+
+    assert pipes.run(scenario()) == (True, interfaces.UP, {})
