--- a/carawaystair/membership/registry.py
+++ b/carawaystair/membership/registry.py
@@ -191,6 +191,10 @@
         if upstream.incarnation > lease.announcement.incarnation:
             self._end([upstream.id])
 
+    def withdraw(self, names: typing.Collection[str]) -> None:
+        """End leases that were no upstream's own, as if they had expired."""
+        self._end([name for name in names if name in self.leases])
+
     def _end(self, names: typing.Collection[str]) -> None:
         """End leases whose upstreams are gone without a word."""
         if not names:
