Local API: refuse announcements nested too deeply to decode

A node answered 500 and logged a trace when a body held thousands of lists within each other: msgspec raises RecursionError at its depth limit, which is no DecodeError. Nothing that was known changed. The adapter's decoder caught both already.

--- a/carawaystair/membership/api.py
+++ b/carawaystair/membership/api.py
@@ -73,7 +73,7 @@
             return _refuse(codes.Failure(codes.ANNOUNCEMENT_INVALID, 'size'))
         try:
             value = msgspec.json.decode(await request.read())
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             failure = codes.Failure(codes.ANNOUNCEMENT_INVALID, str(error))
             return _refuse(failure)
         result = registries.read(value).bind(
--- a/test/test_membership_registry.py
+++ b/test/test_membership_registry.py
@@ -9,6 +9,7 @@
 from carawaystair import codes
 from carawaystair.membership import registry as registries
 from carawaystair.membership import service
+from soak import entries
 from test import fakes
 from test import test_membership as whole
 
@@ -171,3 +172,30 @@
         await node.stop()
 
     asyncio.run(_run())
+
+
+def test_what_another_writer_says_is_refused_and_changes_nothing():
+    """Symptom: a node answers 500, and its log holds a trace of an error.
+    Sequence: a program that isn't ours writes to a node's local API; among
+    what it sends are thousands of lists within each other.
+    Cause: the decoder raises an error of its own kind at its depth limit.
+    """
+
+    async def _run():
+        node = whole.make(fakes.Network(), 0)
+        await node.start()
+        node.registry.announce('a', SAID, 5)
+        before = node.registry.rows()
+        app = web.Application()
+        app.add_routes(node.routes())
+        async with test_utils.TestClient(test_utils.TestServer(app)) as client:
+            got = [
+                (body[:20], (await client.put(path, data=body)).status)
+                for path in ('/v1/upstreams/a', '/v1/upstreams/b')
+                for body in entries.MALFORMED
+            ]
+        assert [one for one in got if not 400 <= one[1] < 500] == []
+        assert node.registry.rows() == before
+        await node.stop()
+
+    asyncio.run(_run())
