Fault soak: upstreams reborn under their id, malformed entries, kept connections

Restarts of an upstream under its id and address, with a newer incarnation and a late announcement of the former life; 29 announcements that name no upstream, between the good ones; three callers of each node that hold on to one connection until the process ends it. Held besides: those announcements are refused with a 4xx, and at the end every node knows just the upstreams that run, each in its newest life.

Incarnations are those of the product's own announcements (clock.wall_ms).

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -9,6 +9,7 @@
 import sys
 
 from carawaystair import clock
+from soak import entries
 from soak import host as hosts
 from soak import watch as watches
 from soak import ways as ways_module
@@ -28,6 +29,8 @@
 # A process gets this long for a graceful stop, seconds.
 STOP_S = 15.0
 READY_S = 40.0
+# A new life is announced in this time, or its node is struck itself, seconds.
+ANNOUNCED_S = 6.0
 
 
 class WatchedRuns(runs_module.Runs):
@@ -207,6 +210,39 @@
         self.running[id] = Upstream(options, way, self.watch)
         await self.running[id].start()
 
+    async def reborn(self, id: str, down_s: float) -> None:
+        """Let an upstream crash and start again under its id."""
+        former = self.running.pop(id)
+        await former.crash()
+        await asyncio.sleep(down_s)
+        self.watch.begins(id)
+        one = Upstream(former.options, former.way, self.watch)
+        self.running[id] = one
+        await one.start()
+        if await self.until_announced(one):
+            await self._say_late(one, former.announcer.announcement)
+
+    async def _say_late(self, one: Upstream, said) -> None:
+        """Let what the former life of an upstream said arrive late."""
+        node = one.options.host
+        process = self.processes.get(node)
+        status = await entries.write(
+            one.announcer.session,
+            self.hosts[node].local,
+            one.options.id,
+            json.dumps(said._asdict()).encode(),
+        )
+        if self.processes.get(node) is process:
+            # One that has started again knows nothing of either life.
+            self.watch.late(one.options.id, status)
+
+    async def until_announced(self, one: Upstream) -> bool:
+        """Wait until a node took an upstream; tell whether it did in time."""
+        ends = clock.now() + ANNOUNCED_S
+        while not one.announcer.accepted and clock.now() < ends:
+            await asyncio.sleep(fleets.POLL_S)
+        return one.announcer.accepted > 0
+
     async def end(self, id: str, graceful: bool) -> None:
         """Let an upstream go, with or without a word."""
         one = self.running.pop(id)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -14,12 +14,14 @@
 CHANGE = 'change'  # the configuration changes
 RACE = 'race'  # two changes on one version
 HUP = 'hup'  # a process gets SIGHUP
+MALFORMED = 'malformed'  # another writer's entries reach a node
 # Faults.
 KILL = 'kill'  # a process is killed and starts again
 PAUSE = 'pause'  # a process stands still
 POWER = 'power'  # a control host loses what it had not synced
 BLACKOUT = 'blackout'  # all control hosts do at once
-CRASH = 'crash'  # an upstream is gone without a word, and comes back
+CRASH = 'crash'  # an upstream is gone without a word; another one comes
+REBORN = 'reborn'  # an upstream crashes and starts again under its id
 GRAY = 'gray'  # an upstream fails most of its work
 CUT = 'cut'  # a way passes nothing in one direction or both
 DELAY = 'delay'  # a way is slow and loses datagrams
@@ -29,7 +31,7 @@
 SLOW = 'slow'  # its syncs take longer
 CLOCK = 'clock'  # the time of day of a host jumps
 
-PLANNED = frozenset((STOP, LEAVE, CHANGE, RACE, HUP))
+PLANNED = frozenset((STOP, LEAVE, CHANGE, RACE, HUP, MALFORMED))
 # Of so many seeds one has planned work only: where faults are near, a request
 # that was cut can't be told from one that a fault broke.
 PLANNED_EVERY = 3
@@ -40,11 +42,13 @@
     CHANGE: 4,
     RACE: 2,
     HUP: 1,
+    MALFORMED: 2,
     KILL: 3,
     PAUSE: 3,
     POWER: 2,
     BLACKOUT: 1,
     CRASH: 3,
+    REBORN: 4,
     GRAY: 5,
     CUT: 3,
     DELAY: 3,
@@ -65,11 +69,13 @@
     CHANGE: FLEET,
     RACE: FLEET,
     HUP: HOST,
+    MALFORMED: NODE,
     KILL: HOST,
     PAUSE: HOST,
     POWER: CONTROL,
     BLACKOUT: FLEET,
     CRASH: UPSTREAM,
+    REBORN: UPSTREAM,
     GRAY: UPSTREAM,
     CUT: HOST,
     DELAY: HOST,
--- a/soak/play.py
+++ b/soak/play.py
@@ -8,6 +8,8 @@
 import aiohttp
 
 from carawaystair import clock
+from soak import callers
+from soak import entries
 from soak import fleet as fleet_module
 from soak import host as hosts
 from soak import plan as plans
@@ -16,6 +18,10 @@
 from standin import faults as upstream_faults
 
 PER_S = 60.0
+# Callers of each node that hold on to one connection, and how long each rests
+# between two requests, seconds.
+KEPT = 3
+KEPT_PAUSE_S = 0.15
 POST_SHARE = 0.4
 LONG_SHARE = 0.05
 LONG_BYTES = 300_000
@@ -97,21 +103,42 @@
     async def _load(self, seconds: float) -> None:
         """Send requests, evenly, for some seconds."""
         ends = clock.now() + seconds
+        kept = [
+            asyncio.ensure_future(self._keep_asking(host, ends))
+            for host in self.fleet.nodes()
+            for _caller in range(KEPT)
+        ]
         asking = set()
         while clock.now() < ends:
             task = asyncio.ensure_future(self._ask())
             asking.add(task)
             task.add_done_callback(asking.discard)
             await asyncio.sleep(1 / PER_S)
-        await asyncio.gather(*asking)
+        await asyncio.gather(*asking, *kept)
 
     async def _ask(self) -> None:
         rng = self.rng
-        host = rng.choice(self.fleet.nodes())
-        post = rng.random() < POST_SHARE
-        long = not post and rng.random() < LONG_SHARE
         leaves = rng.random() < LEAVE_SHARE
         patience_s = rng.uniform(*LEAVE_S) if leaves else PATIENCE_S
+        asked, target = self._draw(rng.choice(self.fleet.nodes()))
+        await self._told(asked, patience_s, self._send(asked, target))
+
+    async def _keep_asking(self, host, ends: float) -> None:
+        """Let a caller send on one connection until a time."""
+        caller = callers.Caller(host.listen)
+        while clock.now() < ends:
+            asked, target = self._draw(host)
+            headers = fleet_module.marker_headers(asked.marker, LEFT_MS)
+            sending = caller.ask(asked, target, headers)
+            await self._told(asked, PATIENCE_S, sending)
+            await asyncio.sleep(KEPT_PAUSE_S)
+        caller.close()
+
+    def _draw(self, host) -> tuple[watches.Asked, str]:
+        """Draw a request to a node, and its target."""
+        rng = self.rng
+        post = rng.random() < POST_SHARE
+        long = not post and rng.random() < LONG_SHARE
         asked = watches.Asked(
             'm%d' % next(self.numbers),
             'POST' if post else 'GET',
@@ -122,10 +149,13 @@
         service = 'settlement' if post else 'portal'
         self.watch.asks(service, asked)
         path = '/payouts' if post else '/status/x'
-        url = 'http://%s%s?bytes=%d' % (host.listen, path, asked.size)
+        return asked, '%s?bytes=%d' % (path, asked.size)
+
+    async def _told(self, asked, patience_s: float, sending) -> None:
+        """Take what a caller gets, and check it."""
         try:
             async with asyncio.timeout(patience_s):
-                told = await self._send(asked, url)
+                told = await sending
         except TimeoutError:
             told = watches.Told(0, left=True)
         except (aiohttp.ClientError, OSError):
@@ -133,10 +163,11 @@
         self.served += told.status == 200
         self.watch.answered(asked, told)
 
-    async def _send(self, asked: watches.Asked, url: str) -> watches.Told:
+    async def _send(self, asked: watches.Asked, target: str) -> watches.Told:
+        listen = self.fleet.hosts[asked.node].listen
         async with self.session.request(
             asked.method,
-            url,
+            'http://%s%s' % (listen, target),
             headers=fleet_module.marker_headers(asked.marker, LEFT_MS),
             data=b'x' if asked.method == 'POST' else None,
         ) as response:
@@ -228,6 +259,19 @@
     async def _leave(self, event, name) -> None:
         await self._replace(name, graceful=True)
 
+    async def _reborn(self, event, name) -> None:
+        if name in self.fleet.running:
+            await self.fleet.reborn(name, event.for_s / 2)
+
+    async def _malformed(self, event, name) -> None:
+        """Send entries of another writer, under ids known and unknown."""
+        local = self.fleet.hosts[name].local
+        known = [i for i, n in self.fleet.places.items() if n == name]
+        for number, body in enumerate(entries.MALFORMED):
+            id = known[-1] if known and number % 2 else 'm%d' % number
+            status = await entries.write(self.session, local, id, body)
+            self.watch.malformed(body, status)
+
     async def _crash(self, event, name) -> None:
         await self._replace(name, graceful=False, down_s=event.for_s)
 
@@ -342,27 +386,27 @@
 
     async def _whole(self) -> bool:
         """Tell whether each node is ready, up to date and knows all."""
-        expected = {
-            service: sum(
-                one.options.service == service
-                for one in self.fleet.running.values()
-            )
-            for service in fleet_module.SERVICE_MS
+        lives = {
+            id: one.announcer.announcement.incarnation
+            for id, one in self.fleet.running.items()
         }
         statuses = [await self.fleet.status(n) for n in self.fleet.nodes()]
-        return all(self._has_all(s, expected) for s in statuses)
+        return all(self._has_all(status, lives) for status in statuses)
+
+    def _has_all(self, status: dict | None, lives: dict[str, int]) -> bool:
+        """Tell whether a node has the newest version and all upstreams.
 
-    def _has_all(self, status: dict | None, expected: dict) -> bool:
+        :param lives: the incarnation of each upstream that runs.
+        """
         if status is None or not status['ready']:
             return False
         known = {
-            service['name']: len(service['upstreams'])
+            upstream['id']: upstream['incarnation']
             for service in status['services']
+            for upstream in service['upstreams']
         }
         version = fleet_module.read_version(status['version'])
-        return expected.items() <= known.items() and (
-            version >= self.watch.accepted
-        )
+        return known == lives and version >= self.watch.accepted
 
     async def _calm(self) -> None:
         """Drive the fleet without faults: it serves as before them."""
--- a/soak/watch.py
+++ b/soak/watch.py
@@ -106,6 +106,29 @@
             text = '%s got work %.1f s after its leaving was acknowledged'
             self.tell(text % words, run.request)
 
+    def begins(self, upstream: str) -> None:
+        """Take note of a new life; the leaving of the former one is over."""
+        self.drained.pop(upstream, None)
+
+    def late(self, upstream: str, status: int | None) -> None:
+        """Check what became of an announcement of a former life.
+
+        :param status: of the answer, None without one.
+        """
+        self.counts['late announcements'] += 1
+        if status is not None and not 400 <= status < 500:
+            text = 'an announcement of the former life of %s got %d'
+            self.tell(text % (upstream, status))
+
+    def malformed(self, body: bytes, status: int | None) -> None:
+        """Check what became of an entry that names no upstream.
+
+        :param status: of the answer, None without one.
+        """
+        self.counts['malformed announcements'] += 1
+        if status is not None and not 400 <= status < 500:
+            self.tell('%r... was answered with %d' % (body[:40], status))
+
     def leaves(self, upstream: str) -> None:
         """Take note that an upstream's leaving was acknowledged."""
         self.drained[upstream] = clock.now()
--- a/test/test_fault_soak.py
+++ b/test/test_fault_soak.py
@@ -9,6 +9,7 @@
 
 from carawaystair import clock
 from carawaystair.control import files
+from soak import callers
 from soak import host as hosts
 from soak import plan as plans
 from soak import run as soak_run
@@ -153,6 +154,64 @@
     assert clock.wall_ms() == 1500
 
 
+# Callers that keep a connection
+
+
+def run_caller(answers, scenario):
+    """Run a scenario with a caller of a server that gives some answers."""
+    opened = []
+
+    async def serve(reader, writer):
+        opened.append(writer)
+        for answer in answers:
+            try:
+                await reader.readuntil(b'\r\n\r\n')
+            except asyncio.IncompleteReadError:
+                break
+            writer.write(answer)
+        writer.close()
+
+    async def whole():
+        address = fleets.free_address(random.Random(), set())
+        server = await asyncio.start_server(serve, *address.split(':'))
+        caller = callers.Caller(address)
+        try:
+            async with asyncio.timeout(10.0):
+                await scenario(caller)
+        finally:
+            caller.close()
+            server.close()
+
+    asyncio.run(whole())
+    return len(opened)
+
+
+FIXED = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+PIECES = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+PIECES += b'1\r\no\r\n1\r\nk\r\n0\r\n\r\n'
+CLOSES = b'HTTP/1.1 503 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n'
+
+
+def test_caller_keeps_its_connection_until_the_node_ends_it():
+    async def scenario(caller):
+        for status, body in ((200, b'ok'), (200, b'ok'), (503, b'')):
+            got = await caller.ask(asked(method='GET'), '/', {})
+            assert (got.status, got.body) == (status, body)
+        assert caller.connection is None
+        assert (await caller.ask(asked(method='GET'), '/', {})).status == 200
+
+    assert run_caller([FIXED, PIECES, CLOSES], scenario) == 2
+
+
+@pytest.mark.parametrize('cut', [0, 5, len(FIXED) - 1])
+def test_caller_that_is_cut_off_gets_nothing_and_repeats_nothing(cut):
+    async def scenario(caller):
+        got = await caller.ask(asked(method='GET'), '/', {})
+        assert got == watches.Told(0)
+
+    assert run_caller([FIXED[:cut]], scenario) == 1
+
+
 # The watch
 
 
@@ -221,6 +280,18 @@
     watch.began('s', ran())
 
 
+def late_word_taken(watch):
+    watch.late('u', 200)
+
+
+def malformed_taken(watch):
+    watch.malformed(b'{}', 200)
+
+
+def malformed_not_understood(watch):
+    watch.malformed(b'{}', 500)
+
+
 def too_many_repeats(watch):
     for number in range(60):
         for _run in range(2):
@@ -241,6 +312,9 @@
         went_back,
         lost,
         work_after_leaving,
+        late_word_taken,
+        malformed_taken,
+        malformed_not_understood,
         too_many_repeats,
     ],
 )
@@ -265,6 +339,14 @@
         # A process that starts again begins from nothing.
         watch.version('node-1', '7', (2, 5))
         watch.version('node-1', '8', (2, 4))
+        # The leaving of a former life doesn't bind the new one.
+        watch.drained['u'] = clock.now() - watches.DRAIN_S - 0.1
+        watch.begins('u')
+        watch.began('s', ran('m3'))
+        # Refused, or sent to a node that isn't there.
+        watch.late('u', 409)
+        watch.malformed(b'{}', 400)
+        watch.malformed(b'{}', None)
         watch.check_repeats()
         return watch.broken
 
