Adapter: hear upstreams until the node beside them has stopped

Cause: what starts last stops first. The adapter's listeners were started after the node, so that a SIGTERM closed them at once while the gateway went on finishing its work for 2.5 to 5.7 s; a start takes 1.2 s more. Upstreams call again every 0.4 s or so meanwhile. One that drains then gets no acknowledgement.

--- /dev/null
+++ b/test/test_platform_stop.py
@@ -0,0 +1,100 @@
+"""What the platform finds at a host while its node stops."""
+
+import asyncio
+
+import aiohttp
+
+from carawaystair import kernel as kernels
+from carawaystair import plugins
+from test import platform_setup  # makes the next import possible
+
+from adapter import main
+from adapter import place as places
+
+IP = '127.88.41.1'
+BEAT = {
+    'service': 'wuno96b',
+    'address': IP + ':8628',
+    'zone': 'a',
+    'version': 'v1',
+    'slots': 4,
+    'state': 'ready',
+    'cold_remaining': '0ms',
+    'born': 1764720000000,
+}
+PATIENCE_S = 10.0
+POLL_S = 0.05
+
+
+def made():
+    """Return a node on loopback, with what the platform calls there."""
+    document = platform_setup.settings(
+        self__ip=IP,
+        network__seeds=[],
+        network__listen={
+            'inbound': IP + ':8624',
+            'outbound': IP + ':8629',
+            'ready': IP + ':8625',
+            'control': IP + ':8620',
+        },
+    )
+    place = places.read(document)
+    settings = places.fleet_settings(place)
+    process = kernels.Kernel(settings, plugins.load(commands=False))
+    main.extend(place, process)
+    return process
+
+
+async def beat(session, number, **changes):
+    """Send a heartbeat; return its status, or 0 where nobody listens."""
+    url = 'http://%s:8620/carawaystair/instances/i-1' % IP
+    body = {**BEAT, 'seq': number, **changes}
+    try:
+        async with session.put(url, json=body) as answer:
+            return answer.status
+    except aiohttp.ClientError:
+        return 0
+
+
+async def ready(session):
+    """Ask whether the node is ready; 0 where nobody listens."""
+    url = 'http://%s:8625%s' % (IP, main.READY_PATH)
+    try:
+        async with session.get(url) as answer:
+            return answer.status
+    except aiohttp.ClientError:
+        return 0
+
+
+def test_upstream_is_heard_while_its_node_finishes_its_work():
+    """Symptom: of the calls of upstreams one in four fails while hosts stop
+    by turns; an upstream that drains meanwhile gets no acknowledgement and
+    ends with work in progress.
+    Sequence: a node is told to stop and finishes its work for seconds; the
+    upstream beside it goes on with its heartbeats.
+    Cause: what starts last stops first, and the listener for heartbeats was
+    started after the node.
+    """
+
+    async def _run():
+        process = made()
+        await process.start()
+        node = process.roles[0]
+        async with aiohttp.ClientSession() as session:
+            before = await beat(session, 1)
+            stopping = asyncio.ensure_future(process.stop())
+            while not node.gateway.stopping:
+                await asyncio.sleep(POLL_S)
+            during = [await beat(session, 2), await ready(session)]
+            during.append(await beat(session, 3, state='draining'))
+            gateway_waits = not stopping.done()
+            await stopping
+        return before, during, gateway_waits
+
+    async def _bounded():
+        async with asyncio.timeout(PATIENCE_S):
+            return await _run()
+
+    before, during, gateway_waits = asyncio.run(_bounded())
+    assert gateway_waits
+    assert (before, *during) == (200, 200, 503, 200)
