Logs: a connection that ends with a request in hand says who ended it

The line "left" stood for every end of a connection, so that a loss at the node could not be told from callers that give up. The caller's close and reset are noted where they arrive; all else is the node's.

--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -157,16 +157,18 @@
 
 
 class Left(typing.NamedTuple):
-    """A caller left before it was answered; its request is cancelled.
+    """A connection ended before its request was answered; that is cancelled.
 
     :param id: the request.
     :param offers: offers that were made.
     :param total_ms: time since the request was read, ms.
+    :param closed_by: who ended the connection, ``caller`` or ``node``.
     """
 
     id: str
     offers: int
     total_ms: int
+    closed_by: str
 
 
 class Began(typing.NamedTuple):
--- a/carawaystair/explain.py
+++ b/carawaystair/explain.py
@@ -34,7 +34,8 @@
     ' {offers} offers {detail}',
     'rejected': 'rejected with {status} {code}: {method} {asked} {path}, by'
     ' configuration {version}, in force here for {version_ms} ms {detail}',
-    'left': 'cancelled: the caller left after {total_ms} ms',
+    'left': 'cancelled: the {closed_by} closed the connection after'
+    ' {total_ms} ms',
 }
 
 
@@ -85,8 +86,10 @@
     name = min((event['id'] for event in events), key=len, default='')
     own = [event for event in events if event['id'] == name]
     told = [event for event in own if event['event'] == 'answered']
-    if not told and any(event['event'] == 'left' for event in own):
-        return 'its caller left'
+    left = [event for event in own if event['event'] == 'left']
+    if left and not told:
+        by_node = left[-1].get('closed_by') == 'node'
+        return sentence(left[-1]) if by_node else 'its caller left'
     rejected = [sentence(e) for e in own if e['event'] == 'rejected']
     if rejected:
         return rejected[-1]
--- a/carawaystair/gateway/front.py
+++ b/carawaystair/gateway/front.py
@@ -136,7 +136,7 @@
             raise
         except asyncio.CancelledError:
             if not request.connection.open or exchange.outcome is not None:
-                self._tell_left(trip, began)
+                self._tell_left(trip, request, began)
                 raise
             # This node stops, and its caller is still there.
             asyncio.current_task().uncancel()
@@ -147,7 +147,7 @@
             self._tell(trip, outcome, began, failed.code, failed.detail)
             raise failed from None
         except BaseException:
-            self._tell_left(trip, began)
+            self._tell_left(trip, request, began)
             raise
         finally:
             self.tasks.discard(task)
@@ -323,10 +323,13 @@
             decisions.TROUBLE,
         )
 
-    def _tell_left(self, trip: trips.Trip, began: float) -> None:
+    def _tell_left(
+        self, trip: trips.Trip, request: incoming.Request, began: float
+    ) -> None:
         total_ms = int((clock.now() - began) * MS)
+        closed_by = 'caller' if request.connection.left else 'node'
         self.recorder.tell(
-            decisions.Left(trip.call.id, trip.offers, total_ms),
+            decisions.Left(trip.call.id, trip.offers, total_ms, closed_by),
             decisions.TROUBLE,
         )
 
--- a/carawaystair/request/incoming.py
+++ b/carawaystair/request/incoming.py
@@ -152,6 +152,8 @@
         self.bounds = bounds
         # Whether the connection broke, rather than being closed.
         self.broken = False
+        # Whether the caller ended it, in whichever way.
+        self.left = False
         self.queue: collections.deque = collections.deque()
         self.content = streams.EMPTY_PAYLOAD
         # Why no further request can be read.
@@ -253,10 +255,15 @@
             self.begun = True
             self._arm(self.loop.time() + self.bounds.head_s)
 
+    def eof_received(self) -> None:
+        """Take note of the caller's close; ours follows."""
+        self.left = True
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel what is being done for the caller."""
         super().connection_lost(exc)
         self.broken = exc is not None
+        self.left = self.left or self.broken
         self.connections.discard(self)
         if self.timer is not None:
             self.timer.cancel()
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -478,9 +478,9 @@
     now = [5_000]
     monkeypatch.setattr(decisions.clock, 'wall_ms', lambda: now[0])
     for number in range(500):
-        recorder.tell(decisions.Left('r%d' % number, 1, 1))
+        recorder.tell(decisions.Left('r%d' % number, 1, 1, 'caller'))
     now[0] += 1_000
-    recorder.tell(decisions.Left('last', 1, 1))
+    recorder.tell(decisions.Left('last', 1, 1, 'caller'))
     # Other lines of a process are a few a second.
     assert sum(decisions.ROOM.values()) <= 46
     assert len(lines.lines) == decisions.ROOM[decisions.ROUTINE] + 1
--- a/test/test_kept_connections.py
+++ b/test/test_kept_connections.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+import json
 
 import pytest
 
+from carawaystair import explain
 from carawaystair import manifest
 from test import gateway_setup as fleets
 from test import pipes
@@ -118,3 +120,42 @@
 
     answer = pipes.run(scenario())
     assert (answer.status, answer.outcome) == (500, 'unknown')
+
+
+def _ended_by_caller(_node, writer) -> None:
+    writer.close()
+
+
+def _ended_by_node(node, _writer) -> None:
+    for connection in node.service.callers.connections:
+        connection.transport.abort()
+
+
+@pytest.mark.parametrize(
+    ('end', 'closed_by'),
+    [(_ended_by_caller, 'caller'), (_ended_by_node, 'node')],
+)
+def test_log_tells_who_ended_a_connection_with_a_request_in_hand(
+    end, closed_by
+):
+    """Callers reported connections that were closed without an answer, and
+    the log could not tell whether the node had done it: it said "left" for
+    whatever ended a connection. Now it says by whom.
+    """
+
+    async def scenario():
+        async with fleets.running(None, fleets.slow(1.0)) as fleet:
+            reader, writer = await asyncio.open_connection('127.0.0.1', 8000)
+            asked = asyncio.ensure_future(ask_again(reader, writer))
+            await asyncio.sleep(0.5)
+            end(fleet.nodes[0], writer)
+            await asyncio.sleep(0.1)
+            await asyncio.gather(asked, return_exceptions=True)
+            return [json.loads(line) for line in fleet.nodes[0].lines.lines]
+
+    events = pipes.run(scenario())
+    left = [event for event in events if event.get('event') == 'left']
+    assert [event['closed_by'] for event in left] == [closed_by]
+    cause = {'caller': 'its caller left', 'node': explain.sentence(left[0])}
+    assert explain.cause(left) == cause[closed_by]
+    assert closed_by in explain.sentence(left[0])
