Kept connections: a request that came with its caller's close is not taken up

Cause: a real transport reads the end of a stream one turn of the loop after the bytes, and the connection's task wakes between the two. After a hold-up of the loop the request was passed on, and cut off a millisecond later. Ruled out: that the mend before this one covered it; its test was green only because the pipes of the tests handed over bytes and end in one call, which no transport does. They do it in two now. Change: one turn of the loop before the look at whether the connection is open.

--- a/carawaystair/request/incoming.py
+++ b/carawaystair/request/incoming.py
@@ -168,8 +168,12 @@
     async def serve(self) -> None:
         """Answer the requests of this connection, one after another."""
         try:
-            # What came with the caller's own close would run for nobody.
-            while await self._arrived() and self.open:
+            while await self._arrived():
+                # What came with the caller's close would run for nobody. The
+                # end of a stream is read one turn after the bytes before it.
+                await asyncio.sleep(0)
+                if not self.open:
+                    break
                 message, self.content = self.queue.popleft()
                 request = Request(message, self.content, self)
                 self._read_on()
--- a/test/pipes.py
+++ b/test/pipes.py
@@ -113,7 +113,14 @@
     def _pump(self) -> None:
         self.pumping = False
         peer = self.peer
+        taken = False
         while self.queue and (peer.reading or self.silent):
+            if taken and self.queue[0] is None:
+                # A real transport reads the end one turn after the bytes.
+                self.pumping = True
+                self.loop.call_soon(self._pump)
+                break
+            taken = True
             item = self.queue.pop(0)
             self.queued -= len(item or b'')
             if not self.silent and not peer.lost:
