Placing: while a service fails, upstreams of which nothing was heard are asked, too

Cause: what may run once goes where sound work was seen last. A gateway takes it after a second without work, but with few nodes that have callers nobody asks it: each goes on with the one that it knows. Change: while over a tenth of what a node sent to the service failed, an upstream with no sign for a second is as likely as the one with the newest. The share is a metric now instead of a line for each change of it, which came with nearly every failure.

--- a/carawaystair/gateway/known.py
+++ b/carawaystair/gateway/known.py
@@ -7,13 +7,10 @@
 from carawaystair import interfaces
 from carawaystair.load import placing
 from carawaystair.load import spreading
-from carawaystair import logs
 from carawaystair.request import connections
 from carawaystair.request import target as targets
 from carawaystair import routing as routings
 
-LOG = logs.get('gateway')
-
 
 class Known:
     """Upstreams, their gateways and what is known of their load.
@@ -71,15 +68,7 @@
 
     def learn(self, service: str, good: bool) -> None:
         """Take note of what became of a request that was run."""
-        found = self._spreading(service)
-        if found.learn(good):
-            LOG.info(
-                'Distance counts no more.'
-                if found.everywhere
-                else 'Distance counts.',
-                service=service,
-                failing=round(found.failing, 2),
-            )
+        self._spreading(service).learn(good)
 
     def _spreading(self, service: str) -> spreading.Spreading:
         found = self.spreadings.get(service)
@@ -119,12 +108,14 @@
         now: float,
         repeatable: bool,
         short: bool,
+        first: bool,
     ) -> tuple[targets.Target | None, int]:
         """Return the upstream to offer a request to.
 
         :param repeatable: whether it may be run twice.
         :param short: whether it is short, so that its upstream may be chosen
             for what it shows.
+        :param first: whether no upstream has got it so far.
         :return: the upstream, None when there is none that was not tried;
             and how many take work.
         """
@@ -141,7 +132,9 @@
             for upstream in usable.values()
         ]
         trial = short and service in self.unrepeatable
-        chosen = self.board.choose(candidates, tried, now, repeatable, trial)
+        chosen = self.board.choose(
+            candidates, tried, now, repeatable, trial, everywhere and first
+        )
         if chosen is None:
             return None, len(usable)
         return self.target(usable[chosen.id]), len(usable)
--- a/carawaystair/gateway/relay.py
+++ b/carawaystair/gateway/relay.py
@@ -110,6 +110,7 @@
             clock.now(),
             repeatable,
             repeatable and trip.need.inner,
+            not trip.sent,
         )
 
     def _may_ask(self, trip: trips.Trip) -> bool:
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -138,6 +138,11 @@
             yield metrics.Sample('gateway_suspect', suspect, labels)
             idle_s = slots.idle_s()
             yield metrics.Sample('gateway_idle_seconds', idle_s, labels)
+        for service, spread in self.known.spreadings.items():
+            labels = (('service', service),)
+            yield metrics.Sample(
+                'service_failing_share', spread.failing, labels
+            )
         for service, budget in self.work.budgets.items():
             labels = (('service', service),)
             yield metrics.Sample(
--- a/carawaystair/load/placing.py
+++ b/carawaystair/load/placing.py
@@ -12,6 +12,7 @@
 data centres cost time and money.  ``load.spreading`` tells when that ends.
 """
 
+import math
 import random
 import typing
 
@@ -25,6 +26,10 @@
 UNKNOWN_PROOF_S = 60.0
 # An upstream that is still warming up is taken for so many times slower.
 COLD_FACTOR = 2.0
+# What a node heard of an upstream so long ago or longer tells it no more than
+# nothing does, seconds: whether it was idle or others had work for it since is
+# not known here.
+PROOF_FRESH_S = 1.0
 # Expected service time where no report has come yet, seconds.
 UNKNOWN_S = 0.4
 
@@ -146,6 +151,7 @@
         now: float,
         repeatable: bool = True,
         trial: bool = False,
+        spread: bool = False,
     ) -> Candidate | None:
         """Return the upstream to offer a request to, None when all are tried.
 
@@ -156,6 +162,8 @@
         :param repeatable: whether it may be run twice.
         :param trial: whether it goes where sound work was seen longest ago,
             to show how that upstream does.
+        :param spread: whether those of which nothing was heard lately have
+            an equal chance, although it can't be repeated.
         """
         best: tuple | None = None
         drawn: list[Candidate] = []
@@ -170,12 +178,16 @@
         if not drawn:
             return None
         if not repeatable or trial:
-            return self._by_proof(drawn, now, min if not repeatable else max)
+            return self._by_proof(drawn, now, not repeatable, spread)
         pair = self.rng.sample(drawn, min(2, len(drawn)))
         return min(pair, key=lambda candidate: self.cost(candidate, now))
 
     def _by_proof(
-        self, drawn: list[Candidate], now: float, best: typing.Callable
+        self,
+        drawn: list[Candidate],
+        now: float,
+        newest: bool,
+        spread: bool,
     ) -> Candidate:
         """Return the upstream with the newest or oldest sign of sound work.
 
@@ -183,11 +195,17 @@
         as little of all upstreams; in any order that all nodes share, the
         whole load would meet the first few of them.
 
-        :param best: ``min`` for the newest, ``max`` for the oldest.
+        :param newest: whether it is the newest; the oldest otherwise.
+        :param spread: whether old signs are as good as the newest one.
         """
         ages = [self.proof_s(candidate, now) for candidate in drawn]
-        wanted = best(ages)
-        equals = [c for c, age in zip(drawn, ages) if age == wanted]
+        wanted = min(ages) if newest else max(ages)
+        old_s = PROOF_FRESH_S if newest and spread else math.inf
+        equals = [
+            candidate
+            for candidate, age in zip(drawn, ages)
+            if age == wanted or age >= old_s
+        ]
         return self.rng.choice(equals)
 
     def rank(self, candidate: Candidate, now: float) -> tuple:
--- a/carawaystair/load/spreading.py
+++ b/carawaystair/load/spreading.py
@@ -1,4 +1,4 @@
-"""Whether upstreams in other data centres get work as those near by do.
+"""Whether a node looks further for upstreams than it usually does.
 
 The load that this answers: callers of one data centre, and gray upstreams
 there.  Upstreams near by go first, so that bytes and time are saved; those
@@ -11,8 +11,8 @@
 # Weight of one outcome in the running share of failures: about ten count,
 # which a node with one request a second sees while a gray failure lasts.
 NEW_SHARE = 0.1
-# Above this share of failures distance does not count.  Sound upstreams fail
-# one request in a hundred; two failures among ten are gray ones.  With all
+# Above this share of failures a node looks further.  After one failure the
+# next request does, after two among ten some more do.  With all
 # callers in one of two data centres and 6 of 20 upstreams gray, 93 of 100
 # sound upstreams or more get work in any two seconds, 43 to 57 without this,
 # and 895 of 900 searches are served, 882 without (test_gateway_spread, three
@@ -34,8 +34,6 @@
         """Tell whether distance does not count now."""
         return self.failing > MOST_FAILING
 
-    def learn(self, good: bool) -> bool:
-        """Take note of an outcome; tell whether it changes the answer."""
-        before = self.everywhere
+    def learn(self, good: bool) -> None:
+        """Take note of an outcome."""
         self.failing += NEW_SHARE * ((not good) - self.failing)
-        return self.everywhere != before
