--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -518,3 +518,52 @@
 
     assert asyncio.run(scenario()) == 1000
     assert service._node_bounds().silence_s == sends.SILENCE_S
+
+
+@pytest.mark.parametrize('error', [ConnectionResetError, KeyError])
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+def test_defect_at_the_gateway_is_answered_at_once(error, method, monkeypatch):
+    """An error at the gateway beside the upstream closed the connection of
+    the node that had asked, which took it for lost and asked again and again:
+    5.03 s for a request that may run once, until its time was over.
+    """
+
+    async def scenario():
+        async with fleets.running(None, fleets.serve) as fleet:
+
+            async def broken(*_arguments):
+                raise error('of another connection')
+
+            work = fleet.nodes[1].service.work
+            monkeypatch.setattr(work, '_send', broken)
+            began = asyncio.get_running_loop().time()
+            body = b'x' if method == 'POST' else b''
+            path = '/pay/a' if method == 'POST' else '/read/a'
+            answer = await fleet.ask(path, method, body=body)
+            took = asyncio.get_running_loop().time() - began
+            return answer.status, took
+
+    status, took = pipes.run(scenario())
+    assert status in (500, 502)
+    assert took < 1.0
+
+
+def test_request_that_met_a_defect_is_told_as_answered():
+    """A caller that was answered 500 stood in the log as one that had left,
+    and was missing among the answers.
+    """
+
+    async def scenario():
+        async with fleets.running(None, fleets.serve) as fleet:
+
+            async def broken(*_arguments):
+                raise ConnectionResetError('of another connection')
+
+            node = fleet.nodes[0]
+            node.service.relay.handover.exchange = broken
+            answer = await fleet.ask('/read/a', Caraway_Request_Id='r1')
+            return answer.status, [e['event'] for e in node.story('r1')]
+
+    status, events = pipes.run(scenario())
+    assert status == 500
+    assert events[-1] == 'answered'
--- a/test/test_gateway_runs.py
+++ b/test/test_gateway_runs.py
@@ -10,6 +10,7 @@
 from carawaystair.gateway import runs
 from carawaystair.gateway import slots
 from carawaystair.load import rejecting
+from carawaystair.request import answer as answers
 
 
 def _hop(number: int, idempotent: bool) -> hops.Hop:
@@ -109,3 +110,28 @@
 
     assert asyncio.run(scenario()) == (answer, answer)
     assert began == [1]
+
+
+def test_who_asks_for_a_cancelled_run_is_told():
+    """A run is cancelled when whoever waited for it closes its connection; a
+    third node on the way does so also when its own sender's connection broke.
+    The sender then asks again and waits for the cancelled run: the error of
+    the run passed for the cancellation of the one who asked, whose connection
+    was closed without a word, again and again until the time was over.
+    """
+
+    async def scenario():
+        found = runs.Runs(lambda _process: True)
+        hop = _hop(1, False)
+        first = asyncio.ensure_future(
+            found.once(hop, lambda: asyncio.sleep(10), lambda: False)
+        )
+        await asyncio.sleep(0.01)
+        first.cancel()
+        await asyncio.sleep(0.01)
+        again = hop._replace(again=True, number=2)
+        return await found.once(again, _refuse, lambda: False)
+
+    with pytest.raises((answers.Failed, slots.Refused)) as told:
+        asyncio.run(scenario())
+    assert told.value.reason in hops.UNSURE
--- a/test/test_kept_connections.py
+++ b/test/test_kept_connections.py
@@ -196,3 +196,28 @@
 
     asyncio.run(scenario())
     assert taken == []
+
+
+def test_requests_behind_a_long_body_are_all_read():
+    """Ten requests came right behind one with a long body. Seven of them were
+    answered; the others stayed unread in the parser for good, while the
+    connection stood open and nothing was said.
+    """
+    gets, size = 10, 200_000
+    lines = [
+        'GET /read/%d HTTP/1.1\r\nHost: a\r\n\r\n' % n for n in range(gets)
+    ]
+    head = 'POST /pay/0 HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n'
+
+    async def scenario():
+        async with fleets.running(None, fleets.slow(0.02)) as fleet:
+            _reader, writer = await asyncio.open_connection(
+                '127.0.0.1', 8000, limit=2**22
+            )
+            writer.write((head % size).encode() + b'x' * size)
+            writer.write(''.join(lines).encode())
+            await asyncio.sleep(30.0)
+            writer.close()
+            return len(fleet.runs)
+
+    assert pipes.run(scenario()) == gets + 1
--- a/test/test_load.py
+++ b/test/test_load.py
@@ -486,3 +486,15 @@
     assert worst < 150
     assert returning.retry_after_s(0.0, rng) >= returning.LEAST_S
     assert returning.retry_after_s(1e9, rng) <= 2 * returning.MOST_S
+
+
+def test_request_that_is_refused_is_no_trial():
+    """An upstream that failed some seconds ago gets one trial in a while.  A
+    repeat that it refused, for want of a proof, took the place of the trial:
+    the next request, which would have shown it sound, was refused as well.
+    """
+    seen = suspicion.Suspicion()
+    seen.failed(0.0)
+    now = 2 * suspicion.PROBATION_S
+    assert seen.declines(True, True, now)
+    assert seen.declines(True, False, now) == ''
