--- a/carawaystair/gateway/door.py
+++ b/carawaystair/gateway/door.py
@@ -100,6 +100,9 @@
         except caller.Refused:
             # The body broke off: whoever sent it has gone.
             return False
+        except Exception as error:
+            signs.stop()
+            return self._defect(hop, request, error)
         signs.stop()
         exchange = exchanges.Exchange(request, hop.id)
         extra = hops.report_line(self.work.report(hop.upstream, hop.route))
@@ -151,6 +154,20 @@
             return begun.data, None
         return None, bodies.Source(content, None, begun.data, NO_LIMIT)
 
+    def _defect(
+        self, hop: hops.Hop, request: incoming.Request, error: Exception
+    ) -> bool:
+        """Answer although this program is at fault.
+
+        Closed without a word, the connection would be taken for lost, and
+        the request asked for again and again until its time is over.
+        """
+        LOG.error('A hop failed.', id=hop.id, error=repr(error))
+        report = self.work.report(hop.upstream, hop.route)
+        label = codes.INVARIANT_BROKEN.label
+        hops.write(request, hops.failure(label, repr(error), report))
+        return _whole(request)
+
     # Refusals
 
     def _refuse(
--- a/carawaystair/gateway/front.py
+++ b/carawaystair/gateway/front.py
@@ -146,8 +146,12 @@
             outcome = codes.UNKNOWN
             self._tell(trip, outcome, began, failed.code, failed.detail)
             raise failed from None
-        except BaseException:
-            self._tell_left(trip, request, began)
+        except Exception as error:
+            if request.connection.open and exchange.outcome is None:
+                code = codes.INVARIANT_BROKEN
+                self._tell(trip, codes.UNKNOWN, began, code, repr(error))
+            else:
+                self._tell_left(trip, request, began)
             raise
         finally:
             self.tasks.discard(task)
--- a/carawaystair/gateway/runs.py
+++ b/carawaystair/gateway/runs.py
@@ -103,6 +103,9 @@
                 raise slots.Refused(hops.RESTARTED)
             run = self.runs[hop.key] = Run(hop.number, now)
             return run
+        if run.task is not None and run.task.cancelled():
+            # Its cancellation would pass for that of whoever asks now.
+            raise slots.Refused(hops.RESTARTED, 'it was cancelled')
         refused = run.task is None or (
             run.task.done() and _refusal(run.task) is not None
         )
--- a/carawaystair/load/suspicion.py
+++ b/carawaystair/load/suspicion.py
@@ -102,7 +102,8 @@
         return now - self.began_at
 
     def declines(self, repeatable: bool, repeat: bool, now: float) -> str:
-        """Return why a request is kept away, or nothing; trials are counted.
+        """Return why a request is kept away; nothing lets it in, as a trial
+        where one is due.
 
         One that failed elsewhere is no trial: it must not fail again, and
         needs the same proof as one that may run only once.  Otherwise it may
@@ -112,12 +113,12 @@
         :param repeat: whether it was sent to another upstream before.
         """
         trial = repeatable and not repeat
-        if not self.admits(trial, now):
-            return SUSPECT
         idle = not repeat and self.idle_s(now) >= IDLE_S
-        if trial or idle or self.proven(now):
-            return ''
-        return UNPROVEN
+        if not (trial or idle or self.proven(now)):
+            # Not counted as a trial: it would take the place of one that is
+            # due.
+            return SUSPECT if self.suspect else UNPROVEN
+        return '' if self.admits(trial, now) else SUSPECT
 
     def survived(self, began: float) -> bool:
         """Take note that a run did not fail at once.
--- a/carawaystair/request/incoming.py
+++ b/carawaystair/request/incoming.py
@@ -205,10 +205,13 @@
     def _read_on(self) -> None:
         """Let the parser go on when it stopped at too many requests."""
         self._parser.message_consumed()
-        if self._buffer_paused and not self.queue:
-            self.data_received(b'')
-            if len(self.queue) < MAX_AHEAD:
-                self._resume_reading_for_buffer()
+        if self.queue:
+            return
+        # It may have stopped without reading being paused: behind a long
+        # body, one request less than the most stands in the queue then.
+        self.data_received(b'')
+        if self._buffer_paused and len(self.queue) < MAX_AHEAD:
+            self._resume_reading_for_buffer()
 
     async def _linger(self) -> None:
         """Read what is left of a body before closing.
