--- a/carawaystair/membership/messages.py
+++ b/carawaystair/membership/messages.py
@@ -357,23 +357,30 @@
     return zlib.compress(_ENCODER.encode(body), wbits=RAW)
 
 
-def unpack(data: bytes) -> Body | None:
-    """Decode the body of a record; upstreams that can't be are left out.
+class Unpacked(typing.NamedTuple):
+    """What the body of a record holds.
 
-    :return: None when it is malformed.
+    :param body: None when it is malformed.
+    :param left_out: upstreams of it that can't be, and are not in it.
     """
-    body = _decode(data)
-    if body is None or all(map(bounds.row_ok, body.upstreams)):
-        return body
-    usable = tuple(row for row in body.upstreams if bounds.row_ok(row))
-    return body._replace(upstreams=usable)
+
+    body: Body | None
+    left_out: int = 0
 
 
-def unusable(data: bytes) -> int:
-    """Return how many upstreams of a body :func:`unpack` leaves out."""
+def unpack(data: bytes) -> Body | None:
+    """Decode the body of a record, see :func:`read`."""
+    return read(data).body
+
+
+def read(data: bytes) -> Unpacked:
+    """Decode the body of a record, without the upstreams that can't be."""
     body = _decode(data)
-    rows = () if body is None else body.upstreams
-    return sum(not bounds.row_ok(row) for row in rows)
+    if body is None or all(map(bounds.row_ok, body.upstreams)):
+        return Unpacked(body)
+    usable = tuple(row for row in body.upstreams if bounds.row_ok(row))
+    left_out = len(body.upstreams) - len(usable)
+    return Unpacked(body._replace(upstreams=usable), left_out)
 
 
 def _decode(data: bytes) -> Body | None:
--- a/carawaystair/membership/table.py
+++ b/carawaystair/membership/table.py
@@ -144,12 +144,12 @@
             # itself: it restarted behind a clock that was set back.
             self.outdated(record.incarnation)
             return False
-        body = messages.unpack(record.body)
+        body, left_out = messages.read(record.body)
         full = entry is None and len(self.entries) >= MAX_HOSTS
         if body is None or full:
             self._refuse(record, 'no room' if full else 'malformed')
             return False
-        if left_out := messages.unusable(record.body):
+        if left_out:
             self._tell_refused(record, '%d upstreams left out' % left_out)
         if entry is None:
             self._add(record, body)
