--- a/test/test_gateway_spread.py
+++ b/test/test_gateway_spread.py
@@ -241,8 +241,8 @@
     of those without work had been gray, or had failed one payout for what it
     had called: they were under suspicion, and what may run once came back to
     them three seconds after their last failure at the soonest. The others had
-    been passed over for want of a proof for a second or more. In this play 10 of
-    100 that had been sound for two seconds had no work in two more.
+    been passed over for want of a proof for a second or more. In this play 10
+    of 100 that had been sound for two seconds had no work in two more.
     """
     rng = random.Random(1)
     state = Changing(rng)
