--- a/carawaystair/load/suspicion.py
+++ b/carawaystair/load/suspicion.py
@@ -107,10 +107,10 @@
         return now - self.began_at
 
     def declines(self, repeatable: bool, repeat: bool, now: float) -> str:
-        """Return why a request is kept away; nothing lets it in, as a trial
-        where one is due.
+        """Return why a request is kept away; nothing when it is let in.
 
-        One that failed elsewhere is no trial: it must not fail again, and
+        Where the upstream is under suspicion it is let in as a trial, and
+        counted as that.  One that failed elsewhere is no trial: it must not fail again, and
         needs the same proof as one that may run only once.  Otherwise it may
         meet a second gray upstream, and its caller gets the failure.
 
