--- a/carawaystair/load/suspicion.py
+++ b/carawaystair/load/suspicion.py
@@ -110,9 +110,10 @@
         """Return why a request is kept away; nothing when it is let in.
 
         Where the upstream is under suspicion it is let in as a trial, and
-        counted as that.  One that failed elsewhere is no trial: it must not fail again, and
-        needs the same proof as one that may run only once.  Otherwise it may
-        meet a second gray upstream, and its caller gets the failure.
+        counted as that.  One that failed elsewhere is no trial: it must not
+        fail again, and needs the same proof as one that may run only once.
+        Otherwise it may meet a second gray upstream, and its caller gets the
+        failure.
 
         :param repeatable: whether the request may run twice.
         :param repeat: whether it was sent to another upstream before.
