Read once more: one way to write to a connection, one failure at the door, one heartbeat in the tests

No change of behaviour: Exchange.write and hops.write were the same three lines beside a look at the connection, now Connection.write; a failed run and a defect are answered by one piece of the door; the shares of failures by service make themselves; two tests held one heartbeat each.

--- a/carawaystair/gateway/door.py
+++ b/carawaystair/gateway/door.py
@@ -93,10 +93,7 @@
             return _whole(request)
         except answers.Failed as failed:
             signs.stop()
-            report = self.work.report(hop.upstream, hop.route)
-            label = failed.code.label
-            hops.write(request, hops.failure(label, failed.detail, report))
-            return _whole(request)
+            return self._fail(hop, request, failed.code, failed.detail)
         except caller.Refused:
             # The body broke off: whoever sent it has gone.
             return False
@@ -163,9 +160,18 @@
         the request asked for again and again until its time is over.
         """
         LOG.error('A hop failed.', id=hop.id, error=repr(error))
+        return self._fail(hop, request, codes.INVARIANT_BROKEN, repr(error))
+
+    def _fail(
+        self,
+        hop: hops.Hop,
+        request: incoming.Request,
+        code: codes.Code,
+        detail: str,
+    ) -> bool:
+        """Answer with a failure, which promises nothing."""
         report = self.work.report(hop.upstream, hop.route)
-        label = codes.INVARIANT_BROKEN.label
-        hops.write(request, hops.failure(label, repr(error), report))
+        hops.write(request, hops.failure(code.label, detail, report))
         return _whole(request)
 
     # Refusals
--- a/carawaystair/gateway/hops.py
+++ b/carawaystair/gateway/hops.py
@@ -139,10 +139,7 @@
 
     :raises ConnectionResetError: when it has gone.
     """
-    connection = request.connection
-    if not connection.open:
-        raise ConnectionResetError('the sender has gone')
-    connection.transport.write(data)
+    request.connection.write(data)
 
 
 def line(hop: Hop) -> bytes:
--- a/carawaystair/gateway/known.py
+++ b/carawaystair/gateway/known.py
@@ -1,5 +1,6 @@
 """The upstreams that a node sends to, as the directory has them now."""
 
+import collections
 import random
 import typing
 
@@ -35,7 +36,9 @@
         self.targets: dict[str, targets.Target] = {}
         # Services that got requests that can't be repeated.
         self.unrepeatable: set[str] = set()
-        self.spreadings: dict[str, spreading.Spreading] = {}
+        self.spreadings: collections.defaultdict = collections.defaultdict(
+            spreading.Spreading
+        )
         directory.subscribe(self.changed)
 
     def changed(self, upstream: interfaces.Upstream) -> None:
@@ -68,13 +71,7 @@
 
     def learn(self, service: str, good: bool) -> None:
         """Take note of what became of a request that was run."""
-        self._spreading(service).learn(good)
-
-    def _spreading(self, service: str) -> spreading.Spreading:
-        found = self.spreadings.get(service)
-        if found is None:
-            found = self.spreadings[service] = spreading.Spreading()
-        return found
+        self.spreadings[service].learn(good)
 
     def sweep(self, now: float) -> None:
         """Close connections that were idle for long."""
@@ -126,7 +123,7 @@
             if upstream.state == interfaces.UP
             and not routing.drained(upstream.host, upstream.data_centre)
         }
-        everywhere = self._spreading(service).everywhere
+        everywhere = self.spreadings[service].everywhere
         candidates = [
             self._candidate(upstream, now, everywhere)
             for upstream in usable.values()
--- a/carawaystair/request/exchange.py
+++ b/carawaystair/request/exchange.py
@@ -131,10 +131,7 @@
 
     def write(self, data: bytes) -> None:
         """Write to the caller; raises ``ConnectionError`` when it is gone."""
-        connection = self.request.connection
-        if not connection.open:
-            raise ConnectionResetError('the caller has gone')
-        connection.transport.write(data)
+        self.request.connection.write(data)
 
     def proceed(self) -> None:
         """Tell a caller that waits for it to send its body."""
--- a/carawaystair/request/incoming.py
+++ b/carawaystair/request/incoming.py
@@ -234,6 +234,15 @@
         """Tell whether no request is being read or answered."""
         return self._waiting() and not self.begun
 
+    def write(self, data: bytes) -> None:
+        """Write to whoever sent the request.
+
+        :raises ConnectionResetError: when it has gone.
+        """
+        if not self.open:
+            raise ConnectionResetError('the other side has gone')
+        self.transport.write(data)
+
     # What asyncio calls
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/test/platform_setup.py
+++ b/test/platform_setup.py
@@ -7,6 +7,19 @@
 if str(FOLDER) not in sys.path:
     sys.path.append(str(FOLDER))
 
+# As the platform shows it, of an upstream that tells when it started.
+HEARTBEAT = {
+    'service': 'huvo11a',
+    'address': '10.128.0.9:8080',
+    'zone': 'a',
+    'version': 'v1',
+    'slots': 4,
+    'state': 'ready',
+    'cold_remaining': '1500ms',
+    'seq': 4,
+    'born': 1_790_000_000_000,
+}
+
 
 def settings(**changes) -> dict:
     """Return a settings document of a host with an upstream."""
--- a/test/test_platform_documents.py
+++ b/test/test_platform_documents.py
@@ -242,17 +242,7 @@
 
 # Heartbeats
 
-BEAT = {
-    'service': 'huvo11a',
-    'address': '10.128.0.9:8080',
-    'zone': 'a',
-    'version': 'v1',
-    'slots': 4,
-    'state': 'ready',
-    'cold_remaining': '1500ms',
-    'seq': 4,
-    'born': 1_790_000_000_000,
-}
+BEAT = platform_setup.HEARTBEAT
 
 
 def test_heartbeat_becomes_an_announcement():
--- a/test/test_platform_heartbeats.py
+++ b/test/test_platform_heartbeats.py
@@ -18,19 +18,8 @@
 
 PATH = '/carawaystair/instances/%s'
 SERVICES = ('huvo11a', 'kafi81c')
-BEAT = {
-    'service': 'huvo11a',
-    'address': '10.128.0.9:8080',
-    'zone': 'a',
-    'version': 'v1',
-    'slots': 4,
-    'state': 'ready',
-    'cold_remaining': '1500ms',
-    'seq': 4,
-    'born': 1_790_000_000_000,
-}
+BEAT = platform_setup.HEARTBEAT
 BORN = BEAT['born']
-assert platform_setup.FOLDER
 
 
 def encoded(**changes) -> bytes:
