Sight: a node tells how far it is behind, whom it asks and what it read

A node that stays at an old version left no line of its own: it tells what it puts in force, and callers' 404s are all that shows.

Added: config_lag_seconds and counts of steps and whole tables in the metrics; the lines 'behind', each second from one second on, and 'caught-up'; an alarm on the status page. The lag counts from the first version that the node was told of and lacks. No decision changes.

--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -285,6 +285,41 @@
     idle: int
 
 
+class Behind(typing.NamedTuple):
+    """A node knows of a newer configuration that it does not have yet.
+
+    Told each second for as long as it lasts.
+
+    :param version: configuration in force, ``TERM.INDEX``.
+    :param newest: the newest one that the node was told of.
+    :param behind_ms: since the first one newer than the one in force was
+        told of, ms.
+    :param asked: the process that is being asked, or was last.
+    :param steps: steps that were read since the process started.
+    :param tables_begun: whole tables that it began to read since then.
+    :param tables_read: those that were read to the end.
+    """
+
+    version: str
+    newest: str
+    behind_ms: int
+    asked: str
+    steps: int
+    tables_begun: int
+    tables_read: int
+
+
+class CaughtUp(typing.NamedTuple):
+    """A node that was behind has a newer configuration in force.
+
+    :param version: that configuration, ``TERM.INDEX``.
+    :param behind_ms: for how long it was behind, ms.
+    """
+
+    version: str
+    behind_ms: int
+
+
 class Noted(typing.NamedTuple):
     """An event of the time line: what the process believes has changed.
 
@@ -315,6 +350,8 @@
     Declining: ('gateway', 'declining'),
     LifeBegan: ('gateway', 'life-began'),
     LifeEnded: ('gateway', 'life-ended'),
+    Behind: ('follower', 'behind'),
+    CaughtUp: ('follower', 'caught-up'),
     Noted: ('process', 'noted'),
 }
 
--- a/carawaystair/explain.py
+++ b/carawaystair/explain.py
@@ -41,6 +41,11 @@
     ' former lives broken off',
     'life-ended': '{upstream} of {service} ended life {incarnation}: {why}'
     ' ({running} run, {waiting} waited, {idle} connections closed)',
+    'behind': 'configuration {version} in force, {newest} known: behind for'
+    ' {behind_ms} ms, asking {asked} ({steps} steps, {tables_begun} whole'
+    ' tables begun, {tables_read} read to the end)',
+    'caught-up': 'configuration {version} in force, after {behind_ms} ms'
+    ' behind',
 }
 
 
--- a/carawaystair/fetching.py
+++ b/carawaystair/fetching.py
@@ -5,6 +5,7 @@
 
 from carawaystair import distribution
 from carawaystair import interfaces
+from carawaystair import lag
 from carawaystair import routing
 from carawaystair import rows
 from carawaystair import table as tables
@@ -25,42 +26,58 @@
     table: tables.Table | None = None
 
 
-async def fetch(
-    transport: interfaces.Transport,
-    address: str,
-    kind: type,
-    name: str,
-    held: routing.Routing,
-) -> Fetched | None:
-    """Read one step, or a whole table in pieces.
+class Reader:
+    """Reads versions from other processes, and counts what it reads.
 
-    When the version changes between two pieces, those read so far are
-    dropped: together they would be a mixture of two versions.
-
-    :param address: the process to ask.
-    :param kind: ``distribution.Ask`` or ``distribution.AskPeer``.
+    :param transport: messages to other processes.
     :param name: name of the asking host.
-    :param held: what the asker has.
-    :return: None when there was no answer.
     """
-    whole, start, pieces = rows.NONE, 0, tables.EMPTY
-    while True:
-        ask = kind(held.version, name, whole, start)
-        result = await transport.call(address, ask, CALL_S)
-        if result.is_error():
-            return None
-        answer: distribution.Answer = result.ok
-        delta = answer.delta
-        if delta is None:
-            return Fetched(answer)
-        if delta.base != rows.NONE:
-            return Fetched(answer, await _apply(held.table, delta))
-        if delta.version != whole:
-            whole, start, pieces = delta.version, 0, tables.EMPTY
-        pieces = await _apply(pieces, delta)
-        start += tables.PIECE
-        if not answer.more:
-            return Fetched(answer, pieces)
+
+    def __init__(self, transport: interfaces.Transport, name: str) -> None:
+        self.transport = transport
+        self.name = name
+        self.counts = lag.Counts()
+
+    async def fetch(
+        self, address: str, kind: type, held: routing.Routing
+    ) -> Fetched | None:
+        """Read one step, or a whole table in pieces.
+
+        When the version changes between two pieces, those read so far are
+        dropped: together they would be a mixture of two versions.
+
+        :param address: the process to ask.
+        :param kind: ``distribution.Ask`` or ``distribution.AskPeer``.
+        :param held: what the asker has.
+        :return: None when there was no answer.
+        """
+        whole, start, pieces = rows.NONE, 0, tables.EMPTY
+        while True:
+            ask = kind(held.version, self.name, whole, start)
+            result = await self.transport.call(address, ask, CALL_S)
+            if result.is_error():
+                return None
+            answer: distribution.Answer = result.ok
+            delta = answer.delta
+            if delta is None:
+                return Fetched(answer)
+            if delta.base != rows.NONE:
+                self._count(steps=1)
+                return Fetched(answer, await _apply(held.table, delta))
+            if delta.version != whole:
+                self._count(tables_begun=1)
+                whole, start, pieces = delta.version, 0, tables.EMPTY
+            pieces = await _apply(pieces, delta)
+            start += tables.PIECE
+            if not answer.more:
+                self._count(tables_read=1)
+                return Fetched(answer, pieces)
+
+    def _count(self, **more: int) -> None:
+        sums = {
+            name: getattr(self.counts, name) + n for name, n in more.items()
+        }
+        self.counts = self.counts._replace(**sums)
 
 
 async def _apply(table: tables.Table, delta: rows.Delta) -> tables.Table:
--- a/carawaystair/follower.py
+++ b/carawaystair/follower.py
@@ -14,10 +14,12 @@
 import mode
 
 from carawaystair import clock
+from carawaystair import decisions
 from carawaystair import distribution
 from carawaystair import fetching
 from carawaystair import interfaces
 from carawaystair import invariants
+from carawaystair import lag as lags
 from carawaystair import logs
 from carawaystair import plugins
 from carawaystair import routing
@@ -41,6 +43,12 @@
 ENOUGH_PEERS = 3
 # Tries before control counts as away for a node that is starting.
 CONTROL_TRIES = 4
+# A node that is behind for so long tells it, and goes on telling it so often.
+# A change is everywhere within 0.3 s as a rule (exp_spread, 32 nodes).
+BEHIND_S = 1.0
+TELL_LAG_S = 1.0
+
+MS = 1000
 
 EMPTY = routing.Routing()
 
@@ -58,6 +66,7 @@
     :param registry: told of each version in force, if given.
     :param memory: the version that the disk remembers, if there is a disk.
     :param poll_s: seconds between questions for news.
+    :param recorder: tells when this node is behind, if given.
     """
 
     def __init__(
@@ -70,6 +79,7 @@
         registry: plugins.Registry | None = None,
         memory: versionfile.VersionFile | None = None,
         poll_s: float = POLL_S,
+        recorder: decisions.Recorder | None = None,
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
@@ -81,6 +91,7 @@
         self.registry = registry
         self.memory = memory
         self.poll_s = poll_s
+        self.recorder = recorder or decisions.Recorder(members.me.host)
         self.held = routing.Routing()
         self.steps = distribution.Steps()
         self.ready = False
@@ -89,6 +100,9 @@
         self.floor = rows.NONE
         self.confirmed_at: float | None = None
         self.teller = ''
+        self.lag = lags.Lag()
+        self.asked = ''
+        self.reader = fetching.Reader(transport, members.me.host)
         self.wake = asyncio.Event()
         self.rounds = 0
         self.told = asyncio.Event()
@@ -107,6 +121,11 @@
         """
         return self.held if self.ready else EMPTY
 
+    @property
+    def counts(self) -> lags.Counts:
+        """What was read to keep up."""
+        return self.reader.counts
+
     def version(self) -> rows.Version:
         """Return the version that this node has."""
         return self.held.version
@@ -126,6 +145,7 @@
         return distribution.answer(self, ask) if self.ready else None
 
     async def _on_news(self, sender: str, news: distribution.News) -> None:
+        self.lag.told(news.version)
         if news.version > self.held.version:
             self.teller = sender
             self.wake.set()
@@ -198,24 +218,27 @@
 
     async def _fetch(self, address: str, kind: type) -> bool:
         """Take all that a process has; tell whether it answered."""
-        name = self.members.me.host
         while True:
-            got = await fetching.fetch(
-                self.transport, address, kind, name, self.held
-            )
+            self.asked, asked_at = address, clock.now()
+            got = await self.reader.fetch(address, kind, self.held)
             if got is None:
                 return False
+            self.lag.told(got.answer.newest)
             if got.table is None:
-                self._confirm(got.answer)
+                self._confirm(got.answer, asked_at)
                 return True
             if not self._take(got.answer.delta, got.table):
                 return True
 
-    def _confirm(self, got: distribution.Answer) -> None:
-        """Take note that control vouches for the version held."""
+    def _confirm(self, got: distribution.Answer, asked_at: float) -> None:
+        """Take note that control vouches for the version held.
+
+        :param asked_at: monotonic time of the question.
+        """
         if not got.confirmed or got.newest < self.held.version:
             return
         self.confirmed_at = clock.now()
+        self.lag.vouched(asked_at)
         if self.held.version >= self.floor and len(self.held.table):
             self._become_ready('control')
 
@@ -271,6 +294,7 @@
         if self.memory is not None:
             self.memory.write(max(delta.version, self.floor))
         self.held = routing.Routing(delta.version, table)
+        self.lag.hold(delta.version)
         self.vouchers.clear()
         if step:
             self.steps.add(delta)
@@ -302,6 +326,36 @@
                 self.transport.send(peer.peer, news)
             await asyncio.sleep(ROUND_S)
 
+    @mode.Service.task
+    async def _tell_lag(self) -> None:
+        """Tell when this node stays behind, and when it has caught up.
+
+        Without it a node that serves by an old version for long leaves no
+        line but those of the requests that it refuses.
+        """
+        behind_s = 0.0
+        while not self.should_stop:
+            await asyncio.sleep(TELL_LAG_S)
+            now_s = self.lag.seconds()
+            if now_s >= BEHIND_S:
+                self._tell_behind(now_s)
+            elif behind_s >= BEHIND_S:
+                event = decisions.CaughtUp(
+                    str(self.held.version), int(MS * behind_s)
+                )
+                self.recorder.tell(event, decisions.BELIEF)
+            behind_s = now_s
+
+    def _tell_behind(self, behind_s: float) -> None:
+        event = decisions.Behind(
+            str(self.held.version),
+            str(self.lag.newest),
+            int(MS * behind_s),
+            self.asked,
+            *self.counts,
+        )
+        self.recorder.tell(event, decisions.BELIEF)
+
 
 def make(kernel, members: interfaces.Members) -> Follower:
     """Return the follower of a node."""
@@ -316,4 +370,5 @@
         kernel.registry,
         memory,
         kernel.settings.node.poll_s,
+        kernel.recorder,
     )
--- a/carawaystair/node.py
+++ b/carawaystair/node.py
@@ -42,6 +42,7 @@
             await self.add_runtime_dependency(part)
         metrics.collect(nodemetrics.KernelMetrics(self.kernel).samples)
         metrics.collect(nodemetrics.NodeMetrics(self.report).samples)
+        metrics.collect(nodemetrics.FollowerMetrics(self.follower).samples)
 
     def judge(self):
         """Return the part that says which upstreams fail."""
--- a/carawaystair/nodemetrics.py
+++ b/carawaystair/nodemetrics.py
@@ -4,6 +4,7 @@
 import typing
 
 from carawaystair.control import interfaces as control
+from carawaystair import follower
 from carawaystair import invariants
 from carawaystair import metrics
 
@@ -67,6 +68,24 @@
         yield metrics.Sample('slots_floor', service.bound, labels)
 
 
+class FollowerMetrics:
+    """Metrics of how a node keeps up with the configuration.
+
+    :param node: the follower of the node.
+    """
+
+    def __init__(self, node: follower.Follower) -> None:
+        self.node = node
+
+    def samples(self) -> typing.Iterator[metrics.Sample]:
+        """Yield the samples."""
+        counts = self.node.counts
+        yield metrics.Sample('config_lag_seconds', self.node.lag.seconds())
+        yield metrics.Sample('config_steps_total', counts.steps)
+        yield metrics.Sample('config_tables_begun_total', counts.tables_begun)
+        yield metrics.Sample('config_tables_read_total', counts.tables_read)
+
+
 class ControlMetrics:
     """Metrics of a control host.
 
--- a/carawaystair/report.py
+++ b/carawaystair/report.py
@@ -10,6 +10,9 @@
 
 # Control not heard of for so long is worth a line.
 STALE_S = 60.0
+# A newer configuration that is known for so long and not in force is, too:
+# it is to be in force everywhere within this time.
+BEHIND_S = 2.0
 # The newest events at the end of the page.
 EVENTS = 15
 
@@ -42,6 +45,7 @@
     :param ready: whether it serves.
     :param version: configuration in force.
     :param vouched_s: seconds since control vouched for it, None for never.
+    :param behind_s: seconds since it first heard of a newer configuration.
     :param members: names of the members believed alive.
     :param services: the services.
     :param invariants_broken: how often each invariant was broken.
@@ -53,6 +57,7 @@
     ready: bool
     version: str
     vouched_s: float | None
+    behind_s: float
     members: tuple[str, ...]
     services: tuple[ServiceReport, ...]
     invariants_broken: dict[str, int]
@@ -76,6 +81,7 @@
         follower.ready,
         str(follower.version()),
         None if vouched is None else round(clock.now() - vouched, 1),
+        round(follower.lag.seconds(), 1),
         tuple(sorted(member.host for member in members.alive())),
         tuple(
             _service(name, routing, directory, health)
@@ -119,6 +125,11 @@
     stale = report.vouched_s is None or report.vouched_s > STALE_S
     if stale and report.ready:
         found.append('control has not vouched for the configuration lately')
+    if report.behind_s > BEHIND_S:
+        found.append(
+            'a newer configuration is known for %.1f s and not in force'
+            % report.behind_s
+        )
     if len(report.members) == 1:
         found.append('this node knows no other one')
     for service in report.services:
--- a/test/fakes.py
+++ b/test/fakes.py
@@ -17,6 +17,7 @@
 
 from carawaystair import clock
 from carawaystair import codes
+from carawaystair import decisions
 from carawaystair import interfaces
 from carawaystair import plugins
 from carawaystair import settings
@@ -208,6 +209,7 @@
         self.links.clock = self.timeline.clock
         self.datagrams = self.links
         self.registry = plugins.load()
+        self.recorder = decisions.Recorder(self.settings.host)
         self.incarnation = clock.wall_ms()
 
     def random(self, part: str) -> random.Random:
--- a/test/test_report.py
+++ b/test/test_report.py
@@ -21,6 +21,7 @@
         True,
         '3.14',
         0.5,
+        0.0,
         ('h1', 'h2'),
         (service,),
         {},
