Requests: a node that knows of a newer configuration does not answer 404

Cause: the node of the incident answered 404 for routes that had been added up to 7.5 s before (``"status":404 "version":"2.430" "version_ms":7515``). Callers don't repeat a request after that. The node had been told of newer versions all the while: it could not know that there was no route.

Routes that the node knows are served on: the fleet must not stop because one version can't be fetched, and readiness stays for the same reason. The line 'rejected' tells since when a newer version is known.

Ruled out: taking such a node out of service (one version that can't be fetched would take out all); waiting with the answer.

--- a/carawaystair/codes.py
+++ b/carawaystair/codes.py
@@ -319,6 +319,14 @@
     'This node holds as many bodies of keyed requests as it takes.',
     'Try again later, or on another node.',
 )
+CONFIG_BEHIND = define(
+    3018,
+    'config-behind',
+    503,
+    'This node knows no route for this, and that a newer configuration is in'
+    ' force than the one it has.',
+    'Ask again, or ask another node; if it lasts, see config_lag_seconds.',
+)
 
 # 4: upstreams and attempts
 
--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -142,6 +142,7 @@
     :param version: configuration in force, ``TERM.INDEX``; ``0.0`` while
         there is none.
     :param version_ms: for how long it has been in force here, ms.
+    :param behind_ms: since a newer one is known here, ms; 0 while none is.
     :param detail: the circumstances.
     """
 
@@ -153,6 +154,7 @@
     code: str
     version: str
     version_ms: int
+    behind_ms: int
     detail: str
 
 
--- a/carawaystair/explain.py
+++ b/carawaystair/explain.py
@@ -33,7 +33,8 @@
     'answered': 'answered with {status} {outcome} {code} after {total_ms} ms,'
     ' {offers} offers {detail}',
     'rejected': 'rejected with {status} {code}: {method} {asked} {path}, by'
-    ' configuration {version}, in force here for {version_ms} ms {detail}',
+    ' configuration {version}, in force here for {version_ms} ms, a newer'
+    ' one known for {behind_ms} ms {detail}',
     'left': 'cancelled: the {closed_by} closed the connection after'
     ' {total_ms} ms',
     'life-began': '{upstream} of {service} began life {incarnation} at'
--- a/carawaystair/gateway/__init__.py
+++ b/carawaystair/gateway/__init__.py
@@ -5,6 +5,8 @@
 only way to its upstream; ``docs/design/platform.md`` tells what follows.
 """
 
+import typing
+
 from carawaystair import decisions
 from carawaystair.gateway import service
 from carawaystair import kernel as kernels
@@ -15,11 +17,14 @@
     membership,
     routing,
     recorder: decisions.Recorder,
+    behind_s: typing.Callable[[], float] = lambda: 0.0,
 ) -> service.Gateway:
     """Return the service that takes requests at a node with a gateway.
 
     :param membership: the membership of the process.
     :param routing: returns the configuration in force.
     :param recorder: takes note of decisions.
+    :param behind_s: returns since when a newer configuration is known,
+        seconds; 0.0 while none is.
     """
-    return service.Gateway(kernel, membership, routing, recorder)
+    return service.Gateway(kernel, membership, routing, recorder, behind_s)
--- a/carawaystair/gateway/front.py
+++ b/carawaystair/gateway/front.py
@@ -46,6 +46,8 @@
     :param settings: of the process.
     :param prefix: begins the ids of requests that bring none.
     :param routing: returns the configuration in force.
+    :param behind_s: returns since when a newer one is known, seconds; 0.0
+        while none is.
     :param relay: sends requests to gateways.
     :param settling: waits for a configuration right after the start.
     :param splits: chooses among the services of a route.
@@ -60,6 +62,7 @@
         settings: settings_module.Settings,
         prefix: str,
         routing: typing.Callable[[], routings.Routing],
+        behind_s: typing.Callable[[], float],
         relay: relays.Relay,
         settling: settlings.Settling,
         splits: splitting.Splitter,
@@ -68,7 +71,7 @@
         figures: figures_module.Figures,
         recorder: decisions.Recorder,
     ) -> None:
-        super().__init__(prefix, 0.0, routing, meters)
+        super().__init__(prefix, 0.0, routing, behind_s, meters)
         self.names = settings.headers
         self.service = settings.node.service
         self.relay = relay
@@ -188,12 +191,12 @@
         place = caller.target(request)
         match = routing.match(place.host, place.path.partition('?')[0])
         if match is None:
-            raise caller.Refused(codes.NO_ROUTE)
+            raise self._no_route()
         route = match.route
         name = self.splits.service(match.key, route)
         service = routing.service(name)
         if service is None:
-            raise caller.Refused(codes.NO_ROUTE)
+            raise self._no_route()
         most = min(service.max_body, routing.limits.max_body_bytes)
         service = service._replace(max_body=most)
         match = routings.Match(match.key, route, service)
@@ -322,6 +325,7 @@
                 refused.code.label,
                 str(self.version),
                 int((clock.now() - self.version_at) * MS),
+                int(self.behind_s() * MS),
                 refused.detail[:MOST_SHOWN],
             ),
             decisions.TROUBLE,
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -43,6 +43,7 @@
     :param membership: the upstreams of this host and of others.
     :param routing: returns the configuration in force.
     :param recorder: takes note of decisions.
+    :param behind_s: returns since when a newer configuration is known.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         membership,
         routing: typing.Callable,
         recorder: decisions.Recorder,
+        behind_s: typing.Callable[[], float],
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
@@ -80,6 +82,7 @@
             settings,
             '%s-%x' % (settings.host, kernel.incarnation & 0xFFFFFFFF),
             routing,
+            behind_s,
             self.relay,
             settling,
             splitting.Splitter(rng),
--- a/carawaystair/node.py
+++ b/carawaystair/node.py
@@ -89,6 +89,7 @@
             self.admission,
             self.reservations,
             routing,
+            self.follower.lag.seconds,
         )
         self.parts = (
             self.membership,
@@ -117,7 +118,11 @@
     def __init__(self, kernel, **kwargs) -> None:
         super().__init__(kernel, **kwargs)
         self.gateway = gateway.make(
-            kernel, self.membership, self.follower.routing, kernel.recorder
+            kernel,
+            self.membership,
+            self.follower.routing,
+            kernel.recorder,
+            self.follower.lag.seconds,
         )
         self.parts = (
             self.membership,
--- a/carawaystair/request/__init__.py
+++ b/carawaystair/request/__init__.py
@@ -22,13 +22,22 @@
     admission: interfaces.Admission,
     reservations: interfaces.Reservations,
     routing: typing.Callable[[], routings.Routing | None],
+    behind_s: typing.Callable[[], float] = lambda: 0.0,
 ) -> mode.Service:
     """Return the service that answers callers at ``node.listen``.
 
     :param routing: returns the configuration in force; None or one of
         version ``rows.NONE`` while there is none.
+    :param behind_s: returns since when a newer one is known, seconds; 0.0
+        while none is.
     """
     parts = service.Parts(
-        directory, health, evidence, admission, reservations, routing
+        directory,
+        health,
+        evidence,
+        admission,
+        reservations,
+        routing,
+        behind_s,
     )
     return service.Requests(kernel, parts)
--- a/carawaystair/request/caller.py
+++ b/carawaystair/request/caller.py
@@ -82,12 +82,9 @@
     return Target(host.lower(), path.partition('#')[0], authority)
 
 
-def route(routing: routings.Routing, place: Target) -> routings.Match:
-    """Return the route of a request; raises :class:`Refused`."""
-    match = routing.match(place.host, place.path.partition('?')[0])
-    if match is None or match.service is None:
-        raise Refused(codes.NO_ROUTE)
-    return match
+def route(routing: routings.Routing, place: Target) -> routings.Match | None:
+    """Return the route of a request, if there is one."""
+    return routing.match(place.host, place.path.partition('?')[0])
 
 
 def read(
--- a/carawaystair/request/handler.py
+++ b/carawaystair/request/handler.py
@@ -44,10 +44,11 @@
         admission: interfaces.Admission,
         reservations: interfaces.Reservations,
         routing: typing.Callable[[], routings.Routing | None],
+        behind_s: typing.Callable[[], float],
         sender: senders.Sender,
         meters: meters_module.Meters,
     ) -> None:
-        super().__init__(prefix, drain_s, routing, meters)
+        super().__init__(prefix, drain_s, routing, behind_s, meters)
         self.host = host
         self.admission = admission
         self.sender = sender
@@ -63,10 +64,13 @@
             raise caller.Refused(codes.NOT_READY)
         now = clock.now()
         place = caller.target(request)
+        match = caller.route(routing, place)
+        if match is None or match.service is None:
+            raise self._no_route()
         call = caller.read(
             request,
             place,
-            caller.route(routing, place),
+            match,
             routing.customer,
             exchange.id,
             self.host,
--- a/carawaystair/request/handling.py
+++ b/carawaystair/request/handling.py
@@ -17,6 +17,10 @@
 
 LOG = logs.get('request')
 
+# A node that is behind the configuration has caught up within this time, as
+# a rule: the median of 128 nodes during a storm of changes (exp_storms).
+SOON_S = 0.6
+
 
 class Handling:
     """Takes requests, and answers what can't be served.
@@ -25,6 +29,8 @@
     :param drain_s: time that a stop gives to requests in flight; none may
         have more, or a stop would cut it off.
     :param routing: returns the configuration in force.
+    :param behind_s: returns since when a newer one is known, seconds; 0.0
+        while none is.
     :param meters: counts what callers are told.
     """
 
@@ -33,6 +39,7 @@
         prefix: str,
         drain_s: float,
         routing: typing.Callable[[], routings.Routing | None],
+        behind_s: typing.Callable[[], float],
         meters: meters_module.Meters,
     ) -> None:
         self.prefix = prefix
@@ -40,6 +47,7 @@
         # Without a drain, a stop cuts off whatever there is.
         self.longest_s = drain_s or math.inf
         self.routing = routing
+        self.behind_s = behind_s
         self.meters = meters
         self.held = bodies.Held()
         self.active = 0
@@ -77,6 +85,17 @@
             self.active -= 1
         return exchange.keep_alive
 
+    def _no_route(self) -> caller.Refused:
+        """Return the refusal of a request that no route matches.
+
+        A node that knows of a newer configuration can't say that there is no
+        route: one may have been added.  Callers don't repeat a request after
+        a 404; after the other refusal they do, and find the route.
+        """
+        if not self.behind_s():
+            return caller.Refused(codes.NO_ROUTE)
+        return caller.Refused(codes.CONFIG_BEHIND, retry_after_s=SOON_S)
+
     def _name(self, request: incoming.Request) -> str:
         """Return the id of a request."""
         return '%s-%x' % (self.prefix, next(self.numbers))
--- a/carawaystair/request/service.py
+++ b/carawaystair/request/service.py
@@ -31,6 +31,7 @@
     admission: interfaces.Admission
     reservations: interfaces.Reservations
     routing: typing.Callable[[], routings.Routing | None]
+    behind_s: typing.Callable[[], float]
 
 
 class Requests(mode.Service):
@@ -75,6 +76,7 @@
             parts.admission,
             parts.reservations,
             parts.routing,
+            parts.behind_s,
             self.sender,
             counts,
         )
--- a/test/gateway_setup.py
+++ b/test/gateway_setup.py
@@ -130,6 +130,7 @@
             self.membership,
             lambda: fleet.routing,
             self.recorder,
+            lambda: fleet.behind_s,
         )
 
     def announce(
@@ -174,6 +175,7 @@
         self.far = far
         self.count = len(scripts)
         self.routing = _routing(routes, limits)
+        self.behind_s = 0.0
         self.nodes: list[Node] = []
         self.slots = slots
         for number, script in enumerate(scripts):
--- a/test/request_setup.py
+++ b/test/request_setup.py
@@ -148,6 +148,7 @@
         self.admission = parts.get('admission') or inert.Admission()
         self.reservations = parts.get('reservations') or (inert.Reservations())
         self.routing = make_routing(service, routes)
+        self.behind_s = 0.0
         text = (
             '{"host": "h1", "data_centre": "a", "region": "r", "node":'
             ' {"listen": "127.0.0.1:%d", "drain_s": %s}}'
@@ -166,6 +167,7 @@
             self.admission,
             self.reservations,
             lambda: self.routing,
+            lambda: self.behind_s,
         )
 
     @property
