Reservations: transfers of keys don't take each other's place

A process that serves 64 transfers dropped the oldest for each new one; its reader began again and dropped another. With more than twice as many readers asking by turns none ended.

Changed: beyond the bound a new transfer is refused, its reader asks again after its pause as before; one that nobody reads on for 3 s makes place.

Tests: 138 readers by turns, none had ended after 12 turns before, all now.

--- a/carawaystair/reservations/transfer.py
+++ b/carawaystair/reservations/transfer.py
@@ -14,8 +14,24 @@
 # event loop from requests for long.
 PAGE_BYTES = 128 * 1024
 PAGE_KEYS = 512
-# Transfers under way; the oldest makes place and is begun again.
+# Transfers under way.  Beyond them further ones are refused, and asked for
+# again after a pause: if a new one took the place of the oldest, whose reader
+# then begins anew, more readers than this would never come to an end.
 MAX_TRANSFERS = 64
+# A transfer of which no page was asked for so long makes place, seconds: its
+# reader gives up a page after one second.
+UNREAD_S = 3.0
+
+
+class UnderWay(typing.NamedTuple):
+    """A transfer that has begun.
+
+    :param names: the keys, as they were at its beginning.
+    :param used: monotonic time at which a page was last asked for.
+    """
+
+    names: list[bytes]
+    used: float
 
 
 class Transfers:
@@ -27,7 +43,8 @@
     def __init__(self, replica: replicas.Replica) -> None:
         self.replica = replica
         self.started = clock.now()
-        self.names: dict[tuple[int, str], list[bytes]] = {}
+        # By partition and reader.
+        self.under_way: dict[tuple[int, str], UnderWay] = {}
 
     def waited(self) -> bool:
         """Tell whether all votes of an earlier run of this process are void.
@@ -76,14 +93,7 @@
         self, seat: seats.Seat, ask: messages.Fetch, standing: int
     ) -> messages.Page:
         key = (ask.row.partition, ask.host)
-        if not ask.start:
-            self.names.pop(key, None)
-            while len(self.names) >= MAX_TRANSFERS:
-                del self.names[next(iter(self.names))]
-            # The names as of now: what is voted later carries the new
-            # session, and what is dropped later needs no sending.
-            self.names[key] = list(seat.store.records)
-        names = self.names.get(key)
+        names = self._names(key, seat, ask.start)
         if names is None:
             return messages.Page(messages.UNABLE)
         end = ask.start
@@ -97,7 +107,7 @@
             if size >= PAGE_BYTES:
                 break
         if end >= len(names):
-            del self.names[key]
+            del self.under_way[key]
             end = 0
         return messages.Page(
             standing,
@@ -107,6 +117,32 @@
             end,
         )
 
+    def _names(
+        self, key: tuple[int, str], seat: seats.Seat, start: int
+    ) -> list[bytes] | None:
+        """Return the keys of a transfer, None when it can't be served."""
+        now = clock.now()
+        found = self.under_way.pop(key, None)
+        if start and found is None:
+            return None
+        if not start:
+            if not self._room(now):
+                return None
+            # The names as of now: what is voted later carries the new
+            # session, and what is dropped later needs no sending.
+            found = UnderWay(list(seat.store.records), now)
+        self.under_way[key] = found._replace(used=now)
+        return found.names
+
+    def _room(self, now: float) -> bool:
+        """Let go of transfers that nobody reads on; tell if there is room."""
+        self.under_way = {
+            key: transfer
+            for key, transfer in self.under_way.items()
+            if now - transfer.used < UNREAD_S
+        }
+        return len(self.under_way) < MAX_TRANSFERS
+
 
 def _entry(kept: store.Store, name: bytes) -> messages.Entry | None:
     data = kept.records.get(name)
