Detours: a connection that breaks does not cancel the run behind it

A third node passes a request on to its gateway. When the connection to the sender broke, it closed its own to the gateway in the normal way, which means that the caller has left; the gateway cancelled the run, and the sender that asked for it again was told that nobody knows (502 of a payout that was running). Changed: the way on ends as the way here did, broken or closed. Test: 502 before, 200 and one run after.

--- a/carawaystair/gateway/detours.py
+++ b/carawaystair/gateway/detours.py
@@ -58,11 +58,24 @@
         hops.write(request, _no_answer(attempt, error))
         return request.keep_alive
     except BaseException:
-        attempt.leave()
+        _let_go(attempt, request)
         raise
     return await _answer(hop, request, attempt, answer)
 
 
+def _let_go(attempt: sends.ToGateway, request: incoming.Request) -> None:
+    """End the way on as the way here has ended.
+
+    A closed connection tells the gateway that nobody waits any more.  Closed
+    although the one here broke, it would cancel a run that the sender asks
+    for again, and a caller would be told that its outcome is unknown.
+    """
+    if request.connection.broken:
+        attempt.take_back()
+    else:
+        attempt.leave()
+
+
 def _no_answer(attempt: sends.ToGateway, error: Exception) -> bytes:
     if attempt.sent:
         return hops.failure(codes.ANSWER_LOST.label, repr(error), NOTHING)
--- a/test/pipes.py
+++ b/test/pipes.py
@@ -202,14 +202,28 @@
 
         :return: how many connections that were.
         """
-        hit = [
+        hit = self._open(port)
+        for pipe in hit:
+            pipe.silent = pipe.peer.silent = True
+        return len(hit)
+
+    def reset(self, port: int) -> int:
+        """Reset what is open to a port, as both ends see it.
+
+        :return: how many connections that were.
+        """
+        hit = self._open(port)
+        for pipe in hit:
+            pipe._lose(ConnectionResetError())
+            pipe.peer._lose(ConnectionResetError())
+        return len(hit)
+
+    def _open(self, port: int) -> list[Pipe]:
+        return [
             pipe
             for pipe in self.made
             if pipe.get_extra_info('peername')[1] == port and not pipe.lost
         ]
-        for pipe in hit:
-            pipe.silent = pipe.peer.silent = True
-        return len(hit)
 
 
 def run(coroutine: typing.Coroutine):
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -97,6 +97,50 @@
     assert lines.count('POST /pay/x HTTP/1.1') == 1
 
 
+def test_broken_connection_on_a_detour_does_not_cancel_the_run(monkeypatch):
+    """A payout that ran was broken off, and its caller told that nobody knows.
+
+    It went through a third node, and the connection between the caller's
+    node and that one broke.  The third node closed its own connection to the
+    gateway in the normal way, which means that the caller has left: the
+    gateway cancelled the run that the caller's node asked for again.
+    """
+    connect = connections.connect
+    cut: list = []
+
+    async def connect_unless_cut(target, until):
+        if target in cut:
+            raise TimeoutError
+        return await connect(target, until)
+
+    monkeypatch.setattr(connections, 'connect', connect_unless_cut)
+
+    async def scenario():
+        scripts = (None, fleets.slow(1.5), fleets.serve)
+        async with fleets.running(*scripts) as fleet:
+            for _ in range(4):
+                await fleet.ask('/read/warm')
+            fleet.nodes[2].announce('draining')
+            known = fleet.nodes[0].service.known
+            cut.append(known.targets['u9001'])
+            loop = asyncio.get_running_loop()
+            loop.silence(fleet.nodes[1].gateway)
+            asking = asyncio.ensure_future(
+                fleet.ask('/pay/x', 'POST', body=b'pay')
+            )
+            while not any('/pay' in seen.line for seen in fleet.runs):
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(0.2)
+            broken = loop.reset(fleet.nodes[2].gateway)
+            answer = await asking
+            return broken, answer, [seen.line for seen in fleet.runs]
+
+    broken, answer, lines = pipes.run(scenario())
+    assert broken
+    assert (answer.status, answer.body) == (200, b'u9001')
+    assert lines.count('POST /pay/x HTTP/1.1') == 1
+
+
 def test_gateway_that_started_again_says_that_it_does_not_know():
     """Symptom: a payout runs twice.
     Sequence: the gateway's process dies while the request runs and a new one
