--- a/carawaystair/membership/service.py
+++ b/carawaystair/membership/service.py
@@ -1,6 +1,7 @@
 """Puts the parts of membership together."""
 
 import asyncio
+import math
 import random
 import typing
 
@@ -34,6 +35,9 @@
 # A process that leaves waits so long at most, in seconds, until its
 # neighbours have acknowledged that.
 LEAVE_S = 1.5
+# And so long at least, also when the time to stop is over: a round trip
+# between regions and the poll of what is still under way.
+LEAVE_LEAST_S = 0.2
 # A process that stood still for longer trusts nothing that it knew.  Others
 # may have left and be forgotten everywhere else; by anti-entropy it would
 # bring them back.
@@ -98,6 +102,8 @@
         self.refutations = 0
         self.sequence = 0
         self.left = False
+        # By when this process must have ended, monotonic time.
+        self.leave_by = math.inf
         self.published = -SPACING_S
         self.gather: asyncio.TimerHandle | None = None
         self.table = tables.Table(identity.host)
@@ -182,7 +188,8 @@
             return
         self.left = True
         self._publish()
-        if not await self.flood.drained(LEAVE_S):
+        left_s = max(self.leave_by - clock.now(), LEAVE_LEAST_S)
+        if not await self.flood.drained(min(LEAVE_S, left_s)):
             LOG.warning('Left without every acknowledgement.')
 
     def publish(self, urgent: bool) -> None:
--- a/carawaystair/node.py
+++ b/carawaystair/node.py
@@ -4,6 +4,7 @@
 
 from carawaystair.admin import capacity
 from carawaystair import admission
+from carawaystair import clock
 from carawaystair import follower
 from carawaystair import gateway
 from carawaystair import localapi
@@ -44,6 +45,17 @@
         metrics.collect(nodemetrics.NodeMetrics(self.report).samples)
         metrics.collect(nodemetrics.FollowerMetrics(self.follower).samples)
 
+    async def on_stop(self) -> None:
+        """Bound what comes last by the time that a stop has.
+
+        Members that are down themselves don't acknowledge that this process
+        leaves.  Waiting for them after requests have used the time given, it
+        would be killed in the middle of its stop.
+        """
+        drain_s = self.kernel.settings.node.drain_s
+        if drain_s:
+            self.membership.leave_by = clock.now() + drain_s
+
     def judge(self):
         """Return the part that says which upstreams fail."""
         raise NotImplementedError
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -6,11 +6,14 @@
 import asyncio
 import random
 
+import pytest
+
 from carawaystair import interfaces
 from carawaystair.membership import aging
 from carawaystair.membership import messages
 from carawaystair.membership import registry
 from carawaystair.membership import service
+from carawaystair import node as node_module
 from carawaystair import timeline
 from test import fakes
 
@@ -287,3 +290,41 @@
         assert isinstance(nodes[0].members.me, interfaces.Member)
 
     fakes.run(_run())
+
+
+@pytest.mark.parametrize(('left_s', 'most_s'), [(0.3, 0.4), (10.0, 1.6)])
+def test_leave_ends_within_the_time_that_a_stop_has(left_s, most_s):
+    """One of 25 processes was killed when its grace of 6 s was over.
+
+    Its requests had used 5.65 s; then it waited 1.5 s for members to
+    acknowledge that it leaves, which were down themselves.
+    """
+
+    async def scenario():
+        network = fakes.Network()
+        nodes = await fleet(network, 5)
+        for node in nodes[1:]:
+            vanish(network, node)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        nodes[0].leave_by = began + left_s
+        await nodes[0].leave()
+        return loop.time() - began
+
+    assert fakes.run(scenario()) <= most_s
+
+
+def test_stop_of_a_node_bounds_its_leave():
+    async def scenario():
+        document = {
+            'host': 'h1',
+            'data_centre': 'a',
+            'region': 'r',
+            'node': {'drain_s': 4.0, 'gateway': '127.0.0.1:7001'},
+        }
+        kernel = fakes.Kernel(fakes.Network(), document)
+        made = node_module.make(kernel)
+        await made.on_stop()
+        return made.membership.leave_by
+
+    assert fakes.run(scenario()) == 4.0
