--- a/bench/exp_storms.py
+++ b/bench/exp_storms.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import statistics
 import typing
 
@@ -18,12 +19,11 @@
 
 TITLE = 'Nodes behind while the configuration changes without a pause'
 
-# Seconds between two changes.  Two operators at once were seen to make one
-# each 0.06 s.
+# Nodes, and seconds between two changes.  Two operators at once were seen to
+# make one each 0.06 s.
 GAPS_S = (1.0, 0.3, 0.15, 0.05)
-QUICK_GAPS_S = (0.15,)
-SIZES = (24, 128)
-QUICK_SIZES = (8,)
+STORMS = tuple([*itertools.product((24, 128), GAPS_S), (512, 0.15)])
+QUICK_STORMS = ((8, 0.15),)
 STORM_S = 25.0
 QUICK_STORM_S = 5.0
 SAMPLE_S = 0.05
@@ -127,10 +127,9 @@
 def run(seed: int, quick: bool) -> list:
     """Measure several paces at two sizes."""
     found = []
-    for nodes in QUICK_SIZES if quick else SIZES:
-        for gap_s in QUICK_GAPS_S if quick else GAPS_S:
-            seconds = QUICK_STORM_S if quick else STORM_S
-            measured = fakes.run(_measure(nodes, gap_s, seed, seconds))
-            name = 'storms.nodes%d.gap%d' % (nodes, round(1000 * gap_s))
-            found.extend(_figures(name, *measured))
+    seconds = QUICK_STORM_S if quick else STORM_S
+    for nodes, gap_s in QUICK_STORMS if quick else STORMS:
+        measured = fakes.run(_measure(nodes, gap_s, seed, seconds))
+        name = 'storms.nodes%d.gap%d' % (nodes, round(1000 * gap_s))
+        found.extend(_figures(name, *measured))
     return found
