Distribution: long steps go in parts

A step of up to 2,000 rows went in one message; on a link of 5 Mbit/s one of 600 KB takes a second, a question is given up after half a second and asked again, without an end. Longer steps went as a whole table: 7 MB a node at full size for a change of 2,001 rows.

Changed: whoever takes a step in parts (a new field of the question, off by default) gets one over 32 KB in pieces, put aside as tables are; the pieces are put together and applied once. Older processes are answered as before. A node's kept steps are bounded by their bytes, 1 MB, too: the steps that now come instead of tables are longer.

Tests: 1,900 rows of 300 B at 5 Mbit/s never arrived before, 6,000 came as a whole table; both come as a step now.

--- a/carawaystair/answering.py
+++ b/carawaystair/answering.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import itertools
 import typing
 
 from carawaystair import clock
@@ -15,11 +16,13 @@
 from carawaystair import rows
 from carawaystair import table as tables
 
-# Rows of a step in one message; a longer one travels as a whole table, in
-# pieces.
+# Rows of a step in one message to processes that don't take steps in parts;
+# a longer one travels to them as a whole table.
 MAX_STEP = 2000
 # Steps that a node keeps for its peers: 9 s of changes each 0.15 s.
 KEPT_STEPS = 64
+# Bytes of their rows at most, but for the newest one.
+KEPT_BYTES = 1024 * 1024
 
 # A table that nobody read a piece of for so long is let go of, seconds: a
 # reader gives up a question after 0.5 s and asks somebody else.
@@ -31,6 +34,9 @@
 # Tables put aside at most.  Beyond them readers share the newest one.  They
 # hold the buckets that have changed since, the others are shared.
 MOST_TABLES = 16
+# Steps and tables put aside at most; beyond them, and for readers who have
+# no use for them, there are whole tables.
+MOST = 64
 
 
 class Source(typing.Protocol):
@@ -46,6 +52,19 @@
         """Return the step on from ``version``, if it is still kept."""
 
 
+class Piece(typing.NamedTuple):
+    """A piece of what is read in pieces.
+
+    :param delta: its rows, with the digest of the whole.
+    :param after: where the next piece begins.
+    :param more: whether there is one.
+    """
+
+    delta: rows.Delta
+    after: int
+    more: bool
+
+
 class Steps:
     """The newest steps of a node, each from where the one before led.
 
@@ -53,15 +72,20 @@
     """
 
     def __init__(self, limit: int = KEPT_STEPS) -> None:
-        self.kept: collections.deque[rows.Delta] = collections.deque(
-            maxlen=limit
-        )
+        self.limit = limit
+        self.kept: collections.deque[rows.Delta] = collections.deque()
+        self.size = 0
         # By the version that is asked for: all peers ask for the same few.
         self.merged: dict[rows.Version, rows.Delta] = {}
 
     def add(self, delta: rows.Delta) -> None:
-        """Keep a step; drops the oldest beyond the limit."""
+        """Keep a step; drops the oldest beyond the limits."""
         self.kept.append(delta)
+        self.size += delta.size()
+        while len(self.kept) > 1 and (
+            len(self.kept) > self.limit or self.size > KEPT_BYTES
+        ):
+            self.size -= self.kept.popleft().size()
         self.merged.clear()
 
     def after(self, version: rows.Version) -> rows.Delta | None:
@@ -84,6 +108,7 @@
     def clear(self) -> None:
         """Forget all steps: they no longer join up."""
         self.kept.clear()
+        self.size = 0
         self.merged.clear()
 
 
@@ -95,8 +120,22 @@
     return rows.Delta(version, newest.version, put, drop, newest.digest)
 
 
-class Reading:
-    """A table of one version, put aside while others read it in pieces.
+class Reading(typing.Protocol):
+    """What is put aside while others read it in pieces.
+
+    :param begun: monotonic time of the first piece.
+    :param used: of the last one.
+    """
+
+    begun: float
+    used: float
+
+    def piece(self, start: int) -> Piece:
+        """Return the piece that begins at ``start``."""
+
+
+class TableReading:
+    """A table of one version.
 
     :param version: the version.
     :param table: its rows.
@@ -107,11 +146,43 @@
         self.table = table
         self.begun = self.used = clock.now()
 
-    def piece(self, start: int) -> tuple[rows.Delta, int]:
-        """Return one piece as a delta, and where the next one begins."""
+    def piece(self, start: int) -> Piece:
+        """Return the piece that begins at a bucket."""
         put, after = self.table.piece(start)
         digest = self.table.digest()
-        return rows.Delta(rows.NONE, self.version, put, (), digest), after
+        delta = rows.Delta(rows.NONE, self.version, put, (), digest)
+        return Piece(delta, after, after < tables.BUCKETS)
+
+
+class StepReading:
+    """A step that is too long for one message.
+
+    :param step: the step.
+    """
+
+    def __init__(self, step: rows.Delta) -> None:
+        self.step = step
+        # Keys that are dropped have no value.
+        self.changes = (*step.put, *((key, None) for key in step.drop))
+        self.begun = self.used = clock.now()
+
+    def piece(self, start: int) -> Piece:
+        """Return the piece that begins at a row; drops come behind puts."""
+        start = max(start, 0)
+        after = start + _that_fit(self.changes[start:])
+        part = self.changes[start:after]
+        put = tuple(row for row in part if row[1] is not None)
+        drop = tuple(key for key, value in part if value is None)
+        delta = self.step._replace(put=put, drop=drop)
+        return Piece(delta, after, after < len(self.changes))
+
+
+def _that_fit(changes: typing.Sequence[tuple[str, bytes | None]]) -> int:
+    """Return how many rows go into one message, one at least."""
+    sizes = (len(key) + len(value or b'') for key, value in changes)
+    sums = itertools.accumulate(sizes)
+    fits = itertools.takewhile(lambda size: size <= tables.PIECE_BYTES, sums)
+    return max(sum(1 for _size in fits), 1)
 
 
 class Answerer:
@@ -122,7 +193,9 @@
 
     def __init__(self, source: Source) -> None:
         self.source = source
-        self.readings: dict[rows.Version, Reading] = {}
+        # By the version that a reader has, NONE for whole tables, and the
+        # one that it reads.
+        self.readings: dict[tuple[rows.Version, rows.Version], Reading] = {}
 
     def answer(
         self,
@@ -137,44 +210,68 @@
         newest = self.source.version()
         if newest <= ask.have:
             return distribution.Answer(newest, confirmed=confirmed)
-        # Whoever reads a table gets all of it as it was at the beginning.
-        reading = self.readings.get(ask.whole)
-        if reading is not None:
-            return self._piece(reading, ask.start, newest, confirmed)
-        step = self.source.delta_since(ask.have)
-        if step is not None and len(step.put) <= MAX_STEP:
-            return distribution.Answer(newest, step, confirmed=confirmed)
-        return self._piece(self._begin(ask.have), 0, newest, confirmed)
-
-    def _piece(
-        self,
-        reading: Reading,
-        start: int,
-        newest: rows.Version,
-        confirmed: bool,
-    ) -> distribution.Answer:
+        reading, start = self._under_way(ask), ask.start
+        if reading is None:
+            step = self.source.delta_since(ask.have)
+            if step is not None and _is_short(step, ask.parts):
+                return distribution.Answer(newest, step, confirmed=confirmed)
+            reading, start = self._begin(ask, step), 0
         reading.used = clock.now()
-        delta, after = reading.piece(start)
-        more = after < tables.BUCKETS
-        return distribution.Answer(newest, delta, more, confirmed, after)
+        piece = reading.piece(start)
+        return distribution.Answer(
+            newest, piece.delta, piece.more, confirmed, piece.after
+        )
+
+    def _under_way(
+        self, ask: distribution.Ask | distribution.AskPeer
+    ) -> Reading | None:
+        """Return what the asker is in the middle of reading.
 
-    def _begin(self, have: rows.Version) -> Reading:
-        """Return the table that a new reader gets."""
-        latest = self.readings.get(max(self.readings, default=rows.NONE))
+        It gets all of it as it was at the beginning, whatever is newest now.
+        """
+        step = self.readings.get((ask.have, ask.whole))
+        return step or self.readings.get((rows.NONE, ask.whole))
+
+    def _begin(
+        self,
+        ask: distribution.Ask | distribution.AskPeer,
+        step: rows.Delta | None,
+    ) -> Reading:
+        """Return what a new reader gets, in pieces."""
+        if step is not None and ask.parts and len(self.readings) < MOST:
+            key = (ask.have, step.version)
+            return self.readings.setdefault(key, StepReading(step))
+        return self._begin_table(ask.have)
+
+    def _begin_table(self, have: rows.Version) -> Reading:
+        known = [
+            version for base, version in self.readings if base == rows.NONE
+        ]
+        latest = self.readings.get((rows.NONE, max(known, default=rows.NONE)))
         if latest is not None and latest.version > have:
-            full = len(self.readings) >= MOST_TABLES
+            full = len(known) >= MOST_TABLES
             if full or clock.now() - latest.begun < FRESH_S:
                 return latest
         version = self.source.version()
         return self.readings.setdefault(
-            version, Reading(version, self.source.table())
+            (rows.NONE, version), TableReading(version, self.source.table())
         )
 
     def sweep(self) -> None:
-        """Let go of the tables that nobody reads any longer."""
+        """Let go of what nobody reads any longer."""
         now = clock.now()
         self.readings = {
-            version: reading
-            for version, reading in self.readings.items()
+            key: reading
+            for key, reading in self.readings.items()
             if now - reading.used < UNREAD_S
         }
+
+
+def _is_short(step: rows.Delta, parts: bool) -> bool:
+    """Tell whether a step goes in one message.
+
+    :param parts: whether the asker would take it in parts.
+    """
+    if not parts:
+        return len(step.put) <= MAX_STEP
+    return step.size() <= tables.PIECE_BYTES
--- a/carawaystair/distribution.py
+++ b/carawaystair/distribution.py
@@ -1,8 +1,8 @@
 """Distribution of accepted versions: the messages.
 
-Versions travel as steps from one to a newer one; a node that is too far
-behind reads a whole table in pieces.  A control host answers :class:`Ask`, a
-node answers :class:`AskPeer` from what it has in force itself.
+Versions travel as steps from one to a newer one, long ones in pieces; a node
+that is too far behind reads a whole table in pieces.  A control host answers
+:class:`Ask`, a node answers :class:`AskPeer` from what it has in force.
 """
 
 import typing
@@ -17,15 +17,17 @@
 
     :param have: the version that the asker has in force.
     :param host: name of the asking host.
-    :param whole: the version whose table is being read in pieces, or
+    :param whole: the version that is being read in pieces, or
         :data:`rows.NONE`.
-    :param start: buckets of it to pass over.
+    :param start: buckets of a table, or rows of a step, to pass over.
+    :param parts: whether the asker takes a step in pieces, too.
     """
 
     have: rows.Version
     host: str = ''
     whole: rows.Version = rows.NONE
     start: int = 0
+    parts: bool = False
 
 
 @wire.register(43)
@@ -36,6 +38,7 @@
     host: str = ''
     whole: rows.Version = rows.NONE
     start: int = 0
+    parts: bool = False
 
 
 @wire.register(41)
@@ -43,13 +46,14 @@
     """Answers :class:`Ask` and :class:`AskPeer`.
 
     :param newest: the newest version that the answerer has.
-    :param delta: a step on from ``have``; or a piece of the whole table,
-        with base :data:`rows.NONE`; or None when there is nothing newer.
-    :param more: whether further pieces of the whole table follow.
+    :param delta: a step on from ``have``, or a piece of it; or a piece of
+        the whole table, with base :data:`rows.NONE`; or None when there is
+        nothing newer.
+    :param more: whether further pieces follow.
     :param confirmed: whether a quorum of control vouches that no newer
         version was accepted before this answer.
-    :param after: buckets of the whole table up to the end of this piece; 0
-        from processes that don't tell.
+    :param after: buckets of the whole table, or rows of the step, up to the
+        end of this piece; 0 from processes that don't tell.
     """
 
     newest: rows.Version
--- a/carawaystair/fetching.py
+++ b/carawaystair/fetching.py
@@ -47,7 +47,7 @@
         held: routing.Routing,
         whole: bool = True,
     ) -> Fetched | None:
-        """Read one step, or a whole table in pieces.
+        """Read one step or a whole table, in pieces where it is long.
 
         When the version changes between two pieces, those read so far are
         dropped: together they would be a mixture of two versions.  Who
@@ -59,9 +59,9 @@
         :param whole: whether a whole table is wanted where there is no step.
         :return: None when there was no answer, or no step.
         """
-        reading, start, pieces = rows.NONE, 0, tables.EMPTY
+        reading, start, pieces = rows.NONE, 0, _Pieces(held.table)
         while True:
-            ask = kind(held.version, self.name, reading, start)
+            ask = kind(held.version, self.name, reading, start, True)
             result = await self.transport.call(address, ask, CALL_S)
             if result.is_error():
                 return None
@@ -69,19 +69,17 @@
             delta = answer.delta
             if delta is None:
                 return Fetched(answer)
-            if delta.base != rows.NONE:
-                self._count(steps=1)
-                return Fetched(answer, await _apply(held.table, delta))
-            if not whole:
+            step = delta.base != rows.NONE
+            if not step and not whole:
                 return None
             if delta.version != reading:
-                self._count(tables_begun=1)
-                reading, start, pieces = delta.version, 0, tables.EMPTY
-            pieces = await _apply(pieces, delta)
+                reading, start, pieces = delta.version, 0, _Pieces(held.table)
+                self._count(tables_begun=int(not step))
+            await pieces.add(delta)
             start = answer.after or start + OLD_PIECE
             if not answer.more:
-                self._count(tables_read=1)
-                return Fetched(answer, pieces)
+                self._count(steps=int(step), tables_read=int(not step))
+                return Fetched(answer, await pieces.table())
 
     def _count(self, **more: int) -> None:
         sums = {
@@ -90,6 +88,37 @@
         self.counts = self.counts._replace(**sums)
 
 
+class _Pieces:
+    """What was read so far of a step or of a whole table.
+
+    The pieces of a table hold different buckets, each of which is made once.
+    Those of a step hold rows of any bucket, so that they are put together
+    before they are applied.
+
+    :param held: the table that a step leads from.
+    """
+
+    def __init__(self, held: tables.Table) -> None:
+        self.held = held
+        self.whole = tables.EMPTY
+        self.steps: list[rows.Delta] = []
+
+    async def add(self, delta: rows.Delta) -> None:
+        """Take a piece."""
+        if delta.base == rows.NONE:
+            self.whole = await _apply(self.whole, delta)
+        else:
+            self.steps.append(delta)
+
+    async def table(self) -> tables.Table:
+        """Return the table that all pieces come to."""
+        if not self.steps:
+            return self.whole
+        put, drop = rows.merge((step.put, step.drop) for step in self.steps)
+        step = self.steps[-1]._replace(put=put, drop=drop)
+        return await _apply(self.held, step)
+
+
 async def _apply(table: tables.Table, delta: rows.Delta) -> tables.Table:
     """Apply a delta without keeping requests waiting for long.
 
--- a/carawaystair/rows.py
+++ b/carawaystair/rows.py
@@ -93,6 +93,11 @@
     drop: Keys
     digest: bytes
 
+    def size(self) -> int:
+        """Return the bytes of its rows."""
+        put = sum(len(key) + len(value) for key, value in self.put)
+        return put + sum(map(len, self.drop))
+
 
 def row_digest(key: str, value: bytes) -> int:
     """Return the digest of one row as a number below 2**128."""
--- a/test/fakes.py
+++ b/test/fakes.py
@@ -70,6 +70,8 @@
     :param loss: share of messages lost, from 0.0 to 1.0.
     :param double: share of messages delivered twice.
     :param delay_s: least and greatest delay, in seconds.
+    :param bytes_s: bytes a second of the way between two ends, 0 for no
+        bound; a message is there when its last byte is.
     """
 
     def __init__(
@@ -78,7 +80,9 @@
         loss: float = 0.0,
         double: float = 0.0,
         delay_s: tuple[float, float] = (0.0005, 0.002),
+        bytes_s: int = 0,
     ) -> None:
+        self.bytes_s = bytes_s
         self.random = random.Random(seed)
         self.loss = loss
         self.double = double
@@ -116,10 +120,10 @@
             return
         copies = 2 if self.random.random() < self.double else 1
         loop = asyncio.get_running_loop()
+        way_s = len(data) / self.bytes_s if self.bytes_s else 0.0
         for _copy in range(copies):
-            loop.call_later(
-                self.random.uniform(*self.delay_s), self._arrive, target, data
-            )
+            delay_s = way_s + self.random.uniform(*self.delay_s)
+            loop.call_later(delay_s, self._arrive, target, data)
         self.carried += 1
         self.carried_bytes += len(data)
 
--- a/test/test_answering.py
+++ b/test/test_answering.py
@@ -101,6 +101,52 @@
     assert steps.after(version(6)).version == version(10)
 
 
+def test_steps_are_bounded_by_their_bytes(monkeypatch):
+    """Many long changes in a row must not fill a node's memory."""
+    monkeypatch.setattr(answering, 'KEPT_BYTES', 10_000)
+    steps = answering.Steps()
+    for index in range(20):
+        put = (('customer/c%d' % index, b'v' * 3000),)
+        steps.add(rows.Delta(version(index), version(index + 1), put, (), b''))
+        assert steps.size <= 10_000
+    assert steps.after(version(16)) is None
+    assert len(steps.after(version(17)).put) == 3
+    huge = (('customer/c', b'v' * 30_000),)
+    steps.add(rows.Delta(version(20), version(21), huge, (), b''))
+    assert len(steps.after(version(20)).put) == 1
+
+
+def test_long_step_goes_in_parts_that_come_to_the_whole():
+    """A step in parts holds puts and drops, each once, as they were."""
+
+    async def scenario():
+        source = Source(0)
+        old = {rows.CUSTOMER + 'o%d' % n: b'v' for n in range(3000)}
+        new = {rows.CUSTOMER + 'n%d' % n: b'w' * 30 for n in range(3000)}
+        step = rows.difference(old, new, version(1), version(2))
+        source.newest = 2
+        source.steps.add(step)
+        answerer = answering.Answerer(source)
+        whole, start, parts = rows.NONE, 0, []
+        while True:
+            question = ask(1, whole, start)._replace(parts=True)
+            answer = answerer.answer(question)
+            parts.append(answer.delta)
+            whole, start = answer.delta.version, answer.after
+            if not answer.more:
+                break
+            # A newer version does not change what is being read.
+            source.newest += 1
+        put, drop = rows.merge((part.put, part.drop) for part in parts)
+        assert len(parts) > 3 and (put, drop) == (step.put, step.drop)
+        assert sum(part.size() for part in parts) == step.size()
+        assert {part.base for part in parts} == {version(1)}
+        # Who does not take parts gets as before the whole table.
+        assert answerer.answer(ask(1)).delta.base == rows.NONE
+
+    fakes.run(scenario())
+
+
 def read(answerer, source, change):
     """Read a whole table, the version changing after each piece.
 
--- a/test/test_follower_storm.py
+++ b/test/test_follower_storm.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from carawaystair import distribution
 from carawaystair import publisher
 from test import fakes
@@ -172,3 +174,30 @@
         return watch.worst[host]
 
     assert fakes.run(scenario()) < BOUND_S
+
+
+@pytest.mark.parametrize('count', [1900, 6000])
+def test_long_step_passes_a_slow_link(count):
+    """A change of many rows never arrived where links are slow.
+
+    Steps of up to 2,000 rows went in one message.  On a link of 5 Mbit/s one
+    of 600 KB takes a second, but a question is given up after half a second
+    and asked again, without an end.  Longer steps went as a whole table.
+    """
+
+    async def scenario():
+        fleet = await started(3, bytes_s=625_000)
+        before = [node.counts for node in fleet.nodes]
+        long = {'customer/d%d' % number: 'v' * 300 for number in range(count)}
+        fleet.group.accept(**long)
+        await asyncio.sleep(9)
+        fleet.network.bytes_s = 0
+        held = {node.version() for node in fleet.nodes}
+        rows_of = {len(node.table()) for node in fleet.nodes}
+        read = [node.counts.tables_begun for node in fleet.nodes]
+        await fleet.stop()
+        assert held == {fleet.group.held}
+        assert rows_of == {len(fleet.group.rows)}
+        assert read == [counts.tables_begun for counts in before]
+
+    fakes.run(scenario())
