--- a/bench/capacity_lines.py
+++ b/bench/capacity_lines.py
@@ -237,7 +237,26 @@
         'links, table',
     )
     text = 'Each of up to %d control hosts.' % CONTROL_HOSTS
-    return Role('control host', text, (line,))
+    return Role('control host', text, (line, _storm(measured)))
+
+
+def _storm(measured) -> Line:
+    """What a change each 0.15 s adds to the polls at a control host.
+
+    Nodes ask control in their turn and when no peer has a step for them; the
+    16 that each control host tells ask it as well.
+    """
+    asks_s = measured['storms.nodes512.gap150.control'] - 1 / POLL_S
+    messages = 2 * max(asks_s, 0.0) * NODES / CONTROL_HOSTS
+    return Line(
+        'a storm: a change each 0.15 s',
+        messages,
+        messages * measured['links.cpu_us.by_messages'],
+        messages * measured['spread.per_change_and_node.bytes'],
+        0.0,
+        'merged steps from peers first, control in its turn',
+        'storms: 512 nodes, as many a node; links, spread',
+    )
 
 
 def roles(measured) -> tuple[Role, ...]:
@@ -258,6 +277,7 @@
     grown = math.log(NODES) / math.log(512)
     spread = measured['spread.loss0.nodes512.max'] * grown
     lossy = measured['spread.loss20.nodes512.max'] * grown
+    storm = measured['storms.nodes512.gap150.lag.max'] * grown
     return (
         Bound(
             'control at a node: processor',
@@ -309,4 +329,13 @@
             'the same; questions given up after 0.5 s and asked elsewhere',
             'spread: the greatest of 512 nodes, grown with log n',
         ),
+        Bound(
+            'the same while one follows another each 0.15 s',
+            '%g s' % IN_FORCE_S,
+            '%.1f s' % storm,
+            _margin(IN_FORCE_S, storm),
+            'steps of peers joined from any version, tables read as they'
+            ' were at the beginning',
+            'storms: the greatest of 512 nodes, grown with log n',
+        ),
     )
