Follower: whom a node asks stands by itself

A move: the choice between who told of news, control and peers, with its bounds, is a module of its own (sources.py); the follower keeps what it does with the answers.

--- a/carawaystair/follower.py
+++ b/carawaystair/follower.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import math
 import pathlib
 import random
 import typing
@@ -26,6 +25,7 @@
 from carawaystair import plugins
 from carawaystair import routing
 from carawaystair import rows
+from carawaystair import sources
 from carawaystair import table as tables
 from carawaystair import timeline as timelines
 from carawaystair import versionfile
@@ -45,14 +45,9 @@
 ENOUGH_PEERS = 3
 # Questions to one process in a row that bring something newer each.
 MOST_IN_A_ROW = 4
-# Control is asked so often by a node that stays behind, seconds: it leaves
-# three tries within the time in which a version is to be in force.
-HURRY_S = 0.5
 # Tries before control counts as away for a node that is starting.
 CONTROL_TRIES = 4
-# A node that is behind for so long tells it, and goes on telling it so often.
-# A change is everywhere within 0.3 s as a rule (exp_spread, 32 nodes).
-BEHIND_S = 1.0
+# A node that stays behind tells it so often, seconds.
 TELL_LAG_S = 1.0
 
 MS = 1000
@@ -92,12 +87,10 @@
         super().__init__(**kwargs)
         self.transport = transport
         self.members = members
-        self.control_hosts = tuple(control_hosts)
         self.timeline = timeline
         self.rng = rng
         self.registry = registry
         self.memory = memory
-        self.poll_s = poll_s
         self.recorder = recorder or decisions.Recorder(members.me.host)
         self.held = routing.Routing()
         self.steps = answering.Steps()
@@ -107,10 +100,10 @@
         self.vouchers: set[str] = set()
         self.floor = rows.NONE
         self.confirmed_at: float | None = None
-        # Monotonic time at which control was last asked.
-        self.control_at = -math.inf
-        self.teller = ''
         self.lag = lags.Lag()
+        self.sources = sources.Sources(
+            members, control_hosts, self.lag, poll_s, rng
+        )
         self.asked = ''
         self.reader = fetching.Reader(transport, members.me.host)
         self.wake = asyncio.Event()
@@ -157,7 +150,7 @@
     async def _on_news(self, sender: str, news: distribution.News) -> None:
         self.lag.told(news.version)
         if news.version > self.held.version:
-            self.teller = sender
+            self.sources.teller = sender
             self.wake.set()
 
     @mode.Service.task
@@ -166,7 +159,7 @@
         while not self.should_stop:
             self.wake.clear()
             heard = await self._catch_up()
-            pause = self.poll_s * self.rng.uniform(0.8, 1.2)
+            pause = self.sources.poll_s * self.rng.uniform(0.8, 1.2)
             # Told of a version that nobody asked had yet, it does not wait
             # for more news or for its next poll.
             if not self.ready or not heard or self.lag.heard:
@@ -179,77 +172,33 @@
     async def _catch_up(self) -> bool:
         """Ask who told of news, else a control host, else a peer.
 
-        The teller is asked first: it has the news, and a change that 2,500
-        nodes fetched from control at once would swamp the control hosts.
-        It is asked for a step only: whoever has none for this node would
-        send a whole table where control has a step.
+        The first is asked for a step only: whoever has none for this node
+        would send a whole table where control has a step.
 
         :return: whether anybody answered.
         """
-        teller, self.teller = self._whom_to_ask(), ''
-        if teller and await self._fetch(
-            teller, distribution.AskPeer, whole=False
+        first = self.sources.first()
+        if first and await self._fetch(
+            first, distribution.AskPeer, whole=False
         ):
             return True
-        # One control host a turn: while it is away, the next turn comes
-        # soon and asks another one.
-        hosts = self._control_hosts()
-        if hosts:
-            host = self.rng.choice(hosts)
-            before = self.confirmed_at
-            self.control_at = clock.now()
-            await self._fetch(host, distribution.Ask)
+        host = self.sources.control()
+        before = self.confirmed_at
+        if host and await self._fetch(host, distribution.Ask):
             if self.confirmed_at != before:
                 self.tries = 0
                 return True
         # A control host without a quorum may have been cut off long ago and
         # not know it: its answer counts no more than none.
         self.tries += 1
-        peers = self._peers()
-        if not peers:
+        peer = self.sources.peer()
+        if peer is None:
             return False
-        peer = self.rng.choice(peers)
         if not await self._fetch(peer.peer, distribution.AskPeer):
             return False
         self._vouch(peer.host)
         return True
 
-    def _whom_to_ask(self) -> str:
-        """Return the peer to ask before control, empty for none.
-
-        While news comes without an end, a node would ask peers alone and
-        stay as far behind as those are; so control has its turn as often as
-        without any news, and sooner for a node that stays behind.
-        """
-        behind_s = self.lag.seconds()
-        turn_s = HURRY_S if behind_s >= BEHIND_S else self.poll_s
-        if clock.now() - self.control_at >= turn_s:
-            return ''
-        if self.teller and self.teller not in self._control_hosts():
-            return self.teller
-        peers = self._peers()
-        if behind_s and not self.teller and peers:
-            return self.rng.choice(peers).peer
-        return ''
-
-    def _control_hosts(self) -> list[str]:
-        """Return the control hosts known, by settings or as members.
-
-        Hosts that took the place of others stand in no settings.  Those
-        believed alive are asked first; the settings are what is left when
-        none is.
-        """
-        alive = [m.peer for m in self.members.alive() if m.control]
-        return alive or list(self.control_hosts)
-
-    def _peers(self) -> list[interfaces.Member]:
-        me = self.members.me
-        return [
-            member
-            for member in self.members.alive()
-            if member.host != me.host and not member.control
-        ]
-
     async def _fetch(
         self, address: str, kind: type, whole: bool = True
     ) -> bool:
@@ -296,7 +245,7 @@
         node's own disk remembers is put in force.
         """
         self.vouchers.add(host)
-        others = len(self._peers())
+        others = len(self.sources.peers())
         enough = len(self.vouchers) >= min(ENOUGH_PEERS, others)
         away = self.tries >= CONTROL_TRIES
         known = len(self.held.table) and self.held.version >= self.floor
@@ -367,7 +316,7 @@
                 await self.told.wait()
             self.rounds -= 1
             news = distribution.News(self.held.version)
-            peers = self._peers()
+            peers = self.sources.peers()
             for peer in self.rng.sample(peers, min(FANOUT, len(peers))):
                 self.transport.send(peer.peer, news)
             await asyncio.sleep(ROUND_S)
@@ -384,9 +333,9 @@
             await asyncio.sleep(TELL_LAG_S)
             self.answerer.sweep()
             now_s = self.lag.seconds()
-            if now_s >= BEHIND_S:
+            if now_s >= sources.BEHIND_S:
                 self._tell_behind(now_s)
-            elif behind_s >= BEHIND_S:
+            elif behind_s >= sources.BEHIND_S:
                 event = decisions.CaughtUp(
                     str(self.held.version), int(MS * behind_s)
                 )
--- a/test/test_follower_storm.py
+++ b/test/test_follower_storm.py
@@ -140,7 +140,7 @@
     async def scenario():
         fleet = await started(1)
         node = fleet.nodes[0]
-        node.poll_s = BOUND_S / 2
+        node.sources.poll_s = BOUND_S / 2
         me, host = node.members.me.peer, node.members.me.host
         late = setups.Group()
         late.accept(**ROWS)
