Soak: storms of changes, and a check that nodes have what was accepted

Every fourth seed has storms: two operators, a change each 0.15 s. Checked as it happens: a ready node with no fault near has what was accepted five seconds before.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -19,6 +19,9 @@
 from standin import stage as stages
 from standin import upstream as upstreams
 
+# Changes a second that control takes of an operator: storms make up to
+# fourteen.
+CHANGES_S = 100.0
 # Processes listen at addresses of their own; what others use leads to them.
 # Soaks that run side by side use other networks, by the number of the
 # process: 127.NETWORK.x.y.
@@ -137,6 +140,10 @@
         document = super().settings(host)
         document['bind_ip'] = self.ips[host.name]
         document['log'] = {'form': 'json'}
+        document['control'] |= {
+            'changes_per_s': CHANGES_S,
+            'reads_per_s': CHANGES_S,
+        }
         return document
 
     async def open_ways(self, host: fleets.Host) -> None:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -13,6 +13,7 @@
 LEAVE = 'leave'  # an upstream drains and leaves; another one comes
 CHANGE = 'change'  # the configuration changes
 RACE = 'race'  # two changes on one version
+STORM = 'storm'  # the configuration changes without a pause
 HUP = 'hup'  # a process gets SIGHUP
 MALFORMED = 'malformed'  # another writer's entries reach a node
 # Faults.
@@ -31,7 +32,7 @@
 SLOW = 'slow'  # its syncs take longer
 CLOCK = 'clock'  # the time of day of a host jumps
 
-PLANNED = frozenset((STOP, LEAVE, CHANGE, RACE, HUP, MALFORMED))
+PLANNED = frozenset((STOP, LEAVE, CHANGE, RACE, STORM, HUP, MALFORMED))
 # Of so many seeds one has planned work only: where faults are near, a request
 # that was cut can't be told from one that a fault broke.
 PLANNED_EVERY = 3
@@ -58,6 +59,13 @@
     SLOW: 2,
     CLOCK: 2,
 }
+# Of so many seeds one has storms, with a randomness of their own: what else
+# a seed plays stays as it was.
+STORM_EVERY = 4
+STORM_SEED = 1
+# Seconds between the ends and beginnings of storms, and how long one lasts.
+STORM_PAUSE_S = (1.0, 4.0)
+STORM_S = (3.0, 8.0)
 # What each kind strikes: a node, a control host, any host, an upstream or
 # the whole fleet.
 NODE, CONTROL, HOST, UPSTREAM, FLEET = (
@@ -68,6 +76,7 @@
     LEAVE: UPSTREAM,
     CHANGE: FLEET,
     RACE: FLEET,
+    STORM: FLEET,
     HUP: HOST,
     MALFORMED: NODE,
     KILL: HOST,
@@ -126,9 +135,23 @@
     while now < seconds:
         events += _series(rng, now, kinds)
         now += rng.expovariate(1 / PAUSE_S)
+    if seed % STORM_EVERY == STORM_SEED:
+        events += _storms(random.Random('storms %d' % seed), seconds)
     return sorted(event for event in events if event.at < seconds)
 
 
+def _storms(rng: random.Random, seconds: float) -> list[Event]:
+    """Return the storms of a play, one after the other."""
+    events: list[Event] = []
+    now = CALM_S
+    while now < seconds:
+        for_s = round(rng.uniform(*STORM_S), 3)
+        event = Event(round(now, 3), STORM, rng.random(), for_s, rng.random())
+        events.append(event)
+        now += for_s + rng.uniform(*STORM_PAUSE_S)
+    return events
+
+
 def _series(
     rng: random.Random, begin: float, kinds: typing.Sequence[str]
 ) -> list[Event]:
--- a/soak/play.py
+++ b/soak/play.py
@@ -12,6 +12,7 @@
 from soak import entries
 from soak import fleet as fleet_module
 from soak import host as hosts
+from soak import operators
 from soak import plan as plans
 from soak import watch as watches
 from soak import ways
@@ -31,6 +32,8 @@
 LEAVE_S = (0.01, 0.1)
 LEFT_MS = 5_000
 PATIENCE_S = 8.0
+# Between two changes of one operator in a storm, seconds.
+STORM_GAP_S = 0.15
 # Versions of the nodes are asked for so often, seconds.
 LOOK_S = 0.3
 # After the last fault the fleet gets so long to come together, seconds.
@@ -196,6 +199,8 @@
             return
         version = fleet_module.read_version(status['version'])
         self.watch.version(host.name, str(process.pid), version)
+        if status['ready']:
+            self.watch.check_late(host.name, version)
 
     # Faults
 
@@ -358,10 +363,32 @@
             # Refused, or never answered; either may be under faults.
             self.watch.counts['changes not accepted'] += 1
             return
-        version = fleet_module.read_version(accepted)
-        self.watch.accepted = max(self.watch.accepted, version)
+        self._accepted(accepted)
+
+    def _accepted(self, text: str) -> None:
+        self.watch.accepts(fleet_module.read_version(text))
         self.watch.counts['changes accepted'] += 1
 
+    async def _storm(self, event, _name) -> None:
+        """Change the configuration without a pause, two operators at once."""
+        ends = clock.now() + event.for_s
+        await asyncio.gather(
+            self._keep_changing(ends), self._keep_changing(ends)
+        )
+
+    async def _keep_changing(self, ends: float) -> None:
+        service = self.stage.document['services']['portal']
+        while clock.now() < ends:
+            began = clock.now()
+            service['timeout_ms'] = 3000 + next(self.changes)
+            control = self.rng.choice(self.fleet.controls())
+            accepted = await operators.change(
+                self.session, control.admin, self.stage.document
+            )
+            if accepted:
+                self._accepted(accepted)
+            await asyncio.sleep(max(began + STORM_GAP_S - clock.now(), 0.0))
+
     async def _race(self, event, name) -> None:
         other = event._replace(x=(event.x + 0.5) % 1.0)
         await asyncio.gather(
--- a/soak/watch.py
+++ b/soak/watch.py
@@ -7,6 +7,7 @@
 
 import bisect
 import collections
+import math
 import typing
 
 from carawaystair import clock
@@ -17,6 +18,8 @@
 DRAIN_S = 2.0
 # An accepted configuration is everywhere in this time, seconds.
 IN_FORCE_S = 9.0
+# While no fault is near, a node asks control twice in this time, seconds.
+LATE_S = 5.0
 # The bound of repeats, as the settings of the nodes have it.
 RETRY_RATIO = 0.2
 RETRY_SLACK = 50
@@ -80,6 +83,8 @@
         self.unplanned: list[tuple[float, float]] = []
         self.versions: dict[str, tuple] = {}
         self.accepted: tuple = ()
+        # Accepted versions and when, in ascending order.
+        self.history: list[tuple[tuple, float]] = []
 
     def tell(self, sentence: str, id: str = '') -> None:
         """Keep a broken promise."""
@@ -197,6 +202,27 @@
             self.tell('%s went back from version %s to %s' % words)
         self.versions[key] = version
 
+    def accepts(self, version: tuple) -> None:
+        """Take note that a version was accepted."""
+        if version > self.accepted:
+            self.accepted = version
+            self.history.append((version, clock.now()))
+
+    def check_late(self, host: str, version: tuple) -> None:
+        """Check that a node that is ready has what was accepted lately.
+
+        A node that reads and reads while the configuration changes, and
+        never gets on, is well in all else.
+        """
+        now = clock.now()
+        place = bisect.bisect_right(self.history, (version, math.inf))
+        missed = self.history[place : place + 1]
+        if not missed or now - missed[0][1] <= LATE_S:
+            return
+        if not self._disturbed(now - LATE_S, now):
+            words = host, version, now - missed[0][1]
+            self.tell('%s has version %s, a newer one for %.1f s' % words)
+
     def settled(self, host: str, version: tuple) -> None:
         """Check a node at the end: it has all that was accepted."""
         if version < self.accepted:
--- a/test/test_fault_soak.py
+++ b/test/test_fault_soak.py
@@ -35,7 +35,18 @@
 
 def test_every_kind_comes_in_some_plan_and_strikes_something():
     kinds = {event.kind for n in range(60) for event in plans.draw(n, 30.0)}
-    assert kinds == set(plans.WEIGHTS) == set(plans.STRIKES)
+    drawn = set(plans.WEIGHTS) | {plans.STORM}
+    assert kinds == drawn == set(plans.STRIKES)
+
+
+def test_storms_leave_the_rest_of_a_plan_as_it_was(monkeypatch):
+    """Seeds that failed once are to play what they played then."""
+    seed = plans.STORM_EVERY + plans.STORM_SEED
+    whole = plans.draw(seed, 20.0)
+    monkeypatch.setattr(plans, 'STORM_SEED', plans.STORM_SEED + 1)
+    rest = plans.draw(seed, 20.0)
+    assert [e for e in whole if e.kind != plans.STORM] == rest
+    assert len(whole) > len(rest)
 
 
 def test_some_seeds_have_planned_work_only():
@@ -299,6 +310,27 @@
     watch.check_repeats()
 
 
+@pytest.mark.parametrize(
+    ('version', 'disturbed', 'late'),
+    [((2, 5), False, True), ((2, 6), False, False), ((2, 5), True, False)],
+)
+def test_node_that_stays_at_an_old_version_is_noticed(
+    version, disturbed, late
+):
+    async def scenario():
+        watch = watches.Watch()
+        watch.accepts((2, 5))
+        watch.accepts((2, 6))
+        await asyncio.sleep(watches.LATE_S + 0.1)
+        watch.accepts((2, 7))
+        if disturbed:
+            watch.disturbs(clock.now() - 1, clock.now())
+        watch.check_late('node-1', version)
+        return bool(watch.broken)
+
+    assert fakes.run(scenario()) == late
+
+
 @pytest.mark.parametrize(
     'breaks',
     [
