--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -64,31 +64,36 @@
     assert lines.count('POST /pay/x HTTP/1.1') == 1
 
 
-def test_way_that_is_cut_is_gone_round_through_a_third_node(monkeypatch):
-    """Symptom: a payout fails though its upstream is well.
-    Sequence: packets from one host to another are lost, both reach others.
-    Cause: the only way that was tried is the direct one.
+async def leave_only_the_way_round(fleet, monkeypatch) -> None:
+    """Cut the way from the first node to the second one's gateway.
+
+    The upstream of the third node leaves, so that it serves as a way only.
     """
     connect = connections.connect
-    cut: list = []
+    for _ in range(4):
+        await fleet.ask('/read/warm')
+    fleet.nodes[2].announce('draining')
+    cut = fleet.nodes[0].service.known.targets['u9001']
 
     async def connect_unless_cut(target, until):
-        if target in cut:
+        if target == cut:
             raise TimeoutError
         return await connect(target, until)
 
     monkeypatch.setattr(connections, 'connect', connect_unless_cut)
+    asyncio.get_running_loop().silence(fleet.nodes[1].gateway)
+
+
+def test_way_that_is_cut_is_gone_round_through_a_third_node(monkeypatch):
+    """Symptom: a payout fails though its upstream is well.
+    Sequence: packets from one host to another are lost, both reach others.
+    Cause: the only way that was tried is the direct one.
+    """
 
     async def scenario():
         scripts = (None, fleets.slow(0.3), fleets.serve)
         async with fleets.running(*scripts) as fleet:
-            for _ in range(4):
-                await fleet.ask('/read/warm')
-            # From now on the third node serves as a way only.
-            fleet.nodes[2].announce('draining')
-            known = fleet.nodes[0].service.known
-            cut.append(known.targets['u9001'])
-            asyncio.get_running_loop().silence(fleet.nodes[1].gateway)
+            await leave_only_the_way_round(fleet, monkeypatch)
             answer = await fleet.ask('/pay/x', 'POST', body=b'pay')
             return answer, [seen.line for seen in fleet.runs]
 
@@ -105,32 +110,18 @@
     gateway in the normal way, which means that the caller has left: the
     gateway cancelled the run that the caller's node asked for again.
     """
-    connect = connections.connect
-    cut: list = []
-
-    async def connect_unless_cut(target, until):
-        if target in cut:
-            raise TimeoutError
-        return await connect(target, until)
-
-    monkeypatch.setattr(connections, 'connect', connect_unless_cut)
 
     async def scenario():
         scripts = (None, fleets.slow(1.5), fleets.serve)
         async with fleets.running(*scripts) as fleet:
-            for _ in range(4):
-                await fleet.ask('/read/warm')
-            fleet.nodes[2].announce('draining')
-            known = fleet.nodes[0].service.known
-            cut.append(known.targets['u9001'])
-            loop = asyncio.get_running_loop()
-            loop.silence(fleet.nodes[1].gateway)
+            await leave_only_the_way_round(fleet, monkeypatch)
             asking = asyncio.ensure_future(
                 fleet.ask('/pay/x', 'POST', body=b'pay')
             )
             while not any('/pay' in seen.line for seen in fleet.runs):
                 await asyncio.sleep(0.05)
             await asyncio.sleep(0.2)
+            loop = asyncio.get_running_loop()
             broken = loop.reset(fleet.nodes[2].gateway)
             answer = await asking
             return broken, answer, [seen.line for seen in fleet.runs]
