--- a/carawaystair/answering.py
+++ b/carawaystair/answering.py
@@ -24,8 +24,8 @@
 # Bytes of their rows at most, but for the newest one.
 KEPT_BYTES = 1024 * 1024
 
-# A table that nobody read a piece of for so long is let go of, seconds: a
-# reader gives up a question after 0.5 s and asks somebody else.
+# What is put aside and nobody read a piece of for so long is let go of,
+# seconds: a reader gives up a question after 0.5 s and asks somebody else.
 UNREAD_S = 2.0
 # A reader who begins gets the newest table that others read, if it is not
 # older than this, seconds: so that a table is put aside once in this time at
@@ -34,8 +34,8 @@
 # Tables put aside at most.  Beyond them readers share the newest one.  They
 # hold the buckets that have changed since, the others are shared.
 MOST_TABLES = 16
-# Steps and tables put aside at most; beyond them, and for readers who have
-# no use for them, there are whole tables.
+# Long steps and tables put aside at most.  Beyond them a reader who has no
+# step of its own there gets a whole table.
 MOST = 64
 
 
