Distribution: older processes get tables as they read them

Pieces of a table by their bytes hold two or three buckets where the table is large; processes of the version before don't look where a piece ends and go on four buckets further, so that they would pass over the rest and drop the table in the end. Also found: a reader of a table and one of a long step, both at one version, could be taken for each other.

Changed: who does not take steps in parts gets four buckets a piece, as before; a question says whether its asker is in the middle of a step; a step from nothing is read as a table.

Tests: an older reader of a large table (wrong digest before), two readers at one version (failed before the field).

--- a/carawaystair/answering.py
+++ b/carawaystair/answering.py
@@ -130,8 +130,11 @@
     begun: float
     used: float
 
-    def piece(self, start: int) -> Piece:
-        """Return the piece that begins at ``start``."""
+    def piece(self, start: int, parts: bool) -> Piece:
+        """Return the piece that begins at ``start``.
+
+        :param parts: see ``distribution.Ask``.
+        """
 
 
 class TableReading:
@@ -146,9 +149,12 @@
         self.table = table
         self.begun = self.used = clock.now()
 
-    def piece(self, start: int) -> Piece:
+    def piece(self, start: int, parts: bool) -> Piece:
         """Return the piece that begins at a bucket."""
-        put, after = self.table.piece(start)
+        # Processes that don't take steps in parts don't look where a piece
+        # ends, and would pass over what a shorter one leaves out.
+        count = 0 if parts else distribution.OLD_PIECE
+        put, after = self.table.piece(start, count)
         digest = self.table.digest()
         delta = rows.Delta(rows.NONE, self.version, put, (), digest)
         return Piece(delta, after, after < tables.BUCKETS)
@@ -166,8 +172,9 @@
         self.changes = (*step.put, *((key, None) for key in step.drop))
         self.begun = self.used = clock.now()
 
-    def piece(self, start: int) -> Piece:
+    def piece(self, start: int, parts: bool) -> Piece:
         """Return the piece that begins at a row; drops come behind puts."""
+        del parts
         start = max(start, 0)
         after = start + _that_fit(self.changes[start:])
         part = self.changes[start:after]
@@ -217,7 +224,7 @@
                 return distribution.Answer(newest, step, confirmed=confirmed)
             reading, start = self._begin(ask, step), 0
         reading.used = clock.now()
-        piece = reading.piece(start)
+        piece = reading.piece(start, ask.parts)
         return distribution.Answer(
             newest, piece.delta, piece.more, confirmed, piece.after
         )
@@ -229,8 +236,8 @@
 
         It gets all of it as it was at the beginning, whatever is newest now.
         """
-        step = self.readings.get((ask.have, ask.whole))
-        return step or self.readings.get((rows.NONE, ask.whole))
+        base = ask.have if ask.in_step else rows.NONE
+        return self.readings.get((base, ask.whole))
 
     def _begin(
         self,
@@ -238,10 +245,11 @@
         step: rows.Delta | None,
     ) -> Reading:
         """Return what a new reader gets, in pieces."""
-        if step is not None and ask.parts and len(self.readings) < MOST:
-            key = (ask.have, step.version)
-            return self.readings.setdefault(key, StepReading(step))
-        return self._begin_table(ask.have)
+        useful = step is not None and ask.parts and ask.have != rows.NONE
+        if not useful or len(self.readings) >= MOST:
+            return self._begin_table(ask.have)
+        key = (ask.have, step.version)
+        return self.readings.setdefault(key, StepReading(step))
 
     def _begin_table(self, have: rows.Version) -> Reading:
         known = [
--- a/carawaystair/distribution.py
+++ b/carawaystair/distribution.py
@@ -10,6 +10,10 @@
 from carawaystair import rows
 from carawaystair import wire
 
+# Buckets in a piece of a whole table, from and to processes that don't tell
+# where it ends.
+OLD_PIECE = 4
+
 
 @wire.register(40)
 class Ask(typing.NamedTuple):
@@ -21,6 +25,7 @@
         :data:`rows.NONE`.
     :param start: buckets of a table, or rows of a step, to pass over.
     :param parts: whether the asker takes a step in pieces, too.
+    :param in_step: whether it is in the middle of a step, not of a table.
     """
 
     have: rows.Version
@@ -28,6 +33,7 @@
     whole: rows.Version = rows.NONE
     start: int = 0
     parts: bool = False
+    in_step: bool = False
 
 
 @wire.register(43)
@@ -39,6 +45,7 @@
     whole: rows.Version = rows.NONE
     start: int = 0
     parts: bool = False
+    in_step: bool = False
 
 
 @wire.register(41)
--- a/carawaystair/fetching.py
+++ b/carawaystair/fetching.py
@@ -12,8 +12,6 @@
 
 # A question without an answer is given up so soon and asked elsewhere.
 CALL_S = 0.5
-# Buckets in one piece of a whole table, from processes that don't tell.
-OLD_PIECE = 4
 
 
 class Fetched(typing.NamedTuple):
@@ -60,8 +58,9 @@
         :return: None when there was no answer, or no step.
         """
         reading, start, pieces = rows.NONE, 0, _Pieces(held.table)
+        in_step = False
         while True:
-            ask = kind(held.version, self.name, reading, start, True)
+            ask = kind(held.version, self.name, reading, start, True, in_step)
             result = await self.transport.call(address, ask, CALL_S)
             if result.is_error():
                 return None
@@ -72,11 +71,12 @@
             step = delta.base != rows.NONE
             if not step and not whole:
                 return None
-            if delta.version != reading:
-                reading, start, pieces = delta.version, 0, _Pieces(held.table)
+            if (delta.version, step) != (reading, in_step):
+                reading, in_step, start = delta.version, step, 0
+                pieces = _Pieces(held.table)
                 self._count(tables_begun=int(not step))
             await pieces.add(delta)
-            start = answer.after or start + OLD_PIECE
+            start = answer.after or start + distribution.OLD_PIECE
             if not answer.more:
                 self._count(steps=int(step), tables_read=int(not step))
                 return Fetched(answer, await pieces.table())
--- a/carawaystair/table.py
+++ b/carawaystair/table.py
@@ -132,26 +132,30 @@
             itertools.chain.from_iterable(b.rows() for b in self.buckets),
         )
 
-    def piece(self, start: int) -> tuple[tuple[Row, ...], int]:
+    def piece(self, start: int, count: int = 0) -> tuple[tuple[Row, ...], int]:
         """Return the rows of the buckets from ``start`` on, some of them.
 
         The first piece brings the rows outside the buckets, too.
 
+        :param count: of how many buckets; 0 for as many as fit.
         :return: the rows, and the first bucket that they leave out.
         """
         head = self.small.items() if start == 0 else ()
+        after = min(start + (count or self._that_fit(start)), BUCKETS)
+        content = itertools.chain.from_iterable(
+            bucket.rows() for bucket in self.buckets[start:after]
+        )
+        return tuple(itertools.chain(head, content)), after
+
+    def _that_fit(self, start: int) -> int:
+        """Return how many buckets go into one message, one at least."""
+        head = self.small.items() if start == 0 else ()
         sizes = itertools.accumulate(
             (len(bucket.blob) for bucket in self.buckets[start:]),
             initial=sum(len(key) + len(value) for key, value in head),
         )
-        # At least one bucket, so that a reader always gets on.
         full = itertools.takewhile(lambda size: size < PIECE_BYTES, sizes)
-        count = max(sum(1 for _size in full), 1)
-        after = min(start + count, BUCKETS)
-        content = itertools.chain.from_iterable(
-            bucket.rows() for bucket in self.buckets[start:after]
-        )
-        return tuple(itertools.chain(head, content)), after
+        return max(sum(1 for _size in full), 1)
 
 
 EMPTY = Table({}, (EMPTY_BUCKET,) * BUCKETS, 0, 0)
--- a/test/test_answering.py
+++ b/test/test_answering.py
@@ -129,7 +129,9 @@
         answerer = answering.Answerer(source)
         whole, start, parts = rows.NONE, 0, []
         while True:
-            question = ask(1, whole, start)._replace(parts=True)
+            question = ask(1, whole, start)._replace(
+                parts=True, in_step=bool(start)
+            )
             answer = answerer.answer(question)
             parts.append(answer.delta)
             whole, start = answer.delta.version, answer.after
@@ -147,6 +149,72 @@
     fakes.run(scenario())
 
 
+def test_older_processes_read_a_table_by_four_buckets():
+    """They ask for the fifth bucket after the first piece, whatever came.
+
+    Pieces by their bytes hold two or three buckets of a large table, so that
+    an older process would pass over the rest, and drop the table in the end
+    since its digest is wrong.
+    """
+
+    async def scenario():
+        source = Source(1)
+        source.plain = lambda _index: {
+            rows.CUSTOMER + 'c%d' % number: b'v' * 500
+            for number in range(12_000)
+        }
+        answerer = answering.Answerer(source)
+        whole, start, got = rows.NONE, 0, tables.EMPTY
+        while start < tables.BUCKETS:
+            answer = answerer.answer(ask(0, whole, start))
+            got = tables.apply(got, answer.delta)
+            whole, start = answer.delta.version, start + 4
+        assert not answer.more
+        assert got.digest() == answer.delta.digest
+
+    fakes.run(scenario())
+
+
+def test_reader_of_a_table_is_not_taken_into_a_step():
+    """Both may be read at one version, by askers with the same version.
+
+    Where one begins its position counts buckets, the other's counts rows: a
+    reader that got the wrong one would put a wrong table together and drop
+    it in the end.
+    """
+
+    async def scenario():
+        source = large(2)
+        answerer = answering.Answerer(source)
+        first = answerer.answer(ask(1)._replace(parts=True))
+        put = {rows.CUSTOMER + 'n%d' % n: b'w' * 30 for n in range(3000)}
+        source.steps.add(rows.difference({}, put, version(1), version(2)))
+        step = answerer.answer(ask(1)._replace(parts=True))
+        assert step.delta.base == version(1) and step.more
+        after = ask(1, version(2), first.after)._replace(parts=True)
+        assert answerer.answer(after).delta.base == rows.NONE
+        on = ask(1, version(2), step.after)
+        on = on._replace(parts=True, in_step=True)
+        assert answerer.answer(on).delta.base == version(1)
+
+    fakes.run(scenario())
+
+
+def test_whole_table_from_nothing_is_never_a_step():
+    async def scenario():
+        source = large(2)
+        put = source.plain(2)
+        step = rows.difference({}, put, rows.NONE, version(2))
+        source.delta_since = lambda _have: step
+        answerer = answering.Answerer(source)
+        answer = answerer.answer(ask(0)._replace(parts=True, have=rows.NONE))
+        kinds = {type(reading) for reading in answerer.readings.values()}
+        assert kinds == {answering.TableReading}
+        assert answer.after <= tables.BUCKETS
+
+    fakes.run(scenario())
+
+
 def read(answerer, source, change):
     """Read a whole table, the version changing after each piece.
 
@@ -154,7 +222,8 @@
     """
     whole, start, count, got = rows.NONE, 0, 0, tables.EMPTY
     while True:
-        answer = answerer.answer(ask(0, whole, start))
+        question = ask(0, whole, start)._replace(parts=True)
+        answer = answerer.answer(question)
         assert answer.delta.version == whole or whole == rows.NONE
         got = tables.apply(got, answer.delta)
         whole, start = answer.delta.version, answer.after
