--- a/bench/exp_storms.py
+++ b/bench/exp_storms.py
@@ -31,6 +31,23 @@
 BOUND_S = 2.0
 
 
+class Measured(typing.NamedTuple):
+    """What one storm showed.
+
+    :param lags: the greatest lag of each node, seconds.
+    :param read: what all nodes read together.
+    :param messages: sent, by node and second.
+    :param bytes: of those.
+    :param control: questions to control, by node and second.
+    """
+
+    lags: list[float]
+    read: lag.Counts
+    messages: float
+    bytes: float
+    control: float
+
+
 class Storm:
     """One storm over a fleet, and what it showed.
 
@@ -65,16 +82,14 @@
                 self.worst[number] = max(self.worst[number], behind_s)
             await asyncio.sleep(SAMPLE_S)
 
-    async def blow(self, gap_s: float, seconds: float) -> int:
-        """Change one row each ``gap_s``; return how many changes."""
+    async def blow(self, gap_s: float, seconds: float) -> None:
+        """Change one row each ``gap_s``."""
         watching = asyncio.create_task(self._watch())
-        changes = round(seconds / gap_s)
-        for number in range(changes):
+        for number in range(round(seconds / gap_s)):
             row = 'customer/c%d' % (number % 7)
             self.rig.group.accept(**{row: str(number)})
             await asyncio.sleep(gap_s)
         watching.cancel()
-        return changes
 
     def read(self) -> lag.Counts:
         """Return what all nodes read together."""
@@ -82,33 +97,30 @@
         return lag.Counts(*map(sum, zip(*counts, strict=True)))
 
 
-async def _measure(nodes: int, gap_s: float, seed: int, seconds: float):
+async def _measure(
+    nodes: int, gap_s: float, seed: int, seconds: float
+) -> Measured:
     rig = exp_spread.Rig(nodes, 0.0, seed)
     await rig.start()
     storm = Storm(rig)
     before = storm.read()
     cost = exp_spread.Cost(rig.network)
-    changes = await storm.blow(gap_s, seconds)
+    await storm.blow(gap_s, seconds)
     messages, sent, _cpu = cost.since()
     await rig.stop()
     read = [b - a for a, b in zip(before, storm.read(), strict=True)]
     per_node_s = nodes * seconds
-    return (
-        storm,
+    return Measured(
+        storm.worst,
         lag.Counts(*read),
-        (
-            messages / per_node_s,
-            sent / per_node_s,
-            storm.asked / per_node_s,
-            changes,
-        ),
+        messages / per_node_s,
+        sent / per_node_s,
+        storm.asked / per_node_s,
     )
 
 
-def _figures(
-    name: str, storm: Storm, read: lag.Counts, cost: tuple
-) -> typing.Iterator[figures.Figure]:
-    lags = storm.worst
+def _figures(name: str, measured: Measured) -> typing.Iterator[figures.Figure]:
+    lags, read = measured.lags, measured.read
     late = sum(behind_s > BOUND_S for behind_s in lags)
     shown = (
         ('lag.median', statistics.median(lags), 's'),
@@ -116,9 +128,9 @@
         ('late', late / len(lags), 'share of nodes over 2 s'),
         ('tables_begun', read.tables_begun, 'whole tables'),
         ('tables_read', read.tables_read, 'whole tables'),
-        ('messages', cost[0], 'messages/node/s'),
-        ('bytes', cost[1], 'bytes/node/s'),
-        ('control', cost[2], 'questions to control/node/s'),
+        ('messages', measured.messages, 'messages/node/s'),
+        ('bytes', measured.bytes, 'bytes/node/s'),
+        ('control', measured.control, 'questions to control/node/s'),
     )
     for what, value, unit in shown:
         yield figures.Figure('%s.%s' % (name, what), value, unit)
@@ -131,5 +143,5 @@
     for nodes, gap_s in QUICK_STORMS if quick else STORMS:
         measured = fakes.run(_measure(nodes, gap_s, seed, seconds))
         name = 'storms.nodes%d.gap%d' % (nodes, round(1000 * gap_s))
-        found.extend(_figures(name, *measured))
+        found.extend(_figures(name, measured))
     return found
