--- a/bench/exp_storms.py
+++ b/bench/exp_storms.py
@@ -5,7 +5,6 @@
 from the first accepted version that is newer than the one it has.
 """
 
-import asyncio
 import itertools
 import statistics
 import typing
@@ -26,7 +25,6 @@
 QUICK_STORMS = ((8, 0.15),)
 STORM_S = 25.0
 QUICK_STORM_S = 5.0
-SAMPLE_S = 0.05
 # An accepted version is in force everywhere within this, seconds.
 BOUND_S = 2.0
 
@@ -56,41 +54,16 @@
 
     def __init__(self, rig: exp_spread.Rig) -> None:
         self.rig = rig
-        self.accepted: list[tuple] = []
-        self.worst = [0.0] * len(rig.followers)
+        self.watch = test_follower.Watch(rig.followers, rig.group)
         self.asked = 0
-        rig.group.subscribe(self._note)
         handlers = rig.network.ends[test_follower.CONTROL].handlers
         self.answer = handlers[distribution.Ask]
         handlers[distribution.Ask] = self._count
 
-    def _note(self, version) -> None:
-        now = asyncio.get_running_loop().time()
-        self.accepted.append((version, now))
-
     async def _count(self, sender: str, ask: distribution.Ask):
         self.asked += 1
         return await self.answer(sender, ask)
 
-    async def _watch(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            for number, node in enumerate(self.rig.followers):
-                held = node.version()
-                missed = (at for v, at in self.accepted if v > held)
-                behind_s = loop.time() - next(missed, loop.time())
-                self.worst[number] = max(self.worst[number], behind_s)
-            await asyncio.sleep(SAMPLE_S)
-
-    async def blow(self, gap_s: float, seconds: float) -> None:
-        """Change one row each ``gap_s``."""
-        watching = asyncio.create_task(self._watch())
-        for number in range(round(seconds / gap_s)):
-            row = 'customer/c%d' % (number % 7)
-            self.rig.group.accept(**{row: str(number)})
-            await asyncio.sleep(gap_s)
-        watching.cancel()
-
     def read(self) -> lag.Counts:
         """Return what all nodes read together."""
         counts = [node.counts for node in self.rig.followers]
@@ -105,13 +78,14 @@
     storm = Storm(rig)
     before = storm.read()
     cost = exp_spread.Cost(rig.network)
-    await storm.blow(gap_s, seconds)
+    await test_follower.storm(rig.group, seconds, gap_s)
+    storm.watch.task.cancel()
     messages, sent, _cpu = cost.since()
     await rig.stop()
     read = [b - a for a, b in zip(before, storm.read(), strict=True)]
     per_node_s = nodes * seconds
     return Measured(
-        storm.worst,
+        list(storm.watch.worst.values()),
         lag.Counts(*read),
         messages / per_node_s,
         sent / per_node_s,
--- a/test/test_follower.py
+++ b/test/test_follower.py
@@ -14,6 +14,8 @@
 from test import fakes
 
 CONTROL = '127.0.0.1:1'
+# How often a watch looks at the nodes, seconds.
+SAMPLE_S = 0.05
 
 
 class Group:
@@ -99,6 +101,43 @@
             await node.stop()
 
 
+class Watch:
+    """Follows how far each node is behind what was accepted, in seconds.
+
+    :param nodes: followers, started.
+    :param group: the group that accepts.
+    """
+
+    def __init__(self, nodes, group):
+        self.nodes = nodes
+        self.accepted = []
+        self.worst = {}
+        group.subscribe(self._note)
+        self.task = asyncio.create_task(self._sample())
+
+    def _note(self, version):
+        now = asyncio.get_running_loop().time()
+        self.accepted.append((version, now))
+
+    async def _sample(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            for node in self.nodes:
+                held = node.version()
+                missed = (at for v, at in self.accepted if v > held)
+                behind_s = loop.time() - next(missed, loop.time())
+                host = node.members.me.host
+                self.worst[host] = max(self.worst.get(host, 0.0), behind_s)
+            await asyncio.sleep(SAMPLE_S)
+
+
+async def storm(group, seconds, gap_s):
+    """Accept a change of one row each ``gap_s``."""
+    for number in range(round(seconds / gap_s)):
+        group.accept(**{'customer/c%d' % (number % 7): str(number)})
+        await asyncio.sleep(gap_s)
+
+
 def test_version_is_in_force_everywhere_within_nine_seconds():
     async def scenario():
         fleet = Fleet(20, loss=0.2)
--- a/test/test_follower_storm.py
+++ b/test/test_follower_storm.py
@@ -14,43 +14,9 @@
 # A change comes so often on the days on which nodes fell behind; while two
 # operators sent at once, twice or three times as often.
 GAP_S = 0.15
-SAMPLE_S = 0.05
 ROWS = {'customer/c%d' % number: 'v' for number in range(500)}
 
 
-class Watch:
-    """Follows how far each node is behind what was accepted."""
-
-    def __init__(self, fleet):
-        self.fleet = fleet
-        self.accepted = []
-        self.worst = {}
-        fleet.group.subscribe(self._note)
-        self.task = asyncio.create_task(self._sample())
-
-    def _note(self, version):
-        now = asyncio.get_running_loop().time()
-        self.accepted.append((version, now))
-
-    async def _sample(self):
-        loop = asyncio.get_running_loop()
-        while True:
-            for node in self.fleet.nodes:
-                held = node.version()
-                missed = [at for v, at in self.accepted if v > held]
-                lag = loop.time() - missed[0] if missed else 0.0
-                host = node.members.me.host
-                self.worst[host] = max(self.worst.get(host, 0.0), lag)
-            await asyncio.sleep(SAMPLE_S)
-
-
-async def storm(group, seconds, gap_s=GAP_S):
-    """Accept a change of one row each ``gap_s``."""
-    for number in range(int(seconds / gap_s)):
-        group.accept(**{'customer/c%d' % (number % 7): str(number)})
-        await asyncio.sleep(gap_s)
-
-
 async def started(count, **faults):
     """Return a fleet that has settled on a first version."""
     fleet = setups.Fleet(count, **faults)
@@ -95,8 +61,8 @@
         # The node hears of news from its peer alone, control answers it.
         network.heal()
         network.cut([setups.CONTROL], [one], both=False)
-        watch = Watch(fleet)
-        storming = asyncio.create_task(storm(group, 10))
+        watch = setups.Watch(fleet.nodes, fleet.group)
+        storming = asyncio.create_task(setups.storm(group, 10, GAP_S))
         await asyncio.sleep(0.5)
         network.heal()
         await storming
@@ -117,8 +83,8 @@
 
     async def scenario():
         fleet = await started(24)
-        watch = Watch(fleet)
-        await storm(fleet.group, 12)
+        watch = setups.Watch(fleet.nodes, fleet.group)
+        await setups.storm(fleet.group, 12, GAP_S)
         await fleet.stop()
         return max(watch.worst.values())
 
@@ -156,13 +122,15 @@
 
         async def follow():
             await asyncio.sleep(5)
-            await storm(late, 15)
+            await setups.storm(late, 15, GAP_S)
 
         end.handle(distribution.AskPeer, answer)
         fleet.network.cut([setups.CONTROL], [me])
-        watch = Watch(fleet)
+        watch = setups.Watch(fleet.nodes, fleet.group)
         telling = asyncio.create_task(tell())
-        storming = asyncio.gather(storm(fleet.group, 20), follow())
+        storming = asyncio.gather(
+            setups.storm(fleet.group, 20, GAP_S), follow()
+        )
         await asyncio.sleep(8)
         fleet.network.heal()
         await asyncio.sleep(3)
