Adapter: routes of large bodies that run once are read and shown back

Ruled out: a new kind in the product. Its routes say apart whether a request may be repeated and whether it carries long transfers; the fourth type is the one combination that had no name.

Figures: test_configuration_comes_back_as_it_was_sent and test_kinds_of_routes_say_what_may_be_repeated failed before (refused) and pass.

--- a/test/test_platform_documents.py
+++ b/test/test_platform_documents.py
@@ -131,6 +131,7 @@
             colour='blue',
         ),
         platform_setup.route('r-3', path_prefix='/z/', route_type='download'),
+        platform_setup.route('r-4', path_prefix='/u/', route_type='upload'),
     )
     manifest = manifest_of(sent)
     stored = rows.to_manifest(rows.from_manifest(manifest))
@@ -151,10 +152,16 @@
         platform_setup.route('a', path_prefix='/a/'),
         platform_setup.route('b', path_prefix='/b/', route_type='unsafe'),
         platform_setup.route('c', path_prefix='/c/', route_type='download'),
+        platform_setup.route('d', path_prefix='/d/', route_type='upload'),
     )
     found = {r.name: r for r in manifest_of(sent).routes}
-    assert [found[n].idempotent for n in 'abc'] == [True, False, True]
-    assert found['c'].kind == manifests.BULK
+    assert [found[n].idempotent for n in 'abcd'] == [True, False, True, False]
+    assert [found[n].kind == manifests.BULK for n in 'abcd'] == [
+        False,
+        False,
+        True,
+        True,
+    ]
     assert found['a'].timeout_ms == 8000
     assert found['a'].goal_ms == 1500
 
