Requests sent ahead run side by side, and are answered in order

Cause: a connection's requests were begun one after the other.

Ruled out: more connections at the callers, which are theirs to choose; and running everything ahead: if an answer in front closes the connection, callers take what stands behind for not read and send it again, so what may run once waits for its turn. Transfers do, too: they would hold slots for bytes that can't be sent.

Change: what may be repeated, is short and has no body begins when it is read; its bytes are held until those before it are out, 256 KiB a connection at most; a long answer waits for its turn. The parser gets a head at a time, so that garbage behind a good request no longer costs the good one its answer.

--- a/carawaystair/gateway/front.py
+++ b/carawaystair/gateway/front.py
@@ -106,6 +106,41 @@
             limits.idle_timeout_ms / MS,
         )
 
+    def may_run_ahead(self, request: incoming.Request) -> bool:
+        """Tell whether a request may run before those in front of it on its
+        connection are answered.
+
+        What may run once may not: if an answer in front of it closes the
+        connection, its caller takes it for not read and sends it again.  Nor
+        what carries long transfers: it would hold a slot for bytes that
+        can't be sent yet.  A node that stops begins nothing new.
+        """
+        if self.ends is not None or not self._bodiless(request):
+            return False
+        try:
+            place = caller.target(request)
+        except caller.Refused:
+            return False
+        path = place.path.partition('?')[0]
+        match = self.routing().match(place.host, path)
+        return (
+            match is not None
+            and match.route.kind == manifest.SHORT
+            and self._idempotent(match.route, request)
+        )
+
+    def _bodiless(self, request: incoming.Request) -> bool:
+        return bodies.declared(request) == 0 and (
+            'Expect' not in request.headers
+        )
+
+    def _idempotent(
+        self, route: manifest.Route, request: incoming.Request
+    ) -> bool:
+        if route.idempotent is None:
+            return request.method not in caller.NON_IDEMPOTENT
+        return route.idempotent
+
     def _name(self, request: incoming.Request) -> str:
         """Return the caller's id of a request, or one of our own."""
         given = request.headers.get(self.names.request_id, '')
@@ -114,7 +149,7 @@
     async def _answer(
         self, request: incoming.Request, exchange: exchanges.Exchange
     ) -> None:
-        began = clock.now()
+        began = request.arrived
         await self.settling.wait(self._configured, math.inf)
         routing = self.routing()
         if routing.version != self.version:
@@ -227,9 +262,7 @@
         now: float,
     ) -> calls.Call:
         route = match.route
-        idempotent = route.idempotent
-        if idempotent is None:
-            idempotent = request.method not in caller.NON_IDEMPOTENT
+        idempotent = self._idempotent(route, request)
         most_ms = route.timeout_ms or match.service.timeout_ms
         left_ms = caller.budget_ms(
             request.headers, match.service, self.names.deadline_ms
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -96,7 +96,9 @@
         )
         self.door = doors.Door(self.work, self.figures, recorder)
         self.recorder = recorder
-        self.callers = listeners.Listener(self.front.handle, self.front.bounds)
+        self.callers = listeners.Listener(
+            self.front.handle, self.front.bounds, self.front.may_run_ahead
+        )
         self.nodes = listeners.Listener(self.door.handle, _node_bounds)
         self.stopping = False
 
--- a/carawaystair/gateway/streaming.py
+++ b/carawaystair/gateway/streaming.py
@@ -39,6 +39,8 @@
     length = headers.value(answer.headers, b'content-length')
     whole = False
     try:
+        # Held back, a long answer would take memory without a bound.
+        await exchange.request.at_turn()
         exchange.begin(answer, None if length is None else int(length), extra)
         writer = exchange.request.writer
         await writer.write(answer.body, drain=False)
--- a/carawaystair/request/exchange.py
+++ b/carawaystair/request/exchange.py
@@ -131,7 +131,7 @@
 
     def write(self, data: bytes) -> None:
         """Write to the caller; raises ``ConnectionError`` when it is gone."""
-        self.request.connection.write(data)
+        self.request.write(data)
 
     def proceed(self) -> None:
         """Tell a caller that waits for it to send its body."""
@@ -148,7 +148,8 @@
 
         :raises ConnectionError: when it takes nothing for long, too.
         """
-        if not self.request.connection.writing_paused:
+        held = self.request.held is not None
+        if held or not self.request.connection.writing_paused:
             return
         try:
             async with asyncio.timeout(CALLER_STALL_S):
--- a/carawaystair/request/incoming.py
+++ b/carawaystair/request/incoming.py
@@ -22,12 +22,17 @@
 MAX_HEADERS = 100
 # A body that nobody reads makes the connection stop at twice as much.
 READ_BYTES = 64 * 1024
-# Requests that a caller may send ahead of their answers.
+# Requests that a caller may send ahead of their answers; reading stops there.
 MAX_AHEAD = 8
+# Answers that wait for those before them may take this much memory, bytes of
+# a connection; no further request runs ahead then.
+MAX_HELD_BYTES = 256 * 1024
 # An idle connection is closed after so long, seconds.
 IDLE_S = 75.0
 # A head that has begun must be here after so long; seconds.
 HEAD_S = 10.0
+# Ends a head.
+HEAD_END = b'\r\n\r\n'
 # What is left of a body that nobody wants is read for so long, so that the
 # caller gets to read its answer; seconds.
 LINGER_S = 2.0
@@ -60,17 +65,21 @@
     :param message: its head.
     :param content: its body.
     :param connection: the connection that it came on.
+    :param arrived: monotonic time at which its head was read.
     """
 
     __slots__ = (
+        'arrived',
         'connection',
         'content',
         'headers',
+        'held',
         'keep_alive',
         'made',
         'method',
         'raw_headers',
         'raw_path',
+        'turn',
         'version',
     )
 
@@ -79,6 +88,7 @@
         message: http.RawRequestMessage,
         content: streams.StreamReader,
         connection: 'Connection',
+        arrived: float,
     ) -> None:
         self.method = message.method
         self.raw_path = message.path
@@ -88,7 +98,38 @@
         self.keep_alive = not (message.should_close or message.upgrade)
         self.content = content
         self.connection = connection
+        self.arrived = arrived
         self.made: http.StreamWriter | None = None
+        # Bytes of its answer that wait for the answers before it; None once
+        # they may go out.
+        self.held: list[bytes] | None = None
+        # Set while somebody waits for that.
+        self.turn: asyncio.Future | None = None
+
+    def write(self, data: bytes) -> None:
+        """Write to the caller, or keep it until the answers before this one
+        have gone out.
+
+        :raises ConnectionResetError: when the caller has gone.
+        """
+        if self.held is None:
+            self.connection.write(data)
+        else:
+            self.held.append(data)
+
+    def release(self) -> None:
+        """Let the answer go out: those before it have."""
+        held, self.held = self.held, None
+        if held:
+            self.connection.write(b''.join(held))
+        if self.turn is not None:
+            self.turn.set_result(None)
+
+    async def at_turn(self) -> None:
+        """Wait until the answers before this one have gone out."""
+        if self.held is not None:
+            self.turn = asyncio.get_running_loop().create_future()
+            await self.turn
 
     @property
     def writer(self) -> http.StreamWriter:
@@ -115,6 +156,18 @@
 
 
 Handle = typing.Callable[[Request], typing.Awaitable[bool]]
+May = typing.Callable[[Request], bool]
+
+
+class Ahead(typing.NamedTuple):
+    """A request that runs before the answers in front of it are out.
+
+    :param request: the request.
+    :param task: answers it; returns whether another one may follow.
+    """
+
+    request: Request
+    task: asyncio.Task
 
 
 class Connection(protocol.Protocol):
@@ -125,6 +178,8 @@
     :param refuse: answers what is no request, see ``errors.Malformed``.
     :param connections: all connections of the listener.
     :param bounds: what the caller may send.
+    :param may_run_ahead: tells whether a request may run before those in
+        front of it are answered; None where none may.
     """
 
     def __init__(
@@ -134,6 +189,7 @@
         refuse: typing.Callable[['Connection', errors.Malformed], None],
         connections: set['Connection'],
         bounds: Bounds = DEFAULT_BOUNDS,
+        may_run_ahead: May | None = None,
     ) -> None:
         parser = http.HttpRequestParser(
             self,
@@ -150,11 +206,16 @@
         self.refuse = refuse
         self.connections = connections
         self.bounds = bounds
+        self.may_run_ahead = may_run_ahead
         # Whether the connection broke, rather than being closed.
         self.broken = False
         # Whether the caller ended it, in whichever way.
         self.left = False
+        # Requests that were read and not begun, and when that was.
         self.queue: collections.deque = collections.deque()
+        # Whether one is being answered now, and those that run ahead of it.
+        self.answering = False
+        self.ahead: collections.deque[Ahead] = collections.deque()
         self.content = streams.EMPTY_PAYLOAD
         # Why no further request can be read.
         self.error: errors.Malformed | None = None
@@ -163,22 +224,16 @@
         self.begun = False
         self.task: asyncio.Task | None = None
 
-    # One task a connection
+    # One task a connection, and one for each request that runs ahead
 
     async def serve(self) -> None:
         """Answer the requests of this connection, one after another."""
         try:
-            while await self._arrived():
-                # What came with the caller's close would run for nobody. The
-                # end of a stream is read one turn after the bytes before it.
-                await asyncio.sleep(0)
-                if not self.open:
-                    break
-                message, self.content = self.queue.popleft()
-                request = Request(message, self.content, self)
-                self._read_on()
-                if not await self.handle(request):
+            while self.ahead or await self._arrived():
+                self.answering = True
+                if not await self._answer_next():
                     break
+                self.answering = False
             else:
                 if self.error is not None:
                     self.refuse(self, self.error)
@@ -189,6 +244,66 @@
         finally:
             if self.transport is not None:
                 self.transport.close()
+            # What stands behind the last answer counts as not read.
+            for ahead in self.ahead:
+                ahead.task.cancel()
+
+    async def _answer_next(self) -> bool:
+        """Answer the first request; return whether another may follow."""
+        if self.ahead:
+            first = self.ahead[0]
+            first.request.release()
+            keep_alive = await first.task
+            self.ahead.popleft()
+            self._run_ahead()
+            return keep_alive
+        # What came with the caller's close would run for nobody. The end of
+        # a stream is read one turn after the bytes before it.
+        await asyncio.sleep(0)
+        if not self.open:
+            return False
+        request = self._next()
+        self._run_ahead()
+        return await self.handle(request)
+
+    def _next(self) -> Request:
+        """Take the next request from the queue."""
+        message, self.content, arrived = self.queue.popleft()
+        self._read_on()
+        return Request(message, self.content, self, arrived)
+
+    def _run_ahead(self) -> None:
+        """Begin what may run before the requests in front are answered.
+
+        One after the other, the last of a few requests that a caller sends
+        at once would wait for the work of all others.
+        """
+        if self.may_run_ahead is None:
+            return
+        while self.queue and len(self.ahead) < MAX_AHEAD:
+            message, content, arrived = self.queue[0]
+            request = Request(message, content, self, arrived)
+            if not self.may_run_ahead(request) or self._held_enough():
+                return
+            self.queue.popleft()
+            request.held = []
+            task = self.loop.create_task(self._handle_ahead(request))
+            self.ahead.append(Ahead(request, task))
+            self._read_on()
+
+    async def _handle_ahead(self, request: Request) -> bool:
+        # As above, a caller's close is seen a turn later than its requests.
+        await asyncio.sleep(0)
+        return self.open and await self.handle(request)
+
+    def _held_enough(self) -> bool:
+        """Tell whether answers that wait take all the memory they may."""
+        held = sum(
+            len(data)
+            for ahead in self.ahead
+            for data in ahead.request.held or ()
+        )
+        return held >= MAX_HELD_BYTES
 
     async def _arrived(self) -> bool:
         """Wait for a request; tell whether there is one."""
@@ -257,13 +372,12 @@
         """Take bytes of requests."""
         if self.error is not None:
             return
-        try:
-            messages, _upgraded, _tail = self._parser.feed_data(data)
-        except Exception as error:
-            self._spoil(errors.Malformed(error))
-            return
-        self.queue.extend(messages)
+        messages = self._parse(data)
         if messages:
+            now = self.loop.time()
+            self.queue.extend((*message, now) for message in messages)
+            if self.answering:
+                self._run_ahead()
             self._wake()
             if len(self.queue) >= MAX_AHEAD and not self._buffer_paused:
                 self._pause_reading_for_buffer()
@@ -271,6 +385,31 @@
             self.begun = True
             self._arm(self.loop.time() + self.bounds.head_s)
 
+    def _parse(self, data: bytes) -> list:
+        """Return the requests that bytes bring.
+
+        The parser gets a head at a time: it drops all that it found in a
+        piece when it meets an error there, and callers of good requests
+        would hear nothing but that of what stands behind them.
+        """
+        messages: list = []
+        try:
+            while True:
+                end = data.find(HEAD_END) + len(HEAD_END)
+                if end < len(HEAD_END):
+                    end = len(data)
+                found, _upgraded, _tail = self._parser.feed_data(data[:end])
+                messages.extend(found)
+                data = data[end:]
+                if not data:
+                    break
+        except Exception as error:
+            if messages and not messages[-1][1].is_eof():
+                # The error is in its body: it is no request, either.
+                messages.pop()
+            self._spoil(errors.Malformed(error))
+        return messages
+
     def eof_received(self) -> None:
         """Take note of the caller's close; ours follows."""
         self.left = True
@@ -297,7 +436,7 @@
 
     def _end_bodies(self, error: errors.BodyError) -> None:
         """End whoever reads a body of which no more will come."""
-        contents = [content for _message, content in self.queue]
+        contents = [content for _message, content, _at in self.queue]
         for content in (self.content, *contents):
             if not content.is_eof():
                 content.set_exception(error)
--- a/carawaystair/request/listener.py
+++ b/carawaystair/request/listener.py
@@ -17,15 +17,19 @@
 
     :param handle: answers requests.
     :param bounds: returns what callers may send, asked for each connection.
+    :param may_run_ahead: tells which requests may run before those in front
+        of them are answered; None where none may.
     """
 
     def __init__(
         self,
         handle: incoming.Handle,
         bounds: typing.Callable[[], incoming.Bounds] = incoming.Bounds,
+        may_run_ahead: incoming.May | None = None,
     ) -> None:
         self.handle = handle
         self.bounds = bounds
+        self.may_run_ahead = may_run_ahead
         self.connections: set[incoming.Connection] = set()
         self.server: asyncio.Server | None = None
 
@@ -46,7 +50,12 @@
             return Full()
         loop = asyncio.get_running_loop()
         return incoming.Connection(
-            loop, self.handle, refuse, self.connections, self.bounds()
+            loop,
+            self.handle,
+            refuse,
+            self.connections,
+            self.bounds(),
+            self.may_run_ahead,
         )
 
     def close(self) -> None:
