Placing: one estimate of failure and one figure of worth

Change: an upstream is sound, flaky or gray; what is seen of its runs (failed at once, survived, failed, overdue, succeeded, shed) weighs the states, fading to what holds as a rule. Worth is the chance of an answer times what an answer is worth then; nodes choose by it, tell the gateway what others are worth, and the gateway has the last word. A node stops asking when one that refused is the best it knows. Trials by requests that may be repeated first.

The switch and its dozen constants are gone.

--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -40,8 +40,7 @@
     :param left_ms: time until its answer is owed, ms.
     :param idempotent: whether it may run twice.
     :param inner: whether a running request waits for it.
-    :param stays: whether it may wait there, and goes there although the
-        upstream failed lately.
+    :param stays: whether it may wait there, whatever it is worth there.
     :param known_ms: age of what this node knows of the upstream's load, ms;
         -1 when nothing is known.
     :param load: requests that this node believes to be with it.
@@ -184,7 +183,8 @@
     :param waiting: requests that wait.
     :param slots: requests that the upstream works on at once.
     :param left_ms: time until its answer is owed, ms.
-    :param trial: whether the upstream failed lately.
+    :param trial: whether it runs there for what that shows, and is worth
+        more elsewhere.
     """
 
     id: str
@@ -207,7 +207,8 @@
         ``refused`` or ``cancelled``.
     :param status: HTTP status, 0 without an answer.
     :param service_ms: time at the upstream, ms.
-    :param suspect: whether the upstream is under suspicion now.
+    :param failing_pct: how likely the upstream fails the next request, as
+        the gateway sees it now, in 100.
     :param detail: the circumstances.
     """
 
@@ -216,7 +217,7 @@
     outcome: str
     status: int
     service_ms: int
-    suspect: bool
+    failing_pct: int
     detail: str
 
 
--- a/carawaystair/explain.py
+++ b/carawaystair/explain.py
@@ -25,7 +25,7 @@
     'began': 'sent to {upstream} after {waited_ms} ms of waiting ({running}'
     ' run, {waiting} wait, {slots} slots, {left_ms} ms left){trial_text}',
     'ended': '{upstream} made it {outcome}, status {status}, after'
-    ' {service_ms} ms{suspect_text} {detail}',
+    ' {service_ms} ms; it fails {failing_pct} of 100 {detail}',
     'broke': 'no answer from {upstream}: {code}, {sent_text}, after'
     ' {after_ms} ms {detail}',
     'spent': 'not sent to another upstream: {runs} of {most} may have run it,'
@@ -157,10 +157,7 @@
             'idempotence': self._idempotence,
             'age': self._age,
             'before': self._before,
-            'trial_text': lambda: self._flag('trial', '; it failed lately'),
-            'suspect_text': lambda: self._flag(
-                'suspect', '; it is under suspicion'
-            ),
+            'trial_text': lambda: self._flag('trial', '; as a trial'),
             'sent_text': self._sent,
         }.get(name)
         return make() if make is not None else '?'
--- a/carawaystair/gateway/handover.py
+++ b/carawaystair/gateway/handover.py
@@ -13,11 +13,11 @@
 from carawaystair import clock
 from carawaystair import codes
 from carawaystair.gateway import hops
+from carawaystair.gateway import known as knowns
 from carawaystair.gateway import paths as paths_module
 from carawaystair.gateway import sends
 from carawaystair.gateway import trips
 from carawaystair import interfaces
-from carawaystair.load import placing
 from carawaystair.request import answer as answers
 from carawaystair.request import target as targets
 
@@ -41,7 +41,7 @@
 
     :param host: the host of this node.
     :param paths: the ways to gateways.
-    :param board: takes the reports of gateways.
+    :param known: takes the reports of gateways.
     :param process: returns the process of a host, as far as is known.
     """
 
@@ -49,27 +49,33 @@
         self,
         host: str,
         paths: paths_module.Paths,
-        board: placing.Board,
+        known: knowns.Known,
         process: typing.Callable[[str], str],
     ) -> None:
         self.host = host
         self.paths = paths
-        self.board = board
+        self.known = known
+        self.board = known.board
         self.process = process
         self.resumed = 0
 
     async def exchange(
-        self, trip: trips.Trip, target: targets.Target, stays: bool
+        self,
+        trip: trips.Trip,
+        target: targets.Target,
+        least: float | None,
     ) -> answers.Answer:
         """Hand a request over and return its answer.
 
-        :param stays: whether it may wait there, and goes there although the
-            upstream failed lately.
+        :param least: what it must be worth there; None when it may wait
+            there whatever that is.
         :raises trips.Declined: when it was not run there and will not be.
         :raises answers.Failed: when there is no answer.
         """
         process = self.process(target.upstream.host)
-        first = trip.hop(self.host, target, stays, process)
+        usual_s = self.board.durations.of(trip.call.match.key)
+        calm = not self.known.spreadings[trip.need.service].everywhere
+        first = trip.hop(self.host, target, least, calm, usual_s, process)
         view = self.board.view(target.upstream.id)
         try:
             return await self._send(trip, target, first, not view.reachable)
@@ -98,7 +104,7 @@
                 # Its host is dead, or the upstream has left since.
                 raise last
             self.resumed += 1
-            hop = trip.hop(self.host, target, True, first.process)
+            hop = trip.hop(self.host, target, None, False, 0.0, first.process)
             hop = hop._replace(again=True)
             try:
                 return await self._send(trip, target, hop, detour)
@@ -136,7 +142,7 @@
             line = hops.line(hop)
             attempt = sends.ToGateway(trip.call, target, line, fresh)
         answer = await self._answer(trip, attempt)
-        return self._understood(target, answer)
+        return self._understood(target, answer, hop.route)
 
     async def _answer(
         self, trip: trips.Trip, attempt: sends.ToGateway
@@ -179,13 +185,14 @@
         return answer
 
     def _understood(
-        self, target: targets.Target, answer: answers.Answer
+        self, target: targets.Target, answer: answers.Answer, route: str
     ) -> answers.Answer:
         """Return an upstream's answer; raises what a gateway says."""
         value = hops.says(answer, hops.REPORT)
         report = hops.read_report(value.encode()) if value else None
         if report is not None and report.process:
-            self.board.heard(target.upstream.id, report, clock.now())
+            now = clock.now()
+            self.board.heard(target.upstream.id, report, now, route)
         refusal = hops.says(answer, hops.REFUSAL)
         if refusal:
             raise trips.Declined(refusal, report)
--- a/carawaystair/gateway/hops.py
+++ b/carawaystair/gateway/hops.py
@@ -28,7 +28,7 @@
 FAILURE = b'caraway-failure'
 
 # Why a gateway refuses a request, beside the reasons of ``load.rejecting`` and
-# ``load.suspicion``.
+# ``load.gate``.
 LEAVING = 'leaving'  # the upstream or its node is about to stop
 ABSENT = 'absent'  # no such upstream is announced here
 UNREACHABLE = 'unreachable'  # no connection to the upstream could be made
@@ -62,8 +62,7 @@
     :param priority: rank of its kind, 0 first.
     :param idempotent: whether it may run twice.
     :param inner: whether another running request waits for it.
-    :param stays: whether it may wait here for a slot, and is to run although
-        the upstream failed lately.
+    :param stays: whether it may wait here for a slot, whatever it is worth.
     :param repeat: whether it may have run elsewhere, or was sent to an
         upstream that refused it.
     :param echo: whether it is a call of a run that was itself a repeat.
@@ -74,6 +73,11 @@
     :param detour: address of the gateway that is to get it, when it is
         handed to another node on the way; empty otherwise.
     :param trip: tells apart requests that bear one id.
+    :param least: what it must be worth here to be taken, in thousandths, see
+        ``load.valuing``; what is not is worth more elsewhere.
+    :param calm: whether the sender sees its service served well.
+    :param usual_ms: service time of its route, as the sender knows it, ms; 0
+        where it does not.
     """
 
     id: str
@@ -95,6 +99,9 @@
     again: bool = False
     detour: str = ''
     trip: str = ''
+    least: int = 0
+    calm: bool = False
+    usual_ms: int = 0
 
     @property
     def key(self) -> str:
--- a/carawaystair/gateway/known.py
+++ b/carawaystair/gateway/known.py
@@ -8,11 +8,25 @@
 from carawaystair import interfaces
 from carawaystair.load import placing
 from carawaystair.load import spreading
+from carawaystair.load import valuing
 from carawaystair.request import connections
 from carawaystair.request import target as targets
 from carawaystair import routing as routings
 
 
+class Choice(typing.NamedTuple):
+    """The upstream to offer a request to.
+
+    :param target: the upstream.
+    :param count: upstreams that take work, this one included.
+    :param least: what the request must be worth there, 0 to 1.
+    """
+
+    target: targets.Target
+    count: int
+    least: float
+
+
 class Known:
     """Upstreams, their gateways and what is known of their load.
 
@@ -34,8 +48,6 @@
         self.routing = routing
         self.board = placing.Board(rng)
         self.targets: dict[str, targets.Target] = {}
-        # Services that got requests that can't be repeated.
-        self.unrepeatable: set[str] = set()
         self.spreadings: collections.defaultdict = collections.defaultdict(
             spreading.Spreading
         )
@@ -102,19 +114,21 @@
         self,
         service: str,
         tried: typing.Container[str],
+        refused: typing.Container[str],
         now: float,
-        repeatable: bool,
-        short: bool,
+        need: valuing.Need,
+        route: str,
         first: bool,
-    ) -> tuple[targets.Target | None, int]:
+    ) -> Choice | None:
         """Return the upstream to offer a request to.
 
-        :param repeatable: whether it may be run twice.
-        :param short: whether it is short, so that its upstream may be chosen
-            for what it shows.
-        :param first: whether no upstream has got it so far.
-        :return: the upstream, None when there is none that was not tried;
-            and how many take work.
+        :param tried: upstreams that were asked.
+        :param refused: those of them at which it might wait.
+        :param need: what the request needs.
+        :param route: key of its route.
+        :param first: whether no upstream was asked so far.
+        :return: None when there is none that was not tried, or none worth
+            more than one that refused.
         """
         routing = self.routing()
         usable = {
@@ -123,26 +137,26 @@
             if upstream.state == interfaces.UP
             and not routing.drained(upstream.host, upstream.data_centre)
         }
-        everywhere = self.spreadings[service].everywhere
         candidates = [
-            self._candidate(upstream, now, everywhere)
-            for upstream in usable.values()
+            self._candidate(upstream, now) for upstream in usable.values()
         ]
-        trial = short and service in self.unrepeatable
+        spread = first and self.spreadings[service].everywhere
+        trial = first and not need.last
         chosen = self.board.choose(
-            candidates, tried, now, repeatable, trial, everywhere and first
+            candidates, tried, refused, now, need, route, trial, spread
         )
         if chosen is None:
-            return None, len(usable)
-        return self.target(usable[chosen.id]), len(usable)
+            return None
+        target = self.target(usable[chosen.candidate.id])
+        return Choice(target, len(usable), chosen.least)
 
     def _candidate(
-        self, upstream: interfaces.Upstream, now: float, everywhere: bool
+        self, upstream: interfaces.Upstream, now: float
     ) -> placing.Candidate:
         target = self.target(upstream)
         return placing.Candidate(
             upstream.id,
-            everywhere or upstream.data_centre == self.data_centre,
+            upstream.data_centre == self.data_centre,
             upstream.slots,
             now - target.seen < upstream.warmup_s,
         )
--- a/carawaystair/gateway/relay.py
+++ b/carawaystair/gateway/relay.py
@@ -1,13 +1,14 @@
 """Sends a caller's request to a gateway, and to another one where it may.
 
-A gateway that has no free slot refuses at once, and the next one is asked:
-that costs a round trip, a hundredth of what the work takes, and it decides by
-what is true at that moment.  When all that were asked are full, the request
-waits at the one that expects to be free first; when that would take too long,
-the caller is told at once and when to come back.
+A gateway that has no free slot, or knows of failures, refuses at once, and the
+next one is asked: that costs a round trip, a hundredth of what the work takes,
+and it decides by what is true at that moment.  When none is left that promises
+more than those that refused, the request waits where it is worth most; when
+that would take too long, the caller is told at once and when to come back.
 """
 
 import random
+import typing
 
 from carawaystair import clock
 from carawaystair import codes
@@ -18,10 +19,11 @@
 from carawaystair.gateway import settling as settlings
 from carawaystair.gateway import trips
 from carawaystair import interfaces
+from carawaystair.load import gate
 from carawaystair.load import placing
 from carawaystair.load import rejecting
 from carawaystair.load import returning
-from carawaystair.load import suspicion
+from carawaystair.load import valuing
 from carawaystair.request import answer as answers
 from carawaystair.request import caller
 from carawaystair.request import target as targets
@@ -31,19 +33,16 @@
 # And those beside them that can't serve it at all, such as those that leave.
 MOST_OFFERS = 12
 # Gateways at which a request may be left to wait, one after the other.
-MOST_STAYS = 2
+MOST_STAYS = 3
 # Sends that may reach an upstream, whether it runs them or sheds them.  When
 # a service sheds half of its work, each further send of one request takes the
 # place of the second of another one.
 MOST_SENT = 3
 # Upstreams that may run a request whose route does not say.
 MOST_RUNS = 2
-# A likely failure weighs as much as so many seconds of waiting: a lost
-# answer that can't be repeated costs more than a late one.
-RISK_S = 3.0
 MS = 1000
 # Refusals that another question may turn into a run.
-WAITABLE = frozenset((rejecting.BUSY, suspicion.SUSPECT, suspicion.UNPROVEN))
+WAITABLE = frozenset((rejecting.BUSY, gate.RISKY))
 
 
 class Relay:
@@ -79,38 +78,37 @@
         :raises caller.Refused: when it was not run and will not be.
         :raises answers.Failed: when it may have run.
         """
-        if not trip.call.idempotent:
-            self.known.unrepeatable.add(trip.need.service)
         while self._may_ask(trip):
-            target, count = self._choose(trip)
-            if target is None and not trip.offers:
+            choice = self._choose(trip)
+            if choice is None and not trip.offers:
                 await self.settling.wait(
-                    lambda: self._choose(trip)[0] is not None, trip.need.goal
+                    lambda: self._choose(trip) is not None, trip.need.goal
                 )
-                target, count = self._choose(trip)
-            if target is None:
+                choice = self._choose(trip)
+            if choice is None:
                 break
+            target = choice.target
             trip.tried.add(target.upstream.id)
             # A body that is not held here can't be offered twice.
             stays = trip.call.body is None
-            answer = await self._try(trip, target, count, stays)
+            least = None if stays else choice.least
+            answer = await self._try(trip, target, choice.count, least)
             if answer is not None:
                 return answer
             if stays:
                 break
         return await self._stay(trip)
 
-    def _choose(self, trip: trips.Trip) -> tuple[targets.Target | None, int]:
-        # The first send of a short call shows how an upstream does before
-        # one that can't be repeated finds out; a second one must succeed.
-        repeatable = trip.call.idempotent and not trip.sent
+    def _choose(self, trip: trips.Trip) -> knowns.Choice | None:
+        now = clock.now()
         return self.known.choose(
             trip.need.service,
             trip.tried,
-            clock.now(),
-            repeatable,
-            repeatable and trip.need.inner,
-            not trip.sent,
+            trip.declined,
+            now,
+            trip.needs(now),
+            trip.call.match.key,
+            not trip.offers,
         )
 
     def _may_ask(self, trip: trips.Trip) -> bool:
@@ -154,34 +152,35 @@
         """
         if trip.call.body is None:
             return self._end(trip)
-        repeatable = trip.call.idempotent and not trip.sent
-        found = sorted(
-            trip.declined.values(),
-            key=lambda pair: patience(repeatable, pair[1]),
-        )
-        found = [pair for pair in found if not self._too_late(trip, pair[1])]
-        open_ones = [
-            target
-            for target, declined in found
-            if declined.reason != suspicion.SUSPECT
-        ][:MOST_STAYS]
-        # What would be rejected may as well run where it may fail.  While
-        # all of a service are under suspicion, one after the other is asked,
-        # as if none were.
-        open_ones += [
-            target
-            for target, declined in found
-            if declined.reason == suspicion.SUSPECT
-        ][: 1 if open_ones else MOST_STAYS]
-        open_ones += trip.missed
-        for target in open_ones[: MOST_STAYS + 1]:
-            if not self._may_send(trip):
+        stayed: set[str] = set()
+        for _stay in range(MOST_STAYS):
+            target = self._best(trip, stayed)
+            if target is None or not self._may_send(trip):
                 break
-            answer = await self._try(trip, target, len(found), True)
+            stayed.add(target.upstream.id)
+            answer = await self._try(trip, target, len(trip.declined), None)
             if answer is not None:
                 return answer
         return self._end(trip)
 
+    def _best(
+        self, trip: trips.Trip, stayed: typing.Container[str]
+    ) -> targets.Target | None:
+        """Return where a request is worth most, of those that refused it.
+
+        :param stayed: upstreams at which it was left before.
+        """
+        need = trip.needs(clock.now())
+        found = [
+            (worth_of(declined.report, need), target)
+            for name, (target, declined) in trip.declined.items()
+            if name not in stayed and not self._too_late(trip, declined)
+        ]
+        if found:
+            return max(found, key=lambda pair: pair[0])[1]
+        missed = [t for t in trip.missed if t.upstream.id not in stayed]
+        return missed[0] if missed else None
+
     def _too_late(self, trip: trips.Trip, declined: trips.Declined) -> bool:
         report = declined.report
         if report is None:
@@ -217,23 +216,23 @@
         trip: trips.Trip,
         target: targets.Target,
         count: int,
-        stays: bool,
+        least: float | None,
     ) -> answers.Answer | None:
         """Offer a request to one gateway.
 
         :param count: upstreams that take work, for the log.
-        :param stays: whether it may wait there, and goes there although the
-            upstream failed lately.
+        :param least: what it must be worth there; None when it may wait
+            there whatever that is.
         :return: None when another one may be asked.
         """
         upstream = target.upstream
         trip.offers += 1
-        offer = self._offer(trip, upstream, count, stays)
+        offer = self._offer(trip, upstream, count, least)
         view = self.board.view(upstream.id)
         view.mine += 1
         began = clock.now()
         try:
-            answer = await self.handover.exchange(trip, target, stays)
+            answer = await self.handover.exchange(trip, target, least)
         except trips.Declined as declined:
             self._declined(trip, target, declined)
             return None
@@ -305,7 +304,7 @@
         trip: trips.Trip,
         upstream: interfaces.Upstream,
         count: int,
-        stays: bool,
+        least: float | None,
     ) -> decisions.Offered:
         """Return what is told of an offer, by what is known before it."""
         now = clock.now()
@@ -323,7 +322,7 @@
             int((trip.call.deadline - now) * MS),
             trip.call.idempotent,
             need.inner,
-            stays,
+            least is None,
             int((now - view.at) * MS) if known else -1,
             self.board.load(candidate, now),
             count,
@@ -331,17 +330,12 @@
         )
 
 
-def patience(repeatable: bool, declined: trips.Declined) -> float:
-    """Return what it costs to leave a request where it was refused, in s.
-
-    The expected wait, and for one that can't be repeated any more the risk
-    that its upstream has turned gray.
+def worth_of(report: placing.Report | None, need: valuing.Need) -> float:
+    """Return what a request is worth where it was refused just now, 0 to 1.
 
-    :param repeatable: whether the request may be run once more if it fails.
+    :param report: what the gateway said of its upstream.
     """
-    report = declined.report
     if report is None:
-        return RISK_S
-    proof_s = 0.0 if repeatable else report.proof_ms / MS
-    risk = suspicion.risk(proof_s, report.suspect)
-    return report.wait_ms / MS + RISK_S * risk
+        return 0.0
+    answer_s = (report.wait_ms + report.route_ms) / MS
+    return valuing.worth(placing.told(report, 0.0), answer_s, need)
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -70,7 +70,7 @@
             self.known, settings.host, self.add_future, rng
         )
         self.handover = handovers.Handover(
-            settings.host, self.paths, self.known.board, self._process
+            settings.host, self.paths, self.known, self._process
         )
         settling = settlings.Settling()
         self.relay = relays.Relay(
@@ -139,9 +139,10 @@
             line = slots.line
             yield metrics.Sample('gateway_running', line.running, labels)
             yield metrics.Sample('gateway_waiting', len(line.waiting), labels)
-            suspect = int(slots.suspicion.suspect)
-            yield metrics.Sample('gateway_suspect', suspect, labels)
-            idle_s = slots.idle_s()
+            yield metrics.Sample(
+                'gateway_failing_chance', slots.failing(), labels
+            )
+            idle_s = slots.gate.idle_s(clock.now())
             yield metrics.Sample('gateway_idle_seconds', idle_s, labels)
         for service, spread in self.known.spreadings.items():
             labels = (('service', service),)
--- a/carawaystair/gateway/slots.py
+++ b/carawaystair/gateway/slots.py
@@ -1,19 +1,14 @@
 """The slots of one upstream, and the tasks that wait for them."""
 
 import asyncio
-import math
 import typing
 
 from carawaystair import clock
+from carawaystair.load import gate
 from carawaystair.load import placing
 from carawaystair.load import rejecting
-from carawaystair.load import suspicion
 from carawaystair.load import waiting
 
-MS = 1000
-# Ages beyond this are all the same, seconds.
-MOST_AGE_S = 60.0
-
 
 class Refused(Exception):
     """A request gets no slot.
@@ -37,8 +32,8 @@
 
     def __init__(self, process: typing.Callable[[], str], count: int) -> None:
         self.process = process
-        self.line = waiting.Line(count)
-        self.suspicion = suspicion.Suspicion()
+        self.gate = gate.Gate(count)
+        self.line = self.gate.line
         self.waiters: dict[str, asyncio.Future] = {}
 
     async def take(self, want: waiting.Want, may_wait: bool) -> float:
@@ -100,27 +95,13 @@
             self.line.leave(name)
             future.set_result(False)
 
-    def idle_s(self) -> float:
-        """Return how long no run has begun, seconds."""
-        return min(self.suspicion.idle_s(clock.now()), MOST_AGE_S)
+    def failing(self) -> float:
+        """Return how likely the upstream fails the next request, 0 to 1."""
+        return self.gate.estimate.failing(clock.now())
 
     def report(self, route: str = '') -> placing.Report:
         """Return what other nodes should know.
 
         :param route: key of the route that was asked for.
         """
-        line = self.line
-        now = clock.now()
-        # One more request that is neither urgent nor late.
-        wait_s = line.wait_s(waiting.Want('', route, math.inf), now)
-        return placing.Report(
-            self.process(),
-            self.suspicion.suspect,
-            line.running,
-            len(line.waiting),
-            line.slots,
-            int(wait_s * MS),
-            int(line.durations.mean * MS),
-            int(min(now - self.suspicion.proof_at, MOST_AGE_S) * MS),
-            int(line.durations.of(route) * MS),
-        )
+        return self.gate.report(self.process(), route, clock.now())
--- a/carawaystair/gateway/trips.py
+++ b/carawaystair/gateway/trips.py
@@ -6,11 +6,13 @@
 from carawaystair import clock
 from carawaystair.gateway import hops
 from carawaystair.load import placing
+from carawaystair.load import valuing
 from carawaystair.request import answer as answers
 from carawaystair.request import call as calls
 from carawaystair.request import target as targets
 
 MS = 1000
+THOUSAND = 1000
 # Two requests with one id get the same token once in 2**48 cases.
 TOKEN_BYTES = 6
 
@@ -95,14 +97,36 @@
         self.failed: answers.Failed | None = None
         self.fallback: answers.Answer | None = None
 
+    @property
+    def last(self) -> bool:
+        """Tell whether it can't be sent once more if it fails.
+
+        The second send of a request that may be repeated is the last one.
+        """
+        return not self.call.idempotent or self.sent > 0
+
+    def needs(self, now: float) -> valuing.Need:
+        """Return what it needs now."""
+        return valuing.Need(
+            self.need.goal - now, self.call.deadline - now, self.last
+        )
+
     def hop(
-        self, host: str, target: targets.Target, stays: bool, process: str
+        self,
+        host: str,
+        target: targets.Target,
+        least: float | None,
+        calm: bool,
+        usual_s: float,
+        process: str,
     ) -> hops.Hop:
         """Return what the next send of this request tells a gateway.
 
         :param host: the host of this node.
-        :param stays: whether it may wait there, and goes there although the
-            upstream failed lately.
+        :param least: what it must be worth there; None when it stays there
+            whatever that is.
+        :param calm: whether this node sees the service served well.
+        :param usual_s: service time of its route, seconds.
         :param process: the process of the gateway, as far as is known.
         """
         self.sends += 1
@@ -120,10 +144,13 @@
             need.priority,
             call.idempotent,
             need.inner,
-            stays,
+            least is None,
             self.sent > 0,
             need.echo,
             self.sends,
             process,
             trip=self.token,
+            least=int((least or 0.0) * THOUSAND),
+            calm=calm,
+            usual_ms=int(usual_s * MS),
         )
--- a/carawaystair/gateway/work.py
+++ b/carawaystair/gateway/work.py
@@ -1,11 +1,11 @@
 """Runs requests at the upstreams of this host, and learns from each run."""
 
-import asyncio
 import math
 
 from carawaystair import clock
 from carawaystair import codes
 from carawaystair import decisions
+from carawaystair.gateway import evidence as evidence_module
 from carawaystair.gateway import figures as figures_module
 from carawaystair.gateway import hops
 from carawaystair.gateway import inner as inners
@@ -13,9 +13,9 @@
 from carawaystair.gateway import sends
 from carawaystair.gateway import slots as slots_module
 from carawaystair import interfaces
+from carawaystair.load import gate
 from carawaystair.load import placing
 from carawaystair.load import retrying
-from carawaystair.load import suspicion as suspicion_module
 from carawaystair.load import waiting
 from carawaystair import logs
 from carawaystair.membership import registry as registries
@@ -26,16 +26,14 @@
 from carawaystair.request import incoming
 from carawaystair import settings as settings_module
 
-# A run is overdue, and its upstream under suspicion, after so many times
-# what its route usually takes, and this time at least.
-OVERDUE = 5.0
-OVERDUE_S = 2.0
 # Statuses that promise that a request was not run.  An upstream that says so
 # without its mark of a request that was not run is not believed.
 PROMISES = frozenset((408, 421, 429, 503))
 MISDIRECTED = 421
 OUT_OF_TIME = 504
 MS = 1000
+THOUSAND = 1000
+PERCENT = 100
 
 LOG = logs.get('gateway')
 
@@ -173,15 +171,14 @@
         life = self._life(hop)
         slots = life.slots
         now = clock.now()
-        trial = slots.suspicion.suspect
-        self._check_sound(hop, slots, now)
-        self._check_repeat(hop, now)
         left_s = hop.left_ms / MS if hop.left_ms >= 0 else -math.inf
         call = hops.call(hop, request, body, now + left_s)
         goal = now + hop.goal_ms / MS if hop.goal_ms >= 0 else now
         want = waiting.Want(
             hop.key, hop.route, call.deadline, goal, hop.priority, hop.inner
         )
+        trial = self._is_trial(hop, slots, want, now)
+        self._check_repeat(hop, now)
         waited_s = await slots.take(want, hop.stays)
         if self.lives.get(hop.upstream) is not life:
             # The life that it was given a slot of has ended meanwhile.
@@ -202,7 +199,6 @@
             )
         )
         self._count(hop)
-        slots.suspicion.began(clock.now())
         attempt = sends.ToUpstream(
             call, life.target, self.names, hop.caller_service, source
         )
@@ -223,15 +219,30 @@
             if not passing:
                 release()
 
-    def _check_sound(
-        self, hop: hops.Hop, slots: slots_module.Slots, now: float
-    ) -> None:
-        """Keep what can't be repeated from an upstream that may be gray."""
+    def _is_trial(
+        self,
+        hop: hops.Hop,
+        slots: slots_module.Slots,
+        want: waiting.Want,
+        now: float,
+    ) -> bool:
+        """Tell whether a request runs here only for what it shows.
+
+        :raises slots.Refused: when it should not run here.
+        """
         if hop.stays:
-            return
-        reason = slots.suspicion.declines(hop.idempotent, hop.repeat, now)
-        if reason:
-            raise slots_module.Refused(reason)
+            return False
+        offer = gate.Offer(
+            hop.idempotent,
+            hop.repeat,
+            hop.least / THOUSAND,
+            hop.calm,
+            hop.usual_ms / MS,
+        )
+        answer = slots.gate.answer(offer, want, now)
+        if answer.reason:
+            raise slots_module.Refused(answer.reason, answer.detail)
+        return answer.trial
 
     def _check_repeat(self, hop: hops.Hop, now: float) -> None:
         """Refuse a repeat that the service may not get any more."""
@@ -292,18 +303,7 @@
         :param waited_s: how long it waited for its slot.
         """
         began = clock.now()
-        expected_s = slots.line.durations.of(hop.route)
-        loop = asyncio.get_running_loop()
-        overdue = loop.call_later(
-            max(OVERDUE * expected_s, OVERDUE_S),
-            self._failed,
-            hop,
-            slots,
-            OVERDUE_S,
-        )
-        survived = loop.call_later(
-            suspicion_module.SURVIVED_S, self._survived, hop, slots, began
-        )
+        evidence = evidence_module.Evidence(hop.upstream, slots, hop.route)
         self.inner.began(hop.id, hop.priority, hop.repeat or hop.echo)
         status, detail = 0, ''
         outcome = interfaces.CANCELLED
@@ -320,11 +320,10 @@
                 ) from None
             raise
         finally:
-            overdue.cancel()
-            survived.cancel()
+            evidence.stop()
             self.inner.ended(hop.id)
             took_s = clock.now() - began
-            self._learn(hop, slots, outcome, status, began)
+            self._learn(hop, evidence, outcome, status)
             self.figures.ran(hop.service, outcome, waited_s, took_s)
             good = outcome == interfaces.GOOD
             self.recorder.tell(
@@ -334,7 +333,7 @@
                     outcome,
                     status,
                     int(took_s * MS),
-                    slots.suspicion.suspect,
+                    int(slots.failing() * PERCENT),
                     detail,
                 ),
                 decisions.ROUTINE if good else decisions.TROUBLE,
@@ -380,45 +379,22 @@
     def _learn(
         self,
         hop: hops.Hop,
-        slots: slots_module.Slots,
+        evidence: evidence_module.Evidence,
         outcome: str,
         status: int,
-        began: float,
     ) -> None:
-        """Let a run count as evidence about its upstream."""
+        """Let the end of a run count as evidence about its upstream."""
         if outcome == interfaces.GOOD:
-            slots.line.durations.add(hop.route, clock.now() - began)
-            if slots.suspicion.good(began):
-                self._tell_sound(hop)
-            return
-        if outcome == interfaces.CANCELLED or status == OUT_OF_TIME:
+            evidence.succeeded()
+        elif outcome == interfaces.SHED:
+            evidence.shed()
+        elif outcome == interfaces.CANCELLED or status == OUT_OF_TIME:
             return
-        if outcome == interfaces.ERROR and self.inner.to_blame(hop.id):
+        elif outcome == interfaces.ERROR and self.inner.to_blame(hop.id):
             # It failed for what it had called, as a rule.
             return
-        if outcome == interfaces.SHED:
-            if slots.suspicion.shed(clock.now()):
-                self._tell_suspicion(hop)
-            return
-        self._failed(hop, slots, clock.now() - began)
-
-    def _survived(
-        self, hop: hops.Hop, slots: slots_module.Slots, began: float
-    ) -> None:
-        if slots.suspicion.survived(began):
-            self._tell_sound(hop)
-
-    def _tell_sound(self, hop: hops.Hop) -> None:
-        LOG.info('An upstream is sound again.', upstream=hop.upstream)
-
-    def _failed(
-        self, hop: hops.Hop, slots: slots_module.Slots, took_s: float
-    ) -> None:
-        if slots.suspicion.failed(clock.now(), took_s):
-            self._tell_suspicion(hop)
-
-    def _tell_suspicion(self, hop: hops.Hop) -> None:
-        LOG.info('An upstream is under suspicion.', upstream=hop.upstream)
+        else:
+            evidence.failed()
 
     def report(self, upstream: str, route: str = '') -> placing.Report:
         """Return what other nodes should know of an upstream."""
--- a/carawaystair/load/placing.py
+++ b/carawaystair/load/placing.py
@@ -6,50 +6,57 @@
 nodes and 45 requests a second a node hears of one upstream every few seconds,
 while its load changes ten times a second.  So the choice needs only to be
 good on average, because the gateway that is asked decides: it refuses at once
-when it has no free slot, and another one is asked.
-
-Upstreams in the same data centre go first while they have room: bytes between
-data centres cost time and money.  ``load.spreading`` tells when that ends.
+when it has no free slot, or is worth less than what the node expects of
+another one.  The node asks on while it expects more of those that it has not
+asked than of those that have refused.
 """
 
 import math
 import random
 import typing
 
-# What a gateway said about its load counts for so long, in seconds; about one
+from carawaystair.load import estimating
+from carawaystair.load import valuing
+from carawaystair.load import waiting
+
+# What a gateway said of its load fades over so long, seconds; about one
 # service time.
-LOAD_FRESH_S = 0.5
-# What it said about failures counts for so long: it lets a trial through
-# about as often.
-SUSPECT_FRESH_S = 0.8
-# Age of the last sign of sound work where nothing is known, seconds.
-UNKNOWN_PROOF_S = 60.0
+LOAD_FADE_S = 0.5
+# An upstream whose slots are all in use, as far as is known, should make a
+# request wait for so long if that is so, seconds.
+CROWDED_S = 0.3
 # An upstream that is still warming up is taken for so many times slower.
 COLD_FACTOR = 2.0
 # What a node heard of an upstream so long ago or longer tells it no more than
-# nothing does, seconds: whether it was idle or others had work for it since is
-# not known here.
-PROOF_FRESH_S = 1.0
-# Expected service time where no report has come yet, seconds.
-UNKNOWN_S = 0.4
+# nothing does, seconds: whether others had work for it since is not known.
+HEARD_S = 1.0
+# An upstream in the same data centre may be worth so much less: bytes between
+# data centres cost time and money.
+NEAR = 0.015
+# Upstreams that are worth so nearly the same are drawn by lot.  Were the best
+# one taken, all that a node sends would meet it until its next report.
+SAME = 0.02
 
 
 class Report(typing.NamedTuple):
     """What a gateway says of its upstream, with every answer.
 
     :param process: names the start of the gateway's process.
-    :param suspect: whether the upstream failed lately.
+    :param suspect: whether the upstream is more likely to fail than not.
     :param running: requests that run at it.
     :param waiting: requests that wait for it.
     :param slots: requests that it works on at once.
     :param wait_ms: expected wait of one more request, ms.
     :param service_ms: mean service time, ms.
-    :param proof_ms: age of the last sign that the upstream does sound work,
-        ms.
+    :param idle_ms: time since it last began a run, ms.
     :param route_ms: mean service time of the route that was asked for, ms;
         it may be a tenth of that of others.
     :param incarnation: the life of the upstream that this is about, 0 where
         none stands.
+    :param failing: how likely it fails the next request, in thousandths;
+        negative where that is not said.
+    :param usual: how likely that is where nothing is known of an upstream,
+        in thousandths.
     """
 
     process: str
@@ -59,17 +66,18 @@
     slots: int
     wait_ms: int
     service_ms: int
-    proof_ms: int
+    idle_ms: int
     route_ms: int = 0
     incarnation: int = 0
+    failing: int = -1
+    usual: int = int(1000 * estimating.UNKNOWN)
 
 
 class Candidate(typing.NamedTuple):
     """An upstream that may get a request.
 
     :param id: the upstream.
-    :param near: whether it stands in this node's data centre, or distance
-        does not count.
+    :param near: whether it stands in this node's data centre.
     :param slots: requests that it works on at once.
     :param cold: whether it is still warming up.
     """
@@ -80,15 +88,28 @@
     cold: bool = False
 
 
+class Choice(typing.NamedTuple):
+    """The upstream to offer a request to.
+
+    :param candidate: the upstream.
+    :param least: what it must be worth there to be taken, 0 to 1.
+    """
+
+    candidate: Candidate
+    least: float
+
+
 class View:
     """What this node knows of one upstream."""
 
-    __slots__ = ('at', 'incarnation', 'mine', 'reachable', 'report')
+    __slots__ = ('at', 'incarnation', 'mine', 'reachable', 'report', 'route')
 
     def __init__(self, incarnation: int = 0) -> None:
         # The life that it is about, 0 while that is not known.
         self.incarnation = incarnation
         self.report: Report | None = None
+        # Key of the route that it was told for, and when.
+        self.route = ''
         self.at = 0.0
         # Requests of this node that are with it now.
         self.mine = 0
@@ -105,6 +126,8 @@
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
         self.views: dict[str, View] = {}
+        # Service times of routes, as all upstreams tell them.
+        self.durations = waiting.Durations()
 
     def view(self, upstream: str) -> View:
         """Return what is known of an upstream."""
@@ -131,10 +154,14 @@
         view = self.views[upstream] = View(incarnation)
         view.reachable = former.reachable
 
-    def heard(self, upstream: str, report: Report, now: float) -> None:
+    def heard(
+        self, upstream: str, report: Report, now: float, route: str = ''
+    ) -> None:
         """Take note of a report.
 
         One of a former life may be overtaken by the news of the new one.
+
+        :param route: key of the route that was asked for.
         """
         if report.incarnation:
             self.renew(upstream, report.incarnation)
@@ -142,108 +169,140 @@
         if report.incarnation < view.incarnation:
             return
         view.report = report
+        view.route = route
         view.at = now
+        if report.route_ms:
+            self.durations.add(route, report.route_ms / 1000)
 
     def choose(
         self,
         candidates: typing.Iterable[Candidate],
         tried: typing.Container[str],
+        refused: typing.Container[str],
         now: float,
-        repeatable: bool = True,
+        need: valuing.Need,
+        route: str = '',
         trial: bool = False,
         spread: bool = False,
-    ) -> Candidate | None:
-        """Return the upstream to offer a request to, None when all are tried.
+    ) -> Choice | None:
+        """Return the upstream to offer a request to.
 
-        Of the best class two are drawn and the one that should be done
-        earlier is taken.  A request that can't be repeated goes where sound
-        work was seen last.
+        None when all were tried, or when one that refused is worth more than
+        any other is expected to be.
 
-        :param repeatable: whether it may be run twice.
-        :param trial: whether it goes where sound work was seen longest ago,
-            to show how that upstream does.
+        :param tried: upstreams that were asked.
+        :param refused: those of them at which it might wait.
+        :param route: key of its route.
+        :param trial: whether it goes to one that had no work for some time,
+            as far as is known, to show how that one does.
         :param spread: whether those of which nothing was heard lately have
-            an equal chance, although it can't be repeated.
+            an equal chance.
         """
-        best: tuple | None = None
-        drawn: list[Candidate] = []
-        for candidate in candidates:
-            if candidate.id in tried:
-                continue
-            rank = self.rank(candidate, now)
-            if best is None or rank < best:
-                best, drawn = rank, [candidate]
-            elif rank == best:
-                drawn.append(candidate)
-        if not drawn:
+        rated = [
+            (self.worth(candidate, need, now, route), candidate)
+            for candidate in candidates
+        ]
+        left = [pair for pair in rated if pair[1].id not in tried]
+        if not left:
             return None
-        if not repeatable or trial:
-            return self._by_proof(drawn, now, not repeatable, spread)
-        pair = self.rng.sample(drawn, min(2, len(drawn)))
-        return min(pair, key=lambda candidate: self.cost(candidate, now))
-
-    def _by_proof(
+        known = [worth for worth, one in rated if one.id in refused]
+        best = max(worth for worth, _one in left)
+        if max(known, default=0.0) > max(best, 0.0):
+            return None
+        chosen = self._draw(left, best, now, trial, spread)
+        others = [worth for worth, one in left if one.id != chosen.id]
+        least = max(others + known, default=0.0) - SAME
+        if chosen.near:
+            least -= NEAR
+        return Choice(chosen, max(least, 0.0))
+
+    def _draw(
         self,
-        drawn: list[Candidate],
+        left: list[tuple[float, Candidate]],
+        best: float,
         now: float,
-        newest: bool,
+        trial: bool,
         spread: bool,
     ) -> Candidate:
-        """Return the upstream with the newest or oldest sign of sound work.
+        """Draw one of those that are worth the same, or of the unknown."""
+        same = [one for worth, one in left if worth >= best - SAME]
+        if not trial and not spread:
+            return self.rng.choice(same)
+        unknown = [
+            one
+            for worth, one in left
+            if worth >= 0.0 and self.heard_s(one, now) >= HEARD_S
+        ]
+        if trial:
+            return self.rng.choice(unknown or same)
+        return self.rng.choice([*unknown, self.rng.choice(same)])
 
-        Between equals chance decides.  Right after a start every node knows
-        as little of all upstreams; in any order that all nodes share, the
-        whole load would meet the first few of them.
+    def worth(
+        self,
+        candidate: Candidate,
+        need: valuing.Need,
+        now: float,
+        route: str = '',
+    ) -> float:
+        """Return what it should be worth to offer a request to an upstream.
+
+        Those whose gateways can't be reached directly are worth less than
+        nothing, and asked when all others were.
 
-        :param newest: whether it is the newest; the oldest otherwise.
-        :param spread: whether old signs are as good as the newest one.
+        :param route: key of its route.
         """
-        ages = [self.proof_s(candidate, now) for candidate in drawn]
-        wanted = min(ages) if newest else max(ages)
-        old_s = PROOF_FRESH_S if newest and spread else math.inf
-        equals = [
-            candidate
-            for candidate, age in zip(drawn, ages)
-            if age == wanted or age >= old_s
-        ]
-        return self.rng.choice(equals)
+        view = self.views.get(candidate.id)
+        report = None if view is None else view.report
+        if view is not None and not view.reachable:
+            return -1.0
+        failing = estimating.UNKNOWN
+        service_s = self.durations.of(route)
+        if report is not None:
+            failing = told(report, now - view.at)
+            if view.route == route and report.route_ms:
+                service_s = report.route_ms / 1000
+        if candidate.cold:
+            service_s *= COLD_FACTOR
+        answer_s = self.wait_s(candidate, now) + service_s
+        near = NEAR if candidate.near else 0.0
+        return valuing.worth(failing, answer_s, need) + near
 
-    def rank(self, candidate: Candidate, now: float) -> tuple:
-        """Return the class of an upstream; the least is best."""
+    def wait_s(self, candidate: Candidate, now: float) -> float:
+        """Return how long a request should wait for a slot, seconds."""
         view = self.views.get(candidate.id)
         if view is None:
-            return (False, False, False, not candidate.near)
-        suspect = (
-            view.report is not None
-            and view.report.suspect
-            and now - view.at < SUSPECT_FRESH_S
-        )
-        busy = self.load(candidate, now) >= candidate.slots
-        return (not view.reachable, suspect, busy, not candidate.near)
+            return 0.0
+        slots = max(candidate.slots, 1)
+        crowded_s = CROWDED_S * view.mine / slots
+        if view.report is None:
+            return crowded_s
+        fade = math.exp((view.at - now) / LOAD_FADE_S)
+        load = max(view.report.running + view.report.waiting, view.mine)
+        return fade * view.report.wait_ms / 1000 + CROWDED_S * load / slots
 
     def load(self, candidate: Candidate, now: float) -> int:
         """Return the requests that are with an upstream, as far as known."""
         view = self.views.get(candidate.id)
         if view is None:
             return 0
-        if view.report is None or now - view.at > LOAD_FRESH_S:
+        if view.report is None or now - view.at > LOAD_FADE_S:
             return view.mine
         return max(view.report.running + view.report.waiting, view.mine)
 
-    def proof_s(self, candidate: Candidate, now: float) -> float:
-        """Return the age of the last known sign of sound work, seconds."""
+    def heard_s(self, candidate: Candidate, now: float) -> float:
+        """Return how long nothing is known of work at an upstream, seconds."""
         view = self.views.get(candidate.id)
         if view is None or view.report is None:
-            return UNKNOWN_PROOF_S
-        return view.report.proof_ms / 1000 + now - view.at
-
-    def cost(self, candidate: Candidate, now: float) -> float:
-        """Return the seconds that a request should take there."""
-        view = self.views.get(candidate.id)
-        report = None if view is None else view.report
-        service_s = UNKNOWN_S
-        if report is not None and report.service_ms:
-            service_s = report.service_ms / 1000
-        if candidate.cold:
-            service_s *= COLD_FACTOR
-        return service_s * (1 + self.load(candidate, now) / candidate.slots)
+            return math.inf
+        return view.report.idle_ms / 1000 + now - view.at
+
+
+def told(report: Report, age_s: float) -> float:
+    """Return how likely an upstream fails, by a report of that age."""
+    usual = report.usual / 1000
+    if report.failing < 0:
+        # A gateway of an older version says only this.
+        failing = 1.0 - usual if report.suspect else usual
+    else:
+        failing = report.failing / 1000
+    return estimating.aged(failing, usual, age_s)
--- a/carawaystair/load/spreading.py
+++ b/carawaystair/load/spreading.py
@@ -1,28 +1,20 @@
 """Whether a node looks further for upstreams than it usually does.
 
-The load that this answers: callers of one data centre, and gray upstreams
-there.  Upstreams near by go first, so that bytes and time are saved; those
-elsewhere get work only when the near ones are full.  While the near ones fail
-what they are given, sound upstreams elsewhere stand idle, which is an ejection
-that nobody decided and that no floor bounds.  So distance counts only while
-what is sent to a service is answered well.
-
-The same holds for upstreams of which a node has heard nothing for long.  What
-may run only once goes where sound work was seen last, and with few nodes that
-have callers the others are never asked; while it fails there, they are.
+The load that this answers: what a service gets fails more often than the few
+upstreams that a node knows can explain away.  Work goes where it is worth
+most by what was seen lately, so that with few nodes that have callers some
+sound upstreams are never asked.  That is an ejection that nobody decided and
+that no floor bounds.  So while too much fails, those of which nothing was
+heard are asked as well, and gateways try out what they know little of sooner.
 """
 
-# Weight of one outcome in the running share of failures: about ten count,
-# which a node with one request a second sees while a gray failure lasts.
-NEW_SHARE = 0.1
-# Above this share of failures a node looks further.  After one failure the
-# next request does, after two among ten some more do.  With all callers in one
-# of two data centres and 6 of 20 upstreams gray, 93 of 100 sound upstreams or
-# more get work in any two seconds, 43 to 57 without this, and 895 of 900
-# searches are served, 882 without (test_gateway_spread, three seeds).
+# Weight of one outcome in the running share of failures: about twenty count,
+# so that one or two failures of a sound service don't look like more.
+NEW_SHARE = 0.05
+# Above this share of failures a node looks further.
 MOST_FAILING = 0.1
-# What is taken for the share before any outcome was seen.  Seven good answers
-# in a row bring it below the bound.
+# What is taken for the share before any outcome was seen: right after a start
+# all are asked.
 FIRST_GUESS = 0.2
 
 
--- /dev/null
+++ b/carawaystair/load/trying.py
@@ -0,0 +1,71 @@
+"""When an upstream gets a request to show how it does.
+
+The load that this answers: only work shows how an upstream does.  If work
+went only where it is worth most, one that was gray would never be seen to be
+sound again, and one of which nothing is known never get any: an ejection that
+nobody decided and that no floor bounds.  So an upstream that had none for
+some time gets a request as a trial.
+
+Requests that may be repeated try first, and soon, as their failures cost a
+repeat only.  Where they come, none that may run once is lost to a trial.
+"""
+
+import math
+
+# Without work for so long, an upstream gets a request that may be repeated.
+# It fails most of these while it is gray, each costs a repeat, and those of a
+# small service are few: as long as they fail, trials grow apart up to the
+# second figure, by a factor each time.  Seconds.
+EVERY_S = 0.5
+MOST_S = 1.7
+GROWTH = 1.5
+# Without work for so long it gets one that may run once, and for so much
+# longer the surer it is to fail that one, seconds.
+IDLE_S = 0.6
+LIKELY_S = 3.0
+# While the others serve the service well, that may take so many times longer:
+# each trial that fails loses a request.  Where they don't, all sound ones are
+# to have work within two seconds.
+CALM = 2.0
+
+
+class Trials:
+    """The trials of one upstream."""
+
+    def __init__(self) -> None:
+        self.every_s = EVERY_S
+        # When it last began any run, and when it last failed one.
+        self.began_at = -math.inf
+        self.failed_at = -math.inf
+
+    def began(self, now: float) -> None:
+        """Take note that a run begins."""
+        self.began_at = now
+
+    def failed(self, now: float) -> None:
+        """Take note that a run failed."""
+        self.failed_at = now
+        self.every_s = min(GROWTH * self.every_s, MOST_S)
+
+    def succeeded(self) -> None:
+        """Take note that a run succeeded."""
+        self.every_s = EVERY_S
+
+    def idle_s(self, now: float) -> float:
+        """Return how long no run has begun, seconds; infinite before any."""
+        return now - self.began_at
+
+    def due(
+        self, repeatable: bool, failing: float, calm: bool, now: float
+    ) -> bool:
+        """Tell whether a request should run here for what it shows.
+
+        :param repeatable: whether it may run twice.
+        :param failing: how likely it fails.
+        :param calm: whether the service is served well.
+        """
+        if repeatable:
+            return self.idle_s(now) >= self.every_s
+        patience_s = IDLE_S + LIKELY_S * failing
+        quiet_s = now - max(self.failed_at, self.began_at)
+        return quiet_s >= (CALM if calm else 1.0) * patience_s
--- /dev/null
+++ b/carawaystair/load/valuing.py
@@ -0,0 +1,64 @@
+"""What it is worth to send a request to an upstream.
+
+The load that this answers: some upstreams are free and likely to fail, others
+are sound and have queues.  Neither alone decides: while there is time, work
+that may run once waits some milliseconds for a sound upstream rather than
+meet a gray one; when the queues are longer than its goal, it is better tried.
+So every choice, at a caller's node and at the gateway, is by one figure: the
+chance of an answer, times what an answer is worth at the time at which it
+should come.
+"""
+
+import typing
+
+# An answer after its goal is worth this part of one in time.
+LATE_WORTH = 0.3
+# What an answer loses on the way to its goal, as a part of its worth: of two
+# that are both in time the earlier one is better.
+HASTE = 0.15
+# Service times vary by half of their mean: an answer that should come before
+# the first of these parts of its time is in time, one after the second late.
+SURELY = 0.7
+HARDLY = 1.3
+# A failure costs a request that is sent once more this part of its worth: the
+# second upstream may fail as well.
+REPEAT_LOSS = 0.15
+
+
+class Need(typing.NamedTuple):
+    """What a request needs now.
+
+    :param goal_s: time until which its answer is worth most, seconds.
+    :param left_s: time until its answer is owed, seconds.
+    :param last: whether it can't be sent once more if it fails.
+    """
+
+    goal_s: float
+    left_s: float
+    last: bool
+
+
+def in_time(answer_s: float, need: Need) -> float:
+    """Return what an answer in so many seconds is worth, 0 to 1."""
+    if answer_s >= need.left_s:
+        return 0.0
+    soon = 1.0 - HASTE
+    surely_s, hardly_s = SURELY * need.goal_s, HARDLY * need.goal_s
+    if answer_s <= surely_s:
+        return 1.0 - HASTE * answer_s / surely_s
+    if answer_s <= hardly_s:
+        passed = (answer_s - surely_s) / (hardly_s - surely_s)
+        return soon + passed * (LATE_WORTH - soon)
+    # Later than late: what may still go wrong grows until the deadline.
+    late_s = max(hardly_s, 0.0)
+    return LATE_WORTH * (need.left_s - answer_s) / (need.left_s - late_s)
+
+
+def worth(failing: float, answer_s: float, need: Need) -> float:
+    """Return what it is worth to send a request to an upstream, 0 to 1.
+
+    :param failing: how likely it fails there.
+    :param answer_s: seconds until an answer should come, the wait included.
+    """
+    loss = failing if need.last else REPEAT_LOSS * failing
+    return (1.0 - loss) * in_time(answer_s, need)
