Hops bear their age: what its sender gave up is not begun

The question stood behind other bytes on a link of 3.4 Mbit/s, its time left was that of the moment at which it was sent, and the gateway forgets a run that may be repeated one second after its end.

Ruled out: numbers of sends, which refuse an earlier send that arrives after a later one, but not a later one that arrives after the run was forgotten; remembering runs for longer, which says nothing of the time left.

Change: a gateway tells with each answer when it read the request; its peers know from that how far its clock is ahead, and say in its time when they sent. A gateway takes the way from the time left, and begins nothing whose sender waits no more, promising nothing about it.

--- a/carawaystair/clock.py
+++ b/carawaystair/clock.py
@@ -14,6 +14,18 @@
     return asyncio.get_running_loop().time()
 
 
+def uptime_ms() -> int:
+    """Return the time since the start of the host, in whole milliseconds.
+
+    It goes on while the host is suspended, which :func:`now` does not.  A
+    loop may bring its own clock in an attribute ``uptime_ms``.
+    """
+    own = getattr(asyncio.get_running_loop(), 'uptime_ms', None)
+    if own is not None:
+        return own()
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
+
 def wall_ms() -> int:
     """Return the wall clock, in whole milliseconds since 1970.
 
--- a/carawaystair/gateway/detours.py
+++ b/carawaystair/gateway/detours.py
@@ -46,7 +46,7 @@
         hop.upstream, hop.service, hop.detour, '', '', 0
     )
     target = targets.Target(upstream, now)
-    attempt = sends.ToGateway(call, target, hops.line(onward), True)
+    attempt = sends.ToGateway(call, target, onward, True)
     try:
         await attempt.connect()
         attempt.send()
--- a/carawaystair/gateway/door.py
+++ b/carawaystair/gateway/door.py
@@ -12,6 +12,7 @@
 from carawaystair import clock
 from carawaystair import codes
 from carawaystair import decisions
+from carawaystair.gateway import ages
 from carawaystair.gateway import detours
 from carawaystair.gateway import figures as figures_module
 from carawaystair.gateway import hops
@@ -19,6 +20,7 @@
 from carawaystair.gateway import slots as slots_module
 from carawaystair.gateway import streaming
 from carawaystair.gateway import work as works
+from carawaystair.load import placing
 from carawaystair import logs
 from carawaystair.request import answer as answers
 from carawaystair.request import body as bodies
@@ -85,6 +87,12 @@
         if hop.detour:
             signs.stop()
             return await detours.pass_on(hop, request)
+        fresh = ages.aged(hop, clock.uptime_ms())
+        if fresh is None:
+            signs.stop()
+            self._refuse(hop, request, slots_module.Refused(hops.GIVEN_UP))
+            return _whole(request)
+        hop = fresh
         try:
             answer = await self._run(hop, request)
         except slots_module.Refused as refused:
@@ -102,7 +110,7 @@
             return self._defect(hop, request, error)
         signs.stop()
         exchange = exchanges.Exchange(request, hop.id)
-        extra = hops.report_line(self.work.report(hop.upstream, hop.route))
+        extra = hops.report_line(self._report(hop, request))
         if answer.rest is None:
             exchange.whole(answer, codes.OK, extra)
             await exchange.drained()
@@ -170,10 +178,18 @@
         detail: str,
     ) -> bool:
         """Answer with a failure, which promises nothing."""
-        report = self.work.report(hop.upstream, hop.route)
+        report = self._report(hop, request)
         hops.write(request, hops.failure(code.label, detail, report))
         return _whole(request)
 
+    def _report(
+        self, hop: hops.Hop, request: incoming.Request
+    ) -> placing.Report:
+        """Return what the sender of a request should know."""
+        held_ms = int((clock.now() - request.arrived) * MS)
+        report = self.work.report(hop.upstream, hop.route)
+        return report._replace(read_ms=clock.uptime_ms() - held_ms)
+
     # Refusals
 
     def _refuse(
@@ -182,7 +198,7 @@
         request: incoming.Request,
         refused: slots_module.Refused,
     ) -> None:
-        report = self.work.report(hop.upstream, hop.route)
+        report = self._report(hop, request)
         self.figures.refused(hop.service, refused.reason)
         self.recorder.tell(
             decisions.Declining(
--- a/carawaystair/gateway/handover.py
+++ b/carawaystair/gateway/handover.py
@@ -12,6 +12,7 @@
 
 from carawaystair import clock
 from carawaystair import codes
+from carawaystair.gateway import ages
 from carawaystair.gateway import hops
 from carawaystair.gateway import known as knowns
 from carawaystair.gateway import paths as paths_module
@@ -57,6 +58,7 @@
         self.known = known
         self.board = known.board
         self.process = process
+        self.clocks = ages.Clocks()
         self.resumed = 0
 
     async def exchange(
@@ -132,17 +134,19 @@
         detour: bool,
     ) -> answers.Answer:
         """Send once, directly or through a third node."""
+        hop = hop._replace(patience_ms=int(SIGN_S * MS))
         helper = self.paths.helper(target) if detour else None
         if helper is not None and trip.call.body is not None:
             hop = hop._replace(detour=target.upstream.address)
-            line = hops.line(hop)
-            attempt = sends.ToGateway(trip.call, helper, line, helper=True)
+            attempt = sends.ToGateway(
+                trip.call, helper, hop, helper=True, clocks=self.clocks
+            )
         else:
-            fresh = hop.again
-            line = hops.line(hop)
-            attempt = sends.ToGateway(trip.call, target, line, fresh)
+            attempt = sends.ToGateway(
+                trip.call, target, hop, hop.again, clocks=self.clocks
+            )
         answer = await self._answer(trip, attempt)
-        return self._understood(target, answer, hop.route)
+        return self._understood(target, answer, attempt)
 
     async def _answer(
         self, trip: trips.Trip, attempt: sends.ToGateway
@@ -185,14 +189,22 @@
         return answer
 
     def _understood(
-        self, target: targets.Target, answer: answers.Answer, route: str
+        self,
+        target: targets.Target,
+        answer: answers.Answer,
+        attempt: sends.ToGateway,
     ) -> answers.Answer:
         """Return an upstream's answer; raises what a gateway says."""
         value = hops.says(answer, hops.REPORT)
         report = hops.read_report(value.encode()) if value else None
         if report is not None and report.process:
             now = clock.now()
+            route = attempt.hop.route
             self.board.heard(target.upstream.id, report, now, route)
+            if report.read_ms:
+                self.clocks.heard(
+                    report.process, attempt.asked_ms, report.read_ms
+                )
         refusal = hops.says(answer, hops.REFUSAL)
         if refusal:
             raise trips.Declined(refusal, report)
--- a/carawaystair/gateway/hops.py
+++ b/carawaystair/gateway/hops.py
@@ -38,11 +38,12 @@
 STALE = 'stale'  # a later send of the same request was seen before
 RESTARTED = 'restarted'  # another process had the request; it may have run
 MALFORMED = 'malformed'  # the hop could not be read
+GIVEN_UP = 'given up'  # its sender waits for it no more
 
 # Refusals after which the upstream has seen the request, without running it.
 ARRIVED = frozenset((SHED, MOVED))
-# A refusal that is none: the earlier process may have run the request.
-UNSURE = frozenset((RESTARTED, STALE))
+# A refusal that is none: an earlier send may have been run.
+UNSURE = frozenset((RESTARTED, STALE, GIVEN_UP))
 
 INTERIM = b'HTTP/1.1 102 Processing\r\n\r\n'
 
@@ -78,6 +79,9 @@
     :param calm: whether the sender sees its service served well.
     :param usual_ms: service time of its route, as the sender knows it, ms; 0
         where it does not.
+    :param sent_ms: when it was sent, in the gateway's time, see ``ages``; 0
+        where the sender does not know that.
+    :param patience_ms: for how long its sender waits for a sign, ms.
     """
 
     id: str
@@ -102,6 +106,8 @@
     least: int = 0
     calm: bool = False
     usual_ms: int = 0
+    sent_ms: int = 0
+    patience_ms: int = 0
 
     @property
     def key(self) -> str:
--- a/carawaystair/gateway/sends.py
+++ b/carawaystair/gateway/sends.py
@@ -10,6 +10,8 @@
 
 from carawaystair import clock
 from carawaystair import codes
+from carawaystair.gateway import ages
+from carawaystair.gateway import hops
 from carawaystair import interfaces
 from carawaystair.request import answer as answers
 from carawaystair.request import attempt as attempts
@@ -143,23 +145,29 @@
 
     :param call: the request.
     :param target: the upstream, whose address is that of its gateway.
-    :param hop: the header line that carries the hop.
+    :param hop: what the gateway is told.
     :param helper: whether that gateway only passes it on to another one.
+    :param clocks: of gateways; None when the hop is another node's, and says
+        already when it was sent.
     """
 
-    __slots__ = ('accepted', 'helper', 'hop', 'signs')
+    __slots__ = ('accepted', 'asked_ms', 'clocks', 'helper', 'hop', 'signs')
 
     def __init__(
         self,
         call: calls.Call,
         target: targets.Target,
-        hop: bytes,
+        hop: hops.Hop,
         fresh: bool = False,
         helper: bool = False,
+        clocks: ages.Clocks | None = None,
     ) -> None:
         super().__init__(call, target, fresh=fresh)
         self.hop = hop
         self.helper = helper
+        self.clocks = clocks
+        # When it was sent, in this node's time.
+        self.asked_ms = 0
         # Whether the gateway has said that it has the request.
         self.accepted = False
         self.signs = 0
@@ -172,9 +180,12 @@
             incoming.notice_silence(transport, SILENCE_S)
 
     def marks(self, left_ms: int) -> bytes:
-        """Return the hop."""
-        del left_ms
-        return self.hop
+        """Return the hop as it is in this moment."""
+        if self.clocks is None:
+            return hops.line(self.hop)
+        self.asked_ms = clock.uptime_ms()
+        sent_ms = self.clocks.there(self.hop.process, self.asked_ms)
+        return hops.line(self.hop._replace(left_ms=left_ms, sent_ms=sent_ms))
 
     def leaving(self) -> bool:
         """Tell whether the upstream takes no new work any more.
--- a/carawaystair/load/placing.py
+++ b/carawaystair/load/placing.py
@@ -57,6 +57,8 @@
         negative where that is not said.
     :param usual: how likely that is where nothing is known of an upstream,
         in thousandths.
+    :param read_ms: when the gateway read the request, ms since the start of
+        its host; 0 where it is not said.
     """
 
     process: str
@@ -71,6 +73,7 @@
     incarnation: int = 0
     failing: int = -1
     usual: int = int(1000 * estimating.UNKNOWN)
+    read_ms: int = 0
 
 
 class Candidate(typing.NamedTuple):
--- a/test/fakes.py
+++ b/test/fakes.py
@@ -25,6 +25,7 @@
 from carawaystair import wire
 
 WALL_START_MS = 1_700_000_000_000
+UPTIME_START_S = 1000.0
 
 
 class _Selector(selectors.SelectSelector):
@@ -53,6 +54,9 @@
     def time(self) -> float:
         return self.virtual.time
 
+    def uptime_ms(self) -> int:
+        return int((UPTIME_START_S + self.virtual.time) * 1000)
+
     def wall_ms(self) -> int:
         return WALL_START_MS + int(self.virtual.time * 1000)
 
--- a/test/pipes.py
+++ b/test/pipes.py
@@ -35,6 +35,8 @@
         self.full = False
         # Whether what is written here is lost for good.
         self.silent = False
+        # How long what is written here is on its way, a reset too.
+        self.delay_s = DELAY_S
         self.written = 0
 
     # What protocols call
@@ -70,7 +72,9 @@
         self.closing = True
         peer = self.peer
         if not self.silent:
-            self.loop.call_later(DELAY_S, peer._lose, ConnectionResetError())
+            self.loop.call_later(
+                self.delay_s, peer._lose, ConnectionResetError()
+            )
         self.loop.call_soon(self._lose, None)
 
     def is_closing(self) -> bool:
@@ -108,7 +112,7 @@
     def _pump_soon(self) -> None:
         if not self.pumping:
             self.pumping = True
-            self.loop.call_later(DELAY_S, self._pump)
+            self.loop.call_later(self.delay_s, self._pump)
 
     def _pump(self) -> None:
         self.pumping = False
@@ -207,6 +211,16 @@
             pipe.silent = pipe.peer.silent = True
         return len(hit)
 
+    def slow(self, port: int, delay_s: float) -> int:
+        """Let what is sent to a port on open connections take long.
+
+        :return: how many connections that were.
+        """
+        hit = self._open(port)
+        for pipe in hit:
+            pipe.delay_s = delay_s
+        return len(hit)
+
     def reset(self, port: int) -> int:
         """Reset what is open to a port, as both ends see it.
 
--- /dev/null
+++ b/test/test_gateway_ages.py
@@ -0,0 +1,175 @@
+"""Requests between two nodes that are held up on their way."""
+
+import asyncio
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from carawaystair.gateway import ages
+from carawaystair.gateway import hops
+from test import gateway_setup as fleets
+from test import pipes
+
+DEADLINE_MS = 4000
+
+
+async def warm(fleet) -> None:
+    """Let the first node hear of all upstreams."""
+    for _ in range(12):
+        await fleet.ask('/read/warm')
+        await asyncio.sleep(0.7)
+
+
+def seen_late(method: str, path: str, delay_s: float):
+    """Ask while the ways to one of two gateways are slow.
+
+    :return: the answer's status, and when each run of the request began,
+        seconds after it was sent, with the deadline that it was given, ms.
+    """
+    began = []
+
+    async def script(upstream, seen, writer):
+        if path in seen.line:
+            now = asyncio.get_running_loop().time()
+            left_ms = int(seen.headers['caraway-deadline-ms'])
+            began.append((now, left_ms))
+        await asyncio.sleep(0.05)
+        writer.write(fleets.good(upstream.name.encode()))
+
+    async def scenario():
+        async with fleets.running(None, script, script) as fleet:
+            await warm(fleet)
+            loop = asyncio.get_running_loop()
+            assert loop.slow(7001, delay_s)
+            found = []
+            for number in range(6):
+                sent = loop.time()
+                begun = len(began)
+                answer = await fleet.ask(
+                    path,
+                    method,
+                    body=b'x' if method == 'POST' else b'',
+                    Caraway_Deadline_Ms=str(DEADLINE_MS),
+                )
+                await asyncio.sleep(3 * delay_s)
+                runs = [(at - sent, left) for at, left in began[begun:]]
+                found.append((answer.status, runs))
+            return found
+
+    return pipes.run(scenario())
+
+
+def test_request_that_its_sender_gave_up_is_not_begun():
+    """A call was answered at 40.680 s, and at 41.591 s a gateway that had
+    failed it at 40.351 s ran it once more, for nobody. Its sender had heard
+    nothing and asked again on another connection; on a link of 3.4 Mbit/s
+    the question stood behind other bytes. When it arrived, the answer had
+    long been there, and the gateway had forgotten the run.
+    """
+
+    async def scenario():
+        async with fleets.running(None, fleets.serve) as fleet:
+            process = str(fleet.nodes[1].membership.incarnation)
+            loop = asyncio.get_running_loop()
+            first = HOP._replace(
+                upstream='u9001', process=process, sent_ms=loop.uptime_ms()
+            )
+            await hand_over(first)
+            await asyncio.sleep(1.2)
+            held_up = first._replace(number=2, again=True)
+            said = await hand_over(held_up)
+            return said, [seen.line for seen in fleet.runs]
+
+    said, runs = pipes.run(scenario())
+    assert runs == ['GET /read/x HTTP/1.1']
+    # It may have run: nothing is promised.
+    assert said.startswith(b'HTTP/1.1 502')
+
+
+async def hand_over(hop: hops.Hop) -> bytes:
+    """Hand a request over on a connection of its own; return the answer."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', 7001)
+    head = b'GET /read/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n'
+    writer.write(head + hops.line(hop) + b'\r\n')
+    return await reader.read()
+
+
+def test_late_requests_are_answered_once_and_soon():
+    for status, runs in seen_late('GET', '/read/late', 2.0):
+        assert status == 200
+        assert len(runs) == 1
+        assert runs[0][0] < 0.5
+
+
+def test_request_that_runs_once_is_not_begun_late_either():
+    for _status, runs in seen_late('POST', '/pay/late', 2.0):
+        assert len(runs) <= 1
+        assert all(at < 0.5 for at, _left in runs)
+
+
+def test_upstream_gets_the_time_that_is_left_when_a_request_arrives():
+    """Upstreams were handed more time than their callers had left, one 1,546
+    ms in place of 94: what was told at the sender's did not age on the way.
+    """
+    for status, runs in seen_late('GET', '/read/slow', 0.1):
+        assert status == 200
+        for at, left_ms in runs:
+            assert left_ms <= DEADLINE_MS - 1000 * at + 5
+
+
+HOP = hops.Hop(
+    'a', 'h', 'u', 's', 'c', 'r', 900, 500, 0, True, False, False, False,
+    False, 1, 'p', sent_ms=10_000, patience_ms=150,
+)  # fmt: skip
+
+
+def test_time_left_ages():
+    assert ages.aged(HOP, 10_000) == HOP
+    late = ages.aged(HOP, 10_100)
+    assert (late.left_ms, late.goal_ms) == (800, 400)
+    # A clock that is a little behind makes nothing younger.
+    assert ages.aged(HOP, 9_990) == HOP
+    assert ages.aged(HOP, 10_151) is None
+    assert ages.aged(HOP._replace(left_ms=80), 10_100) is None
+    # Of an older version, which does not say when it was sent.
+    assert ages.aged(HOP._replace(sent_ms=0), 99_999).left_ms == 900
+
+
+@hypothesis.given(
+    strategies.integers(-(10**9), 10**9),
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 300),
+            strategies.integers(0, 2000),
+            strategies.integers(0, 300),
+        ),
+        min_size=1,
+        max_size=50,
+    ),
+    strategies.integers(0, 5000),
+)
+def test_no_request_is_taken_for_older_than_it_is(ahead, past, way_ms):
+    """Whatever the clocks say, and however long answers took."""
+    clocks = ages.Clocks()
+    now = 10**9
+    for there_ms, work_ms, _back_ms in past:
+        told = now + there_ms + work_ms + ahead
+        clocks.heard('p', now, told)
+        now += 1000
+    sent_ms = clocks.there('p', now)
+    arrived = now + way_ms + ahead
+    assert arrived - sent_ms <= way_ms
+    # And hardly for younger, once one short way was seen.
+    clocks.heard('p', now, now + ahead)
+    sent_ms = clocks.there('p', now)
+    assert way_ms <= arrived - sent_ms or sent_ms > now + ahead
+
+
+def test_clocks_of_many_processes_take_bounded_memory():
+    clocks = ages.Clocks()
+    rng = random.Random(1)
+    for number in range(2 * ages.MOST):
+        clocks.heard('p%d' % number, 0, rng.randrange(1000))
+    assert len(clocks.ahead) == ages.MOST
+    assert clocks.there('unknown', 5) == 0
