Uploads go out when a gateway has a slot for them; clocks are each host's own

Cause, uploads: a body went out with its head to each gateway that was asked, and one of over 64 KiB could be offered to a single one. A process is named by the moment of its start, and those of a fleet start in the same milliseconds, so that one host's clock was held against another's.

Ruled out: Expect of HTTP, which callers may use themselves; waiting without a slot, which ties a slot up for a slow caller: a body that is not held begins to arrive before its upstream is asked.

Change: of bodies over 8 KiB the head goes first; the gateway asks for the body when it has a slot, on the same connection. So long as it has not, the request can go elsewhere, whatever its length. The same data centre counts for more the more bytes a request and its answers are. Clocks are kept by host and process.

--- a/bench/gateway_model.py
+++ b/bench/gateway_model.py
@@ -280,6 +280,7 @@
                 now,
                 trip.need(now),
                 request.kind.name,
+                0.0,
                 first and not trip.last,
                 first and self.spreadings[node].everywhere,
             )
--- a/carawaystair/gateway/ages.py
+++ b/carawaystair/gateway/ages.py
@@ -24,35 +24,46 @@
 MOST = 4096
 
 
-class Clocks:
-    """How far the clocks of gateways are ahead of this node's.
+class Clock:
+    """How far the clock of one gateway is ahead of this node's.
 
     Times count from the starts of the hosts, in ms, and go on while a host is
     suspended.
     """
 
     def __init__(self) -> None:
-        self.ahead: dict[str, collections.deque[int]] = {}
+        self.ahead: collections.deque[int] = collections.deque(maxlen=SAMPLES)
 
-    def heard(self, process: str, sent_ms: int, read_ms: int) -> None:
-        """Take note of when a gateway read a request.
+    def heard(self, sent_ms: int, read_ms: int) -> None:
+        """Take note of when the gateway read a request.
 
-        :param process: names the start of its process.
         :param sent_ms: when the request was sent, in this node's time.
         :param read_ms: when it was read, in the gateway's time.
         """
-        found = self.ahead.pop(process, None)
-        if found is None:
-            found = collections.deque(maxlen=SAMPLES)
-        found.append(read_ms - sent_ms)
-        self.ahead[process] = found
-        if len(self.ahead) > MOST:
-            del self.ahead[next(iter(self.ahead))]
-
-    def there(self, process: str, here_ms: int) -> int:
-        """Return a moment of this node in a gateway's time, 0 if unknown."""
-        found = self.ahead.get(process)
-        return here_ms + min(found) if found else 0
+        self.ahead.append(read_ms - sent_ms)
+
+    def there(self, here_ms: int) -> int:
+        """Return a moment of this node in the gateway's time, 0 if unknown."""
+        return here_ms + min(self.ahead) if self.ahead else 0
+
+
+class Clocks:
+    """The clocks of all gateways that a node sends to."""
+
+    def __init__(self) -> None:
+        self.clocks: dict[tuple[str, str], Clock] = {}
+
+    def of(self, host: str, process: str) -> Clock:
+        """Return the clock of a gateway.
+
+        :param host: its host: processes of several hosts may have one name.
+        :param process: names the start of its process.
+        """
+        found = self.clocks.pop((host, process), None) or Clock()
+        self.clocks[host, process] = found
+        if len(self.clocks) > MOST:
+            del self.clocks[next(iter(self.clocks))]
+        return found
 
 
 def aged(hop: hops.Hop, now_ms: int) -> hops.Hop | None:
--- a/carawaystair/gateway/door.py
+++ b/carawaystair/gateway/door.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import functools
 
 from carawaystair import clock
 from carawaystair import codes
@@ -127,37 +128,51 @@
         self, hop: hops.Hop, request: incoming.Request
     ) -> answers.Answer:
         """Run a request, or wait for its run."""
-        body, source = await self._body(hop, request)
-        if source is not None:
-            # Its sender can't send it again, and won't ask for it.
-            return runs_module.claimed(
-                await self.work.run(hop, request, body, source)
-            )
+        take = functools.partial(self._take, hop, request)
+        if not hop.asks:
+            # A slow body holds no slot.
+            body = await take()
+            take = functools.partial(_ready, body)
+            if body.source is not None:
+                # Its sender can't send it again, and won't ask for it.
+                return runs_module.claimed(
+                    await self.work.run(hop, request, take)
+                )
         # A process that was stopped for a while finds the request and its
         # sender's leaving at the same moment; the latter is seen one turn of
         # the loop later, and must come first.
         await asyncio.sleep(0)
         return await self.runs.once(
             hop,
-            lambda: self.work.run(hop, request, body, source),
+            lambda: self.work.run(hop, request, take),
             lambda: request.connection.broken,
         )
 
-    async def _body(
+    async def _take(
         self, hop: hops.Hop, request: incoming.Request
-    ) -> tuple[bytes | None, bodies.Source | None]:
+    ) -> works.Body:
         """Return the body, or where it is read from when it is long."""
         length = bodies.declared(request)
         if length == 0:
-            return b'', None
+            return works.Body(b'')
+        if hop.asks:
+            hops.write(request, hops.CONTINUE)
         content = request.content
-        if length is not None and length > bodies.HOLD_BYTES:
-            return None, bodies.Source(content, length, b'', NO_LIMIT)
         until = clock.now() + hop.left_ms / MS
+        if length is not None and length > bodies.HOLD_BYTES:
+            data = b''
+            if hop.asks:
+                # Until some of it is here, its sender may think that it was
+                # not asked for, and send it elsewhere.
+                begun = await bodies.read(content, 0, NO_LIMIT, until)
+                data = begun.data
+            source = bodies.Source(content, length, data, NO_LIMIT)
+            return works.Body(None, source)
         begun = await bodies.begin(content, NO_LIMIT, until)
         if begun.whole:
-            return begun.data, None
-        return None, bodies.Source(content, None, begun.data, NO_LIMIT)
+            return works.Body(begun.data)
+        source = bodies.Source(content, None, begun.data, NO_LIMIT)
+        return works.Body(None, source)
 
     def _defect(
         self, hop: hops.Hop, request: incoming.Request, error: Exception
@@ -245,6 +260,11 @@
         self.timer.cancel()
 
 
+async def _ready(body: works.Body) -> works.Body:
+    """Return a body that is here already."""
+    return body
+
+
 def _whole(request: incoming.Request) -> bool:
     """Tell whether another request may follow on a connection."""
     return request.keep_alive and request.content.is_eof()
--- a/carawaystair/gateway/handover.py
+++ b/carawaystair/gateway/handover.py
@@ -28,6 +28,10 @@
 SIGN_S = 0.15
 # And one that has, when it is silent for three times its usual interval.
 SILENCE_S = 0.9
+# A body of more bytes goes out only when the gateway has a slot for it.  Sent
+# with its head it would cross the network once for each gateway that refuses,
+# and hold up what stands behind it.
+ASK_BYTES = 8 * 1024
 # Pause between two questions for a request whose connection was lost.
 RESUME_PAUSE_S = 0.1
 # A request that may run elsewhere is not asked for any longer than this.
@@ -134,18 +138,23 @@
         detour: bool,
     ) -> answers.Answer:
         """Send once, directly or through a third node."""
-        hop = hop._replace(patience_ms=int(SIGN_S * MS))
+        asks = trip.size > ASK_BYTES and self.board.knows(target.upstream.id)
+        hop = hop._replace(patience_ms=int(SIGN_S * MS), asks=asks)
+        its_clock = self.clocks.of(target.upstream.host, hop.process)
         helper = self.paths.helper(target) if detour else None
         if helper is not None and trip.call.body is not None:
-            hop = hop._replace(detour=target.upstream.address)
+            hop = hop._replace(detour=target.upstream.address, asks=False)
             attempt = sends.ToGateway(
-                trip.call, helper, hop, helper=True, clocks=self.clocks
+                trip.call, helper, hop, helper=True, gateway_clock=its_clock
             )
         else:
             attempt = sends.ToGateway(
-                trip.call, target, hop, hop.again, clocks=self.clocks
+                trip.call, target, hop, hop.again, gateway_clock=its_clock
             )
-        answer = await self._answer(trip, attempt)
+        try:
+            answer = await self._answer(trip, attempt)
+        finally:
+            trip.begun = trip.begun or attempt.may_run
         return self._understood(target, answer, attempt)
 
     async def _answer(
@@ -169,7 +178,7 @@
                 self.paths.lost(attempt.target)
             outcome = interfaces.TIMEOUT if late else interfaces.SILENT
             code = codes.ANSWER_LATE if late else codes.ANSWER_LOST
-            raise answers.Failed(outcome, code, attempt.sent) from None
+            raise answers.Failed(outcome, code, attempt.may_run) from None
         except answers.Failed as failed:
             attempt.take_back()
             if failed.outcome == interfaces.REFUSED:
@@ -178,7 +187,10 @@
         except sends.BROKEN as error:
             attempt.take_back()
             raise answers.Failed(
-                interfaces.BROKEN, codes.ANSWER_LOST, attempt.sent, str(error)
+                interfaces.BROKEN,
+                codes.ANSWER_LOST,
+                attempt.may_run,
+                str(error),
             ) from None
         except BaseException:
             # The caller has gone, as a rule.
@@ -202,9 +214,10 @@
             route = attempt.hop.route
             self.board.heard(target.upstream.id, report, now, route)
             if report.read_ms:
-                self.clocks.heard(
-                    report.process, attempt.asked_ms, report.read_ms
+                its_clock = self.clocks.of(
+                    target.upstream.host, report.process
                 )
+                its_clock.heard(attempt.asked_ms, report.read_ms)
         refusal = hops.says(answer, hops.REFUSAL)
         if refusal:
             raise trips.Declined(refusal, report)
--- a/carawaystair/gateway/hops.py
+++ b/carawaystair/gateway/hops.py
@@ -46,6 +46,8 @@
 UNSURE = frozenset((RESTARTED, STALE, GIVEN_UP))
 
 INTERIM = b'HTTP/1.1 102 Processing\r\n\r\n'
+# Lets the body come that was not sent with its head.
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
 class Hop(typing.NamedTuple):
@@ -82,6 +84,8 @@
     :param sent_ms: when it was sent, in the gateway's time, see ``ages``; 0
         where the sender does not know that.
     :param patience_ms: for how long its sender waits for a sign, ms.
+    :param asks: whether its body comes only when the gateway has a slot for
+        it and says so.
     """
 
     id: str
@@ -108,6 +112,7 @@
     usual_ms: int = 0
     sent_ms: int = 0
     patience_ms: int = 0
+    asks: bool = False
 
     @property
     def key(self) -> str:
--- a/carawaystair/gateway/known.py
+++ b/carawaystair/gateway/known.py
@@ -118,6 +118,7 @@
         now: float,
         need: valuing.Need,
         route: str,
+        size: float,
         first: bool,
     ) -> Choice | None:
         """Return the upstream to offer a request to.
@@ -126,6 +127,7 @@
         :param refused: those of them at which it might wait.
         :param need: what the request needs.
         :param route: key of its route.
+        :param size: bytes of its body.
         :param first: whether no upstream was asked so far.
         :return: None when there is none that was not tried, or none worth
             more than one that refused.
@@ -143,7 +145,15 @@
         spread = first and self.spreadings[service].everywhere
         trial = first and not need.last
         chosen = self.board.choose(
-            candidates, tried, refused, now, need, route, trial, spread
+            candidates,
+            tried,
+            refused,
+            now,
+            need,
+            route,
+            size,
+            trial,
+            spread,
         )
         if chosen is None:
             return None
--- a/carawaystair/gateway/relay.py
+++ b/carawaystair/gateway/relay.py
@@ -89,14 +89,14 @@
                 break
             target = choice.target
             trip.tried.add(target.upstream.id)
-            # A body that is not held here can't be offered twice.
-            stays = trip.call.body is None
+            # A body that is not held here can't be offered twice, unless the
+            # gateway asks for it first.
+            known = self.board.knows(target.upstream.id)
+            stays = trip.call.body is None and not known
             least = None if stays else choice.least
             answer = await self._try(trip, target, choice.count, least)
             if answer is not None:
                 return answer
-            if stays:
-                break
         return await self._stay(trip)
 
     def _choose(self, trip: trips.Trip) -> knowns.Choice | None:
@@ -108,6 +108,7 @@
             now,
             trip.needs(now),
             trip.call.match.key,
+            trip.size,
             not trip.offers,
         )
 
@@ -121,6 +122,8 @@
 
     def _may_send(self, trip: trips.Trip) -> bool:
         """Tell whether one more upstream may get a request."""
+        if trip.spent:
+            return False
         runs = trip.need.most_runs
         return trip.runs < runs and trip.sent < max(MOST_SENT, runs)
 
@@ -150,8 +153,6 @@
         Gateways that were not reached come last: they are asked through a
         third node.
         """
-        if trip.call.body is None:
-            return self._end(trip)
         stayed: set[str] = set()
         for _stay in range(MOST_STAYS):
             target = self._best(trip, stayed)
@@ -252,6 +253,8 @@
         finally:
             view.mine -= 1
         bad = answer.status >= 500
+        key = trip.call.match.key
+        self.board.sizes.add(key, answers.size(answer))
         self.known.learn(trip.need.service, not bad)
         self.recorder.tell(
             offer, decisions.TROUBLE if bad else decisions.ROUTINE
--- a/carawaystair/gateway/sends.py
+++ b/carawaystair/gateway/sends.py
@@ -27,6 +27,7 @@
 # sender that has gone without its close arriving shows within 1.3 s; the
 # system's own patience is minutes.
 SILENCE_S = 1.0
+CONTINUE = 100
 # What breaks a connection.
 BROKEN = (
     aiohttp.ClientError,
@@ -147,11 +148,19 @@
     :param target: the upstream, whose address is that of its gateway.
     :param hop: what the gateway is told.
     :param helper: whether that gateway only passes it on to another one.
-    :param clocks: of gateways; None when the hop is another node's, and says
-        already when it was sent.
+    :param gateway_clock: that of the gateway; None when the hop is another
+        node's, and says already when it was sent.
     """
 
-    __slots__ = ('accepted', 'asked_ms', 'clocks', 'helper', 'hop', 'signs')
+    __slots__ = (
+        'accepted',
+        'asked_ms',
+        'gateway_clock',
+        'helper',
+        'hop',
+        'proceeds',
+        'signs',
+    )
 
     def __init__(
         self,
@@ -160,16 +169,18 @@
         hop: hops.Hop,
         fresh: bool = False,
         helper: bool = False,
-        clocks: ages.Clocks | None = None,
+        gateway_clock: ages.Clock | None = None,
     ) -> None:
         super().__init__(call, target, fresh=fresh)
         self.hop = hop
         self.helper = helper
-        self.clocks = clocks
+        self.gateway_clock = gateway_clock
         # When it was sent, in this node's time.
         self.asked_ms = 0
-        # Whether the gateway has said that it has the request.
+        # Whether the gateway has said that it has the request, and whether
+        # its body may go out.
         self.accepted = False
+        self.proceeds = not hop.asks
         self.signs = 0
 
     async def connect(self) -> None:
@@ -181,12 +192,45 @@
 
     def marks(self, left_ms: int) -> bytes:
         """Return the hop as it is in this moment."""
-        if self.clocks is None:
+        if self.gateway_clock is None:
             return hops.line(self.hop)
         self.asked_ms = clock.uptime_ms()
-        sent_ms = self.clocks.there(self.hop.process, self.asked_ms)
+        sent_ms = self.gateway_clock.there(self.asked_ms)
         return hops.line(self.hop._replace(left_ms=left_ms, sent_ms=sent_ms))
 
+    def write(self, head: bytes) -> None:
+        """Write the request, but for a body that waits to be asked for."""
+        if self.proceeds:
+            super().write(head)
+            return
+        call = self.call
+        length = call.length if call.body is None else len(call.body)
+        self.connection.proto.transport.write(head + bodies.framing(length))
+
+    def proceed(self) -> None:
+        """Send the body: the gateway asks for it."""
+        self.proceeds = True
+        if self.call.body is None:
+            self.pump = bodies.Pump(self.source(), self.connection.proto)
+            self.pump.start()
+        else:
+            self.connection.proto.transport.write(self.call.body)
+
+    @property
+    def may_run(self) -> bool:
+        """Tell whether the upstream may have got the request.
+
+        It gets none whose body has not begun to come.
+        """
+        return self.sent and self.proceeds
+
+    def settle(self, now: float) -> None:
+        """Let the connection go on, if all that its head says was sent."""
+        if self.proceeds:
+            super().settle(now)
+        else:
+            self.connection.proto.abort()
+
     def leaving(self) -> bool:
         """Tell whether the upstream takes no new work any more.
 
@@ -203,6 +247,8 @@
         message, payload = await proto.head(until)
         if message.code < 200:
             self.interim(message)
+            if message.code == CONTINUE and not self.proceeds:
+                self.proceed()
             self.accepted = True
             self.signs += 1
             return False
--- a/carawaystair/gateway/trips.py
+++ b/carawaystair/gateway/trips.py
@@ -1,5 +1,6 @@
 """One request on its way from a caller's node to an upstream."""
 
+import math
 import secrets
 import typing
 
@@ -61,6 +62,7 @@
     """
 
     __slots__ = (
+        'begun',
         'call',
         'declined',
         'fallback',
@@ -91,12 +93,27 @@
         # Gateways that were asked, and all sends to them.
         self.offers = 0
         self.sends = 0
+        # Whether a part of its body went out.
+        self.begun = False
         # Upstreams that may have run it, and sends that reached one.
         self.runs = 0
         self.sent = 0
         self.failed: answers.Failed | None = None
         self.fallback: answers.Answer | None = None
 
+    @property
+    def size(self) -> float:
+        """Return the bytes of its body; infinite when it comes in chunks."""
+        call = self.call
+        if call.body is not None:
+            return len(call.body)
+        return math.inf if call.length is None else call.length
+
+    @property
+    def spent(self) -> bool:
+        """Tell whether its body is gone: it can't be sent once more."""
+        return self.begun and self.call.body is None
+
     @property
     def last(self) -> bool:
         """Tell whether it can't be sent once more if it fails.
--- a/carawaystair/gateway/work.py
+++ b/carawaystair/gateway/work.py
@@ -1,6 +1,7 @@
 """Runs requests at the upstreams of this host, and learns from each run."""
 
 import math
+import typing
 
 from carawaystair import clock
 from carawaystair import codes
@@ -21,6 +22,8 @@
 from carawaystair.membership import registry as registries
 from carawaystair.request import answer as answers
 from carawaystair.request import body as bodies
+from carawaystair.request import call as calls
+from carawaystair.request import caller
 from carawaystair.request import connections
 from carawaystair.request import headers
 from carawaystair.request import incoming
@@ -38,6 +41,17 @@
 LOG = logs.get('gateway')
 
 
+class Body(typing.NamedTuple):
+    """The body of a request that was handed over.
+
+    :param data: its bytes, None while they are not held here.
+    :param source: where they are read from then.
+    """
+
+    data: bytes | None
+    source: bodies.Source | None = None
+
+
 class Work:
     """The upstreams of this host; one for each process.
 
@@ -164,15 +178,17 @@
         self,
         hop: hops.Hop,
         request: incoming.Request,
-        body: bytes | None,
-        source: bodies.Source | None,
+        take: typing.Callable[[], typing.Awaitable[Body]],
     ) -> answers.Answer:
-        """Give a request a slot and send it to its upstream."""
+        """Give a request a slot and send it to its upstream.
+
+        :param take: returns its body, once it has a slot.
+        """
         life = self._life(hop)
         slots = life.slots
         now = clock.now()
         left_s = hop.left_ms / MS if hop.left_ms >= 0 else -math.inf
-        call = hops.call(hop, request, body, now + left_s)
+        call = hops.call(hop, request, None, now + left_s)
         goal = now + hop.goal_ms / MS if hop.goal_ms >= 0 else now
         want = waiting.Want(
             hop.key, hop.route, call.deadline, goal, hop.priority, hop.inner
@@ -184,6 +200,7 @@
             # The life that it was given a slot of has ended meanwhile.
             slots.free(hop.key)
             raise slots_module.Refused(hops.LEAVING)
+        call, source = await self._with_body(hop, slots, call, take)
         line = slots.line
         self.recorder.tell(
             decisions.Began(
@@ -219,6 +236,29 @@
             if not passing:
                 release()
 
+    async def _with_body(
+        self,
+        hop: hops.Hop,
+        slots: slots_module.Slots,
+        call: calls.Call,
+        take: typing.Callable[[], typing.Awaitable[Body]],
+    ) -> tuple[calls.Call, bodies.Source | None]:
+        """Return a request with its body; its slot is freed if none comes.
+
+        :raises slots.Refused: when the body breaks off: it was not run.
+        """
+        try:
+            body = await take()
+        except caller.Refused as refused:
+            slots.free(hop.key)
+            raise slots_module.Refused(
+                hops.UNREACHABLE, refused.detail
+            ) from None
+        except BaseException:
+            slots.free(hop.key)
+            raise
+        return call._replace(body=body.data), body.source
+
     def _is_trial(
         self,
         hop: hops.Hop,
--- /dev/null
+++ b/carawaystair/load/means.py
@@ -0,0 +1,30 @@
+"""Running means of what is seen, by route."""
+
+# Weight of a new value in the running mean: about ten count, so that a change
+# shows within some seconds.
+NEW_SHARE = 0.15
+# Routes whose means are remembered.
+MOST_ROUTES = 512
+
+
+class Means:
+    """Means by route, and over all routes.
+
+    :param first: what is expected where nothing has been seen yet.
+    """
+
+    def __init__(self, first: float) -> None:
+        self.means: dict[str, float] = {}
+        self.mean = first
+
+    def add(self, route: str, value: float) -> None:
+        """Take note of one value."""
+        old = self.means.pop(route, value)
+        self.means[route] = old + NEW_SHARE * (value - old)
+        self.mean += NEW_SHARE * (value - self.mean)
+        if len(self.means) > MOST_ROUTES:
+            del self.means[next(iter(self.means))]
+
+    def of(self, route: str) -> float:
+        """Return what is expected of a route."""
+        return self.means.get(route, self.mean)
--- a/carawaystair/load/placing.py
+++ b/carawaystair/load/placing.py
@@ -16,6 +16,7 @@
 import typing
 
 from carawaystair.load import estimating
+from carawaystair.load import means
 from carawaystair.load import valuing
 from carawaystair.load import waiting
 
@@ -30,9 +31,12 @@
 # What a node heard of an upstream so long ago or longer tells it no more than
 # nothing does, seconds: whether others had work for it since is not known.
 HEARD_S = 1.0
-# An upstream in the same data centre may be worth so much less: bytes between
+# An upstream in the same data centre may be worth so much less, and for each
+# KB of a request and its answer so much more, up to a bound: bytes between
 # data centres cost time and money.
-NEAR = 0.015
+NEAR = 0.01
+NEAR_KB = 0.002
+NEAR_MOST = 0.15
 # Upstreams that are worth so nearly the same are drawn by lot.  Were the best
 # one taken, all that a node sends would meet it until its next report.
 SAME = 0.02
@@ -130,7 +134,9 @@
         self.rng = rng
         self.views: dict[str, View] = {}
         # Service times of routes, as all upstreams tell them.
-        self.durations = waiting.Durations()
+        self.durations = waiting.durations()
+        # And the bytes of their answers.
+        self.sizes = means.Means(0.0)
 
     def view(self, upstream: str) -> View:
         """Return what is known of an upstream."""
@@ -139,6 +145,12 @@
             found = self.views[upstream] = View()
         return found
 
+    def knows(self, upstream: str) -> bool:
+        """Tell whether a gateway has said when it reads its requests."""
+        view = self.views.get(upstream)
+        report = None if view is None else view.report
+        return report is not None and report.read_ms > 0
+
     def forget(self, upstream: str) -> None:
         """Forget an upstream that is gone."""
         self.views.pop(upstream, None)
@@ -185,6 +197,7 @@
         now: float,
         need: valuing.Need,
         route: str = '',
+        size: float = 0.0,
         trial: bool = False,
         spread: bool = False,
     ) -> Choice | None:
@@ -196,14 +209,19 @@
         :param tried: upstreams that were asked.
         :param refused: those of them at which it might wait.
         :param route: key of its route.
+        :param size: bytes of its body.
         :param trial: whether it goes to one that had no work for some time,
             as far as is known, to show how that one does.
         :param spread: whether those of which nothing was heard lately have
             an equal chance.
         """
+        near = self._near(route, size)
         rated = [
-            (self.worth(candidate, need, now, route), candidate)
-            for candidate in candidates
+            (
+                self.worth(one, need, now, route) + near * one.near,
+                one,
+            )
+            for one in candidates
         ]
         left = [pair for pair in rated if pair[1].id not in tried]
         if not left:
@@ -215,8 +233,7 @@
         chosen = self._draw(left, best, now, trial, spread)
         others = [worth for worth, one in left if one.id != chosen.id]
         least = max(others + known, default=0.0) - SAME
-        if chosen.near:
-            least -= NEAR
+        least -= near * chosen.near
         return Choice(chosen, max(least, 0.0))
 
     def _draw(
@@ -267,8 +284,12 @@
         if candidate.cold:
             service_s *= COLD_FACTOR
         answer_s = self.wait_s(candidate, now) + service_s
-        near = NEAR if candidate.near else 0.0
-        return valuing.worth(failing, answer_s, need) + near
+        return valuing.worth(failing, answer_s, need)
+
+    def _near(self, route: str, size: float) -> float:
+        """Return what the same data centre is worth to a request."""
+        kilobytes = (size + self.sizes.of(route)) / 1024
+        return min(NEAR + NEAR_KB * kilobytes, NEAR_MOST)
 
     def wait_s(self, candidate: Candidate, now: float) -> float:
         """Return how long a request should wait for a slot, seconds."""
--- a/carawaystair/load/plain.py
+++ b/carawaystair/load/plain.py
@@ -70,7 +70,7 @@
     # Asking those that nothing was heard of while requests fail.
     'spread': (Part(spreading, 'MOST_FAILING', math.inf),),
     # The same data centre first.
-    'near': (Part(placing, 'NEAR', 0.0),),
+    'near': (Part(placing, 'NEAR', 0.0), Part(placing, 'NEAR_KB', 0.0)),
     # Drawing those by lot that are worth the same.
     'lot': (Part(placing, 'SAME', 0.0),),
     # Reckoning with slots that are in use.
--- a/carawaystair/load/trying.py
+++ b/carawaystair/load/trying.py
@@ -22,7 +22,7 @@
 # Without work for so long it gets one that may run once, and for so much
 # longer the surer it is to fail that one, seconds.
 IDLE_S = 0.6
-LIKELY_S = 3.0
+LIKELY_S = 2.0
 # While the others serve the service well, that may take so many times longer:
 # each trial that fails loses a request.  Where they don't, all sound ones are
 # to have work within two seconds.
--- a/carawaystair/load/waiting.py
+++ b/carawaystair/load/waiting.py
@@ -19,13 +19,11 @@
 import math
 import typing
 
+from carawaystair.load import means
 from carawaystair.load import rejecting
 
 # Expected seconds of work where nothing has been seen yet.
 FIRST_GUESS_S = 0.4
-# Weight of a new service time in the running mean: about ten answers count,
-# so that a change of a slow upstream shows within some seconds.
-NEW_SHARE = 0.15
 # One that runs longer than its route usually takes is expected to take this
 # share of that time more.
 OVERRUN = 0.25
@@ -36,8 +34,6 @@
 # Late requests get this part of the slots at least, as is reckoned: no wait
 # is reckoned at more than ten times what stands in line.
 LEAST_LEFT = 0.1
-# Routes whose service times are remembered.
-MOST_ROUTES = 512
 
 
 class Want(typing.NamedTuple):
@@ -60,24 +56,9 @@
     inner: bool = False
 
 
-class Durations:
-    """Mean service times by route, of answers that came to a good end."""
-
-    def __init__(self) -> None:
-        self.means: dict[str, float] = {}
-        self.mean = FIRST_GUESS_S
-
-    def add(self, route: str, service_s: float) -> None:
-        """Take note of one service time."""
-        old = self.means.pop(route, service_s)
-        self.means[route] = old + NEW_SHARE * (service_s - old)
-        self.mean += NEW_SHARE * (service_s - self.mean)
-        if len(self.means) > MOST_ROUTES:
-            del self.means[next(iter(self.means))]
-
-    def of(self, route: str) -> float:
-        """Return the expected service time of a route, in seconds."""
-        return self.means.get(route, self.mean)
+def durations() -> means.Means:
+    """Return means of service times, in seconds."""
+    return means.Means(FIRST_GUESS_S)
 
 
 class Line:
@@ -93,7 +74,7 @@
         self.waiting: dict[str, Want] = {}
         # Those that were let in although they will miss their goals.
         self.late: set[str] = set()
-        self.durations = Durations()
+        self.durations = durations()
         # Part of the slots that went to requests in goal lately, and when it
         # was last reckoned.
         self.taken = 0.0
--- a/carawaystair/request/answer.py
+++ b/carawaystair/request/answer.py
@@ -50,6 +50,14 @@
         self.detail = detail
 
 
+def size(answer: Answer) -> int:
+    """Return the bytes of an answer's body, as far as they are known."""
+    if answer.rest is None:
+        return len(answer.body)
+    length = headers.value(answer.headers, b'content-length')
+    return int(length) if length is not None else len(answer.body)
+
+
 def bodiless(message: http.RawResponseMessage, method: str) -> bool:
     """Tell whether an answer has no body whatever its headers say."""
     return method == 'HEAD' or message.code in BODILESS
--- a/carawaystair/request/attempt.py
+++ b/carawaystair/request/attempt.py
@@ -126,14 +126,22 @@
                 interfaces.CANCELLED, codes.CONNECT_FAILED, False, 'ended'
             )
         self.sent = True
+        self.write(head)
+
+    def write(self, head: bytes) -> None:
+        """Write the request: its head, and its body or where that begins.
+
+        :param head: all but the header that tells the length of the body.
+        """
+        call, transport = self.call, self.connection.proto.transport
         if call.body is None:
-            self.pump = bodies.Pump(self.source(), proto)
-            self.pump.start(head)
+            self.pump = bodies.Pump(self.source(), self.connection.proto)
+            transport.write(head + self.pump.framing())
+            self.pump.start()
         elif call.body or call.method not in bodies.BODILESS_METHODS:
-            length = b'Content-Length: %d\r\n\r\n' % len(call.body)
-            proto.transport.write(head + length + call.body)
+            transport.write(head + bodies.framing(len(call.body)) + call.body)
         else:
-            proto.transport.write(head + b'\r\n')
+            transport.write(head + b'\r\n')
 
     def leaving(self) -> bool:
         """Tell whether the upstream takes no new work any more."""
--- a/carawaystair/request/body.py
+++ b/carawaystair/request/body.py
@@ -132,6 +132,16 @@
     return Begun(b''.join(chunks), content.at_eof())
 
 
+def framing(length: int | None) -> bytes:
+    """Return the end of a head.
+
+    :param length: bytes of the body, None when it comes in chunks.
+    """
+    if length is None:
+        return b'Transfer-Encoding: chunked\r\n\r\n'
+    return b'Content-Length: %d\r\n\r\n' % length
+
+
 class Source(typing.NamedTuple):
     """A body that is passed on as it comes.
 
@@ -168,14 +178,14 @@
         # What went wrong on the caller's side, if anything did.
         self.refused: caller.Refused | None = None
 
-    def start(self, head: bytes) -> None:
-        """Send the head, and the body from a task of its own."""
+    def framing(self) -> bytes:
+        """Return the end of the head, which tells how long the body is."""
+        return framing(self.source.length)
+
+    def start(self) -> None:
+        """Send the body from a task of its own; the head has gone out."""
         if self.source.length is None:
-            head += b'Transfer-Encoding: chunked\r\n\r\n'
             self.writer.enable_chunking()
-        else:
-            head += b'Content-Length: %d\r\n\r\n' % self.source.length
-        self.proto.transport.write(head)
         self.task = asyncio.create_task(self.run())
 
     async def run(self) -> None:
--- a/test/test_gateway_ages.py
+++ b/test/test_gateway_ages.py
@@ -1,7 +1,6 @@
 """Requests between two nodes that are held up on their way."""
 
 import asyncio
-import random
 
 import hypothesis
 from hypothesis import strategies
@@ -151,25 +150,41 @@
 )
 def test_no_request_is_taken_for_older_than_it_is(ahead, past, way_ms):
     """Whatever the clocks say, and however long answers took."""
-    clocks = ages.Clocks()
+    clock = ages.Clock()
     now = 10**9
     for there_ms, work_ms, _back_ms in past:
         told = now + there_ms + work_ms + ahead
-        clocks.heard('p', now, told)
+        clock.heard(now, told)
         now += 1000
-    sent_ms = clocks.there('p', now)
+    sent_ms = clock.there(now)
     arrived = now + way_ms + ahead
     assert arrived - sent_ms <= way_ms
     # And hardly for younger, once one short way was seen.
-    clocks.heard('p', now, now + ahead)
-    sent_ms = clocks.there('p', now)
+    clock.heard(now, now + ahead)
+    sent_ms = clock.there(now)
     assert way_ms <= arrived - sent_ms or sent_ms > now + ahead
 
 
 def test_clocks_of_many_processes_take_bounded_memory():
     clocks = ages.Clocks()
-    rng = random.Random(1)
     for number in range(2 * ages.MOST):
-        clocks.heard('p%d' % number, 0, rng.randrange(1000))
-    assert len(clocks.ahead) == ages.MOST
-    assert clocks.there('unknown', 5) == 0
+        clocks.of('h', 'p%d' % number).heard(0, number)
+    assert len(clocks.clocks) == ages.MOST
+    assert clocks.of('h', 'unknown').there(5) == 0
+
+
+def test_processes_of_one_name_have_each_their_own_clock():
+    """Two requests in three were refused as given up by their senders. The
+    name of a process is the moment of its start, and those of a fleet start
+    in the same few milliseconds: what was heard of one host's clock was held
+    against another's.
+
+        HEARD 1776928789218 from a host that had been up for 42,861 s
+        sent 1,962,732 now 99,219,912, patience 150
+    """
+    clocks = ages.Clocks()
+    clocks.of('one', '1776928789218').heard(1000, 42_861_482)
+    assert clocks.of('two', '1776928789218').there(1000) == 0
+    clocks.of('two', '1776928789218').heard(1000, 5000)
+    assert clocks.of('two', '1776928789218').there(1200) == 5200
+    assert clocks.of('one', '1776928789218').there(1200) == 42_861_682
--- a/test/test_gateway_leaving.py
+++ b/test/test_gateway_leaving.py
@@ -19,7 +19,11 @@
         'a', None, '', '', now + 5.0, True, '', 'GET', '/', head, b''
     )
     upstream = interfaces.Upstream('u', 's', address, '', '', 0)
-    return sends.ToGateway(call, targets.Target(upstream, now), b'')
+    hop = hops.Hop(
+        'a', 'h', 'u', 's', 'c', 'r', 5000, 5000, 0, True, False, False,
+        False, False, 1, 'p',
+    )  # fmt: skip
+    return sends.ToGateway(call, targets.Target(upstream, now), hop)
 
 
 @contextlib.asynccontextmanager
