At most once: an upload of a little over 64 KiB could run twice

Cause: bodies in chunks are held up to 64 KiB, but one of 70,000 bytes that came in one piece was held whole. Its node asked again for it, with the body, when a connection broke; the gateway took any declared length over 64 KiB for a body that can't be sent again, and kept no name for the run.

Ruled out: the new way of asking for bodies, which names all its runs; it hid the fault wherever a gateway had been heard of before.

Change: the gateway names every run, whatever its body; a node holds no more than it says.

--- a/carawaystair/gateway/door.py
+++ b/carawaystair/gateway/door.py
@@ -131,13 +131,7 @@
         take = functools.partial(self._take, hop, request)
         if not hop.asks:
             # A slow body holds no slot.
-            body = await take()
-            take = functools.partial(_ready, body)
-            if body.source is not None:
-                # Its sender can't send it again, and won't ask for it.
-                return runs_module.claimed(
-                    await self.work.run(hop, request, take)
-                )
+            take = functools.partial(_ready, await take())
         # A process that was stopped for a while finds the request and its
         # sender's leaving at the same moment; the latter is seen one turn of
         # the loop later, and must come first.
--- a/carawaystair/request/handling.py
+++ b/carawaystair/request/handling.py
@@ -132,7 +132,7 @@
         if length is not None and length > bodies.HOLD_BYTES:
             return call._replace(body=None, stream=content, length=length)
         begun = await bodies.begin(content, limit, call.deadline)
-        if begun.whole:
+        if begun.whole and len(begun.data) <= bodies.HOLD_BYTES:
             return call._replace(body=begun.data)
         return call._replace(
             body=None, stream=content, length=None, begun=begun.data
