--- a/carawaystair/gateway/handover.py
+++ b/carawaystair/gateway/handover.py
@@ -32,6 +32,9 @@
 # with its head it would cross the network once for each gateway that refuses,
 # and hold up what stands behind it.
 ASK_BYTES = 8 * 1024
+# A gateway that has said nothing of itself may be of a version that waits for
+# the body; after so many signs of life it gets it unasked.
+UNASKED_SIGNS = 3
 # Pause between two questions for a request whose connection was lost.
 RESUME_PAUSE_S = 0.1
 # A request that may run elsewhere is not asked for any longer than this.
@@ -138,7 +141,7 @@
         detour: bool,
     ) -> answers.Answer:
         """Send once, directly or through a third node."""
-        asks = trip.size > ASK_BYTES and self.board.knows(target.upstream.id)
+        asks = trip.size > ASK_BYTES
         hop = hop._replace(patience_ms=int(SIGN_S * MS), asks=asks)
         its_clock = self.clocks.of(target.upstream.host, hop.process)
         helper = self.paths.helper(target) if detour else None
@@ -170,6 +173,10 @@
                 min(clock.now() + silence_s, deadline)
             ):
                 silence_s = SILENCE_S
+                if attempt.signs >= UNASKED_SIGNS and not self.board.knows(
+                    attempt.hop.upstream
+                ):
+                    attempt.proceed()
             answer = await attempt.answer(deadline)
         except TimeoutError:
             attempt.take_back()
--- a/carawaystair/gateway/hops.py
+++ b/carawaystair/gateway/hops.py
@@ -84,6 +84,8 @@
     :param sent_ms: when it was sent, in the gateway's time, see ``ages``; 0
         where the sender does not know that.
     :param patience_ms: for how long its sender waits for a sign, ms.
+    :param last: whether it may not be sent once more if it fails, although it
+        may be repeated.
     :param asks: whether its body comes only when the gateway has a slot for
         it and says so.
     """
@@ -112,6 +114,7 @@
     usual_ms: int = 0
     sent_ms: int = 0
     patience_ms: int = 0
+    last: bool = False
     asks: bool = False
 
     @property
--- a/carawaystair/gateway/known.py
+++ b/carawaystair/gateway/known.py
@@ -19,12 +19,13 @@
 
     :param target: the upstream.
     :param count: upstreams that take work, this one included.
-    :param least: what the request must be worth there, 0 to 1.
+    :param least: what the request must be worth there, 0 to 1; None when it
+        may wait there whatever that is.
     """
 
     target: targets.Target
     count: int
-    least: float
+    least: float | None
 
 
 class Known:
--- a/carawaystair/gateway/relay.py
+++ b/carawaystair/gateway/relay.py
@@ -8,7 +8,6 @@
 """
 
 import random
-import typing
 
 from carawaystair import clock
 from carawaystair import codes
@@ -78,33 +77,40 @@
         :raises caller.Refused: when it was not run and will not be.
         :raises answers.Failed: when it may have run.
         """
-        while self._may_ask(trip):
-            choice = self._choose(trip)
-            if choice is None and not trip.offers:
-                await self.settling.wait(
-                    lambda: self._choose(trip) is not None, trip.need.goal
-                )
-                choice = self._choose(trip)
+        while self._may_send(trip) and trip.offers < MOST_OFFERS:
+            choice = await self._next(trip)
             if choice is None:
                 break
-            target = choice.target
-            trip.tried.add(target.upstream.id)
-            # A body that is not held here can't be offered twice, unless the
-            # gateway asks for it first.
-            known = self.board.knows(target.upstream.id)
-            stays = trip.call.body is None and not known
-            least = None if stays else choice.least
-            answer = await self._try(trip, target, choice.count, least)
+            answer = await self._try(trip, *choice)
             if answer is not None:
                 return answer
-        return await self._stay(trip)
+        return self._end(trip)
+
+    async def _next(self, trip: trips.Trip) -> knowns.Choice | None:
+        """Return where a request goes next, None when there is nothing left.
+
+        That is an upstream that was not asked, or one that refused it and
+        where it is worth more to wait.
+        """
+        choice = None
+        if len(trip.declined) < MOST_ASKED:
+            choice = self._choose(trip)
+        if choice is None and not trip.offers:
+            await self.settling.wait(
+                lambda: self._choose(trip) is not None, trip.need.goal
+            )
+            choice = self._choose(trip)
+        if choice is None:
+            return self._best(trip)
+        trip.tried.add(choice.target.upstream.id)
+        return choice
 
     def _choose(self, trip: trips.Trip) -> knowns.Choice | None:
         now = clock.now()
         return self.known.choose(
             trip.need.service,
             trip.tried,
-            trip.declined,
+            trip.declined.keys() - trip.stayed,
             now,
             trip.needs(now),
             trip.call.match.key,
@@ -112,17 +118,9 @@
             not trip.offers,
         )
 
-    def _may_ask(self, trip: trips.Trip) -> bool:
-        """Tell whether one more gateway may be asked."""
-        if clock.now() >= trip.call.deadline:
-            return False
-        if len(trip.declined) >= MOST_ASKED or trip.offers >= MOST_OFFERS:
-            return False
-        return self._may_send(trip)
-
     def _may_send(self, trip: trips.Trip) -> bool:
         """Tell whether one more upstream may get a request."""
-        if trip.spent:
+        if trip.spent or clock.now() >= trip.call.deadline:
             return False
         runs = trip.need.most_runs
         return trip.runs < runs and trip.sent < max(MOST_SENT, runs)
@@ -147,40 +145,30 @@
             raise trip.failed
         raise self._rejection(trip)
 
-    async def _stay(self, trip: trips.Trip) -> answers.Answer:
-        """Leave a request where it should be answered first.
+    def _best(self, trip: trips.Trip) -> knowns.Choice | None:
+        """Return where a request is worth most, of those that refused it.
 
         Gateways that were not reached come last: they are asked through a
         third node.
         """
-        stayed: set[str] = set()
-        for _stay in range(MOST_STAYS):
-            target = self._best(trip, stayed)
-            if target is None or not self._may_send(trip):
-                break
-            stayed.add(target.upstream.id)
-            answer = await self._try(trip, target, len(trip.declined), None)
-            if answer is not None:
-                return answer
-        return self._end(trip)
-
-    def _best(
-        self, trip: trips.Trip, stayed: typing.Container[str]
-    ) -> targets.Target | None:
-        """Return where a request is worth most, of those that refused it.
-
-        :param stayed: upstreams at which it was left before.
-        """
+        if len(trip.stayed) >= MOST_STAYS:
+            return None
         need = trip.needs(clock.now())
         found = [
             (worth_of(declined.report, need), target)
             for name, (target, declined) in trip.declined.items()
-            if name not in stayed and not self._too_late(trip, declined)
+            if name not in trip.stayed and not self._too_late(trip, declined)
         ]
-        if found:
-            return max(found, key=lambda pair: pair[0])[1]
-        missed = [t for t in trip.missed if t.upstream.id not in stayed]
-        return missed[0] if missed else None
+        missed = [
+            (0.0, target)
+            for target in trip.missed
+            if target.upstream.id not in trip.stayed
+        ]
+        if not found and not missed:
+            return None
+        target = max(found or missed, key=lambda pair: pair[0])[1]
+        trip.stayed.add(target.upstream.id)
+        return knowns.Choice(target, len(trip.declined), None)
 
     def _too_late(self, trip: trips.Trip, declined: trips.Declined) -> bool:
         report = declined.report
--- a/carawaystair/gateway/sends.py
+++ b/carawaystair/gateway/sends.py
@@ -208,7 +208,9 @@
         self.connection.proto.transport.write(head + bodies.framing(length))
 
     def proceed(self) -> None:
-        """Send the body: the gateway asks for it."""
+        """Send the body, if it has not gone out."""
+        if self.proceeds:
+            return
         self.proceeds = True
         if self.call.body is None:
             self.pump = bodies.Pump(self.source(), self.connection.proto)
@@ -247,7 +249,7 @@
         message, payload = await proto.head(until)
         if message.code < 200:
             self.interim(message)
-            if message.code == CONTINUE and not self.proceeds:
+            if message.code == CONTINUE:
                 self.proceed()
             self.accepted = True
             self.signs += 1
--- a/carawaystair/gateway/trips.py
+++ b/carawaystair/gateway/trips.py
@@ -74,6 +74,7 @@
         'runs',
         'sends',
         'sent',
+        'stayed',
         'token',
         'tried',
     )
@@ -84,6 +85,8 @@
         # Callers choose the ids of requests, and may use one twice.
         self.token = secrets.token_hex(TOKEN_BYTES)
         self.tried: set[str] = set()
+        # Upstreams at which it was left to wait.
+        self.stayed: set[str] = set()
         # Refusals that waiting may turn, by upstream.
         self.declined: dict[str, tuple[targets.Target, Declined]] = {}
         # All refusals, as the log tells them.
@@ -116,11 +119,9 @@
 
     @property
     def last(self) -> bool:
-        """Tell whether it can't be sent once more if it fails.
-
-        The second send of a request that may be repeated is the last one.
-        """
-        return not self.call.idempotent or self.sent > 0
+        """Tell whether it can't be sent once more if it fails."""
+        runs_out = self.runs + 1 >= self.need.most_runs
+        return runs_out or not self.call.idempotent or self.sent > 0
 
     def needs(self, now: float) -> valuing.Need:
         """Return what it needs now."""
@@ -169,5 +170,6 @@
             trip=self.token,
             least=int((least or 0.0) * THOUSAND),
             calm=calm,
+            last=self.last,
             usual_ms=int(usual_s * MS),
         )
--- a/carawaystair/gateway/work.py
+++ b/carawaystair/gateway/work.py
@@ -273,7 +273,7 @@
         if hop.stays:
             return False
         offer = gate.Offer(
-            hop.idempotent,
+            hop.last or hop.repeat or not hop.idempotent,
             hop.repeat,
             hop.least / THOUSAND,
             hop.calm,
--- a/carawaystair/load/gate.py
+++ b/carawaystair/load/gate.py
@@ -27,7 +27,7 @@
 class Offer(typing.NamedTuple):
     """How a request is offered.
 
-    :param idempotent: whether it may run twice.
+    :param last: whether it can't be sent once more if it fails.
     :param repeat: whether an upstream got it before.
     :param least: what it must be worth here to be taken, 0 to 1.
     :param calm: whether its node sees the service served well.
@@ -35,17 +35,12 @@
         0 where it does not.
     """
 
-    idempotent: bool
+    last: bool
     repeat: bool
     least: float
     calm: bool
     usual_s: float
 
-    @property
-    def last(self) -> bool:
-        """Tell whether it can't be sent once more if it fails."""
-        return not self.idempotent or self.repeat
-
 
 class Answer(typing.NamedTuple):
     """What a gate says to an offer.
@@ -83,7 +78,7 @@
         failing = self.estimate.failing(now)
         # A repeat is no trial: it must not fail again.
         if not offer.repeat and self.trials.due(
-            offer.idempotent, failing, offer.calm, now
+            not offer.last, failing, offer.calm, now
         ):
             return Answer('', True)
         detail = 'worth %.2f of %.2f, fails %.2f' % (
--- a/carawaystair/load/placing.py
+++ b/carawaystair/load/placing.py
@@ -37,6 +37,9 @@
 NEAR = 0.01
 NEAR_KB = 0.002
 NEAR_MOST = 0.15
+# An upstream whose gateway can't be reached directly is worth this part of
+# what it would be: the way through a third node may fail as well.
+DETOUR = 0.5
 # Upstreams that are worth so nearly the same are drawn by lot.  Were the best
 # one taken, all that a node sends would meet it until its next report.
 SAME = 0.02
@@ -228,7 +231,7 @@
             return None
         known = [worth for worth, one in rated if one.id in refused]
         best = max(worth for worth, _one in left)
-        if max(known, default=0.0) > max(best, 0.0):
+        if max(known, default=0.0) > best:
             return None
         chosen = self._draw(left, best, now, trial, spread)
         others = [worth for worth, one in left if one.id != chosen.id]
@@ -251,7 +254,7 @@
         unknown = [
             one
             for worth, one in left
-            if worth >= 0.0 and self.heard_s(one, now) >= HEARD_S
+            if self.heard_s(one, now) >= HEARD_S and self._reaches(one)
         ]
         if trial:
             return self.rng.choice(unknown or same)
@@ -266,15 +269,10 @@
     ) -> float:
         """Return what it should be worth to offer a request to an upstream.
 
-        Those whose gateways can't be reached directly are worth less than
-        nothing, and asked when all others were.
-
         :param route: key of its route.
         """
         view = self.views.get(candidate.id)
         report = None if view is None else view.report
-        if view is not None and not view.reachable:
-            return -1.0
         failing = estimating.UNKNOWN
         service_s = self.durations.of(route)
         if report is not None:
@@ -284,13 +282,18 @@
         if candidate.cold:
             service_s *= COLD_FACTOR
         answer_s = self.wait_s(candidate, now) + service_s
-        return valuing.worth(failing, answer_s, need)
+        worth = valuing.worth(failing, answer_s, need)
+        return worth if self._reaches(candidate) else DETOUR * worth
 
     def _near(self, route: str, size: float) -> float:
         """Return what the same data centre is worth to a request."""
         kilobytes = (size + self.sizes.of(route)) / 1024
         return min(NEAR + NEAR_KB * kilobytes, NEAR_MOST)
 
+    def _reaches(self, candidate: Candidate) -> bool:
+        view = self.views.get(candidate.id)
+        return view is None or view.reachable
+
     def wait_s(self, candidate: Candidate, now: float) -> float:
         """Return how long a request should wait for a slot, seconds."""
         view = self.views.get(candidate.id)
--- a/carawaystair/load/spreading.py
+++ b/carawaystair/load/spreading.py
@@ -13,9 +13,10 @@
 NEW_SHARE = 0.05
 # Above this share of failures a node looks further.
 MOST_FAILING = 0.1
-# What is taken for the share before any outcome was seen: right after a start
-# all are asked.
+# What is taken for the share before any outcome was seen, and how many
+# outcomes that counts for: right after a start all are asked.
 FIRST_GUESS = 0.2
+FIRST_COUNT = 5
 
 
 class Spreading:
@@ -23,6 +24,7 @@
 
     def __init__(self) -> None:
         self.failing = FIRST_GUESS
+        self.seen = FIRST_COUNT
 
     @property
     def everywhere(self) -> bool:
@@ -31,4 +33,6 @@
 
     def learn(self, good: bool) -> None:
         """Take note of an outcome."""
-        self.failing += NEW_SHARE * ((not good) - self.failing)
+        self.seen += 1
+        weight = max(NEW_SHARE, 1 / self.seen)
+        self.failing += weight * ((not good) - self.failing)
--- a/carawaystair/load/trying.py
+++ b/carawaystair/load/trying.py
@@ -60,7 +60,7 @@
     ) -> bool:
         """Tell whether a request should run here for what it shows.
 
-        :param repeatable: whether it may run twice.
+        :param repeatable: whether it can be sent once more if it fails.
         :param failing: how likely it fails.
         :param calm: whether the service is served well.
         """
