Retries: the share of first sends is the nodes', the slack the gateways'

Each gateway had the share of the first sends that it got itself; repeats of a service go to the few whose upstreams are sound, the parts of all others lay unused.

Change: a node pays for repeats with the share of its own callers' requests, and says so; for others the gateway pays from its part of the slack. The sum keeps the bound.

With 24 nodes and eight gateways test_repeats_of_all_gateways_together_keep_the_bound.

--- a/bench/gateway_model.py
+++ b/bench/gateway_model.py
@@ -163,7 +163,7 @@
     def __init__(self, name: str, plan: Plan, rng: random.Random) -> None:
         self.name = name
         self.gate = gate.Gate(plan.slots)
-        self.budget = retrying.Budget(plan.retry_ratio, plan.retry_slack, 10.0)
+        self.budget = retrying.Budget(0.0, plan.retry_slack, 10.0)
         self.turns = list(_turns(plan, rng))
         self.rng = rng
 
@@ -243,6 +243,10 @@
             placing.Board(random.Random('node %d %d' % (seed, n)))
             for n in range(plan.nodes)
         ]
+        self.budgets = [
+            retrying.Budget(plan.retry_ratio, 0.0, 10.0)
+            for _ in range(plan.nodes)
+        ]
         self.spreadings = [spreading.Spreading() for _ in range(plan.nodes)]
         self.events: list = []
         self.order = itertools.count()
@@ -260,6 +264,7 @@
         """Play all requests to their ends."""
         for request in requests:
             trip = self.trips[request.id] = Trip(request)
+            self.at(request.at, self._read, request)
             self.at(request.at, self._ask, trip)
         while self.events:
             now, _order, what, arguments = heapq.heappop(self.events)
@@ -268,6 +273,9 @@
 
     # The caller's node
 
+    def _read(self, now: float, request: Request) -> None:
+        self.budgets[request.node].first(now)
+
     def _ask(self, now: float, trip: Trip) -> None:
         choice = None
         if len(trip.refused) < relay.MOST_ASKED:
@@ -324,7 +332,9 @@
     def _spent(self, now: float, upstream: Upstream, trip: Trip) -> str:
         if not trip.runs:
             return ''
-        allowed = upstream.budget.repeat(now, self.plan.upstreams)
+        allowed = self.budgets[trip.request.node].repeat(
+            now, 1
+        ) or upstream.budget.repeat(now, self.plan.upstreams)
         return '' if allowed else SPENT
 
     def _stay(self, now: float, trip: Trip) -> None:
@@ -375,8 +385,6 @@
     # The upstream
 
     def _begin(self, now: float, upstream: Upstream, trip: Trip) -> None:
-        if not trip.runs:
-            upstream.budget.first(now)
         trip.runs += 1
         upstream.gate.trials.began(now)
         gray = upstream.gray(now)
--- a/carawaystair/gateway/hops.py
+++ b/carawaystair/gateway/hops.py
@@ -86,6 +86,8 @@
     :param patience_ms: for how long its sender waits for a sign, ms.
     :param last: whether it may not be sent once more if it fails, although it
         may be repeated.
+    :param paid: whether its sender counted it among the repeats that it may
+        send.
     :param asks: whether its body comes only when the gateway has a slot for
         it and says so.
     """
@@ -115,6 +117,7 @@
     sent_ms: int = 0
     patience_ms: int = 0
     last: bool = False
+    paid: bool = False
     asks: bool = False
 
     @property
--- a/carawaystair/gateway/relay.py
+++ b/carawaystair/gateway/relay.py
@@ -21,6 +21,7 @@
 from carawaystair.load import gate
 from carawaystair.load import placing
 from carawaystair.load import rejecting
+from carawaystair.load import retrying
 from carawaystair.load import returning
 from carawaystair.load import valuing
 from carawaystair.request import answer as answers
@@ -50,6 +51,7 @@
     :param known: the upstreams.
     :param handover: hands a request to one gateway.
     :param settling: waits for upstreams right after the start.
+    :param budgets: the repeats that this node may send, by service.
     :param rng: the source of randomness.
     :param recorder: takes note of decisions.
     """
@@ -59,9 +61,11 @@
         known: knowns.Known,
         handover: handovers.Handover,
         settling: settlings.Settling,
+        budgets: retrying.Budgets,
         rng: random.Random,
         recorder: decisions.Recorder,
     ) -> None:
+        self.budgets = budgets
         self.known = known
         self.board = known.board
         self.handover = handover
@@ -77,6 +81,8 @@
         :raises caller.Refused: when it was not run and will not be.
         :raises answers.Failed: when it may have run.
         """
+        if not trip.need.echo:
+            self.budgets.of(trip.need.service).first(clock.now())
         while self._may_send(trip) and trip.offers < MOST_OFFERS:
             choice = await self._next(trip)
             if choice is None:
@@ -220,15 +226,21 @@
         view = self.board.view(upstream.id)
         view.mine += 1
         began = clock.now()
+        budget = self.budgets.of(trip.need.service)
+        trip.paid = trip.sent > 0 and budget.repeat(began, 1)
         try:
             answer = await self.handover.exchange(trip, target, least)
         except trips.Declined as declined:
+            if trip.paid and declined.reason not in hops.ARRIVED:
+                budget.give_back()
             self._declined(trip, target, declined)
             return None
         except answers.Failed as failed:
             self.recorder.tell(offer, decisions.TROUBLE)
             self._tell_broken(trip, upstream.id, failed, began)
             if not failed.sent:
+                if trip.paid:
+                    budget.give_back()
                 trip.missed.append(target)
                 return None
             self.known.learn(trip.need.service, False)
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -19,6 +19,7 @@
 from carawaystair.gateway import settling as settlings
 from carawaystair.gateway import splitting
 from carawaystair.gateway import work as works
+from carawaystair.load import retrying
 from carawaystair import metrics
 from carawaystair.request import connections
 from carawaystair.request import incoming
@@ -74,7 +75,14 @@
         )
         settling = settlings.Settling()
         self.relay = relays.Relay(
-            self.known, self.handover, settling, rng, recorder
+            self.known,
+            self.handover,
+            settling,
+            retrying.Budgets(
+                settings.node.retry_ratio, 0.0, settings.node.retry_window_s
+            ),
+            rng,
+            recorder,
         )
         # The time of the start keeps ids of two runs of this host apart.
         self.figures = figures_module.Figures()
@@ -149,7 +157,15 @@
             yield metrics.Sample(
                 'service_failing_share', spread.failing, labels
             )
-        for service, budget in self.work.budgets.items():
+        for service, budget in self.relay.budgets.budgets.items():
+            labels = (('service', service),)
+            yield metrics.Sample(
+                'node_firsts_total', budget.total_firsts, labels
+            )
+            yield metrics.Sample(
+                'node_repeats_total', budget.total_repeats, labels
+            )
+        for service, budget in self.work.budgets.budgets.items():
             labels = (('service', service),)
             yield metrics.Sample(
                 'gateway_firsts_total', budget.total_firsts, labels
--- a/carawaystair/gateway/trips.py
+++ b/carawaystair/gateway/trips.py
@@ -70,6 +70,7 @@
         'missed',
         'need',
         'offers',
+        'paid',
         'refusals',
         'runs',
         'sends',
@@ -98,6 +99,8 @@
         self.sends = 0
         # Whether a part of its body went out.
         self.begun = False
+        # Whether the send that is on its way was counted as a repeat here.
+        self.paid = False
         # Upstreams that may have run it, and sends that reached one.
         self.runs = 0
         self.sent = 0
@@ -171,5 +174,6 @@
             least=int((least or 0.0) * THOUSAND),
             calm=calm,
             last=self.last,
+            paid=self.paid,
             usual_ms=int(usual_s * MS),
         )
--- a/carawaystair/gateway/work.py
+++ b/carawaystair/gateway/work.py
@@ -77,7 +77,10 @@
         self.inner = inner
         self.figures = figures
         self.recorder = recorder
-        self.budgets: dict[str, retrying.Budget] = {}
+        # Nodes have the share of their own first sends; here is the slack.
+        self.budgets = retrying.Budgets(
+            0.0, settings.node.retry_slack, settings.node.retry_window_s
+        )
         # The most gateways that each service was seen to have.
         self.sharers: dict[str, int] = {}
         self.lives: dict[str, lives_module.Life] = {}
@@ -286,29 +289,20 @@
 
     def _check_repeat(self, hop: hops.Hop, now: float) -> None:
         """Refuse a repeat that the service may not get any more."""
-        budget = self._budget(hop.service)
-        if not hop.repeat:
+        budget = self.budgets.of(hop.service)
+        if not hop.repeat or hop.paid:
             return
         if not budget.repeat(now, self._sharers(hop.service)):
             raise slots_module.Refused(hops.SPENT)
 
     def _count(self, hop: hops.Hop) -> None:
         """Count a request that goes to its upstream now."""
-        budget = self._budget(hop.service)
+        budget = self.budgets.of(hop.service)
         if hop.echo and not hop.repeat:
             budget.force(clock.now())
         elif not hop.repeat:
             budget.first(clock.now())
 
-    def _budget(self, service: str) -> retrying.Budget:
-        budget = self.budgets.get(service)
-        if budget is None:
-            node = self.node
-            budget = self.budgets[service] = retrying.Budget(
-                node.retry_ratio, node.retry_slack, node.retry_window_s
-            )
-        return budget
-
     def _sharers(self, service: str) -> int:
         """Return how many gateways share the repeats of a service.
 
--- a/carawaystair/load/retrying.py
+++ b/carawaystair/load/retrying.py
@@ -3,16 +3,20 @@
 The load that this answers: all upstreams of a service fail or shed, and every
 request is sent again; the load doubles and keeps them failing.  The bound
 holds for the fleet: repeats stay within a share of the first sends and a
-slack.  No node asks another one: each has the share of its own first sends
-and an equal part of the slack, so that the sum over all nodes keeps the bound
-whatever they know of each other.
+slack.  Nobody asks another one.  Each node has the share of the requests that
+its own callers send, where repeats begin; each gateway has an equal part of
+the slack, for those whose node has none left.  So the sum keeps the bound
+whatever they know of each other, and no part lies where it is not needed:
+repeats of a whole service go to the few gateways whose upstreams are sound.
 """
 
 import collections
 
-# The part of the bound that is used.  Gateways see the first sends of a
-# window at other moments than those who check the bound.
-USED = 0.75
+# The parts of the bound that are used: of the share of first sends, which a
+# node sees as its callers send them, and of the slack, from which gateways
+# also pay for what they can't keep back.
+USED_SHARE = 0.95
+USED_SLACK = 0.75
 # Counts are kept by spans of this length, in seconds.
 SPAN_S = 0.5
 
@@ -59,8 +63,8 @@
         """
         _forget(self.firsts, now - self.window_s)
         _forget(self.repeats, now - self.window_s)
-        earned = self.ratio * _sum(self.firsts)
-        allowed = USED * (earned + self.slack / max(nodes, 1))
+        earned = USED_SHARE * self.ratio * _sum(self.firsts)
+        allowed = earned + USED_SLACK * self.slack / max(nodes, 1)
         return _sum(self.repeats) + 1 <= allowed
 
     def repeat(self, now: float, nodes: int) -> bool:
@@ -71,12 +75,41 @@
         self.force(now)
         return True
 
+    def give_back(self) -> None:
+        """Put back the last repeat that was taken: it reached nobody."""
+        if self.repeats and self.repeats[-1][1] > 0:
+            self.repeats[-1][1] -= 1
+            self.total_repeats -= 1
+
     def force(self, now: float) -> None:
         """Count a repeat that nobody could have kept back."""
         self.total_repeats += 1
         _add(self.repeats, now)
 
 
+class Budgets:
+    """The repeats of all services at one node or gateway.
+
+    :param ratio: repeats as a share of first sends.
+    :param slack: repeats beyond it in one window, of the whole fleet.
+    :param window_s: length of the window.
+    """
+
+    def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+        self.ratio = ratio
+        self.slack = slack
+        self.window_s = window_s
+        self.budgets: dict[str, Budget] = {}
+
+    def of(self, service: str) -> Budget:
+        """Return the repeats of a service."""
+        found = self.budgets.get(service)
+        if found is None:
+            found = Budget(self.ratio, self.slack, self.window_s)
+            self.budgets[service] = found
+        return found
+
+
 def _add(spans: collections.deque, now: float) -> None:
     span = int(now / SPAN_S)
     if spans and spans[-1][0] == span:
--- a/test/test_gateway_lifetimes.py
+++ b/test/test_gateway_lifetimes.py
@@ -238,13 +238,13 @@
             work = fleet.nodes[1].service.work
             name = fleet.nodes[1].upstream.name
             before = work.report(name)
-            budget = work.budgets['portal']
+            budget = work.budgets.of('portal')
             fleet.nodes[1].announce(incarnation=9, slots=2)
             after = work.report(name)
             board = fleet.nodes[0].service.known.board
             view = board.views.get(name)
             ejected = fleet.nodes[0].service.ejected('portal')
-            kept = work.budgets['portal'] is budget
+            kept = work.budgets.of('portal') is budget
             return before, after, view and view.report, ejected, kept
 
     before, after, seen, ejected, kept = pipes.run(scenario())
--- a/test/test_load.py
+++ b/test/test_load.py
@@ -528,17 +528,20 @@
 
 def test_repeats_of_all_gateways_together_keep_the_bound():
     """Symptom: repeats keep a service down that has failed for a moment.
-    Sequence: every request fails and is sent again, at eight gateways.
+    Sequence: every request fails and is sent again, from 24 nodes to eight
+    gateways.
     Cause: each of them bounds only what it sees.
     """
-    gateways = [retrying.Budget(0.2, 58, 10.0) for _ in range(8)]
+    nodes = [retrying.Budget(0.2, 0, 10.0) for _ in range(24)]
+    gateways = [retrying.Budget(0.0, 58, 10.0) for _ in range(8)]
     arrivals = []
     for step in range(6000):
         now = step * 0.005
-        budget = gateways[step % 8]
-        budget.first(now)
-        for _again in range(2):
-            if budget.repeat(now, 8):
+        node = nodes[step % 24]
+        node.first(now)
+        for again in range(2):
+            gateway = gateways[(step + again) % 8]
+            if node.repeat(now, 1) or gateway.repeat(now, 8):
                 arrivals.append(now)
     for start in range(0, 20):
         window = sum(start <= when < start + 10 for when in arrivals)
@@ -546,6 +549,39 @@
     assert len(arrivals) > 300
 
 
+def test_repeats_go_to_the_few_that_are_sound_while_the_bound_is_far():
+    """Symptom: repeats are refused, though those of the whole fleet are a
+    sixth of what it may send.
+    Sequence: most upstreams of a service are gray, and all repeats go to the
+    three that are sound.
+    Cause: each gateway had the share of its own first sends, and that of the
+    others lay unused.
+    """
+    nodes = [retrying.Budget(0.2, 0, 10.0) for _ in range(24)]
+    gateways = [retrying.Budget(0.0, 58, 10.0) for _ in range(18)]
+    rng = random.Random(1)
+    wanted = refused = 0
+    for step in range(4000):
+        now = step * 0.01
+        node = rng.choice(nodes)
+        node.first(now)
+        if rng.random() < 0.1:
+            sound = gateways[step % 3]
+            allowed = node.repeat(now, 1) or sound.repeat(now, 18)
+            # In the first window nothing was sent that a share could be of.
+            wanted += now > 10.0
+            refused += now > 10.0 and not allowed
+    assert refused < 0.05 * wanted
+
+
+def test_repeat_that_reached_nobody_is_not_counted():
+    budget = retrying.Budget(0.0, 4, 10.0)
+    for _time in range(50):
+        assert budget.repeat(0.0, 1)
+        budget.give_back()
+    assert budget.total_repeats == 0
+
+
 def test_part_of_the_fleet_that_is_cut_off_does_not_take_the_whole_slack():
     budget = retrying.Budget(0.0, 58, 10.0)
     taken = sum(budget.repeat(0.0, 8) for _ in range(58))
