Experiments: each mechanism can be switched off by name, in the model and in service

Cause: the ablation needs the real program without a mechanism; editing copies by hand measures other things than what it says.

It is refused otherwise, and nothing of it is imported in service.

--- a/bench/gateway_model.py
+++ b/bench/gateway_model.py
@@ -2,7 +2,7 @@
 
 Only the decisions are the product's (``carawaystair.load``); everything
 around them is reckoned, so that a minute of load takes a second.  A policy
-replaces some of the decisions by plain ones, see ``load.plain``; ``central``
+replaces some of the decisions by plain ones, see ``experiments``; ``central``
 is an ideal scheduler that knows every service time and every upstream's
 state, on the same arrivals.
 """
@@ -12,11 +12,11 @@
 import random
 import typing
 
+from carawaystair import experiments
 from carawaystair.gateway import relay
 from carawaystair.load import estimating
 from carawaystair.load import gate
 from carawaystair.load import placing
-from carawaystair.load import plain
 from carawaystair.load import retrying
 from carawaystair.load import spreading
 from carawaystair.load import valuing
@@ -90,7 +90,7 @@
     """Which decisions are used.
 
     :param name: in the figures.
-    :param off: mechanisms that plain ones stand for, see ``load.plain``.
+    :param off: mechanisms that plain ones stand for, see ``experiments``.
     """
 
     name: str
@@ -454,7 +454,7 @@
 
 def play(plan: Plan, policy: Policy, seed: int) -> list[Outcome]:
     """Play a plan and return what became of its requests."""
-    with plain.installed(policy.off):
+    with experiments.installed(policy.off):
         return Play(plan, seed).run(arrivals(plan, seed))
 
 
--- a/carawaystair/daemon.py
+++ b/carawaystair/daemon.py
@@ -41,6 +41,11 @@
     )
     parser_help = 'settings file, see docs/SETTINGS.md'
     result.add_argument('--settings', required=True, help=parser_help)
+    result.add_argument(
+        '--experiment',
+        action='store_true',
+        help='allow mechanisms to be switched off by experiment.off',
+    )
     return result
 
 
@@ -81,6 +86,33 @@
     return expression.Ok(Start(settings, held.ok))
 
 
+def switch_off(
+    settings: settings_module.Settings, asked: bool
+) -> expression.Result[None, settings_module.Problem]:
+    """Switch off what an experiment leaves out, if one was asked for.
+
+    :param asked: whether somebody asked for an experiment at the start.
+    """
+    names = settings.experiment.off
+    if not names:
+        return expression.Ok(None)
+    if not asked:
+        text = 'allowed with --experiment only'
+        return _mistaken(shape.Mistake('$.experiment.off', text))
+    experiments = importlib.import_module('carawaystair.experiments')
+    unknown = experiments.unknown(names)
+    if unknown:
+        text = 'unknown: %s' % ', '.join(unknown)
+        return _mistaken(shape.Mistake('$.experiment.off', text))
+    experiments.install(names)
+    LOG.warning('An experiment switches mechanisms off.', off=list(names))
+    return expression.Ok(None)
+
+
+def _mistaken(mistake: shape.Mistake) -> expression.Result:
+    return expression.Error((codes.SETTINGS_INVALID, [mistake]))
+
+
 def _problem(failure: codes.Failure) -> expression.Result:
     mistakes = [shape.Mistake('$', failure.detail)]
     return expression.Error((failure.code, mistakes))
@@ -169,6 +201,9 @@
     """Entry point of ``carawaystaird``."""
     options = parser().parse_args(arguments)
     result = read(options.settings)
+    if result.is_ok():
+        allowed = switch_off(result.ok.settings, options.experiment)
+        result = result if allowed.is_ok() else allowed
     if result.is_error():
         code, mistakes = result.error
         print(codes.Failure(code).sentence(), file=sys.stderr)
--- a/carawaystair/load/plain.py
+++ b/carawaystair/experiments.py
@@ -8,8 +8,11 @@
 import contextlib
 import math
 import typing
-from unittest import mock
 
+from carawaystair.gateway import ages
+from carawaystair.gateway import handover
+from carawaystair.gateway import slots
+from carawaystair.gateway import trips
 from carawaystair.load import estimating
 from carawaystair.load import gate
 from carawaystair.load import placing
@@ -19,6 +22,7 @@
 from carawaystair.load import trying
 from carawaystair.load import valuing
 from carawaystair.load import waiting
+from carawaystair.request import incoming
 
 
 class Part(typing.NamedTuple):
@@ -55,6 +59,14 @@
     return wait_s
 
 
+def _as_it_came(hop, _now_ms: int):
+    return hop
+
+
+def _last_by_kind(trip: trips.Trip) -> bool:
+    return not trip.call.idempotent or trip.sent > 0
+
+
 # What is on when nothing is said, and what stands for it when it is off.
 MECHANISMS = {
     # Learning from failures at all.
@@ -71,6 +83,10 @@
     'spread': (Part(spreading, 'MOST_FAILING', math.inf),),
     # The same data centre first.
     'near': (Part(placing, 'NEAR', 0.0), Part(placing, 'NEAR_KB', 0.0)),
+    # The same data centre the more, the more bytes are sent.
+    'near-bytes': (Part(placing, 'NEAR_KB', 0.0),),
+    # Ways through a third node.
+    'detour': (Part(placing, 'DETOUR', 0.0),),
     # Drawing those by lot that are worth the same.
     'lot': (Part(placing, 'SAME', 0.0),),
     # Reckoning with slots that are in use.
@@ -87,6 +103,18 @@
     'late-room': (Part(rejecting, 'LATE_ROOM', math.inf),),
     # Reckoning with those in goal that are yet to come.
     'overtaking': (Part(waiting.Line, 'late_wait_s', _as_it_is),),
+    # Reckoning with upstreams that warm up.
+    'cold': (Part(waiting, 'COLD_FACTOR', 1.0),),
+    # What waits leaves an upstream that turns gray.
+    'turn-away': (Part(slots.Slots, 'turn_away', _nothing),),
+    # The last run that a route allows is spared a failure.
+    'last-run': (Part(trips.Trip, 'last', property(_last_by_kind)),),
+    # Requests sent ahead run side by side.
+    'side-by-side': (Part(incoming.Connection, '_run_ahead', _nothing),),
+    # Bodies go out when a gateway has a slot for them.
+    'ask-body': (Part(handover, 'ASK_BYTES', math.inf),),
+    # What is sent between nodes ages on its way.
+    'age': (Part(ages, 'aged', _as_it_came),),
     # Return of the rejected by what the backlog needs.
     'return': (Part(returning, 'MOST_S', returning.LEAST_S),),
 }
@@ -100,16 +128,22 @@
 @contextlib.contextmanager
 def installed(names: typing.Iterable[str]) -> typing.Iterator[None]:
     """Let plain parts stand for some mechanisms, for a while."""
-    with contextlib.ExitStack() as stack:
-        for part in _parts(names):
-            patch = mock.patch.object(part.owner, part.name, part.plain)
-            stack.enter_context(patch)
+    parts = _parts(names)
+    real = [part._replace(plain=vars(part.owner)[part.name]) for part in parts]
+    _put(parts)
+    try:
         yield
+    finally:
+        _put(real)
 
 
 def install(names: typing.Iterable[str]) -> None:
     """Let plain parts stand for some mechanisms, in this whole process."""
-    for part in _parts(names):
+    _put(_parts(names))
+
+
+def _put(parts: typing.Iterable[Part]) -> None:
+    for part in parts:
         setattr(part.owner, part.name, part.plain)
 
 
--- a/carawaystair/gateway/evidence.py
+++ b/carawaystair/gateway/evidence.py
@@ -5,7 +5,6 @@
 from carawaystair import clock
 from carawaystair.gateway import slots as slots_module
 from carawaystair.load import estimating
-from carawaystair.load import gate
 from carawaystair import logs
 
 # A run that has not failed after so long has been worked on: gray upstreams
@@ -70,7 +69,7 @@
             LOG.info('An upstream is likely to fail.', **said)
             # It would fail all that wait for it, one after the other, within
             # milliseconds; others may have room for them.
-            self.slots.refuse_all(gate.RISKY)
+            self.slots.turn_away()
         elif after <= estimating.LIKELY < before:
             LOG.info('An upstream is sound again.', **said)
 
--- a/carawaystair/gateway/slots.py
+++ b/carawaystair/gateway/slots.py
@@ -82,6 +82,10 @@
                 else:
                     future.set_result(True)
 
+    def turn_away(self) -> None:
+        """Let all that wait go elsewhere: the upstream has turned gray."""
+        self.refuse_all(gate.RISKY)
+
     def refuse_all(self, reason: str) -> None:
         """Refuse all that wait: the upstream takes no more work."""
         for name, future in list(self.waiters.items()):
--- a/carawaystair/settings.py
+++ b/carawaystair/settings.py
@@ -156,6 +156,15 @@
     patience_s: float = 5.0
 
 
+class Experiment(typing.NamedTuple):
+    """What an experiment changes; refused unless it is asked for.
+
+    :param off: mechanisms that are switched off, see ``experiments``.
+    """
+
+    off: tuple[str, ...] = ()
+
+
 class Settings(typing.NamedTuple):
     """All settings; ``defaults.jsonc`` explains each."""
 
@@ -174,6 +183,7 @@
     node: Node
     control: Control
     headers: Headers = Headers()
+    experiment: Experiment = Experiment()
     bind_ip: str | None = None
 
     def bound(self, address: str) -> str:
