Hedges: what may be repeated and is late is asked of a second upstream

Change: after twice what its route usually takes, and a quarter of a second at least, a request goes to one more upstream that has a free slot, within the bound of repeats and the route's attempts; the first good answer counts, the other run is cancelled. Nothing is hedged before the route's time is known. Runs and arrivals of a request are kept by upstream, so that two at a time count right; gateways tell no service time that they have not seen.

--- a/carawaystair/experiments.py
+++ b/carawaystair/experiments.py
@@ -11,6 +11,7 @@
 
 from carawaystair.gateway import ages
 from carawaystair.gateway import handover
+from carawaystair.gateway import relay
 from carawaystair.gateway import slots
 from carawaystair.gateway import trips
 from carawaystair.load import estimating
@@ -115,6 +116,8 @@
     'ask-body': (Part(handover, 'ASK_BYTES', math.inf),),
     # What is sent between nodes ages on its way.
     'age': (Part(ages, 'aged', _as_it_came),),
+    # A second run of what is late.
+    'hedge': (Part(relay, 'HEDGE_S', 1e9),),
     # Return of the rejected by what the backlog needs.
     'return': (Part(returning, 'MOST_S', returning.LEAST_S),),
 }
--- a/carawaystair/gateway/handover.py
+++ b/carawaystair/gateway/handover.py
@@ -73,18 +73,22 @@
         trip: trips.Trip,
         target: targets.Target,
         least: float | None,
+        paid: bool,
     ) -> answers.Answer:
         """Hand a request over and return its answer.
 
         :param least: what it must be worth there; None when it may wait
             there whatever that is.
+        :param paid: whether this node counted it among its repeats.
         :raises trips.Declined: when it was not run there and will not be.
         :raises answers.Failed: when there is no answer.
         """
         process = self.process(target.upstream.host)
         usual_s = self.board.durations.of(trip.call.match.key)
         calm = not self.known.spreadings[trip.need.service].everywhere
-        first = trip.hop(self.host, target, least, calm, usual_s, process)
+        first = trip.hop(
+            self.host, target, least, paid, calm, usual_s, process
+        )
         view = self.board.view(target.upstream.id)
         try:
             return await self._send(trip, target, first, not view.reachable)
@@ -94,13 +98,14 @@
             if not lost or not whole or not process:
                 raise
             last = failed
-        return await self._resume(trip, target, first, last)
+        return await self._resume(trip, target, first, paid, last)
 
     async def _resume(
         self,
         trip: trips.Trip,
         target: targets.Target,
         first: hops.Hop,
+        paid: bool,
         last: answers.Failed,
     ) -> answers.Answer:
         """Ask for a request whose connection was lost."""
@@ -113,7 +118,9 @@
                 # Its host is dead, or the upstream has left since.
                 raise last
             self.resumed += 1
-            hop = trip.hop(self.host, target, None, False, 0.0, first.process)
+            hop = trip.hop(
+                self.host, target, None, paid, False, 0.0, first.process
+            )
             hop = hop._replace(again=True)
             try:
                 return await self._send(trip, target, hop, detour)
--- a/carawaystair/gateway/relay.py
+++ b/carawaystair/gateway/relay.py
@@ -13,6 +13,7 @@
 from carawaystair import codes
 from carawaystair import decisions
 from carawaystair.gateway import handover as handovers
+from carawaystair.gateway import hedging
 from carawaystair.gateway import hops
 from carawaystair.gateway import known as knowns
 from carawaystair.gateway import settling as settlings
@@ -40,6 +41,12 @@
 MOST_SENT = 3
 # Upstreams that may run a request whose route does not say.
 MOST_RUNS = 2
+# A request that takes so many times as long as its route usually does, and
+# this time at least in seconds, is asked of another upstream as well; of so
+# many at most, until one has room.
+HEDGE_AFTER = 2.0
+HEDGE_S = 0.25
+MOST_HEDGES = 3
 MS = 1000
 # Refusals that another question may turn into a run.
 WAITABLE = frozenset((rejecting.BUSY, gate.RISKY))
@@ -72,6 +79,8 @@
         self.settling = settling
         self.rng = rng
         self.recorder = recorder
+        # Answers that a second run brought before the first one ended.
+        self.hedged = 0
 
     # A request
 
@@ -183,7 +192,7 @@
         return rejecting.hopeless(
             clock.now(),
             report.wait_ms / MS,
-            report.route_ms / MS,
+            (report.route_ms or report.service_ms) / MS,
             trip.call.deadline,
         )
 
@@ -213,39 +222,80 @@
         count: int,
         least: float | None,
     ) -> answers.Answer | None:
-        """Offer a request to one gateway.
+        """Offer a request to one gateway, and to another when that is late.
 
         :param count: upstreams that take work, for the log.
         :param least: what it must be worth there; None when it may wait
             there whatever that is.
         :return: None when another one may be asked.
         """
+        first = self._send(trip, target, count, least)
+        durations, key = self.board.durations, trip.call.match.key
+        if trip.last or trip.call.body is None or not durations.knows(key):
+            return await first
+        usual_s = durations.of(key)
+        return await hedging.hedged(
+            first,
+            max(HEDGE_AFTER * usual_s, HEDGE_S),
+            lambda: self._hedge(trip, target.upstream.id),
+        )
+
+    async def _hedge(
+        self, trip: trips.Trip, first: str
+    ) -> answers.Answer | None:
+        """Let another upstream run a request as well, if one has room.
+
+        :param first: the upstream that has it.
+        """
+        trip.ran(first)
+        for _asked in range(MOST_HEDGES):
+            choice = self._choose(trip) if self._may_send(trip) else None
+            if choice is None:
+                return None
+            trip.tried.add(choice.target.upstream.id)
+            answer = await self._send(trip, *choice)
+            if answer is not None:
+                self.hedged += 1
+                return answer
+        return None
+
+    async def _send(
+        self,
+        trip: trips.Trip,
+        target: targets.Target,
+        count: int,
+        least: float | None,
+    ) -> answers.Answer | None:
+        """Offer a request to one gateway, see :meth:`_try`."""
         upstream = target.upstream
+        name = upstream.id
         trip.offers += 1
         offer = self._offer(trip, upstream, count, least)
-        view = self.board.view(upstream.id)
+        view = self.board.view(name)
         view.mine += 1
         began = clock.now()
         budget = self.budgets.of(trip.need.service)
-        trip.paid = trip.sent > 0 and budget.repeat(began, 1)
+        paid = trip.sent > 0 and budget.repeat(began, 1)
         try:
-            answer = await self.handover.exchange(trip, target, least)
+            answer = await self.handover.exchange(trip, target, least, paid)
         except trips.Declined as declined:
-            if trip.paid and declined.reason not in hops.ARRIVED:
+            reached = declined.reason in hops.ARRIVED
+            if paid and not reached:
                 budget.give_back()
+            trip.not_run(name, reached)
             self._declined(trip, target, declined)
             return None
         except answers.Failed as failed:
             self.recorder.tell(offer, decisions.TROUBLE)
-            self._tell_broken(trip, upstream.id, failed, began)
+            self._tell_broken(trip, name, failed, began)
             if not failed.sent:
-                if trip.paid:
+                if paid:
                     budget.give_back()
+                trip.not_run(name, False)
                 trip.missed.append(target)
                 return None
             self.known.learn(trip.need.service, False)
-            trip.sent += 1
-            trip.runs += 1
+            trip.ran(name)
             trip.failed = failed
             if not trip.call.idempotent or trip.call.body is None:
                 raise
@@ -253,18 +303,14 @@
         finally:
             view.mine -= 1
         bad = answer.status >= 500
-        key = trip.call.match.key
-        self.board.sizes.add(key, answers.size(answer))
+        self.board.sizes.add(trip.call.match.key, answers.size(answer))
         self.known.learn(trip.need.service, not bad)
         self.recorder.tell(
             offer, decisions.TROUBLE if bad else decisions.ROUTINE
         )
-        if answer.status < 500 or not trip.call.idempotent:
-            return answer
-        if answer.rest is not None:
+        if not bad or not trip.call.idempotent or answer.rest is not None:
             return answer
-        trip.sent += 1
-        trip.runs += 1
+        trip.ran(name)
         trip.fallback = answer
         return None
 
@@ -276,8 +322,6 @@
     ) -> None:
         name = target.upstream.id
         trip.refusals.append('%s:%s' % (name, declined.reason))
-        if declined.reason in hops.ARRIVED:
-            trip.sent += 1
         if declined.reason in WAITABLE:
             trip.declined[name] = (target, declined)
 
@@ -340,5 +384,6 @@
     """
     if report is None:
         return 0.0
-    answer_s = (report.wait_ms + report.route_ms) / MS
+    takes_ms = report.route_ms or report.service_ms
+    answer_s = (report.wait_ms + takes_ms) / MS
     return valuing.worth(placing.told(report, 0.0), answer_s, need)
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -138,6 +138,7 @@
     def samples(self) -> typing.Iterator[metrics.Sample]:
         """Yield what the parts of the path know of themselves."""
         yield metrics.Sample('resumed_total', self.handover.resumed)
+        yield metrics.Sample('hedged_total', self.relay.hedged)
         yield metrics.Sample('joined_runs_total', self.door.runs.joined)
         yield metrics.Sample(
             'lines_left_out_total', self.recorder.room.left_out
--- a/carawaystair/gateway/trips.py
+++ b/carawaystair/gateway/trips.py
@@ -70,11 +70,10 @@
         'missed',
         'need',
         'offers',
-        'paid',
+        'ran_at',
+        'reached',
         'refusals',
-        'runs',
         'sends',
-        'sent',
         'stayed',
         'token',
         'tried',
@@ -99,14 +98,39 @@
         self.sends = 0
         # Whether a part of its body went out.
         self.begun = False
-        # Whether the send that is on its way was counted as a repeat here.
-        self.paid = False
-        # Upstreams that may have run it, and sends that reached one.
-        self.runs = 0
-        self.sent = 0
+        # Upstreams that may have run it, and those that got it, whether they
+        # ran it or not.
+        self.ran_at: set[str] = set()
+        self.reached: set[str] = set()
         self.failed: answers.Failed | None = None
         self.fallback: answers.Answer | None = None
 
+    @property
+    def runs(self) -> int:
+        """Return how many upstreams may have run it."""
+        return len(self.ran_at)
+
+    @property
+    def sent(self) -> int:
+        """Return how many upstreams got it."""
+        return len(self.reached)
+
+    def ran(self, upstream: str) -> None:
+        """Take note that an upstream may have run it."""
+        self.ran_at.add(upstream)
+        self.reached.add(upstream)
+
+    def not_run(self, upstream: str, reached: bool) -> None:
+        """Take note that an upstream has not run it after all.
+
+        :param reached: whether it got it.
+        """
+        self.ran_at.discard(upstream)
+        if reached:
+            self.reached.add(upstream)
+        else:
+            self.reached.discard(upstream)
+
     @property
     def size(self) -> float:
         """Return the bytes of its body; infinite when it comes in chunks."""
@@ -137,6 +161,7 @@
         host: str,
         target: targets.Target,
         least: float | None,
+        paid: bool,
         calm: bool,
         usual_s: float,
         process: str,
@@ -146,6 +171,7 @@
         :param host: the host of this node.
         :param least: what it must be worth there; None when it stays there
             whatever that is.
+        :param paid: whether this node counted it among its repeats.
         :param calm: whether this node sees the service served well.
         :param usual_s: service time of its route, seconds.
         :param process: the process of the gateway, as far as is known.
@@ -166,7 +192,7 @@
             call.idempotent,
             need.inner,
             least is None,
-            self.sent > 0,
+            len(self.reached - {target.upstream.id}) > 0,
             need.echo,
             self.sends,
             process,
@@ -174,6 +200,6 @@
             least=int((least or 0.0) * THOUSAND),
             calm=calm,
             last=self.last,
-            paid=self.paid,
+            paid=paid,
             usual_ms=int(usual_s * MS),
         )
--- a/carawaystair/load/gate.py
+++ b/carawaystair/load/gate.py
@@ -111,6 +111,7 @@
         """
         line = self.line
         failing = self.estimate.failing(now)
+        seen = line.durations.knows(route)
         # One more request that is neither urgent nor late.
         wait_s = line.wait_s(waiting.Want('', route, math.inf), now)
         return placing.Report(
@@ -122,7 +123,7 @@
             int(wait_s * MS),
             int(line.durations.mean * MS),
             int(self.idle_s(now) * MS),
-            int(line.takes_s(route, now) * MS),
+            int(line.takes_s(route, now) * MS) if seen else 0,
             failing=int(failing * THOUSAND),
             usual=int(self.estimate.usually() * THOUSAND),
         )
--- a/carawaystair/load/means.py
+++ b/carawaystair/load/means.py
@@ -25,6 +25,10 @@
         if len(self.means) > MOST_ROUTES:
             del self.means[next(iter(self.means))]
 
+    def knows(self, route: str) -> bool:
+        """Tell whether a value of a route was seen."""
+        return route in self.means
+
     def of(self, route: str) -> float:
         """Return what is expected of a route."""
         return self.means.get(route, self.mean)
--- a/carawaystair/load/placing.py
+++ b/carawaystair/load/placing.py
@@ -55,7 +55,7 @@
     :param service_ms: mean service time, ms.
     :param idle_ms: time since it last began a run, ms.
     :param route_ms: mean service time of the route that was asked for, ms;
-        it may be a tenth of that of others.
+        it may be a tenth of that of others; 0 where none was seen.
     :param incarnation: the life of the upstream that this is about, 0 where
         none stands.
     :param failing: how likely it fails the next request, in thousandths;
