Follower: a slow answer counts, while others are asked

Ruled out, earlier: waiting longer after silent ones, which delays nodes where a fifth of the messages is lost.

Change: after 0.5 s others are asked, as before, but the question stays open for 3 s, four at most, and what it brings counts.

--- a/carawaystair/fetching.py
+++ b/carawaystair/fetching.py
@@ -3,6 +3,9 @@
 import asyncio
 import typing
 
+import expression
+
+from carawaystair import codes
 from carawaystair import distribution
 from carawaystair import interfaces
 from carawaystair import lag
@@ -10,8 +13,12 @@
 from carawaystair import rows
 from carawaystair import table as tables
 
-# A question without an answer is given up so soon and asked elsewhere.
+# A question without an answer is asked elsewhere as well after so long,
+# seconds.
 CALL_S = 0.5
+# And given up after so long.  Were it given up as soon as it is asked
+# elsewhere, no answer would ever come where all of them take longer.
+PATIENCE_S = 3.0
 
 
 class Fetched(typing.NamedTuple):
@@ -43,7 +50,8 @@
         address: str,
         kind: type,
         held: routing.Routing,
-        whole: bool = True,
+        whole: bool,
+        silent: asyncio.Event,
     ) -> Fetched | None:
         """Read one step or a whole table, in pieces where it is long.
 
@@ -55,13 +63,14 @@
         :param kind: ``distribution.Ask`` or ``distribution.AskPeer``.
         :param held: what the asker has.
         :param whole: whether a whole table is wanted where there is no step.
+        :param silent: set while an answer takes long.
         :return: None when there was no answer, or no step.
         """
         reading, start, pieces = rows.NONE, 0, _Pieces(held.table)
         in_step = False
         while True:
             ask = kind(held.version, self.name, reading, start, True, in_step)
-            result = await self.transport.call(address, ask, CALL_S)
+            result = await self._call(address, ask, silent)
             if result.is_error():
                 return None
             answer: distribution.Answer = result.ok
@@ -81,6 +90,16 @@
                 self._count(steps=int(step), tables_read=int(not step))
                 return Fetched(answer, await pieces.table())
 
+    async def _call(
+        self, address: str, ask: typing.Any, silent: asyncio.Event
+    ) -> expression.Result[distribution.Answer, codes.Failure]:
+        """Ask once; tell when the answer takes long."""
+        timer = asyncio.get_running_loop().call_later(CALL_S, silent.set)
+        try:
+            return await self.transport.call(address, ask, PATIENCE_S)
+        finally:
+            timer.cancel()
+
     def _count(self, **more: int) -> None:
         sums = {
             name: getattr(self.counts, name) + n for name, n in more.items()
--- a/carawaystair/follower.py
+++ b/carawaystair/follower.py
@@ -48,6 +48,8 @@
 ENOUGH_PEERS = 3
 # Questions to one process in a row that bring something newer each.
 MOST_IN_A_ROW = 4
+# Questions whose answers are still waited for while others are asked.
+MOST_OPEN = 4
 # Tries before control counts as away for a node that is starting.
 CONTROL_TRIES = 4
 # A node that stays behind tells it so often, seconds.
@@ -110,6 +112,8 @@
         self.asked = ''
         # A question to a peer beside those to control.
         self.aside: asyncio.Future | None = None
+        # Questions whose answers take long.
+        self.open: list[asyncio.Task] = []
         self.reader = fetching.Reader(transport, members.me.host)
         self.wake = asyncio.Event()
         self.rounds = 0
@@ -122,6 +126,11 @@
         if self.memory is not None:
             self.floor = self.memory.read()
 
+    async def on_stop(self) -> None:
+        """Wait for no answers any more."""
+        for task in self.open:
+            task.cancel()
+
     def routing(self) -> routing.Routing:
         """Return the configuration in force, an empty one while not ready.
 
@@ -216,6 +225,36 @@
 
     async def _fetch(
         self, address: str, kind: type, whole: bool = True
+    ) -> bool:
+        """Take what a process has; tell whether it was of use so far.
+
+        One that does not answer for long may still do so: what it says then
+        counts, while others are asked.
+        """
+        silent = asyncio.Event()
+        reading = asyncio.ensure_future(
+            self._read(address, kind, whole, silent)
+        )
+        waiting = asyncio.ensure_future(silent.wait())
+        try:
+            await asyncio.wait(
+                (reading, waiting), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            waiting.cancel()
+            if not reading.done():
+                self._leave_open(reading)
+        return reading.done() and reading.result()
+
+    def _leave_open(self, reading: asyncio.Task) -> None:
+        """Let a question go on beside others, a bounded number of them."""
+        self.open = [task for task in self.open if not task.done()]
+        self.open.append(reading)
+        for task in self.open[:-MOST_OPEN]:
+            task.cancel()
+
+    async def _read(
+        self, address: str, kind: type, whole: bool, silent: asyncio.Event
     ) -> bool:
         """Take what a process has; tell whether it was of use.
 
@@ -227,7 +266,9 @@
         """
         for _turn in range(MOST_IN_A_ROW):
             self.asked, asked_at = address, clock.now()
-            got = await self.reader.fetch(address, kind, self.held, whole)
+            got = await self.reader.fetch(
+                address, kind, self.held, whole, silent
+            )
             if got is None:
                 return False
             answer = got.answer
