Value: what a request is worth after a failure follows from what is known

While all are full or gray it costs nearly all of it, while most are idle nearly nothing.

The switch "again" puts nothing in its place.

--- a/bench/gateway_model.py
+++ b/bench/gateway_model.py
@@ -286,7 +286,7 @@
         upstream = self.upstreams[choice.candidate.id]
         trip.asked += 1
         trip.tried.add(upstream.name)
-        reason = self._refusal(now, upstream, trip, choice.least)
+        reason = self._refusal(now, upstream, trip, choice)
         if reason:
             self._refused(now, upstream, trip, reason)
             return
@@ -319,12 +319,18 @@
         self.at(now + ROUND_TRIP_S, self._ask, trip)
 
     def _refusal(
-        self, now: float, upstream: Upstream, trip: Trip, least: float
+        self,
+        now: float,
+        upstream: Upstream,
+        trip: Trip,
+        choice: placing.Choice,
     ) -> str:
         kind = trip.request.kind
         usual_s = self.boards[trip.request.node].durations.of(kind.name)
         calm = not self.spreadings[trip.request.node].everywhere
-        offer = gate.Offer(trip.last, trip.runs > 0, least, calm, usual_s)
+        offer = gate.Offer(
+            trip.last, trip.runs > 0, choice.again, choice.least, calm, usual_s
+        )
         want = _want(trip.request)
         answer = upstream.gate.answer(offer, want, now)
         return answer.reason or self._spent(now, upstream, trip)
--- a/carawaystair/experiments.py
+++ b/carawaystair/experiments.py
@@ -94,8 +94,8 @@
     'crowded': (Part(placing, 'CROWDED_S', 0.0),),
     # The earlier of two answers in time.
     'haste': (Part(valuing, 'HASTE', 0.0),),
-    # Sparing requests that can be repeated a failure.
-    'repeat-loss': (Part(valuing, 'REPEAT_LOSS', 0.0),),
+    # Reckoning with what a second run is worth.
+    'again': (Part(placing.Board, '_again', _one),),
     # Goals, urgency and deadlines among those that wait.
     'order': (Part(waiting.Line, 'rank', _same),),
     # Rejecting what can't be served.
--- a/carawaystair/gateway/handover.py
+++ b/carawaystair/gateway/handover.py
@@ -73,12 +73,14 @@
         trip: trips.Trip,
         target: targets.Target,
         least: float | None,
+        again: float,
         paid: bool,
     ) -> answers.Answer:
         """Hand a request over and return its answer.
 
         :param least: what it must be worth there; None when it may wait
             there whatever that is.
+        :param again: what it is worth if it fails there, 0 to 1.
         :param paid: whether this node counted it among its repeats.
         :raises trips.Declined: when it was not run there and will not be.
         :raises answers.Failed: when there is no answer.
@@ -87,7 +89,7 @@
         usual_s = self.board.durations.of(trip.call.match.key)
         calm = not self.known.spreadings[trip.need.service].everywhere
         first = trip.hop(
-            self.host, target, least, paid, calm, usual_s, process
+            self.host, target, least, again, paid, calm, usual_s, process
         )
         view = self.board.view(target.upstream.id)
         try:
@@ -119,7 +121,7 @@
                 raise last
             self.resumed += 1
             hop = trip.hop(
-                self.host, target, None, paid, False, 0.0, first.process
+                self.host, target, None, 0.0, paid, False, 0.0, first.process
             )
             hop = hop._replace(again=True)
             try:
--- a/carawaystair/gateway/hops.py
+++ b/carawaystair/gateway/hops.py
@@ -78,6 +78,7 @@
     :param trip: tells apart requests that bear one id.
     :param least: what it must be worth here to be taken, in thousandths, see
         ``load.valuing``; what is not is worth more elsewhere.
+    :param second: what it is worth if it fails here, in thousandths.
     :param calm: whether the sender sees its service served well.
     :param usual_ms: service time of its route, as the sender knows it, ms; 0
         where it does not.
@@ -112,6 +113,7 @@
     detour: str = ''
     trip: str = ''
     least: int = 0
+    second: int = 0
     calm: bool = False
     usual_ms: int = 0
     sent_ms: int = 0
--- a/carawaystair/gateway/known.py
+++ b/carawaystair/gateway/known.py
@@ -21,11 +21,13 @@
     :param count: upstreams that take work, this one included.
     :param least: what the request must be worth there, 0 to 1; None when it
         may wait there whatever that is.
+    :param again: what it is worth if it fails there, 0 to 1.
     """
 
     target: targets.Target
     count: int
     least: float | None
+    again: float = 0.0
 
 
 class Known:
@@ -159,7 +161,7 @@
         if chosen is None:
             return None
         target = self.target(usable[chosen.candidate.id])
-        return Choice(target, len(usable), chosen.least)
+        return Choice(target, len(usable), chosen.least, chosen.again)
 
     def _candidate(
         self, upstream: interfaces.Upstream, now: float
--- a/carawaystair/gateway/relay.py
+++ b/carawaystair/gateway/relay.py
@@ -221,15 +221,17 @@
         target: targets.Target,
         count: int,
         least: float | None,
+        again: float,
     ) -> answers.Answer | None:
         """Offer a request to one gateway, and to another when that is late.
 
         :param count: upstreams that take work, for the log.
         :param least: what it must be worth there; None when it may wait
             there whatever that is.
+        :param again: what it is worth if it fails there.
         :return: None when another one may be asked.
         """
-        first = self._send(trip, target, count, least)
+        first = self._send(trip, target, count, least, again)
         durations, key = self.board.durations, trip.call.match.key
         if trip.last or trip.call.body is None or not durations.knows(key):
             return await first
@@ -265,6 +267,7 @@
         target: targets.Target,
         count: int,
         least: float | None,
+        again: float,
     ) -> answers.Answer | None:
         """Offer a request to one gateway, see :meth:`_try`."""
         upstream = target.upstream
@@ -277,7 +280,9 @@
         budget = self.budgets.of(trip.need.service)
         paid = trip.sent > 0 and budget.repeat(began, 1)
         try:
-            answer = await self.handover.exchange(trip, target, least, paid)
+            answer = await self.handover.exchange(
+                trip, target, least, again, paid
+            )
         except trips.Declined as declined:
             reached = declined.reason in hops.ARRIVED
             if paid and not reached:
--- a/carawaystair/gateway/trips.py
+++ b/carawaystair/gateway/trips.py
@@ -161,6 +161,7 @@
         host: str,
         target: targets.Target,
         least: float | None,
+        again: float,
         paid: bool,
         calm: bool,
         usual_s: float,
@@ -171,6 +172,7 @@
         :param host: the host of this node.
         :param least: what it must be worth there; None when it stays there
             whatever that is.
+        :param again: what it is worth if it fails there.
         :param paid: whether this node counted it among its repeats.
         :param calm: whether this node sees the service served well.
         :param usual_s: service time of its route, seconds.
@@ -198,6 +200,7 @@
             process,
             trip=self.token,
             least=int((least or 0.0) * THOUSAND),
+            second=int(again * THOUSAND),
             calm=calm,
             last=self.last,
             paid=paid,
--- a/carawaystair/gateway/work.py
+++ b/carawaystair/gateway/work.py
@@ -278,6 +278,7 @@
         offer = gate.Offer(
             hop.last or hop.repeat or not hop.idempotent,
             hop.repeat,
+            hop.second / THOUSAND,
             hop.least / THOUSAND,
             hop.calm,
             hop.usual_ms / MS,
--- a/carawaystair/load/gate.py
+++ b/carawaystair/load/gate.py
@@ -29,6 +29,7 @@
 
     :param last: whether it can't be sent once more if it fails.
     :param repeat: whether an upstream got it before.
+    :param again: what it is worth if it fails here, 0 to 1.
     :param least: what it must be worth here to be taken, 0 to 1.
     :param calm: whether its node sees the service served well.
     :param usual_s: service time of its route, as its node knows it, seconds;
@@ -37,6 +38,7 @@
 
     last: bool
     repeat: bool
+    again: float
     least: float
     calm: bool
     usual_s: float
@@ -96,7 +98,9 @@
         """
         service_s = max(self.line.takes_s(want.route, now), offer.usual_s)
         answer_s = self.line.wait_s(want, now) + service_s
-        need = valuing.Need(want.goal - now, want.deadline - now, offer.last)
+        need = valuing.Need(
+            want.goal - now, want.deadline - now, offer.last, offer.again
+        )
         return valuing.worth(self.estimate.failing(now), answer_s, need)
 
     def idle_s(self, now: float) -> float:
--- a/carawaystair/load/placing.py
+++ b/carawaystair/load/placing.py
@@ -101,10 +101,12 @@
 
     :param candidate: the upstream.
     :param least: what it must be worth there to be taken, 0 to 1.
+    :param again: what it is worth if it fails there, 0 to 1.
     """
 
     candidate: Candidate
     least: float
+    again: float = 0.0
 
 
 class View:
@@ -216,6 +218,8 @@
         :param spread: whether those of which nothing was heard lately have
             an equal chance.
         """
+        candidates = list(candidates)
+        need = need._replace(again=self._again(candidates, need, now, route))
         near = self._near(route, size)
         rated = [
             (
@@ -235,7 +239,27 @@
         others = [worth for worth, one in left if one.id != chosen.id]
         least = max(others + known, default=0.0) - SAME
         least -= near * chosen.near
-        return Choice(chosen, max(least, 0.0))
+        return Choice(chosen, max(least, 0.0), need.again)
+
+    def _again(
+        self,
+        candidates: typing.Iterable[Candidate],
+        need: valuing.Need,
+        now: float,
+        route: str,
+    ) -> float:
+        """Return what a request is worth if it fails at the first upstream.
+
+        While upstreams have room, nearly all; when they are full, little.
+        """
+        if need.last:
+            return 0.0
+        last = need._replace(last=True)
+        best = max(
+            (self.worth(one, last, now, route) for one in candidates),
+            default=0.0,
+        )
+        return valuing.AGAIN * best
 
     def _draw(
         self,
--- a/carawaystair/load/valuing.py
+++ b/carawaystair/load/valuing.py
@@ -20,9 +20,9 @@
 # the first of these parts of its time is in time, one after the second late.
 SURELY = 0.7
 HARDLY = 1.3
-# A failure costs a request that is sent once more this part of its worth: the
-# second upstream may fail as well.
-REPEAT_LOSS = 0.15
+# A request that failed is worth this part of what it would be worth at the
+# best upstream now: the time has passed, and that one may have turned gray.
+AGAIN = 0.9
 
 
 class Need(typing.NamedTuple):
@@ -31,11 +31,13 @@
     :param goal_s: time until which its answer is worth most, seconds.
     :param left_s: time until its answer is owed, seconds.
     :param last: whether it can't be sent once more if it fails.
+    :param again: what it is worth if it fails and is sent once more, 0 to 1.
     """
 
     goal_s: float
     left_s: float
     last: bool
+    again: float = 0.0
 
 
 def in_time(answer_s: float, need: Need) -> float:
@@ -60,5 +62,5 @@
     :param failing: how likely it fails there.
     :param answer_s: seconds until an answer should come, the wait included.
     """
-    loss = failing if need.last else REPEAT_LOSS * failing
-    return (1.0 - loss) * in_time(answer_s, need)
+    again = 0.0 if need.last else need.again
+    return (1.0 - failing) * in_time(answer_s, need) + failing * again
--- a/test/test_load.py
+++ b/test/test_load.py
@@ -265,9 +265,11 @@
         :param others: how likely other upstreams fail it.
         """
         last = repeat or not idempotent
-        least = valuing.worth(others, SERVICE_S, need(last=last))
-        least -= placing.SAME
-        offer = gate.Offer(last, repeat, least, calm, SERVICE_S)
+        best = valuing.worth(others, SERVICE_S, need())
+        again = valuing.AGAIN * best
+        needed = need(last=last)._replace(again=again)
+        least = valuing.worth(others, SERVICE_S, needed) - placing.SAME
+        offer = gate.Offer(last, repeat, again, least, calm, SERVICE_S)
         answer = self.gate.answer(offer, want('x', now), now)
         if not answer.reason:
             self.gate.trials.began(now)
@@ -535,9 +537,12 @@
 
 def test_repeatable_requests_mind_a_failure_less():
     gray, slow = (0.8, SERVICE_S), (0.03, 2.4)
-    once, again = need(), need(last=False)
+    once, again = need(), need(last=False)._replace(again=0.85)
     assert valuing.worth(*slow, once) > valuing.worth(*gray, once)
     assert valuing.worth(*slow, again) < valuing.worth(*gray, again)
+    # Where a second run would find no room it is not worth the trial.
+    full = again._replace(again=0.1)
+    assert valuing.worth(*slow, full) > valuing.worth(*gray, full)
 
 
 def test_request_whose_goal_has_passed_goes_where_it_is_served_soonest():
