Experiments: one command, the ideal beside, figures drawn with intervals

Cause: the table of what each mechanism is worth could be played, but not with one command, not seen beside what an ideal scheduler makes of the same load, and not drawn.

Figures of one unit that have intervals are drawn beside each other.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 RUN = PYTHONPATH=. $(VENV)/bin/python
 WORKERS ?= 4
 
-.PHONY: venv venv-test format lint test demo bench soak fault-soak docs
+.PHONY: venv venv-test format lint test demo bench experiment soak fault-soak docs
 
 venv: $(VENV)/.installed
 
@@ -40,6 +40,10 @@
 bench: venv
 	$(RUN) -m bench.run
 
+experiment: venv
+	$(RUN) -m bench.run ablation
+	$(RUN) -m bench.report
+
 soak: venv
 	$(RUN) -m bench.soak
 
--- a/bench/exp_ablation.py
+++ b/bench/exp_ablation.py
@@ -55,8 +55,13 @@
     count = QUICK if quick else DEPLOYMENTS
     plans = list(drawn.deployments(count, seed))
     whole = [worth(model.play(plan, model.Policy('all'), 1)) for plan in plans]
+    ideal = [worth(model.central(plan, 1)) for plan in plans]
+    lost = [a - b for a, b in zip(ideal, whole)]
     found = [
-        figures.bootstrap('ablation.all', 'worth', whole, statistics.mean)
+        figures.bootstrap('ablation.all', 'worth', whole, statistics.mean),
+        figures.bootstrap(
+            'ablation.below-ideal', 'worth', lost, statistics.mean
+        ),
     ]
     names = [n for n in experiments.MECHANISMS if n not in ELSEWHERE]
     for number, name in enumerate(names):
--- a/bench/report.py
+++ b/bench/report.py
@@ -20,6 +20,11 @@
 PLOT_INCHES = (4.6, 3.0)
 PLOT_PIXELS = (420, 260)
 PLOT_MARGIN = 34
+# Bars begin behind the longest name, pixels; one row is so high.
+BARS_LEFT = 190
+BARS_ROW = 18
+# Fewer figures than these are seen well enough in the table.
+BARS_LEAST = 4
 
 STYLE = """
 body { font: 15px/1.5 sans-serif; max-width: 62em; margin: 2em auto; }
@@ -106,6 +111,59 @@
     )
 
 
+def bars(found: typing.Sequence[figures.Figure]) -> str:
+    """Return a drawing of figures of one unit beside each other.
+
+    A line shows the interval of each.  Empty where they can't be compared.
+    """
+    ranged = [one for one in found if one.low is not None]
+    if len(ranged) < BARS_LEAST or len({one.unit for one in ranged}) > 1:
+        return ''
+    low = min(0.0, *(one.low for one in ranged))
+    high = max(0.0, *(one.high for one in ranged))
+    width = BARS_LEFT + PLOT_PIXELS[0]
+    scale = (PLOT_PIXELS[0] - PLOT_MARGIN) / ((high - low) or 1.0)
+
+    def _across(value: float) -> float:
+        return BARS_LEFT + (value - low) * scale
+
+    rows = ''.join(
+        _bar(one, (number + 0.5) * BARS_ROW, _across)
+        for number, one in enumerate(ranged)
+    )
+    zero = '<path d="M%.1f 0V%d" stroke="#999"/>' % (
+        _across(0.0),
+        len(ranged) * BARS_ROW,
+    )
+    return '<svg width="%d" height="%d" font-size="12">%s%s</svg>' % (
+        width,
+        len(ranged) * BARS_ROW,
+        zero,
+        rows,
+    )
+
+
+def _bar(
+    one: figures.Figure, down: float, across: typing.Callable[[float], float]
+) -> str:
+    """Return the drawing of one figure: name, interval and value.
+
+    :param down: the middle of its row, pixels.
+    :param across: where a value is drawn, pixels.
+    """
+    text = '<text x="0" y="%.1f">%s</text>' % (
+        down + 4,
+        html.escape(one.name),
+    )
+    line = '<path d="M%.1f %.1fH%.1f" stroke="#555"/>' % (
+        across(one.low),
+        down,
+        across(one.high),
+    )
+    dot = '<circle cx="%.1f" cy="%.1f" r="3"/>' % (across(one.value), down)
+    return text + line + dot
+
+
 def cells(row: typing.Sequence[str], numbers: typing.Container[int]) -> str:
     """Return a table row."""
     return '<tr>%s</tr>' % ''.join(
@@ -138,6 +196,7 @@
             '<table><tr>%s</tr>' % head,
             *(cells(row, (1, 4)) for row in rows),
             '</table>',
+            bars(result.figures),
             *map(plot, result.slopes),
         ]
     )
--- a/test/test_bench_tool.py
+++ b/test/test_bench_tool.py
@@ -3,7 +3,10 @@
 import re
 import types
 
+from bench import drawn
+from bench import exp_ablation
 from bench import figures
+from bench import gateway_model
 from bench import report
 from bench import results
 from bench import run
@@ -74,3 +77,33 @@
         assert '&lt;b&gt;' in page and '<b>' not in page
         links = re.findall('(?:src|href)="(.)', page)
         assert set(links) <= {'#'}, 'only references within the page'
+
+
+def test_figures_of_one_unit_are_drawn_beside_each_other():
+    found = [
+        figures.Figure('gain.%d' % n, n / 10, 'worth', n / 10 - 0.2, n / 10, 5)
+        for n in range(4)
+    ]
+    drawing = report.bars(found)
+    assert drawing.count('<circle') == 4
+    assert re.findall('gain.[0-9]', drawing) == [one.name for one in found]
+    assert report.bars(found[:3]) == ''
+    other = found[3]._replace(unit='ms')
+    assert report.bars([*found[:3], other]) == ''
+
+
+def test_deployments_are_drawn_alike_for_a_seed():
+    first, again = (list(drawn.deployments(3, 5)) for _time in range(2))
+    assert first == again
+    assert first != list(drawn.deployments(3, 6))
+
+
+def test_worth_counts_what_is_served_and_when():
+    kind = gateway_model.Kind('pay', 1.0, 0.5, False, 2.0, 8.0)
+    request = gateway_model.Request('r', kind, 1.0, 0.5, 0)
+    on_time = gateway_model.Outcome(request, 2.0, True)
+    late = on_time._replace(when=5.0)
+    lost = on_time._replace(good=False)
+    assert exp_ablation.worth([on_time] * 10) == 1.0
+    assert round(exp_ablation.worth([late] * 10), 9) == 0.65
+    assert exp_ablation.worth([lost] * 10) == 0.0
