--- a/test/gateway_setup.py
+++ b/test/gateway_setup.py
@@ -101,6 +101,7 @@
         self.gateway_address = '127.0.0.1:%d' % self.gateway
         self.told: dict[str, interfaces.Upstream] = {}
         self.upstream = upstream
+        self.runs_service = fleet.services[number]
         self.membership = Membership(self, fleet)
         self.lines = Lines()
         text = {
@@ -141,7 +142,7 @@
         :param incarnation: its lifetime; 0 for the one that is known.
         """
         said = registries.Announcement(
-            'portal',
+            self.runs_service,
             '127.0.0.1:%d' % self.upstream.port,
             slots,
             state=state,
@@ -161,6 +162,8 @@
     :param scripts: one for each node with an upstream; None for a node
         without one.
     :param far: so many of the last nodes stand in another data centre.
+    :param services: the service of each node's upstream; by default all have
+        the same one.
     """
 
     def __init__(
@@ -170,10 +173,12 @@
         routes=ROUTES,
         limits=manifest.Limits(),
         far: int = 0,
+        services: tuple[str, ...] = (),
         **node,
     ) -> None:
         self.far = far
         self.count = len(scripts)
+        self.services = services or ('portal',) * len(scripts)
         self.routing = _routing(routes, limits)
         self.behind_s = 0.0
         self.nodes: list[Node] = []
