Retries: a repeat whose calls could not be paid does not begin

Cause: calls of repeated runs were counted by force at the called gateways, against their part of the slack alone, so nothing kept them back. Where most requests of the calling service make no call, that service earns far more repeats than the called one can bear. Change: a gateway learns how many calls the runs of each service make. A repeat begins once its calls are paid for, from what the calls of this host earn, else from a part of the slack kept for callers (0.2, beside 0.6 of the gateways themselves). What a run did not use is given back. Calls beyond what was expected are counted as before.

--- a/carawaystair/gateway/front.py
+++ b/carawaystair/gateway/front.py
@@ -247,6 +247,7 @@
             self.inner.rank(call.id, route.priority),
             bool(parent),
             parent in self.inner.repeated,
+            bool(parent) and self.inner.called(parent, name),
             self.service,
             route.max_attempts or relays.MOST_RUNS,
             str(routing.version),
--- a/carawaystair/gateway/inner.py
+++ b/carawaystair/gateway/inner.py
@@ -9,6 +9,7 @@
 import collections
 
 from carawaystair import clock
+from carawaystair.load import nesting
 
 # An upstream answers its own caller so soon after a call of it failed,
 # seconds: it has nothing left to do.
@@ -17,27 +18,37 @@
 
 
 class InnerCalls:
-    """What this host knows of the calls of its upstreams."""
+    """What this host knows of the calls of its upstreams.
 
-    def __init__(self) -> None:
+    :param payer: pays for the calls of repeated runs.
+    """
+
+    def __init__(self, payer: nesting.Payer) -> None:
+        self.payer = payer
         # How many runs of a request are at the upstreams of this host, and
         # the rank of each.
         self.running: collections.Counter = collections.Counter()
         self.ranks: dict[str, int] = {}
+        self.services: dict[str, str] = {}
         # Those that were sent to another upstream before.
         self.repeated: set[str] = set()
         # When a call of a request failed last.
         self.failed_at: dict[str, float] = {}
 
-    def began(self, request: str, rank: int, repeat: bool) -> None:
+    def began(
+        self, request: str, service: str, rank: int, repeat: bool
+    ) -> None:
         """Take note that a request runs here.
 
+        :param service: the service that runs it.
         :param rank: the rank of its kind, 0 first.
         :param repeat: whether it was sent to an upstream before, so that its
             calls are made once more, too.
         """
         self.running[request] += 1
         self.ranks[request] = rank
+        self.services[request] = service
+        self.payer.counts.ran(service)
         if repeat:
             self.repeated.add(request)
 
@@ -47,6 +58,8 @@
         if not self.running[request]:
             del self.running[request]
             del self.ranks[request]
+            del self.services[request]
+            self.payer.ended(request)
             self.repeated.discard(request)
 
     def parent(self, request: str) -> str:
@@ -54,6 +67,15 @@
         name = request.rpartition('.')[0]
         return name if name in self.running else ''
 
+    def called(self, parent: str, service: str) -> bool:
+        """Take note of a call; tell whether its arrival was paid for.
+
+        :param parent: the running request that makes it.
+        :param service: the service that is called.
+        """
+        self.payer.counts.called(self.services[parent], service)
+        return self.payer.use(parent, service)
+
     def rank(self, call: str, own: int) -> int:
         """Return the rank of a request: that of the one that waits for it, if
         it is less urgent.
--- a/carawaystair/gateway/relay.py
+++ b/carawaystair/gateway/relay.py
@@ -278,10 +278,12 @@
         view.mine += 1
         began = clock.now()
         budget = self.budgets.of(trip.need.service)
-        paid = trip.sent > 0 and budget.repeat(began, 1)
+        counts = trip.sent > 0 or (trip.need.echo and not trip.need.paid)
+        paid = counts and budget.repeat(began, 1)
+        counted = paid or (trip.need.paid and trip.sent == 0)
         try:
             answer = await self.handover.exchange(
-                trip, target, least, again, paid
+                trip, target, least, again, counted
             )
         except trips.Declined as declined:
             reached = declined.reason in hops.ARRIVED
--- a/carawaystair/gateway/trips.py
+++ b/carawaystair/gateway/trips.py
@@ -39,6 +39,7 @@
     :param priority: rank of its kind, 0 first.
     :param inner: whether another running request waits for it.
     :param echo: whether that one was sent to an upstream before.
+    :param paid: whether its arrival was counted among the repeats already.
     :param caller_service: the service on this host.
     :param most_runs: upstreams that may run it.
     :param version: configuration that it was read with.
@@ -49,6 +50,7 @@
     priority: int
     inner: bool
     echo: bool
+    paid: bool
     caller_service: str
     most_runs: int
     version: str
--- a/carawaystair/gateway/work.py
+++ b/carawaystair/gateway/work.py
@@ -208,6 +208,9 @@
             slots.free(hop.key)
             raise slots_module.Refused(hops.LEAVING)
         call, source = await self._with_body(hop, slots, call, take)
+        if hop.repeat and not self._pay_calls(hop):
+            slots.free(hop.key)
+            raise slots_module.Refused(hops.SPENT)
         line = slots.line
         self.recorder.tell(
             decisions.Began(
@@ -300,13 +303,21 @@
         if not budget.repeat(now, self._sharers(hop.service)):
             raise slots_module.Refused(hops.SPENT)
 
+    def _pay_calls(self, hop: hops.Hop) -> bool:
+        """Pay for the calls of a repeat; tell whether that was possible."""
+        return self.inner.payer.pay(
+            hop.id, hop.service, clock.now(), self._sharers(hop.service)
+        )
+
     def _count(self, hop: hops.Hop) -> None:
         """Count a request that goes to its upstream now."""
         budget = self.budgets.of(hop.service)
-        if hop.echo and not hop.repeat:
-            budget.force(clock.now())
-        elif not hop.repeat:
+        if hop.repeat:
+            return
+        if not hop.echo:
             budget.first(clock.now())
+        elif not hop.paid:
+            budget.force(clock.now())
 
     def _sharers(self, service: str) -> int:
         """Return how many gateways share the repeats of a service.
@@ -343,7 +354,9 @@
         """
         began = clock.now()
         evidence = evidence_module.Evidence(hop.upstream, slots, hop.route)
-        self.inner.began(hop.id, hop.priority, hop.repeat or hop.echo)
+        self.inner.began(
+            hop.id, hop.service, hop.priority, hop.repeat or hop.echo
+        )
         status, detail = 0, ''
         outcome = interfaces.CANCELLED
         try:
--- /dev/null
+++ b/carawaystair/load/nesting.py
@@ -0,0 +1,120 @@
+"""Pays for the calls of repeated runs before the runs begin.
+
+A run that is itself a repeat makes its calls once more, and these count as
+repeats at the service that is called.  Where a service that earns many
+repeats calls one that earns few, the calls alone would break the bound of the
+second one.  So the gateway learns how many calls its upstreams make, and a
+repeat begins only once its calls are paid for.
+"""
+
+import collections
+import math
+import typing
+
+from carawaystair.load import retrying
+
+# Calls that fewer runs make than this share are not paid for in advance.
+RARE = 0.05
+# Counts are halved once so many runs were seen, so that they follow changes.
+MOST_RUNS = 512
+
+
+class CallCounts:
+    """How many calls the runs of each service make."""
+
+    def __init__(self) -> None:
+        self.runs: collections.Counter = collections.Counter()
+        self.calls: dict[str, collections.Counter] = {}
+
+    def ran(self, service: str) -> None:
+        """Count a run of a service."""
+        self.runs[service] += 1
+        if self.runs[service] >= MOST_RUNS:
+            self.runs[service] //= 2
+            halved = self.calls.get(service, {})
+            self.calls[service] = collections.Counter(
+                {name: count / 2 for name, count in halved.items()}
+            )
+
+    def called(self, service: str, other: str) -> None:
+        """Count a call that a run of a service made to another one."""
+        calls = self.calls.setdefault(service, collections.Counter())
+        calls[other] += 1
+
+    def expected(self, service: str) -> dict[str, int]:
+        """Return the calls to expect of one run, by the service called."""
+        runs = max(self.runs[service], 1)
+        shares = {
+            name: count / runs
+            for name, count in self.calls.get(service, {}).items()
+        }
+        return {
+            name: math.ceil(share - RARE)
+            for name, share in shares.items()
+            if share > RARE
+        }
+
+
+class Payer:
+    """Takes calls of repeated runs out of the bound of the called services.
+
+    :param share: of the repeats that the calls of this host earn.
+    :param slack: of the part of the slack kept for such calls.
+    """
+
+    def __init__(
+        self, share: retrying.Budgets, slack: retrying.Budgets
+    ) -> None:
+        self.share = share
+        self.slack = slack
+        self.counts = CallCounts()
+        # By request, what was paid and not used yet: service and budget.
+        self.paid: dict[str, list[tuple[str, retrying.Budget]]] = {}
+
+    def pay(self, request: str, service: str, now: float, hosts: int) -> bool:
+        """Pay for the calls of a repeat that is about to run.
+
+        :param hosts: hosts of the service, which share the slack.
+        :return: whether all could be paid; otherwise none is.
+        """
+        taken: list[tuple[str, retrying.Budget]] = []
+        for called, count in self.counts.expected(service).items():
+            for _call in range(count):
+                budget = self._take(called, now, hosts)
+                if budget is None:
+                    _give_back(taken)
+                    return False
+                taken.append((called, budget))
+        if taken:
+            self.paid.setdefault(request, []).extend(taken)
+        return True
+
+    def _take(
+        self, service: str, now: float, hosts: int
+    ) -> retrying.Budget | None:
+        share, slack = self.share.of(service), self.slack.of(service)
+        if share.repeat(now, 1):
+            return share
+        return slack if slack.repeat(now, hosts) else None
+
+    def use(self, request: str, service: str) -> bool:
+        """Use one of the calls paid for; tell whether there was one.
+
+        :param request: the running request that makes the call.
+        """
+        paid = self.paid.get(request, [])
+        found = [pair for pair in paid if pair[0] == service]
+        if found:
+            paid.remove(found[0])
+        return bool(found)
+
+    def ended(self, request: str) -> None:
+        """Give back what was paid for calls that a run did not make."""
+        _give_back(self.paid.pop(request, []))
+
+
+def _give_back(
+    taken: typing.Iterable[tuple[str, retrying.Budget]],
+) -> None:
+    for _service, budget in taken:
+        budget.give_back()
--- a/carawaystair/load/retrying.py
+++ b/carawaystair/load/retrying.py
@@ -22,10 +22,11 @@
 import math
 
 # The parts of the bound that are used: of the share of first sends, which a
-# node sees as its callers send them, and of the slack, from which gateways
-# also pay for what they can't keep back.
+# node sees as its callers send them, and of the slack, by the gateways of a
+# service and by those whose upstreams call it.
 USED_SHARE = 0.95
 USED_SLACK = 0.6
+CALLS_SLACK = 0.2
 # Counts are kept by spans of this length, in seconds.
 SPAN_S = 0.5
 ROUNDING_BYTES = 4
@@ -43,6 +44,7 @@
     :param window_s: length of the window.
     :param rounding: what is added before a fraction is cut off, 0 to 1.
     :param began: monotonic time at which this process began to count.
+    :param used_slack: share of the slack that all such parts may use.
     """
 
     __slots__ = (
@@ -55,6 +57,7 @@
         'slack',
         'total_firsts',
         'total_repeats',
+        'used_slack',
         'window_s',
     )
 
@@ -65,12 +68,14 @@
         window_s: float,
         rounding: float = 0.0,
         began: float = -math.inf,
+        used_slack: float = USED_SLACK,
     ) -> None:
         self.ratio = ratio
         self.slack = slack
         self.window_s = window_s
         self.rounding = rounding
         self.began = began
+        self.used_slack = used_slack
         self.firsts: collections.deque = collections.deque()
         self.repeats: collections.deque = collections.deque()
         # For metrics.
@@ -92,7 +97,7 @@
         # A span of repeats counts until all of it has passed.
         _forget(self.repeats, now - self.window_s - SPAN_S)
         earned = USED_SHARE * self.ratio * _sum(self.firsts)
-        part = USED_SLACK * self.slack / max(nodes, 1) + self.rounding
+        part = self.used_slack * self.slack / max(nodes, 1) + self.rounding
         age = (now - self.began) / self.window_s
         if age < 1.0:
             part = min(FIRST_SHARE * part, FIRST_SLACK + age * part)
@@ -126,6 +131,7 @@
     :param window_s: length of the window.
     :param name: names this part of the bound; the seed of its rounding.
     :param began: monotonic time at which this process began to count.
+    :param used_slack: share of the slack that all such parts may use.
     """
 
     def __init__(
@@ -135,12 +141,14 @@
         window_s: float,
         name: str,
         began: float = -math.inf,
+        used_slack: float = USED_SLACK,
     ) -> None:
         self.ratio = ratio
         self.slack = slack
         self.window_s = window_s
         self.name = name
         self.began = began
+        self.used_slack = used_slack
         self.budgets: dict[str, Budget] = {}
 
     def of(self, service: str) -> Budget:
@@ -153,6 +161,7 @@
                 self.window_s,
                 rounding('%s %s' % (self.name, service)),
                 self.began,
+                self.used_slack,
             )
         return found
 
--- a/test/test_load.py
+++ b/test/test_load.py
@@ -8,6 +8,7 @@
 
 from carawaystair.load import estimating
 from carawaystair.load import gate
+from carawaystair.load import nesting
 from carawaystair.load import placing
 from carawaystair.load import rejecting
 from carawaystair.load import retrying
@@ -666,6 +667,41 @@
     assert sum(when >= 32.0 for when in taken) >= 0.7 * 58 * 0.6
 
 
+def test_repeat_whose_calls_can_not_be_paid_does_not_begin():
+    """Guards against repeats that bring more calls than the bound holds."""
+    share = retrying.Budgets(0.2, 0.0, 10.0, 'share of h')
+    slack = retrying.Budgets(0.0, 30, 10.0, 'calls of h', used_slack=0.2)
+    payer = nesting.Payer(share, slack)
+    for number in range(50):
+        payer.counts.ran('shop')
+        payer.counts.called('shop', 'stock')
+        if number % 2:
+            payer.counts.called('shop', 'stock')
+    assert payer.counts.expected('shop') == {'stock': 2}
+    paid = [payer.pay('r%d' % n, 'shop', 20.0, 1) for n in range(10)]
+    # Two calls each, of the six that this part of the slack has.
+    assert paid == [True] * 3 + [False] * 7
+    assert payer.use('r0', 'stock')
+    assert payer.use('r0', 'stock')
+    assert not payer.use('r0', 'stock')
+    assert not payer.use('r1', 'other')
+    # One run ends before its calls; another one may begin.
+    payer.ended('r1')
+    assert payer.pay('r10', 'shop', 20.0, 1)
+    assert not payer.pay('r11', 'shop', 20.0, 1)
+    assert payer.pay('r12', 'unknown', 20.0, 1)
+
+
+def test_call_counts_follow_a_service_that_changed():
+    counts = nesting.CallCounts()
+    for _run in range(600):
+        counts.ran('shop')
+        counts.called('shop', 'stock')
+    for _run in range(6 * nesting.MOST_RUNS):
+        counts.ran('shop')
+    assert counts.expected('shop') == {}
+
+
 def test_repeat_that_reached_nobody_is_not_counted():
     budget = retrying.Budget(0.0, 4, 10.0)
     for _time in range(50):
