--- a/test/fakes.py
+++ b/test/fakes.py
@@ -76,6 +76,8 @@
     :param delay_s: least and greatest delay, in seconds.
     :param bytes_s: bytes a second of the way between two ends, 0 for no
         bound; a message is there when its last byte is.
+    :param link_bytes_s: bytes a second of the link of each end, either way,
+        0 for no bound; messages of one end wait for each other.
     """
 
     def __init__(
@@ -85,8 +87,14 @@
         double: float = 0.0,
         delay_s: tuple[float, float] = (0.0005, 0.002),
         bytes_s: int = 0,
+        link_bytes_s: int = 0,
     ) -> None:
         self.bytes_s = bytes_s
+        self.link_bytes_s = link_bytes_s
+        # When the link of an end is free again, by address and direction.
+        self.busy: dict[tuple[str, str], float] = {}
+        # Called with source, target and data of all that is carried.
+        self.observers: list[typing.Callable[[str, str, bytes], None]] = []
         self.random = random.Random(seed)
         self.loss = loss
         self.double = double
@@ -123,14 +131,27 @@
         if lost or (source, target) in self.cuts:
             return
         copies = 2 if self.random.random() < self.double else 1
+        for observer in self.observers:
+            observer(source, target, data)
         loop = asyncio.get_running_loop()
         way_s = len(data) / self.bytes_s if self.bytes_s else 0.0
+        way_s += self._queued_s((source, 'out'), len(data))
+        way_s += self._queued_s((target, 'in'), len(data))
         for _copy in range(copies):
             delay_s = way_s + self.random.uniform(*self.delay_s)
             loop.call_later(delay_s, self._arrive, target, data)
         self.carried += 1
         self.carried_bytes += len(data)
 
+    def _queued_s(self, link: tuple[str, str], size: int) -> float:
+        """Return how long a message takes on one link, its queue included."""
+        if not self.link_bytes_s:
+            return 0.0
+        now = asyncio.get_running_loop().time()
+        ends = max(self.busy.get(link, now), now) + size / self.link_bytes_s
+        self.busy[link] = ends
+        return ends - now
+
     def _arrive(self, target: str, data: bytes) -> None:
         end = self.ends.get(target)
         if end is not None:
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -18,9 +18,9 @@
 from test import fakes
 
 
-def make(network, number, seeds=(0, 1), incarnation=1, **settings):
+def make(network, number, seeds=(0, 1), incarnation=1, centres=4, **settings):
     """Return the membership of one made-up process."""
-    member = fakes.member(number)
+    member = fakes.member(number, centres)
     transport = network.transport(member.peer)
     return service.Membership(
         service.Identity(
