Overlay: few edges leave a data centre

Cause: all hosts stood on one ring, so five of six edges of the overlay left the data centre, and each record crossed between data centres once for nearly each host. Tests: edges between data centres, hops, and the loss of most links.

--- a/bench/exp_gossip.py
+++ b/bench/exp_gossip.py
@@ -234,7 +234,7 @@
     await asyncio.sleep(window_s)
     quiet = _cost(before, _sent(node), window_s)
     count = 20 if window_s < 5 else 200
-    copies = len(ring.neighbours('a', ['h%d' % n for n in range(size)]))
+    copies = len(ring.neighbours('h0', {'h%d' % n: '' for n in range(size)}))
     before, began = _sent(node), time.monotonic()
     await asyncio.to_thread(swarm.call, swarm.change(count, copies, 0.02))
     took_s = time.monotonic() - began
--- a/carawaystair/membership/flood.py
+++ b/carawaystair/membership/flood.py
@@ -116,8 +116,11 @@
 
     def align(self) -> None:
         """Open and close feeds as the overlay has it now."""
-        hosts = [entry.member.host for entry in self.table.up()]
-        wanted = ring.neighbours(self.table.host, hosts)
+        centres = {
+            entry.member.host: entry.member.data_centre
+            for entry in (self.table.me, *self.table.up())
+        }
+        wanted = ring.neighbours(self.table.host, centres)
         for host in self.feeds.keys() - set(wanted):
             self._drop(host)
         for host in wanted:
--- a/test/test_membership_spread.py
+++ b/test/test_membership_spread.py
@@ -271,17 +271,60 @@
     fakes.run(_run())
 
 
+def reach(links, first):
+    """Return the hops from a host to all that it reaches, and how many."""
+    reached, hops, before = {first}, 0, 0
+    while len(reached) > before:
+        before = len(reached)
+        reached |= {after for name in reached for after in links.get(name, ())}
+        hops += len(reached) > before
+    return hops, len(reached)
+
+
 def test_the_overlay_links_everybody_in_few_hops():
-    names = ['h%d' % number for number in range(500)]
+    names = {'h%d' % number: 'dc' for number in range(500)}
     links = {name: ring.neighbours(name, names) for name in names}
     assert max(len(found) for found in links.values()) == 7
-    reached, hops = {'h0'}, 0
-    while len(reached) < 500:
-        reached |= {after for name in reached for after in links[name]}
-        hops += 1
+    hops, reached = reach(links, 'h0')
+    assert reached == 500
     assert hops <= 12
-    assert ring.neighbours('a', ['a']) == ()
-    assert set(ring.neighbours('a', 'abc')) == set('bc')
+    assert ring.neighbours('a', {'a': 'dc'}) == ()
+    assert set(ring.neighbours('a', dict.fromkeys('abc', 'dc'))) == set('bc')
+
+
+@pytest.mark.parametrize('centres', [2, 6, 30])
+def test_few_edges_of_the_overlay_leave_a_data_centre(centres):
+    """Guards against records that cross between data centres host by host."""
+    names = {'h%d' % n: 'dc%d' % (n % centres) for n in range(240)}
+    links = {name: ring.neighbours(name, names) for name in names}
+    far = [
+        (name, other)
+        for name, found in links.items()
+        for other in found
+        if names[name] != names[other]
+    ]
+    alone = {'c%d' % n: '' for n in range(centres)}
+    towards = len(ring.neighbours('c0', alone))
+    assert len(far) == centres * towards * ring.CENTRE_LINKS
+    hops, reached = reach(links, 'h0')
+    assert reached == 240
+    assert hops <= 12
+
+
+def test_overlay_bears_the_loss_of_most_links_between_data_centres():
+    """Guards against a data centre cut off until losses are noticed."""
+    names = {'h%d' % n: 'dc%d' % (n % 2) for n in range(40)}
+    links = {name: ring.neighbours(name, names) for name in names}
+    holders = [
+        name
+        for name, found in links.items()
+        if names[name] == 'dc0'
+        and any(names[other] == 'dc1' for other in found)
+    ]
+    lost = holders[1:]
+    left = {name: found for name, found in links.items() if name not in lost}
+    first = next(name for name in left if names[name] == 'dc0')
+    assert reach(left, first)[1] == 40
 
 
 def test_digests_find_the_one_host_that_differs():
