Membership: what has left stays so, and a death is heard by all of a few

Change: no answer to probes after a leave; those records are taken; news is sent eight times at least. Each has a test that failed before.

--- a/carawaystair/membership/news.py
+++ b/carawaystair/membership/news.py
@@ -17,6 +17,9 @@
 
 # Times that each process sends a piece of news, as a multiple of log10(n).
 MULTIPLIER = 4
+# Times that it is sent at least: in a fleet of a few hosts chance decides who
+# hears of it, and a death that nobody tells again is noticed seconds later.
+LEAST_SENDS = 8
 # News of more hosts than this is dropped, the oldest first.
 MAX_HOSTS = 2000
 # Bytes of news in one datagram; below datagrams.MAX_BYTES with its tag,
@@ -73,6 +76,7 @@
             self.filled.clear()
             return ()
         limit = MULTIPLIER * math.ceil(math.log10(self.size() + 1))
+        limit = max(limit, LEAST_SENDS)
         waiting = itertools.chain.from_iterable(
             said.values() for said in self.items.values()
         )
--- a/carawaystair/membership/probe.py
+++ b/carawaystair/membership/probe.py
@@ -250,6 +250,10 @@
         # not be answered as if it lived.
         if ping.to != self.table.host:
             return
+        # One that has left would be believed alive again where its leave was
+        # lost.
+        if self.table.me.state == messages.LEFT:
+            return
         if ping.known > self.table.me.member.incarnation:
             # Only an earlier process of this host can have said that.
             self.table.outdated(messages.start(ping.known))
--- a/carawaystair/membership/sync.py
+++ b/carawaystair/membership/sync.py
@@ -237,7 +237,9 @@
         ]
         for records in _chunks(mine, FETCH):
             batch = messages.Batch(tuple(records))
-            await self.transport.call(peer, batch, TIMEOUT_S)
+            result = await self.transport.call(peer, batch, TIMEOUT_S)
+            if result.is_ok():
+                self.flood.take(result.ok.newer, spread)
             await asyncio.sleep(_size(records) / TAKE_RATE)
         return bool(wanted)
 
--- a/test/test_membership_liveness.py
+++ b/test/test_membership_liveness.py
@@ -1,6 +1,7 @@
 """Tests of liveness: cuts in every direction, pauses, refutation."""
 
 import asyncio
+import random
 
 import pytest
 
@@ -206,6 +207,38 @@
     fakes.run(_run())
 
 
+def test_one_that_has_left_does_not_answer_probes():
+    """Guards against a host that left and is believed alive again."""
+
+    async def _run():
+        network = fakes.Network()
+        nodes = await whole.fleet(network, 3)
+        entry = nodes[0].table.entries['host-002']
+        assert await nodes[0].prober.reach(entry, 0.2)
+        await nodes[2].leave()
+        assert not await nodes[0].prober.reach(entry, 0.2)
+
+    fakes.run(_run())
+
+
+def test_newer_records_in_an_answer_of_anti_entropy_are_taken():
+    """Guards against a leave that the one who left tells in vain."""
+
+    async def _run():
+        network = fakes.Network()
+        nodes = await whole.fleet(network, 3)
+        old = nodes[2].table.me.record
+        nodes[2].left = True
+        nodes[2].sequence += 1
+        nodes[2].table.own(nodes[2]._record(), nodes[2]._liveness())
+        assert nodes[0].table.entries['host-002'].record == old
+        # It has nobody alive to tell of, itself included.
+        await nodes[0].sync.compare(messages.RECORDS, nodes[2].identity.peer)
+        assert nodes[0].table.entries['host-002'].state == messages.LEFT
+
+    fakes.run(_run())
+
+
 def test_the_word_of_the_dead_does_not_count():
     """A host that hears nothing suspects everybody, and is heard.
 
@@ -328,6 +361,27 @@
     assert times[3] == 2.0
 
 
+def test_death_is_heard_by_all_of_a_small_fleet():
+    """Guards against news that is dropped before a few hosts have it."""
+    missed = 0
+    for seed in range(200):
+        rng = random.Random(seed)
+        queues = {n: news.Queue(lambda: 5) for n in range(4)}
+        said = messages.News('h4', messages.DEAD, 1)
+        queues[0].add(said)
+        heard = {0}
+        for _round in range(20):
+            for number, queue in queues.items():
+                for other in rng.sample(
+                    [n for n in range(5) if n != number], 2
+                ):
+                    if queue.pick() and other not in heard and other != 4:
+                        heard.add(other)
+                        queues[other].add(said)
+        missed += len(heard) < 4
+    assert missed == 0
+
+
 def test_news_is_sent_a_bounded_number_of_times():
     queue = news.Queue(lambda: 100)
     queue.add(messages.News('a', messages.SUSPECT, 1, 'x'))
