Flooding: records are offered first, and sent to those that lack them

Cause: each record went over every edge of the overlay, so a node got it as often as it has neighbours, and a new neighbour got all of the last five seconds whole. In a start of 237 hosts that is 390 KB a node within seconds on links of 287 KB/s; probes wait behind it, hosts are suspected, and rumours and refutations follow. Ruled out: an epidemic broadcast tree with pushed records on tree edges only. It needs edges that go both ways, and the overlay changes all the time while a fleet starts. Offers cost a round trip more on each edge, here 2 ms. Change: a record that ends upstreams is pushed over every edge at once, as before, and straight to registered senders. All others are offered by version, compressed, 0.2 s of them together; who lacks a record asks one neighbour for it and is offered it again by the others until it is there. A process that joins compares at once until it has met one other, then as all do; liveness is compared where records brought nothing.

--- a/carawaystair/membership/flood.py
+++ b/carawaystair/membership/flood.py
@@ -4,9 +4,15 @@
 sends again what was lost.  What becomes new meanwhile waits by host, so that
 the queue of a slow or silent neighbour is bounded by the number of hosts and
 holds only the newest record of each.
+
+A record that ends upstreams is pushed over every edge at once.  All others
+are offered by their versions first and sent to those that lack them, so that
+each process receives a record about once, whatever the number of its
+neighbours (lazy push, as in Plumtree, Leitao, Pereira and Rodrigues, 2007).
 """
 
 import asyncio
+import itertools
 import typing
 
 import mode
@@ -32,6 +38,14 @@
 # have missed that while the overlay was being changed.
 RECENT_S = 5.0
 DRAIN_POLL_S = 0.02
+# Versions in one offer, and the pause after one, in seconds, in which others
+# gather.
+MAX_OFFERED = 500
+OFFER_GAP_S = 0.2
+# A record that was asked for and has not come in this time is asked for
+# elsewhere, in seconds; it takes a push and one repetition.
+EXPECT_S = 2 * RETRY_S
+MAX_EXPECTED = 10_000
 # The overlay follows the members at most this often, in seconds.
 SETTLE_S = 0.25
 
@@ -44,14 +58,23 @@
 
     def __init__(self, address: str) -> None:
         self.address = address
+        # Hosts whose records are pushed, and those whose records are offered.
         self.waiting: dict[str, None] = {}
+        self.offered: dict[str, None] = {}
         self.busy = False
         self.event = asyncio.Event()
         self.task: asyncio.Task | None = None
 
-    def add(self, host: str) -> None:
-        """Let the record of a host wait."""
-        self.waiting[host] = None
+    def add(self, host: str, urgent: bool = True) -> None:
+        """Let the record of a host wait.
+
+        :param urgent: whether it is pushed without an offer.
+        """
+        if urgent:
+            self.offered.pop(host, None)
+            self.waiting[host] = None
+        elif host not in self.waiting:
+            self.offered[host] = None
         self.busy = True
         self.event.set()
 
@@ -72,21 +95,29 @@
         self.feeds: dict[str, Feed] = {}
         # Hosts whose records were passed on of late, and when.
         self.recent: dict[str, float] = {}
+        # Versions that were asked for and are to come, and until when.
+        self.expected: dict[str, tuple[tuple[int, int], float]] = {}
+        # Offers that could not be read.
+        self.refused = 0
         self.stale = asyncio.Event()
         table.listeners.append(self._changed)
         transport.handle(messages.Batch, self._receive)
+        transport.handle(messages.Offer, self._offered)
 
     async def on_stop(self) -> None:
         """End the feeds."""
         for host in list(self.feeds):
             self._drop(host)
 
-    def spread(self, host: str) -> None:
-        """Pass the record of a host on to every neighbour."""
+    def spread(self, host: str, urgent: bool) -> None:
+        """Pass the record of a host on to every neighbour.
+
+        :param urgent: at once, without asking who lacks it.
+        """
         self.recent.pop(host, None)
         self.recent[host] = clock.now()
         for feed in self.feeds.values():
-            feed.add(host)
+            feed.add(host, urgent)
 
     def take(
         self, records: typing.Iterable[messages.Record], spread: bool = True
@@ -96,10 +127,18 @@
         :param spread: whether to pass on those that are new.
         :return: how many were new.
         """
-        new = [record.host for record in records if self.table.put(record)]
-        for host in new if spread else ():
-            self.spread(host)
-        return len(new)
+        return sum(self._put(record, spread) for record in records)
+
+    def _put(self, record: messages.Record, spread: bool) -> bool:
+        """Take a record in; tell whether it was new."""
+        entry = self.table.entries.get(record.host)
+        old = None if entry is None else entry.record
+        if not self.table.put(record):
+            return False
+        self.expected.pop(record.host, None)
+        if spread:
+            self.spread(record.host, messages.takes_away(old, record))
+        return True
 
     async def drained(self, time_s: float) -> bool:
         """Wait until no neighbour waits for anything.
@@ -147,7 +186,7 @@
         since = clock.now() - RECENT_S
         self.recent = {h: t for h, t in self.recent.items() if t >= since}
         for host in self.recent:
-            feed.add(host)
+            feed.add(host, False)
         feed.task = asyncio.create_task(self._feed(feed))
         return feed
 
@@ -156,24 +195,69 @@
         failures = 0
         while True:
             await feed.event.wait()
-            batch = self._batch(feed)
-            feed.busy = bool(batch)
-            if not batch:
+            if not feed.waiting and not feed.offered:
+                feed.busy = False
                 feed.event.clear()
                 continue
-            result = await self.transport.call(
-                feed.address, messages.Batch(batch), RETRY_S
+            sent = await (
+                self._push(feed) if feed.waiting else self._offer(feed)
             )
-            if result.is_error():
-                for record in batch:
-                    feed.add(record.host)
-                failures += 1
-                await asyncio.sleep(BACKOFF_S if failures > PATIENCE else 0)
-                continue
-            failures = 0
-            self.take(result.ok.newer)
-            size = sum(len(record.body) for record in batch)
-            await asyncio.sleep(size / RATE)
+            failures = 0 if sent else failures + 1
+            await asyncio.sleep(BACKOFF_S if failures > PATIENCE else 0)
+
+    async def _push(self, feed: Feed) -> bool:
+        """Push the next records that wait; tell whether they arrived."""
+        batch = self._batch(feed)
+        if not batch:
+            return True
+        result = await self.transport.call(
+            feed.address, messages.Batch(batch), RETRY_S
+        )
+        if result.is_error():
+            for record in batch:
+                feed.add(record.host)
+            return False
+        self.take(result.ok.newer)
+        size = sum(len(record.body) for record in batch)
+        await asyncio.sleep(size / RATE)
+        return True
+
+    async def _offer(self, feed: Feed) -> bool:
+        """Offer what waits; tell whether the neighbour answered.
+
+        What it wants is pushed next.
+        """
+        hosts = list(itertools.islice(feed.offered, MAX_OFFERED))
+        for host in hosts:
+            del feed.offered[host]
+        records = [self._record(host) for host in hosts]
+        versions = tuple(
+            messages.Version(record.host, *record.version)
+            for record in records
+            if record is not None
+        )
+        if not versions:
+            return True
+        offer = messages.Offer(messages.pack_versions(versions))
+        result = await self.transport.call(feed.address, offer, RETRY_S)
+        if result.is_error():
+            for host in hosts:
+                feed.add(host, False)
+            return False
+        for host in filter(set(hosts).__contains__, result.ok.hosts):
+            feed.add(host)
+        for host in filter(set(hosts).__contains__, result.ok.expected):
+            feed.add(host, False)
+        if feed.waiting:
+            return await self._push(feed)
+        await self._gather(feed)
+        return True
+
+    async def _gather(self, feed: Feed) -> None:
+        """Let offers wait for others, unless something urgent comes."""
+        until = clock.now() + OFFER_GAP_S
+        while not feed.waiting and clock.now() < until:
+            await asyncio.sleep(DRAIN_POLL_S)
 
     def _batch(self, feed: Feed) -> tuple[messages.Record, ...]:
         """Take the next records that wait, up to the size of a batch."""
@@ -182,12 +266,56 @@
         while feed.waiting and size < BATCH_BYTES:
             host = next(iter(feed.waiting))
             del feed.waiting[host]
-            entry = self.table.entries.get(host)
-            if entry is not None:
-                batch.append(entry.record)
-                size += len(entry.record.body)
+            record = self._record(host)
+            if record is not None:
+                batch.append(record)
+                size += len(record.body)
         return tuple(batch)
 
+    def _record(self, host: str) -> messages.Record | None:
+        """Return the record of a host to pass on, None while it seems dead.
+
+        Others may have forgotten that host; passed on, its record would bring
+        it back there.
+        """
+        entry = self.table.entries.get(host)
+        if entry is None or entry.state == messages.DEAD:
+            return None
+        return entry.record
+
+    async def _offered(
+        self, _sender: str, offer: messages.Offer
+    ) -> messages.Wanted:
+        """Answer which of the offered records this process lacks."""
+        versions = messages.unpack_versions(offer.versions)
+        if versions is None:
+            self.refused += 1
+            return messages.Wanted(())
+        lacking = [v for v in versions[:MAX_OFFERED] if self._lacks(v)]
+        now = clock.now()
+        wanted = [v for v in lacking if not self._expects(v, now)]
+        for version in wanted:
+            self._expect(version, now)
+        asked = tuple(version.host for version in wanted)
+        return messages.Wanted(
+            asked, tuple(v.host for v in lacking if v not in wanted)
+        )
+
+    def _lacks(self, version: messages.Version) -> bool:
+        entry = self.table.entries.get(version.host)
+        held = (-1, -1) if entry is None else entry.record.version
+        return held < version[1:]
+
+    def _expects(self, version: messages.Version, now: float) -> bool:
+        expected, until = self.expected.get(version.host, ((-1, -1), 0.0))
+        return until > now and expected >= version[1:]
+
+    def _expect(self, version: messages.Version, now: float) -> None:
+        self.expected.pop(version.host, None)
+        self.expected[version.host] = (version[1:], now + EXPECT_S)
+        if len(self.expected) > MAX_EXPECTED:
+            del self.expected[next(iter(self.expected))]
+
     async def _receive(
         self, _sender: str, batch: messages.Batch
     ) -> messages.Taken:
--- a/carawaystair/membership/messages.py
+++ b/carawaystair/membership/messages.py
@@ -161,6 +161,29 @@
     newer: tuple[Record, ...] = ()
 
 
+@wire.register(76)
+class Offer(typing.NamedTuple):
+    """Names records that the sender can pass on; answered by a Wanted.
+
+    :param versions: encoded by :func:`pack_versions`.
+    """
+
+    versions: bytes
+
+
+@wire.register(77)
+class Wanted(typing.NamedTuple):
+    """The answer to an Offer.
+
+    :param hosts: hosts whose records the receiver lacks.
+    :param expected: hosts whose records it lacks as well, but has asked
+        another process for; to be offered once more.
+    """
+
+    hosts: tuple[str, ...]
+    expected: tuple[str, ...] = ()
+
+
 # Which digests a comparison is about.
 RECORDS = 0
 LIVENESS = 1
@@ -350,6 +373,7 @@
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Body)
+_VERSIONS = msgspec.msgpack.Decoder(tuple[Version, ...])
 
 
 def pack(body: Body) -> bytes:
@@ -357,6 +381,45 @@
     return zlib.compress(_ENCODER.encode(body), wbits=RAW)
 
 
+def pack_versions(versions: tuple[Version, ...]) -> bytes:
+    """Encode versions; names of hosts have much in common."""
+    return zlib.compress(_ENCODER.encode(versions), wbits=RAW)
+
+
+def unpack_versions(data: bytes) -> tuple[Version, ...] | None:
+    """Decode versions; None where they are malformed or too many."""
+    return _inflate(data, _VERSIONS)
+
+
+def takes_away(old: Record | None, new: Record) -> bool:
+    """Tell whether a record ends work at upstreams of the former one.
+
+    Nodes must hear of that at once, or they send new work there.
+    """
+    if new.left:
+        return True
+    before, after = _states(old), _states(new)
+    return any(
+        after.get(name) != interfaces.UP
+        for name, state in before.items()
+        if state == interfaces.UP
+    ) or any(
+        name not in before
+        for name, state in after.items()
+        if state != interfaces.UP
+    )
+
+
+def _states(record: Record | None) -> dict[tuple[str, int], str]:
+    """Return the states of upstreams in a record, by id and incarnation."""
+    body = None if record is None else unpack(record.body)
+    if body is None:
+        return {}
+    return {
+        (row.id, row.incarnation): STATES[row.state] for row in body.upstreams
+    }
+
+
 class Unpacked(typing.NamedTuple):
     """What the body of a record holds.
 
@@ -384,10 +447,15 @@
 
 
 def _decode(data: bytes) -> Body | None:
+    body = _inflate(data, _DECODER)
+    return body if body is not None and bounds.body_ok(body) else None
+
+
+def _inflate(data: bytes, decoder: msgspec.msgpack.Decoder) -> typing.Any:
+    """Decode compressed msgpack; None where it is malformed or too large."""
     inflater = zlib.decompressobj(RAW)
     try:
         text = inflater.decompress(data, MAX_BODY)
-        body = _DECODER.decode(text) if inflater.eof else None
+        return decoder.decode(text) if inflater.eof else None
     except (zlib.error, msgspec.DecodeError, ValueError, RecursionError):
         return None
-    return body if body is not None and bounds.body_ok(body) else None
--- a/carawaystair/membership/service.py
+++ b/carawaystair/membership/service.py
@@ -252,9 +252,11 @@
         self.sequence += 1
         self.published = clock.now()
         record = self._record()
+        urgent = messages.takes_away(self.table.me.record, record)
         self.table.own(record, self._liveness())
-        self.flood.spread(self.identity.host)
-        self.interest.push(record)
+        self.flood.spread(self.identity.host, urgent)
+        if urgent:
+            self.interest.push(record)
 
     def _stood_still(self, late: float) -> None:
         """Take note that this process stood still.
--- a/carawaystair/membership/sync.py
+++ b/carawaystair/membership/sync.py
@@ -104,6 +104,8 @@
         self.event = asyncio.Event()
         # Set once this process agreed with another.
         self.agreed = asyncio.Event()
+        # Whether this process has compared with another one.
+        self.met = False
         self.rounds = 0
         prober.compared.append(self.compared)
         transport.handle(messages.Compare, self._compare)
@@ -139,7 +141,7 @@
         now = clock.now()
         settled = now - self.table.moved[kind] >= SETTLED_S
         patient = now - self.since[kind] >= PATIENCE_S
-        joining = not self.agreed.is_set()
+        joining = not self.met
         return bool(self.differing[kind]) and (settled or patient or joining)
 
     @mode.Service.task
@@ -148,10 +150,13 @@
         pause_s = PAUSE_S
         while not self.should_stop:
             await self.event.wait()
+            # Records that differ bring most of the liveness with them.
             due = [kind for kind in (0, 1) if self.due(kind)]
-            useful = [await self.meet(kind) for kind in due]
+            useful = False
+            for kind in due:
+                useful = useful or await self.meet(kind)
             if due:
-                pause_s = PAUSE_S if any(useful) else pause_s * 2
+                pause_s = PAUSE_S if useful else pause_s * 2
             if not any(self.differing):
                 self.event.clear()
                 pause_s = PAUSE_S
@@ -185,6 +190,7 @@
             )
             if result.is_error() or not result.ok.buckets:
                 return useful
+            self.met = True
             done.update(result.ok.buckets)
             if kind == messages.LIVENESS:
                 useful = self._liveness(result.ok.versions) or useful
--- a/test/test_malformed_records.py
+++ b/test/test_malformed_records.py
@@ -369,3 +369,32 @@
         assert it.table.entries['h1'].state == messages.ALIVE
 
     directories.run(_steps)
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'noise',
+        b'',
+        messages.pack_versions(()) + b'more',
+        messages.pack_versions((messages.Version('h', 1, 1),))[:-2],
+        messages.pack_versions((('h', 'x', 1),)),
+        messages.pack_versions((messages.Version('x' * 100, 1, 1),) * 1000),
+    ],
+)
+def test_offer_that_can_not_be_read_is_refused_and_counted(data):
+    """Guards against a malformed offer that ends the feeds of others."""
+
+    async def _run():
+        network = fakes.Network()
+        nodes = await whole.fleet(network, 2)
+        told = await nodes[0].transport.call(
+            nodes[1].identity.peer, messages.Offer(data), 1.0
+        )
+        assert told.ok == messages.Wanted(())
+        whole.announce(nodes[0], 'a')
+        await asyncio.sleep(1)
+        assert whole.states(nodes[1]) == {'a': 'up'}
+        return nodes[1].flood.refused
+
+    assert fakes.run(_run()) == (0 if data.endswith(b'more') else 1)
