Metrics: what a process sends, by type of message and distance

Links and datagrams count messages and bytes by type and by whether the receiver is in another data centre; flooding counts records that came once more and offers that could not be read.

--- a/carawaystair/datagrams.py
+++ b/carawaystair/datagrams.py
@@ -11,6 +11,7 @@
 from carawaystair import freshness
 from carawaystair import logs
 from carawaystair import timeline
+from carawaystair import traffic
 from carawaystair import wire
 
 # Stays below the usual path MTU, so that no datagram is cut in pieces.
@@ -65,6 +66,7 @@
         self.endpoint: asyncio.DatagramTransport | None = None
         self.sent = 0
         self.sent_bytes = 0
+        self.traffic = traffic.Traffic()
         self.fresh = freshness.Freshness()
         self.refused = 0
         self.strangers = 0
@@ -104,6 +106,7 @@
         self.endpoint.sendto(data, (ip, int(port)))
         self.sent += 1
         self.sent_bytes += len(data)
+        self.traffic.count(type(message), to, len(data))
 
     def received(self, data: bytes) -> None:
         """Check, decode and hand over one datagram."""
--- a/carawaystair/links.py
+++ b/carawaystair/links.py
@@ -20,6 +20,7 @@
 from carawaystair import keys
 from carawaystair import logs
 from carawaystair import timeline
+from carawaystair import traffic
 from carawaystair import wire
 
 # Messages waiting for one peer; more are dropped, since a peer that is gone
@@ -120,6 +121,7 @@
         self.logged = 0.0
         self.sent = 0
         self.sent_bytes = 0
+        self.traffic = traffic.Traffic()
 
     async def on_start(self) -> None:
         """Listen.
@@ -181,7 +183,8 @@
 
     def send(self, to: str, message) -> None:
         """Send a one-way message; drops it when the queue is full."""
-        self._send(to, wire.encode(message, self.address, 0, False, self._t()))
+        data = wire.encode(message, self.address, 0, False, self._t())
+        self._send(to, data, type(message))
 
     async def call(
         self, to: str, message, timeout_s: float
@@ -192,7 +195,7 @@
         self.pending[call] = future
         data = wire.encode(message, self.address, call, False, self._t())
         until = clock.now() + timeout_s
-        asked = self._send(to, data)
+        asked = self._send(to, data, type(message))
         try:
             while not await self._settled(future, until):
                 self._renew_silent(to)
@@ -200,7 +203,7 @@
                     # It may have been lost with that link, or never have
                     # left it: one that was retired while it was being made
                     # gets no further once its key is dropped.
-                    asked = self._send(to, data)
+                    asked = self._send(to, data, type(message))
                 if clock.now() >= until:
                     return codes.fail(codes.PEER_SILENT, to)
             return expression.Ok(future.result())
@@ -296,14 +299,17 @@
     def _t(self) -> int:
         return self.hybrid.tick()
 
-    def _send(self, to: str, data: bytes) -> Peer:
+    def _send(self, to: str, data: bytes, kind: type = bytes) -> Peer:
         """Send on the link that is in use; return it."""
         peer = self.peers.get(to) or self._open(to)
         peer.used[0] = clock.now()
-        self._count(peer.socket.send(data, zmq.DONTWAIT), data)
+        sending = peer.socket.send(data, zmq.DONTWAIT)
+        self._count(sending, data, kind, to)
         return peer
 
-    def _count(self, sending: asyncio.Future, data: bytes) -> None:
+    def _count(
+        self, sending: asyncio.Future, data: bytes, kind: type, to: str
+    ) -> None:
         """Count a message as sent or, with a full queue, as dropped.
 
         The sending is over already.  It goes through the asynchronous socket
@@ -316,6 +322,7 @@
             return
         self.sent += 1
         self.sent_bytes += len(data)
+        self.traffic.count(kind, to, len(data))
 
     def _open(self, address: str) -> Peer:
         socket = self.context.socket(zmq.DEALER)
@@ -399,7 +406,8 @@
         data = wire.encode(answer, self.address, header.call, True, self._t())
         try:
             parts = [identity, data]
-            self._count(router.send_multipart(parts, zmq.DONTWAIT), data)
+            sending = router.send_multipart(parts, zmq.DONTWAIT)
+            self._count(sending, data, type(answer), header.sender)
         except zmq.ZMQError:
             self.dropped += 1
 
--- a/carawaystair/membership/__init__.py
+++ b/carawaystair/membership/__init__.py
@@ -23,7 +23,7 @@
         settings.gossip,
         control='node' not in settings.roles,
     )
-    return service.Membership(
+    made = service.Membership(
         identity,
         kernel.links,
         kernel.datagrams,
@@ -34,3 +34,6 @@
         lease_s=settings.node.lease_s,
         gateway=settings.node.gateway,
     )
+    kernel.links.traffic.far = made.distance.far
+    kernel.datagrams.traffic.far = made.distance.far
+    return made
--- a/carawaystair/membership/flood.py
+++ b/carawaystair/membership/flood.py
@@ -97,8 +97,10 @@
         self.recent: dict[str, float] = {}
         # Versions that were asked for and are to come, and until when.
         self.expected: dict[str, tuple[tuple[int, int], float]] = {}
-        # Offers that could not be read.
+        # Offers that could not be read, and records that came once more.
         self.refused = 0
+        self.doubled = 0
+        self.received = 0
         self.stale = asyncio.Event()
         table.listeners.append(self._changed)
         transport.handle(messages.Batch, self._receive)
@@ -319,7 +321,9 @@
     async def _receive(
         self, _sender: str, batch: messages.Batch
     ) -> messages.Taken:
-        self.take(batch.records)
+        new = self.take(batch.records)
+        self.received += len(batch.records)
+        self.doubled += len(batch.records) - new
         return messages.Taken(self._newer(batch.records))
 
     def _newer(
--- a/carawaystair/membership/service.py
+++ b/carawaystair/membership/service.py
@@ -15,6 +15,7 @@
 from carawaystair.membership import api
 from carawaystair.membership import bounds
 from carawaystair.membership import directory as directories
+from carawaystair.membership import distance as distances
 from carawaystair.membership import flood as floods
 from carawaystair.membership import gossip
 from carawaystair.membership import interest as interests
@@ -109,6 +110,7 @@
         self.table = tables.Table(identity.host)
         self.table.accused = self.rise
         self.table.outdated = self.renumber
+        self.distance = distances.Distance(self.table)
         self.members = member_lists.Members(self.table, timeline)
         self.directory = directories.Directory(self.table, timeline)
         self.registry = registries.Registry(lease_s, self.publish, gateway)
--- a/carawaystair/node.py
+++ b/carawaystair/node.py
@@ -42,6 +42,8 @@
         for part in self.parts:
             await self.add_runtime_dependency(part)
         metrics.collect(nodemetrics.KernelMetrics(self.kernel).samples)
+        flood = nodemetrics.FloodMetrics(self.membership.flood)
+        metrics.collect(flood.samples)
         metrics.collect(nodemetrics.NodeMetrics(self.report).samples)
         metrics.collect(nodemetrics.FollowerMetrics(self.follower).samples)
 
--- a/carawaystair/nodemetrics.py
+++ b/carawaystair/nodemetrics.py
@@ -6,6 +6,7 @@
 from carawaystair.control import interfaces as control
 from carawaystair import follower
 from carawaystair import invariants
+from carawaystair.membership import flood as floods
 from carawaystair import metrics
 
 
@@ -25,6 +26,7 @@
             yield metrics.Sample(name + '_sent_total', part.sent)
             yield metrics.Sample(name + '_sent_bytes_total', part.sent_bytes)
             yield metrics.Sample(name + '_refused_total', part.refused)
+            yield from part.traffic.samples()
         links = self.kernel.links
         yield metrics.Sample('links_dropped_total', links.dropped)
         yield metrics.Sample('links_open', len(links.peers))
@@ -36,6 +38,23 @@
             yield metrics.Sample('invariants_broken_total', count, labels)
 
 
+class FloodMetrics:
+    """Metrics of records that other processes pass on.
+
+    :param flood: the flooding of this process.
+    """
+
+    def __init__(self, flood: floods.Flood) -> None:
+        self.flood = flood
+
+    def samples(self) -> typing.Iterator[metrics.Sample]:
+        """Yield the samples."""
+        flood = self.flood
+        yield metrics.Sample('records_received_total', flood.received)
+        yield metrics.Sample('records_doubled_total', flood.doubled)
+        yield metrics.Sample('offers_refused_total', flood.refused)
+
+
 class NodeMetrics:
     """Metrics of configuration, membership and upstreams.
 
--- a/test/fakes.py
+++ b/test/fakes.py
@@ -22,6 +22,7 @@
 from carawaystair import plugins
 from carawaystair import settings
 from carawaystair import timeline
+from carawaystair import traffic
 from carawaystair import wire
 
 WALL_START_MS = 1_700_000_000_000
@@ -169,6 +170,7 @@
         self.calls = itertools.count(1)
         self.tasks: set[asyncio.Task] = set()
         self.clock: timeline.HybridClock | None = None
+        self.traffic = traffic.Traffic()
 
     def handle(self, kind: type, handler: typing.Callable) -> None:
         """Register a handler; a plain function or a coroutine function."""
@@ -177,6 +179,7 @@
     def send(self, to: str, message) -> None:
         """Send a one-way message."""
         data = wire.encode(message, self.address, time=self._time())
+        self.traffic.count(type(message), to, len(data))
         self.network.carry(self.address, to, data)
 
     async def call(
@@ -187,6 +190,7 @@
         future = asyncio.get_running_loop().create_future()
         self.pending[call] = future
         data = wire.encode(message, self.address, call, time=self._time())
+        self.traffic.count(type(message), to, len(data))
         self.network.carry(self.address, to, data)
         try:
             return expression.Ok(await asyncio.wait_for(future, timeout_s))
--- /dev/null
+++ b/test/test_traffic.py
@@ -0,0 +1,34 @@
+"""Tests of what a process counts of its own messages."""
+
+import asyncio
+
+from carawaystair.membership import messages
+from test import fakes
+from test import test_membership as whole
+
+
+def test_messages_are_counted_by_type_and_distance():
+    async def _run():
+        network = fakes.Network()
+        nodes = await whole.fleet(network, 8)
+        for node in nodes:
+            node.transport.traffic.far = node.distance.far
+        whole.announce(nodes[0], 'a')
+        await asyncio.sleep(1)
+        one = nodes[0].transport.traffic
+        asked = nodes[4].identity.peer
+        assert not nodes[0].distance.far(asked)
+        assert nodes[0].distance.far(nodes[1].identity.peer)
+        before = one.messages['Fetch', False]
+        question = messages.Fetch(('host-004',))
+        await nodes[0].transport.call(asked, question, 1.0)
+        assert one.messages['Fetch', False] == before + 1
+        assert one.bytes['Fetch', False] > 0
+        names = {sample.name for sample in one.samples()}
+        assert names == {'messages_sent_total', 'message_bytes_sent_total'}
+        return [(node.flood.received, node.flood.doubled) for node in nodes]
+
+    counted = fakes.run(_run())
+    received, doubled = map(sum, zip(*counted, strict=True))
+    assert received > 0
+    assert doubled < received
