Flooding: a neighbour that does not answer offers gets the records pushed

A process of an older version does not know offers; in a rolling upgrade it would hear of arrivals by anti-entropy alone. Test: test_process_that_does_not_know_offers_gets_records_pushed failed before.

--- a/carawaystair/membership/flood.py
+++ b/carawaystair/membership/flood.py
@@ -201,9 +201,10 @@
                 feed.busy = False
                 feed.event.clear()
                 continue
-            sent = await (
-                self._push(feed) if feed.waiting else self._offer(feed)
-            )
+            if feed.waiting:
+                sent = await self._push(feed)
+            else:
+                sent = await self._offer(feed, failures)
             failures = 0 if sent else failures + 1
             await asyncio.sleep(BACKOFF_S if failures > PATIENCE else 0)
 
@@ -224,10 +225,13 @@
         await asyncio.sleep(size / RATE)
         return True
 
-    async def _offer(self, feed: Feed) -> bool:
+    async def _offer(self, feed: Feed, failures: int) -> bool:
         """Offer what waits; tell whether the neighbour answered.
 
-        What it wants is pushed next.
+        What it wants is pushed next, and so is what it did not answer twice:
+        a process of an older version does not know offers.
+
+        :param failures: messages in a row that it did not answer.
         """
         hosts = list(itertools.islice(feed.offered, MAX_OFFERED))
         for host in hosts:
@@ -244,7 +248,7 @@
         result = await self.transport.call(feed.address, offer, RETRY_S)
         if result.is_error():
             for host in hosts:
-                feed.add(host, False)
+                feed.add(host, failures > 0)
             return False
         for host in filter(set(hosts).__contains__, result.ok.hosts):
             feed.add(host)
--- a/test/test_membership_spread.py
+++ b/test/test_membership_spread.py
@@ -242,6 +242,25 @@
     fakes.run(_run())
 
 
+def test_process_that_does_not_know_offers_gets_records_pushed():
+    """Guards against a rolling upgrade that leaves old processes behind."""
+
+    async def _run():
+        network = fakes.Network()
+        nodes = await whole.fleet(network, 6)
+        for node in nodes[3:]:
+            node.transport.handlers.pop(messages.Offer)
+        for node in nodes:
+            node.prober.compared.clear()
+        whole.announce(nodes[1], 'a')
+        await until(
+            lambda: all(whole.states(node) == {'a': 'up'} for node in nodes),
+            2.0,
+        )
+
+    fakes.run(_run())
+
+
 def test_those_that_send_get_it_straight():
     """All links for messages fail; datagrams still pass.
 
