--- a/carawaystair/gateway/relay.py
+++ b/carawaystair/gateway/relay.py
@@ -278,6 +278,8 @@
         view.mine += 1
         began = clock.now()
         budget = self.budgets.of(trip.need.service)
+        # The first send of a call counts as well where its caller's run is a
+        # repeat, unless that was paid for before the run began.
         counts = trip.sent > 0 or (trip.need.echo and not trip.need.paid)
         paid = counts and budget.repeat(began, 1)
         counted = paid or (trip.need.paid and trip.sent == 0)
