Soak: a life that another event ended meanwhile is not told of

An upstream started again, was crashed by another event while its announcement was awaited, and the late word of its former life was then sent on its closed session. Change: the late word is sent only while that life still runs. Test: failed before.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -226,7 +226,9 @@
         one = Upstream(former.options, former.way, self.watch)
         self.running[id] = one
         await one.start()
-        if await self.until_announced(one):
+        announced = await self.until_announced(one)
+        # Another event may have ended this life meanwhile.
+        if announced and self.running.get(id) is one:
             await self._say_late(one, former.announcer.announcement)
 
     async def _say_late(self, one: Upstream, said) -> None:
--- a/test/test_fault_soak.py
+++ b/test/test_fault_soak.py
@@ -4,12 +4,14 @@
 import errno
 import json
 import random
+import types
 
 import pytest
 
 from carawaystair import clock
 from carawaystair.control import files
 from soak import callers
+from soak import fleet as soak_fleet
 from soak import host as hosts
 from soak import plan as plans
 from soak import run as soak_run
@@ -393,3 +395,42 @@
     watch = asyncio.run(soak_run.play(tmp_path, seed, SHORT))
     assert watch.broken == []
     assert watch.counts['complete']
+
+
+class Life:
+    """Stands in for one life of an upstream."""
+
+    def __init__(self, options, way, watch) -> None:
+        self.options, self.way, self.watch = options, way, watch
+        self.announcer = types.SimpleNamespace(announcement='said')
+
+    async def start(self) -> None:
+        """Do nothing."""
+
+    async def crash(self) -> None:
+        """Do nothing."""
+
+
+@pytest.mark.parametrize('ended', [False, True])
+def test_life_that_ends_before_it_is_announced_is_not_told_of(
+    ended, monkeypatch
+):
+    """Guards against a play that breaks off where two events overlap."""
+    told = []
+    stage = types.SimpleNamespace(
+        running={'u': Life(None, None, None)},
+        watch=types.SimpleNamespace(begins=lambda _id: None),
+    )
+
+    async def until_announced(_one):
+        if ended:
+            stage.running.pop('u')
+        return True
+
+    async def say_late(_one, said):
+        told.append(said)
+
+    stage.until_announced, stage._say_late = until_announced, say_late
+    monkeypatch.setattr(soak_fleet, 'Upstream', Life)
+    fakes.run(soak_fleet.Fleet.reborn(stage, 'u', 0.1))
+    assert told == ([] if ended else ['said'])
