Logs: questions asked again, and runs cancelled because nobody waits

The logs could not tell why a run in progress ended as cancelled, nor that its sender had asked for it again: a run whose connection was doubted, one that its caller left, and one that a stop broke off looked the same. asked-again is told by the sender, with the code for which the connection counts as lost; abandoned by the gateway, with how the last connection ended. Both within the bounds of trouble lines. No logic is changed.

--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -84,6 +84,25 @@
     detail: str
 
 
+class AskedAgain(typing.NamedTuple):
+    """A node asks a gateway again for a request that it may have.
+
+    :param id: the request.
+    :param upstream: the upstream.
+    :param number: counts the sends of this request.
+    :param detour: whether through a third node, if there is one.
+    :param after_ms: time since the first connection was lost, ms.
+    :param code: why the connection counts as lost, ``CS-nnnn``.
+    """
+
+    id: str
+    upstream: str
+    number: int
+    detour: bool
+    after_ms: int
+    code: str
+
+
 class Spent(typing.NamedTuple):
     """A request that reached an upstream is not sent to another one.
 
@@ -221,6 +240,22 @@
     detail: str
 
 
+class Abandoned(typing.NamedTuple):
+    """A gateway cancels a run for which nobody waits.
+
+    :param id: the request.
+    :param upstream: the upstream.
+    :param sender: the host that handed it over last.
+    :param why: how its last connection ended: ``closed`` by its sender; or
+        ``lost``, and it was not asked for again in time.
+    """
+
+    id: str
+    upstream: str
+    sender: str
+    why: str
+
+
 class Declining(typing.NamedTuple):
     """A gateway refuses a request; it was not run and will not be.
 
@@ -344,12 +379,14 @@
 NAMES = {
     Offered: ('relay', 'offered'),
     Broke: ('relay', 'broke'),
+    AskedAgain: ('relay', 'asked-again'),
     Spent: ('relay', 'spent'),
     Answered: ('relay', 'answered'),
     Rejected: ('relay', 'rejected'),
     Left: ('relay', 'left'),
     Began: ('gateway', 'began'),
     Ended: ('gateway', 'ended'),
+    Abandoned: ('gateway', 'abandoned'),
     Declining: ('gateway', 'declining'),
     LifeBegan: ('gateway', 'life-began'),
     LifeEnded: ('gateway', 'life-ended'),
--- a/carawaystair/explain.py
+++ b/carawaystair/explain.py
@@ -14,7 +14,16 @@
 # Clocks of hosts differ by so much at least, and lines are written in turn.
 CALL_MS = 20
 # The order of events that bear the same time, by cause.
-ORDER = ('declining', 'began', 'ended', 'offered', 'broke', 'spent')
+ORDER = (
+    'declining',
+    'began',
+    'abandoned',
+    'ended',
+    'offered',
+    'broke',
+    'asked-again',
+    'spent',
+)
 SENTENCES = {
     'offered': 'offered {service} to {upstream} at {gateway}'
     ' ({idempotence}, offer {number}, {left_ms} ms left, load known to be'
@@ -28,6 +37,10 @@
     ' {service_ms} ms; it fails {failing_pct} of 100 {detail}',
     'broke': 'no answer from {upstream}: {code}, {sent_text}, after'
     ' {after_ms} ms {detail}',
+    'asked-again': '{upstream} asked again, send {number}, {after_ms} ms after'
+    ' its connection was lost ({code}){detour_text}',
+    'abandoned': 'run at {upstream} for {sender} cancelled, nobody waits: its'
+    ' connection was {why}',
     'spent': 'not sent to another upstream: {runs} of {most} may have run it,'
     ' {sent} got it; {refused}',
     'answered': 'answered with {status} {outcome} {code} after {total_ms} ms,'
@@ -158,6 +171,7 @@
             'age': self._age,
             'before': self._before,
             'trial_text': lambda: self._flag('trial', '; as a trial'),
+            'detour_text': lambda: self._flag('detour', '; by a third node'),
             'sent_text': self._sent,
         }.get(name)
         return make() if make is not None else '?'
--- a/carawaystair/gateway/door.py
+++ b/carawaystair/gateway/door.py
@@ -59,7 +59,7 @@
         self.work = work
         self.figures = figures
         self.recorder = recorder
-        self.runs = runs_module.Runs(work.mine)
+        self.runs = runs_module.Runs(work.mine, recorder)
         self.active = 0
 
     # One request
--- a/carawaystair/gateway/handover.py
+++ b/carawaystair/gateway/handover.py
@@ -12,6 +12,7 @@
 
 from carawaystair import clock
 from carawaystair import codes
+from carawaystair import decisions
 from carawaystair.gateway import ages
 from carawaystair.gateway import hops
 from carawaystair.gateway import known as knowns
@@ -51,6 +52,7 @@
     :param paths: the ways to gateways.
     :param known: takes the reports of gateways.
     :param process: returns the process of a host, as far as is known.
+    :param recorder: takes note of decisions.
     """
 
     def __init__(
@@ -59,12 +61,14 @@
         paths: paths_module.Paths,
         known: knowns.Known,
         process: typing.Callable[[str], str],
+        recorder: decisions.Recorder,
     ) -> None:
         self.host = host
         self.paths = paths
         self.known = known
         self.board = known.board
         self.process = process
+        self.recorder = recorder
         self.clocks = ages.Clocks()
         self.resumed = 0
 
@@ -111,9 +115,9 @@
         last: answers.Failed,
     ) -> answers.Answer:
         """Ask for a request whose connection was lost."""
-        until = trip.call.deadline
+        until, began = trip.call.deadline, clock.now()
         if trip.call.idempotent:
-            until = min(until, clock.now() + RESUME_REPEATABLE_S)
+            until = min(until, began + RESUME_REPEATABLE_S)
         detour = True
         while clock.now() < until:
             if target.upstream.state == interfaces.GONE:
@@ -124,6 +128,17 @@
                 self.host, target, None, 0.0, paid, False, 0.0, first.process
             )
             hop = hop._replace(again=True)
+            self.recorder.tell(
+                decisions.AskedAgain(
+                    trip.call.id,
+                    target.upstream.id,
+                    hop.number,
+                    detour,
+                    int((clock.now() - began) * MS),
+                    last.code.label,
+                ),
+                decisions.TROUBLE,
+            )
             try:
                 return await self._send(trip, target, hop, detour)
             except trips.Declined as declined:
--- a/carawaystair/gateway/runs.py
+++ b/carawaystair/gateway/runs.py
@@ -16,6 +16,7 @@
 
 from carawaystair import clock
 from carawaystair import codes
+from carawaystair import decisions
 from carawaystair.gateway import hops
 from carawaystair.gateway import slots
 from carawaystair import interfaces
@@ -55,10 +56,16 @@
     """The requests that this process was handed.
 
     :param mine: tells whether a name is one of this process.
+    :param recorder: takes note of decisions.
     """
 
-    def __init__(self, mine: typing.Callable[[str], bool]) -> None:
+    def __init__(
+        self,
+        mine: typing.Callable[[str], bool],
+        recorder: decisions.Recorder,
+    ) -> None:
         self.mine = mine
+        self.recorder = recorder
         self.runs: collections.OrderedDict[str, Run] = (
             collections.OrderedDict()
         )
@@ -149,15 +156,21 @@
         if run.task is None:
             return
         if not broken:
-            _cancel(run.task)
+            self._cancel(hop, run, 'closed')
             return
         loop = asyncio.get_running_loop()
         wait_s = ORPHAN_SHORT_S if hop.idempotent else ORPHAN_S
-        loop.call_later(wait_s, self._cancel_orphan, run)
+        loop.call_later(wait_s, self._cancel_orphan, hop, run)
 
-    def _cancel_orphan(self, run: Run) -> None:
+    def _cancel_orphan(self, hop: hops.Hop, run: Run) -> None:
         if not run.holders and run.task is not None:
-            _cancel(run.task)
+            self._cancel(hop, run, 'lost')
+
+    def _cancel(self, hop: hops.Hop, run: Run, why: str) -> None:
+        if not run.task.done():
+            event = decisions.Abandoned(hop.id, hop.upstream, hop.host, why)
+            self.recorder.tell(event, decisions.TROUBLE)
+        _cancel(run.task)
 
     def _forget(self, now: float) -> None:
         runs = self.runs
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -80,7 +80,11 @@
             self.known, settings.host, self.add_future, rng
         )
         self.handover = handovers.Handover(
-            settings.host, self.paths, self.known, self._process
+            settings.host,
+            self.paths,
+            self.known,
+            self._process,
+            recorder,
         )
         settling = settlings.Settling()
         self.relay = relays.Relay(
--- a/test/test_gateway_runs.py
+++ b/test/test_gateway_runs.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from carawaystair import decisions
 from carawaystair.gateway import hops
 from carawaystair.gateway import runs
 from carawaystair.gateway import slots
@@ -34,6 +35,10 @@
     )
 
 
+def _runs() -> runs.Runs:
+    return runs.Runs(lambda _process: True, decisions.Recorder('h'))
+
+
 async def _refuse():
     raise slots.Refused(rejecting.BUSY)
 
@@ -65,7 +70,7 @@
         loop = asyncio.get_running_loop()
         wrong = []
         loop.set_exception_handler(lambda _loop, what: wrong.append(what))
-        here = runs.Runs(lambda _process: True)
+        here = _runs()
         with contextlib.suppress(slots.Refused):
             await here.once(_hop(1, idempotent), _refuse, lambda: False)
         waiting = asyncio.create_task(
@@ -97,7 +102,7 @@
         return answer
 
     async def scenario():
-        here = runs.Runs(lambda _process: True)
+        here = _runs()
         with contextlib.suppress(slots.Refused):
             await here.once(_hop(1, True), _refuse, lambda: False)
         first = asyncio.create_task(
@@ -121,7 +126,7 @@
     """
 
     async def scenario():
-        found = runs.Runs(lambda _process: True)
+        found = _runs()
         hop = _hop(1, False)
         first = asyncio.ensure_future(
             found.once(hop, lambda: asyncio.sleep(10), lambda: False)
