--- a/test/pipes.py
+++ b/test/pipes.py
@@ -171,6 +171,8 @@
         self.listeners: dict[str, typing.Callable] = {}
         # Addresses that swallow connections without a word.
         self.swallowing: set[str] = set()
+        # How long what a listener sends is on its way, by its address.
+        self.queues: dict[str, float] = {}
         # The client's end of every connection that was ever made.
         self.made: list[Pipe] = []
 
@@ -197,7 +199,10 @@
         there = Pipe(self, self.listeners[address](), {'peername': name})
         here.peer, there.peer = there, here
         self.made.append(here)
+        there.delay_s = self.queues.get(address, DELAY_S)
         there.protocol.connection_made(there)
+        # The handshake's answer stands in the same queue.
+        await asyncio.sleep(there.delay_s)
         here.protocol.connection_made(here)
         return here, here.protocol
 
@@ -221,6 +226,12 @@
             pipe.delay_s = delay_s
         return len(hit)
 
+    def queue(self, port: int, delay_s: float) -> None:
+        """Let all that a port sends stand in a queue, also on new ones."""
+        self.queues['127.0.0.1:%d' % port] = delay_s
+        for pipe in self._open(port):
+            pipe.peer.delay_s = delay_s
+
     def reset(self, port: int) -> int:
         """Reset what is open to a port, as both ends see it.
 
