Test network: only a queue delays the answer to a handshake

With a turn of the loop between the two ends of each new connection, test_dies_after_connect met a connection that had ended before its request was sent: not-run, where it is after a request whose fate is unknown.

--- a/test/pipes.py
+++ b/test/pipes.py
@@ -201,8 +201,9 @@
         self.made.append(here)
         there.delay_s = self.queues.get(address, DELAY_S)
         there.protocol.connection_made(there)
-        # The handshake's answer stands in the same queue.
-        await asyncio.sleep(there.delay_s)
+        if address in self.queues:
+            # The answer to the handshake stands in the queue, too.
+            await asyncio.sleep(there.delay_s)
         here.protocol.connection_made(here)
         return here, here.protocol
 
