Handover: what is in doubt stays open, and no run is given up unreplaced

What callers saw: 502 for a download at which its upstream was at work, 0.6 s after its gateway's sign of life was late, with over 20 s left; work that runs once got 504.

Cause: a sign of life that is 0.15 s late was taken for a lost connection. The connection was broken, the gateway asked again over the same way for 0.6 s with 0.15 s each, and what may be repeated was then given up, also where no other upstream could have it; the gateway cancelled its run 0.4 s after the break. Signs are late whenever more stands in the queue of the gateway's link than it carries in 0.15 s. Class: a fixed patience on a way whose delay grows with its load, and giving up in place of doubting.

The test in virtual time fails the same way without any stop. Ruled out: the stop of the gateway (the same without one), a new life of the upstream (no line tells one), a busy processor.

Change: a doubted question stays open while the gateway is asked again, with growing patience, three questions at most; the first sign on one ends the others. A refusal counts only from the newest question. A repeatable request goes to another upstream with room after 0.6 s of silence while its run is still waited for; where none has room, it is waited for. A run whose connection was lost is looked for once more before its caller is told that nobody knows. Gateways keep repeatable runs without a connection as long as others (2.5 s in place of 0.4).

--- a/carawaystair/gateway/handover.py
+++ b/carawaystair/gateway/handover.py
@@ -2,12 +2,11 @@
 
 A connection may be lost while the request is on its way, while it runs, or
 while its answer returns.  The gateway knows requests by their keys, so it is
-asked again: by the direct way, and through a third node when only the way
-between the two is cut.  Only when that brings nothing the request counts as
-lost.
+asked again, see ``resuming``.  Only when that brings nothing the request
+counts as lost.
 """
 
-import asyncio
+import math
 import typing
 
 from carawaystair import clock
@@ -17,17 +16,16 @@
 from carawaystair.gateway import hops
 from carawaystair.gateway import known as knowns
 from carawaystair.gateway import paths as paths_module
+from carawaystair.gateway import resuming
+from carawaystair.gateway import runs
 from carawaystair.gateway import sends
 from carawaystair.gateway import trips
 from carawaystair import interfaces
 from carawaystair.request import answer as answers
 from carawaystair.request import target as targets
 
-# A gateway that has not shown within this time that it has a request is
-# asked by another way, seconds.  It shows it after FIRST_SIGN_S and a round
-# trip between data centres; asking it twice does no harm.
-SIGN_S = 0.15
-# And one that has, when it is silent for three times its usual interval.
+# A gateway that has shown that it has a request counts as silent after three
+# times its usual interval, seconds.
 SILENCE_S = 0.9
 # A body of more bytes goes out only when the gateway has a slot for it.  Sent
 # with its head it would cross the network once for each gateway that refuses,
@@ -36,13 +34,10 @@
 # A gateway that has said nothing of itself may be of a version that waits for
 # the body; after so many signs of life it gets it unasked.
 UNASKED_SIGNS = 3
-# Pause between two questions for a request whose connection was lost.
-RESUME_PAUSE_S = 0.1
-# A request that may run elsewhere is not asked for any longer than this.
+# A request that may run elsewhere is offered there when its gateway is silent
+# for so long, and asked for no longer once all connections are lost, seconds.
 RESUME_REPEATABLE_S = 0.6
 MS = 1000
-# Failures after which the same gateway may still have the request.
-LOST = frozenset((interfaces.BROKEN, interfaces.SILENT))
 
 
 class Handover:
@@ -96,112 +91,127 @@
             self.host, target, least, again, paid, calm, usual_s, process
         )
         view = self.board.view(target.upstream.id)
+        attempt = self._attempt(trip, target, first, not view.reachable)
+        lost = trips.Lost(target, process, paid)
+        limit_s = RESUME_REPEATABLE_S if trip.call.idempotent else math.inf
         try:
-            return await self._send(trip, target, first, not view.reachable)
+            return await self.answer(trip, target, attempt, self)
+        except resuming.Doubted as doubted:
+            return await self._resume(trip, lost, limit_s, doubted.attempt)
         except answers.Failed as failed:
-            whole = trip.call.body is not None
-            lost = failed.sent and failed.outcome in LOST
-            if not lost or not whole or not process:
+            may_have_it = failed.sent and failed.outcome in resuming.LOST
+            if not may_have_it or not _may_ask_again(trip, lost):
                 raise
-            last = failed
-        return await self._resume(trip, target, first, paid, last)
+            return await self._resume(trip, lost, limit_s, None, failed)
 
     async def _resume(
         self,
         trip: trips.Trip,
-        target: targets.Target,
-        first: hops.Hop,
-        paid: bool,
-        last: answers.Failed,
+        lost: trips.Lost,
+        limit_s: float,
+        attempt: sends.ToGateway | None = None,
+        failed: answers.Failed | None = None,
     ) -> answers.Answer:
-        """Ask for a request whose connection was lost."""
-        until, began = trip.call.deadline, clock.now()
-        if trip.call.idempotent:
-            until = min(until, began + RESUME_REPEATABLE_S)
-        detour = True
-        while clock.now() < until:
-            if target.upstream.state == interfaces.GONE:
-                # Its host is dead, or the upstream has left since.
-                raise last
-            self.resumed += 1
-            hop = trip.hop(
-                self.host, target, None, 0.0, paid, False, 0.0, first.process
-            )
-            hop = hop._replace(again=True)
-            self.recorder.tell(
-                decisions.AskedAgain(
-                    trip.call.id,
-                    target.upstream.id,
-                    hop.number,
-                    detour,
-                    int((clock.now() - began) * MS),
-                    last.code.label,
-                ),
-                decisions.TROUBLE,
-            )
-            try:
-                return await self._send(trip, target, hop, detour)
-            except trips.Declined as declined:
-                if declined.reason != hops.UNREACHABLE:
-                    raise
-                if trip.call.idempotent:
-                    raise last from None
-            except answers.Failed as failed:
-                if failed.sent and failed.outcome not in LOST:
-                    raise
-            detour = not detour
-            await asyncio.sleep(RESUME_PAUSE_S)
-        if clock.now() < trip.call.deadline:
-            raise last
-        raise answers.Failed(
-            interfaces.TIMEOUT, codes.ANSWER_LATE, True, last.detail
+        """Ask for a request again, see :class:`resuming.Resumption`."""
+        resumption = resuming.Resumption(
+            self, trip, lost, limit_s, self.recorder
+        )
+        try:
+            return await resumption.answer(attempt, failed)
+        except answers.Failed as failure:
+            if failure.outcome in resuming.LOST:
+                trip.lost = lost
+            raise
+
+    async def find(self, trip: trips.Trip) -> answers.Answer | None:
+        """Return the answer of a run whose connection was lost, if any.
+
+        Nothing can take the place of that run.  Its gateway goes on with it
+        for a while.
+        """
+        lost, trip.lost = trip.lost, None
+        if lost is None or clock.now() >= trip.call.deadline:
+            return None
+        try:
+            return await self._resume(trip, lost, runs.ORPHAN_S)
+        except (trips.Declined, answers.Failed):
+            # What is known of it already is told.
+            return None
+
+    def again(
+        self, trip: trips.Trip, lost: trips.Lost, detour: bool
+    ) -> sends.ToGateway:
+        """Return a further question for a request, not sent yet."""
+        self.resumed += 1
+        hop = trip.hop(
+            self.host,
+            lost.target,
+            None,
+            0.0,
+            lost.paid,
+            False,
+            0.0,
+            lost.process,
         )
+        hop = hop._replace(again=True)
+        return self._attempt(trip, lost.target, hop, detour)
 
-    async def _send(
+    def _attempt(
         self,
         trip: trips.Trip,
         target: targets.Target,
         hop: hops.Hop,
         detour: bool,
-    ) -> answers.Answer:
-        """Send once, directly or through a third node."""
+    ) -> sends.ToGateway:
+        """Return a question that goes directly or through a third node."""
         asks = trip.size > ASK_BYTES
-        hop = hop._replace(patience_ms=int(SIGN_S * MS), asks=asks)
+        # It stays open for as long as its answer is owed.
+        hop = hop._replace(patience_ms=hop.left_ms, asks=asks)
         its_clock = self.clocks.of(target.upstream.host, hop.process)
         helper = self.paths.helper(target) if detour else None
-        if helper is not None and trip.call.body is not None:
-            hop = hop._replace(detour=target.upstream.address, asks=False)
-            attempt = sends.ToGateway(
-                trip.call, helper, hop, helper=True, gateway_clock=its_clock
-            )
-        else:
-            attempt = sends.ToGateway(
+        if helper is None or trip.call.body is None:
+            return sends.ToGateway(
                 trip.call, target, hop, hop.again, gateway_clock=its_clock
             )
+        hop = hop._replace(detour=target.upstream.address, asks=False)
+        return sends.ToGateway(
+            trip.call, helper, hop, helper=True, gateway_clock=its_clock
+        )
+
+    async def answer(
+        self,
+        trip: trips.Trip,
+        target: targets.Target,
+        attempt: sends.ToGateway,
+        signs: resuming.Signs,
+    ) -> answers.Answer:
+        """Send a question unless it was sent, and return its answer.
+
+        :param signs: is told of the gateway's signs of life.
+        :raises trips.Declined: when it was not run there.
+        :raises answers.Failed: when there is no answer.
+        """
         try:
-            answer = await self._answer(trip, attempt)
+            answer = await self._answer(trip, attempt, signs)
         finally:
             trip.begun = trip.begun or attempt.may_run
         return self._understood(target, answer, attempt)
 
     async def _answer(
-        self, trip: trips.Trip, attempt: sends.ToGateway
+        self,
+        trip: trips.Trip,
+        attempt: sends.ToGateway,
+        signs: resuming.Signs,
     ) -> answers.Answer:
-        """Return the answer to one send; raises what it means if none."""
         deadline = trip.call.deadline
         try:
-            await attempt.connect()
-            attempt.send()
-            silence_s = SIGN_S
-            while not await attempt.sign(
-                min(clock.now() + silence_s, deadline)
-            ):
-                silence_s = SILENCE_S
-                if attempt.signs >= UNASKED_SIGNS and not self.board.knows(
-                    attempt.hop.upstream
-                ):
-                    attempt.proceed()
+            if attempt.connection is None:
+                await attempt.connect()
+                attempt.send()
+            await self._head(attempt, deadline, signs)
             answer = await attempt.answer(deadline)
+        except resuming.Doubted:
+            raise
         except TimeoutError:
             attempt.take_back()
             late = clock.now() >= deadline
@@ -231,6 +241,45 @@
             attempt.settle(clock.now())
         return answer
 
+    async def _head(
+        self, attempt: sends.ToGateway, deadline: float, signs: resuming.Signs
+    ) -> None:
+        """Wait until the head of the answer is here.
+
+        :raises TimeoutError: at the deadline, and when there is no sign of
+            life from a gateway that can't have begun.
+        """
+        while True:
+            silence_s = SILENCE_S if attempt.signs else attempt.sign_s
+            until = min(clock.now() + silence_s, deadline)
+            try:
+                if await attempt.sign(until):
+                    return
+            except TimeoutError:
+                if clock.now() >= deadline or not attempt.may_run:
+                    raise
+                self._doubt(attempt)
+                signs.doubted(attempt)
+                continue
+            signs.seen(attempt)
+            if attempt.signs >= UNASKED_SIGNS and not self.board.knows(
+                attempt.hop.upstream
+            ):
+                attempt.proceed()
+
+    def _doubt(self, attempt: sends.ToGateway) -> None:
+        """Take note of a way on which nothing comes for long."""
+        if attempt.hop.again and not attempt.helper:
+            self.paths.lost(attempt.target)
+
+    def doubted(self, attempt: sends.ToGateway) -> None:
+        """Leave a first question, if it can be asked again."""
+        if attempt.call.body is not None and attempt.hop.process:
+            raise resuming.Doubted(attempt)
+
+    def seen(self, attempt: sends.ToGateway) -> None:
+        """Take note of a sign of life; a first question needs none."""
+
     def _understood(
         self,
         target: targets.Target,
@@ -263,3 +312,8 @@
                 answer.body.decode('utf-8', 'replace'),
             )
         return answer
+
+
+def _may_ask_again(trip: trips.Trip, lost: trips.Lost) -> bool:
+    """Tell whether a gateway can be asked for a request again."""
+    return trip.call.body is not None and bool(lost.process)
--- a/carawaystair/gateway/hedging.py
+++ b/carawaystair/gateway/hedging.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import math
 import typing
 
 from carawaystair.request import answer as answers
@@ -19,17 +20,25 @@
 async def hedged(
     first: Sending,
     after_s: float,
+    hurry: asyncio.Future,
     second: typing.Callable[[], Sending],
 ) -> answers.Answer | None:
     """Return the answer of a request, by its first or a second run.
 
     :param first: the first run; its result is None when it failed.
-    :param after_s: when a second one begins, seconds.
+    :param after_s: when a second one begins, seconds; infinite for never.
+    :param hurry: lets it begin before that, once done.
     :param second: begins it; None when nobody took it.
     """
     tasks = {asyncio.ensure_future(first)}
     try:
-        done, waiting = await asyncio.wait(tasks, timeout=after_s)
+        await asyncio.wait(
+            {*tasks, hurry},
+            timeout=None if math.isinf(after_s) else after_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        done = {task for task in tasks if task.done()}
+        waiting = tasks - done
         if not done:
             tasks.add(asyncio.ensure_future(second()))
             waiting = tasks
--- a/carawaystair/gateway/relay.py
+++ b/carawaystair/gateway/relay.py
@@ -7,6 +7,8 @@
 that would take too long, the caller is told at once and when to come back.
 """
 
+import asyncio
+import math
 import random
 
 from carawaystair import clock
@@ -99,7 +101,7 @@
             answer = await self._try(trip, *choice)
             if answer is not None:
                 return answer
-        return self._end(trip)
+        return await self._end(trip)
 
     async def _next(self, trip: trips.Trip) -> knowns.Choice | None:
         """Return where a request goes next, None when there is nothing left.
@@ -140,7 +142,7 @@
         runs = trip.need.most_runs
         return trip.runs < runs and trip.sent < max(MOST_SENT, runs)
 
-    def _end(self, trip: trips.Trip) -> answers.Answer:
+    async def _end(self, trip: trips.Trip) -> answers.Answer:
         """Return what an earlier run came to; raises what it is if none."""
         if trip.sent:
             self.recorder.tell(
@@ -156,6 +158,9 @@
             )
         if trip.fallback is not None:
             return trip.fallback
+        answer = await self.handover.find(trip)
+        if answer is not None:
+            return answer
         if trip.failed is not None:
             raise trip.failed
         raise self._rejection(trip)
@@ -233,12 +238,16 @@
         """
         first = self._send(trip, target, count, least, again)
         durations, key = self.board.durations, trip.call.match.key
-        if trip.last or trip.call.body is None or not durations.knows(key):
+        if trip.last or trip.call.body is None:
             return await first
-        usual_s = durations.of(key)
+        after_s = math.inf
+        if durations.knows(key):
+            after_s = max(HEDGE_AFTER * durations.of(key), HEDGE_S)
+        trip.hurry = asyncio.get_running_loop().create_future()
         return await hedging.hedged(
             first,
-            max(HEDGE_AFTER * usual_s, HEDGE_S),
+            after_s,
+            trip.hurry,
             lambda: self._hedge(trip, target.upstream.id),
         )
 
--- a/carawaystair/gateway/runs.py
+++ b/carawaystair/gateway/runs.py
@@ -25,8 +25,6 @@
 # A run that nobody waits for is cancelled after so long, when its connection
 # broke: whoever handed it over notices within this time and asks again.
 ORPHAN_S = 2.5
-# One that may be run again is not worth holding a slot for as long.
-ORPHAN_SHORT_S = 0.4
 KEEP_SHORT_S = 1.0
 # A ready answer is kept for so long, seconds.
 KEEP_S = 20.0
@@ -159,8 +157,7 @@
             self._cancel(hop, run, 'closed')
             return
         loop = asyncio.get_running_loop()
-        wait_s = ORPHAN_SHORT_S if hop.idempotent else ORPHAN_S
-        loop.call_later(wait_s, self._cancel_orphan, hop, run)
+        loop.call_later(ORPHAN_S, self._cancel_orphan, hop, run)
 
     def _cancel_orphan(self, hop: hops.Hop, run: Run) -> None:
         if not run.holders and run.task is not None:
--- a/carawaystair/gateway/sends.py
+++ b/carawaystair/gateway/sends.py
@@ -27,6 +27,10 @@
 # sender that has gone without its close arriving shows within 1.3 s; the
 # system's own patience is minutes.
 SILENCE_S = 1.0
+# A gateway that has not shown within this time that it has a request is
+# asked again, seconds.  It shows it after FIRST_SIGN_S and a round trip
+# between data centres; asking it twice does no harm.
+SIGN_S = 0.15
 CONTINUE = 100
 # What breaks a connection.
 BROKEN = (
@@ -159,6 +163,7 @@
         'helper',
         'hop',
         'proceeds',
+        'sign_s',
         'signs',
     )
 
@@ -182,6 +187,8 @@
         self.accepted = False
         self.proceeds = not hop.asks
         self.signs = 0
+        # How long it waits for the first one, seconds.
+        self.sign_s = SIGN_S
 
     async def connect(self) -> None:
         """Get a connection; raises :class:`answers.Failed`."""
--- a/carawaystair/gateway/trips.py
+++ b/carawaystair/gateway/trips.py
@@ -1,5 +1,6 @@
 """One request on its way from a caller's node to an upstream."""
 
+import asyncio
 import math
 import secrets
 import typing
@@ -56,6 +57,19 @@
     version: str
 
 
+class Lost(typing.NamedTuple):
+    """Where a request is whose connection was lost.
+
+    :param target: the upstream that may run it.
+    :param process: the process of its gateway.
+    :param paid: whether this node counted it among its repeats.
+    """
+
+    target: targets.Target
+    process: str
+    paid: bool
+
+
 class Trip:
     """One request on its way.
 
@@ -69,6 +83,8 @@
         'declined',
         'fallback',
         'failed',
+        'hurry',
+        'lost',
         'missed',
         'need',
         'offers',
@@ -105,6 +121,11 @@
         self.ran_at: set[str] = set()
         self.reached: set[str] = set()
         self.failed: answers.Failed | None = None
+        # Where it may still run, if its connection was lost there.
+        self.lost: Lost | None = None
+        # Done once its gateway has shown no sign of life for long; None
+        # where no other upstream may have it.
+        self.hurry: asyncio.Future | None = None
         self.fallback: answers.Answer | None = None
 
     @property
--- a/test/test_gateway_doubt.py
+++ b/test/test_gateway_doubt.py
@@ -1,9 +1,16 @@
 """Gateways that are late with what shows that they have a request."""
 
 import asyncio
+import math
+import types
 
 import pytest
 
+from carawaystair import clock
+from carawaystair import decisions
+from carawaystair.gateway import resuming
+from carawaystair.gateway import trips
+from carawaystair.request import answer as answers
 from test import gateway_setup as fleets
 from test import pipes
 
@@ -69,3 +76,152 @@
             return answer.status, ran(fleet, '/read/x')
 
     assert pipes.run(scenario()) == (200, 1)
+
+
+def test_doubted_repeatable_request_is_answered_by_another_upstream():
+    """Guards against waiting for a silent gateway while others have room."""
+
+    async def scenario():
+        first = []
+
+        async def script(upstream, seen, writer):
+            if '/read/x' in seen.line:
+                first.append(upstream)
+            await asyncio.sleep(0.5 if len(first) == 1 else 0.05)
+            writer.write(fleets.good(upstream.name.encode()))
+
+        async with fleets.running(None, script, script) as fleet:
+            for _ in range(4):
+                await fleet.ask('/read/warm')
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            asking = asyncio.ensure_future(fleet.ask('/read/x'))
+            while not first:
+                await asyncio.sleep(0.005)
+            loop.queue(first[0].port - 2000, 8.0)
+            answer = await asking
+            await asyncio.sleep(1.0)
+            left = sum(
+                slots.line.running
+                for node in fleet.nodes
+                for slots in node.service.work.slots.values()
+            )
+            return answer.status, loop.time() - began - 1.0 < 2.0, left
+
+    assert pipes.run(scenario()) == (200, True, 0)
+
+
+class Question:
+    """One question of a scripted sender."""
+
+    def __init__(self, number: int) -> None:
+        self.hop = types.SimpleNamespace(number=number)
+        self.helper = False
+        self.sign_s = 0.0
+        self.result = asyncio.get_running_loop().create_future()
+        self.taken_back = False
+
+    def take_back(self) -> None:
+        """Take note that it is given up."""
+        self.taken_back = True
+
+
+class Asks:
+    """Sends questions whose answers a test decides."""
+
+    def __init__(self) -> None:
+        self.questions = [Question(1)]
+        self.signs = None
+
+    def again(self, trip, lost, detour):
+        """Return a further question."""
+        self.questions.append(Question(len(self.questions) + 1))
+        return self.questions[-1]
+
+    async def answer(self, trip, target, attempt, signs):
+        """Answer what the test decides."""
+        self.signs = signs
+        return await asyncio.shield(attempt.result)
+
+
+def resumed(scenario):
+    """Run a scenario with a request whose first question is in doubt."""
+
+    async def run():
+        asks = Asks()
+        call = types.SimpleNamespace(id='a', deadline=clock.now() + 9.0)
+        upstream = types.SimpleNamespace(id='u', state='up')
+        trip = types.SimpleNamespace(call=call, hurry=None)
+        target = types.SimpleNamespace(upstream=upstream)
+        resumption = resuming.Resumption(
+            asks,
+            trip,
+            trips.Lost(target, 'p', False),
+            math.inf,
+            decisions.Recorder('h'),
+        )
+        asking = asyncio.ensure_future(
+            resumption.answer(asks.questions[0], None)
+        )
+        await asyncio.sleep(0.01)
+        return await scenario(asks, asking, upstream)
+
+    return pipes.run(run())
+
+
+def test_refusal_of_an_older_question_is_no_promise():
+    """Guards against 503 not-run for a request that a newer question runs."""
+
+    async def scenario(asks, asking, _upstream):
+        old, new = asks.questions
+        old.result.set_exception(trips.Declined('busy', None))
+        await asyncio.sleep(0.05)
+        assert not asking.done()
+        new.result.set_result('answer')
+        return await asking
+
+    assert resumed(scenario) == 'answer'
+
+
+def test_refusal_of_the_newest_question_counts():
+    async def scenario(asks, asking, _upstream):
+        old, new = asks.questions
+        new.result.set_exception(trips.Declined('busy', None))
+        with pytest.raises(trips.Declined):
+            await asking
+        return old.taken_back
+
+    assert resumed(scenario)
+
+
+def test_sign_of_life_ends_the_other_questions():
+    """Guards against an answer that crosses a full link twice."""
+
+    async def scenario(asks, asking, _upstream):
+        old, new = asks.questions
+        asks.signs.seen(old)
+        await asyncio.sleep(1.0)
+        assert len(asks.questions) == 2
+        old.result.set_result('answer')
+        return await asking, old.taken_back, new.taken_back
+
+    assert resumed(scenario) == ('answer', False, True)
+
+
+def test_open_questions_are_bounded_and_end_with_their_host():
+    """Guards against a full link that questions fill further, and against
+    waiting for a host that has died until the deadline.
+    """
+
+    async def scenario(asks, asking, upstream):
+        for _ in range(20):
+            for question in list(asks.questions):
+                asks.signs.doubted(question)
+            await asyncio.sleep(0.1)
+        asked = len(asks.questions)
+        upstream.state = 'gone'
+        with pytest.raises(answers.Failed):
+            await asyncio.wait_for(asking, 1.0)
+        return asked
+
+    assert resumed(scenario) == resuming.MOST_OPEN
