Stop: answers that the system has not taken yet are no longer cut off

What callers saw: an answer that ends early when a node stops while its link is full or its caller reads slowly.

Cause: a request counted as over once most of its answer was written. Up to 64 KB stood in the transport's buffer, and the end of the stop aborted the connection, which throws them away. Ruled out: what the system has taken, it sends after the process has ended.

Change: a stop also waits, within its time, until nothing written stands in this process, at gateways and at nodes without one. The test network was too kind: a closed connection was lost at once and an aborted one still delivered all; now a closed one sends its buffer and an aborted one throws it away.

Before: test_stop_waits_until_callers_have_their_answers and test_stop_waits_until_a_slow_caller_has_its_answer fail, the connection is reset; after: the whole answer. A caller that takes nothing holds a stop up for no longer than its time.

--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -214,7 +214,7 @@
             await asyncio.sleep(STOP_POLL_S)
         self.callers.close()
         self.callers.close_idle()
-        while clock.now() < ends and (self.front.active or self.door.active):
+        while clock.now() < ends and self._busy():
             await asyncio.sleep(STOP_POLL_S)
         self.nodes.close()
         self.front.give_up()
@@ -223,6 +223,19 @@
         await self.nodes.abort()
         self.known.close()
 
+    def _busy(self) -> bool:
+        """Tell whether work or answers are on their way.
+
+        An answer counts until the system has all of it: on a link that is
+        full or to a caller that reads slowly, a part of it stands here.
+        """
+        listeners = (self.callers, self.nodes)
+        return bool(
+            self.front.active
+            or self.door.active
+            or any(listener.sending for listener in listeners)
+        )
+
 
 def _payer(
     settings: settings_module.Settings, share: retrying.Budgets
--- a/carawaystair/request/listener.py
+++ b/carawaystair/request/listener.py
@@ -69,6 +69,15 @@
             if connection.idle and connection.transport is not None:
                 connection.transport.close()
 
+    @property
+    def sending(self) -> bool:
+        """Tell whether answers are written that the system has not taken."""
+        return any(
+            connection.transport is not None
+            and connection.transport.get_write_buffer_size()
+            for connection in self.connections
+        )
+
     async def abort(self) -> None:
         """Break all connections that are left."""
         left = list(self.connections)
--- a/carawaystair/request/service.py
+++ b/carawaystair/request/service.py
@@ -93,7 +93,8 @@
         self.listener.close()
         grace = min(now + IDLE_GRACE_S, handler.ends)
         while clock.now() < handler.ends:
-            if not handler.active and clock.now() >= grace:
+            busy = handler.active or self.listener.sending
+            if not busy and clock.now() >= grace:
                 break
             await asyncio.sleep(STOP_POLL_S)
         self.listener.close_idle()
--- a/test/pipes.py
+++ b/test/pipes.py
@@ -64,12 +64,19 @@
             return
         self.closing = True
         self.write_eof()
-        self.loop.call_soon(self._lose, None)
+        self.loop.call_soon(self._lose_if_flushed)
+
+    def _lose_if_flushed(self) -> None:
+        # A closed transport goes on sending what is in its buffer.
+        if self.closing and not any(self.queue):
+            self._lose(None)
 
     def abort(self) -> None:
         if self.lost:
             return
         self.closing = True
+        # What the system has not taken yet is thrown away.
+        self.queue.clear()
         peer = self.peer
         if not self.silent:
             self.loop.call_later(
@@ -132,6 +139,7 @@
         if self.full and self.queued <= LOW_BYTES and not self.lost:
             self.full = False
             self.protocol.resume_writing()
+        self._lose_if_flushed()
 
     def _take(self, item) -> None:
         if item is not None:
--- a/test/test_request_stop.py
+++ b/test/test_request_stop.py
@@ -132,3 +132,28 @@
     answer, runs = pipes.run(scenario())
     assert (answer.outcome, answer.code) == ('not-run', 'CS-3002')
     assert runs == []
+
+
+def test_stop_waits_until_a_slow_caller_has_its_answer():
+    """Guards against an answer that a stop cuts off while it is sent."""
+    body = b'x' * 48_000
+
+    async def big(upstream, seen, writer):
+        writer.write(setups.reply(body))
+
+    async def scenario():
+        upstream = setups.Upstream(9001, big)
+        async with setups.running(upstream, drain_s=6.0) as setup:
+            reader, writer = await setups.connect()
+            writer.transport.pause_reading()
+            writer.write(b'GET /portal HTTP/1.1\r\nHost: h\r\n\r\n')
+            await asyncio.sleep(0.2)
+            stopping = asyncio.create_task(setup.path.stop())
+            await asyncio.sleep(1.0)
+            writer.transport.resume_reading()
+            await reader.readuntil(b'\r\n\r\n')
+            answer = await reader.readexactly(len(body))
+            await stopping
+            return answer
+
+    assert pipes.run(scenario()) == body
