Retries: a repeat that does not begin gives its part of the slack back

Cause: a gateway takes a repeat from the slack before it asks for a slot. One that found none, whose body broke off, whose calls could not be paid or whose upstream could not be reached kept it. What was given back came off the newest span, not off the one in which it was taken: a repeat that was given back after a wait could hide a later one. Ruled out: taking it only once there is a slot. Requests would wait for a slot that they may not use, and their turn is lost to others meanwhile. Change: what did not begin is given back, in the span in which it was taken; the same for calls and for the sender's share. The refusal says whether the slack or the calls were spent. Conclusion: gateways count the repeats that upstreams got.

--- a/carawaystair/gateway/relay.py
+++ b/carawaystair/gateway/relay.py
@@ -290,7 +290,7 @@
         except trips.Declined as declined:
             reached = declined.reason in hops.ARRIVED
             if paid and not reached:
-                budget.give_back()
+                budget.give_back(began)
             trip.not_run(name, reached)
             self._declined(trip, target, declined)
             return None
@@ -299,7 +299,7 @@
             self._tell_broken(trip, name, failed, began)
             if not failed.sent:
                 if paid:
-                    budget.give_back()
+                    budget.give_back(began)
                 trip.not_run(name, False)
                 trip.missed.append(target)
                 return None
--- a/carawaystair/gateway/work.py
+++ b/carawaystair/gateway/work.py
@@ -202,15 +202,13 @@
         )
         trial = self._is_trial(hop, slots, want, now)
         self._check_repeat(hop, now)
-        waited_s = await slots.take(want, hop.stays)
-        if self.lives.get(hop.upstream) is not life:
-            # The life that it was given a slot of has ended meanwhile.
-            slots.free(hop.key)
-            raise slots_module.Refused(hops.LEAVING)
-        call, source = await self._with_body(hop, slots, call, take)
-        if hop.repeat and not self._pay_calls(hop):
-            slots.free(hop.key)
-            raise slots_module.Refused(hops.SPENT)
+        try:
+            waited_s = await self._wait(hop, life, want)
+            call, source = await self._with_body(hop, slots, call, take)
+            self._pay_calls(hop, slots)
+        except BaseException:
+            self._give_back(hop, now)
+            raise
         line = slots.line
         self.recorder.tell(
             decisions.Began(
@@ -242,10 +240,28 @@
                 attempt.release = release
                 passing = True
             return answer
+        except slots_module.Refused as refused:
+            if refused.reason not in hops.ARRIVED:
+                self._give_back(hop, now)
+            raise
         finally:
             if not passing:
                 release()
 
+    async def _wait(
+        self, hop: hops.Hop, life: lives_module.Life, want: waiting.Want
+    ) -> float:
+        """Wait for a slot; return the seconds that it took.
+
+        :raises slots.Refused: when there is none in time.
+        """
+        waited_s = await life.slots.take(want, hop.stays)
+        if self.lives.get(hop.upstream) is not life:
+            # The life that it was given a slot of has ended meanwhile.
+            life.slots.free(hop.key)
+            raise slots_module.Refused(hops.LEAVING)
+        return waited_s
+
     async def _with_body(
         self,
         hop: hops.Hop,
@@ -296,18 +312,36 @@
         return answer.trial
 
     def _check_repeat(self, hop: hops.Hop, now: float) -> None:
-        """Refuse a repeat that the service may not get any more."""
-        budget = self.budgets.of(hop.service)
+        """Take a repeat that its sender did not pay for from the slack.
+
+        :raises slots.Refused: when the service may not get any more.
+        """
         if not hop.repeat or hop.paid:
             return
+        budget = self.budgets.of(hop.service)
         if not budget.repeat(now, self._sharers(hop.service)):
-            raise slots_module.Refused(hops.SPENT)
+            raise slots_module.Refused(hops.SPENT, 'slack')
 
-    def _pay_calls(self, hop: hops.Hop) -> bool:
-        """Pay for the calls of a repeat; tell whether that was possible."""
-        return self.inner.payer.pay(
-            hop.id, hop.service, clock.now(), self._sharers(hop.service)
-        )
+    def _give_back(self, hop: hops.Hop, taken_at: float) -> None:
+        """Put back what :meth:`_check_repeat` took: it reached nobody.
+
+        Symptom without it: while all are busy, each question for a repeat
+        takes one away, and those that find a slot are refused.
+        """
+        if hop.repeat and not hop.paid:
+            self.budgets.of(hop.service).give_back(taken_at)
+
+    def _pay_calls(self, hop: hops.Hop, slots: slots_module.Slots) -> None:
+        """Pay for the calls of a repeat.
+
+        :raises slots.Refused: when they can't be paid; its slot is freed.
+        """
+        sharers = self._sharers(hop.service)
+        if hop.repeat and not self.inner.payer.pay(
+            hop.id, hop.service, clock.now(), sharers
+        ):
+            slots.free(hop.key)
+            raise slots_module.Refused(hops.SPENT, 'calls')
 
     def _count(self, hop: hops.Hop) -> None:
         """Count a request that goes to its upstream now."""
--- a/carawaystair/load/nesting.py
+++ b/carawaystair/load/nesting.py
@@ -19,6 +19,19 @@
 MOST_RUNS = 512
 
 
+class Paid(typing.NamedTuple):
+    """A call that was paid for and not made yet.
+
+    :param service: the service that is called.
+    :param budget: what it was taken from.
+    :param at: when it was taken.
+    """
+
+    service: str
+    budget: retrying.Budget
+    at: float
+
+
 class CallCounts:
     """How many calls the runs of each service make."""
 
@@ -68,8 +81,8 @@
         self.share = share
         self.slack = slack
         self.counts = CallCounts()
-        # By request, what was paid and not used yet: service and budget.
-        self.paid: dict[str, list[tuple[str, retrying.Budget]]] = {}
+        # By request, what was paid and not used yet.
+        self.paid: dict[str, list[Paid]] = {}
 
     def pay(self, request: str, service: str, now: float, hosts: int) -> bool:
         """Pay for the calls of a repeat that is about to run.
@@ -77,14 +90,14 @@
         :param hosts: hosts of the service, which share the slack.
         :return: whether all could be paid; otherwise none is.
         """
-        taken: list[tuple[str, retrying.Budget]] = []
+        taken: list[Paid] = []
         for called, count in self.counts.expected(service).items():
             for _call in range(count):
                 budget = self._take(called, now, hosts)
                 if budget is None:
                     _give_back(taken)
                     return False
-                taken.append((called, budget))
+                taken.append(Paid(called, budget, now))
         if taken:
             self.paid.setdefault(request, []).extend(taken)
         return True
@@ -103,7 +116,7 @@
         :param request: the running request that makes the call.
         """
         paid = self.paid.get(request, [])
-        found = [pair for pair in paid if pair[0] == service]
+        found = [one for one in paid if one.service == service]
         if found:
             paid.remove(found[0])
         return bool(found)
@@ -113,8 +126,6 @@
         _give_back(self.paid.pop(request, []))
 
 
-def _give_back(
-    taken: typing.Iterable[tuple[str, retrying.Budget]],
-) -> None:
-    for _service, budget in taken:
-        budget.give_back()
+def _give_back(taken: typing.Iterable[Paid]) -> None:
+    for one in taken:
+        one.budget.give_back(one.at)
--- a/carawaystair/load/retrying.py
+++ b/carawaystair/load/retrying.py
@@ -123,10 +123,16 @@
         self.force(now)
         return True
 
-    def give_back(self) -> None:
-        """Put back the last repeat that was taken: it reached nobody."""
-        if self.repeats and self.repeats[-1][1] > 0:
-            self.repeats[-1][1] -= 1
+    def give_back(self, taken_at: float) -> None:
+        """Put back a repeat that was taken: it reached nobody.
+
+        :param taken_at: when it was taken.  One that was taken since stays
+            counted for the whole window.
+        """
+        span = _span(taken_at)
+        found = [one for one in self.repeats if one[0] == span and one[1]]
+        if found:
+            found[0][1] -= 1
             self.total_repeats -= 1
 
     def force(self, now: float) -> None:
@@ -185,13 +191,17 @@
 
 
 def _add(spans: collections.deque, now: float) -> None:
-    span = int(now / SPAN_S)
+    span = _span(now)
     if spans and spans[-1][0] == span:
         spans[-1][1] += 1
     else:
         spans.append([span, 1])
 
 
+def _span(now: float) -> int:
+    return int(now / SPAN_S)
+
+
 def _forget(spans: collections.deque, before: float) -> None:
     while spans and spans[0][0] * SPAN_S < before:
         spans.popleft()
--- a/test/test_gateway_repeats.py
+++ b/test/test_gateway_repeats.py
@@ -1,6 +1,7 @@
 """Tests of the bound on repeats where upstreams call other services."""
 
 import asyncio
+import json
 import random
 
 from carawaystair import manifest
@@ -10,6 +11,7 @@
 WINDOW_S = 10.0
 RATIO = 0.2
 SLACK = 8
+LARGE_SLACK = 50
 REQUESTS = 1200
 SPACING_S = 0.02
 # One request of so many makes a call; the others earn repeats as well.
@@ -84,3 +86,61 @@
         names = {name for when, name in arrivals if start <= when < end}
         extra = sum(start <= when < end for when in beyond)
         assert extra <= RATIO * len(names) + SLACK
+
+
+def repeats(fleet):
+    """Return how many repeats gateways counted, and how many upstreams got."""
+    budgets = [n.service.work.budgets.of('portal') for n in fleet.nodes]
+    ids = [seen.headers['caraway-request-id'] for seen in fleet.runs]
+    counted = sum(budget.total_repeats for budget in budgets)
+    return counted, len(ids) - len(set(ids))
+
+
+def refusals(fleet):
+    """Return why gateways refused requests."""
+    lines = [json.loads(one) for n in fleet.nodes for one in n.lines.lines]
+    return {one['reason'] for one in lines if one['event'] == 'declining'}
+
+
+def test_repeat_whose_calls_can_not_be_paid_leaves_the_slack_to_others():
+    """Guards against repeats that did not begin and used up the slack."""
+
+    async def scenario():
+        scripts = (fleets.fail, fleets.serve, fleets.serve)
+        options = {'retry_ratio': 0.0, 'retry_slack': LARGE_SLACK}
+        async with fleets.running(*scripts, **options) as fleet:
+            for node in fleet.nodes:
+                counts = node.service.work.inner.payer.counts
+                counts.ran('portal')
+                for _call in range(LARGE_SLACK):
+                    counts.called('portal', 'other')
+            for _time in range(6):
+                await fleet.ask('/read/a')
+            return refusals(fleet), repeats(fleet)
+
+    reasons, counted = pipes.run(scenario())
+    assert 'spent' in reasons
+    assert counted == (0, 0)
+
+
+def test_repeat_that_finds_no_slot_leaves_the_slack_to_others():
+    """Guards against a slack that is used up by asking busy gateways."""
+
+    async def scenario():
+        scripts = (fleets.fail, fleets.slow(1.5), fleets.slow(1.5))
+        options = {
+            'retry_ratio': 0.0,
+            'retry_slack': LARGE_SLACK,
+            'slots': 1,
+        }
+        async with fleets.running(*scripts, **options) as fleet:
+            asked = []
+            for _time in range(20):
+                asked.append(asyncio.ensure_future(fleet.ask('/read/a')))
+                await asyncio.sleep(0.2)
+            await asyncio.gather(*asked)
+            return refusals(fleet), repeats(fleet)
+
+    reasons, (counted, got) = pipes.run(scenario())
+    assert 'busy' in reasons
+    assert counted == got > 0
--- a/test/test_load.py
+++ b/test/test_load.py
@@ -733,10 +733,22 @@
     budget = retrying.Budget(0.0, 4, 10.0)
     for _time in range(50):
         assert budget.repeat(0.0, 1)
-        budget.give_back()
+        budget.give_back(0.0)
     assert budget.total_repeats == 0
 
 
+def test_repeat_that_is_given_back_late_does_not_hide_a_later_one():
+    """Guards against a bound that is passed after a long wait for a slot."""
+    budget = retrying.Budget(0.0, 10, 10.0)
+    assert budget.repeat(0.0, 1)
+    while budget.repeat(5.0, 1):
+        pass
+    budget.give_back(0.0)
+    # What was taken last is still within the window.
+    assert budget.repeat(10.6, 1)
+    assert not budget.repeat(10.6, 1)
+
+
 def test_part_of_the_fleet_that_is_cut_off_does_not_take_the_whole_slack():
     budget = retrying.Budget(0.0, 58, 10.0)
     taken = sum(budget.repeat(0.0, 8) for _ in range(58))
