Retries: calls of repeated runs share the slack of the called service

What callers saw: the slack kept for calls was taken once by each service that calls. Cause: callers' hosts each held a part of the slack for calls, without knowing how many services call; most of these parts lay where nobody needed them, or paid for one call of a run that makes two. Ruled out: dividing the part by the number of services, which leaves less than a call for each host; telling callers how many services call, with each report, for the same reason. Change: no part is kept for calls. A repeat pays for its calls from the share of its host; what that does not cover takes from the slack at the called gateways as it arrives, and is refused there when none is left. A host whose call was refused so begins no repeat that it can't pay for, for two seconds. So nothing is counted by force any more: every repeat can be kept back. The gateways' own part is 0.52 of the slack (0.91 around a start of all). In test_repeat_whose_calls_can_not_be_paid_leaves_the_slack_to_others the called service is one that had no slack. Conclusion: the bound holds whatever the number of calling services.

--- a/carawaystair/gateway/front.py
+++ b/carawaystair/gateway/front.py
@@ -331,6 +331,8 @@
         good = code is codes.OK and status < 500
         if not status and trip.need.inner:
             self.inner.failed(trip.call.id)
+        if not status and trip.need.echo and trip.one_too_many:
+            self.inner.payer.refused(service, clock.now())
         self.recorder.tell(
             decisions.Answered(
                 trip.call.id,
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -26,7 +26,6 @@
 from carawaystair.request import incoming
 from carawaystair.request import listener as listeners
 from carawaystair.request import meters as meters_module
-from carawaystair import settings as settings_module
 
 STOP_POLL_S = 0.02
 # A header line of a caller may be as long as the configuration says; nodes
@@ -71,7 +70,7 @@
             node.retry_window_s,
             'share of %s' % settings.host,
         )
-        inner = inners.InnerCalls(_payer(settings, share))
+        inner = inners.InnerCalls(nesting.Payer(share))
         self.known = knowns.Known(
             settings.data_centre, membership.directory, routing, rng
         )
@@ -220,21 +219,6 @@
         self.known.close()
 
 
-def _payer(
-    settings: settings_module.Settings, share: retrying.Budgets
-) -> nesting.Payer:
-    """Return what pays for the calls of repeated runs on this host."""
-    slack = retrying.Budgets(
-        0.0,
-        settings.node.retry_slack,
-        settings.node.retry_window_s,
-        'calls of %s' % settings.host,
-        clock.now(),
-        retrying.CALLS_SLACK,
-    )
-    return nesting.Payer(share, slack)
-
-
 def _node_bounds() -> incoming.Bounds:
     """Return what other nodes may send: heads as long as callers' and ours,
     and no connection that has gone silent.
--- a/carawaystair/gateway/trips.py
+++ b/carawaystair/gateway/trips.py
@@ -141,6 +141,12 @@
             return len(call.body)
         return math.inf if call.length is None else call.length
 
+    @property
+    def one_too_many(self) -> bool:
+        """Tell whether it was a repeat that its service may not get."""
+        spent = ':' + hops.SPENT
+        return any(refusal.endswith(spent) for refusal in self.refusals)
+
     @property
     def spent(self) -> bool:
         """Tell whether its body is gone: it can't be sent once more."""
--- a/carawaystair/gateway/work.py
+++ b/carawaystair/gateway/work.py
@@ -316,7 +316,7 @@
 
         :raises slots.Refused: when the service may not get any more.
         """
-        if not hop.repeat or hop.paid:
+        if not _takes_slack(hop):
             return
         budget = self.budgets.of(hop.service)
         if not budget.repeat(now, self._sharers(hop.service)):
@@ -328,7 +328,7 @@
         Symptom without it: while all are busy, each question for a repeat
         takes one away, and those that find a slot are refused.
         """
-        if hop.repeat and not hop.paid:
+        if _takes_slack(hop):
             self.budgets.of(hop.service).give_back(taken_at)
 
     def _pay_calls(self, hop: hops.Hop, slots: slots_module.Slots) -> None:
@@ -336,22 +336,15 @@
 
         :raises slots.Refused: when they can't be paid; its slot is freed.
         """
-        sharers = self._sharers(hop.service)
-        if hop.repeat and not self.inner.payer.pay(
-            hop.id, hop.service, clock.now(), sharers
-        ):
+        payer = self.inner.payer
+        if hop.repeat and not payer.pay(hop.id, hop.service, clock.now()):
             slots.free(hop.key)
             raise slots_module.Refused(hops.SPENT, 'calls')
 
     def _count(self, hop: hops.Hop) -> None:
         """Count a request that goes to its upstream now."""
-        budget = self.budgets.of(hop.service)
-        if hop.repeat:
-            return
-        if not hop.echo:
-            budget.first(clock.now())
-        elif not hop.paid:
-            budget.force(clock.now())
+        if not hop.repeat and not hop.echo:
+            self.budgets.of(hop.service).first(clock.now())
 
     def _sharers(self, service: str) -> int:
         """Return how many gateways share the repeats of a service.
@@ -491,6 +484,11 @@
         return report._replace(incarnation=life.said.incarnation)
 
 
+def _takes_slack(hop: hops.Hop) -> bool:
+    """Tell whether a request counts as a repeat that nobody paid for."""
+    return (hop.repeat or hop.echo) and not hop.paid
+
+
 def _same(
     life: lives_module.Life, said: registries.Announcement | None
 ) -> bool:
--- a/carawaystair/load/nesting.py
+++ b/carawaystair/load/nesting.py
@@ -3,8 +3,11 @@
 A run that is itself a repeat makes its calls once more, and these count as
 repeats at the service that is called.  Where a service that earns many
 repeats calls one that earns few, the calls alone would break the bound of the
-second one.  So the gateway learns how many calls its upstreams make, and a
-repeat begins only once its calls are paid for.
+second one.  So the gateway learns how many calls its upstreams make, and pays
+for them before a repeat begins, from what the calls of its host earn.  What
+that does not cover takes from the slack of the called service as it arrives
+there, where all that call it share one slack.  Once a call was refused there,
+repeats that can't be paid for don't begin for a while.
 """
 
 import collections
@@ -13,6 +16,8 @@
 
 from carawaystair.load import retrying
 
+# No run begins for so long, seconds, that rests on a slack that was spent.
+PAUSE_S = 2.0
 # Calls that fewer runs make than this share are not paid for in advance.
 RARE = 0.05
 # Counts are halved once so many runs were seen, so that they follow changes.
@@ -71,44 +76,43 @@
 class Payer:
     """Takes calls of repeated runs out of the bound of the called services.
 
-    :param share: of the repeats that the calls of this host earn.
-    :param slack: of the part of the slack kept for such calls.
+    :param share: the repeats that the calls of this host earn.
     """
 
-    def __init__(
-        self, share: retrying.Budgets, slack: retrying.Budgets
-    ) -> None:
+    def __init__(self, share: retrying.Budgets) -> None:
         self.share = share
-        self.slack = slack
         self.counts = CallCounts()
         # By request, what was paid and not used yet.
         self.paid: dict[str, list[Paid]] = {}
+        # Services that had no repeats left, and when that was.
+        self.spent_at: dict[str, float] = {}
 
-    def pay(self, request: str, service: str, now: float, hosts: int) -> bool:
+    def pay(self, request: str, service: str, now: float) -> bool:
         """Pay for the calls of a repeat that is about to run.
 
-        :param hosts: hosts of the service, which share the slack.
-        :return: whether all could be paid; otherwise none is.
+        :param request: its id.
+        :param service: the service that runs it.
+        :return: whether it may begin; otherwise nothing is paid.
         """
         taken: list[Paid] = []
         for called, count in self.counts.expected(service).items():
+            budget = self.share.of(called)
             for _call in range(count):
-                budget = self._take(called, now, hosts)
-                if budget is None:
+                if budget.repeat(now, 1):
+                    taken.append(Paid(called, budget, now))
+                elif not self._may_find_slack(called, now):
                     _give_back(taken)
                     return False
-                taken.append(Paid(called, budget, now))
         if taken:
             self.paid.setdefault(request, []).extend(taken)
         return True
 
-    def _take(
-        self, service: str, now: float, hosts: int
-    ) -> retrying.Budget | None:
-        share, slack = self.share.of(service), self.slack.of(service)
-        if share.repeat(now, 1):
-            return share
-        return slack if slack.repeat(now, hosts) else None
+    def _may_find_slack(self, service: str, now: float) -> bool:
+        return now - self.spent_at.get(service, -math.inf) >= PAUSE_S
+
+    def refused(self, service: str, now: float) -> None:
+        """Take note that a call found no slack at the called service."""
+        self.spent_at[service] = now
 
     def use(self, request: str, service: str) -> bool:
         """Use one of the calls paid for; tell whether there was one.
--- a/carawaystair/load/retrying.py
+++ b/carawaystair/load/retrying.py
@@ -15,8 +15,8 @@
 A gateway that has just started knows neither what its former process spent
 nor how many share the slack.  So a part is small enough that it and what is
 spent once more in the first window after a start stay within the slack, also
-where all gateways and all callers start at once; and what a gateway may spend
-in its first moments does not rest on how many others it knows.
+where all gateways start at once; and what a gateway may spend in its first
+moments does not rest on how many others it knows.
 """
 
 import collections
@@ -25,16 +25,15 @@
 
 # The parts of the bound that are used: of the share of first sends, which a
 # node sees as its callers send them, and of the slack, by the gateways of a
-# service and by those whose upstreams call it.
+# service.
 USED_SHARE = 0.95
-USED_SLACK = 0.45
-CALLS_SLACK = 0.08
+USED_SLACK = 0.52
 # Counts are kept by spans of this length, in seconds.
 SPAN_S = 0.5
 ROUNDING_BYTES = 4
 # The share of its part that a gateway may use in the first window after its
-# start: (USED_SLACK + CALLS_SLACK) * (1 + FIRST_SHARE) of the slack are spent
-# at worst around a start of all.  What is left is for parts rounded up.
+# start: USED_SLACK * (1 + FIRST_SHARE) of it are spent at worst around a start
+# of all.  What is left is for parts rounded up.
 FIRST_SHARE = 0.75
 # So many share the slack at least, as far as a gateway knows when it starts.
 FIRST_NODES = 12
@@ -48,7 +47,6 @@
     :param window_s: length of the window.
     :param rounding: what is added before a fraction is cut off, 0 to 1.
     :param began: monotonic time at which this process began to count.
-    :param used_slack: share of the slack that all such parts may use.
     """
 
     __slots__ = (
@@ -61,7 +59,6 @@
         'slack',
         'total_firsts',
         'total_repeats',
-        'used_slack',
         'window_s',
     )
 
@@ -72,14 +69,12 @@
         window_s: float,
         rounding: float = 0.0,
         began: float = -math.inf,
-        used_slack: float = USED_SLACK,
     ) -> None:
         self.ratio = ratio
         self.slack = slack
         self.window_s = window_s
         self.rounding = rounding
         self.began = began
-        self.used_slack = used_slack
         self.firsts: collections.deque = collections.deque()
         self.repeats: collections.deque = collections.deque()
         # For metrics.
@@ -105,7 +100,7 @@
 
     def _part(self, now: float, nodes: int) -> float:
         """Return what this part of the slack allows in a window."""
-        used = self.used_slack * self.slack
+        used = USED_SLACK * self.slack
         part = used / max(nodes, 1)
         age = (now - self.began) / self.window_s
         if age >= 1.0:
@@ -120,7 +115,8 @@
         if not self.may_repeat(now, nodes):
             self.refused += 1
             return False
-        self.force(now)
+        self.total_repeats += 1
+        _add(self.repeats, now)
         return True
 
     def give_back(self, taken_at: float) -> None:
@@ -135,11 +131,6 @@
             found[0][1] -= 1
             self.total_repeats -= 1
 
-    def force(self, now: float) -> None:
-        """Count a repeat that nobody could have kept back."""
-        self.total_repeats += 1
-        _add(self.repeats, now)
-
 
 class Budgets:
     """The repeats of all services at one node or gateway.
@@ -149,7 +140,6 @@
     :param window_s: length of the window.
     :param name: names this part of the bound; the seed of its rounding.
     :param began: monotonic time at which this process began to count.
-    :param used_slack: share of the slack that all such parts may use.
     """
 
     def __init__(
@@ -159,14 +149,12 @@
         window_s: float,
         name: str,
         began: float = -math.inf,
-        used_slack: float = USED_SLACK,
     ) -> None:
         self.ratio = ratio
         self.slack = slack
         self.window_s = window_s
         self.name = name
         self.began = began
-        self.used_slack = used_slack
         self.budgets: dict[str, Budget] = {}
 
     def of(self, service: str) -> Budget:
@@ -179,7 +167,6 @@
                 self.window_s,
                 rounding('%s %s' % (self.name, service)),
                 self.began,
-                self.used_slack,
             )
         return found
 
--- a/test/gateway_setup.py
+++ b/test/gateway_setup.py
@@ -179,7 +179,7 @@
         self.far = far
         self.count = len(scripts)
         self.services = services or ('portal',) * len(scripts)
-        self.routing = _routing(routes, limits)
+        self.routing = _routing(routes, limits, self.services)
         self.behind_s = 0.0
         self.nodes: list[Node] = []
         self.slots = slots
@@ -221,12 +221,12 @@
             writer.close()
 
 
-def _routing(routes, limits) -> routings.Routing:
+def _routing(routes, limits, services) -> routings.Routing:
     document = manifest.Manifest(
         1,
         'test',
         {'r': manifest.Place(('a', 'b'))},
-        {'portal': SERVICE, 'other': SERVICE},
+        dict.fromkeys(('portal', 'other', *services), SERVICE),
         routes,
         limits=limits,
     )
--- a/test/test_gateway_load.py
+++ b/test/test_gateway_load.py
@@ -214,7 +214,7 @@
 
 def test_calls_have_the_rank_of_the_request_that_waits_for_them():
     budgets = retrying.Budgets(0.2, 0.0, 10.0, 'h')
-    known = inner.InnerCalls(nesting.Payer(budgets, budgets))
+    known = inner.InnerCalls(nesting.Payer(budgets))
     known.began('a', 's', 2, False)
     assert known.parent('a.1') == 'a'
     assert known.rank('a.1', 1) == 2
--- a/test/test_gateway_repeats.py
+++ b/test/test_gateway_repeats.py
@@ -4,6 +4,7 @@
 import json
 import random
 
+from carawaystair import clock
 from carawaystair import manifest
 from test import gateway_setup as fleets
 from test import pipes
@@ -14,6 +15,7 @@
 LARGE_SLACK = 50
 REQUESTS = 1200
 SPACING_S = 0.02
+SPARSE_S = 0.2
 # One request of so many makes a call; the others earn repeats as well.
 CALLING = 4
 ROUTES = (
@@ -88,6 +90,82 @@
         assert extra <= RATIO * len(names) + SLACK
 
 
+def arrivals_of_many_callers(sooner):
+    """Return when each call arrived, with its id.  All of three services
+    call a fourth one, and all fail; halfway all nodes start again.
+
+    :param sooner: seconds of the first life of the nodes.
+    """
+    callers = ('portal', 'shop', 'desk')
+    arrivals = []
+    fleet_of = []
+
+    async def call_and_fail(upstream, seen, writer):
+        name = seen.headers['caraway-request-id'] + '.1'
+        node = upstream.port - 9000
+        await fleet_of[-1].ask('/inner/a', node=node, Caraway_Request_Id=name)
+        await fleets.fail(upstream, seen, writer)
+
+    async def note(upstream, seen, writer):
+        name = seen.headers['caraway-request-id']
+        arrivals.append((asyncio.get_running_loop().time(), name))
+        await fleets.fail(upstream, seen, writer)
+
+    async def life(name, length_s, options):
+        scripts = [call_and_fail] * 6 + [note] * 2
+        async with fleets.running(*scripts, **options) as fleet:
+            fleet_of.append(fleet)
+            asked = []
+            for number in range(int(length_s / SPARSE_S)):
+                one = fleet.ask(
+                    '/%s/' % callers[number % 3],
+                    node=number % 8,
+                    Caraway_Request_Id='%s%d' % (name, number),
+                )
+                asked.append(asyncio.ensure_future(one))
+                await asyncio.sleep(SPARSE_S)
+            await asyncio.gather(*asked)
+
+    async def scenario():
+        options = {
+            'routes': tuple(
+                manifest.Route(
+                    '/%s/' % prefix, service, idempotent=True, max_attempts=3
+                )
+                for prefix, service in (
+                    *zip(callers, callers, strict=True),
+                    ('inner', 'other'),
+                )
+            ),
+            'services': tuple(sorted(callers * 2)) + ('other',) * 2,
+            'retry_ratio': RATIO,
+            'retry_slack': LARGE_SLACK,
+        }
+        await life('a', sooner, options)
+        await life('b', WINDOW_S, options)
+
+    pipes.run(scenario())
+    return arrivals
+
+
+def test_three_services_that_call_one_share_its_slack():
+    """Guards against a slack that is spent once by each calling service."""
+    arrivals = arrivals_of_many_callers(2 * WINDOW_S)
+    seen = set()
+    beyond = []
+    for when, name in arrivals:
+        if name in seen:
+            beyond.append(when)
+        seen.add(name)
+    first_s = arrivals[0][0]
+    for start in range(int(2 * WINDOW_S)):
+        begin = first_s + start
+        end = begin + WINDOW_S
+        names = {name for when, name in arrivals if begin <= when < end}
+        extra = sum(begin <= when < end for when in beyond)
+        assert extra <= RATIO * len(names) + LARGE_SLACK
+
+
 def repeats(fleet):
     """Return how many repeats gateways counted, and how many upstreams got."""
     budgets = [n.service.work.budgets.of('portal') for n in fleet.nodes]
@@ -110,10 +188,11 @@
         options = {'retry_ratio': 0.0, 'retry_slack': LARGE_SLACK}
         async with fleets.running(*scripts, **options) as fleet:
             for node in fleet.nodes:
-                counts = node.service.work.inner.payer.counts
-                counts.ran('portal')
+                payer = node.service.work.inner.payer
+                payer.refused('other', clock.now())
+                payer.counts.ran('portal')
                 for _call in range(LARGE_SLACK):
-                    counts.called('portal', 'other')
+                    payer.counts.called('portal', 'other')
             for _time in range(6):
                 await fleet.ask('/read/a')
             return refusals(fleet), repeats(fleet)
--- a/test/test_load.py
+++ b/test/test_load.py
@@ -673,15 +673,8 @@
 
     def parts(host, *began):
         own = retrying.Budgets(0.0, 58, 10.0, 'slack of %d' % host, *began)
-        calls = retrying.Budgets(
-            0.0,
-            58,
-            10.0,
-            'calls of %d' % host,
-            *(began or (-math.inf,)),
-            retrying.CALLS_SLACK,
-        )
-        return own.of('s'), calls.of('s')
+        share = retrying.Budgets(0.2, 0.0, 10.0, 'share of %d' % host)
+        return own.of('s'), share.of('s')
 
     hosts = [parts(host) for host in range(6)]
     taken = []
@@ -697,16 +690,18 @@
 def test_repeat_whose_calls_can_not_be_paid_does_not_begin():
     """Guards against repeats that bring more calls than the bound holds."""
     share = retrying.Budgets(0.2, 0.0, 10.0, 'share of h')
-    slack = retrying.Budgets(0.0, 30, 10.0, 'calls of h', used_slack=0.2)
-    payer = nesting.Payer(share, slack)
+    payer = nesting.Payer(share)
     for number in range(50):
         payer.counts.ran('shop')
         payer.counts.called('shop', 'stock')
         if number % 2:
             payer.counts.called('shop', 'stock')
     assert payer.counts.expected('shop') == {'stock': 2}
-    paid = [payer.pay('r%d' % n, 'shop', 20.0, 1) for n in range(10)]
-    # Two calls each, of the six that this part of the slack has.
+    for _call in range(32):
+        share.of('stock').first(20.0)
+    payer.refused('stock', 20.0)
+    paid = [payer.pay('r%d' % n, 'shop', 20.0) for n in range(10)]
+    # Two calls each, of the six that the calls of this host earn.
     assert paid == [True] * 3 + [False] * 7
     assert payer.use('r0', 'stock')
     assert payer.use('r0', 'stock')
@@ -714,9 +709,12 @@
     assert not payer.use('r1', 'other')
     # One run ends before its calls; another one may begin.
     payer.ended('r1')
-    assert payer.pay('r10', 'shop', 20.0, 1)
-    assert not payer.pay('r11', 'shop', 20.0, 1)
-    assert payer.pay('r12', 'unknown', 20.0, 1)
+    assert payer.pay('r10', 'shop', 20.0)
+    assert not payer.pay('r11', 'shop', 20.0)
+    assert payer.pay('r12', 'unknown', 20.0)
+    # Later the slack of the called service may have room again.
+    assert payer.pay('r13', 'shop', 20.0 + nesting.PAUSE_S)
+    assert not payer.use('r13', 'stock')
 
 
 def test_call_counts_follow_a_service_that_changed():
