--- a/carawaystair/load/retrying.py
+++ b/carawaystair/load/retrying.py
@@ -13,8 +13,10 @@
 are rounded up or down at random, so that the parts add up to the whole.
 
 A gateway that has just started knows neither what its former process spent
-nor how many share the slack, so over the first window its part grows from two
-repeats to a share of what it has later.
+nor how many share the slack.  So a part is small enough that it and what is
+spent once more in the first window after a start stay within the slack, also
+where all gateways start at once; and what a gateway may spend in its first
+moments does not rest on how many others it knows.
 """
 
 import collections
@@ -23,17 +25,18 @@
 
 # The parts of the bound that are used: of the share of first sends, which a
 # node sees as its callers send them, and of the slack, by the gateways of a
-# service and by those whose upstreams call it.
+# service.
 USED_SHARE = 0.95
-USED_SLACK = 0.6
-CALLS_SLACK = 0.2
+USED_SLACK = 0.52
 # Counts are kept by spans of this length, in seconds.
 SPAN_S = 0.5
 ROUNDING_BYTES = 4
-# Repeats that a gateway has when it starts, and the share of its part that it
-# may use in its first window.
-FIRST_SLACK = 2.0
-FIRST_SHARE = 0.6
+# The share of its part that a gateway may use in the first window after its
+# start: USED_SLACK * (1 + FIRST_SHARE) of it are spent at worst around a start
+# of all.  What is left is for parts rounded up.
+FIRST_SHARE = 0.75
+# So many share the slack at least, as far as a gateway knows when it starts.
+FIRST_NODES = 12
 
 
 class Budget:
@@ -44,7 +47,6 @@
     :param window_s: length of the window.
     :param rounding: what is added before a fraction is cut off, 0 to 1.
     :param began: monotonic time at which this process began to count.
-    :param used_slack: share of the slack that all such parts may use.
     """
 
     __slots__ = (
@@ -57,7 +59,6 @@
         'slack',
         'total_firsts',
         'total_repeats',
-        'used_slack',
         'window_s',
     )
 
@@ -68,14 +69,12 @@
         window_s: float,
         rounding: float = 0.0,
         began: float = -math.inf,
-        used_slack: float = USED_SLACK,
     ) -> None:
         self.ratio = ratio
         self.slack = slack
         self.window_s = window_s
         self.rounding = rounding
         self.began = began
-        self.used_slack = used_slack
         self.firsts: collections.deque = collections.deque()
         self.repeats: collections.deque = collections.deque()
         # For metrics.
@@ -97,30 +96,40 @@
         # A span of repeats counts until all of it has passed.
         _forget(self.repeats, now - self.window_s - SPAN_S)
         earned = USED_SHARE * self.ratio * _sum(self.firsts)
-        part = self.used_slack * self.slack / max(nodes, 1) + self.rounding
+        return _sum(self.repeats) + 1 <= earned + self._part(now, nodes)
+
+    def _part(self, now: float, nodes: int) -> float:
+        """Return what this part of the slack allows in a window."""
+        used = USED_SLACK * self.slack
+        part = used / max(nodes, 1)
         age = (now - self.began) / self.window_s
-        if age < 1.0:
-            part = min(FIRST_SHARE * part, FIRST_SLACK + age * part)
-        return _sum(self.repeats) + 1 <= earned + part
+        if age >= 1.0:
+            return part + self.rounding
+        # Rounded together with what the former process may have spent.
+        spent = math.floor(part + self.rounding)
+        most = math.floor((1 + FIRST_SHARE) * part + self.rounding) - spent
+        return min(most, used / FIRST_NODES + age * part + self.rounding)
 
     def repeat(self, now: float, nodes: int) -> bool:
         """Take one repeat from the budget; tell whether there was one."""
         if not self.may_repeat(now, nodes):
             self.refused += 1
             return False
-        self.force(now)
+        self.total_repeats += 1
+        _add(self.repeats, now)
         return True
 
-    def give_back(self) -> None:
-        """Put back the last repeat that was taken: it reached nobody."""
-        if self.repeats and self.repeats[-1][1] > 0:
-            self.repeats[-1][1] -= 1
-            self.total_repeats -= 1
+    def give_back(self, taken_at: float) -> None:
+        """Put back a repeat that was taken: it reached nobody.
 
-    def force(self, now: float) -> None:
-        """Count a repeat that nobody could have kept back."""
-        self.total_repeats += 1
-        _add(self.repeats, now)
+        :param taken_at: when it was taken.  One that was taken since stays
+            counted for the whole window.
+        """
+        span = _span(taken_at)
+        found = [one for one in self.repeats if one[0] == span and one[1]]
+        if found:
+            found[0][1] -= 1
+            self.total_repeats -= 1
 
 
 class Budgets:
@@ -131,7 +140,6 @@
     :param window_s: length of the window.
     :param name: names this part of the bound; the seed of its rounding.
     :param began: monotonic time at which this process began to count.
-    :param used_slack: share of the slack that all such parts may use.
     """
 
     def __init__(
@@ -141,14 +149,12 @@
         window_s: float,
         name: str,
         began: float = -math.inf,
-        used_slack: float = USED_SLACK,
     ) -> None:
         self.ratio = ratio
         self.slack = slack
         self.window_s = window_s
         self.name = name
         self.began = began
-        self.used_slack = used_slack
         self.budgets: dict[str, Budget] = {}
 
     def of(self, service: str) -> Budget:
@@ -161,7 +167,6 @@
                 self.window_s,
                 rounding('%s %s' % (self.name, service)),
                 self.began,
-                self.used_slack,
             )
         return found
 
@@ -173,13 +178,17 @@
 
 
 def _add(spans: collections.deque, now: float) -> None:
-    span = int(now / SPAN_S)
+    span = _span(now)
     if spans and spans[-1][0] == span:
         spans[-1][1] += 1
     else:
         spans.append([span, 1])
 
 
+def _span(now: float) -> int:
+    return int(now / SPAN_S)
+
+
 def _forget(spans: collections.deque, before: float) -> None:
     while spans and spans[0][0] * SPAN_S < before:
         spans.popleft()
