--- a/carawaystair/gateway/handover.py
+++ b/carawaystair/gateway/handover.py
@@ -254,6 +254,7 @@
             until = min(clock.now() + silence_s, deadline)
             try:
                 if await attempt.sign(until):
+                    self._see_answer(attempt, signs)
                     return
             except TimeoutError:
                 if clock.now() >= deadline or not attempt.may_run:
@@ -267,6 +268,15 @@
             ):
                 attempt.proceed()
 
+    def _see_answer(
+        self, attempt: sends.ToGateway, signs: resuming.Signs
+    ) -> None:
+        """Take the head of an upstream's answer for a sign of life."""
+        told = attempt.message.headers
+        own = (hops.REFUSAL.decode(), hops.FAILURE.decode())
+        if not any(name in told for name in own):
+            signs.seen(attempt)
+
     def _doubt(self, attempt: sends.ToGateway) -> None:
         """Take note of a way on which nothing comes for long."""
         if attempt.hop.again and not attempt.helper:
@@ -276,6 +286,13 @@
         """Leave a first question, if it can be asked again."""
         if attempt.call.body is not None and attempt.hop.process:
             raise resuming.Doubted(attempt)
+        if attempt.target.upstream.state == interfaces.GONE:
+            # Nothing will come from there, and it can't be asked again.
+            raise TimeoutError
+
+    def cut(self, target: targets.Target) -> None:
+        """Take note that a gateway was reached by a third node only."""
+        self.paths.lost(target)
 
     def seen(self, attempt: sends.ToGateway) -> None:
         """Take note of a sign of life; a first question needs none."""
@@ -305,8 +322,12 @@
         if failure:
             code = codes.TABLE[int(failure.rpartition('-')[2])]
             late = code is codes.ANSWER_LATE
+            outcome = interfaces.TIMEOUT if late else interfaces.ERROR
+            if attempt.helper and (report is None or not report.process):
+                # Those are words of the third node: its way on broke.
+                outcome = interfaces.BROKEN
             raise answers.Failed(
-                interfaces.TIMEOUT if late else interfaces.ERROR,
+                outcome,
                 code,
                 True,
                 answer.body.decode('utf-8', 'replace'),
--- a/carawaystair/gateway/hops.py
+++ b/carawaystair/gateway/hops.py
@@ -45,6 +45,9 @@
 # A refusal that is none: an earlier send may have been run.
 UNSURE = frozenset((RESTARTED, STALE, GIVEN_UP))
 
+# Why a second question for a long answer brings none: it comes once.
+PASSED_ON = 'passed on before'
+
 INTERIM = b'HTTP/1.1 102 Processing\r\n\r\n'
 # Lets the body come that was not sent with its head.
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
--- a/carawaystair/gateway/resuming.py
+++ b/carawaystair/gateway/resuming.py
@@ -29,9 +29,13 @@
 # hope for them, seconds.
 MOST_OPEN = 3
 CHECK_S = 0.3
-# Each further question waits so many times as long for its first sign: where
-# a link is full, questions must not fill it further.
+# Each further question waits so many times as long for its first sign, up to
+# a limit in seconds: where a link is full, questions must not fill it further.
 SIGN_GROWTH = 2.0
+MOST_SIGN_S = 0.9
+# A host that the fleet takes for dead may only be late: what is open then has
+# this time to bring an answer, seconds.
+GONE_S = 1.0
 MS = 1000
 # Failures after which the same gateway may still have the request.
 LOST = frozenset((interfaces.BROKEN, interfaces.SILENT))
@@ -75,6 +79,9 @@
     ) -> typing.Coroutine[typing.Any, typing.Any, answers.Answer]:
         """Send a question unless it was sent, and return its answer."""
 
+    def cut(self, target: targets.Target) -> None:
+        """Take note that a gateway was reached by a third node only."""
+
 
 class Resumption:
     """One request that is asked for again at one gateway.
@@ -102,11 +109,19 @@
         self.began = clock.now()
         self.open: dict[asyncio.Task, sends.ToGateway] = {}
         self.doubtful: set[sends.ToGateway] = set()
-        # The highest number of a question that was sent.
+        # The highest number of a question that was sent and has ended.
         self.newest = 0
         self.detour = True
+        # Whether no sign of life was seen yet.
+        self.silent = True
+        # Whether the last question could not be sent.
+        self.unsent = False
+        # Since when the upstream is gone, as far as is known.
+        self.gone_at: float | None = None
         self.sign_s = sends.SIGN_S
         self.news = asyncio.Event()
+        # What the request has failed with, while a newer question is open.
+        self.verdict: answers.Failed | None = None
         self.last = answers.Failed(
             interfaces.SILENT, codes.ANSWER_LOST, True, 'no sign of life'
         )
@@ -151,17 +166,20 @@
                 answer = self._outcome(task, self.open.pop(task))
                 if answer is not None:
                     return answer
-            if not self._all_doubtful():
-                await self.news.wait()
-                continue
+            if self.verdict is not None and not self.open:
+                raise self.verdict
             self._check_hope()
-            if not self.open:
-                await asyncio.sleep(PAUSE_S)
-            if len(self.open) < MOST_OPEN:
-                self._ask()
+            if self._wants_another():
+                await self._ask()
             else:
                 await self._news_or_pause()
 
+    def _wants_another(self) -> bool:
+        """Tell whether the gateway is to be asked once more now."""
+        if self.verdict is not None or self.gone_at is not None:
+            return False
+        return self._all_doubtful() and len(self.open) < MOST_OPEN
+
     def _all_doubtful(self) -> bool:
         return self.doubtful.issuperset(self.open.values())
 
@@ -183,12 +201,18 @@
             )
         if self.lost.target.upstream.state == interfaces.GONE:
             # Its host is dead, or the upstream has left since.
-            raise self.last
+            if self.gone_at is None:
+                self.gone_at = now
+            if not self.open or now - self.gone_at >= GONE_S:
+                raise self.last
         if not self.open and now - self.began >= self.limit_s:
             raise self.last
 
-    def _ask(self) -> None:
+    async def _ask(self) -> None:
         """Ask once more, by the other way."""
+        if not self.open or self.unsent:
+            self.unsent = False
+            await asyncio.sleep(PAUSE_S)
         attempt = self.asks.again(self.trip, self.lost, self.detour)
         self.recorder.tell(
             decisions.AskedAgain(
@@ -202,12 +226,11 @@
             decisions.TROUBLE,
         )
         self.detour = not self.detour
-        self.sign_s *= SIGN_GROWTH
+        self.sign_s = min(self.sign_s * SIGN_GROWTH, MOST_SIGN_S)
         attempt.sign_s = self.sign_s
         self._watch(attempt)
 
     def _watch(self, attempt: sends.ToGateway) -> None:
-        self.newest = max(self.newest, attempt.hop.number)
         target = self.lost.target
         task = asyncio.ensure_future(
             self.asks.answer(self.trip, target, attempt, self)
@@ -220,7 +243,8 @@
     ) -> answers.Answer | None:
         """Return the answer to a question; None where it decides nothing."""
         self.doubtful.discard(attempt)
-        decides = attempt.hop.number == self.newest
+        decides = self._is_newest(attempt)
+        self._count(attempt)
         try:
             return task.result()
         except trips.Declined as declined:
@@ -229,16 +253,32 @@
             if decides and not cut:
                 raise
         except answers.Failed as failed:
-            if decides and failed.sent and failed.outcome not in LOST:
+            if not failed.sent:
+                self.unsent = True
+                return None
+            self.last = failed
+            if failed.outcome in LOST:
+                return None
+            if decides and failed.detail != hops.PASSED_ON:
                 raise
-            if failed.sent:
-                self.last = failed
+            self.verdict = failed
         return None
 
+    def _count(self, attempt: sends.ToGateway) -> None:
+        """Remember the number of a question that may have arrived."""
+        if attempt.sent:
+            self.newest = max(self.newest, attempt.hop.number)
+
+    def _is_newest(self, attempt: sends.ToGateway) -> bool:
+        """Tell whether no newer question may have arrived."""
+        sent = [other for other in self.open.values() if other.sent]
+        numbers = [other.hop.number for other in sent]
+        return attempt.hop.number >= max([self.newest, *numbers])
+
     def _hurry(self) -> None:
         """Let another upstream have the request as well, if one may."""
         hurry = self.trip.hurry
-        if self._all_doubtful() and hurry is not None and not hurry.done():
+        if self.silent and hurry is not None and not hurry.done():
             hurry.set_result(None)
 
     # The signs of a gateway
@@ -254,16 +294,31 @@
         The gateway has the request.  Other questions would only bring its
         answer again, over a link that may be full.
         """
+        self.silent = False
+        if attempt.helper and self.doubtful:
+            self.asks.cut(self.lost.target)
         self.doubtful.discard(attempt)
         self._drop_all_but(attempt)
 
     def _drop_all_but(self, kept: sends.ToGateway | None) -> None:
         for task, attempt in list(self.open.items()):
-            if attempt is not kept:
-                self._drop(task)
+            if attempt is kept or (kept is not None and task.done()):
+                continue
+            self._drop(task)
 
     def _drop(self, task: asyncio.Task) -> None:
         attempt = self.open.pop(task)
         self.doubtful.discard(attempt)
+        self._count(attempt)
+        if task.done():
+            # Its connection may carry another request by now.
+            _forget(task)
+            return
         attempt.take_back()
         task.cancel()
+
+
+def _forget(task: asyncio.Task) -> None:
+    """Look at the end of a task that decides nothing any more."""
+    if not task.cancelled():
+        task.exception()
--- a/carawaystair/gateway/runs.py
+++ b/carawaystair/gateway/runs.py
@@ -68,6 +68,8 @@
             collections.OrderedDict()
         )
         self.joined = 0
+        # Runs whose last connection broke, until they would be cancelled.
+        self.orphans = 0
 
     async def once(
         self,
@@ -156,10 +158,12 @@
         if not broken:
             self._cancel(hop, run, 'closed')
             return
+        self.orphans += 1
         loop = asyncio.get_running_loop()
         loop.call_later(ORPHAN_S, self._cancel_orphan, hop, run)
 
     def _cancel_orphan(self, hop: hops.Hop, run: Run) -> None:
+        self.orphans -= 1
         if not run.holders and run.task is not None:
             self._cancel(hop, run, 'lost')
 
@@ -196,7 +200,7 @@
     if answer.rest is not None:
         if answer.rest.claimed:
             raise answers.Failed(
-                interfaces.BROKEN, codes.ANSWER_LOST, True, 'passed on before'
+                interfaces.BROKEN, codes.ANSWER_LOST, True, hops.PASSED_ON
             )
         answer.rest.claimed = True
     return answer
--- a/carawaystair/gateway/sends.py
+++ b/carawaystair/gateway/sends.py
@@ -192,6 +192,7 @@
 
     async def connect(self) -> None:
         """Get a connection; raises :class:`answers.Failed`."""
+        self.connect_s = max(self.connect_s, self.sign_s)
         await super().connect()
         transport = self.connection.proto.transport
         if transport is not None and not self.connection.uses:
@@ -243,9 +244,12 @@
     def leaving(self) -> bool:
         """Tell whether the upstream takes no new work any more.
 
-        A host whose own upstream leaves can still pass requests on.
+        A host whose own upstream leaves can still pass requests on, and what
+        is asked for again is no new work.
         """
-        return not self.helper and super().leaving()
+        if self.helper or self.hop.again:
+            return False
+        return super().leaving()
 
     async def sign(self, until: float) -> bool:
         """Wait for the next sign of life; tell whether it is the answer.
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -226,12 +226,14 @@
         """Tell whether work or answers are on their way.
 
         An answer counts until the system has all of it: on a link that is
-        full or to a caller that reads slowly, a part of it stands here.
+        full or to a caller that reads slowly, a part of it stands here.  And
+        a run whose connection broke may be asked for again.
         """
         listeners = (self.callers, self.nodes)
         return bool(
             self.front.active
             or self.door.active
+            or self.door.runs.orphans
             or any(listener.sending for listener in listeners)
         )
 
--- a/carawaystair/request/attempt.py
+++ b/carawaystair/request/attempt.py
@@ -36,6 +36,7 @@
         'alarm',
         'call',
         'chunks',
+        'connect_s',
         'connection',
         'ended',
         'extra',
@@ -74,6 +75,8 @@
         # True once its end was recorded as evidence.
         self.ended = False
         self.started = clock.now()
+        # How long opening a connection may take, seconds.
+        self.connect_s = connections.CONNECT_S
 
     # Sending
 
@@ -88,7 +91,7 @@
             self.fresh = True
             try:
                 self.connection = await connections.connect(
-                    self.target, self.call.deadline
+                    self.target, self.call.deadline, self.connect_s
                 )
             except OSError as error:
                 # TimeoutError is one, too.
--- a/carawaystair/request/connections.py
+++ b/carawaystair/request/connections.py
@@ -70,17 +70,20 @@
     return None
 
 
-async def connect(target: targets.Target, until: float) -> Connection:
+async def connect(
+    target: targets.Target, until: float, patience_s: float = CONNECT_S
+) -> Connection:
     """Open a new connection.
 
     :param until: monotonic time at which to give up.
+    :param patience_s: how long it may take, seconds.
     :raises OSError: when it cannot be opened.
     :raises TimeoutError: when nobody answers.
     """
     loop = asyncio.get_running_loop()
     ip, _colon, port = target.upstream.address.rpartition(':')
     factory = functools.partial(wire.Wire, loop)
-    async with asyncio.timeout_at(min(until, loop.time() + CONNECT_S)):
+    async with asyncio.timeout_at(min(until, loop.time() + patience_s)):
         _transport, proto = await loop.create_connection(
             factory, ip.strip('[]'), int(port)
         )
--- a/test/pipes.py
+++ b/test/pipes.py
@@ -66,17 +66,26 @@
         self.write_eof()
         self.loop.call_soon(self._lose_if_flushed)
 
+    @property
+    def held(self) -> bool:
+        """Tell whether something stands here that the system did not take.
+
+        It takes all that its other end reads, however long the way is.
+        """
+        return not self.peer.reading and any(self.queue)
+
     def _lose_if_flushed(self) -> None:
         # A closed transport goes on sending what is in its buffer.
-        if self.closing and not any(self.queue):
+        if self.closing and not self.held:
             self._lose(None)
 
     def abort(self) -> None:
         if self.lost:
             return
         self.closing = True
-        # What the system has not taken yet is thrown away.
-        self.queue.clear()
+        if self.held:
+            # What the system has not taken yet is thrown away.
+            self.queue.clear()
         peer = self.peer
         if not self.silent:
             self.loop.call_later(
@@ -104,7 +113,7 @@
         return self.reading
 
     def get_write_buffer_size(self) -> int:
-        return self.queued
+        return self.queued if self.held else 0
 
     # How bytes move
 
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -75,10 +75,10 @@
     fleet.nodes[2].announce('draining')
     cut = fleet.nodes[0].service.known.targets['u9001']
 
-    async def connect_unless_cut(target, until):
+    async def connect_unless_cut(target, until, *patience):
         if target == cut:
             raise TimeoutError
-        return await connect(target, until)
+        return await connect(target, until, *patience)
 
     monkeypatch.setattr(connections, 'connect', connect_unless_cut)
     asyncio.get_running_loop().silence(fleet.nodes[1].gateway)
--- a/test/test_gateway_doubt.py
+++ b/test/test_gateway_doubt.py
@@ -7,7 +7,9 @@
 import pytest
 
 from carawaystair import clock
+from carawaystair import codes
 from carawaystair import decisions
+from carawaystair.gateway import hops
 from carawaystair.gateway import resuming
 from carawaystair.gateway import trips
 from carawaystair.request import answer as answers
@@ -118,6 +120,7 @@
         self.hop = types.SimpleNamespace(number=number)
         self.helper = False
         self.sign_s = 0.0
+        self.sent = True
         self.result = asyncio.get_running_loop().create_future()
         self.taken_back = False
 
@@ -221,7 +224,59 @@
         asked = len(asks.questions)
         upstream.state = 'gone'
         with pytest.raises(answers.Failed):
-            await asyncio.wait_for(asking, 1.0)
+            await asyncio.wait_for(asking, 2 * resuming.GONE_S)
         return asked
 
     assert resumed(scenario) == resuming.MOST_OPEN
+
+
+def test_answer_that_is_here_is_not_dropped_for_a_sign_of_another():
+    """Guards against dropping an answer for a sign of life of another."""
+
+    async def scenario(asks, asking, _upstream):
+        old, new = asks.questions
+        new.result.set_result('answer')
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        asks.signs.seen(old)
+        # For a long answer, q1 is told that it was passed on before.
+        old.result.set_exception(
+            answers.Failed('error', codes.ANSWER_LOST, True, hops.PASSED_ON)
+        )
+        return await asyncio.wait_for(asking, 5.0)
+
+    assert resumed(scenario) == 'answer'
+
+
+def test_later_questions_do_not_wait_for_ever_longer():
+    """Guards against a patience that grows without a bound."""
+
+    async def scenario(asks, asking, upstream):
+        asks.questions[0].result.set_exception(
+            answers.Failed('broken', codes.ANSWER_LOST, True)
+        )
+        for _ in range(12):
+            await asyncio.sleep(0.36)
+            result = asks.questions[-1].result
+            if not result.done():
+                result.set_exception(
+                    answers.Failed('refused', codes.CONNECT_FAILED, False)
+                )
+        await asyncio.sleep(0.2)
+        asking.cancel()
+        return max(q.sign_s for q in asks.questions)
+
+    assert resumed(scenario) < 3.0
+
+
+def test_second_answer_does_not_break_a_connection_that_was_given_back():
+    """Guards against a reset of a connection that others use by now."""
+
+    async def scenario(asks, asking, upstream):
+        old, new = asks.questions
+        old.result.set_result('answer')
+        new.result.set_result('answer')
+        await asking
+        return old.taken_back, new.taken_back
+
+    assert resumed(scenario) == (False, False)
--- a/test/test_request_stop.py
+++ b/test/test_request_stop.py
@@ -146,10 +146,12 @@
         async with setups.running(upstream, drain_s=6.0) as setup:
             reader, writer = await setups.connect()
             writer.transport.pause_reading()
-            writer.write(b'GET /portal HTTP/1.1\r\nHost: h\r\n\r\n')
+            head = b'GET /portal HTTP/1.1\r\nHost: h\r\nConnection: close'
+            writer.write(head + b'\r\n\r\n')
             await asyncio.sleep(0.2)
             stopping = asyncio.create_task(setup.path.stop())
-            await asyncio.sleep(1.0)
+            # Not in the moment in which the stop looks at it.
+            await asyncio.sleep(1.005)
             writer.transport.resume_reading()
             await reader.readuntil(b'\r\n\r\n')
             answer = await reader.readexactly(len(body))
