Soak: stops roll over the fleet, with long requests in flight

Cause: a rolling stop ended a repeatable request with 502 while neither the time of the stop nor the caller's deadline was over. The soak could not have found it: it stopped one process at a time, its requests took 20 to 30 ms, its links carried everything at once, and of an interrupted request only a closed connection was judged, not an answer that leaves its outcome open.

Change: every fifth seed has rolls (SIGTERM to half of the hosts or more, each 0.05 to 0.4 s after the one before, the next roll perhaps before the last is over). On these seeds four callers of each node send downloads, long repeatable and long run-once requests on one connection until the process is gone; downloads wait for their slots. Links of hosts may be thin (a rate and a queue), processes may run for 0.7 of the time. Plans of other seeds stay as they were.

The watch knows the runs of a request and the stops of its places. A request that an upstream worked on as a planned stop began and that gets 502 or 504 as unknown before its own time and that of the stop are over is told; so is each closed connection, as before. A fault excuses only what passed its place, where one anywhere did: stricter. When the soak's own process runs 0.1 s late, that counts as a fault.

Tried and given up: every such answer without a stop near.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,6 +11,7 @@
 from carawaystair import clock
 from soak import entries
 from soak import host as hosts
+from soak import plan as plans
 from soak import watch as watches
 from soak import ways as ways_module
 from standin import content
@@ -29,8 +30,13 @@
 IPS = 250
 UPSTREAM_SLOTS = 5
 SERVICE_MS = {'portal': 20.0, 'settlement': 30.0}
-# A process gets this long for a graceful stop, seconds.
-STOP_S = 15.0
+# Downloads are part of the plays with long requests, and wait for slots.
+DOWNLOADS = 'docvault'
+DOWNLOAD_MS = 400.0
+DOWNLOAD_SLOTS = 1
+# A process that stops is killed so long after its time is over, seconds.
+KILLED_S = 5.0
+BYTES = 1e6 / 8
 READY_S = 40.0
 # A new life is announced in this time, or its node is struck itself, seconds.
 ANNOUNCED_S = 6.0
@@ -39,20 +45,28 @@
 class WatchedRuns(runs_module.Runs):
     """Tells a watch of each run as it begins.
 
-    :param service: of the upstream.
+    :param options: of the upstream.
     :param watch: is told.
     """
 
-    def __init__(self, service: str, watch: watches.Watch) -> None:
+    def __init__(
+        self, options: upstreams.Options, watch: watches.Watch
+    ) -> None:
         super().__init__()
-        self.service = service
+        self.options = options
         self.watch = watch
 
     def begin(self, run: runs_module.Run) -> int:
         """Add a run that starts."""
-        self.watch.began(self.service, run)
+        self.watch.began(self.options.service, run, self.options.host)
         return super().begin(run)
 
+    def end(self, number: int, how: str) -> None:
+        """Take note of how a run ended."""
+        super().end(number, how)
+        if number in self.table:
+            self.watch.ended(self.table[number])
+
 
 class Upstream(upstreams.Upstream):
     """A stand-in upstream behind a way.
@@ -70,7 +84,7 @@
     ) -> None:
         super().__init__(options)
         self.way = way
-        self.runs = WatchedRuns(options.service, watch)
+        self.runs = WatchedRuns(options, watch)
 
     def announcement(self):
         """Return what is announced: the way, not the address."""
@@ -96,12 +110,18 @@
     :param folder: for settings, logs and data.
     :param seed: of the ways.
     :param watch: is told what upstreams see.
+    :param conditions: that hold for all its hosts.
     """
 
     def __init__(
-        self, folder: pathlib.Path, seed: int, watch: watches.Watch
+        self,
+        folder: pathlib.Path,
+        seed: int,
+        watch: watches.Watch,
+        conditions: plans.Conditions = plans.Conditions(),
     ) -> None:
         super().__init__(folder, '', gateways=True)
+        self.conditions = conditions
         self.rng = random.Random('ways %d' % seed)
         self.network = 1 + os.getpid() % NETWORKS
         self.watch = watch
@@ -140,6 +160,7 @@
         document = super().settings(host)
         document['bind_ip'] = self.ips[host.name]
         document['log'] = {'form': 'json'}
+        document['node']['drain_s'] = watches.STOP_S
         document['control'] |= {
             'changes_per_s': CHANGES_S,
             'reads_per_s': CHANGES_S,
@@ -149,16 +170,19 @@
     async def open_ways(self, host: fleets.Host) -> None:
         """Open the ways to a host."""
         addresses = {host.peer: True, host.listen: False, host.gateway: False}
+        lanes = ways_module.open_lanes(self.conditions.mbit_per_s * BYTES)
         self.ways[host.name] = [
-            self._way(address, self.ips[host.name], address)
+            self._way(address, self.ips[host.name], lanes)
             for address in addresses
         ]
         for way in self.ways[host.name]:
             await way.open(datagrams=addresses[way.address])
 
-    def _way(self, address: str, ip: str, target: str) -> ways_module.Way:
-        port = target.rpartition(':')[2]
-        return ways_module.Way(address, '%s:%s' % (ip, port), self.rng)
+    def _way(
+        self, address: str, ip: str, lanes: ways_module.Lanes
+    ) -> ways_module.Way:
+        target = '%s:%s' % (ip, address.rpartition(':')[2])
+        return ways_module.Way(address, target, self.rng, lanes)
 
     def faults_file(self, name: str) -> pathlib.Path:
         """Return the file with what is wrong with a host."""
@@ -182,8 +206,11 @@
         :param power: whether it loses what it had not synced.
         """
         async with self.turns[name]:
+            if number == signal.SIGTERM:
+                self.watch.stops(name)
             self.signal(name, number)
-            await self.wait(name, STOP_S)
+            await self.wait(name, watches.STOP_S + KILLED_S)
+            self.watch.ends(name)
             if power:
                 self._cut_power(name)
             await asyncio.sleep(down_s)
@@ -207,9 +234,9 @@
             id,
             real,
             node,
-            UPSTREAM_SLOTS,
+            DOWNLOAD_SLOTS if service == DOWNLOADS else UPSTREAM_SLOTS,
             announce=self.hosts[node].local,
-            service_ms=SERVICE_MS[service],
+            service_ms=SERVICE_MS.get(service, DOWNLOAD_MS),
             grace_s=3.0,
             drain_s=8.0,
         )
@@ -277,7 +304,8 @@
     def __init__(
         self, fleet: Fleet, controls: int, nodes: int, upstreams: int
     ) -> None:
-        crews = [stages.Crew(service, upstreams) for service in SERVICE_MS]
+        services = [*SERVICE_MS, *([DOWNLOADS] * fleet.conditions.rolls)]
+        crews = [stages.Crew(service, upstreams) for service in services]
         super().__init__(fleet, crews)
         self.controls = controls
         self.nodes = nodes
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -5,11 +5,13 @@
 """
 
 import itertools
+import math
 import random
 import typing
 
 # Planned work, which must cut nothing.
 STOP = 'stop'  # a process gets SIGTERM and starts again
+ROLL = 'roll'  # many do, one after the other, without waiting for the first
 LEAVE = 'leave'  # an upstream drains and leaves; another one comes
 CHANGE = 'change'  # the configuration changes
 RACE = 'race'  # two changes on one version
@@ -32,7 +34,7 @@
 SLOW = 'slow'  # its syncs take longer
 CLOCK = 'clock'  # the time of day of a host jumps
 
-PLANNED = frozenset((STOP, LEAVE, CHANGE, RACE, STORM, HUP, MALFORMED))
+PLANNED = frozenset((STOP, ROLL, LEAVE, CHANGE, RACE, STORM, HUP, MALFORMED))
 # Of so many seeds one has planned work only: where faults are near, a request
 # that was cut can't be told from one that a fault broke.
 PLANNED_EVERY = 3
@@ -66,6 +68,16 @@
 # Seconds between the ends and beginnings of storms, and how long one lasts.
 STORM_PAUSE_S = (1.0, 4.0)
 STORM_S = (3.0, 8.0)
+# Of so many seeds one has rolls over the fleet, in the same way.
+ROLL_EVERY = 5
+ROLL_SEED = 0
+# Seconds between the beginnings of two rolls, and between two of its stops.
+ROLL_PAUSE_S = (3.0, 7.0)
+ROLL_GAP_S = (0.05, 0.4)
+# Links of hosts on seeds with rolls, Mbit/s, and the share of the time in
+# which their processes run.
+LINKS = (math.inf, 20.0, 10.0)
+SHARES = (1.0, 1.0, 0.7)
 # What each kind strikes: a node, a control host, any host, an upstream or
 # the whole fleet.
 NODE, CONTROL, HOST, UPSTREAM, FLEET = (
@@ -73,6 +85,7 @@
 )
 STRIKES = {
     STOP: HOST,
+    ROLL: FLEET,
     LEAVE: UPSTREAM,
     CHANGE: FLEET,
     RACE: FLEET,
@@ -122,6 +135,28 @@
     x: float
 
 
+class Conditions(typing.NamedTuple):
+    """What holds for a whole play.
+
+    :param rolls: whether stops roll over the fleet, and long requests are
+        in flight meanwhile.
+    :param mbit_per_s: what the link of a host carries each way.
+    :param share: of the time in which its process runs.
+    """
+
+    rolls: bool = False
+    mbit_per_s: float = math.inf
+    share: float = 1.0
+
+
+def conditions(seed: int) -> Conditions:
+    """Return what holds in the play of a seed."""
+    if seed % ROLL_EVERY != ROLL_SEED:
+        return Conditions()
+    rng = random.Random('conditions %d' % seed)
+    return Conditions(True, rng.choice(LINKS), rng.choice(SHARES))
+
+
 def draw(seed: int, seconds: float) -> list[Event]:
     """Return the plan of a seed, in order.
 
@@ -137,6 +172,8 @@
         now += rng.expovariate(1 / PAUSE_S)
     if seed % STORM_EVERY == STORM_SEED:
         events += _storms(random.Random('storms %d' % seed), seconds)
+    if conditions(seed).rolls:
+        events += _rolls(random.Random('rolls %d' % seed), seconds)
     return sorted(event for event in events if event.at < seconds)
 
 
@@ -152,6 +189,30 @@
     return events
 
 
+def _rolls(rng: random.Random, seconds: float) -> list[Event]:
+    """Return the rolls of a play; one may begin before the last is over."""
+    events: list[Event] = []
+    now = CALM_S
+    while now < seconds:
+        events.append(
+            Event(round(now, 3), ROLL, rng.random(), 0.0, rng.random())
+        )
+        now += rng.uniform(*ROLL_PAUSE_S)
+    return events
+
+
+def roll(event: Event, names: typing.Sequence[str]) -> list[tuple[str, float]]:
+    """Return whom a roll stops, in order, and the pause behind each.
+
+    :param names: of all hosts; a half of them at least is stopped.
+    """
+    rng = random.Random('roll %r' % event.number)
+    count = max(round(len(names) * (1 + event.x) / 2), 1)
+    return [
+        (name, rng.uniform(*ROLL_GAP_S)) for name in rng.sample(names, count)
+    ]
+
+
 def _series(
     rng: random.Random, begin: float, kinds: typing.Sequence[str]
 ) -> list[Event]:
--- a/soak/play.py
+++ b/soak/play.py
@@ -32,6 +32,18 @@
 LEAVE_S = (0.01, 0.1)
 LEFT_MS = 5_000
 PATIENCE_S = 8.0
+# Callers of each node that send long requests on one connection, and the time
+# that such a request has and takes, ms; downloads have so many bytes.
+LONG_CALLERS = 4
+LONG_LEFT_MS = 20_000
+LONG_MS = (100, 2_000)
+DOWNLOAD_BYTES = (20_000, 200_000)
+# The play's own process was late when it runs by so much after its time,
+# seconds: all ways were, then.
+LATE_S = 0.1
+TURN_S = 0.02
+# A process that runs for a share of the time does so in such periods, s.
+PERIOD_S = 0.1
 # Between two changes of one operator in a storm, seconds.
 STORM_GAP_S = 0.15
 # Versions of the nodes are asked for so often, seconds.
@@ -52,6 +64,9 @@
     upstream_faults.Faults(stall_share=0.3),
 )
 MOST_CLOCK_MS = 3_600_000
+MS = 1000
+# What the manifest gives the requests of a service at least, ms.
+TIMEOUT_MS = {'portal': 3_000, 'settlement': 8_000}
 
 
 class Play:
@@ -83,6 +98,7 @@
         # not heal what a later one broke.
         self.spoilt: dict[str, int] = {}
         self.changes = itertools.count(1)
+        self.paused: set[str] = set()
 
     async def run(self) -> None:
         """Play the plan under load, let all settle, drive it calmly."""
@@ -92,9 +108,15 @@
             connector=connector, timeout=timeout
         ) as self.session:
             looking = asyncio.ensure_future(self._look())
-            load = asyncio.ensure_future(self._load(self.seconds))
+            loads = [self._load(self.seconds)]
+            if self.fleet.conditions.rolls:
+                loads.append(self._load_long(self.seconds))
+            load = asyncio.gather(*loads)
+            sparing = asyncio.gather(self._spare(), self._feel())
             await self._strike()
             await load
+            sparing.cancel()
+            await asyncio.gather(sparing, return_exceptions=True)
             await self._settle()
             await self._calm()
             looking.cancel()
@@ -126,30 +148,65 @@
         asked, target = self._draw(rng.choice(self.fleet.nodes()))
         await self._told(asked, patience_s, self._send(asked, target))
 
-    async def _keep_asking(self, host, ends: float) -> None:
+    async def _load_long(self, seconds: float) -> None:
+        """Have long requests in flight at each node for some seconds."""
+        ends = clock.now() + seconds
+        asking = (
+            self._keep_asking(host, ends, draw, LONG_LEFT_MS)
+            for host in self.fleet.nodes()
+            for _caller, draw in zip(
+                range(LONG_CALLERS),
+                itertools.cycle((self._draw_long, self._draw_download)),
+            )
+        )
+        await asyncio.gather(*asking)
+
+    async def _keep_asking(
+        self, host, ends: float, draw=None, left_ms: int = LEFT_MS
+    ) -> None:
         """Let a caller send on one connection until a time."""
         caller = callers.Caller(host.listen)
+        patience_s = PATIENCE_S - (LEFT_MS - left_ms) / MS
         while clock.now() < ends:
-            asked, target = self._draw(host)
-            headers = fleet_module.marker_headers(asked.marker, LEFT_MS)
+            asked, target = (draw or self._draw)(host)
+            headers = fleet_module.marker_headers(asked.marker, left_ms)
             sending = caller.ask(asked, target, headers)
-            await self._told(asked, PATIENCE_S, sending)
+            await self._told(asked, patience_s, sending)
             await asyncio.sleep(KEPT_PAUSE_S)
         caller.close()
 
-    def _draw(self, host) -> tuple[watches.Asked, str]:
+    def _draw_long(self, host) -> tuple[watches.Asked, str]:
+        """Draw a request that takes long, and its target."""
+        asked, target = self._draw(host, LONG_LEFT_MS)
+        return asked, '%s&ms=%d' % (target, self.rng.uniform(*LONG_MS))
+
+    def _draw_download(self, host) -> tuple[watches.Asked, str]:
+        """Draw a download, and its target."""
+        now = clock.now()
+        marker = 'm%d' % next(self.numbers)
+        size = self.rng.randint(*DOWNLOAD_BYTES)
+        ends = now + LONG_LEFT_MS / MS
+        asked = watches.Asked(
+            marker, 'GET', host.name, size, now, ends, marker + '@0'
+        )
+        self.watch.asks(fleet_module.DOWNLOADS, asked)
+        return asked, '/bundles/%s?bytes=%d' % (marker, size)
+
+    def _draw(self, host, left_ms: int = LEFT_MS) -> tuple[watches.Asked, str]:
         """Draw a request to a node, and its target."""
         rng = self.rng
         post = rng.random() < POST_SHARE
         long = not post and rng.random() < LONG_SHARE
+        service = 'settlement' if post else 'portal'
+        now = clock.now()
         asked = watches.Asked(
             'm%d' % next(self.numbers),
             'POST' if post else 'GET',
             host.name,
             LONG_BYTES if long else SHORT_BYTES,
-            clock.now(),
+            now,
+            now + min(left_ms, TIMEOUT_MS[service]) / MS,
         )
-        service = 'settlement' if post else 'portal'
         self.watch.asks(service, asked)
         path = '/payouts' if post else '/status/x'
         return asked, '%s?bytes=%d' % (path, asked.size)
@@ -219,11 +276,12 @@
         struck = self._struck(event)
         if event.kind not in plans.PLANNED:
             # It lasts longer than it should when the machine is busy.
-            self.watch.disturbs(begin, begin + event.for_s + BACK_S)
+            ends = begin + event.for_s + BACK_S
+            self.watch.disturbs(begin, ends, struck)
         self.watch.counts['event ' + event.kind] += 1
         await getattr(self, '_' + event.kind)(event, struck)
         if event.kind not in plans.PLANNED:
-            self.watch.disturbs(begin, clock.now() + BACK_S)
+            self.watch.disturbs(begin, clock.now() + BACK_S, struck)
 
     def _struck(self, event: plans.Event) -> str:
         """Return the name of what an event strikes."""
@@ -240,6 +298,14 @@
     async def _stop(self, event, name) -> None:
         await self.fleet.restart(name, signal.SIGTERM, 0.2)
 
+    async def _roll(self, event, _name) -> None:
+        """Stop many processes, each before those in front of it are up."""
+        stops = []
+        for name, pause_s in plans.roll(event, list(self.fleet.hosts)):
+            stops.append(asyncio.ensure_future(self._stop(event, name)))
+            await asyncio.sleep(pause_s)
+        await asyncio.gather(*stops)
+
     async def _kill(self, event, name) -> None:
         await self.fleet.restart(name, signal.SIGKILL, event.for_s / 2)
 
@@ -257,9 +323,33 @@
 
     async def _pause(self, event, name) -> None:
         async with self.fleet.turns[name]:
+            self.paused.add(name)
             self.fleet.signal(name, signal.SIGSTOP)
             await asyncio.sleep(event.for_s)
             self.fleet.signal(name, signal.SIGCONT)
+            self.paused.discard(name)
+
+    async def _feel(self) -> None:
+        """Take note when this process was late: that is a fault of its own."""
+        while True:
+            began = clock.now()
+            await asyncio.sleep(TURN_S)
+            late_s = clock.now() - began - TURN_S
+            if late_s > LATE_S:
+                self.watch.disturbs(began, clock.now())
+                self.watch.counts['late turns'] += 1
+
+    async def _spare(self) -> None:
+        """Let each process run for its share of the time only."""
+        share = self.fleet.conditions.share
+        while share < 1.0:
+            for number, part_s in (
+                (signal.SIGSTOP, (1 - share) * PERIOD_S),
+                (signal.SIGCONT, share * PERIOD_S),
+            ):
+                for name in self.fleet.processes.keys() - self.paused:
+                    self.fleet.signal(name, number)
+                await asyncio.sleep(part_s)
 
     async def _leave(self, event, name) -> None:
         await self._replace(name, graceful=True)
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,6 +8,7 @@
 import typing
 
 from soak import fleet as fleets
+from soak import plan as plans
 from soak import play as plays
 from soak import watch as watches
 
@@ -46,7 +47,8 @@
 async def play(folder: pathlib.Path, seed: int, size: Size) -> watches.Watch:
     """Play one seed; prints the stories of what went wrong."""
     watch = watches.Watch()
-    async with fleets.Fleet(folder, seed, watch) as fleet:
+    conditions = plans.conditions(seed)
+    async with fleets.Fleet(folder, seed, watch, conditions) as fleet:
         stage = fleets.Stage(fleet, size.controls, size.nodes, size.upstreams)
         await stage.start()
         watch.accepted = fleets.read_version(stage.accepted)
@@ -61,6 +63,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1, help='first seed')
     parser.add_argument('--seeds', type=int, default=1, help='how many')
+    parser.add_argument('--step', type=int, default=1, help='between seeds')
     parser.add_argument(
         '--cases', action='store_true', help='play the seeds that failed once'
     )
@@ -69,7 +72,8 @@
         parser.add_argument('--' + name, type=type(default), default=default)
     options = parser.parse_args(arguments)
     size = Size(*(getattr(options, name) for name in Size._fields))
-    seeds = list(range(options.seed, options.seed + options.seeds))
+    ends = options.seed + options.seeds * options.step
+    seeds = list(range(options.seed, ends, options.step))
     if options.cases:
         seeds = cases()
     broken = [seed for seed in seeds if not _kept(seed, size, options.keep)]
--- a/soak/watch.py
+++ b/soak/watch.py
@@ -26,6 +26,12 @@
 RETRY_WINDOW_S = 10.0
 # Statuses that promise that a request was not run.
 PROMISES = frozenset((408, 421, 429, 503))
+# A process that stops has this time; so long before its end it may answer
+# what is left, seconds.
+STOP_S = 12.0
+STOP_SLACK_S = 1.0
+# Statuses of ours that end a request that may have run.
+UNKNOWN = 'unknown'
 # A fault may still show in requests that end so long after it, seconds.
 AFTER_S = 2.0
 
@@ -38,6 +44,9 @@
     :param node: the node that was asked.
     :param size: bytes of its answer, when that is whole.
     :param began: when it was sent.
+    :param ends: when its time is over.
+    :param body: what the body of its answer is made from, its marker when
+        empty.
     """
 
     marker: str
@@ -45,6 +54,8 @@
     node: str
     size: int
     began: float
+    ends: float = math.inf
+    body: str = ''
 
 
 class Told(typing.NamedTuple):
@@ -66,6 +77,32 @@
     left: bool = False
 
 
+class Work(typing.NamedTuple):
+    """One run of a request.
+
+    :param upstream: that ran it.
+    :param host: of the upstream.
+    :param begin: when it began.
+    :param end: when it was over.
+    """
+
+    upstream: str
+    host: str
+    begin: float
+    end: float = math.inf
+
+
+class Stop(typing.NamedTuple):
+    """One planned stop of a host.
+
+    :param begin: when its process was asked to stop.
+    :param end: when it had ended.
+    """
+
+    begin: float
+    end: float = math.inf
+
+
 class Watch:
     """Keeps what was seen, and the promises that were broken."""
 
@@ -80,7 +117,12 @@
         self.firsts: dict[str, list[float]] = collections.defaultdict(list)
         self.promised: dict[str, str] = {}
         self.drained: dict[str, float] = {}
-        self.unplanned: list[tuple[float, float]] = []
+        # The runs of requests, by marker.
+        self.works: dict[str, list[Work]] = collections.defaultdict(list)
+        # When faults were near, and what each struck.
+        self.unplanned: list[tuple[float, float, str]] = []
+        # When hosts were asked to stop, and when their processes ended.
+        self.stopped: dict[str, list[Stop]] = collections.defaultdict(list)
         self.versions: dict[str, tuple] = {}
         self.accepted: tuple = ()
         # Accepted versions and when, in ascending order.
@@ -94,9 +136,12 @@
 
     # Upstreams
 
-    def began(self, service: str, run: runs_module.Run) -> None:
-        """Take note that an upstream began to work on a request."""
+    def began(
+        self, service: str, run: runs_module.Run, host: str = ''
+    ) -> None:
+        """Take note that an upstream of a host began to work."""
         now = clock.now()
+        self.works[run.marker].append(Work(run.upstream, host, now))
         earlier = self.starts[run.marker]
         if earlier:
             self.repeats[service].append(now)
@@ -111,6 +156,13 @@
             text = '%s got work %.1f s after its leaving was acknowledged'
             self.tell(text % words, run.request)
 
+    def ended(self, run: runs_module.Run) -> None:
+        """Take note that an upstream's work is over, or was cut."""
+        works = self.works[run.marker]
+        for place, work in enumerate(works):
+            if work.upstream == run.upstream and work.end == math.inf:
+                works[place] = work._replace(end=clock.now())
+
     def begins(self, upstream: str) -> None:
         """Take note of a new life; the leaving of the former one is over."""
         self.drained.pop(upstream, None)
@@ -153,8 +205,8 @@
             self._not_run(asked, told)
         elif 200 <= told.status < 300:
             self._good(asked, told)
-        elif not told.status:
-            self._broke(asked)
+        elif not told.status or told.outcome == UNKNOWN:
+            self._broke(asked, told)
 
     def _not_run(self, asked: Asked, told: Told) -> None:
         self.promised[asked.marker] = told.id
@@ -166,28 +218,74 @@
         if told.marker != asked.marker:
             text = '%s got the answer of %s'
             self.tell(text % (asked.marker, told.marker), told.id)
-        elif told.body != content.make(asked.marker, asked.size):
+        elif told.body != content.make(asked.body or asked.marker, asked.size):
             self.tell('%s got another body' % asked.marker, told.id)
         elif asked.marker not in self.starts:
             self.tell('%s was answered and never ran' % asked.marker, told.id)
 
-    def _broke(self, asked: Asked) -> None:
-        """Check that no planned work cut a request that was taken.
+    def _broke(self, asked: Asked, told: Told) -> None:
+        """Check that no planned work ended a request that was taken.
 
-        A fault nearby may have broken its connection all the same.
+        A fault at a place that it passed may have done so all the same, and
+        a request ends when its own time or that of a stop is over.  An answer
+        that leaves open what became of it counts when its upstream was at
+        work as a stop began: repeats may fail for the slowness of others.
         """
         now = clock.now()
-        ran = asked.marker in self.starts
-        if ran and not self._disturbed(asked.began, now):
-            text = '%s was cut at %s without any fault near'
-            self.tell(text % (asked.marker, asked.node))
+        works = self.works[asked.marker]
+        if not works or now >= asked.ends:
+            return
+        places = {asked.node, *(place for work in works for place in work[:2])}
+        stops = [
+            (name, stop)
+            for name in sorted(places & self.stopped.keys())
+            for stop in self.stopped[name]
+            if stop.end >= asked.began
+        ]
+        over = any(now > s.begin + STOP_S - STOP_SLACK_S for _n, s in stops)
+        if over or self._disturbed(asked.began, now, places):
+            return
+        met = any(
+            w.begin <= s.begin <= w.end for _n, s in stops for w in works
+        )
+        self.counts['unknown, no fault near'] += bool(told.status)
+        if told.status and not met:
+            return
+        text = '%s was cut at %s (%d) without any fault near, stops: %s'
+        shown = ['%s %.2f s before' % (n, now - s.begin) for n, s in stops]
+        words = asked.marker, asked.node, told.status, ', '.join(shown)
+        self.tell(text % words, told.id)
+
+    def stops(self, host: str) -> None:
+        """Take note that a host is asked to stop."""
+        self.stopped[host].append(Stop(clock.now()))
+
+    def ends(self, host: str) -> None:
+        """Take note that the process of a host has ended."""
+        self.stopped[host] = [
+            stop._replace(end=min(stop.end, clock.now()))
+            for stop in self.stopped[host]
+        ]
+
+    def disturbs(self, begin: float, end: float, struck: str = '') -> None:
+        """Take note of the time of a fault, on the loop's clock.
+
+        :param struck: a host or an upstream; empty for all of them.
+        """
+        bisect.insort(self.unplanned, (begin, end + AFTER_S, struck))
 
-    def disturbs(self, begin: float, end: float) -> None:
-        """Take note of the time of a fault, on the loop's clock."""
-        bisect.insort(self.unplanned, (begin, end + AFTER_S))
+    def _disturbed(
+        self, begin: float, end: float, places: typing.Container[str] = ()
+    ) -> bool:
+        """Tell whether a fault was near.
 
-    def _disturbed(self, begin: float, end: float) -> bool:
-        return any(b <= end and begin <= e for b, e in self.unplanned)
+        :param places: where, anywhere when there are none.
+        """
+        return any(
+            b <= end and begin <= e
+            for b, e, struck in self.unplanned
+            if not places or not struck or struck in places
+        )
 
     # Configuration
 
--- a/soak/ways.py
+++ b/soak/ways.py
@@ -8,12 +8,19 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import socket
 import struct
 import typing
 
+from carawaystair import clock
+
 PIECE = 64 * 1024
+# What passes a thin link at once takes so long, seconds.
+PIECE_S = 0.01
+# A link holds datagrams back for so long, seconds, and then loses them.
+QUEUE_S = 1.0
 # Closing with this sends a reset.
 RESET = struct.pack('ii', 1, 0)
 INWARD, OUTWARD = 'inward', 'outward'
@@ -36,6 +43,40 @@
 SOUND = Spoil()
 
 
+class Lane:
+    """One direction of the link of a host, which its ways share.
+
+    :param bytes_per_s: what passes; each byte waits for those before it.
+    """
+
+    def __init__(self, bytes_per_s: float = math.inf) -> None:
+        self.bytes_per_s = bytes_per_s
+        self.free_at = 0.0
+        self.piece = int(min(bytes_per_s * PIECE_S, PIECE))
+
+    def wait_s(self) -> float:
+        """Return how long bytes wait that come now."""
+        return max(self.free_at - clock.now(), 0.0)
+
+    def take(self, size: int) -> float:
+        """Return how long bytes need that come now."""
+        need_s = self.wait_s() + size / self.bytes_per_s
+        self.free_at = clock.now() + need_s
+        return need_s
+
+
+class Lanes(typing.NamedTuple):
+    """Both directions of the link of a host."""
+
+    inward: Lane
+    outward: Lane
+
+
+def open_lanes(bytes_per_s: float = math.inf) -> Lanes:
+    """Make the link of a host."""
+    return Lanes(Lane(bytes_per_s), Lane(bytes_per_s))
+
+
 class Link:
     """One connection through a way."""
 
@@ -58,12 +99,20 @@
     :param address: where it listens, ``ip:port``.
     :param target: where it leads.
     :param rng: draws which datagrams are lost.
+    :param lanes: the link of its host; one that carries all by default.
     """
 
-    def __init__(self, address: str, target: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        address: str,
+        target: str,
+        rng: random.Random,
+        lanes: Lanes | None = None,
+    ) -> None:
         self.address = address
         self.target = target
         self.rng = rng
+        self.lanes = lanes or open_lanes()
         self.spoil = SOUND
         self.links: set[Link] = set()
         self.tasks: set[asyncio.Task] = set()
@@ -150,9 +199,10 @@
 
     async def _pump(self, link, reader, writer, direction: str) -> None:
         """Pass bytes on until one end closes; a reset is raised."""
+        lane = getattr(self.lanes, direction)
         while True:
-            data = await reader.read(PIECE)
-            await asyncio.sleep(self.spoil.delay_s)
+            data = await reader.read(lane.piece)
+            await asyncio.sleep(self.spoil.delay_s + lane.take(len(data)))
             while direction in self.spoil.cut:
                 await self.healed.wait()
             if link.silent:
@@ -167,10 +217,13 @@
     def datagram(self, data: bytes) -> None:
         """Pass one datagram on, unless it is lost."""
         spoil = self.spoil
-        if INWARD in spoil.cut or self.rng.random() < spoil.loss:
+        lane = self.lanes.inward
+        lost = self.rng.random() < spoil.loss or lane.wait_s() > QUEUE_S
+        if INWARD in spoil.cut or lost:
             return
         loop = asyncio.get_running_loop()
-        loop.call_later(spoil.delay_s, self._send, data)
+        wait_s = spoil.delay_s + lane.take(len(data))
+        loop.call_later(wait_s, self._send, data)
 
     def _send(self, data: bytes) -> None:
         if not self.endpoint.is_closing():
--- a/test/test_fault_soak.py
+++ b/test/test_fault_soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import json
+import math
 import random
 import types
 
@@ -37,20 +38,46 @@
 
 def test_every_kind_comes_in_some_plan_and_strikes_something():
     kinds = {event.kind for n in range(60) for event in plans.draw(n, 30.0)}
-    drawn = set(plans.WEIGHTS) | {plans.STORM}
+    drawn = set(plans.WEIGHTS) | {plans.STORM, plans.ROLL}
     assert kinds == drawn == set(plans.STRIKES)
 
 
-def test_storms_leave_the_rest_of_a_plan_as_it_was(monkeypatch):
+@pytest.mark.parametrize(
+    ('kind', 'every', 'which'),
+    [
+        (plans.STORM, 'STORM_EVERY', 'STORM_SEED'),
+        (plans.ROLL, 'ROLL_EVERY', 'ROLL_SEED'),
+    ],
+)
+def test_series_of_some_seeds_leave_the_rest_of_a_plan_as_it_was(
+    kind, every, which, monkeypatch
+):
     """Seeds that failed once are to play what they played then."""
-    seed = plans.STORM_EVERY + plans.STORM_SEED
+    first = getattr(plans, which)
+    seed = getattr(plans, every) + first
     whole = plans.draw(seed, 20.0)
-    monkeypatch.setattr(plans, 'STORM_SEED', plans.STORM_SEED + 1)
+    monkeypatch.setattr(plans, which, first + 1)
     rest = plans.draw(seed, 20.0)
-    assert [e for e in whole if e.kind != plans.STORM] == rest
+    assert [e for e in whole if e.kind != kind] == rest
     assert len(whole) > len(rest)
 
 
+def test_roll_stops_half_of_the_hosts_at_least_each_once():
+    names = ['h%d' % number for number in range(10)]
+    for x in (0.0, 0.5, 0.99):
+        event = plans.Event(1.0, plans.ROLL, 0.3, 0.0, x)
+        struck = [name for name, _pause_s in plans.roll(event, names)]
+        assert len(set(struck)) == len(struck) >= 5
+        assert set(struck) <= set(names)
+
+
+def test_conditions_hold_on_seeds_with_rolls_only():
+    for seed in range(60):
+        rolls = any(e.kind == plans.ROLL for e in plans.draw(seed, 20.0))
+        assert plans.conditions(seed).rolls == rolls
+        assert rolls or plans.conditions(seed) == plans.Conditions()
+
+
 def test_some_seeds_have_planned_work_only():
     for event in plans.draw(PLANNED_SEED, 60.0):
         assert event.kind in plans.PLANNED
@@ -132,6 +159,33 @@
     run_way(scenario)
 
 
+def test_bytes_wait_for_those_before_them_on_a_thin_link():
+    async def scenario():
+        lane = ways.Lane(1000.0)
+        waits = [lane.take(100), lane.take(50)]
+        await asyncio.sleep(0.1)
+        return [*waits, lane.take(100), ways.Lane().take(10**9)]
+
+    waits = fakes.run(scenario())
+    assert waits == pytest.approx([0.1, 0.15, 0.15, 0.0])
+
+
+def test_full_link_loses_datagrams():
+    async def scenario():
+        way = ways.Way('', '127.0.0.1:9', random.Random())
+        way.lanes = ways.open_lanes(1000.0)
+        sent = []
+        way._send = sent.append
+        way.datagram(b'x' * int(1000 * ways.QUEUE_S) + b'x')
+        way.datagram(b'y')
+        await asyncio.sleep(2 * ways.QUEUE_S)
+        way.datagram(b'z')
+        await asyncio.sleep(1.0)
+        return [data[:1] for data in sent]
+
+    assert fakes.run(scenario()) == [b'x', b'z']
+
+
 # Disks and clocks
 
 
@@ -228,9 +282,12 @@
 # The watch
 
 
-def asked(marker='m1', method='POST'):
+UNKNOWN = watches.Told(502, watches.UNKNOWN)
+
+
+def asked(marker='m1', method='POST', ends=math.inf):
     """Return a request."""
-    return watches.Asked(marker, method, 'node-1', 10, clock.now())
+    return watches.Asked(marker, method, 'node-1', 10, clock.now(), ends)
 
 
 def ran(marker='m1', method='POST', upstream='u'):
@@ -278,6 +335,20 @@
     watch.answered(asked(), watches.Told(0))
 
 
+def cut_in_a_planned_stop(watch):
+    watch.began('s', ran(), 'node-2')
+    watch.stops('node-1')
+    watch.stops('node-2')
+    watch.answered(asked(), UNKNOWN)
+
+
+def cut_with_a_fault_elsewhere(watch):
+    watch.began('s', ran(), 'node-2')
+    for struck in ('control-1', 'node-3', 'u2'):
+        watch.disturbs(clock.now(), clock.now(), struck)
+    watch.answered(asked(), watches.Told(0))
+
+
 def went_back(watch):
     watch.version('node-1', '7', (2, 5))
     watch.version('node-1', '7', (2, 4))
@@ -343,6 +414,8 @@
         foreign_body,
         answered_unrun,
         cut_without_fault,
+        cut_in_a_planned_stop,
+        cut_with_a_fault_elsewhere,
         went_back,
         lost,
         work_after_leaving,
@@ -370,6 +443,31 @@
         watch.disturbs(clock.now(), clock.now())
         watch.began('s', ran('m2'))
         watch.answered(asked('m2'), watches.Told(0))
+        # It was not at work when a stop began.
+        watch.stops('node-2')
+        watch.began('s', ran('before'), 'node-2')
+        watch.answered(asked('before'), UNKNOWN)
+        watch.began('s', ran('behind'), 'node-2')
+        watch.ended(ran('behind'))
+        await asyncio.sleep(0.1)
+        watch.stops('node-2')
+        watch.answered(asked('behind'), UNKNOWN)
+        watch.ends('node-2')
+        for place in ('node-1', 'node-2', 'u'):
+            watch.unplanned.clear()
+            watch.disturbs(clock.now(), clock.now(), place)
+            watch.began('s', ran('at ' + place), 'node-2')
+            watch.answered(asked('at ' + place), UNKNOWN)
+        watch.unplanned.clear()
+        # Its time was over, or that of the stop of its node.
+        watch.began('s', ran('late'))
+        watch.answered(asked('late', ends=clock.now()), UNKNOWN)
+        watch.stops('node-1')
+        watch.began('s', ran('stopped'))
+        sent = asked('stopped')
+        await asyncio.sleep(watches.STOP_S - watches.STOP_SLACK_S + 0.1)
+        watch.answered(sent, UNKNOWN)
+        watch.ends('node-1')
         # A process that starts again begins from nothing.
         watch.version('node-1', '7', (2, 5))
         watch.version('node-1', '8', (2, 4))
