Soak: the ways of a large fleet lead through processes of their own

Change: a fleet has a carrier for each ten hosts, which opens the ways of some of them as it is told; smaller fleets have none.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import os
 import pathlib
 import random
@@ -9,6 +10,7 @@
 import sys
 
 from carawaystair import clock
+from soak import carriers
 from soak import entries
 from soak import host as hosts
 from soak import plan as plans
@@ -79,7 +81,7 @@
     def __init__(
         self,
         options: upstreams.Options,
-        way: ways_module.Way,
+        way: ways_module.Way | carriers.Way,
         watch: watches.Watch,
     ) -> None:
         super().__init__(options)
@@ -127,7 +129,8 @@
         self.watch = watch
         self.ips: dict[str, str] = {}
         # The ways to each host, and to each upstream.
-        self.ways: dict[str, list[ways_module.Way]] = {}
+        self.ways: dict[str, list] = {}
+        self.carriers: list[carriers.Carrier] = []
         self.running: dict[str, Upstream] = {}
         self.places: dict[str, str] = {}
         self.turns: dict[str, asyncio.Lock] = {}
@@ -140,6 +143,8 @@
         await super().__aexit__(*error)
         for way in [way for some in self.ways.values() for way in some]:
             await way.close()
+        for carrier in self.carriers:
+            await carrier.stop()
 
     def address(self) -> str:
         """Return a free address in the network of this soak."""
@@ -170,19 +175,42 @@
     async def open_ways(self, host: fleets.Host) -> None:
         """Open the ways to a host."""
         addresses = {host.peer: True, host.listen: False, host.gateway: False}
-        lanes = ways_module.open_lanes(self.conditions.mbit_per_s * BYTES)
-        self.ways[host.name] = [
-            self._way(address, self.ips[host.name], lanes)
+        targets = {
+            address: '%s:%s'
+            % (self.ips[host.name], address.rpartition(':')[2])
             for address in addresses
-        ]
+        }
+        rate = self.conditions.mbit_per_s * BYTES
+        self.ways[host.name] = self._ways(host.name, targets, rate)
         for way in self.ways[host.name]:
             await way.open(datagrams=addresses[way.address])
 
-    def _way(
-        self, address: str, ip: str, lanes: ways_module.Lanes
-    ) -> ways_module.Way:
-        target = '%s:%s' % (ip, address.rpartition(':')[2])
-        return ways_module.Way(address, target, self.rng, lanes)
+    def _ways(
+        self, name: str, targets: dict[str, str], rate: float = math.inf
+    ) -> list:
+        """Make the ways to a host or an upstream, here or in a carrier.
+
+        :param targets: where each leads, by its address.
+        :param rate: of the link that they share, bytes a second.
+        """
+        if not self.carriers:
+            lanes = ways_module.open_lanes(rate)
+            return [
+                ways_module.Way(*pair, self.rng, lanes)
+                for pair in targets.items()
+            ]
+        carrier = self.carriers[len(self.ways) % len(self.carriers)]
+        return [
+            carriers.Way(*pair, carrier, name, rate)
+            for pair in targets.items()
+        ]
+
+    async def start_carriers(self) -> None:
+        """Start the processes that open the ways of a large fleet."""
+        count = len(self.hosts) // carriers.HOSTS
+        self.carriers = [carriers.Carrier() for _carrier in range(count)]
+        for carrier in self.carriers:
+            await carrier.start()
 
     def faults_file(self, name: str) -> pathlib.Path:
         """Return the file with what is wrong with a host."""
@@ -226,9 +254,8 @@
     async def begin(self, service: str, id: str, node: str) -> None:
         """Start an upstream beside a node."""
         door, real = self.address(), self.address()
-        way = ways_module.Way(door, real, self.rng)
+        self.ways[id] = [way] = self._ways(id, {door: real})
         await way.open()
-        self.ways[id] = [way]
         options = upstreams.Options(
             service,
             id,
@@ -321,6 +348,7 @@
         for number in range(self.nodes):
             centre = centres[number % len(centres)]
             fleet.add_host('node-%d' % (number + 1), centre, fleets.NODE)
+        await fleet.start_carriers()
         for host in fleet.hosts.values():
             await fleet.open_ways(host)
         for name in fleet.hosts:
