Explain: lines of the log that are no decisions are told in their place

Cause: `carawaystair explain` ended with KeyError 'time_ms' on a request of which an answer broke off: that is a line of the log with an id, with a time stamp in place of the time of a decision. Lines of other programs with an id ended it, too.

Change: such a line gets its time from its stamp and is told with its reason; what has no name, event or time is passed over.

--- a/carawaystair/explain.py
+++ b/carawaystair/explain.py
@@ -6,6 +6,7 @@
 begins what a node has offered before.
 """
 
+import datetime
 import json
 import typing
 
@@ -13,6 +14,7 @@
 FAILED = 400
 # Clocks of hosts differ by so much at least, and lines are written in turn.
 CALL_MS = 20
+MS = 1000
 # The order of events that bear the same time, by cause.
 ORDER = ('declining', 'began', 'ended', 'offered', 'broke', 'spent')
 SENTENCES = {
@@ -63,10 +65,27 @@
             event = json.loads(line[start:])
         except ValueError:
             continue
-        if isinstance(event, dict) and event.get('id'):
+        if isinstance(event, dict) and _named(event) and _timed(event):
             yield event
 
 
+def _named(event: dict) -> bool:
+    """Tell whether a line says what happened to which request."""
+    names = event.get('id'), event.get('event')
+    return all(isinstance(name, str) and name for name in names)
+
+
+def _timed(event: dict) -> bool:
+    """Give a line that is no decision the time of one; tell if it has any."""
+    if 'time_ms' not in event:
+        try:
+            at = datetime.datetime.fromisoformat(event['timestamp'])
+        except (KeyError, TypeError, ValueError):
+            return False
+        event['time_ms'] = int(at.timestamp() * MS)
+    return True
+
+
 def story(events: typing.Iterable[dict], request: str) -> list[dict]:
     """Return the events of a request and of its calls, in order."""
     mine = [
@@ -87,7 +106,8 @@
     """Return an event as one line for a person."""
     pattern = SENTENCES.get(event['event'])
     if pattern is None:
-        return event['event']
+        said = event.get('why') or event.get('error') or ''
+        return ('%s %s' % (event['event'], said)).strip()
     text = pattern.format_map(_Shown(event))
     return ' '.join(text.split())
 
--- a/carawaystairplug/commands_explain.py
+++ b/carawaystairplug/commands_explain.py
@@ -54,7 +54,12 @@
         return command.EXIT_OK
     for event in events:
         at = timeline.clock_text(event['time_ms'] << timeline.COUNTER_BITS)
-        words = at, event['host'], event['id'], explaining.sentence(event)
+        words = (
+            at,
+            event.get('host', ''),
+            event['id'],
+            explaining.sentence(event),
+        )
         print('%s  %-14s %-18s %s' % words)
     print('Cause: %s.' % explaining.cause(events))
     return command.EXIT_OK
--- a/test/test_explaining.py
+++ b/test/test_explaining.py
@@ -127,6 +127,36 @@
     assert main.main(['explain', 'abc', str(tmp_path / 'none')]) == 2
 
 
+def test_lines_that_are_no_decisions_are_told_in_their_place(tmp_path, capsys):
+    """Guards against a story that ends at a line of the log with an id.
+
+    Symptom: ``explain`` ends with ``KeyError: 'time_ms'``.  Sequence: an
+    answer of the request broke off, which is a line of the log.  Cause: such
+    a line has a time stamp in place of the time of a decision.
+    """
+    lines = [
+        {
+            'event': 'gateway: An answer broke off.',
+            'host': 'h1',
+            'id': 'a',
+            'timestamp': '1970-01-01T00:00:01.500000Z',
+            'why': 'caller left',
+        },
+        {'event': 'left', 'host': 'h2', 'id': 'a', 'time_ms': 1000},
+        {'event': 'left', 'host': 'h2', 'id': 'a', 'time_ms': 2000},
+        {'id': 7, 'event': 'of another program', 'time_ms': 1},
+        {'id': 'a', 'of': 'another program', 'time_ms': 1},
+        {'id': 'a', 'event': 'of another program'},
+        {'id': 'a', 'event': 'of another program', 'timestamp': 'now'},
+    ]
+    path = tmp_path / 'log'
+    path.write_text('\n'.join(map(json.dumps, lines)))
+    assert main.main(['explain', 'a', str(path)]) == 0
+    told = capsys.readouterr().out.splitlines()
+    assert len(told) == 4
+    assert 'An answer broke off. caller left' in told[1]
+
+
 def test_every_event_has_a_sentence():
     events = {name for _part, name in events_page.decisions.NAMES.values()}
     assert events - set(explain.SENTENCES) == {'noted'}
