Soak: links are full for a while when processes are asked to stop

Cause: what interrupts a run in a rolling stop is a gateway that stays silent for a moment, on a thin link that is full.

Change: on seeds with rolls the link of a host may have a queue of 0.3 or 1 s when its process is asked to stop.

--- a/soak/carriers.py
+++ b/soak/carriers.py
@@ -67,6 +67,10 @@
         """Let nothing more pass on the connections that are open now."""
         self._tell('silence')
 
+    def fill(self, for_s: float) -> None:
+        """Fill the link of its host, in both directions."""
+        self._tell('fill', for_s)
+
     def _tell(self, what: str, *words) -> None:
         self.carrier.tell(what, self.address, *words)
 
@@ -154,6 +158,9 @@
     async def _silence(self, address: str) -> None:
         self.ways[address].silence()
 
+    async def _fill(self, address: str, for_s: float) -> None:
+        self.ways[address].fill(for_s)
+
     async def _done(self, _address: str) -> None:
         sys.stdout.write('\n')
         sys.stdout.flush()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -236,6 +236,7 @@
         async with self.turns[name]:
             if number == signal.SIGTERM:
                 self.watch.stops(name)
+                self.ways[name][0].fill(self.conditions.queue_s)
             self.signal(name, number)
             await self.wait(name, watches.STOP_S + KILLED_S)
             self.watch.ends(name)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -75,9 +75,10 @@
 ROLL_PAUSE_S = (3.0, 7.0)
 ROLL_GAP_S = (0.05, 0.4)
 # Links of hosts on seeds with rolls, Mbit/s, and the share of the time in
-# which their processes run.
+# which their processes run; and how long links are full at a stop, seconds.
 LINKS = (math.inf, 20.0, 10.0)
 SHARES = (1.0, 1.0, 0.7)
+QUEUES_S = (0.0, 0.3, 1.0)
 # What each kind strikes: a node, a control host, any host, an upstream or
 # the whole fleet.
 NODE, CONTROL, HOST, UPSTREAM, FLEET = (
@@ -142,11 +143,14 @@
         in flight meanwhile.
     :param mbit_per_s: what the link of a host carries each way.
     :param share: of the time in which its process runs.
+    :param queue_s: how long the link of a host is full when its process is
+        asked to stop, seconds.
     """
 
     rolls: bool = False
     mbit_per_s: float = math.inf
     share: float = 1.0
+    queue_s: float = 0.0
 
 
 def conditions(seed: int) -> Conditions:
@@ -154,7 +158,9 @@
     if seed % ROLL_EVERY != ROLL_SEED:
         return Conditions()
     rng = random.Random('conditions %d' % seed)
-    return Conditions(True, rng.choice(LINKS), rng.choice(SHARES))
+    return Conditions(
+        True, rng.choice(LINKS), rng.choice(SHARES), rng.choice(QUEUES_S)
+    )
 
 
 def draw(seed: int, seconds: float) -> list[Event]:
--- a/soak/ways.py
+++ b/soak/ways.py
@@ -64,6 +64,10 @@
         self.free_at = clock.now() + need_s
         return need_s
 
+    def fill(self, for_s: float) -> None:
+        """Let what comes wait for other traffic of the host, too."""
+        self.free_at = clock.now() + self.wait_s() + for_s
+
 
 class Lanes(typing.NamedTuple):
     """Both directions of the link of a host."""
@@ -158,6 +162,11 @@
         for link in self.links:
             link.silent = True
 
+    def fill(self, for_s: float) -> None:
+        """Fill the link of its host, in both directions."""
+        for lane in self.lanes:
+            lane.fill(for_s)
+
     # Connections
 
     async def _accept(self, reader, writer) -> None:
--- a/test/test_fault_soak.py
+++ b/test/test_fault_soak.py
@@ -198,6 +198,18 @@
     assert waits == pytest.approx([0.1, 0.15, 0.15, 0.0])
 
 
+def test_filled_way_holds_bytes_for_a_while(run_way):
+    async def scenario(way, reader, writer):
+        way.fill(0.5)
+        writer.write(b'hello')
+        reading = asyncio.ensure_future(reader.readexactly(5))
+        await asyncio.sleep(0.1)
+        assert not reading.done()
+        assert await reading == b'hello'
+
+    run_way(scenario)
+
+
 def test_full_link_loses_datagrams():
     async def scenario():
         way = ways.Way('', '127.0.0.1:9', random.Random())
