--- a/test/test_fault_soak.py
+++ b/test/test_fault_soak.py
@@ -7,6 +7,7 @@
 import json
 import math
 import random
+import signal
 import types
 
 import pytest
@@ -18,6 +19,7 @@
 from soak import fleet as soak_fleet
 from soak import host as hosts
 from soak import plan as plans
+from soak import play as plays
 from soak import run as soak_run
 from soak import watch as watches
 from soak import ways
@@ -261,6 +263,31 @@
     assert clock.wall_ms() == 1500
 
 
+def test_process_that_runs_for_a_share_of_the_time_runs_in_the_end():
+    """Guards against a play that leaves all its processes stopped."""
+    sent = []
+    fleet = types.SimpleNamespace(
+        conditions=plans.Conditions(True, share=0.5),
+        processes={'h1': None, 'h2': None},
+        signal=lambda name, number: sent.append((name, number)),
+    )
+    stage = types.SimpleNamespace(fleet=fleet)
+
+    async def scenario(length_s):
+        play = plays.Play(stage, watches.Watch(), 1, 1.0)
+        play.paused.add('h2')
+        async with plays._beside(play._spare()):
+            await asyncio.sleep(length_s)
+        return [number for name, number in sent if name == 'h1']
+
+    for length_s in (0.25, 0.5, 0.75, 3.25):
+        sent.clear()
+        signals = fakes.run(scenario(length_s * plays.PERIOD_S))
+        assert signals[0] == signal.SIGSTOP
+        assert signals[-1] == signal.SIGCONT
+        assert len(sent) == len(signals)
+
+
 # Callers that keep a connection
 
 
