Soak: an upstream that starts can't be ended in the middle of it

Events found it among those that run before its start was over.

Change: an upstream counts as running once its start is over.

The test fails without the change ("could be ended while it starts").

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -269,8 +269,9 @@
             drain_s=8.0,
         )
         self.places[id] = node
-        self.running[id] = Upstream(options, way, self.watch)
-        await self.running[id].start()
+        one = Upstream(options, way, self.watch)
+        await one.start()
+        self.running[id] = one
 
     async def reborn(self, id: str, down_s: float) -> None:
         """Let an upstream crash and start again under its id."""
@@ -279,8 +280,9 @@
         await asyncio.sleep(down_s)
         self.watch.begins(id)
         one = Upstream(former.options, former.way, self.watch)
-        self.running[id] = one
+        # Another event may end it from then on, not in the middle of its start.
         await one.start()
+        self.running[id] = one
         announced = await self.until_announced(one)
         # Another event may have ended this life meanwhile.
         if announced and self.running.get(id) is one:
--- a/test/test_fault_soak.py
+++ b/test/test_fault_soak.py
@@ -580,7 +580,10 @@
 def test_life_that_ends_before_it_is_announced_is_not_told_of(
     ended, monkeypatch
 ):
-    """Guards against a play that breaks off where two events overlap."""
+    """Guards against a play that breaks off where two events overlap.
+
+    Nor may one end it in the middle of its start.
+    """
     told = []
     stage = types.SimpleNamespace(
         running={'u': Life(None, None, None)},
@@ -595,6 +598,10 @@
     async def say_late(_one, said):
         told.append(said)
 
+    async def start(_one):
+        assert 'u' not in stage.running, 'could be ended while it starts'
+
+    monkeypatch.setattr(Life, 'start', start)
     stage.until_announced, stage._say_late = until_announced, say_late
     monkeypatch.setattr(soak_fleet, 'Upstream', Life)
     fakes.run(soak_fleet.Fleet.reborn(stage, 'u', 0.1))
