--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -280,7 +280,7 @@
         await asyncio.sleep(down_s)
         self.watch.begins(id)
         one = Upstream(former.options, former.way, self.watch)
-        # Another event may end it from then on, not in the middle of its start.
+        # Another event may end it from then on, not while it starts.
         await one.start()
         self.running[id] = one
         announced = await self.until_announced(one)
