--- a/test/test_fault_soak.py
+++ b/test/test_fault_soak.py
@@ -29,6 +29,7 @@
 from test import fakes
 
 PLANNED_SEED = 3
+ROLLS_SEED = 105
 FAULTS_SEED = 2
 SHORT = soak_run.Size(controls=3, nodes=3, upstreams=3, seconds=4.0)
 
@@ -571,7 +572,7 @@
 # Real processes
 
 
-@pytest.mark.parametrize('seed', [PLANNED_SEED, FAULTS_SEED])
+@pytest.mark.parametrize('seed', [PLANNED_SEED, FAULTS_SEED, ROLLS_SEED])
 def test_short_play_keeps_all_promises(tmp_path, seed):
     watch = asyncio.run(soak_run.play(tmp_path, seed, SHORT))
     assert watch.broken == []
