--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import os
 import pathlib
 import random
@@ -9,8 +10,10 @@
 import sys
 
 from carawaystair import clock
+from soak import carriers
 from soak import entries
 from soak import host as hosts
+from soak import plan as plans
 from soak import watch as watches
 from soak import ways as ways_module
 from standin import content
@@ -29,8 +32,13 @@
 IPS = 250
 UPSTREAM_SLOTS = 5
 SERVICE_MS = {'portal': 20.0, 'settlement': 30.0}
-# A process gets this long for a graceful stop, seconds.
-STOP_S = 15.0
+# Downloads are part of the plays with long requests, and wait for slots.
+DOWNLOADS = 'docvault'
+DOWNLOAD_MS = 400.0
+DOWNLOAD_SLOTS = 1
+# A process that stops is killed so long after its time is over, seconds.
+KILLED_S = 5.0
+BYTES = 1e6 / 8
 READY_S = 40.0
 # A new life is announced in this time, or its node is struck itself, seconds.
 ANNOUNCED_S = 6.0
@@ -39,20 +47,28 @@
 class WatchedRuns(runs_module.Runs):
     """Tells a watch of each run as it begins.
 
-    :param service: of the upstream.
+    :param options: of the upstream.
     :param watch: is told.
     """
 
-    def __init__(self, service: str, watch: watches.Watch) -> None:
+    def __init__(
+        self, options: upstreams.Options, watch: watches.Watch
+    ) -> None:
         super().__init__()
-        self.service = service
+        self.options = options
         self.watch = watch
 
     def begin(self, run: runs_module.Run) -> int:
         """Add a run that starts."""
-        self.watch.began(self.service, run)
+        self.watch.began(self.options.service, run, self.options.host)
         return super().begin(run)
 
+    def end(self, number: int, how: str) -> None:
+        """Take note of how a run ended."""
+        super().end(number, how)
+        if number in self.table:
+            self.watch.ended(self.table[number])
+
 
 class Upstream(upstreams.Upstream):
     """A stand-in upstream behind a way.
@@ -65,12 +81,12 @@
     def __init__(
         self,
         options: upstreams.Options,
-        way: ways_module.Way,
+        way: ways_module.Way | carriers.Way,
         watch: watches.Watch,
     ) -> None:
         super().__init__(options)
         self.way = way
-        self.runs = WatchedRuns(options.service, watch)
+        self.runs = WatchedRuns(options, watch)
 
     def announcement(self):
         """Return what is announced: the way, not the address."""
@@ -96,18 +112,25 @@
     :param folder: for settings, logs and data.
     :param seed: of the ways.
     :param watch: is told what upstreams see.
+    :param conditions: that hold for all its hosts.
     """
 
     def __init__(
-        self, folder: pathlib.Path, seed: int, watch: watches.Watch
+        self,
+        folder: pathlib.Path,
+        seed: int,
+        watch: watches.Watch,
+        conditions: plans.Conditions = plans.Conditions(),
     ) -> None:
         super().__init__(folder, '', gateways=True)
+        self.conditions = conditions
         self.rng = random.Random('ways %d' % seed)
         self.network = 1 + os.getpid() % NETWORKS
         self.watch = watch
         self.ips: dict[str, str] = {}
         # The ways to each host, and to each upstream.
-        self.ways: dict[str, list[ways_module.Way]] = {}
+        self.ways: dict[str, list] = {}
+        self.carriers: list[carriers.Carrier] = []
         self.running: dict[str, Upstream] = {}
         self.places: dict[str, str] = {}
         self.turns: dict[str, asyncio.Lock] = {}
@@ -120,6 +143,8 @@
         await super().__aexit__(*error)
         for way in [way for some in self.ways.values() for way in some]:
             await way.close()
+        for carrier in self.carriers:
+            await carrier.stop()
 
     def address(self) -> str:
         """Return a free address in the network of this soak."""
@@ -140,6 +165,7 @@
         document = super().settings(host)
         document['bind_ip'] = self.ips[host.name]
         document['log'] = {'form': 'json'}
+        document['node']['drain_s'] = watches.STOP_S
         document['control'] |= {
             'changes_per_s': CHANGES_S,
             'reads_per_s': CHANGES_S,
@@ -149,16 +175,42 @@
     async def open_ways(self, host: fleets.Host) -> None:
         """Open the ways to a host."""
         addresses = {host.peer: True, host.listen: False, host.gateway: False}
-        self.ways[host.name] = [
-            self._way(address, self.ips[host.name], address)
+        targets = {
+            address: '%s:%s'
+            % (self.ips[host.name], address.rpartition(':')[2])
             for address in addresses
-        ]
+        }
+        rate = self.conditions.mbit_per_s * BYTES
+        self.ways[host.name] = self._ways(host.name, targets, rate)
         for way in self.ways[host.name]:
             await way.open(datagrams=addresses[way.address])
 
-    def _way(self, address: str, ip: str, target: str) -> ways_module.Way:
-        port = target.rpartition(':')[2]
-        return ways_module.Way(address, '%s:%s' % (ip, port), self.rng)
+    def _ways(
+        self, name: str, targets: dict[str, str], rate: float = math.inf
+    ) -> list:
+        """Make the ways to a host or an upstream, here or in a carrier.
+
+        :param targets: where each leads, by its address.
+        :param rate: of the link that they share, bytes a second.
+        """
+        if not self.carriers:
+            lanes = ways_module.open_lanes(rate)
+            return [
+                ways_module.Way(*pair, self.rng, lanes)
+                for pair in targets.items()
+            ]
+        carrier = self.carriers[len(self.ways) % len(self.carriers)]
+        return [
+            carriers.Way(*pair, carrier, name, rate)
+            for pair in targets.items()
+        ]
+
+    async def start_carriers(self) -> None:
+        """Start the processes that open the ways of a large fleet."""
+        count = len(self.hosts) // carriers.HOSTS
+        self.carriers = [carriers.Carrier() for _carrier in range(count)]
+        for carrier in self.carriers:
+            await carrier.start()
 
     def faults_file(self, name: str) -> pathlib.Path:
         """Return the file with what is wrong with a host."""
@@ -182,8 +234,12 @@
         :param power: whether it loses what it had not synced.
         """
         async with self.turns[name]:
+            if number == signal.SIGTERM:
+                self.watch.stops(name)
+                self.ways[name][0].fill(self.conditions.queue_s)
             self.signal(name, number)
-            await self.wait(name, STOP_S)
+            await self.wait(name, watches.STOP_S + KILLED_S)
+            self.watch.ends(name)
             if power:
                 self._cut_power(name)
             await asyncio.sleep(down_s)
@@ -199,23 +255,23 @@
     async def begin(self, service: str, id: str, node: str) -> None:
         """Start an upstream beside a node."""
         door, real = self.address(), self.address()
-        way = ways_module.Way(door, real, self.rng)
+        self.ways[id] = [way] = self._ways(id, {door: real})
         await way.open()
-        self.ways[id] = [way]
         options = upstreams.Options(
             service,
             id,
             real,
             node,
-            UPSTREAM_SLOTS,
+            DOWNLOAD_SLOTS if service == DOWNLOADS else UPSTREAM_SLOTS,
             announce=self.hosts[node].local,
-            service_ms=SERVICE_MS[service],
+            service_ms=SERVICE_MS.get(service, DOWNLOAD_MS),
             grace_s=3.0,
             drain_s=8.0,
         )
         self.places[id] = node
-        self.running[id] = Upstream(options, way, self.watch)
-        await self.running[id].start()
+        one = Upstream(options, way, self.watch)
+        await one.start()
+        self.running[id] = one
 
     async def reborn(self, id: str, down_s: float) -> None:
         """Let an upstream crash and start again under its id."""
@@ -224,8 +280,9 @@
         await asyncio.sleep(down_s)
         self.watch.begins(id)
         one = Upstream(former.options, former.way, self.watch)
-        self.running[id] = one
+        # Another event may end it from then on, not while it starts.
         await one.start()
+        self.running[id] = one
         announced = await self.until_announced(one)
         # Another event may have ended this life meanwhile.
         if announced and self.running.get(id) is one:
@@ -277,7 +334,8 @@
     def __init__(
         self, fleet: Fleet, controls: int, nodes: int, upstreams: int
     ) -> None:
-        crews = [stages.Crew(service, upstreams) for service in SERVICE_MS]
+        services = [*SERVICE_MS, *([DOWNLOADS] * fleet.conditions.rolls)]
+        crews = [stages.Crew(service, upstreams) for service in services]
         super().__init__(fleet, crews)
         self.controls = controls
         self.nodes = nodes
@@ -293,6 +351,7 @@
         for number in range(self.nodes):
             centre = centres[number % len(centres)]
             fleet.add_host('node-%d' % (number + 1), centre, fleets.NODE)
+        await fleet.start_carriers()
         for host in fleet.hosts.values():
             await fleet.open_ways(host)
         for name in fleet.hosts:
--- a/test/test_fault_soak.py
+++ b/test/test_fault_soak.py
@@ -1,9 +1,13 @@
 """The soak itself: its plan, its ways, its faults, and what it notices."""
 
 import asyncio
+import contextlib
 import errno
+import functools
 import json
+import math
 import random
+import signal
 import types
 
 import pytest
@@ -11,9 +15,11 @@
 from carawaystair import clock
 from carawaystair.control import files
 from soak import callers
+from soak import carriers
 from soak import fleet as soak_fleet
 from soak import host as hosts
 from soak import plan as plans
+from soak import play as plays
 from soak import run as soak_run
 from soak import watch as watches
 from soak import ways
@@ -23,6 +29,7 @@
 from test import fakes
 
 PLANNED_SEED = 3
+ROLLS_SEED = 105
 FAULTS_SEED = 2
 SHORT = soak_run.Size(controls=3, nodes=3, upstreams=3, seconds=4.0)
 
@@ -37,20 +44,46 @@
 
 def test_every_kind_comes_in_some_plan_and_strikes_something():
     kinds = {event.kind for n in range(60) for event in plans.draw(n, 30.0)}
-    drawn = set(plans.WEIGHTS) | {plans.STORM}
+    drawn = set(plans.WEIGHTS) | {plans.STORM, plans.ROLL}
     assert kinds == drawn == set(plans.STRIKES)
 
 
-def test_storms_leave_the_rest_of_a_plan_as_it_was(monkeypatch):
+@pytest.mark.parametrize(
+    ('kind', 'every', 'which'),
+    [
+        (plans.STORM, 'STORM_EVERY', 'STORM_SEED'),
+        (plans.ROLL, 'ROLL_EVERY', 'ROLL_SEED'),
+    ],
+)
+def test_series_of_some_seeds_leave_the_rest_of_a_plan_as_it_was(
+    kind, every, which, monkeypatch
+):
     """Seeds that failed once are to play what they played then."""
-    seed = plans.STORM_EVERY + plans.STORM_SEED
+    first = getattr(plans, which)
+    seed = getattr(plans, every) + first
     whole = plans.draw(seed, 20.0)
-    monkeypatch.setattr(plans, 'STORM_SEED', plans.STORM_SEED + 1)
+    monkeypatch.setattr(plans, which, first + 1)
     rest = plans.draw(seed, 20.0)
-    assert [e for e in whole if e.kind != plans.STORM] == rest
+    assert [e for e in whole if e.kind != kind] == rest
     assert len(whole) > len(rest)
 
 
+def test_roll_stops_half_of_the_hosts_at_least_each_once():
+    names = ['h%d' % number for number in range(10)]
+    for x in (0.0, 0.5, 0.99):
+        event = plans.Event(1.0, plans.ROLL, 0.3, 0.0, x)
+        struck = [name for name, _pause_s in plans.roll(event, names)]
+        assert len(set(struck)) == len(struck) >= 5
+        assert set(struck) <= set(names)
+
+
+def test_conditions_hold_on_seeds_with_rolls_only():
+    for seed in range(60):
+        rolls = any(e.kind == plans.ROLL for e in plans.draw(seed, 20.0))
+        assert plans.conditions(seed).rolls == rolls
+        assert rolls or plans.conditions(seed) == plans.Conditions()
+
+
 def test_some_seeds_have_planned_work_only():
     for event in plans.draw(PLANNED_SEED, 60.0):
         assert event.kind in plans.PLANNED
@@ -59,7 +92,32 @@
 # Ways
 
 
-def run_way(scenario):
+@contextlib.asynccontextmanager
+async def way_here(address, target):
+    """Open a way in this process."""
+    way = ways.Way(address, target, random.Random())
+    async with ways.opened(way):
+        yield way
+
+
+@contextlib.asynccontextmanager
+async def way_of_a_carrier(address, target):
+    """Open a way in another process."""
+    carrier = carriers.Carrier()
+    await carrier.start()
+    way = carriers.Way(address, target, carrier, 'host', math.inf)
+    async with ways.opened(way):
+        yield way
+    await carrier.stop()
+
+
+@pytest.fixture(params=[way_here, way_of_a_carrier])
+def run_way(request):
+    """Run a scenario with a way, in this process and in another one."""
+    return functools.partial(run_way_of, request.param)
+
+
+def run_way_of(opened, scenario):
     """Run a scenario with a way to a server that sends back what it gets."""
 
     async def echo(reader, writer):
@@ -70,19 +128,19 @@
         rng, taken = random.Random(), set()
         real, door = (fleets.free_address(rng, taken) for _ in range(2))
         server = await asyncio.start_server(echo, *real.split(':'))
-        async with ways.opened(ways.Way(door, real, rng)) as (way,):
-            opened = await asyncio.open_connection(*door.split(':'))
+        async with opened(door, real) as way:
+            ends = await asyncio.open_connection(*door.split(':'))
             try:
                 async with asyncio.timeout(10.0):
-                    await scenario(way, *opened)
+                    await scenario(way, *ends)
             finally:
-                opened[1].close()
+                ends[1].close()
                 server.close()
 
     asyncio.run(whole())
 
 
-def test_way_passes_on_what_it_gets():
+def test_way_passes_on_what_it_gets(run_way):
     async def scenario(_way, reader, writer):
         writer.write(b'hello')
         assert await reader.readexactly(5) == b'hello'
@@ -91,7 +149,7 @@
 
 
 @pytest.mark.parametrize('direction', [ways.INWARD, ways.OUTWARD])
-def test_cut_holds_bytes_back_until_it_heals(direction):
+def test_cut_holds_bytes_back_until_it_heals(direction, run_way):
     async def scenario(way, reader, writer):
         way.set(ways.Spoil(cut=frozenset((direction,))))
         writer.write(b'hello')
@@ -104,7 +162,7 @@
     run_way(scenario)
 
 
-def test_silenced_connection_passes_nothing_and_a_new_one_works():
+def test_silenced_connection_passes_nothing_and_a_new_one_works(run_way):
     async def scenario(way, reader, writer):
         writer.write(b'a')
         await reader.readexactly(1)
@@ -121,7 +179,7 @@
     run_way(scenario)
 
 
-def test_reset_way_resets_its_connections():
+def test_reset_way_resets_its_connections(run_way):
     async def scenario(way, reader, writer):
         writer.write(b'a')
         await reader.readexactly(1)
@@ -132,6 +190,45 @@
     run_way(scenario)
 
 
+def test_bytes_wait_for_those_before_them_on_a_thin_link():
+    async def scenario():
+        lane = ways.Lane(1000.0)
+        waits = [lane.take(100), lane.take(50)]
+        await asyncio.sleep(0.1)
+        return [*waits, lane.take(100), ways.Lane().take(10**9)]
+
+    waits = fakes.run(scenario())
+    assert waits == pytest.approx([0.1, 0.15, 0.15, 0.0])
+
+
+def test_filled_way_holds_bytes_for_a_while(run_way):
+    async def scenario(way, reader, writer):
+        way.fill(0.5)
+        writer.write(b'hello')
+        reading = asyncio.ensure_future(reader.readexactly(5))
+        await asyncio.sleep(0.1)
+        assert not reading.done()
+        assert await reading == b'hello'
+
+    run_way(scenario)
+
+
+def test_full_link_loses_datagrams():
+    async def scenario():
+        way = ways.Way('', '127.0.0.1:9', random.Random())
+        way.lanes = ways.open_lanes(1000.0)
+        sent = []
+        way._send = sent.append
+        way.datagram(b'x' * int(1000 * ways.QUEUE_S) + b'x')
+        way.datagram(b'y')
+        await asyncio.sleep(2 * ways.QUEUE_S)
+        way.datagram(b'z')
+        await asyncio.sleep(1.0)
+        return [data[:1] for data in sent]
+
+    assert fakes.run(scenario()) == [b'x', b'z']
+
+
 # Disks and clocks
 
 
@@ -167,6 +264,31 @@
     assert clock.wall_ms() == 1500
 
 
+def test_process_that_runs_for_a_share_of_the_time_runs_in_the_end():
+    """Guards against a play that leaves all its processes stopped."""
+    sent = []
+    fleet = types.SimpleNamespace(
+        conditions=plans.Conditions(True, share=0.5),
+        processes={'h1': None, 'h2': None},
+        signal=lambda name, number: sent.append((name, number)),
+    )
+    stage = types.SimpleNamespace(fleet=fleet)
+
+    async def scenario(length_s):
+        play = plays.Play(stage, watches.Watch(), 1, 1.0)
+        play.paused.add('h2')
+        async with plays._beside(play._spare()):
+            await asyncio.sleep(length_s)
+        return [number for name, number in sent if name == 'h1']
+
+    for length_s in (0.25, 0.5, 0.75, 3.25):
+        sent.clear()
+        signals = fakes.run(scenario(length_s * plays.PERIOD_S))
+        assert signals[0] == signal.SIGSTOP
+        assert signals[-1] == signal.SIGCONT
+        assert len(sent) == len(signals)
+
+
 # Callers that keep a connection
 
 
@@ -228,9 +350,12 @@
 # The watch
 
 
-def asked(marker='m1', method='POST'):
+UNKNOWN = watches.Told(502, watches.UNKNOWN)
+
+
+def asked(marker='m1', method='POST', ends=math.inf):
     """Return a request."""
-    return watches.Asked(marker, method, 'node-1', 10, clock.now())
+    return watches.Asked(marker, method, 'node-1', 10, clock.now(), ends)
 
 
 def ran(marker='m1', method='POST', upstream='u'):
@@ -278,6 +403,27 @@
     watch.answered(asked(), watches.Told(0))
 
 
+def cut_in_a_planned_stop(watch):
+    watch.began('s', ran(), 'node-2')
+    watch.stops('node-1')
+    watch.stops('node-2')
+    watch.answered(asked(), UNKNOWN)
+
+
+def cut_in_a_late_turn_with_much_time_left(watch):
+    watch.began('s', ran(), 'node-2')
+    watch.stops('node-2')
+    watch.disturbs(clock.now(), clock.now(), watches.RIG)
+    watch.answered(asked(ends=clock.now() + 9.0), UNKNOWN)
+
+
+def cut_with_a_fault_elsewhere(watch):
+    watch.began('s', ran(), 'node-2')
+    for struck in ('control-1', 'node-3', 'u2'):
+        watch.disturbs(clock.now(), clock.now(), struck)
+    watch.answered(asked(), watches.Told(0))
+
+
 def went_back(watch):
     watch.version('node-1', '7', (2, 5))
     watch.version('node-1', '7', (2, 4))
@@ -343,6 +489,9 @@
         foreign_body,
         answered_unrun,
         cut_without_fault,
+        cut_in_a_planned_stop,
+        cut_in_a_late_turn_with_much_time_left,
+        cut_with_a_fault_elsewhere,
         went_back,
         lost,
         work_after_leaving,
@@ -370,6 +519,39 @@
         watch.disturbs(clock.now(), clock.now())
         watch.began('s', ran('m2'))
         watch.answered(asked('m2'), watches.Told(0))
+        # It was not at work when a stop began.
+        watch.stops('node-2')
+        watch.began('s', ran('before'), 'node-2')
+        watch.answered(asked('before'), UNKNOWN)
+        watch.began('s', ran('behind'), 'node-2')
+        watch.ended(ran('behind'))
+        await asyncio.sleep(0.1)
+        watch.stops('node-2')
+        watch.answered(asked('behind'), UNKNOWN)
+        watch.ends('node-2')
+        for place in ('node-1', 'node-2', 'u'):
+            watch.unplanned.clear()
+            watch.disturbs(clock.now(), clock.now(), place)
+            watch.began('s', ran('at ' + place), 'node-2')
+            watch.answered(asked('at ' + place), UNKNOWN)
+        watch.unplanned.clear()
+        # The soak was late as its time was nearly over.
+        watch.began('s', ran('hasty'), 'node-2')
+        watch.stops('node-2')
+        watch.disturbs(clock.now(), clock.now(), watches.RIG)
+        sent = asked('hasty', ends=clock.now() + 1.0)
+        watch.answered(sent, UNKNOWN)
+        watch.ends('node-2')
+        watch.unplanned.clear()
+        # Its time was over, or that of the stop of its node.
+        watch.began('s', ran('late'))
+        watch.answered(asked('late', ends=clock.now()), UNKNOWN)
+        watch.stops('node-1')
+        watch.began('s', ran('stopped'))
+        sent = asked('stopped')
+        await asyncio.sleep(watches.STOP_S - watches.STOP_SLACK_S + 0.1)
+        watch.answered(sent, UNKNOWN)
+        watch.ends('node-1')
         # A process that starts again begins from nothing.
         watch.version('node-1', '7', (2, 5))
         watch.version('node-1', '8', (2, 4))
@@ -390,7 +572,7 @@
 # Real processes
 
 
-@pytest.mark.parametrize('seed', [PLANNED_SEED, FAULTS_SEED])
+@pytest.mark.parametrize('seed', [PLANNED_SEED, FAULTS_SEED, ROLLS_SEED])
 def test_short_play_keeps_all_promises(tmp_path, seed):
     watch = asyncio.run(soak_run.play(tmp_path, seed, SHORT))
     assert watch.broken == []
@@ -415,7 +597,10 @@
 def test_life_that_ends_before_it_is_announced_is_not_told_of(
     ended, monkeypatch
 ):
-    """Guards against a play that breaks off where two events overlap."""
+    """Guards against a play that breaks off where two events overlap.
+
+    Nor may one end it in the middle of its start.
+    """
     told = []
     stage = types.SimpleNamespace(
         running={'u': Life(None, None, None)},
@@ -430,6 +615,10 @@
     async def say_late(_one, said):
         told.append(said)
 
+    async def start(_one):
+        assert 'u' not in stage.running, 'could be ended while it starts'
+
+    monkeypatch.setattr(Life, 'start', start)
     stage.until_announced, stage._say_late = until_announced, say_late
     monkeypatch.setattr(soak_fleet, 'Upstream', Life)
     fakes.run(soak_fleet.Fleet.reborn(stage, 'u', 0.1))
