Starts: no garbage is collected while modules are imported

Cause: an import of what a node needs makes 100,000 objects that live as long as the process; the collector walked them again and again, and each later full collection of the running process walked all of them. Ruled out: missing byte code (the build of the platform leaves its caches). Change: the threshold of the collector is raised before the first import and is the usual one again once the parts run, with all that the start made left out of later collections. Test: test_imports_of_a_start_collect_no_garbage failed before.

--- a/carawaystair/daemon.py
+++ b/carawaystair/daemon.py
@@ -12,6 +12,7 @@
 
 import carawaystair
 from carawaystair import codes
+from carawaystair import heap
 from carawaystair import kernel
 from carawaystair import keys
 from carawaystair import logs
@@ -174,6 +175,7 @@
     loop.add_signal_handler(signal.SIGHUP, _reload)
     try:
         await process.start()
+        heap.settle()
         LOG.info(
             'Started.',
             roles=list(settings.roles),
@@ -210,6 +212,7 @@
         for mistake in mistakes:
             print('  %s' % (mistake,), file=sys.stderr)
         return EXIT_SETTINGS
+    heap.expect_start()
     settings = result.ok.settings
     sink = logs.setup(settings.log.level, settings.log.form, settings.host)
     return asyncio.run(
