Wire: received messages are decoded to plain values

Cause: each message that came in was wrapped in a result and unwrapped at once; making the result took two thirds of the time of decoding. Change: links and datagrams read the envelope or the failure itself, as the rule for message handlers has it; other callers get a result as before. Test: test_reading_returns_plain_values; those of malformed messages stand.

--- a/carawaystair/datagrams.py
+++ b/carawaystair/datagrams.py
@@ -8,6 +8,7 @@
 import mode
 
 from carawaystair import clock
+from carawaystair import codes
 from carawaystair import freshness
 from carawaystair import logs
 from carawaystair import timeline
@@ -116,20 +117,20 @@
                 self.strangers += 1
                 self._refuse('wrong authenticator')
                 return
-        result = wire.decode(data)
-        if result.is_error():
-            self._refuse(result.error.sentence())
+        found = wire.read(data)
+        if isinstance(found, codes.Failure):
+            self._refuse(found.sentence())
             return
-        header = result.ok.header
+        header = found.header
         # Without a key anyone could name any sender.
         if self.keys and not self.fresh.accept(header.sender, header.time):
             self.replayed += 1
             self._refuse('sent again, long after its time')
             return
-        self.hybrid.merge(result.ok.header.time)
-        handler = self.handlers.get(type(result.ok.message))
+        self.hybrid.merge(header.time)
+        handler = self.handlers.get(type(found.message))
         if handler is not None:
-            handler(result.ok.header.sender, result.ok.message)
+            handler(header.sender, found.message)
 
     def _authentic(self, mark: bytes, data: bytes) -> bool:
         """Tell whether any key accounts for an authenticator."""
--- a/carawaystair/links.py
+++ b/carawaystair/links.py
@@ -363,13 +363,13 @@
             future.set_result(envelope.message)
 
     def _decode(self, data: bytes) -> wire.Envelope | None:
-        result = wire.decode(data)
-        if result.is_error():
+        found = wire.read(data)
+        if isinstance(found, codes.Failure):
             self.refused += 1
-            LOG.warning('Refused a message.', why=result.error.sentence())
+            LOG.warning('Refused a message.', why=found.sentence())
             return None
-        self.hybrid.merge(result.ok.header.time)
-        return result.ok
+        self.hybrid.merge(found.header.time)
+        return found
 
     def _question(
         self, door: sockets.Reader, identity: bytes, data: bytes
--- a/carawaystair/wire.py
+++ b/carawaystair/wire.py
@@ -107,26 +107,36 @@
 
 
 def decode(data: bytes) -> expression.Result[Envelope, codes.Failure]:
+    """Decode the bytes of one message, see :func:`read`."""
+    found = read(data)
+    if isinstance(found, Envelope):
+        return expression.Ok(found)
+    return expression.Error(found)
+
+
+def read(data: bytes) -> Envelope | codes.Failure:
     """Decode the bytes of one message.
 
     Nothing that a peer sends may crash a process: every defect comes back
     as a numbered failure.
     """
     if len(data) > MAX_BYTES:
-        return codes.fail(codes.MESSAGE_TOO_LARGE, '%d bytes' % len(data))
+        return codes.Failure(codes.MESSAGE_TOO_LARGE, '%d bytes' % len(data))
     if len(data) < 2:
-        return codes.fail(codes.MESSAGE_MALFORMED, 'no header')
+        return codes.Failure(codes.MESSAGE_MALFORMED, 'no header')
     end = 2 + (data[0] << 8 | data[1])
     try:
         header = _HEADER.decode(data[2:end])
         if header.version != VERSION:
-            return codes.fail(
+            return codes.Failure(
                 codes.MESSAGE_VERSION, 'version %d' % header.version
             )
         decoder = _DECODERS.get(header.kind)
         if decoder is None:
-            return codes.fail(codes.MESSAGE_VERSION, 'kind %d' % header.kind)
+            return codes.Failure(
+                codes.MESSAGE_VERSION, 'kind %d' % header.kind
+            )
         message = decoder.decode(data[end:])
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return codes.fail(codes.MESSAGE_MALFORMED, str(error))
-    return expression.Ok(Envelope(header, message))
+        return codes.Failure(codes.MESSAGE_MALFORMED, str(error))
+    return Envelope(header, message)
--- a/test/test_wire.py
+++ b/test/test_wire.py
@@ -50,3 +50,11 @@
     data = bytearray(wire.encode(Sample(7, 'text'), '127.0.0.1:1'))
     data[position % len(data)] = byte
     wire.decode(bytes(data))
+
+
+def test_reading_returns_plain_values():
+    """Guards against a failure that is taken for a message."""
+    data = wire.encode(Sample(7), '127.0.0.1:1')
+    assert wire.read(data).message == Sample(7)
+    assert wire.read(data[:1]).code == codes.MESSAGE_MALFORMED
+    assert wire.read(data[:-1]).code == codes.MESSAGE_MALFORMED
