Flooding: the pause after an offer takes one timer

Cause: after each offer a feed looked every 20 ms, for 200 ms, whether something urgent had come: ten wake-ups for each offer and neighbour. Change: what is urgent ends the pause itself; otherwise a timer does. Test: test_pause_after_an_offer_wakes_nobody_until_it_ends failed before.

--- a/carawaystair/membership/flood.py
+++ b/carawaystair/membership/flood.py
@@ -63,6 +63,8 @@
         self.offered: dict[str, None] = {}
         self.busy = False
         self.event = asyncio.Event()
+        # Ends the pause after an offer.
+        self.urged = asyncio.Event()
         self.task: asyncio.Task | None = None
 
     def add(self, host: str, urgent: bool = True) -> None:
@@ -73,6 +75,7 @@
         if urgent:
             self.offered.pop(host, None)
             self.waiting[host] = None
+            self.urged.set()
         elif host not in self.waiting:
             self.offered[host] = None
         self.busy = True
@@ -261,9 +264,13 @@
 
     async def _gather(self, feed: Feed) -> None:
         """Let offers wait for others, unless something urgent comes."""
-        until = clock.now() + OFFER_GAP_S
-        while not feed.waiting and clock.now() < until:
-            await asyncio.sleep(DRAIN_POLL_S)
+        feed.urged.clear()
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(OFFER_GAP_S, feed.urged.set)
+        try:
+            await feed.urged.wait()
+        finally:
+            timer.cancel()
 
     def _batch(self, feed: Feed) -> tuple[messages.Record, ...]:
         """Take the next records that wait, up to the size of a batch."""
--- a/test/test_membership_spread.py
+++ b/test/test_membership_spread.py
@@ -242,6 +242,31 @@
     fakes.run(_run())
 
 
+def test_pause_after_an_offer_wakes_nobody_until_it_ends(monkeypatch):
+    """Guards against polls by each of the feeds while others gather."""
+
+    async def _run():
+        async def _poll(_time_s):
+            raise AssertionError('a poll')
+
+        monkeypatch.setattr(asyncio, 'sleep', _poll)
+        transport = fakes.Network().transport('127.0.0.1:1')
+        flood = floods.Flood(tables.Table('me'), transport)
+        feed = floods.Feed('127.0.0.1:2')
+        loop = asyncio.get_running_loop()
+        lasted = []
+        for urgent in (False, True):
+            began = loop.time()
+            loop.call_later(floods.OFFER_GAP_S / 4, feed.add, 'h', urgent)
+            await flood._gather(feed)
+            lasted.append(loop.time() - began)
+        assert lasted == pytest.approx(
+            [floods.OFFER_GAP_S, floods.OFFER_GAP_S / 4]
+        )
+
+    fakes.run(_run())
+
+
 def test_process_that_does_not_know_offers_gets_records_pushed():
     """Guards against a rolling upgrade that leaves old processes behind."""
 
