--- a/test/test_links.py
+++ b/test/test_links.py
@@ -11,6 +11,7 @@
 from carawaystair import codes
 from carawaystair import datagrams
 from carawaystair import links
+from carawaystair import sockets
 from carawaystair import wire
 from standin import fleet
 
@@ -187,3 +188,145 @@
         await link.stop()
 
     asyncio.run(scenario())
+
+
+def test_burst_of_messages_is_read_to_its_end():
+    """Guards against messages that lie unread until the next one comes."""
+
+    async def scenario():
+        one, two = await _pair()
+        heard = asyncio.Queue()
+
+        async def take(_sender, ping):
+            heard.put_nowait(ping.number)
+
+        two.handle(Ping, take)
+        count = 3 * sockets.BURST + 1
+        for number in range(count):
+            one.send(two.address, Ping(number))
+        async with asyncio.timeout(20):
+            numbers = [await heard.get() for _number in range(count)]
+        assert numbers == list(range(count))
+        await one.stop()
+        await two.stop()
+
+    asyncio.run(scenario())
+
+
+def test_crash_while_receiving_ends_the_process():
+    """Guards against processes that hear nobody and never know."""
+
+    async def scenario():
+        one, two = await _pair()
+
+        def fail(_data):
+            raise ValueError('crash')
+
+        two._decode = fail
+        one.send(two.address, Ping(1))
+        async with asyncio.timeout(20):
+            while not two.crashed:
+                await asyncio.sleep(0.01)
+        assert isinstance(two.crash_reason, ValueError)
+        await one.stop()
+        await two.stop()
+
+    asyncio.run(scenario())
+
+
+class Relay:
+    """Passes bytes of one link on, counts pings, and can go silent."""
+
+    def __init__(self, to: str) -> None:
+        self.to = to
+        self.address = free_address()
+        self.silent = False
+        # By whether the end that connected sent them.
+        self.pings = {True: 0, False: 0}
+        # Set once the end that was connected to has closed.
+        self.closed = asyncio.Event()
+
+    async def listen(self) -> asyncio.Server:
+        ip, port = self.address.rsplit(':', 1)
+        return await asyncio.start_server(self._accept, ip, int(port))
+
+    async def _accept(self, reader, writer) -> None:
+        far = await asyncio.open_connection(*self.to.rsplit(':', 1))
+        await asyncio.gather(
+            self._pass(reader, far[1], True),
+            self._pass(far[0], writer, False),
+        )
+
+    async def _pass(self, reader, writer, connected: bool) -> None:
+        while data := await reader.read(65536):
+            self.pings[connected] += data.count(b'\x04PING')
+            if not self.silent:
+                writer.write(data)
+        if not connected:
+            self.closed.set()
+
+
+def test_only_the_end_that_connected_sends_pings():
+    """Guards against processes that are woken by pings both ways."""
+
+    async def scenario():
+        one, two = await _pair()
+        relay = Relay(two.address)
+        server = await relay.listen()
+        one.send(relay.address, Ping(1))
+        async with asyncio.timeout(20):
+            while relay.pings[True] < 2:
+                await asyncio.sleep(0.01)
+        assert not relay.pings[False]
+        await one.stop()
+        await two.stop()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_end_that_was_connected_to_closes_a_silent_link():
+    """Guards against links of lost hosts that are kept for ever."""
+
+    async def scenario():
+        one, two = await _pair()
+        relay = Relay(two.address)
+        server = await relay.listen()
+        one.send(relay.address, Ping(1))
+        while not relay.pings[True]:
+            await asyncio.sleep(0.01)
+        relay.silent = True
+        await asyncio.wait_for(relay.closed.wait(), 20)
+        await one.stop()
+        await two.stop()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_idle_link_is_closed_and_opened_again(monkeypatch):
+    """Guards against pings to every process that was ever asked."""
+    monkeypatch.setattr(links, 'IDLE_S', 0.2)
+
+    async def scenario():
+        one, two = await _pair()
+
+        async def answer(_sender, ping):
+            return Pong(ping.number)
+
+        two.handle(Ping, answer)
+        for number in range(2):
+            asked = await one.call(two.address, Ping(number), 20)
+            assert asked.ok == Pong(number)
+            async with asyncio.timeout(20):
+                while one.peers:
+                    await asyncio.sleep(0.01)
+        await one.stop()
+        await two.stop()
+
+    asyncio.run(scenario())
+
+
+def test_link_is_kept_for_some_pings_at_least():
+    """Guards against links that are made anew for each message."""
+    assert links.IDLE_S >= 10 * links.HEARTBEAT_MS / 1000
