Settings: the rate of a host's link, node.link_mbps

Cause: a node does not know what its link carries, so that it can not tell how fast long answers may leave. The platform says it in self.limits.

Change: node.link_mbps, checked (0 to 1,000,000, 0 where nothing is known); the adapter hands the platform's figure on. Nothing uses it yet. The pipes of the tests can have a link with a rate, which all connections of a host share, oldest bytes first.

--- a/carawaystair/settings.py
+++ b/carawaystair/settings.py
@@ -53,6 +53,8 @@
         share of the first sends of the whole fleet.
     :param retry_slack: repeats beyond that share, of the whole fleet.
     :param retry_window_s: the window in which repeats are counted, seconds.
+    :param link_mbps: what the link of this host carries, Mbit/s; long bodies
+        leave it no faster.  0 where it binds nothing.
     """
 
     listen: str
@@ -66,6 +68,7 @@
     retry_ratio: float = 0.2
     retry_slack: int = 50
     retry_window_s: float = 10.0
+    link_mbps: float = 0.0
 
 
 class Headers(typing.NamedTuple):
--- a/carawaystair/settings_rules.py
+++ b/carawaystair/settings_rules.py
@@ -32,6 +32,7 @@
     ('node.retry_ratio', 0.0, 1.0),
     ('node.retry_slack', 0, 1_000_000),
     ('node.retry_window_s', 1.0, 600.0),
+    ('node.link_mbps', 0.0, 1e6),
     ('control.grow_to', 0, 7),
     ('control.patience_s', 0.0, 60.0),
     ('control.reads_per_s', 0.1, 1e6),
--- a/test/pipes.py
+++ b/test/pipes.py
@@ -3,7 +3,8 @@
 ``PipeLoop`` makes connections between listeners and clients of one process
 without sockets, so that aiohttp runs on both sides, hours of timeouts pass in
 no time, and every run is the same.  Hosts can refuse, swallow connections
-and lose track of those that are open.
+and lose track of those that are open.  The link of a host can have a rate:
+what is written then waits for all that was written before it.
 """
 
 import asyncio
@@ -17,6 +18,22 @@
 PIECE_BYTES = 64 * 1024
 
 
+class Link:
+    """The way out of one host, which all of its connections share.
+
+    :param bytes_s: bytes a second.
+    """
+
+    def __init__(self, bytes_s: float) -> None:
+        self.bytes_s = bytes_s
+        self.free_at = 0.0
+
+    def carry(self, size: int, now: float) -> float:
+        """Return when bytes that are written now have left."""
+        self.free_at = max(self.free_at, now) + size / self.bytes_s
+        return self.free_at
+
+
 class Pipe(asyncio.Transport):
     """One end of a connection."""
 
@@ -38,6 +55,7 @@
         # How long what is written here is on its way, a reset too.
         self.delay_s = DELAY_S
         self.written = 0
+        self.link: Link | None = None
 
     # What protocols call
 
@@ -102,8 +120,10 @@
     # How bytes move
 
     def _queue(self, item) -> None:
-        self.queue.append(item)
-        self.queued += len(item or b'')
+        size, now = len(item or b''), self.loop.time()
+        left_at = self.link.carry(size, now) if self.link else now
+        self.queue.append((left_at, item))
+        self.queued += size
         if self.queued > HIGH_BYTES and not self.full:
             self.full = True
             self.protocol.pause_writing()
@@ -119,13 +139,18 @@
         peer = self.peer
         taken = False
         while self.queue and (peer.reading or self.silent):
-            if taken and self.queue[0] is None:
+            left_at, item = self.queue[0]
+            if left_at > self.loop.time():
+                self.pumping = True
+                self.loop.call_at(left_at, self._pump)
+                break
+            if taken and item is None:
                 # A real transport reads the end one turn after the bytes.
                 self.pumping = True
                 self.loop.call_soon(self._pump)
                 break
             taken = True
-            item = self.queue.pop(0)
+            self.queue.pop(0)
             self.queued -= len(item or b'')
             if not self.silent and not peer.lost:
                 peer._take(item)
@@ -173,6 +198,10 @@
         self.swallowing: set[str] = set()
         # The client's end of every connection that was ever made.
         self.made: list[Pipe] = []
+        # Links by the port of a listener: that of its host, and that of the
+        # hosts that connect to it.
+        self.links: dict[int, Link] = {}
+        self.callers_links: dict[int, Link] = {}
 
     async def create_server(
         self, protocol_factory, host=None, port=None, **options
@@ -196,6 +225,8 @@
         name = ('127.0.0.1', 50_000 + len(self.made))
         there = Pipe(self, self.listeners[address](), {'peername': name})
         here.peer, there.peer = there, here
+        there.link = self.links.get(port)
+        here.link = self.callers_links.get(port)
         self.made.append(here)
         there.protocol.connection_made(there)
         here.protocol.connection_made(here)
--- a/test/test_platform_documents.py
+++ b/test/test_platform_documents.py
@@ -61,6 +61,33 @@
     assert made.node.retry_slack == 58
 
 
+@pytest.mark.parametrize(
+    'limits,mbps',
+    [
+        (None, 0.0),
+        ({}, 0.0),
+        ({'link_mbps': 2.3}, 2.3),
+        ({'link_mbps': 1000}, 1000.0),
+    ],
+)
+def test_settings_tell_the_rate_of_the_link(limits, mbps):
+    document = platform_setup.settings()
+    if limits is not None:
+        document['self']['limits'] = limits
+    made = place.fleet_settings(place.read(document))
+    assert made.node.link_mbps == mbps
+
+
+@pytest.mark.parametrize(
+    'limits', [[], {'link_mbps': 'fast'}, {'link_mbps': -1.0}], ids=str
+)
+def test_rate_of_the_link_that_is_none_is_refused(limits):
+    document = platform_setup.settings()
+    document['self']['limits'] = limits
+    with pytest.raises(fields.Malformed, match='limits|link_mbps'):
+        place.fleet_settings(place.read(document))
+
+
 def test_settings_of_a_control_host():
     document = platform_setup.settings(
         self__serves=['control_plane'],
--- a/test/test_settings.py
+++ b/test/test_settings.py
@@ -36,6 +36,7 @@
     (('node', 'lease_s'), 10**400, '$.node.lease_s', 'a number'),
     (('node', 'lease_s'), '6', '$.node.lease_s', 'a number'),
     (('node', 'drain_s'), -1, '$.node.drain_s', 'expected 0 to'),
+    (('node', 'link_mbps'), -1, '$.node.link_mbps', 'expected 0 to'),
     (('timeline_events',), 1, '$.timeline_events', 'expected 100'),
     (('peer',), 'localhost:1', '$.peer', 'not an IPv4'),
     (('peer',), '127.0.0.1:0', '$.peer', 'IPv4 number and a port'),
