Gateways: long bodies leave a host no faster than its link carries them

Cause: a gateway wrote each answer as soon as it had it. Ten answers of 90 KB that are ready at once take a link of 5 Mbit/s for 1.5 s, and signs of life, refusals and short answers stand behind them. Senders take a gateway for silent after 0.15 s. Uploads do the same to the link of the callers' node.

Ruled out: pieces in the order of arrival (a long body holds up all short ones), the shortest first (a long one starves), one turn for each connection (all are late together), a pause after each answer (a long one still fills the link).

While an answer waits for its first turn the signs of life go on. A turn of whoever left is given back; one who does not read waits outside of the line.

Not shown yet on a deployment.

--- a/carawaystair/gateway/detours.py
+++ b/carawaystair/gateway/detours.py
@@ -3,6 +3,7 @@
 from carawaystair import clock
 from carawaystair import codes
 from carawaystair.gateway import hops
+from carawaystair.gateway import pacer as pacers
 from carawaystair.gateway import sends
 from carawaystair.gateway import streaming
 from carawaystair import interfaces
@@ -24,12 +25,15 @@
 LOG = logs.get('gateway')
 
 
-async def pass_on(hop: hops.Hop, request: incoming.Request) -> bool:
+async def pass_on(
+    hop: hops.Hop, request: incoming.Request, pacer: pacers.Pacer
+) -> bool:
     """Hand a request to its gateway and its answer back.
 
     Signs of life are passed on and none are made here: the sender wants to
     know of that gateway, not of this node.
 
+    :param pacer: shares the link of this host.
     :return: whether another request may follow on the connection.
     """
     now = clock.now()
@@ -60,7 +64,11 @@
     except BaseException:
         _let_go(attempt, request)
         raise
-    return await _answer(hop, request, attempt, answer)
+    way = pacer.way(hop.host)
+    try:
+        return await _answer(hop, request, attempt, answer, way)
+    finally:
+        way.end()
 
 
 def _let_go(attempt: sends.ToGateway, request: incoming.Request) -> None:
@@ -87,6 +95,7 @@
     request: incoming.Request,
     attempt: sends.ToGateway,
     answer: answers.Answer,
+    way: pacers.Way,
 ) -> bool:
     told = hops.says(answer, hops.REFUSAL) or hops.says(answer, hops.FAILURE)
     if told:
@@ -97,10 +106,9 @@
     extra = hops.lines(answer.headers)
     if answer.rest is None:
         attempt.drop()
-        exchange.whole(answer, codes.OK, extra)
-        await exchange.drained()
+        await streaming.whole(answer, exchange, extra, way)
         return exchange.keep_alive
-    why = await streaming.pass_on(attempt, answer, exchange, extra)
+    why = await streaming.pass_on(attempt, answer, exchange, extra, way)
     if why:
         LOG.warning('An answer broke off on a detour.', id=hop.id, why=why)
     return exchange.keep_alive and not why
--- a/carawaystair/gateway/door.py
+++ b/carawaystair/gateway/door.py
@@ -17,6 +17,7 @@
 from carawaystair.gateway import detours
 from carawaystair.gateway import figures as figures_module
 from carawaystair.gateway import hops
+from carawaystair.gateway import pacer as pacers
 from carawaystair.gateway import runs as runs_module
 from carawaystair.gateway import slots as slots_module
 from carawaystair.gateway import streaming
@@ -48,6 +49,7 @@
     :param work: runs requests at the upstreams of this host.
     :param figures: counts refusals.
     :param recorder: takes note of decisions.
+    :param pacer: shares the link of this host.
     """
 
     def __init__(
@@ -55,7 +57,9 @@
         work: works.Work,
         figures: figures_module.Figures,
         recorder: decisions.Recorder,
+        pacer: pacers.Pacer,
     ) -> None:
+        self.pacer = pacer
         self.work = work
         self.figures = figures
         self.recorder = recorder
@@ -87,7 +91,7 @@
     ) -> bool:
         if hop.detour:
             signs.stop()
-            return await detours.pass_on(hop, request)
+            return await detours.pass_on(hop, request, self.pacer)
         fresh = ages.aged(hop, clock.uptime_ms())
         if fresh is None:
             signs.stop()
@@ -109,15 +113,32 @@
         except Exception as error:
             signs.stop()
             return self._defect(hop, request, error)
-        signs.stop()
+        way = self.pacer.way(hop.host)
+        try:
+            if answer.rest is None:
+                await way.begin(len(answer.body))
+            signs.stop()
+            return await self._pass_on(hop, request, answer, way)
+        finally:
+            way.end()
+
+    async def _pass_on(
+        self,
+        hop: hops.Hop,
+        request: incoming.Request,
+        answer: answers.Answer,
+        way: pacers.Way,
+    ) -> bool:
+        """Write an upstream's answer."""
         exchange = exchanges.Exchange(request, hop.id)
         extra = hops.report_line(self._report(hop, request))
         if answer.rest is None:
-            exchange.whole(answer, codes.OK, extra)
-            await exchange.drained()
+            await streaming.whole(answer, exchange, extra, way)
             return exchange.keep_alive
         try:
-            why = await streaming.pass_on(answer.rest, answer, exchange, extra)
+            why = await streaming.pass_on(
+                answer.rest, answer, exchange, extra, way
+            )
         finally:
             answer.rest.release()
         if why:
--- a/carawaystair/gateway/known.py
+++ b/carawaystair/gateway/known.py
@@ -5,6 +5,7 @@
 import typing
 
 from carawaystair import clock
+from carawaystair.gateway import pacer as pacers
 from carawaystair import interfaces
 from carawaystair.load import placing
 from carawaystair.load import spreading
@@ -37,6 +38,7 @@
     :param directory: the upstreams.
     :param routing: returns the configuration in force.
     :param rng: the source of randomness.
+    :param pacer: shares the link of this host, None where nothing does.
     """
 
     def __init__(
@@ -45,7 +47,9 @@
         directory: interfaces.Directory,
         routing: typing.Callable[[], routings.Routing],
         rng: random.Random,
+        pacer: pacers.Pacer | None = None,
     ) -> None:
+        self.pacer = pacer
         self.data_centre = data_centre
         self.directory = directory
         self.routing = routing
@@ -108,6 +112,7 @@
             target = self.targets.get(upstream.id)
         if target is None:
             target = targets.Target(upstream, clock.now())
+            target.pacer = self.pacer
             self.targets[upstream.id] = target
             # Answers of a life that went on elsewhere may still come.
             self.board.renew(upstream.id, upstream.incarnation)
--- /dev/null
+++ b/carawaystair/gateway/pacer.py
@@ -0,0 +1,165 @@
+"""Lets long bodies go as fast as the link of this host carries them."""
+
+import asyncio
+import typing
+
+from carawaystair import clock
+from carawaystair.load import pacing
+from carawaystair.request import body as bodies
+
+
+class Way(typing.Protocol):
+    """The way of one body to another node."""
+
+    async def begin(self, size: int) -> None:
+        """Wait until the first bytes may go.
+
+        :param size: bytes at least.
+        """
+
+    def pieces(self, data: bytes) -> typing.AsyncIterator[bytes]:
+        """Yield the pieces of some bytes, each when it may go."""
+
+    def end(self) -> None:
+        """Let go of what was not used."""
+
+
+class Free:
+    """A way that nothing binds."""
+
+    async def begin(self, size: int) -> None:
+        """Return at once."""
+
+    async def pieces(self, data: bytes) -> typing.AsyncIterator[bytes]:
+        """Yield all bytes."""
+        yield data
+
+    def end(self) -> None:
+        """Hold nothing."""
+
+
+FREE = Free()
+
+
+class Paced:
+    """A way over the link.
+
+    :param pacer: shares the link.
+    """
+
+    def __init__(self, pacer: 'Pacer') -> None:
+        self.pacer = pacer
+        # When the body is due, once it has begun.
+        self.due: float | None = None
+        # Bytes that may go now.
+        self.room = 0
+
+    async def begin(self, size: int) -> None:
+        """Wait until the first bytes may go."""
+        if size > pacing.SHORT_BYTES:
+            self.due = self.pacer.link.due(size, clock.now())
+            self.room = await self.pacer.turn(self.due, size)
+
+    async def pieces(self, data: bytes) -> typing.AsyncIterator[bytes]:
+        """Yield the pieces of some bytes, each when it may go."""
+        due, self.due = self.due, None
+        if due is None and len(data) <= pacing.SHORT_BYTES:
+            yield data
+            return
+        if due is None:
+            due = self.pacer.link.due(len(data), clock.now())
+        start = 0
+        while start < len(data):
+            if not self.room:
+                self.room = await self.pacer.turn(due, len(data) - start)
+            piece = data[start : start + self.room]
+            start += len(piece)
+            self.room -= len(piece)
+            yield piece
+
+    def end(self) -> None:
+        """Give back what was not used."""
+        self.pacer.link.give_back(self.room)
+        self.room = 0
+
+
+class Pacer:
+    """Shares the link of this host; one for each process.
+
+    :param host: this host.
+    :param mbps: what its link carries, Mbit/s; 0 where nothing is known.
+    """
+
+    def __init__(self, host: str, mbps: float) -> None:
+        self.host = host
+        self.link = pacing.Link(mbps) if mbps else None
+        self.futures: dict[int, asyncio.Future] = {}
+        self.timer: asyncio.TimerHandle | None = None
+
+    def way(self, host: str) -> Way:
+        """Return the way of one body to a host."""
+        if self.link is None or host == self.host:
+            # What stays on this host does not cross its link.
+            return FREE
+        return Paced(self)
+
+    async def turn(self, due: float, size: int) -> int:
+        """Wait for a turn; return how many bytes may go.
+
+        :param due: monotonic time at which the body is due.
+        :param size: bytes that it has to send.
+        """
+        turn = self.link.ask(due, size)
+        future = asyncio.get_running_loop().create_future()
+        self.futures[turn.number] = future
+        self._grant()
+        try:
+            return await future
+        except asyncio.CancelledError:
+            if future.cancelled():
+                turn.left = True
+            else:
+                self.link.give_back(future.result())
+                self._grant()
+            raise
+        finally:
+            self.futures.pop(turn.number, None)
+
+    def _grant(self) -> None:
+        """Give turns as far as there is room; be back when there is more."""
+        now = clock.now()
+        while (turn := self.link.first(now)) is not None:
+            count = self.link.take(turn.size, now)
+            self.futures[turn.number].set_result(count)
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.link.waiting:
+            loop = asyncio.get_running_loop()
+            self.timer = loop.call_later(self.link.wait_s(now), self._grant)
+
+
+class Pump(bodies.Pump):
+    """Passes a body on to another node.
+
+    :param source: the body.
+    :param proto: the connection to that node.
+    :param way: the way there.
+    """
+
+    def __init__(self, source: bodies.Source, proto, way: Way) -> None:
+        super().__init__(source, proto)
+        self.way = way
+
+    async def run(self) -> None:
+        """Pass the body on."""
+        try:
+            await super().run()
+        finally:
+            self.way.end()
+
+    async def send(self, data: bytes) -> None:
+        """Pass some bytes on, in pieces."""
+        async for piece in self.way.pieces(data):
+            await self.writer.write(piece)
+            await self.writer.drain()
--- a/carawaystair/gateway/sends.py
+++ b/carawaystair/gateway/sends.py
@@ -7,11 +7,13 @@
 
 import aiohttp
 from aiohttp import http_exceptions
+from aiohttp import streams
 
 from carawaystair import clock
 from carawaystair import codes
 from carawaystair.gateway import ages
 from carawaystair.gateway import hops
+from carawaystair.gateway import pacer as pacers
 from carawaystair import interfaces
 from carawaystair.request import answer as answers
 from carawaystair.request import attempt as attempts
@@ -212,11 +214,26 @@
         if self.proceeds:
             return
         self.proceeds = True
-        if self.call.body is None:
-            self.pump = bodies.Pump(self.source(), self.connection.proto)
-            self.pump.start()
+        body, proto = self.call.body, self.connection.proto
+        way = self._way()
+        if body is None:
+            self.pump = pacers.Pump(self.source(), proto, way)
+        elif way is pacers.FREE:
+            proto.transport.write(body)
+            return
         else:
-            self.connection.proto.transport.write(self.call.body)
+            held = bodies.Source(
+                streams.EMPTY_PAYLOAD, len(body), body, len(body)
+            )
+            self.pump = pacers.Pump(held, proto, way)
+        self.pump.start()
+
+    def _way(self) -> pacers.Way:
+        """Return the way of its body."""
+        pacer = self.target.pacer
+        if pacer is None:
+            return pacers.FREE
+        return pacer.way(self.target.upstream.host)
 
     @property
     def may_run(self) -> bool:
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -13,6 +13,7 @@
 from carawaystair.gateway import handover as handovers
 from carawaystair.gateway import inner as inners
 from carawaystair.gateway import known as knowns
+from carawaystair.gateway import pacer as pacers
 from carawaystair.gateway import paths
 from carawaystair.gateway import relay as relays
 from carawaystair.gateway import sends
@@ -72,8 +73,13 @@
             'share of %s' % settings.host,
         )
         inner = inners.InnerCalls(_payer(settings, share))
+        self.pacer = pacers.Pacer(settings.host, node.link_mbps)
         self.known = knowns.Known(
-            settings.data_centre, membership.directory, routing, rng
+            settings.data_centre,
+            membership.directory,
+            routing,
+            rng,
+            self.pacer,
         )
         self.meters = meters_module.Meters(kernel.timeline)
         self.paths = paths.Paths(
@@ -113,7 +119,7 @@
         self.work = works.Work(
             membership, settings, inner, self.figures, recorder
         )
-        self.door = doors.Door(self.work, self.figures, recorder)
+        self.door = doors.Door(self.work, self.figures, recorder, self.pacer)
         self.recorder = recorder
         self.callers = listeners.Listener(
             self.front.handle, self.front.bounds, self.front.may_run_ahead
--- a/carawaystair/gateway/streaming.py
+++ b/carawaystair/gateway/streaming.py
@@ -7,6 +7,7 @@
 
 from carawaystair import clock
 from carawaystair import codes
+from carawaystair.gateway import pacer
 from carawaystair.request import answer as answers
 from carawaystair.request import attempt as attempts
 from carawaystair.request import exchange as exchanges
@@ -24,17 +25,36 @@
 )
 
 
+async def whole(
+    answer: answers.Answer,
+    exchange: exchanges.Exchange,
+    extra: bytes,
+    way: pacer.Way,
+) -> None:
+    """Write an answer that is held whole.
+
+    :param extra: header lines to add.
+    :param way: the way to the caller.
+    """
+    data = exchange.packed(answer, codes.OK, extra)
+    async for piece in way.pieces(data):
+        exchange.write(piece)
+        await exchange.drained()
+
+
 async def pass_on(
     attempt: attempts.Attempt,
     answer: answers.Answer,
     exchange: exchanges.Exchange,
     extra: bytes = b'',
+    way: pacer.Way = pacer.FREE,
 ) -> str:
     """Pass a long answer on; return why it broke off, or nothing.
 
     A broken answer must never look whole, so the caller's connection is cut.
 
     :param extra: header lines to add.
+    :param way: the way to the caller.
     """
     length = headers.value(answer.headers, b'content-length')
     whole = False
@@ -43,13 +63,12 @@
         await exchange.request.at_turn()
         exchange.begin(answer, None if length is None else int(length), extra)
         writer = exchange.request.writer
-        await writer.write(answer.body, drain=False)
+        await _write(answer.body, exchange, way)
         payload = attempt.payload
         while not payload.at_eof():
             async with asyncio.timeout(STALL_S):
                 chunk = await payload.readany()
-            await writer.write(chunk, drain=False)
-            await exchange.drained()
+            await _write(chunk, exchange, way)
         if writer.chunked:
             await writer.write_eof()
         whole = True
@@ -62,3 +81,11 @@
             attempt.settle(clock.now())
         else:
             attempt.drop()
+
+
+async def _write(
+    data: bytes, exchange: exchanges.Exchange, way: pacer.Way
+) -> None:
+    async for piece in way.pieces(data):
+        await exchange.request.writer.write(piece, drain=False)
+        await exchange.drained()
--- a/carawaystair/load/__init__.py
+++ b/carawaystair/load/__init__.py
@@ -7,6 +7,7 @@
 - ``rejecting``: which request can't be served any more and is told so;
 - ``placing``: which upstream a request is offered to;
 - ``retrying``: how many repeats may reach upstreams;
+- ``pacing``: how fast long bodies leave a host, and which goes next;
 - ``returning``: when a rejected caller should come back;
 - ``suspicion``: whether an upstream that failed gets work that can't be
   repeated.
--- a/carawaystair/request/body.py
+++ b/carawaystair/request/body.py
@@ -199,13 +199,13 @@
         content = self.source.stream
         try:
             if passed:
-                await self.writer.write(self.source.begun)
+                await self.send(self.source.begun)
             while not content.at_eof():
                 chunk = await content.readany()
                 passed += len(chunk)
                 if passed > limit:
                     raise caller.Refused(codes.BODY_TOO_LARGE)
-                await self.writer.write(chunk)
+                await self.send(chunk)
             await self.writer.write_eof()
         except caller.Refused as refused:
             self.refused = refused
@@ -218,6 +218,10 @@
             self.cut()
             raise
 
+    async def send(self, data: bytes) -> None:
+        """Pass some bytes on."""
+        await self.writer.write(data)
+
     def cut(self) -> None:
         """Break the upstream's connection."""
         if self.proto.transport is not None:
--- a/carawaystair/request/exchange.py
+++ b/carawaystair/request/exchange.py
@@ -51,6 +51,15 @@
     ) -> None:
         """Write an upstream's whole answer.
 
+        :param extra: header lines to add.
+        """
+        self.write(self.packed(answer, code, extra))
+
+    def packed(
+        self, answer: answers.Answer, code: codes.Code, extra: bytes = b''
+    ) -> bytes:
+        """Return the bytes of an upstream's whole answer.
+
         :param extra: header lines to add.
         """
         bodiless = answer.status in answers.BODILESS
@@ -62,7 +71,7 @@
         if length is not None:
             framing = b'Content-Length: %b\r\n' % length
         head = self.head(answer, codes.COMPLETE, code, framing + extra)
-        self.write(head + answer.body)
+        return head + answer.body
 
     def begin(
         self,
--- a/carawaystair/request/target.py
+++ b/carawaystair/request/target.py
@@ -28,6 +28,7 @@
         'in_flight',
         'late',
         'lingering',
+        'pacer',
         'renewed',
         'seen',
         'stamp',
@@ -52,6 +53,8 @@
         self.renewed = -math.inf
         # A silent attempt whose connection, not upstream, may be at fault.
         self.doubted: typing.Any = None
+        # Shares the link that long bodies take to it, if anything does.
+        self.pacer: typing.Any = None
 
     def observe(self, latency_s: float, now: float) -> None:
         """Let a latency count: a higher one at once, a lower one slowly.
