Logs: answers that waited for the link

Cause: an answer can be late although its upstream was quick, and no line tells that it stood in line for the link of its gateway's host.

Change: event "paced" with what the link needed for those ahead, the time until the first bytes and until the last ones; trouble when the first ones waited for more than 0.3 s, routine otherwise. Metric link_ahead_seconds.

Checked: with ten answers of 90 KB at a link of 5 Mbit/s the last one's line shows over 1 s (test_gateway_links).

--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -240,6 +240,28 @@
     detail: str
 
 
+class Paced(typing.NamedTuple):
+    """A long answer waited for the link of its gateway's host.
+
+    :param id: the request.
+    :param upstream: the upstream.
+    :param sender: the host that gets the answer.
+    :param bytes: bytes of it.
+    :param first_ms: from when it was ready until its first bytes went, ms.
+    :param total_ms: and until its last ones went, ms.
+    :param ahead_ms: what all long bodies that waited when it was ready needed
+        of the link, ms.
+    """
+
+    id: str
+    upstream: str
+    sender: str
+    bytes: int
+    first_ms: int
+    total_ms: int
+    ahead_ms: int
+
+
 class Abandoned(typing.NamedTuple):
     """A gateway cancels a run for which nobody waits.
 
@@ -386,6 +408,7 @@
     Left: ('relay', 'left'),
     Began: ('gateway', 'began'),
     Ended: ('gateway', 'ended'),
+    Paced: ('gateway', 'paced'),
     Abandoned: ('gateway', 'abandoned'),
     Declining: ('gateway', 'declining'),
     LifeBegan: ('gateway', 'life-began'),
--- a/carawaystair/explain.py
+++ b/carawaystair/explain.py
@@ -19,6 +19,7 @@
     'began',
     'abandoned',
     'ended',
+    'paced',
     'offered',
     'broke',
     'asked-again',
@@ -39,6 +40,8 @@
     ' {after_ms} ms {detail}',
     'asked-again': '{upstream} asked again, send {number}, {after_ms} ms after'
     ' its connection was lost ({code}){detour_text}',
+    'paced': '{bytes} bytes for {sender} went over the link in {total_ms} ms,'
+    ' the first after {first_ms} ms; {ahead_ms} ms of others were ahead',
     'abandoned': 'run at {upstream} for {sender} cancelled, nobody waits: its'
     ' connection was {why}',
     'spent': 'not sent to another upstream: {runs} of {most} may have run it,'
--- a/carawaystair/gateway/door.py
+++ b/carawaystair/gateway/door.py
@@ -36,6 +36,9 @@
 # Then one in this time; a node that hears none for three times as long takes
 # the connection for lost.
 SIGN_EVERY_S = 0.3
+# An answer that waits longer than this for the link is told as trouble: its
+# host has more to send than its link carries, seconds.
+LONG_WAIT_S = 0.3
 # Bodies are bounded by the node that took them from the caller.
 NO_LIMIT = 2**62
 MS = 1000
@@ -114,13 +117,40 @@
             signs.stop()
             return self._defect(hop, request, error)
         way = self.pacer.way(hop.host)
+        ready = clock.now()
         try:
             if answer.rest is None:
                 await way.begin(len(answer.body))
             signs.stop()
-            return await self._pass_on(hop, request, answer, way)
+            first = clock.now()
+            goes_on = await self._pass_on(hop, request, answer, way)
         finally:
             way.end()
+        if way.ahead_s is not None:
+            self._tell_paced(hop, answer, way.ahead_s, ready, first)
+        return goes_on
+
+    def _tell_paced(
+        self,
+        hop: hops.Hop,
+        answer: answers.Answer,
+        ahead_s: float,
+        ready: float,
+        first: float,
+    ) -> None:
+        """Take note of an answer that waited for the link."""
+        event = decisions.Paced(
+            hop.id,
+            hop.upstream,
+            hop.host,
+            len(answer.body),
+            int((first - ready) * MS),
+            int((clock.now() - ready) * MS),
+            int(ahead_s * MS),
+        )
+        late = first - ready > LONG_WAIT_S
+        sort = decisions.TROUBLE if late else decisions.ROUTINE
+        self.recorder.tell(event, sort)
 
     async def _pass_on(
         self,
--- a/carawaystair/gateway/pacer.py
+++ b/carawaystair/gateway/pacer.py
@@ -11,6 +11,10 @@
 class Way(typing.Protocol):
     """The way of one body to another node."""
 
+    # What the link was asked for before this body; None where it did not
+    # wait.
+    ahead_s: float | None
+
     async def begin(self, size: int) -> None:
         """Wait until the first bytes may go.
 
@@ -27,6 +31,8 @@
 class Free:
     """A way that nothing binds."""
 
+    ahead_s: float | None = None
+
     async def begin(self, size: int) -> None:
         """Return at once."""
 
@@ -53,11 +59,14 @@
         self.due: float | None = None
         # Bytes that may go now.
         self.room = 0
+        self.ahead_s: float | None = None
 
     async def begin(self, size: int) -> None:
         """Wait until the first bytes may go."""
         if size > pacing.SHORT_BYTES:
-            self.due = self.pacer.link.due(size, clock.now())
+            now = clock.now()
+            self.ahead_s = self.pacer.link.ahead_s(now)
+            self.due = self.pacer.link.due(size, now)
             self.room = await self.pacer.turn(self.due, size)
 
     async def pieces(self, data: bytes) -> typing.AsyncIterator[bytes]:
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -160,6 +160,9 @@
         yield metrics.Sample(
             'lines_left_out_total', self.recorder.room.left_out
         )
+        if self.pacer.link is not None:
+            ahead_s = self.pacer.link.ahead_s(clock.now())
+            yield metrics.Sample('link_ahead_seconds', ahead_s)
         for name, slots in self.work.slots.items():
             labels = (('upstream', name),)
             line = slots.line
--- a/carawaystair/load/pacing.py
+++ b/carawaystair/load/pacing.py
@@ -74,6 +74,11 @@
         """Return how long it is until the next one may go, in seconds."""
         return max(self.free_at - now, 0.0)
 
+    def ahead_s(self, now: float) -> float:
+        """Return what all that waits now needs of the link, in seconds."""
+        size = sum(turn.size for turn in self.waiting if not turn.left)
+        return self.wait_s(now) + size / self.bytes_s
+
     def ask(self, due: float, size: int) -> Turn:
         """Let a body wait for its turn."""
         turn = Turn(due, next(self.numbers), size)
--- a/test/test_gateway_links.py
+++ b/test/test_gateway_links.py
@@ -1,6 +1,7 @@
 """Long bodies on links that carry little, in virtual time."""
 
 import asyncio
+import json
 
 import pytest
 
@@ -108,9 +109,14 @@
                 await asyncio.sleep(0.1)
                 signs.append(await first_sign_s())
             answers = await asyncio.gather(*downloads)
-            return signs, answers, fleet.nodes[0].service.handover.resumed
+            resumed = fleet.nodes[0].service.handover.resumed
+            told = [json.loads(line) for line in fleet.nodes[1].lines.lines]
+            return signs, answers, resumed, told
 
-    signs, answers, resumed = pipes.run(scenario())
+    signs, answers, resumed, told = pipes.run(scenario())
+    paced = [line for line in told if line['event'] == 'paced']
+    assert {line['bytes'] for line in paced} == {DOWNLOAD + 2}
+    assert paced[-1]['total_ms'] > 1000
     assert max(signs) < 0.15
     assert resumed == 0
     assert [answer.status for answer in answers] == [200] * 10
