Gateways: a caller who leaves at its turn does not stop the others; equals go in order

Causes, both in the new pacing: (1) a waiter that was cancelled in the same turn of the loop in which it got its turn made the timer fail, and it was not set again, so that nobody behind it was sent anything; (2) bodies that were ready at one moment got a new number with each part, and so took turns.

Change: turns pass over who was cancelled; a body keeps its place from its first part to its last.

Before: (1) two answers behind it were not sent in five seconds; (2) the first of ten answers of 90 KB took 1.40 s at 5 Mbit/s. Now: both are sent; 0.16 s and at most one part more.

--- a/carawaystair/gateway/pacer.py
+++ b/carawaystair/gateway/pacer.py
@@ -55,8 +55,8 @@
 
     def __init__(self, pacer: 'Pacer') -> None:
         self.pacer = pacer
-        # When the body is due, once it has begun.
-        self.due: float | None = None
+        # That of the body, once it has begun.
+        self.place: pacing.Place | None = None
         # Bytes that may go now.
         self.room = 0
         self.ahead_s: float | None = None
@@ -66,21 +66,21 @@
         if size > pacing.SHORT_BYTES:
             now = clock.now()
             self.ahead_s = self.pacer.link.ahead_s(now)
-            self.due = self.pacer.link.due(size, now)
-            self.room = await self.pacer.turn(self.due, size)
+            self.place = self.pacer.link.place(size, now)
+            self.room = await self.pacer.turn(self.place, size)
 
     async def pieces(self, data: bytes) -> typing.AsyncIterator[bytes]:
         """Yield the pieces of some bytes, each when it may go."""
-        due, self.due = self.due, None
-        if due is None and len(data) <= pacing.SHORT_BYTES:
+        place, self.place = self.place, None
+        if place is None and len(data) <= pacing.SHORT_BYTES:
             yield data
             return
-        if due is None:
-            due = self.pacer.link.due(len(data), clock.now())
+        if place is None:
+            place = self.pacer.link.place(len(data), clock.now())
         start = 0
         while start < len(data):
             if not self.room:
-                self.room = await self.pacer.turn(due, len(data) - start)
+                self.room = await self.pacer.turn(place, len(data) - start)
             piece = data[start : start + self.room]
             start += len(piece)
             self.room -= len(piece)
@@ -112,15 +112,15 @@
             return FREE
         return Paced(self)
 
-    async def turn(self, due: float, size: int) -> int:
+    async def turn(self, place: pacing.Place, size: int) -> int:
         """Wait for a turn; return how many bytes may go.
 
-        :param due: monotonic time at which the body is due.
+        :param place: that of the body.
         :param size: bytes that it has to send.
         """
-        turn = self.link.ask(due, size)
+        turn = self.link.ask(place, size)
         future = asyncio.get_running_loop().create_future()
-        self.futures[turn.number] = future
+        self.futures[turn.place.number] = future
         self._grant()
         try:
             return await future
@@ -132,14 +132,17 @@
                 self._grant()
             raise
         finally:
-            self.futures.pop(turn.number, None)
+            self.futures.pop(turn.place.number, None)
 
     def _grant(self) -> None:
         """Give turns as far as there is room; be back when there is more."""
         now = clock.now()
         while (turn := self.link.first(now)) is not None:
-            count = self.link.take(turn.size, now)
-            self.futures[turn.number].set_result(count)
+            future = self.futures[turn.place.number]
+            # One that was cancelled in this turn of the loop has not said
+            # yet that it leaves.
+            if not future.done():
+                future.set_result(self.link.take(turn.size, now))
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
--- a/carawaystair/load/pacing.py
+++ b/carawaystair/load/pacing.py
@@ -15,6 +15,7 @@
 import heapq
 import itertools
 import math
+import typing
 
 # Long bodies get this share of a link: the rest is for what is short, and for
 # headers of packets.
@@ -31,25 +32,34 @@
 BYTES_S = 1e6 / 8
 
 
-class Turn:
-    """A body that waits for its turn.
+class Place(typing.NamedTuple):
+    """The place of a body among those that wait.
 
     :param due: monotonic time at which it is due.
     :param number: tells it from others; grows with each.
+    """
+
+    due: float
+    number: int
+
+
+class Turn:
+    """A body that waits for its turn.
+
+    :param place: its place.
     :param size: bytes that it has to send.
     """
 
-    __slots__ = ('due', 'left', 'number', 'size')
+    __slots__ = ('left', 'place', 'size')
 
-    def __init__(self, due: float, number: int, size: int) -> None:
-        self.due = due
-        self.number = number
+    def __init__(self, place: Place, size: int) -> None:
+        self.place = place
         self.size = size
         # Whether it waits no more.
         self.left = False
 
     def __lt__(self, other: 'Turn') -> bool:
-        return (self.due, self.number) < (other.due, other.number)
+        return self.place < other.place
 
 
 class Link:
@@ -66,9 +76,14 @@
         self.waiting: list[Turn] = []
         self.numbers = itertools.count()
 
-    def due(self, size: int, now: float) -> float:
-        """Return when a body that is ready now is due."""
-        return now + STRETCH * size / self.bytes_s
+    def place(self, size: int, now: float) -> Place:
+        """Return the place of a body that is ready now.
+
+        It keeps it from its first part to its last: equals that are ready at
+        one moment would share the link otherwise, and all be late.
+        """
+        due = now + STRETCH * size / self.bytes_s
+        return Place(due, next(self.numbers))
 
     def wait_s(self, now: float) -> float:
         """Return how long it is until the next one may go, in seconds."""
@@ -79,9 +94,9 @@
         size = sum(turn.size for turn in self.waiting if not turn.left)
         return self.wait_s(now) + size / self.bytes_s
 
-    def ask(self, due: float, size: int) -> Turn:
+    def ask(self, place: Place, size: int) -> Turn:
         """Let a body wait for its turn."""
-        turn = Turn(due, next(self.numbers), size)
+        turn = Turn(place, size)
         heapq.heappush(self.waiting, turn)
         return turn
 
--- /dev/null
+++ b/test/test_gateway_pacer.py
@@ -0,0 +1,60 @@
+"""Turns on the link of a host, in virtual time."""
+
+import asyncio
+
+from carawaystair.gateway import pacer as pacers
+from test import fakes
+
+MBPS = 5.0
+SIZE = 90_000
+
+
+def test_caller_that_leaves_at_its_turn_does_not_stop_the_others():
+    """A caller left in the moment in which its answer got its turn, and no
+    answer behind it ever went out.
+    """
+
+    async def send(pacer, done, number):
+        way = pacer.way('other')
+        try:
+            async for _piece in way.pieces(b'x' * SIZE):
+                pass
+            done.append(number)
+        finally:
+            way.end()
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        pacer = pacers.Pacer('own', MBPS)
+        done: list[int] = []
+        tasks = [
+            asyncio.ensure_future(send(pacer, done, number))
+            for number in range(3)
+        ]
+        await asyncio.sleep(0.01)
+        turn_at = pacer.timer.when()
+
+        def be_late():
+            # The process stands still; both happen when it goes on.
+            loop.virtual.time = turn_at + 0.001
+
+        loop.call_at(turn_at - 0.002, be_late)
+        loop.call_at(turn_at - 0.001, tasks[0].cancel)
+        async with asyncio.timeout(5.0):
+            await asyncio.gather(*tasks, return_exceptions=True)
+        return done, pacer.futures, pacer.link.ahead_s(loop.time() + 1.0)
+
+    done, futures, ahead_s = fakes.run(scenario())
+    assert done == [1, 2]
+    assert not futures
+    assert ahead_s == 0.0
+
+
+def test_host_itself_is_not_paced():
+    """What a host sends to itself does not cross its link."""
+
+    async def scenario():
+        pacer = pacers.Pacer('own', MBPS)
+        return pacer.way('own'), pacers.Pacer('own', 0.0).way('other')
+
+    assert fakes.run(scenario()) == (pacers.FREE, pacers.FREE)
--- a/test/test_load_pacing.py
+++ b/test/test_load_pacing.py
@@ -22,17 +22,19 @@
     while yet or owners:
         while yet and yet[0][1][0] <= now:
             index, (at, size) = yet.popleft()
-            due = link.due(size, at)
-            owners[link.ask(due, size).number] = index, size
+            place = link.place(size, at)
+            link.ask(place, size)
+            owners[place.number] = index, size
         turn = link.first(now)
         if turn is None:
             idle = not owners
             now = yet[0][1][0] if idle else now + link.wait_s(now) + 1e-9
             continue
-        index, left = owners.pop(turn.number)
+        index, left = owners.pop(turn.place.number)
         left -= link.take(left, now)
         if left:
-            owners[link.ask(turn.due, left).number] = index, left
+            link.ask(turn.place, left)
+            owners[turn.place.number] = index, left
         else:
             took[index] = link.free_at - arrivals[index][0]
     return [took[index] for index in range(len(arrivals))]
@@ -51,6 +53,15 @@
         assert each <= own_s((number + 1) * DOWNLOAD) + pacing.CHUNK_S
 
 
+def test_equals_of_one_moment_do_not_share_the_link():
+    """Ten answers that were ready at one moment went in turns, a part each,
+    and all of them were late.
+    """
+    took = replay([(0.0, DOWNLOAD)] * 10)
+    for number, each in enumerate(took):
+        assert each <= own_s((number + 1) * DOWNLOAD) + pacing.CHUNK_S
+
+
 def test_body_waits_little_for_one_that_is_much_longer():
     """A body of 90 KB waited seconds for one of a megabyte."""
     _long, short = replay([(0.0, 1_000_000), (0.1, DOWNLOAD)])
