--- a/carawaystair/gateway/door.py
+++ b/carawaystair/gateway/door.py
@@ -17,6 +17,7 @@
 from carawaystair.gateway import detours
 from carawaystair.gateway import figures as figures_module
 from carawaystair.gateway import hops
+from carawaystair.gateway import pacer as pacers
 from carawaystair.gateway import runs as runs_module
 from carawaystair.gateway import slots as slots_module
 from carawaystair.gateway import streaming
@@ -35,6 +36,9 @@
 # Then one in this time; a node that hears none for three times as long takes
 # the connection for lost.
 SIGN_EVERY_S = 0.3
+# An answer that waits longer than this for the link is told as trouble: its
+# host has more to send than its link carries, seconds.
+LONG_WAIT_S = 0.3
 # Bodies are bounded by the node that took them from the caller.
 NO_LIMIT = 2**62
 MS = 1000
@@ -48,6 +52,7 @@
     :param work: runs requests at the upstreams of this host.
     :param figures: counts refusals.
     :param recorder: takes note of decisions.
+    :param pacer: shares the link of this host.
     """
 
     def __init__(
@@ -55,7 +60,9 @@
         work: works.Work,
         figures: figures_module.Figures,
         recorder: decisions.Recorder,
+        pacer: pacers.Pacer,
     ) -> None:
+        self.pacer = pacer
         self.work = work
         self.figures = figures
         self.recorder = recorder
@@ -87,7 +94,7 @@
     ) -> bool:
         if hop.detour:
             signs.stop()
-            return await detours.pass_on(hop, request)
+            return await detours.pass_on(hop, request, self.pacer)
         fresh = ages.aged(hop, clock.uptime_ms())
         if fresh is None:
             signs.stop()
@@ -109,15 +116,59 @@
         except Exception as error:
             signs.stop()
             return self._defect(hop, request, error)
-        signs.stop()
+        way = self.pacer.way(hop.host)
+        ready = clock.now()
+        try:
+            if answer.rest is None:
+                await way.begin(len(answer.body))
+            signs.stop()
+            first = clock.now()
+            goes_on = await self._pass_on(hop, request, answer, way)
+        finally:
+            way.end()
+        if way.ahead_s is not None:
+            self._tell_paced(hop, answer, way.ahead_s, ready, first)
+        return goes_on
+
+    def _tell_paced(
+        self,
+        hop: hops.Hop,
+        answer: answers.Answer,
+        ahead_s: float,
+        ready: float,
+        first: float,
+    ) -> None:
+        """Take note of an answer that waited for the link."""
+        event = decisions.Paced(
+            hop.id,
+            hop.upstream,
+            hop.host,
+            len(answer.body),
+            int((first - ready) * MS),
+            int((clock.now() - ready) * MS),
+            int(ahead_s * MS),
+        )
+        late = first - ready > LONG_WAIT_S
+        sort = decisions.TROUBLE if late else decisions.ROUTINE
+        self.recorder.tell(event, sort)
+
+    async def _pass_on(
+        self,
+        hop: hops.Hop,
+        request: incoming.Request,
+        answer: answers.Answer,
+        way: pacers.Way,
+    ) -> bool:
+        """Write an upstream's answer."""
         exchange = exchanges.Exchange(request, hop.id)
         extra = hops.report_line(self._report(hop, request))
         if answer.rest is None:
-            exchange.whole(answer, codes.OK, extra)
-            await exchange.drained()
+            await streaming.whole(answer, exchange, extra, way)
             return exchange.keep_alive
         try:
-            why = await streaming.pass_on(answer.rest, answer, exchange, extra)
+            why = await streaming.pass_on(
+                answer.rest, answer, exchange, extra, way
+            )
         finally:
             answer.rest.release()
         if why:
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -13,6 +13,7 @@
 from carawaystair.gateway import handover as handovers
 from carawaystair.gateway import inner as inners
 from carawaystair.gateway import known as knowns
+from carawaystair.gateway import pacer as pacers
 from carawaystair.gateway import paths
 from carawaystair.gateway import relay as relays
 from carawaystair.gateway import sends
@@ -71,8 +72,13 @@
             'share of %s' % settings.host,
         )
         inner = inners.InnerCalls(nesting.Payer(share))
+        self.pacer = pacers.Pacer(settings.host, node.link_mbps)
         self.known = knowns.Known(
-            settings.data_centre, membership.directory, routing, rng
+            settings.data_centre,
+            membership.directory,
+            routing,
+            rng,
+            self.pacer,
         )
         self.meters = meters_module.Meters(kernel.timeline)
         self.paths = paths.Paths(
@@ -112,7 +118,7 @@
         self.work = works.Work(
             membership, settings, inner, self.figures, recorder
         )
-        self.door = doors.Door(self.work, self.figures, recorder)
+        self.door = doors.Door(self.work, self.figures, recorder, self.pacer)
         self.recorder = recorder
         self.callers = listeners.Listener(
             self.front.handle, self.front.bounds, self.front.may_run_ahead
@@ -153,6 +159,9 @@
         yield metrics.Sample(
             'lines_left_out_total', self.recorder.room.left_out
         )
+        if self.pacer.link is not None:
+            ahead_s = self.pacer.link.ahead_s(clock.now())
+            yield metrics.Sample('link_ahead_seconds', ahead_s)
         for name, slots in self.work.slots.items():
             labels = (('upstream', name),)
             line = slots.line
