Trials: what can be repeated tries upstreams that are likely to fail

Cause: a gateway gave an upstream that had failed a request that may run once as a trial, 2.4 s after its last run while the node sees failures, 4.8 s otherwise. Repeatable requests come to each upstream by chance, and often before their own trial is due, so payouts came first: an upstream that stayed gray for twelve seconds cost about three of them.

Ruled out: want of knowledge at nodes.

Change: while an upstream is offered repeatable requests often (two in eight seconds), those that may run once leave it to them to try it. Where these come rarely, or not at all, nothing changes.

--- a/carawaystair/load/gate.py
+++ b/carawaystair/load/gate.py
@@ -71,6 +71,8 @@
     def answer(self, offer: Offer, want: waiting.Want, now: float) -> Answer:
         """Decide on a request that does not stay here at any price."""
         line = self.line
+        if not offer.last:
+            self.trials.offered(now)
         if line.running >= line.slots or line.waiting:
             # Another upstream may have a free slot.
             return Answer(rejecting.BUSY)
--- a/carawaystair/load/trying.py
+++ b/carawaystair/load/trying.py
@@ -7,7 +7,9 @@
 some time gets a request as a trial.
 
 Requests that may be repeated try first, and soon, as their failures cost a
-repeat only.  Where they come, none that may run once is lost to a trial.
+repeat only.  As long as they are offered here often, what may run once leaves
+it to them to try an upstream that is likely to fail: it would else be tried
+every few seconds by whatever comes first, and most of that is lost.
 """
 
 import math
@@ -27,6 +29,13 @@
 # each trial that fails loses a request.  Where they don't, all sound ones are
 # to have work within two seconds.
 CALM = 2.0
+# Requests that may be repeated come often to an upstream that was offered two
+# of them within so long, seconds.  They come to each one by chance, and many
+# while its trial is not due.
+OFFERED_S = 8.0
+# Where they come often, upstreams that fail more than this share are tried by
+# them alone.
+DOUBTFUL = 0.2
 
 
 class Trials:
@@ -37,6 +46,12 @@
         # When it last began any run, and when it last failed one.
         self.began_at = -math.inf
         self.failed_at = -math.inf
+        # When it was offered the last two requests that may be repeated.
+        self.offered_at = (-math.inf, -math.inf)
+
+    def offered(self, now: float) -> None:
+        """Take note of an offer of a request that may be repeated."""
+        self.offered_at = (self.offered_at[1], now)
 
     def began(self, now: float) -> None:
         """Take note that a run begins."""
@@ -66,6 +81,9 @@
         """
         if repeatable:
             return self.idle_s(now) >= self.every_s
+        often = now - self.offered_at[0] < OFFERED_S
+        if often and failing > DOUBTFUL:
+            return False
         patience_s = IDLE_S + LIKELY_S * failing
         quiet_s = now - max(self.failed_at, self.began_at)
         return quiet_s >= (CALM if calm else 1.0) * patience_s
--- a/test/test_load.py
+++ b/test/test_load.py
@@ -478,6 +478,51 @@
     assert Watched().failing(100.0) > 0.1
 
 
+def test_gray_upstream_is_tried_by_what_can_be_repeated():
+    """Symptom: a tenth of the payouts ends with an upstream's own failure.
+    Sequence: an upstream stays gray for 12 seconds, while payouts are offered
+    to it all the time, and a read every two seconds.
+    Cause: reads meet it by chance, mostly before its next trial is due, so
+    that payouts come first: one is lost every five seconds.
+    """
+    made = sound()
+    for now in (1.0, 2.0):
+        made.takes(now, idempotent=True)
+    made.see(2.0, AT_ONCE)
+    taken = {True: 0, False: 0}
+    for step in range(1, 240):
+        now = 2.0 + 0.05 * step
+        repeatable = step % 40 == 20
+        if made.takes(now, idempotent=repeatable, calm=False):
+            taken[repeatable] += 1
+            made.see(now, AT_ONCE)
+    assert taken[True] >= 3
+    assert taken[False] == 0
+    # The reads show that it is sound again, and payouts return.
+    for now in (15.0, 15.6, 16.2):
+        assert made.takes(now, idempotent=True)
+        made.see(now + 0.2, SURVIVED, SUCCEEDED)
+    assert made.takes(16.5)
+
+
+def test_payouts_try_an_upstream_to_which_reads_come_rarely():
+    """An upstream to which a read came once would get no work for long, if
+    payouts left its trial to reads wherever one was seen.
+    """
+    made = sound()
+    made.see(2.0, AT_ONCE)
+    assert made.takes(3.0, idempotent=True)
+    made.see(3.0, AT_ONCE)
+    assert not made.takes(4.0, calm=False)
+    assert made.takes(5.6, calm=False)
+    made.see(5.6, AT_ONCE)
+    # A second one makes them leave it to reads, until these stay away.
+    assert made.takes(8.0, idempotent=True)
+    made.see(8.0, AT_ONCE)
+    assert not made.takes(2.9 + trying.OFFERED_S, calm=False)
+    assert made.takes(3.0 + trying.OFFERED_S, calm=False)
+
+
 def test_upstream_that_stays_gray_gets_few_trials():
     """Symptom: the repeats of a service are used up, and what needs one
     fails.
