--- a/bench/gateway_model.py
+++ b/bench/gateway_model.py
@@ -63,8 +63,9 @@
         moments of its own, seconds.
     :param burst: factor on the rates in the middle third.
     :param end_s: length.
-    :param gray_fails: a gray upstream fails this share of its requests, at
-        once.
+    :param gray_fails: a gray upstream fails this share of its requests.
+    :param gray_works: whether it does so only when it has done the work, not
+        at once.
     :param errors: a sound one fails this share, when it has done the work.
     :param centres: data centres, over which all is spread evenly.
     :param retry_ratio: repeats as a share of first sends, in ten seconds.
@@ -84,6 +85,7 @@
     centres: int = 1
     retry_ratio: float = 0.2
     retry_slack: float = 58.0
+    gray_works: bool = False
 
 
 class Policy(typing.NamedTuple):
@@ -256,6 +258,8 @@
         self.order = itertools.count()
         self.outcomes: list[Outcome] = []
         self.trips: dict[str, Trip] = {}
+        # When runs began, and at which upstream.
+        self.begun: list[tuple[float, str]] = []
         # Runs that failed before they were worked on, of requests that may
         # run once.
         self.lost = 0
@@ -396,13 +400,15 @@
 
     def _begin(self, now: float, upstream: Upstream, trip: Trip) -> None:
         trip.runs += 1
+        self.begun.append((now, upstream.name))
         upstream.gate.trials.began(now)
         gray = upstream.gray(now)
-        if gray and upstream.rng.random() < self.plan.gray_fails:
+        fails = gray and upstream.rng.random() < self.plan.gray_fails
+        if fails and not self.plan.gray_works:
             self.at(now, self._end, upstream, trip, False, now)
             return
         self.at(now + SURVIVED_S, self._survived, upstream)
-        good = upstream.rng.random() >= self.plan.errors
+        good = not fails and upstream.rng.random() >= self.plan.errors
         end = now + max(trip.request.service_s, SURVIVED_S)
         self.at(end, self._end, upstream, trip, good, now)
 
--- a/carawaystair/experiments.py
+++ b/carawaystair/experiments.py
@@ -80,6 +80,8 @@
     'last-word': (Part(gate.Gate, 'worth', _one),),
     # Upstreams that had no work get some.
     'trials': (Part(trying.Trials, 'due', _no),),
+    # Leaving trials of those that fail to what may be repeated.
+    'leave-trials': (Part(trying, 'DOUBTFUL', math.inf),),
     # Asking those that nothing was heard of while requests fail.
     'spread': (Part(spreading, 'MOST_FAILING', math.inf),),
     # The same data centre first.
