Handover: a connection that the system gave up is no silence

A connection that the system gives up since nothing is acknowledged ends with ETIMEDOUT, which Python raises as TimeoutError as well, at once and without waiting. The loop never let others run, and each raise made the traceback of that one error longer.

Ruled out: links, retries, pacing: the same with and without each of them.

Change: a connection that has ended counts as broken, whatever its error. Before: test_connection_that_the_system_gave_up_is_not_listened_to does not end (stopped after 20 s); after: 200, one run.

--- a/carawaystair/gateway/handover.py
+++ b/carawaystair/gateway/handover.py
@@ -256,7 +256,10 @@
                 if await attempt.sign(until):
                     self._see_answer(attempt, signs)
                     return
-            except TimeoutError:
+            except TimeoutError as error:
+                if attempt.broken:
+                    # The system gave the connection up: that is no silence.
+                    raise ConnectionAbortedError(str(error)) from None
                 if clock.now() >= deadline or not attempt.may_run:
                     raise
                 self._doubt(attempt)
--- a/carawaystair/gateway/sends.py
+++ b/carawaystair/gateway/sends.py
@@ -251,6 +251,11 @@
         """
         return self.sent and self.proceeds
 
+    @property
+    def broken(self) -> bool:
+        """Tell whether nothing more can come on its connection."""
+        return self.connection.proto.error is not None
+
     def settle(self, now: float) -> None:
         """Let the connection go on, if all that its head says was sent."""
         if self.proceeds:
--- a/test/test_gateway_resuming.py
+++ b/test/test_gateway_resuming.py
@@ -463,3 +463,22 @@
             return answer.status, ran(fleet, path)
 
     assert pipes.run(scenario()) == (200, 1)
+
+
+@pytest.mark.parametrize(('method', 'path'), PATHS)
+def test_connection_that_the_system_gave_up_is_not_listened_to(method, path):
+    """Guards against a loop without end: such an end is a time-out, too."""
+
+    async def scenario():
+        script = fleets.slow(2.0)
+        async with fleets.running(None, script, retry_slack=0) as fleet:
+            asking = await asked(fleet, path, method)
+            loop = asyncio.get_running_loop()
+            for pipe in loop.made:
+                if pipe.get_extra_info('peername')[1] == 7001:
+                    pipe._lose(TimeoutError(110, 'Connection timed out'))
+                    pipe.peer._lose(ConnectionResetError())
+            answer = await asking
+            return answer.status, ran(fleet, path)
+
+    assert pipes.run(scenario()) == (200, 1)
