--- a/test/test_gateway_runs.py
+++ b/test/test_gateway_runs.py
@@ -140,3 +140,27 @@
     with pytest.raises((answers.Failed, slots.Refused)) as told:
         asyncio.run(scenario())
     assert told.value.reason in hops.UNSURE
+
+
+def test_refusal_after_a_run_that_was_forgotten_promises_nothing(monkeypatch):
+    """Guards against not-run for a repeatable request that ran before it was
+    asked for again.
+    """
+    monkeypatch.setattr(runs, 'KEEP_SHORT_S', 0.02)
+    answer = types.SimpleNamespace(rest=None)
+
+    async def work():
+        return answer
+
+    async def scenario():
+        here = _runs()
+        first = await here.once(_hop(1, True), work, lambda: True)
+        await asyncio.sleep(0.1)
+        again = _hop(2, True)._replace(again=True)
+        with pytest.raises(slots.Refused) as told:
+            await here.once(again, _refuse, lambda: False)
+        return first, told.value.reason
+
+    first, reason = asyncio.run(scenario())
+    assert first is answer
+    assert reason in hops.UNSURE
