--- a/carawaystair/load/retrying.py
+++ b/carawaystair/load/retrying.py
@@ -35,7 +35,8 @@
 # start: USED_SLACK * (1 + FIRST_SHARE) of it are spent at worst around a start
 # of all.  What is left is for parts rounded up.
 FIRST_SHARE = 0.75
-# So many share the slack at least, as far as a gateway knows when it starts.
+# A gateway that starts reckons with so many others that share the slack, since
+# it may know none of them yet.
 FIRST_NODES = 12
 
 
