--- a/test/gateway_setup.py
+++ b/test/gateway_setup.py
@@ -274,3 +274,25 @@
 async def fail(upstream, seen, writer) -> None:
     """Fail at once."""
     writer.write(setups.reply(b'no', 500, X_Receipt='r'))
+
+
+def ran(fleet: Fleet, path: str) -> int:
+    """Return how often a request was run."""
+    return sum(path in seen.line for seen in fleet.runs)
+
+
+async def asked(
+    fleet: Fleet, path: str, method: str, body: bytes = b'x'
+) -> asyncio.Task:
+    """Ask the first node; return once an upstream runs the request.
+
+    Where there are more than two nodes, one has an upstream of ``other``.
+    """
+    await fleet.ask('/read/warm')
+    if fleet.count > 2:
+        await fleet.ask('/other/warm')
+    body = body if method == 'POST' else b''
+    asking = asyncio.ensure_future(fleet.ask(path, method, body=body))
+    while not ran(fleet, path):
+        await asyncio.sleep(0.01)
+    return asking
--- a/test/test_gateway_links.py
+++ b/test/test_gateway_links.py
@@ -90,6 +90,14 @@
         writer.close()
 
 
+def ten_downloads(fleet) -> list[asyncio.Task]:
+    """Ask the first node for ten long answers at once."""
+    return [
+        asyncio.ensure_future(fleet.ask('/down/%d' % DOWNLOAD))
+        for _ in range(10)
+    ]
+
+
 def test_signs_of_life_do_not_stand_behind_downloads():
     """On links of 5 Mbit/s twelve nodes took a gateway for silent at the same
     moment and asked again for their requests. It had sent ten answers of 90
@@ -100,10 +108,7 @@
     async def scenario():
         async with running() as fleet:
             await fleet.ask('/read/10')
-            downloads = [
-                asyncio.ensure_future(fleet.ask('/down/%d' % DOWNLOAD))
-                for _ in range(10)
-            ]
+            downloads = ten_downloads(fleet)
             signs = []
             for _ in range(8):
                 await asyncio.sleep(0.1)
@@ -156,10 +161,7 @@
         done: list = []
         async with running() as fleet:
             await fleet.ask('/read/10')
-            downloads = [
-                asyncio.ensure_future(fleet.ask('/down/%d' % DOWNLOAD))
-                for _ in range(10)
-            ]
+            downloads = ten_downloads(fleet)
             await asyncio.sleep(0.02)
             await timed(fleet.ask('/read/400'), done, 'read')
             await asyncio.gather(*downloads)
@@ -224,10 +226,7 @@
         done: list = []
         async with running() as fleet:
             await fleet.ask('/read/10')
-            leaving = [
-                asyncio.ensure_future(fleet.ask('/down/%d' % DOWNLOAD))
-                for _ in range(10)
-            ]
+            leaving = ten_downloads(fleet)
             await asyncio.sleep(0.3)
             for task in leaving:
                 task.cancel()
@@ -272,10 +271,7 @@
     async def scenario():
         async with running() as fleet:
             await fleet.ask('/read/10')
-            downloads = [
-                asyncio.ensure_future(fleet.ask('/down/%d' % DOWNLOAD))
-                for _ in range(10)
-            ]
+            downloads = ten_downloads(fleet)
             await asyncio.sleep(0.2)
             await fleet.nodes[1].service.stop()
             return await asyncio.gather(*downloads)
--- a/test/test_gateway_resuming.py
+++ b/test/test_gateway_resuming.py
@@ -22,23 +22,6 @@
 PATHS = [('GET', '/read/x'), ('POST', '/pay/x')]
 
 
-def ran(fleet, path: str) -> int:
-    """Return how often a request was run."""
-    return sum(path in seen.line for seen in fleet.runs)
-
-
-async def asked(fleet, path: str, method: str, body: bytes = b'x'):
-    """Ask the first node; return once an upstream runs the request."""
-    await fleet.ask('/read/warm')
-    if fleet.count > 2:
-        await fleet.ask('/other/warm')
-    body = body if method == 'POST' else b''
-    asking = asyncio.ensure_future(fleet.ask(path, method, body=body))
-    while not ran(fleet, path):
-        await asyncio.sleep(0.01)
-    return asking
-
-
 @pytest.mark.parametrize('what', ['queue', 'silence', 'frozen'])
 def test_doubted_request_of_an_unknown_route_goes_elsewhere(what):
     """Guards against waiting for a silent gateway until the deadline."""
@@ -177,7 +160,7 @@
             fleets.serve,
             **THREE,
         ) as fleet:
-            asking = await asked(fleet, path, method)
+            asking = await fleets.asked(fleet, path, method)
             loop = asyncio.get_running_loop()
             before = list(loop.made)
             hit = []
@@ -196,7 +179,7 @@
                     pipe._lose(ConnectionResetError())
                     pipe.peer._lose(ConnectionResetError())
             answer = await asking
-            return answer.status, ran(fleet, path), len(hit)
+            return answer.status, fleets.ran(fleet, path), len(hit)
 
     assert pipes.run(scenario()) == (200, 1, 1)
 
@@ -217,13 +200,13 @@
 
     async def scenario():
         async with fleets.running(None, script, retry_slack=0) as fleet:
-            asking = await asked(fleet, path, method)
+            asking = await fleets.asked(fleet, path, method)
             loop = asyncio.get_running_loop()
             # Later for the open connection than for new ones.
             loop.queue(7001, 0.6)
             loop.queues['127.0.0.1:7001'] = 0.2
             answer = await asking
-            return answer.status, len(answer.body), ran(fleet, path)
+            return answer.status, len(answer.body), fleets.ran(fleet, path)
 
     assert pipes.run(scenario()) == (200, len(body), 1)
 
@@ -239,7 +222,7 @@
             fleets.serve,
             **THREE,
         ) as fleet:
-            asking = await asked(fleet, '/pay/x', 'POST')
+            asking = await fleets.asked(fleet, '/pay/x', 'POST')
             loop = asyncio.get_running_loop()
             loop.silence(7001)
             loop.listeners.pop('127.0.0.1:7001')
@@ -261,7 +244,9 @@
 
     async def scenario():
         async with fleets.running(None, script, retry_slack=0) as fleet:
-            asking = await asked(fleet, '/pay/x', 'POST', body=b'z' * body)
+            asking = await fleets.asked(
+                fleet, '/pay/x', 'POST', body=b'z' * body
+            )
             loop = asyncio.get_running_loop()
             await asyncio.sleep(0.2)
             loop.silence(7001)
@@ -305,10 +290,10 @@
 
     async def scenario():
         async with fleets.running(None, script, retry_slack=0) as fleet:
-            asking = await asked(fleet, path, method)
+            asking = await fleets.asked(fleet, path, method)
             asyncio.get_running_loop().queue(7001, 0.24)
             answer = await asking
-            return answer.status, len(answer.body), ran(fleet, path)
+            return answer.status, len(answer.body), fleets.ran(fleet, path)
 
     assert pipes.run(scenario()) == (200, len(body), 1)
 
@@ -322,12 +307,12 @@
     async def scenario():
         script = fleets.slow(2.0)
         async with fleets.running(None, script, retry_slack=0) as fleet:
-            asking = await asked(fleet, path, method)
+            asking = await fleets.asked(fleet, path, method)
             loop = asyncio.get_running_loop()
             loop.queue(7001, 0.4)
             loop.reset(7001)
             answer = await asking
-            return answer.status, ran(fleet, path)
+            return answer.status, fleets.ran(fleet, path)
 
     assert pipes.run(scenario()) == (200, 1)
 
@@ -343,13 +328,13 @@
         async with fleets.running(
             None, script, retry_slack=0, lame_duck_s=1.0
         ) as fleet:
-            asking = await asked(fleet, path, method)
+            asking = await fleets.asked(fleet, path, method)
             loop = asyncio.get_running_loop()
             asyncio.ensure_future(fleet.nodes[1].service.stop())
             await asyncio.sleep(1.5)
             loop.reset(7001)
             answer = await asking
-            return answer.status, ran(fleet, path)
+            return answer.status, fleets.ran(fleet, path)
 
     assert pipes.run(scenario()) == (200, 1)
 
@@ -366,7 +351,7 @@
 
     async def scenario():
         async with fleets.running(None, script, retry_slack=0) as fleet:
-            asking = await asked(fleet, '/pay/x', 'POST')
+            asking = await fleets.asked(fleet, '/pay/x', 'POST')
             loop = asyncio.get_running_loop()
             loop.queue(7001, 0.4)
             began = loop.time()
@@ -397,7 +382,7 @@
             asking = asyncio.ensure_future(
                 setups.ask(reader, writer, path, method, body=body)
             )
-            while not ran(fleet, path):
+            while not fleets.ran(fleet, path):
                 await asyncio.sleep(0.01)
             loop = asyncio.get_running_loop()
             loop.queue(7001, queue_s)
@@ -453,14 +438,14 @@
     async def scenario():
         script = fleets.slow(0.7)
         async with fleets.running(None, script, retry_slack=0) as fleet:
-            asking = await asked(fleet, path, method)
+            asking = await fleets.asked(fleet, path, method)
             loop = asyncio.get_running_loop()
             loop.queue(7001, 0.6)
             await asyncio.sleep(0.3)
             up = next(iter(fleet.nodes[1].told.values()))
             fleet.tell(up._replace(state='gone'))
             answer = await asking
-            return answer.status, ran(fleet, path)
+            return answer.status, fleets.ran(fleet, path)
 
     assert pipes.run(scenario()) == (200, 1)
 
@@ -472,13 +457,13 @@
     async def scenario():
         script = fleets.slow(2.0)
         async with fleets.running(None, script, retry_slack=0) as fleet:
-            asking = await asked(fleet, path, method)
+            asking = await fleets.asked(fleet, path, method)
             loop = asyncio.get_running_loop()
             for pipe in loop.made:
                 if pipe.get_extra_info('peername')[1] == 7001:
                     pipe._lose(TimeoutError(110, 'Connection timed out'))
                     pipe.peer._lose(ConnectionResetError())
             answer = await asking
-            return answer.status, ran(fleet, path)
+            return answer.status, fleets.ran(fleet, path)
 
     assert pipes.run(scenario()) == (200, 1)
