Customers: keys, quotas over the whole fleet, revocation that binds hosts out of touch

Change: customers of the manifest have keys, a rate with a burst and a priority; routes may be public; require_keys. Keys are rows of their own, by digest. Nodes accept keys only while control vouched for their configuration within node.keys_max_age_s. The leader of control grants requests of customers with a rate; a majority of control records each grant before it counts, and a new leader collects them. Rows and hops without customers keep their bytes.

--- a/carawaystair/admin/ownership.py
+++ b/carawaystair/admin/ownership.py
@@ -22,6 +22,9 @@
     rows.HEAD: settings_module.ADMIN,
     rows.REGION: settings_module.ADMIN,
     rows.CUSTOMER: settings_module.CUSTOMERS,
+    rows.CREDENTIAL: settings_module.CUSTOMERS,
+    rows.KEYS_REQUIRED: settings_module.ADMIN,
+    rows.LIMITS: settings_module.ADMIN,
     rows.DRAINS: settings_module.DRAIN,
 }
 
--- a/carawaystair/codes.py
+++ b/carawaystair/codes.py
@@ -328,6 +328,22 @@
     'Ask again, or ask another node; if it lasts, see config_lag_seconds.',
 )
 
+KEY_UNKNOWN = define(
+    3019,
+    'key-unknown',
+    401,
+    'The request brings no key of a customer, or one that is not in force.',
+    'Send "Authorization: Bearer KEY" with a key of the manifest.',
+)
+KEYS_UNCERTAIN = define(
+    3020,
+    'keys-uncertain',
+    503,
+    'This node has been out of touch with control for so long that a key may'
+    ' have been taken away since.',
+    'Ask another node; see keys_age_seconds and whether control has a quorum.',
+)
+
 # 4: upstreams and attempts
 
 NO_UPSTREAM = define(
@@ -494,6 +510,23 @@
     'Send fewer requests at once, or raise the weight in the manifest.',
 )
 
+QUOTA_USED = define(
+    6005,
+    'quota-used',
+    429,
+    'The customer has sent as many requests as its rate and burst allow.',
+    'Come back after Retry-After, or raise rate_per_s of the customer.',
+)
+QUOTA_UNKNOWN = define(
+    6006,
+    'quota-unknown',
+    503,
+    'No leader of control told in time whether the quota of the customer has'
+    ' room for the request.',
+    'Come back after Retry-After; if it lasts, see whether control has a'
+    ' quorum.',
+)
+
 # 7: links between processes, membership
 
 MESSAGE_MALFORMED = define(
--- a/carawaystair/control/role.py
+++ b/carawaystair/control/role.py
@@ -9,6 +9,7 @@
 from carawaystair import nodemetrics
 from carawaystair import publisher
 from carawaystair import quarantine
+from carawaystair.quota import grantor
 from carawaystair.reservations import placement_server
 
 
@@ -26,6 +27,7 @@
         self.publisher = publisher.Publisher(kernel.links, self.group, rng)
         self.admin = admin.make(kernel, self.group, self.publisher)
         self.placement_server = placement_server.make(kernel, self.group)
+        self.grantor = grantor.make(kernel, self.group)
         # A node of the same process brings the membership of both.
         alone = 'node' not in kernel.settings.roles
         self.parts = (
@@ -33,6 +35,7 @@
             self.group,
             self.publisher,
             self.placement_server,
+            self.grantor,
             self.admin,
         )
 
--- a/carawaystair/follower.py
+++ b/carawaystair/follower.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 import pathlib
 import random
 import typing
@@ -105,6 +106,8 @@
         self.vouchers: set[str] = set()
         self.floor = rows.NONE
         self.confirmed_at: float | None = None
+        # Uptime at which the version held was surely the newest one, ms.
+        self.newest_at_ms = -math.inf
         self.lag = lags.Lag()
         self.sources = sources.Sources(
             members, control_hosts, self.lag, poll_s, rng
@@ -138,6 +141,14 @@
         """
         return self.held if self.ready else EMPTY
 
+    def age_s(self) -> float:
+        """Return how long ago the version held was surely the newest one.
+
+        It counts on while this host is suspended.  All changes accepted
+        before that moment are in force here.
+        """
+        return (clock.uptime_ms() - self.newest_at_ms) / MS
+
     @property
     def counts(self) -> lags.Counts:
         """What was read to keep up."""
@@ -266,6 +277,7 @@
         """
         for _turn in range(MOST_IN_A_ROW):
             self.asked, asked_at = address, clock.now()
+            asked_ms = clock.uptime_ms()
             got = await self.reader.fetch(
                 address, kind, self.held, whole, silent
             )
@@ -277,17 +289,22 @@
                 if not self._take(answer.delta, got.table):
                     return False
             if answer.newest <= self.held.version:
-                self._confirm(answer, asked_at)
+                self._confirm(answer, asked_at, asked_ms)
                 return True
         return True
 
-    def _confirm(self, got: distribution.Answer, asked_at: float) -> None:
+    def _confirm(
+        self, got: distribution.Answer, asked_at: float, asked_ms: int
+    ) -> None:
         """Take note that control vouches for the version held.
 
         :param asked_at: monotonic time of the question.
+        :param asked_ms: uptime at the question, ms.
         """
         if not got.confirmed or got.newest < self.held.version:
             return
+        # The answer may have been on its way for long.
+        self.newest_at_ms = max(self.newest_at_ms, asked_ms)
         self.confirmed_at = clock.now()
         self.lag.vouched(asked_at)
         if self.held.version >= self.floor and len(self.held.table):
--- a/carawaystair/gateway/__init__.py
+++ b/carawaystair/gateway/__init__.py
@@ -20,6 +20,7 @@
     recorder: decisions.Recorder,
     quarantine: interfaces.Quarantine,
     behind_s: typing.Callable[[], float] = lambda: 0.0,
+    age_s: typing.Callable[[], float] = lambda: 0.0,
 ) -> service.Gateway:
     """Return the service that routes requests on a node with a gateway.
 
@@ -29,7 +30,9 @@
     :param quarantine: tracks requests that crash upstreams.
     :param behind_s: returns for how long a newer configuration has been
         known, seconds; 0.0 while there is none.
+    :param age_s: returns how long ago the configuration in force was surely
+        the newest one, seconds.
     """
     return service.Gateway(
-        kernel, membership, routing, recorder, behind_s, quarantine
+        kernel, membership, routing, recorder, behind_s, quarantine, age_s
     )
--- a/carawaystair/gateway/caller_handler.py
+++ b/carawaystair/gateway/caller_handler.py
@@ -8,6 +8,7 @@
 from carawaystair import clock
 from carawaystair import codes
 from carawaystair import decisions
+from carawaystair.gateway import authentication
 from carawaystair.gateway import call_tracker
 from carawaystair.gateway import dispatcher as dispatchers
 from carawaystair.gateway import dispatches
@@ -17,6 +18,7 @@
 from carawaystair.gateway import streaming
 from carawaystair import interfaces
 from carawaystair import manifest
+from carawaystair.quota import client as quotas
 from carawaystair.request import answer as answers
 from carawaystair.request import base_handler
 from carawaystair.request import body as bodies
@@ -39,6 +41,10 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 NOT_RUN_STATUS = 503
 UNKNOWN_STATUS = 502
+# Ranks of routes below one rank of customers.
+ROUTE_RANKS = 1000
+# Part of the time to the latency goal in which a grant must come.
+MAX_GRANT_WAIT = 0.4
 
 
 class CallerHandler(base_handler.BaseHandler):
@@ -53,6 +59,8 @@
     :param startup_wait: waits for a configuration right after the start.
     :param splitter: chooses among the services of a route.
     :param nested: tracks nested calls of this host's upstreams.
+    :param authenticator: checks keys of customers.
+    :param quota: grants requests of customers that have a rate.
     :param meters: counts outcomes of requests.
     :param metrics: counts requests by route and outcome.
     :param recorder: records events.
@@ -68,6 +76,8 @@
         startup_wait: startup.StartupWait,
         splitter: splitting.Splitter,
         nested: call_tracker.NestedCallTracker,
+        authenticator: authentication.Authenticator,
+        quota: quotas.Client,
         meters: meters_module.Meters,
         metrics: request_metrics.RequestMetrics,
         recorder: decisions.Recorder,
@@ -79,6 +89,8 @@
         self.startup_wait = startup_wait
         self.splitter = splitter
         self.nested_calls = nested
+        self.authenticator = authenticator
+        self.quota = quota
         self.metrics = metrics
         self.recorder = recorder
         # The version of the configuration last used, and since when.
@@ -97,6 +109,12 @@
                 self.header_names.caller_service,
             )
         )
+        # The same where keys are required: upstreams get no key, and the
+        # customer that this node has found.
+        self.keyed_headers = self.own_headers | {
+            authentication.AUTHORIZATION.lower().encode(),
+            self.header_names.customer.lower().encode(),
+        }
 
     def bounds(self) -> http_server.Bounds:
         """Return the limits on callers' requests, as configured."""
@@ -168,7 +186,7 @@
         task = asyncio.current_task()
         self.tasks.add(task)
         try:
-            await self._forward(dispatch, exchange, started_at)
+            await self._run(dispatch, exchange, started_at)
         except validation.Refused as refused:
             outcome = codes.NOT_RUN
             self._record_answer(
@@ -244,6 +262,10 @@
         if match is None:
             raise self._no_route()
         route = match.route
+        parent = self.nested_calls.running_parent(exchange.id)
+        sender = self.authenticator.identify(
+            routing, route, request.headers, bool(parent)
+        )
         name = self.splitter.service(match.key, route)
         service = routing.service(name)
         if service is None:
@@ -252,23 +274,27 @@
         service = service._replace(max_body=most)
         match = routings.Match(match.key, route, service)
         call = self._call(request, exchange, place, match, now)
+        dropped = self._dropped_headers(routing)
+        call = call._replace(head=self._head(request, place, dropped))
         length = bodies.declared_length(request)
         if length != 0 or 'Expect' in request.headers:
             call = await self._read_body(request, call, exchange, length)
-        credentials = request.headers.get('Authorization', '')
+        credentials = sender.customer or request.headers.get(
+            authentication.AUTHORIZATION, ''
+        )
         call = digests.with_digest(call, place.host, credentials)
         goal_s = route.goal_ms / MS if route.goal_ms else call.deadline - now
-        parent = self.nested_calls.running_parent(call.id)
         params = dispatches.Params(
             name,
             now + goal_s,
-            self.nested_calls.rank(call.id, route.priority),
+            self.nested_calls.rank(call.id, _rank(routing, route, sender)),
             bool(parent),
             parent in self.nested_calls.retried,
             bool(parent) and self.nested_calls.count_call(parent, name),
             self.service,
             route.max_attempts or dispatchers.DEFAULT_MAX_RUNS,
             str(routing.version),
+            sender,
         )
         return dispatches.Dispatch(call, params)
 
@@ -296,17 +322,29 @@
             '',
             request.method,
             place.path,
-            self._head(request, place),
+            b'',
+        )
+
+    def _dropped_headers(self, routing: routings.Routing) -> frozenset[bytes]:
+        """Return the headers of callers that upstreams don't get."""
+        return (
+            self.keyed_headers if routing.keys_required else self.own_headers
         )
 
     def _head(
-        self, request: http_server.Request, place: validation.RequestTarget
+        self,
+        request: http_server.Request,
+        place: validation.RequestTarget,
+        dropped: frozenset[bytes],
     ) -> bytes:
-        """Return the request line and headers for the upstream."""
+        """Return the request line and headers for the upstream.
+
+        :param dropped: names of headers to leave out, in lower case.
+        """
         raw = [
             pair
             for pair in request.raw_headers
-            if pair[0].lower() not in self.own_headers
+            if pair[0].lower() not in dropped
         ]
         if place.authority:
             raw = [pair for pair in raw if pair[0].lower() != b'host']
@@ -317,6 +355,34 @@
 
     # Answering
 
+    async def _run(
+        self,
+        dispatch: dispatches.Dispatch,
+        exchange: exchanges.Exchange,
+        started_at: float,
+    ) -> None:
+        """Forward a request once its customer's quota has room for it.
+
+        The grant of a request that was surely not run is given back.
+        """
+        customer = dispatch.params.sender.customer
+        to_goal_s = dispatch.params.goal - clock.now()
+        lease = await self.quota.acquire(
+            customer,
+            self.routing().customer(customer) if customer else None,
+            clock.now() + MAX_GRANT_WAIT * to_goal_s,
+        )
+        try:
+            await self._forward(dispatch, exchange, started_at)
+        except validation.Refused:
+            if lease is not None:
+                lease.give_back()
+            raise
+        except answers.Failed as failed:
+            if lease is not None and not failed.sent:
+                lease.give_back()
+            raise
+
     async def _forward(
         self,
         dispatch: dispatches.Dispatch,
@@ -434,6 +500,25 @@
         exchange.write_error(code, outcome, detail, retry_after_s, status)
 
 
+def _rank(
+    routing: routings.Routing,
+    route: manifest.Route,
+    sender: authentication.Sender,
+) -> int:
+    """Return the priority of a request, 0 first.
+
+    Where keys are required, that of its customer goes before that of its
+    route.
+    """
+    if not routing.keys_required:
+        return route.priority
+    customer = routing.customer(sender.customer) if sender.customer else None
+    first = route.priority
+    if customer is not None and customer.priority is not None:
+        first = customer.priority
+    return first * ROUTE_RANKS + min(route.priority, ROUTE_RANKS - 1)
+
+
 def _status(code: codes.Code, outcome: str) -> int:
     """Return the status that expresses an outcome."""
     if outcome == codes.NOT_RUN and code.status >= 500:
--- a/carawaystair/gateway/dispatcher.py
+++ b/carawaystair/gateway/dispatcher.py
@@ -15,6 +15,7 @@
 from carawaystair import clock
 from carawaystair import codes
 from carawaystair import decisions
+from carawaystair.gateway import authentication
 from carawaystair.gateway import dispatches
 from carawaystair.gateway import gateway_client
 from carawaystair.gateway import hedging
@@ -65,6 +66,7 @@
     :param startup_wait: waits for upstreams right after the start.
     :param retry_budgets: this node's retry budgets, by service.
     :param quarantine: tracks requests that crash upstreams.
+    :param authenticator: checks keys of customers.
     :param rng: the source of randomness.
     :param recorder: records events.
     """
@@ -76,11 +78,13 @@
         startup_wait: startup.StartupWait,
         retry_budgets: retry_budget.Budgets,
         quarantine: interfaces.Quarantine,
+        authenticator: authentication.Authenticator,
         rng: random.Random,
         recorder: decisions.Recorder,
     ) -> None:
         self.retry_budgets = retry_budgets
         self.quarantine = quarantine
+        self.authenticator = authenticator
         self.pool = pool
         self.selector = pool.selector
         self.client = client
@@ -159,6 +163,8 @@
             return False
         if dispatch.runs and not self.quarantine.may_retry(digest):
             return False
+        if self.authenticator.recheck(dispatch.params.sender) is not None:
+            return False
         runs = dispatch.params.max_runs
         return dispatch.runs < runs and dispatch.sent < max(
             MAX_UPSTREAMS_REACHED, runs
@@ -187,7 +193,8 @@
             raise dispatch.failure
         if dispatch.crashing or self.quarantine.refuses(dispatch.call.digest):
             raise self._crash_refusal(dispatch)
-        raise self._rejection(dispatch)
+        refused = self.authenticator.recheck(dispatch.params.sender)
+        raise refused or self._rejection(dispatch)
 
     def _best_declined(
         self, dispatch: dispatches.Dispatch
--- a/carawaystair/gateway/dispatches.py
+++ b/carawaystair/gateway/dispatches.py
@@ -6,6 +6,7 @@
 import typing
 
 from carawaystair import clock
+from carawaystair.gateway import authentication
 from carawaystair.gateway import hops
 from carawaystair.load import request_value
 from carawaystair.load import upstream_selection
@@ -46,6 +47,7 @@
     :param caller_service: the service on this host.
     :param max_runs: number of upstreams that may run it.
     :param config_version: version of the configuration in use.
+    :param sender: who sent it.
     """
 
     service: str
@@ -57,6 +59,7 @@
     caller_service: str
     max_runs: int
     config_version: str
+    sender: authentication.Sender = authentication.NOBODY
 
 
 class LostConnection(typing.NamedTuple):
@@ -242,4 +245,5 @@
             budgeted=budgeted,
             typical_ms=int(typical_s * MS),
             digest=call.digest,
+            customer=params.sender.customer,
         )
--- a/carawaystair/gateway/executor.py
+++ b/carawaystair/gateway/executor.py
@@ -246,6 +246,7 @@
             instance.target,
             self.header_names,
             hop.caller_service,
+            hop.customer,
             source,
         )
         self.running.add(attempt)
--- a/carawaystair/gateway/hops.py
+++ b/carawaystair/gateway/hops.py
@@ -103,6 +103,8 @@
     :param expects_continue: whether its body is sent only when the gateway
         asks for it, which it does once the request has a slot.
     :param digest: identifies its content, see ``digests``.
+    :param customer: the customer whose key it brought, for the upstream; not
+        sent where keys are not required.
     """
 
     id: str
@@ -134,6 +136,7 @@
     budgeted: bool = False
     expects_continue: bool = False
     digest: str = ''
+    customer: str = ''
 
     @property
     def key(self) -> str:
@@ -183,7 +186,9 @@
 
 def header_line(hop: Hop) -> bytes:
     """Return the header line that carries a hop."""
-    return b'%b: %b\r\n' % (HOP.encode(), msgspec.json.encode(hop))
+    # Processes that know nothing of customers refuse a longer hop.
+    fields = hop if hop.customer else hop[:-1]
+    return b'%b: %b\r\n' % (HOP.encode(), msgspec.json.encode(fields))
 
 
 def parse(value: str) -> Hop | None:
--- a/carawaystair/gateway/send_attempts.py
+++ b/carawaystair/gateway/send_attempts.py
@@ -62,6 +62,7 @@
     :param target: the upstream.
     :param header_names: names of the fleet's headers.
     :param caller_service: the service on the host where the request began.
+    :param customer: the customer whose key it brought, or ''.
     :param source: the source of the body if it is not buffered here.
     """
 
@@ -69,6 +70,7 @@
         'body_source',
         'caller_service',
         'claimed',
+        'customer',
         'foreign_count',
         'header_names',
         'release_slot',
@@ -80,11 +82,13 @@
         target: targets.Target,
         header_names: settings.Headers,
         caller_service: str,
+        customer: str = '',
         source: bodies.Source | None = None,
     ) -> None:
         super().__init__(call, target)
         self.header_names = header_names
         self.caller_service = caller_service
+        self.customer = customer
         self.body_source = source
         self.foreign_count = 0
         # Whether somebody forwards its long answer.
@@ -109,6 +113,8 @@
             names.caller_service,
             self.caller_service,
         )
+        if self.customer:
+            lines += '%s: %s\r\n' % (names.customer, self.customer)
         return lines.encode()
 
     def streamed_body(self) -> bodies.Source:
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -7,6 +7,7 @@
 
 from carawaystair import clock
 from carawaystair import decisions
+from carawaystair.gateway import authentication
 from carawaystair.gateway import call_tracker
 from carawaystair.gateway import caller_handler
 from carawaystair.gateway import dispatcher as dispatchers
@@ -24,6 +25,7 @@
 from carawaystair.load import nested_call_budget
 from carawaystair.load import retry_budget
 from carawaystair import metrics
+from carawaystair.quota import client as quotas
 from carawaystair.request import connections
 from carawaystair.request import http_server
 from carawaystair.request import listener as listeners
@@ -50,6 +52,8 @@
     :param behind_s: returns for how long a newer configuration has been
         known, seconds; 0.0 while there is none.
     :param quarantine: tracks requests that crash upstreams.
+    :param age_s: returns how long ago the configuration in force was surely
+        the newest one, seconds.
     """
 
     def __init__(
@@ -60,6 +64,7 @@
         recorder: decisions.Recorder,
         behind_s: typing.Callable[[], float],
         quarantine: interfaces.Quarantine,
+        age_s: typing.Callable[[], float],
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
@@ -98,27 +103,41 @@
             recorder,
         )
         startup_wait = startup.StartupWait()
+        self.authenticator = authentication.Authenticator(
+            routing, behind_s, age_s, node.keys_max_age_s
+        )
         self.dispatcher = dispatchers.Dispatcher(
             self.pool,
             self.client,
             startup_wait,
             retry_budgets,
             quarantine,
+            self.authenticator,
             rng,
             recorder,
         )
         # Request ids begin with the start time of the process, so that they
         # differ from those of its previous runs.
         self.request_metrics = request_metrics.RequestMetrics()
+        prefix = '%s-%x' % (settings.host, kernel.incarnation & 0xFFFFFFFF)
+        quota = quotas.Client(
+            kernel.links,
+            membership.members,
+            settings.control_hosts,
+            prefix,
+            rng,
+        )
         self.caller_handler = caller_handler.CallerHandler(
             settings,
-            '%s-%x' % (settings.host, kernel.incarnation & 0xFFFFFFFF),
+            prefix,
             routing,
             behind_s,
             self.dispatcher,
             startup_wait,
             splitting.Splitter(rng),
             nested,
+            self.authenticator,
+            quota,
             self.meters,
             self.request_metrics,
             recorder,
--- a/carawaystair/gateway_node.py
+++ b/carawaystair/gateway_node.py
@@ -25,6 +25,7 @@
             kernel.recorder,
             self.quarantine,
             self.follower.lag.seconds,
+            self.follower.age_s,
         )
         self.parts = (
             self.membership,
--- a/carawaystair/manifest.py
+++ b/carawaystair/manifest.py
@@ -109,6 +109,7 @@
     :param max_attempts: upstreams that may get one request; 0 leaves it to
         the node.
     :param notes: as with a service.
+    :param public: whether callers need no key, where others do.
     """
 
     prefix: str
@@ -123,6 +124,7 @@
     priority: int = 0
     max_attempts: int = 0
     notes: str = ''
+    public: bool = False
 
     def services(self) -> tuple[str, ...]:
         """Return the services that requests of this route may go to."""
@@ -137,10 +139,22 @@
     :param weight: share of a busy service relative to other customers.
     :param limit: requests at once on one service over the fleet, 0 for
         none.
+    :param keys: secrets of its callers; each names this customer.
+    :param rate_per_s: requests a second over the fleet, in the long run; 0
+        for any number.
+    :param burst: requests beyond the rate in one quota window.
+    :param priority: rank among customers, 0 first, which goes before the
+        rank of routes; None for the rank of the route alone.
+    :param notes: as with a service.
     """
 
     weight: int = 1
     limit: int = 0
+    keys: tuple[str, ...] = ()
+    rate_per_s: float = 0.0
+    burst: int = 0
+    priority: int | None = None
+    notes: str = ''
 
 
 class Drains(typing.NamedTuple):
@@ -185,6 +199,7 @@
     :param limits: bounds of what callers may send.
     :param revision: the pipeline's own number of the document, which grows;
         0 where it has none.
+    :param require_keys: whether callers must bring the key of a customer.
     """
 
     format: int
@@ -196,6 +211,7 @@
     drains: Drains = Drains()
     limits: Limits = Limits()
     revision: int = 0
+    require_keys: bool = False
 
 
 # Reading
--- a/carawaystair/manifest_rules.py
+++ b/carawaystair/manifest_rules.py
@@ -114,10 +114,11 @@
     ('header_timeout_ms', 1, 600_000),
     ('idle_timeout_ms', 1, 3_600_000),
 )
+MAX_PRIORITY = 10**6
 ROUTE_BOUNDS = (
     ('timeout_ms', 0, 600_000),
     ('goal_ms', 0, 3_600_000),
-    ('priority', 0, 10**6),
+    ('priority', 0, MAX_PRIORITY),
     ('max_attempts', 0, 100),
 )
 MAX_WEIGHT = 10**9
@@ -214,7 +215,15 @@
         yield shape.Mistake(where, 'has weights that add up to 0')
 
 
-CUSTOMER_BOUNDS = (('weight', 1, 10_000), ('limit', 0, 10**6))
+CUSTOMER_BOUNDS = (
+    ('weight', 1, 10_000),
+    ('limit', 0, 10**6),
+    ('rate_per_s', 0, 10**6),
+    ('burst', 0, 10**6),
+)
+# A key stands in one header line, without spaces (RFC 6750 2.1).
+CUSTOMER_KEY = re.compile(r'[!-~]{1,256}')
+MAX_CUSTOMER_KEYS = 100
 
 
 def _check_customers(
@@ -226,11 +235,37 @@
         yield from _check_name(('$.customers', name), name)
     for name, customer in manifest.customers.items():
         if not all(
-            low <= value <= high
-            for value, (_name, low, high) in zip(customer, CUSTOMER_BOUNDS)
+            low <= getattr(customer, field) <= high
+            for field, low, high in CUSTOMER_BOUNDS
         ):
             path = ('$.customers', name)
             yield from _check_bounds(path, customer, CUSTOMER_BOUNDS)
+        rank = customer.priority
+        if rank is not None and not 0 <= rank <= MAX_PRIORITY:
+            path = shape.show((('$.customers', name), 'priority'))
+            yield shape.Mistake(path, 'expected 0 to %d' % MAX_PRIORITY)
+    yield from _check_customer_keys(manifest.customers)
+
+
+def _check_customer_keys(
+    customers: dict[str, 'manifests.Customer'],
+) -> typing.Iterator[shape.Mistake]:
+    """Check the keys of customers; a mistake never shows one."""
+    owners: dict[str, str] = {}
+    for name, customer in customers.items():
+        path = (('$.customers', name), 'keys')
+        if len(customer.keys) > MAX_CUSTOMER_KEYS:
+            count = shape.show(path)
+            yield from _check_count(count, customer.keys, MAX_CUSTOMER_KEYS)
+        for index, key in enumerate(customer.keys):
+            if not CUSTOMER_KEY.fullmatch(key):
+                text = 'expected 1 to 256 printable ASCII signs, no space'
+                yield shape.Mistake(shape.show((path, index)), text)
+            owner = owners.setdefault(key, name)
+            if owner != name:
+                text = 'is a key of customer %r, too'
+                shown = owner[: shape.MAX_SHOWN]
+                yield shape.Mistake(shape.show((path, index)), text % shown)
 
 
 def _check_drains(
--- a/carawaystair/nodemetrics.py
+++ b/carawaystair/nodemetrics.py
@@ -100,6 +100,7 @@
         """Yield the samples."""
         counts = self.node.counts
         yield metrics.Sample('config_lag_seconds', self.node.lag.seconds())
+        yield metrics.Sample('keys_age_seconds', self.node.age_s())
         yield metrics.Sample('config_steps_total', counts.steps)
         yield metrics.Sample('config_tables_begun_total', counts.tables_begun)
         yield metrics.Sample('config_tables_read_total', counts.tables_read)
--- a/carawaystair/routing.py
+++ b/carawaystair/routing.py
@@ -54,6 +54,8 @@
         self.drains = self.drains or manifests.Drains()
         self.limits = self._read(rows.LIMITS, manifests.Limits)
         self.limits = self.limits or manifests.Limits()
+        self.keys_required = rows.KEYS_REQUIRED in table
+        self.customer_of = functools.lru_cache(CACHE)(self._customer_of)
 
     def services(self) -> tuple[str, ...]:
         """Return the names of all services."""
@@ -83,6 +85,13 @@
     def _customer(self, name: str) -> manifests.Customer | None:
         return self._read(rows.CUSTOMER + name, manifests.Customer)
 
+    def _customer_of(self, credential: str) -> str:
+        """Return the customer of a key, '' for none.
+
+        :param credential: the row key, see ``rows.credential``.
+        """
+        return self._read(credential, str) or ''
+
     def _region(self, name: str) -> manifests.Place | None:
         return self._read(rows.REGION + name, manifests.Place)
 
--- a/carawaystair/rows.py
+++ b/carawaystair/rows.py
@@ -25,6 +25,12 @@
 DRAINS = 'drains/all'
 # Present only where limits differ from the defaults.
 LIMITS = 'limits/all'
+# Present only where callers must bring the key of a customer.
+KEYS_REQUIRED = 'keys/required'
+# The customer of a key, by the digest of the key.  Derived from customers, so
+# that a lookup does not depend on how many there are.
+CREDENTIAL = 'credential/'
+CREDENTIAL_BYTES = 16
 
 Table = dict[str, bytes]
 Put = tuple[tuple[str, bytes], ...]
@@ -47,6 +53,7 @@
 _DECODERS = {
     kind: msgspec.msgpack.Decoder(kind)
     for kind in (
+        str,
         Head,
         manifests.Customer,
         manifests.Drains,
@@ -111,15 +118,40 @@
     return (total % MODULUS).to_bytes(16)
 
 
+# Fields that these types had when fleets first ran.  Fields added later are
+# left out while they have their defaults: processes that don't know them read
+# such rows, and rows keep their digests.
+_FIRST_FIELDS = {
+    manifests.Customer: manifests.Customer._fields.index('keys'),
+    manifests.Route: manifests.Route._fields.index('public'),
+}
+
+
 def encode(value) -> bytes:
     """Return the bytes of one row's value."""
-    return msgspec.msgpack.encode(value)
+    first = _FIRST_FIELDS.get(type(value))
+    if first is None:
+        return msgspec.msgpack.encode(value)
+    defaults = value._field_defaults
+    size = len(value)
+    while (
+        size > first and value[size - 1] == defaults[value._fields[size - 1]]
+    ):
+        size -= 1
+    return msgspec.msgpack.encode(value[:size])
+
+
+def credential(key: str) -> str:
+    """Return the row key of a customer's key, which does not reveal it."""
+    data = key.encode('utf-8', 'surrogateescape')
+    made = hashlib.blake2b(data, digest_size=CREDENTIAL_BYTES)
+    return CREDENTIAL + made.hexdigest()
 
 
 def decode(kind: type, value: bytes):
     """Return the value that :func:`encode` was given.
 
-    :param kind: its ``NamedTuple`` type.
+    :param kind: its type.
     """
     return _DECODERS[kind].decode(value)
 
@@ -132,9 +164,16 @@
     }
     if manifest.limits != manifests.Limits():
         table[LIMITS] = encode(manifest.limits)
+    if manifest.require_keys:
+        table[KEYS_REQUIRED] = encode(True)
     table |= {REGION + k: encode(v) for k, v in manifest.regions.items()}
     table |= {SERVICE + k: encode(v) for k, v in manifest.services.items()}
     table |= {CUSTOMER + k: encode(v) for k, v in manifest.customers.items()}
+    table |= {
+        credential(key): encode(name)
+        for name, customer in manifest.customers.items()
+        for key in customer.keys
+    }
     table |= {
         ROUTE + route.host.lower() + route.prefix: encode(route)
         for route in manifest.routes
@@ -166,6 +205,7 @@
         if LIMITS in table
         else manifests.Limits(),
         head.revision,
+        KEYS_REQUIRED in table,
     )
 
 
--- a/carawaystair/settings.py
+++ b/carawaystair/settings.py
@@ -59,6 +59,8 @@
     :param crash_limit: upstreams that crash under a request before it is
         refused.
     :param crash_hold_s: seconds for which it is refused then.
+    :param keys_max_age_s: keys of customers are accepted for so long after
+        control last vouched for the configuration; 0 for ever.
     """
 
     listen: str
@@ -75,6 +77,7 @@
     link_mbps: float = 0.0
     crash_limit: int = crash_suspects.CRASH_LIMIT
     crash_hold_s: float = crash_suspects.HOLD_S
+    keys_max_age_s: float = 0.0
 
 
 class Headers(typing.NamedTuple):
@@ -91,6 +94,8 @@
         where upstreams give none.
     :param not_run: borne by answers of an upstream that did not run the
         request.
+    :param customer: the customer whose key a request brought, told to
+        upstreams where keys are required.
     """
 
     request_id: str = 'Caraway-Request-Id'
@@ -99,6 +104,7 @@
     caller_service: str = 'Caraway-Caller-Service'
     receipt: str = ''
     not_run: str = 'Caraway-Not-Run'
+    customer: str = 'Caraway-Customer'
 
 
 class Team(typing.NamedTuple):
@@ -152,6 +158,8 @@
         number of voters; 0 leaves members to operators.
     :param patience_s: seconds for which a starting voter waits for all the
         others before a majority of them must do.
+    :param quota_window_s: the window in which requests of a customer are
+        counted, seconds.
     """
 
     admin: str
@@ -163,6 +171,7 @@
     founds: bool = True
     grow_to: int = 0
     patience_s: float = 5.0
+    quota_window_s: float = 5.0
 
 
 class Experiment(typing.NamedTuple):
--- a/carawaystair/settings_rules.py
+++ b/carawaystair/settings_rules.py
@@ -33,10 +33,12 @@
     ('node.retry_slack', 0, 1_000_000),
     ('node.crash_limit', 2, 8),
     ('node.crash_hold_s', 1.0, 3600.0),
+    ('node.keys_max_age_s', 0.0, 3600.0),
     ('node.retry_window_s', 1.0, 600.0),
     ('node.link_mbps', 0.0, 1e6),
     ('control.grow_to', 0, 7),
     ('control.patience_s', 0.0, 60.0),
+    ('control.quota_window_s', 0.1, 3600.0),
     ('control.reads_per_s', 0.1, 1e6),
     ('control.changes_per_s', 0.1, 1e6),
 )
--- a/carawaystair/table.py
+++ b/carawaystair/table.py
@@ -1,10 +1,10 @@
 """The rows of one version in little memory, cheap to change and to send.
 
-Routes and customers are many, and a node asks for few of them.  They stand in
-:data:`BUCKETS` buckets by a hash of the key.  A bucket is three flat arrays:
-as Python objects the same rows would take several times the memory.  Tables
-are values: a change rebuilds only the buckets that it touches and shares all
-others with the table before.
+Routes, customers and keys are many, and a node asks for few of them.  They
+stand in :data:`BUCKETS` buckets by a hash of the key.  A bucket is three flat
+arrays: as Python objects the same rows would take several times the memory.
+Tables are values: a change rebuilds only the buckets that it touches and
+shares all others with the table before.
 """
 
 import array
@@ -25,7 +25,7 @@
 PIECE_BYTES = 32 * 1024
 
 # Kinds of rows that go into buckets; others are few and asked for often.
-MANY = (rows.ROUTE, rows.CUSTOMER)
+MANY = (rows.ROUTE, rows.CUSTOMER, rows.CREDENTIAL)
 
 _LENGTHS = struct.Struct('<HI')
 
--- a/test/gateway_setup.py
+++ b/test/gateway_setup.py
@@ -27,6 +27,9 @@
 )
 
 
+CONTROL = '127.0.0.1:5000'
+
+
 class LogLines:
     """Collects log lines."""
 
@@ -132,7 +135,8 @@
             'host': self.host,
             'data_centre': self.data_centre,
             'region': 'r',
-            'headers': {'receipt': 'X-Receipt'},
+            'headers': {'receipt': 'X-Receipt', 'customer': 'X-Customer'},
+            'control_hosts': [CONTROL],
             'node': {
                 'listen': '127.0.0.1:%d' % self.listen,
                 'gateway': self.gateway_address,
@@ -160,6 +164,7 @@
             self.recorder,
             self.quarantine,
             lambda: fleet.behind_s,
+            lambda: fleet.age_s,
         )
 
     def announce(
@@ -203,13 +208,16 @@
         limits=manifest.Limits(),
         remote_count: int = 0,
         services: tuple[str, ...] = (),
+        customers: dict[str, manifest.Customer] | None = None,
         **node,
     ) -> None:
         self.remote_count = remote_count
         self.count = len(scripts)
         self.services = services or ('portal',) * len(scripts)
-        self.routing = _routing(routes, limits, self.services)
+        self.routing = _routing(routes, limits, self.services, customers)
         self.behind_s = 0.0
+        # How old the knowledge of the configuration is, seconds.
+        self.age_s = 0.0
         self.network = fakes.Network()
         self.nodes: list[Node] = []
         self.slots = slots
@@ -251,14 +259,16 @@
             writer.close()
 
 
-def _routing(routes, limits, services) -> routings.Routing:
+def _routing(routes, limits, services, customers) -> routings.Routing:
     document = manifest.Manifest(
         1,
         'test',
         {'r': manifest.Place(('a', 'b'))},
         dict.fromkeys(('portal', 'other', *services), SERVICE),
         routes,
+        customers or {},
         limits=limits,
+        require_keys=customers is not None,
     )
     return routings.Routing(rows.Version(1, 1), rows.from_manifest(document))
 
--- a/test/test_platform_documents.py
+++ b/test/test_platform_documents.py
@@ -330,3 +330,129 @@
 def test_invalid_durations_are_refused(text):
     with pytest.raises(fields.Malformed):
         fields.duration_ms({'t': text}, 't', 'x')
+
+
+# Customers
+
+
+TENANT = {
+    'api_keys': ['k-1', 'k-2'],
+    'priority': 1,
+    'rate_per_s': 27,
+    'burst': 9,
+}
+
+
+def _with_tenants(**tenants):
+    document = platform_setup.configuration()
+    document['resources'] += [
+        platform_setup.resource('tenants', name, **spec)
+        for name, spec in tenants.items()
+    ]
+    return document
+
+
+def test_customers_are_returned_as_they_were_sent():
+    document = _with_tenants(
+        north=TENANT,
+        zero={'api_keys': [], 'rate_per_s': 0, 'burst': 0, 'note': 'x'},
+        bare={'api_keys': ['k-3'], 'rate_per_s': 2.5},
+    )
+    manifest = manifest_of(document)
+    assert manifest.require_keys
+    assert manifest.customers['north'].rate_per_s == 27.0
+    back = configuration.to_document(
+        rows.to_manifest(rows.from_manifest(manifest))
+    )
+    tenants = {
+        item['metadata']['name']: item['spec']
+        for item in back['resources']
+        if item['resource_type'] == 'tenants'
+    }
+    assert tenants == {
+        item['metadata']['name']: item['spec']
+        for item in document['resources']
+        if item['resource_type'] == 'tenants'
+    }
+
+
+def test_configuration_without_customers_requires_no_keys():
+    manifest = manifest_of(platform_setup.configuration())
+    assert not manifest.require_keys
+    assert rows.KEYS_REQUIRED not in rows.from_manifest(manifest)
+
+
+def test_change_adds_and_removes_keys_and_customers():
+    current = manifest_of(_with_tenants(north=TENANT, south={'api_keys': []}))
+    change = {
+        'version': 9,
+        'base_version': 7,
+        'upsert': {
+            'resources': [
+                platform_setup.resource(
+                    'tenants', 'north', **{**TENANT, 'api_keys': ['k-2']}
+                )
+            ]
+        },
+        'remove': {'tenants': ['south']},
+    }
+    result = configuration.apply(parse(change, False), current, CONSTANTS)
+    assert {k: v.keys for k, v in result.customers.items()} == {
+        'north': ('k-2',)
+    }
+    table = rows.from_manifest(result)
+    assert rows.credential('k-2') in table
+    assert rows.credential('k-1') not in table
+
+
+@pytest.mark.parametrize(
+    'spec, path',
+    [
+        ({'api_keys': ['k-1']}, '$.customers.south.keys[0]'),
+        ({'api_keys': ['a b']}, '$.customers.south.keys[0]'),
+        ({'api_keys': ['']}, '$.customers.south.keys[0]'),
+        ({'api_keys': ['x' * 257]}, '$.customers.south.keys[0]'),
+        (
+            {'api_keys': [], 'rate_per_s': -1},
+            '$.customers.south.rate_per_s',
+        ),
+        ({'api_keys': [], 'burst': -1}, '$.customers.south.burst'),
+        ({'api_keys': [], 'priority': -1}, '$.customers.south.priority'),
+    ],
+    ids=str,
+)
+def test_invalid_customer_is_refused_without_showing_its_key(spec, path):
+    """Guards against two customers with one key, and keys in messages."""
+    document = _with_tenants(north=TENANT, south=spec)
+    manifest = configuration.apply(parse(document), None, CONSTANTS)
+    result = manifests.read(configuration.encode_manifest(manifest))
+    _code, mistakes = result.error
+    assert [mistake.path for mistake in mistakes] == [path]
+    keys = [key for key in spec['api_keys'] if key]
+    assert not any(key in str(mistakes) for key in keys)
+
+
+@pytest.mark.parametrize(
+    'spec', [{}, {'api_keys': 'k'}, {'api_keys': [1]}], ids=str
+)
+def test_customer_without_a_list_of_keys_is_refused(spec):
+    with pytest.raises(fields.Malformed, match='api_keys'):
+        parse(_with_tenants(north=spec))
+
+
+def test_bounds_of_keys_and_quotas_become_settings():
+    document = platform_setup.settings()
+    plain = platform_settings.fleet_settings(platform_settings.parse(document))
+    assert plain.node.keys_max_age_s == 0.0
+    document['terms']['bounds'] |= {
+        'strict_revoke': True,
+        'revoke': '5000ms',
+        'quota_window': '4s',
+    }
+    result = platform_settings.fleet_settings(
+        platform_settings.parse(document)
+    )
+    # From 0.6 of the bound on nothing is owed; before it none is refused.
+    assert 3.0 < result.node.keys_max_age_s < 5.0
+    assert result.control.quota_window_s == 4.0
+    assert result.headers.customer == 'X-Tenant-Id'
