Quotas: ask through other nodes while control is out of reach; spare grants after a restart of control

After all processes were killed at the end, no request ran until a whole window after the start.

Change: a node that two control hosts in a row left without an answer asks through other nodes, four at a time, and keeps the one that could help; where none can, one request probes and the others are refused at once. A new leader that can't know what was granted grants what the deployment lets a window exceed its allowance by (control.quota_overage, control.quota_slack), once no earlier leader can grant any more.

--- a/carawaystair/quota/client.py
+++ b/carawaystair/quota/client.py
@@ -3,10 +3,15 @@
 A request waits for its grant, so that no node spends what it was not granted.
 While control elects a leader, requests wait for a moment and are then refused:
 a node can't know what others spend meanwhile.
+
+A node that gets no answer from control asks through other nodes; few of them
+may be able to.  Where none is, only one request at a time waits to find out
+when control can be reached again, and the others are refused at once.
 """
 
 import asyncio
 import itertools
+import math
 import random
 import typing
 
@@ -25,6 +30,18 @@
 PATIENCE_S = 2.0
 # Pause before the leader is asked again that does not grant yet, seconds.
 PAUSE_S = 0.05
+# Control hosts that leave a question unanswered, one after the other, before
+# control counts as out of reach.
+MAX_SILENT = 2
+# Nodes that are asked at a time to pass a question on, how often, and how long
+# each may take, seconds.
+RELAYS = 4
+RELAY_ROUNDS = 4
+RELAY_TIMEOUT_S = 0.15
+# How long nodes are not asked again after none of them could help, seconds.
+RELAY_PAUSE_S = 0.5
+# When a request that was refused without any answer may return, seconds.
+RETURN_S = 0.5
 # Share of a time to return by which it is spread.
 SPREAD = 0.2
 MS = 1000
@@ -56,6 +73,14 @@
         self.numbers = itertools.count(1)
         # Where the leader of control was last known.
         self.leader = ''
+        # Questions in a row that no control host answered.
+        self.silent = 0
+        # Whether a request finds out if control can be reached again.
+        self.probing = False
+        # The node that passed a question on, or until when none is asked.
+        self.relay = ''
+        self.no_relay_until = -math.inf
+        transport.handle(messages.Relay, self._on_relay)
 
     async def acquire(
         self, name: str, customer: manifests.Customer | None, until: float
@@ -71,11 +96,14 @@
         if customer is None or not customer.rate_per_s:
             return None
         lease = Lease(self, name, '%s-%x' % (self.prefix, next(self.numbers)))
-        until = min(until, clock.now() + PATIENCE_S)
-        answer = await self._ask(messages.Acquire(name, lease.id), until)
+        answer = await self._ask_or_probe(
+            messages.Acquire(name, lease.id),
+            min(until, clock.now() + PATIENCE_S),
+        )
         if answer is None:
-            after_s = retry_after.retry_after_s(PAUSE_S, self.rng)
-            raise validation.Refused(codes.QUOTA_UNKNOWN, '', after_s)
+            detail = '%d control hosts silent in a row' % self.silent
+            after_s = retry_after.retry_after_s(RETURN_S, self.rng)
+            raise validation.Refused(codes.QUOTA_UNKNOWN, detail, after_s)
         if answer.result == messages.OVER:
             after_s = answer.retry_ms / MS
             after_s *= 1.0 + SPREAD * self.rng.random()
@@ -86,6 +114,73 @@
             raise validation.Refused(codes.QUOTA_USED, detail, after_s)
         return lease
 
+    async def _ask_or_probe(
+        self, question: messages.Acquire, until: float
+    ) -> messages.Acquired | None:
+        """Ask, unless control is out of reach and another request asks."""
+        if self.silent < MAX_SILENT:
+            answer = await self._ask(question, until)
+            if answer is not None or self.silent < MAX_SILENT:
+                return answer
+        answer = await self._ask_relays(question, until)
+        if answer is not None or self.probing:
+            return answer
+        self.probing = True
+        try:
+            return await self._ask(question, until)
+        finally:
+            self.probing = False
+
+    async def _ask_relays(
+        self, question: messages.Acquire, until: float
+    ) -> messages.Acquired | None:
+        """Ask through other nodes; None if none of them reaches the leader.
+
+        Those that can't say so at once.  The one that can is asked first from
+        then on.
+        """
+        message = messages.Relay(question.customer, question.id)
+        for _round in range(RELAY_ROUNDS):
+            left_s = until - clock.now()
+            if left_s <= 0.0 or clock.now() < self.no_relay_until:
+                return None
+            nodes = [self.relay] if self.relay else self._sample_nodes()
+            timeout_s = min(RELAY_TIMEOUT_S, left_s)
+            results = await asyncio.gather(
+                *(
+                    self.transport.call(node, message, timeout_s)
+                    for node in nodes
+                )
+            )
+            self.relay = ''
+            for node, result in zip(nodes, results):
+                answer = result.default_value(None)
+                if _is_decided(answer):
+                    self.relay = node
+                    return answer
+        self.no_relay_until = clock.now() + RELAY_PAUSE_S
+        return None
+
+    def _sample_nodes(self) -> list[str]:
+        me = self.members.me.host
+        nodes = [
+            member.peer
+            for member in self.members.alive()
+            if not member.control and member.host != me
+        ]
+        return self.rng.sample(nodes, min(RELAYS, len(nodes)))
+
+    async def _on_relay(
+        self, _sender: str, message: messages.Relay
+    ) -> messages.Acquired:
+        """Ask control for another node."""
+        answer = None
+        if self.silent < MAX_SILENT:
+            question = messages.Acquire(message.customer, message.id)
+            until = clock.now() + RELAY_TIMEOUT_S
+            answer = await self._ask(question, until)
+        return answer or messages.Acquired(messages.UNREACHABLE)
+
     async def _ask(
         self, question: messages.Acquire, until: float
     ) -> messages.Acquired | None:
@@ -94,17 +189,15 @@
         while True:
             address = self.leader or self._any_control_host(tried)
             left_s = until - clock.now()
-            if not address or left_s <= 0.0:
+            out_of_reach = self.silent >= MAX_SILENT and not self.probing
+            if not address or left_s <= 0.0 or out_of_reach:
                 return None
             result = await self.transport.call(
                 address, question, min(CALL_TIMEOUT_S, left_s)
             )
             answer = result.default_value(None)
-            if isinstance(answer, messages.Acquired) and answer.result in (
-                messages.GRANTED,
-                messages.OVER,
-            ):
-                self.leader = address
+            if _is_decided(answer):
+                self.leader, self.silent = address, 0
                 return answer
             tried.add(address)
             await self._follow(address, answer)
@@ -114,9 +207,11 @@
     ) -> None:
         """Find out whom to ask next."""
         if answer is None:
+            self.silent += 1
             if self.leader == asked:
                 self.leader = ''
             return
+        self.silent = 0
         if answer.result == messages.NOT_LEADER:
             self.leader = answer.leader if answer.leader != asked else ''
             if self.leader:
@@ -154,3 +249,10 @@
     def give_back(self) -> None:
         """Return it: the request was not run and will not be."""
         self.client.give_back(self)
+
+
+def _is_decided(answer) -> bool:
+    return (
+        isinstance(answer, messages.Acquired)
+        and answer.result in messages.DECIDED
+    )
--- a/carawaystair/quota/grantor.py
+++ b/carawaystair/quota/grantor.py
@@ -5,10 +5,15 @@
 exists, since a majority follows this term, and that a later one will learn of
 these grants, since it asks a majority, too.  A voter that answers a later
 leader refuses the rounds of earlier ones from then on.
+
+After a restart of most control hosts nobody knows what was granted within the
+last window, but it was no more than customers are allowed.  Until that window
+is over, the leader grants what quotas may be exceeded by.
 """
 
 import asyncio
 import functools
+import math
 import typing
 
 import expression
@@ -42,6 +47,26 @@
 LOG = logs.get('quota')
 
 
+class Quota(typing.NamedTuple):
+    """How requests of customers are counted.
+
+    :param window_ms: length of the window, ms.
+    :param overage: share by which a customer may exceed what a window allows.
+    :param slack: requests by which it may do so beyond that.
+    """
+
+    window_ms: int
+    overage: float = 0.0
+    slack: int = 0
+
+    def spare(self, most: int) -> int:
+        """Return by how much a window may exceed its allowance.
+
+        :param most: its allowance.
+        """
+        return math.floor(self.overage * most) + self.slack
+
+
 class Round:
     """Grants that are sent to the voters together.
 
@@ -58,22 +83,27 @@
 
     :param shared: state of the replica of the control log.
     :param group: the control group, which has the configuration.
-    :param window_ms: length of the quota window, ms.
+    :param quota: how requests are counted.
     """
 
     def __init__(
         self,
         shared: states.State,
         group: control.Control,
-        window_ms: int,
+        quota: Quota,
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
         self.shared = shared
         self.group = group
         self.transport = shared.transport
-        self.window_ms = window_ms
-        self.ledger = ledgers.Ledger(window_ms)
+        self.quota = quota
+        self.window_ms = quota.window_ms
+        self.ledger = ledgers.Ledger(quota.window_ms)
+        # What was granted before earlier grants were known.
+        self.spare = ledgers.Ledger(quota.window_ms)
+        # The term in which no earlier leader can grant any more.
+        self.fenced_term = -1
         self.round: Round | None = None
         self.returned: list[ledgers.Grant] = []
         # The term in which this host knows all earlier grants, and the
@@ -105,6 +135,7 @@
         while not self.should_stop:
             now_ms = clock.uptime_ms()
             self.ledger.evict(now_ms)
+            self.spare.evict(now_ms)
             state = self.shared
             votes = state.ready and state.group.votes(state.identity)
             if not votes:
@@ -130,15 +161,13 @@
             return messages.Acquired(
                 messages.NOT_LEADER, leader=state.leader_peer
             )
-        if self.term != state.term:
-            self._recover()
-            return messages.Acquired(messages.RECOVERING)
         most = self._allowance(ask.customer)
         if most is None:
             # The node has an older version; nothing limits the customer.
             return messages.Acquired(messages.GRANTED)
-        now_ms = clock.uptime_ms()
-        verdict = self.ledger.take(ask.customer, ask.id, most, now_ms)
+        verdict = self._take(ask, most)
+        if verdict is None:
+            return messages.Acquired(messages.RECOVERING)
         if not verdict.granted:
             self._count_refusal(ask.customer)
             return messages.Acquired(messages.OVER, verdict.retry_ms)
@@ -150,6 +179,23 @@
         self.granted += 1
         return messages.Acquired(messages.GRANTED)
 
+    def _take(
+        self, ask: messages.Acquire, most: int
+    ) -> ledgers.Verdict | None:
+        """Decide on a request; None if this leader may not do so yet."""
+        now_ms = clock.uptime_ms()
+        if self.term == self.shared.term:
+            return self.ledger.take(ask.customer, ask.id, most, now_ms)
+        self._recover()
+        if self.fenced_term != self.shared.term:
+            return None
+        spare = self.quota.spare(most)
+        verdict = self.spare.take(ask.customer, ask.id, spare, now_ms)
+        if not verdict.granted:
+            return None
+        self.ledger.record([ledgers.Grant(ask.customer, ask.id)], now_ms)
+        return verdict
+
     def _allowance(self, customer: str) -> int | None:
         """Return what a window may hold; None where nothing limits it."""
         row = self.group.table().get(rows.CUSTOMER + customer)
@@ -273,6 +319,8 @@
             now_ms = clock.uptime_ms()
             for answer in answers:
                 self.ledger.record(answer.grants, now_ms)
+            if self._is_majority({a.identity for a in answers}):
+                self.fenced_term = term
             complete = {a.identity for a in answers if a.complete}
             enough = self._complete(now_ms) and self._is_majority(complete)
             if enough and state.leads(term):
@@ -351,5 +399,10 @@
 
     :param group: the replicated control group.
     """
-    window_ms = int(kernel.settings.control.quota_window_s * ledgers.MS)
-    return Grantor(group.replica.shared, group, window_ms)
+    settings = kernel.settings.control
+    quota = Quota(
+        int(settings.quota_window_s * ledgers.MS),
+        settings.quota_overage,
+        settings.quota_slack,
+    )
+    return Grantor(group.replica.shared, group, quota)
--- a/carawaystair/quota/messages.py
+++ b/carawaystair/quota/messages.py
@@ -10,6 +10,8 @@
 OVER = 1  # the customer's window is full
 NOT_LEADER = 2  # another host grants
 RECOVERING = 3  # this leader does not know yet what was granted before
+UNREACHABLE = 4  # a node that was to pass the question on gets no answer
+DECIDED = frozenset((GRANTED, OVER))
 
 
 @wire.register(180)
@@ -107,3 +109,15 @@
     term: int
     complete: bool
     grants: tuple[ledger.Grant, ...] = ()
+
+
+@wire.register(187)
+class Relay(typing.NamedTuple):
+    """A node that can't reach control asks another one to do so.
+
+    :param customer: as in :class:`Acquire`.
+    :param id: as in :class:`Acquire`.
+    """
+
+    customer: str
+    id: str
--- a/carawaystair/settings.py
+++ b/carawaystair/settings.py
@@ -160,6 +160,8 @@
         others before a majority of them must do.
     :param quota_window_s: the window in which requests of a customer are
         counted, seconds.
+    :param quota_overage: share by which they may exceed what a window allows.
+    :param quota_slack: requests by which they may do so beyond that.
     """
 
     admin: str
@@ -172,6 +174,8 @@
     grow_to: int = 0
     patience_s: float = 5.0
     quota_window_s: float = 5.0
+    quota_overage: float = 0.0
+    quota_slack: int = 0
 
 
 class Experiment(typing.NamedTuple):
--- a/carawaystair/settings_rules.py
+++ b/carawaystair/settings_rules.py
@@ -39,6 +39,8 @@
     ('control.grow_to', 0, 7),
     ('control.patience_s', 0.0, 60.0),
     ('control.quota_window_s', 0.1, 3600.0),
+    ('control.quota_overage', 0.0, 10.0),
+    ('control.quota_slack', 0, 10**6),
     ('control.reads_per_s', 0.1, 1e6),
     ('control.changes_per_s', 0.1, 1e6),
 )
--- a/test/test_gateway_customers.py
+++ b/test/test_gateway_customers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from carawaystair import clock
 from carawaystair.gateway import authentication
 from carawaystair.gateway import caller_handler
 from carawaystair import manifest
@@ -323,3 +324,28 @@
         rank(idle, 'late'),
     ]
     assert ranked == sorted(set(ranked))
+
+
+def test_requests_are_refused_at_once_while_control_is_out_of_reach():
+    """Guards against callers held in vain by a host that is cut off."""
+
+    async def scenario(fleet):
+        control = Control(fleet)
+        times = []
+        for _time in range(3):
+            began = clock.now()
+            asked = [
+                fleet.ask('/read/x', Authorization=OTHER) for _n in range(5)
+            ]
+            answers = await asyncio.gather(*asked)
+            assert {answer.status for answer in answers} == {503}
+            times.append(clock.now() - began)
+        control.answers = [GRANTED] * 10
+        while (await fleet.ask('/read/x', Authorization=OTHER)).status != 200:
+            await asyncio.sleep(0.01)
+        return times, control
+
+    times, control = played(scenario)
+    assert times[0] < 1.0
+    # Of the later ones a single request each asks on.
+    assert len({ask.id for ask in control.asked}) <= 5 + 2 + 10
--- a/test/test_quota_group.py
+++ b/test/test_quota_group.py
@@ -27,12 +27,14 @@
 CUSTOMER = manifests.Customer(keys=('k',), rate_per_s=8.0, burst=4)
 MOST = 12
 ROW = rows.encode(CUSTOMER)
+NODES = 8
 
 
 class Host(control_group.Host):
     """A control host that grants."""
 
     grantor_class: type = grantor.Grantor
+    quota = grantor.Quota(WINDOW_MS)
     service: grantor.Grantor
 
     async def start(self) -> None:
@@ -41,7 +43,7 @@
             table=lambda: {rows.CUSTOMER + 'north': ROW}
         )
         self.service = self.grantor_class(
-            self.replica.shared, configured, WINDOW_MS
+            self.replica.shared, configured, self.quota
         )
         await self.service.start()
 
@@ -59,26 +61,32 @@
 class Members:
     """Members that a node knows of."""
 
-    def __init__(self, group: Group) -> None:
+    def __init__(self, group: Group, number: int) -> None:
         self.group = group
+        self.me = node_member(number)
 
     def alive(self):
-        return tuple(
+        control = tuple(
             interfaces.Member(s.name, 'a', 'r', s.peer, '', control=True)
             for s in self.group.seats
         )
+        return (*control, *map(node_member, range(NODES)))
+
+
+def node_member(number: int) -> interfaces.Member:
+    """Return a node as a member."""
+    peer = '127.0.0.1:%d' % (40_000 + number)
+    return interfaces.Member('node-%d' % number, 'a', 'r', peer, '')
 
 
 class Node:
     """A node whose callers send requests of one customer."""
 
     def __init__(self, group: Group, number: int) -> None:
-        self.transport = group.network.transport(
-            '127.0.0.1:%d' % (40_000 + number)
-        )
+        self.transport = group.network.transport(node_member(number).peer)
         rng = random.Random(number)
         self.client = quotas.Client(
-            self.transport, Members(group), (), 'n%d' % number, rng
+            self.transport, Members(group, number), (), 'n%d' % number, rng
         )
         # Spans from sending to the grant, ms; and refusals by code.
         self.spans: list[tuple[int, int]] = []
@@ -148,7 +156,7 @@
     """Return the worst window, and the requests granted."""
     group = await _started(5, seed, host_class)
     rng = random.Random(seed)
-    nodes = [Node(group, number) for number in range(8)]
+    nodes = [Node(group, number) for number in range(NODES)]
     until = clock.now() + 40.0
     await asyncio.gather(
         _disturb(group, rng, until),
@@ -259,6 +267,76 @@
     assert 0.0 < refused.retry_after_s <= 1.2 * WINDOW_MS / 1000
 
 
+class SpareHost(Host):
+    """A control host whose quotas may be exceeded by a few requests."""
+
+    quota = grantor.Quota(WINDOW_MS, 0.25, 2)
+
+
+SPARE = 5
+
+
+class LongWindowHost(Host):
+    """The same with a window that lasts longer than an election."""
+
+    quota = grantor.Quota(8 * WINDOW_MS, 0.0, SPARE)
+
+
+def test_group_that_starts_again_grants_what_quotas_may_be_exceeded_by():
+    """Guards against a window without any grant after a whole restart."""
+
+    async def scenario():
+        group = await _started(3, 3, LongWindowHost)
+        await asyncio.sleep(8 * WINDOW_MS / 1000)
+        node = Node(group, 1)
+        for _time in range(MOST):
+            assert await node.ask()
+        await group.restart()
+        await group.leader()
+        before, until = len(node.spans), clock.now() + 3.0
+        while clock.now() < until:
+            await node.ask()
+            await asyncio.sleep(0.02)
+        assert not any(
+            host.service.term == host.replica.shared.term
+            for host in group.leaders()
+        )
+        early = len(node.spans) - before
+        await group.stop()
+        return early
+
+    assert fakes.run(scenario()) == SPARE
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_spare_requests_stay_within_what_windows_may_be_exceeded_by(seed):
+    worst, _granted = fakes.run(_faults(seed, SpareHost))
+    assert worst <= MOST + SPARE
+
+
+def test_node_that_is_cut_off_from_control_asks_through_others():
+    """Guards against refusals at nodes that still reach other nodes."""
+
+    async def scenario():
+        group = await _started(5, 6)
+        nodes = [Node(group, number) for number in range(NODES)]
+        for node in nodes:
+            assert await node.ask()
+        await asyncio.sleep(2.0)
+        peers = [seat.peer for seat in group.seats]
+        # All but one.
+        group.network.cut(
+            [node.transport.address for node in nodes[1:]], peers
+        )
+        served = [await node.ask() for node in nodes[1:]]
+        await asyncio.sleep(2.0)
+        served += [await node.ask() for node in nodes[1:]]
+        await group.stop()
+        return sum(served)
+
+    assert fakes.run(scenario()) >= 11
+
+
 class Forgetful(grantor.Grantor):
     """Planted fault: a new leader does not ask what was granted."""
 
