Administration: a team that changes limits is refused, not answered with an error

Cause: no scope was named for the row of limits, so that the check of a team's manifest raised StopIteration. Test: each shared row, by a team without a scope.

--- a/test/test_rows.py
+++ b/test/test_rows.py
@@ -1,9 +1,13 @@
 """Tests of the configuration as rows, and of routing by them."""
 
+import types
+
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import pytest
 
+from carawaystair.admin import ownership
 from carawaystair import manifest as manifests
 from carawaystair import routing
 from carawaystair import rows
@@ -74,3 +78,50 @@
 
 def test_no_route_is_no_match():
     assert routing.Routing().match('x', '/') is None
+
+
+def test_rows_without_new_fields_keep_their_bytes():
+    """Guards against digests that change with the version of the program."""
+    customer = manifests.Customer(4, 20)
+    route = manifests.Route('/', 'portal', timeout_ms=5)
+    assert rows.encode(customer) == msgspec.msgpack.encode([4, 20])
+    assert rows.encode(route) == msgspec.msgpack.encode(list(route[:-1]))
+    for value in (
+        customer,
+        route,
+        customer._replace(burst=3),
+        customer._replace(keys=('k',), priority=0),
+        route._replace(public=True),
+    ):
+        assert rows.decode(type(value), rows.encode(value)) == value
+
+
+def test_one_key_more_changes_two_rows_of_many_customers():
+    """Guards against versions that cost what stays."""
+    customers = {
+        'c%d' % n: manifests.Customer(keys=('k%d' % n,)) for n in range(300)
+    }
+    old = rows.from_manifest(MANIFEST._replace(customers=customers))
+    customers['c7'] = manifests.Customer(keys=('k7', 'new'))
+    new = rows.from_manifest(MANIFEST._replace(customers=customers))
+    one, two = rows.Version(1, 1), rows.Version(1, 2)
+    delta = rows.difference(old, new, one, two)
+    assert [key for key, _value in delta.put] == [
+        rows.credential('new'),
+        'customer/c7',
+    ]
+    assert routing.Routing(two, new).customer_of(rows.credential('new')) == (
+        'c7'
+    )
+
+
+@pytest.mark.parametrize(
+    'key',
+    [rows.HEAD, rows.LIMITS, rows.KEYS_REQUIRED, rows.credential('k')],
+)
+def test_team_without_a_scope_may_not_change_a_shared_row(key):
+    """Guards against a row of which nobody said who may change it."""
+    caller = types.SimpleNamespace(team='a', may=lambda _scope: False)
+    delta = rows.Delta(rows.NONE, rows.Version(1, 1), ((key, b'x'),), (), b'')
+    found = ownership.foreign({}, delta, caller)
+    assert [mistake.path for mistake in found] == [key]
