Gateways: a second run begins in time for the goal

Load: upstreams that hang or lose answers, work of 1.1 s before a goal of 3.1 s. A second run after twice the service time ended at 3.3 s, late, where it could have been in time.

Change: load/hedge_delay.py decides, apart from input and output: after twice the service time, or sooner if that meets the goal and at least 1.4 service times have passed.

--- a/carawaystair/experiments.py
+++ b/carawaystair/experiments.py
@@ -9,13 +9,13 @@
 import math
 import typing
 
-from carawaystair.gateway import dispatcher
 from carawaystair.gateway import dispatches
 from carawaystair.gateway import gateway_client
 from carawaystair.gateway import slots
 from carawaystair.gateway import transit
 from carawaystair.load import exploration
 from carawaystair.load import failure_estimate
+from carawaystair.load import hedge_delay
 from carawaystair.load import rejection
 from carawaystair.load import request_value
 from carawaystair.load import retry_after
@@ -98,7 +98,7 @@
     # Drawing those by lot that are worth the same.
     'lot': (Part(upstream_selection, 'EQUAL_VALUE_MARGIN', 0.0),),
     # Reckoning with slots that are in use.
-    'crowded': (Part(upstream_selection, 'FULL_SLOTS_WAIT_S', 0.0),),
+    'crowded': (Part(upstream_selection, 'FULL_SLOTS_WAIT_RUNS', 0.0),),
     # The earlier of two answers in time.
     'haste': (Part(request_value, 'EARLINESS_SHARE', 0.0),),
     # Reckoning with what a second run is worth.
@@ -132,7 +132,7 @@
     # What is sent between nodes ages on its way.
     'age': (Part(transit, 'deduct_transit_time', _as_it_came),),
     # A second run of what is late.
-    'hedge': (Part(dispatcher, 'MIN_HEDGE_DELAY_S', 1e9),),
+    'hedge': (Part(hedge_delay, 'MIN_DELAY_S', 1e9),),
     # Return of the rejected by what the backlog needs.
     'return': (Part(retry_after, 'MAX_S', retry_after.MIN_S),),
 }
--- a/carawaystair/gateway/dispatcher.py
+++ b/carawaystair/gateway/dispatcher.py
@@ -23,6 +23,7 @@
 from carawaystair.gateway import startup
 from carawaystair.gateway import upstream_pool
 from carawaystair import interfaces
+from carawaystair.load import hedge_delay
 from carawaystair.load import rejection
 from carawaystair.load import request_value
 from carawaystair.load import retry_after
@@ -46,11 +47,7 @@
 MAX_UPSTREAMS_REACHED = 3
 # Upstreams that may run a request if its route has no limit of its own.
 DEFAULT_MAX_RUNS = 2
-# A request is hedged after this multiple of its route's typical service time,
-# but not before MIN_HEDGE_DELAY_S; at most MAX_HEDGE_OFFERS further gateways
-# are asked until one has room.
-HEDGE_DELAY_FACTOR = 2.0
-MIN_HEDGE_DELAY_S = 0.25
+# Further gateways that are asked to run a request as well until one has room.
 MAX_HEDGE_OFFERS = 3
 MS = 1000
 # Reasons for a refusal that may not hold any more when the gateway is asked
@@ -288,8 +285,8 @@
             return await first
         after_s = math.inf
         if durations.has(key):
-            after_s = max(
-                HEDGE_DELAY_FACTOR * durations.expected(key), MIN_HEDGE_DELAY_S
+            after_s = hedge_delay.delay_s(
+                durations.expected(key), dispatch.params.goal - clock.now()
             )
         dispatch.hedge_early = asyncio.get_running_loop().create_future()
         return await hedging.hedged(
--- a/test/test_gateway_hedging.py
+++ b/test/test_gateway_hedging.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from carawaystair.gateway import dispatcher
+from carawaystair.load import hedge_delay
 from carawaystair import manifest
 from test import gateway_setup as fleets
 from test import pipes
@@ -88,7 +88,7 @@
     assert [status for status, _s in found] == [200] * 6
     assert (
         max(s for _status, s in found)
-        < (dispatcher.HEDGE_DELAY_FACTOR + 1.5) * TYPICAL_S
+        < (hedge_delay.OVERDUE_FACTOR + 1.5) * TYPICAL_S
     )
     assert hedged > 0
     # The slower runs are cancelled.
