Nested calls have no goal of their own

Change: a nested call is worth the same until its deadline. The test replays an order whose call finds one upstream busy and one gray; it fails without the change.

--- a/carawaystair/gateway/caller_handler.py
+++ b/carawaystair/gateway/caller_handler.py
@@ -283,7 +283,11 @@
             authentication.AUTHORIZATION, ''
         )
         call = digests.with_digest(call, place.host, credentials)
-        goal_s = route.goal_ms / MS if route.goal_ms else call.deadline - now
+        goal_s = call.deadline - now
+        if route.goal_ms and not parent:
+            # A nested call has none: whoever waits for it loses its own work
+            # if the call fails, and little if it is late.
+            goal_s = route.goal_ms / MS
         params = dispatches.Params(
             name,
             now + goal_s,
--- a/test/test_gateway_load.py
+++ b/test/test_gateway_load.py
@@ -6,6 +6,7 @@
 from carawaystair.gateway import call_tracker
 from carawaystair.load import nested_call_budget
 from carawaystair.load import retry_budget
+from carawaystair import manifest
 from test import gateway_setup as fleets
 from test import pipes
 from test import request_setup as setups
@@ -228,3 +229,63 @@
     nested.run_ended('a')
     assert nested.running_parent('a.1') == ''
     assert nested.rank('a.1', 1) == 1
+
+
+def test_nested_call_waits_for_a_sound_upstream_rather_than_run_at_a_gray_one():
+    """Guards against orders lost by calls that went to gray upstreams.
+
+    Of the called service one upstream is busy for a second and the other one
+    resets what it gets.  A call that is a second late harms nobody; if it
+    fails, the work of the order that waits for it is lost.
+    """
+
+    async def busy(upstream, seen, writer):
+        await asyncio.sleep(1.0 if 'long' in seen.line else 0.05)
+        await fleets.serve(upstream, seen, writer)
+
+    async def reset(upstream, seen, writer):
+        writer.transport.abort()
+
+    async def order(upstream, seen, writer):
+        node = upstream.port - 9000
+        name = seen.headers['caraway-request-id'] + '.1'
+        answer = await fleet_of[0].ask(
+            '/inner/x', node=node, Caraway_Request_Id=name
+        )
+        reply = fleets.serve if answer.status == 200 else fleets.fail
+        await reply(upstream, seen, writer)
+
+    fleet_of = []
+    routes = (
+        manifest.Route('/pay/', 'portal', idempotent=False, goal_ms=3000),
+        manifest.Route('/inner/', 'other', idempotent=True, goal_ms=500),
+    )
+
+    async def scenario():
+        async with fleets.running(
+            order,
+            busy,
+            reset,
+            routes=routes,
+            services=('portal', 'other', 'other'),
+            slots=1,
+            retry_ratio=0.0,
+            retry_slack=0,
+        ) as fleet:
+            fleet_of.append(fleet)
+            # The upstreams show how they are.
+            for number in range(40):
+                await fleet.ask('/inner/%d' % number)
+                await asyncio.sleep(0.1)
+            statuses = []
+            for number in range(10):
+                long = asyncio.ensure_future(fleet.ask('/inner/long'))
+                await asyncio.sleep(0.1)
+                answer = await fleet.ask('/pay/%d' % number, 'POST')
+                statuses.append(answer.status)
+                await long
+                await asyncio.sleep(0.3)
+            return statuses
+
+    statuses = pipes.run(scenario())
+    assert statuses.count(200) >= 8
