--- a/carawaystair/experiments.py
+++ b/carawaystair/experiments.py
@@ -98,7 +98,7 @@
     # Drawing those by lot that are worth the same.
     'lot': (Part(upstream_selection, 'EQUAL_VALUE_MARGIN', 0.0),),
     # Reckoning with slots that are in use.
-    'crowded': (Part(upstream_selection, 'FULL_SLOTS_WAIT_RUNS', 0.0),),
+    'crowded': (Part(upstream_selection, 'FULL_SLOTS_WAIT_S', 0.0),),
     # The earlier of two answers in time.
     'haste': (Part(request_value, 'EARLINESS_SHARE', 0.0),),
     # Reckoning with what a second run is worth.
--- a/test/test_gateway_load.py
+++ b/test/test_gateway_load.py
@@ -231,7 +231,7 @@
     assert nested.rank('a.1', 1) == 1
 
 
-def test_nested_call_waits_for_a_sound_upstream_rather_than_run_at_a_gray_one():
+def test_nested_call_waits_for_a_sound_upstream():
     """Guards against orders lost by calls that went to gray upstreams.
 
     Of the called service one upstream is busy for a second and the other one
