Command line: customers, their quotas and keys

Change: carawaystair customers lists them, by digests of their keys; add-key and remove-key submit the manifest in force with one key more or less, on the version that it was read from, so that of two changes one wins. Keys come from files. Tests: nothing shown holds a key; a wrong change is not sent.

--- a/carawaystair/codes.py
+++ b/carawaystair/codes.py
@@ -136,6 +136,13 @@
     'A file of the command line cannot be read or written.',
     'Check the path and its permissions.',
 )
+KEY_EDIT_REFUSED = define(
+    1016,
+    'key-edit-refused',
+    0,
+    'The keys of the customer were not changed.',
+    'See the customers and the digests of their keys: carawaystair customers.',
+)
 API_UNREACHABLE = define(
     1011,
     'api-unreachable',
--- a/carawaystairplug/commands_changes.py
+++ b/carawaystairplug/commands_changes.py
@@ -35,7 +35,7 @@
         )
 
 
-def _with_change(made: command.Command) -> command.Command:
+def with_change(made: command.Command) -> command.Command:
     """Add the options that all changes share."""
     made.add(
         '--id',
@@ -70,7 +70,7 @@
     )
 
 
-def _change(
+def change(
     options: argparse.Namespace, path: str, body: bytes, **details
 ) -> client.Reply:
     """Send a change; when it fails, tell the id to ask for it by."""
@@ -106,7 +106,7 @@
         action='store_true',
         help='check it and show what would change',
     )
-    return _with_change(_with_parent(made))
+    return with_change(_with_parent(made))
 
 
 def submit(options: argparse.Namespace) -> int:
@@ -119,7 +119,7 @@
     parent = _parent(options)
     if parent.is_error():
         return api.print_refusal(parent.error)
-    reply = _change(
+    reply = change(
         options,
         '/v1/manifests',
         body,
@@ -145,10 +145,11 @@
     elif options.dry_run:
         _print_changes(answer.get('changes', ()))
     else:
-        _print_accepted(answer)
+        print_accepted(answer)
 
 
-def _print_accepted(answer: dict) -> None:
+def print_accepted(answer: dict) -> None:
+    """Print what came of a change."""
     print('Accepted as version %(version)s.' % answer)
     print('Digest, the parent of the next one: %(digest)s' % answer)
 
@@ -177,7 +178,7 @@
         examples,
     )
     made.add('version', help='the version to go back to, see history')
-    return _with_change(_with_parent(made))
+    return with_change(_with_parent(made))
 
 
 def rollback(options: argparse.Namespace) -> int:
@@ -185,13 +186,13 @@
     parent = _parent(options)
     if parent.is_error():
         return api.print_refusal(parent.error)
-    reply = _change(
+    reply = change(
         options,
         '/v1/manifests/rollback',
         output.encode({'to': options.version}),
         headers={PARENT_HEADER: parent.ok},
     )
-    return api.print_reply(options, reply, _print_accepted)
+    return api.print_reply(options, reply, print_accepted)
 
 
 # submission
@@ -213,7 +214,7 @@
     """Show what became of a submission."""
     path = '/v1/submissions/%s' % urllib.parse.quote(options.id, safe='')
     reply = api.ask(options, 'GET', path)
-    return api.print_reply(options, reply, _print_accepted)
+    return api.print_reply(options, reply, print_accepted)
 
 
 # drain
@@ -234,7 +235,7 @@
     made.add('--host', action='append', default=[], metavar='HOST')
     made.add('--data-centre', action='append', default=[], metavar='NAME')
     made.add('--undo', action='store_true', help='give them new work again')
-    return _with_change(made)
+    return with_change(made)
 
 
 def drain(options: argparse.Namespace) -> int:
@@ -244,7 +245,7 @@
         'data_centres': options.data_centre,
         'undo': options.undo,
     }
-    reply = _change(options, '/v1/drains', output.encode(body))
+    reply = change(options, '/v1/drains', output.encode(body))
     if reply.is_error():
         return api.print_refusal(reply.error)
     _print_drained(options, reply.ok)
--- a/test/test_ui.py
+++ b/test/test_ui.py
@@ -12,6 +12,7 @@
 from carawaystair import settings as settings_module
 from carawaystair.ui import command
 from carawaystair.ui import main
+from carawaystairplug import commands_customers
 
 EVENT = {'time': 1 << 16, 'host': 'a', 'kind': 'started', 'service': 'portal'}
 
@@ -211,3 +212,69 @@
     assert main.main([*line, *api]) == command.EXIT_OK
     assert json.loads(server.requests[-1].body)['action'] == 'add'
     assert main.main(['members', 'add', *api]) == command.EXIT_USAGE
+
+
+# Customers
+
+CURRENT = {
+    'version': '1.4',
+    'digest': 'ab12',
+    'manifest': {
+        'format': 1,
+        'customers': {
+            'north': {'keys': ['k-1', 'k-2'], 'rate_per_s': 2.5, 'burst': 4},
+            'south': {},
+        },
+    },
+}
+ACCEPTED = {'version': '1.5', 'digest': 'cd34'}
+
+
+def _customers(server, *words) -> int:
+    server.responses['GET', '/v1/manifests/current'] = (200, CURRENT)
+    server.responses['POST', '/v1/manifests'] = (200, ACCEPTED)
+    return main.main(['customers', *words, '--api', server.base])
+
+
+def test_customers_are_listed_without_their_keys(server, capsys):
+    assert _customers(server) == 0
+    shown = capsys.readouterr().out
+    assert 'north' in shown and '2.5/s' in shown
+    assert commands_customers.shown_key('k-1') in shown
+    assert 'k-1' not in shown
+
+
+def test_key_is_added_on_the_version_in_force(server, capsys, tmp_path):
+    file = tmp_path / 'key'
+    file.write_text('k-3\n')
+    assert _customers(server, 'add-key', 'north', '--key-file', str(file)) == 0
+    sent = server.requests[-1]
+    assert sent.headers['Caraway-Parent'] == 'ab12'
+    keys = json.loads(sent.body)['customers']['north']['keys']
+    assert keys == ['k-1', 'k-2', 'k-3']
+    assert 'k-3' not in capsys.readouterr().out
+
+
+def test_key_is_removed_by_its_digest(server):
+    digest = commands_customers.shown_key('k-1')
+    words = ('remove-key', 'north', '--key', digest, '--parent', 'ef56')
+    assert _customers(server, *words) == 0
+    sent = server.requests[-1]
+    assert sent.headers['Caraway-Parent'] == 'ef56'
+    assert json.loads(sent.body)['customers']['north']['keys'] == ['k-2']
+
+
+@pytest.mark.parametrize(
+    'words',
+    [
+        ('add-key', 'west', '--key-file', 'x'),
+        ('add-key', 'north'),
+        ('remove-key', 'north', '--key', ''),
+        ('remove-key', 'north', '--key', 'zz'),
+    ],
+    ids=str,
+)
+def test_wrong_change_of_keys_is_not_sent(server, words):
+    """Guards against a key that is taken away from somebody else."""
+    assert _customers(server, *words) != 0
+    assert [request.method for request in server.requests] == ['GET']
