Quotas: what the leader asks the other voters stands in a module of its own

No behaviour changed: the questions to voters and the counting of a majority move from the grantor to quota/electorate.py.

--- a/carawaystair/quota/grantor.py
+++ b/carawaystair/quota/grantor.py
@@ -16,16 +16,15 @@
 import math
 import typing
 
-import expression
 import mode
 
 from carawaystair import clock
-from carawaystair import codes
 from carawaystair.control import interfaces as control
 from carawaystair.control import state as states
 from carawaystair import logs
 from carawaystair import manifest as manifests
 from carawaystair import metrics
+from carawaystair.quota import electorate as electorates
 from carawaystair.quota import ledger as ledgers
 from carawaystair.quota import messages
 from carawaystair import rows
@@ -33,8 +32,6 @@
 # Rounds begin at least so far apart, seconds: requests that come together
 # share one.
 ROUND_INTERVAL_S = 0.005
-# How long the voters may take for a round, seconds.
-ROUND_TIMEOUT_S = 0.4
 # How long a new leader waits before it asks again what was granted, seconds.
 RECOVERY_PAUSE_S = 0.1
 # How often it is checked whether this host still votes, and old grants are
@@ -110,6 +107,7 @@
         # voters that hold them.
         self.term = -1
         self.voters: frozenset[str] = frozenset()
+        self.electorate = electorates.Electorate(shared)
         self.recovery: asyncio.Task | None = None
         self.voter_since_ms: int | None = None
         self.granted = 0
@@ -247,7 +245,7 @@
         returned: typing.Sequence[ledgers.Grant],
     ) -> bool:
         state, term = self.shared, self.shared.term
-        voters = frozenset(m.identity for m in state.group.voters())
+        voters = self.electorate.identities()
         if voters != self.voters:
             # The majorities before and after may have no host in common
             # after two changes of the group.
@@ -255,54 +253,13 @@
         message = messages.Record(
             state.group.id, term, tuple(grants), tuple(returned)
         )
-        held = await self._ask_voters(message, messages.Recorded)
+        held = await self.electorate.ask(message)
         holders = {answer.identity for answer in held if answer.ok}
-        done = self._is_majority(holders) and state.leads(term)
+        done = self.electorate.is_majority(holders) and state.leads(term)
         if done:
             self.voters = voters
         return done
 
-    def _is_majority(self, holders: set[str]) -> bool:
-        """Return whether these voters and this host are a majority."""
-        group = self.shared.group
-        counted = sum(
-            voter.identity in holders or voter.identity == self.shared.identity
-            for voter in group.voters()
-        )
-        return counted >= group.quorum()
-
-    async def _ask_voters(self, message, kind: type) -> list:
-        """Ask the other voters; return the answers until they suffice.
-
-        An answer that is not ``ok`` or not ``complete`` doesn't count.
-        """
-        state = self.shared
-        tasks = [
-            asyncio.ensure_future(
-                self.transport.call(voter.peer, message, ROUND_TIMEOUT_S)
-            )
-            for voter in state.group.voters()
-            if voter.identity != state.identity
-        ]
-        answers, waiting = [], set(tasks)
-        try:
-            while waiting and not self._is_majority(
-                {answer.identity for answer in answers if _counts(answer)}
-            ):
-                finished, waiting = await asyncio.wait(
-                    waiting, return_when=asyncio.FIRST_COMPLETED
-                )
-                results = (task.result() for task in finished)
-                answers += [
-                    answer
-                    for answer in map(_answer_of, results)
-                    if isinstance(answer, kind) and answer.term <= message.term
-                ]
-        finally:
-            for task in waiting:
-                task.cancel()
-        return answers
-
     # Recovery of a new leader
 
     def _recover(self) -> None:
@@ -314,15 +271,17 @@
         state = self.shared
         while state.leads(term):
             message = messages.Collect(state.group.id, term)
-            voters = frozenset(m.identity for m in state.group.voters())
-            answers = await self._ask_voters(message, messages.Collected)
+            voters = self.electorate.identities()
+            answers = await self.electorate.ask(message)
             now_ms = clock.uptime_ms()
             for answer in answers:
                 self.ledger.record(answer.grants, now_ms)
-            if self._is_majority({a.identity for a in answers}):
+            if self.electorate.is_majority({a.identity for a in answers}):
                 self.fenced_term = term
             complete = {a.identity for a in answers if a.complete}
-            enough = self._complete(now_ms) and self._is_majority(complete)
+            enough = self._complete(now_ms) and self.electorate.is_majority(
+                complete
+            )
             if enough and state.leads(term):
                 self.term, self.voters = term, voters
                 LOG.info('Grants.', term=term, known=len(self.ledger.grants))
@@ -384,16 +343,6 @@
     return ledgers.allowance(customer.rate_per_s, customer.burst, window_ms)
 
 
-def _answer_of(result: expression.Result[typing.Any, codes.Failure]):
-    return result.default_value(None)
-
-
-def _counts(answer: messages.Recorded | messages.Collected) -> bool:
-    if isinstance(answer, messages.Recorded):
-        return answer.ok
-    return answer.complete
-
-
 def make(kernel, group) -> Grantor:
     """Return the quota service of a control host.
 
