--- a/test/test_follower.py
+++ b/test/test_follower.py
@@ -331,3 +331,38 @@
         return max(ages)
 
     assert fakes.run(scenario()) < 3.0
+
+
+def test_age_counts_from_before_the_question():
+    """Guards against knowledge that looks newer than it is.
+
+    While an answer is on its way, a key may be taken away.
+    """
+    way_s = 0.3
+
+    async def scenario():
+        network = fakes.Network(4, delay_s=(way_s, way_s))
+        group = Group()
+        publisher.Publisher(
+            network.transport(CONTROL), group, random.Random(1)
+        )
+        group.accept(a='1')
+        me = fakes.member(1)
+        node = follower.Follower(
+            network.transport(me.peer),
+            fakes.Members(me, []),
+            [CONTROL],
+            timeline.Timeline(me.host),
+            random.Random(1),
+        )
+        await node.start()
+        ages = []
+        for _sample in range(400):
+            await asyncio.sleep(SAMPLE_S)
+            ages.append(node.age_s())
+        await node.stop()
+        return min(ages), max(ages[-100:])
+
+    least, most = fakes.run(scenario())
+    assert least >= 2 * way_s - 0.002
+    assert most < 10.0
