Nodes: serve by the peers there are while control is away

Cause: a starting node waited for min(3, others) vouchers, and a peer that was not ready itself said nothing. Where fewer than three nodes serve and more are there, that number is never reached. Evidence: with all control hosts killed, 2 of 4, 3 of 4 and 5 of 7 nodes started again refused for good; 1 of 4 and 4 of 7 served.

A node that is not ready says so. Words that come late count, and a peer whose newer version could not be read does not vouch.

--- a/carawaystair/distribution.py
+++ b/carawaystair/distribution.py
@@ -2,7 +2,8 @@
 
 Versions travel as steps from one to a newer one, long ones in pieces; a node
 that is too far behind reads a whole table in pieces.  A control host answers
-:class:`Ask`, a node answers :class:`AskPeer` from what it has in force.
+:class:`Ask`, a node answers :class:`AskPeer` from what it has in force, or
+with :class:`NotReady`.
 """
 
 import typing
@@ -70,6 +71,16 @@
     after: int = 0
 
 
+@wire.register(44)
+class NotReady(typing.NamedTuple):
+    """Answers :class:`AskPeer` for a node that does not serve yet.
+
+    :param host: name of the answering host.
+    """
+
+    host: str
+
+
 @wire.register(42)
 class News(typing.NamedTuple):
     """Tells that a version exists; the hearer asks for it.
--- a/carawaystair/fetching.py
+++ b/carawaystair/fetching.py
@@ -64,7 +64,8 @@
         :param held: what the asker has.
         :param whole: whether a whole table is wanted where there is no step.
         :param silent: set while an answer takes long.
-        :return: None when there was no answer, or no step.
+        :return: None when there was no answer, or no step, or when the
+            process does not serve yet.
         """
         reading, start, pieces = rows.NONE, 0, _Pieces(held.table)
         in_step = False
@@ -73,7 +74,9 @@
             result = await self._call(address, ask, silent)
             if result.is_error():
                 return None
-            answer: distribution.Answer = result.ok
+            answer = result.ok
+            if isinstance(answer, distribution.NotReady):
+                return None
             delta = answer.delta
             if delta is None:
                 return Fetched(answer)
@@ -92,7 +95,9 @@
 
     async def _call(
         self, address: str, ask: typing.Any, silent: asyncio.Event
-    ) -> expression.Result[distribution.Answer, codes.Failure]:
+    ) -> expression.Result[
+        distribution.Answer | distribution.NotReady, codes.Failure
+    ]:
         """Ask once; tell when the answer takes long."""
         timer = asyncio.get_running_loop().call_later(CALL_S, silent.set)
         try:
--- a/carawaystair/follower.py
+++ b/carawaystair/follower.py
@@ -3,7 +3,7 @@
 A node asks control hosts, and its peers too, for what came after its own
 version.  It never takes an older one.  It counts as ready only once it knows
 that its version is current: a control host that a quorum stands behind said
-so, or, while control is away, enough peers did.
+so, or, while control is away, its peers did (see :mod:`vouching`).
 """
 
 import asyncio
@@ -30,6 +30,7 @@
 from carawaystair import table as tables
 from carawaystair import timeline as timelines
 from carawaystair import versionfile
+from carawaystair import vouching
 
 # How often a node asks for news when nobody tells it of any.  Together with
 # the spread of News this bounds the time to be in force everywhere.
@@ -44,9 +45,6 @@
 FANOUT = 3
 ROUNDS = 2
 ROUND_S = 0.3
-# Peers that must answer before a restarted node trusts them instead of
-# control: with one, a peer that was cut off itself could pass on old news.
-ENOUGH_PEERS = 3
 # Questions to one process in a row that bring something newer each.
 MOST_IN_A_ROW = 4
 # Questions whose answers are still waited for while others are asked.
@@ -105,7 +103,7 @@
         self.tries = 0
         # Control hosts that had no quorum or did not answer since one had.
         self.unsure: set[str] = set()
-        self.vouchers: set[str] = set()
+        self.vouching = vouching.Vouching()
         self.floor = rows.NONE
         self.confirmed_at: float | None = None
         # Uptime at which the version held was surely the newest one, ms.
@@ -170,9 +168,10 @@
 
     async def _on_ask(
         self, _sender: str, ask: distribution.AskPeer
-    ) -> distribution.Answer | None:
-        # A node that is not ready has nothing to vouch for.
-        return self.answerer.answer(ask) if self.ready else None
+    ) -> distribution.Answer | distribution.NotReady:
+        if self.ready:
+            return self.answerer.answer(ask)
+        return distribution.NotReady(self.members.me.host)
 
     async def _on_news(self, sender: str, news: distribution.News) -> None:
         self.lag.told(news.version)
@@ -224,34 +223,45 @@
         # not know it: its answer counts no more than none.
         self.tries += 1
         if self.ready or not heard:
-            return await self._ask_peer()
-        # Where all start at once, peers are not ready and say nothing; the
-        # next question to control must not wait for them.
+            return await self._ask_peers()
+        # Where all start at once, peers may be as slow as this node; the next
+        # question to control must not wait for them.
         if self.aside is None or self.aside.done():
-            self.aside = self.add_future(self._ask_peer())
+            self.aside = self.add_future(self._ask_peers())
         return True
 
-    async def _ask_peer(self) -> bool:
-        """Ask a peer for news; tell whether it answered."""
-        peer = self.sources.peer()
-        if peer is None:
-            return False
-        if not await self._fetch(peer.peer, distribution.AskPeer):
-            return False
-        self._vouch(peer.host)
-        return True
+    async def _ask_peers(self) -> bool:
+        """Ask peers for news; tell whether one of them answered.
+
+        A node that starts asks several at once for their word, but only one
+        for the whole table.
+        """
+        several = not self.ready and len(self.held.table)
+        peers = self.sources.some_peers(
+            vouching.ENOUGH_PEERS if several else 1, self.vouching.asked
+        )
+        heard = await asyncio.gather(
+            *(
+                self._fetch(peer.peer, distribution.AskPeer, peer.host)
+                for peer in peers
+            )
+        )
+        return any(heard)
 
     async def _fetch(
-        self, address: str, kind: type, whole: bool = True
+        self, address: str, kind: type, peer: str = '', whole: bool = True
     ) -> bool:
         """Take what a process has; tell whether it was of use so far.
 
         One that does not answer for long may still do so: what it says then
         counts, while others are asked.
+
+        :param peer: host of a node whose word counts, see :mod:`vouching`.
+        :param whole: whether a whole table is wanted where there is no step.
         """
         silent = asyncio.Event()
         reading = asyncio.ensure_future(
-            self._read(address, kind, whole, silent)
+            self._ask(address, kind, peer, whole, silent)
         )
         waiting = asyncio.ensure_future(silent.wait())
         try:
@@ -271,8 +281,29 @@
         for task in self.open[:-MOST_OPEN]:
             task.cancel()
 
+    async def _ask(
+        self,
+        address: str,
+        kind: type,
+        peer: str,
+        whole: bool,
+        silent: asyncio.Event,
+    ) -> bool:
+        """Take what a process has, and its word for what this node holds."""
+        try:
+            return await self._read(address, kind, peer, whole, silent)
+        finally:
+            if peer and not self.ready:
+                self.vouching.ask(peer)
+                self._weigh_peers()
+
     async def _read(
-        self, address: str, kind: type, whole: bool, silent: asyncio.Event
+        self,
+        address: str,
+        kind: type,
+        peer: str,
+        whole: bool,
+        silent: asyncio.Event,
     ) -> bool:
         """Take what a process has; tell whether it was of use.
 
@@ -280,6 +311,7 @@
         fetched is asked a bounded number of times in a row, so that one that
         is behind itself does not keep this node behind.
 
+        :param peer: see :meth:`_fetch`.
         :param whole: whether a whole table is wanted where there is no step.
         """
         for _turn in range(MOST_IN_A_ROW):
@@ -297,6 +329,8 @@
                     return False
             if answer.newest <= self.held.version:
                 self._confirm(answer, asked_at, asked_ms)
+                if peer:
+                    self.vouching.vouch(peer)
                 return True
         return True
 
@@ -317,25 +351,23 @@
         if self.held.version >= self.floor and len(self.held.table):
             self._become_ready('control')
 
-    def _vouch(self, host: str) -> None:
-        """Take note that a peer has nothing newer.
+    def _weigh_peers(self) -> None:
+        """Serve, while control is away, once enough peers vouch.
 
-        While control is away for long, a restarted node must still come
-        back.  Several peers have to agree, and nothing older than what this
-        node's own disk remembers is put in force.
+        Nothing older than what this node's own disk remembers is put in
+        force.
         """
-        self.vouchers.add(host)
-        others = len(self.sources.peers())
-        enough = len(self.vouchers) >= min(ENOUGH_PEERS, others)
         away = self.tries >= CONTROL_TRIES
         known = len(self.held.table) and self.held.version >= self.floor
-        if enough and away and known:
-            self._become_ready('%d peers' % len(self.vouchers))
+        peers = [peer.host for peer in self.sources.peers()]
+        if away and known and self.vouching.enough(peers):
+            self._become_ready('%d peers' % len(self.vouching.vouchers))
 
     def _become_ready(self, by: str) -> None:
         if self.ready:
             return
         self.ready = True
+        self.vouching.clear()
         self._announce('vouched for by %s' % by)
 
     def _take(self, delta: rows.Delta, table: tables.Table) -> bool:
@@ -370,7 +402,7 @@
             self.memory.write(max(delta.version, self.floor))
         self.held = routing.Routing(delta.version, table)
         self.lag.hold(delta.version)
-        self.vouchers.clear()
+        self.vouching.clear()
         if step:
             self.steps.add(delta)
         else:
--- a/carawaystair/sources.py
+++ b/carawaystair/sources.py
@@ -110,5 +110,16 @@
 
     def peer(self) -> interfaces.Member | None:
         """Return another node, drawn by lot."""
+        return next(iter(self.some_peers(1)), None)
+
+    def some_peers(
+        self, count: int, avoid: typing.Container[str] = ()
+    ) -> list[interfaces.Member]:
+        """Return some other nodes, drawn by lot.
+
+        :param count: how many at most.
+        :param avoid: hosts that are drawn only where no others are left.
+        """
         peers = self.peers()
-        return self.rng.choice(peers) if peers else None
+        left = [peer for peer in peers if peer.host not in avoid] or peers
+        return self.rng.sample(left, min(count, len(left)))
