Control: a full disk keeps a host out only until there is room

Two of three control hosts had met a full disk and stayed out until they were started again, so that there was no quorum, although their disks had room again seconds later.

Cause: the store ended for good at any error of the disk, as it must after a failed sync, whose pages the kernel may have dropped. A write for which there is no room loses nothing: its rows were never synced.

Change: rows that find no room stay queued in their order, what the write left behind the last sync is cut off before the next one, and nothing is answered meanwhile; a leader steps down. A slow sync keeps the host out until it has ended. Beside it: a disk counted as a group's, and what is known of others as saved, although the write had failed.

--- a/carawaystair/codes.py
+++ b/carawaystair/codes.py
@@ -664,7 +664,7 @@
     'disk-full',
     503,
     'The disk of this control host is full; it has stepped aside.',
-    'Make room, then restart the process.',
+    'Make room; the host returns by itself.',
 )
 LOG_CORRUPT = define(
     8012,
@@ -713,7 +713,7 @@
     'sync-slow',
     503,
     'A sync to disk did not end in time; this control host stepped aside.',
-    'Check the disk, then restart the process.',
+    'Check the disk; the host returns once the sync has ended.',
 )
 ID_REUSED = define(
     8019,
--- a/carawaystair/control/applying.py
+++ b/carawaystair/control/applying.py
@@ -1,6 +1,7 @@
 """Applies committed entries to the machine and takes snapshots."""
 
 import asyncio
+import math
 import typing
 
 from carawaystair import clock
@@ -14,6 +15,8 @@
 
 # Other tasks run at least so often while a backlog is applied.
 SLICE_S = 0.005
+# Pause before a snapshot that could not be saved is tried again.
+SNAPSHOT_RETRY_S = 5.0
 
 LOG = logs.get('raft')
 
@@ -33,6 +36,8 @@
         # Called with each index once it is applied.
         self.callbacks: list[typing.Callable[[int], None]] = []
         self.applied_event = asyncio.Event()
+        # Monotonic time before which no snapshot is tried.
+        self.snapshot_at = -math.inf
 
     async def restore(self) -> None:
         """Begin at the snapshot of this disk, if there is one."""
@@ -49,7 +54,7 @@
         state = self.state
         await state.proven_event.wait()
         await self.restore()
-        while state.failure is None:
+        while not state.lost:
             await state.committed.wait()
             state.committed.clear()
             started = clock.now()
@@ -84,6 +89,8 @@
     def _grown(self) -> bool:
         """Tell whether the log is long enough for a snapshot."""
         state = self.state
+        if clock.now() < self.snapshot_at:
+            return False
         before = 0
         if state.store.snapshot is not None:
             before = state.store.snapshot.index
@@ -106,4 +113,5 @@
         )
         LOG.info('Takes a snapshot.', index=index, bytes=len(snapshot.data))
         keep = 0 if self._large() else state.limits.keep_entries
-        await state.store.save_snapshot(snapshot, keep)
+        if not await state.store.save_snapshot(snapshot, keep):
+            self.snapshot_at = clock.now() + SNAPSHOT_RETRY_S
--- a/carawaystair/control/files.py
+++ b/carawaystair/control/files.py
@@ -13,6 +13,8 @@
 
 import crc32c
 
+# Errors of a disk that has no room. What was written before stays sound.
+FULL = (errno.ENOSPC, errno.EDQUOT)
 LOCK = 'lock'
 TEMPORARY = 'temporary'
 MAGIC = b'CSF1'
@@ -82,8 +84,15 @@
 
         :raises BlockingIOError: when another process holds the folder.
         """
-        self.lock = os.open(self.path / LOCK, os.O_RDWR | os.O_CREAT, 0o600)
-        fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        if self.lock is not None:
+            return
+        lock = os.open(self.path / LOCK, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(lock)
+            raise
+        self.lock = lock
 
     def names(self) -> list[str]:
         """Return the names of all files but the lock, sorted."""
--- a/carawaystair/control/joining.py
+++ b/carawaystair/control/joining.py
@@ -76,15 +76,19 @@
     async def run(self) -> None:
         """Take this replica's place, then see that it keeps one."""
         state = self.state
+        while not state.ready and not state.lost:
+            await asyncio.sleep(FIRST_S)
         self.began = clock.now()
         patience_s = FIRST_S
-        while state.failure is None and not state.proven:
-            await self._judge(await self._call_roll(patience_s))
+        while not state.lost and not state.proven:
+            present = await self._call_roll(patience_s)
+            if state.ready:
+                await self._judge(present)
             if not state.proven:
                 await asyncio.sleep(patience_s / 2)
             patience_s = min(2 * patience_s, state.timing.call_s)
-        while state.failure is None:
-            if self._left_out():
+        while not state.lost:
+            if state.ready and self._left_out():
                 await self._ask_to_return()
             await asyncio.sleep(RETURN_S)
 
--- a/carawaystair/control/journal.py
+++ b/carawaystair/control/journal.py
@@ -92,9 +92,10 @@
 class Journal:
     """Writes rows; every call blocks.
 
-    An OSError of any call leaves the journal unusable: after a failed sync
-    the kernel may have dropped the pages and marked them clean, so that a
-    second sync would succeed without the data being there.
+    A failed sync leaves the journal unusable: the kernel may have dropped
+    the pages and marked them clean, so that a second sync would succeed
+    without the data being there.  A write for which there is no room does
+    not: its rows were never synced, and are cut off before the next write.
 
     :param files: the folder.
     :param segment_bytes: a segment is closed once it is this long.
@@ -115,21 +116,28 @@
         self.synced = 0
         self.hard = Row(HARD, 0)
         self.broken = False
+        # Whether the newest segment has bytes beyond ``size``.
+        self.torn = False
 
     def commit(self, rows: typing.Sequence[Row]) -> None:
         """Write rows and return once they are on disk.
 
-        :raises OSError: when the disk failed, now or earlier.
+        :raises OSError: when the disk failed, now or earlier, or is full.
         """
         if self.broken:
             raise OSError('the journal failed before')
         try:
+            if self.torn:
+                self.files.cut(segment_name(self.number), self.size)
+                self.torn = False
             if not self.number or self.size >= self.segment_bytes:
                 self._rotate()
+            if not self.size:
+                self._begin()
             self._write(rows)
             self.files.sync(segment_name(self.number))
         except OSError:
-            self.broken = True
+            self.broken = not self.torn
             raise
         self.synced = self.sequence
 
@@ -141,8 +149,14 @@
             self.files.remove(self.closed.pop(0).name)
 
     def _write(self, rows: typing.Sequence[Row]) -> None:
+        before = self.last, self.sequence, self.hard
         data = b''.join(self._encode(row) for row in rows)
-        self.files.append(segment_name(self.number), data)
+        try:
+            self.files.append(segment_name(self.number), data)
+        except OSError as error:
+            self.last, self.sequence, self.hard = before
+            self.torn = error.errno in files_module.FULL
+            raise
         self.size += len(data)
 
     def _encode(self, row: Row) -> bytes:
@@ -153,12 +167,15 @@
         return encode(row, self.sequence, self.synced)
 
     def _rotate(self) -> None:
-        """Begin a segment that can be read without those before it."""
+        """Close the newest segment, if there is one, and go on to the next."""
         if self.number:
             name = segment_name(self.number)
             self.closed.append(Segment(name, self.last))
         self.number += 1
         self.size = 0
+
+    def _begin(self) -> None:
+        """Begin a segment that can be read without those before it."""
         # The highest index, not the last one, since a truncated entry must
         # stay readable until what replaced it is dropped as well.
         start = Row(START, self.hard.term, 0, FORMAT, self.hard.data)
--- a/carawaystair/control/replica.py
+++ b/carawaystair/control/replica.py
@@ -64,6 +64,9 @@
 
     async def on_start(self) -> None:
         """Read the disk."""
+        await self._open()
+
+    async def _open(self) -> None:
         store = self.shared.store
         await store.open()
         alone = len(self.seats) < 2
@@ -102,7 +105,11 @@
 
     @mode.Service.task
     async def _write(self) -> None:
-        await self.shared.store.write()
+        store = self.shared.store
+        while not store.opened and not store.lost:
+            await asyncio.sleep(stores.FULL_RETRY_S)
+            await self._open()
+        await store.write()
 
     @mode.Service.task
     async def _join(self) -> None:
@@ -121,11 +128,11 @@
         """Save what the others promised, for when they forget it."""
         store = self.shared.store
         saved = dict(store.known)
-        while store.failure is None:
+        while not store.lost:
             await asyncio.sleep(KNOWN_EVERY_S)
-            if store.known != saved:
-                saved = dict(store.known)
-                await store.save_known()
+            known = dict(store.known)
+            if known != saved and await store.save_known():
+                saved = known
 
     # For the layer above
 
--- a/carawaystair/control/state.py
+++ b/carawaystair/control/state.py
@@ -137,9 +137,14 @@
 
     @property
     def failure(self) -> codes.Failure | None:
-        """Why the storage failed, if it did."""
+        """Why the storage can't be used now, if so."""
         return self.store.failure
 
+    @property
+    def lost(self) -> bool:
+        """Whether the storage failed until the process starts again."""
+        return self.store.lost
+
     @property
     def ready(self) -> bool:
         """Whether this replica may answer others at all.
--- a/carawaystair/control/store.py
+++ b/carawaystair/control/store.py
@@ -4,11 +4,14 @@
 answered before :meth:`Store.flush` says that they are there.  One writer
 takes all that waits and syncs it together (group commit), so that the rate
 of commits is not bound by the time of one sync.
+
+A disk that is full or slow keeps the replica out only until there is room, or
+the sync has ended: what is queued stays queued, in its order, and nothing is
+answered meanwhile.  A disk that failed is not trusted again.
 """
 
 import asyncio
 import collections
-import errno
 import random
 import typing
 
@@ -21,9 +24,11 @@
 from carawaystair.control import state_files
 from carawaystair import logs
 
-# A sync that takes longer counts as failed: a leader with such a disk would
-# keep the group from choosing a better one.
+# A sync that takes longer counts as failed until it ends: a leader with such
+# a disk would keep the group from choosing a better one.
 SYNC_LIMIT_S = 10.0
+# How soon a disk that was full is tried again.
+FULL_RETRY_S = 0.5
 IDENTITY_BITS = 64
 
 LOG = logs.get('store')
@@ -53,6 +58,8 @@
         self.rng = rng
         self.sync_limit_s = sync_limit_s
         self.failure: codes.Failure | None = None
+        # Whether the failure lasts until the process starts again.
+        self.lost = False
         self.opened = False
         self.identity = state_files.Identity('', name)
         self.snapshot: state_files.Snapshot | None = None
@@ -72,7 +79,10 @@
     # Opening
 
     async def open(self) -> None:
-        """Read the folder; a defect is left in ``failure``."""
+        """Read the folder; a defect is left in ``failure``.
+
+        It may be called again while the disk is full.
+        """
         try:
             await self.disk.run(self._open)
         except BlockingIOError:
@@ -80,8 +90,10 @@
         except recovery.Corrupt as error:
             self.fail(error.failure)
         except OSError as error:
-            self.fail(failure_of(error))
-        self.opened = True
+            self.fail(failure_of(error), lost=not is_full(error))
+        else:
+            self.opened = True
+            self._works()
 
     def _open(self) -> None:
         self.files.hold()
@@ -152,6 +164,8 @@
             return False
         if done:
             self.failure = None
+            self.lost = False
+            self.opened = True
         return done
 
     def _set_aside(self) -> bool:
@@ -197,7 +211,8 @@
     async def flush(self) -> bool:
         """Wait until all changes so far are on disk.
 
-        :return: False when the disk failed: then nothing may be answered.
+        :return: False when the disk failed or is full: then nothing may be
+            answered.
         """
         if self.failure is not None:
             return False
@@ -209,45 +224,86 @@
         return await future
 
     async def write(self) -> None:
-        """Write what is queued, for as long as the disk is sound."""
-        while self.failure is None:
+        """Write what is queued, until the disk is lost."""
+        while not self.lost:
             await self.wake.wait()
             self.wake.clear()
-            if self.pending:
-                await self._write_batch()
+            while self.pending and not self.lost:
+                if not await self._write_batch():
+                    await asyncio.sleep(FULL_RETRY_S)
 
-    async def _write_batch(self) -> None:
+    async def _write_batch(self) -> bool:
+        """Write what waits now; without room for it, it waits on."""
+        journal, target = self.journal, self.queued
         batch, self.pending = self.pending, []
-        target = self.queued
-        if await self._run(self.journal.commit, batch):
-            self.durable = target
+        error = await self._call(journal.commit, batch)
+        if error is not None:
+            if is_full(error) and journal is self.journal:
+                self.pending = batch + self.pending
+            self.fail(failure_of(error), lost=not is_full(error))
+            return False
+        self.durable = max(self.durable, target)
+        self._works()
         while self.waiters and self.waiters[0][0] <= self.durable:
             _settle(self.waiters.popleft()[1], True)
+        return True
 
     async def _run(self, function: typing.Callable, *arguments) -> bool:
-        """Run a disk call; a failure ends this store for good."""
+        """Run a disk call; tell whether it was done.
+
+        Without room nothing has changed, and the call may be made again.
+        """
+        error = await self._call(function, *arguments)
+        if error is None:
+            self._works()
+            return self.failure is None
+        if is_full(error):
+            LOG.warning('The disk is full.', why=str(error))
+        else:
+            self.fail(failure_of(error))
+        return False
+
+    async def _call(
+        self, function: typing.Callable, *arguments
+    ) -> OSError | None:
+        """Run a disk call; while it takes too long, the store has failed."""
         call = asyncio.ensure_future(self.disk.run(function, *arguments))
         await asyncio.wait({call}, timeout=self.sync_limit_s)
         if not call.done():
             text = 'not done after %g s' % self.sync_limit_s
-            self.fail(codes.Failure(codes.SYNC_SLOW, text))
-            return False
+            self.fail(codes.Failure(codes.SYNC_SLOW, text), lost=False)
+            await asyncio.wait({call})
         error = call.exception()
-        if isinstance(error, OSError):
-            self.fail(failure_of(error))
-            return False
-        if error is not None:
+        if error is not None and not isinstance(error, OSError):
             raise error
-        return self.failure is None
+        return error
 
-    def fail(self, failure: codes.Failure) -> None:
-        LOG.error('Storage failed.', why=failure.sentence())
-        self.failure = failure
+    def fail(self, failure: codes.Failure, lost: bool = True) -> None:
+        """Answer nothing any more.
+
+        :param lost: whether that holds until the process starts again.
+        """
+        if self.failure is None or lost:
+            LOG.error('Storage failed.', why=failure.sentence(), lost=lost)
+        if not self.lost:
+            self.failure = failure
+        self.lost = self.lost or lost
         for callback in self.failed_callbacks:
             callback(failure)
         while self.waiters:
             _settle(self.waiters.popleft()[1], False)
 
+    def _works(self) -> None:
+        """Take note that a disk call was done."""
+        if self.failure is None or self.lost:
+            return
+        if self.pending:
+            # What was queued before the failure comes first.
+            self.wake.set()
+            return
+        LOG.info('Storage works again.', why=self.failure.sentence())
+        self.failure = None
+
     # Snapshots and knowledge
 
     async def save_snapshot(
@@ -331,15 +387,16 @@
 
     async def belong(self) -> bool:
         """Note that this disk belongs to a group from now on."""
-        if not self.identity.fresh:
+        before = self.identity
+        if not before.fresh:
             return True
-        self.identity = self.identity._replace(fresh=False)
-        return await self._run(
-            state_files.write,
-            self.files,
-            state_files.IDENTITY,
-            self.identity,
+        identity = before._replace(fresh=False)
+        done = await self._run(
+            state_files.write, self.files, state_files.IDENTITY, identity
         )
+        if done and self.identity == before:
+            self.identity = identity
+        return done
 
 
 def _replace(entries: list, entry: log_module.Entry) -> None:
@@ -394,8 +451,12 @@
         future.set_result(value)
 
 
+def is_full(error: OSError) -> bool:
+    """Tell whether an error only says that the disk has no room."""
+    return error.errno in files_module.FULL
+
+
 def failure_of(error: OSError) -> codes.Failure:
     """Return the numbered failure for an error of the disk."""
-    full = error.errno in (errno.ENOSPC, errno.EDQUOT)
-    code = codes.DISK_FULL if full else codes.STORAGE_FAILED
+    code = codes.DISK_FULL if is_full(error) else codes.STORAGE_FAILED
     return codes.Failure(code, str(error))
--- a/test/raft_runs.py
+++ b/test/raft_runs.py
@@ -174,7 +174,16 @@
 
     async def disturb(self) -> None:
         """Let one fault follow the other."""
-        kinds = (
+        kinds = self.kinds()
+        async with asyncio.TaskGroup() as tasks:
+            while True:
+                await asyncio.sleep(self.random.uniform(*PAUSE_S))
+                kind = self.random.choice(kinds)
+                tasks.create_task(self._fault(kind))
+
+    def kinds(self) -> tuple[typing.Callable, ...]:
+        """Return the faults, each as often as it is drawn."""
+        return (
             self._power,
             self._power,
             self._cut,
@@ -187,11 +196,6 @@
             self._lost_disk,
             self._old_copy,
         )
-        async with asyncio.TaskGroup() as tasks:
-            while True:
-                await asyncio.sleep(self.random.uniform(*PAUSE_S))
-                kind = self.random.choice(kinds)
-                tasks.create_task(self._fault(kind))
 
     async def _fault(self, kind) -> None:
         self._sound()
@@ -416,10 +420,67 @@
         raise AssertionError(result.error.sentence())
 
 
-def run(seed: int, seconds: float, size: int = 3, **network) -> Kept:
+class FullDisks(Run):
+    """A run whose disks are full now and then, one or several at once.
+
+    Hosts return by themselves once there is room.
+    """
+
+    def kinds(self) -> tuple[typing.Callable, ...]:
+        """Return the faults that a full disk may meet."""
+        return (
+            self._full_disk,
+            self._full_disk,
+            self._full_disk,
+            self._full_disk,
+            self._power,
+            self._cut,
+            self._cut_leader,
+            self._all_lose_power,
+            self._planned_stop,
+        )
+
+    async def _full_disk(self) -> bool:
+        """Fill a disk at once, or let it take some bytes yet."""
+        host = self._any()
+        if host is None:
+            return False
+        if self.random.random() < 0.5:
+            host.folder.errors['append'] = errno.ENOSPC
+        else:
+            host.folder.room = self.random.randint(0, 500)
+        if self.random.random() < 0.5:
+            host.folder.errors['replace'] = errno.ENOSPC
+        await asyncio.sleep(self.random.uniform(*LASTS_S))
+        host.folder.errors.clear()
+        host.folder.room = 1 << 40
+        return True
+
+    async def _mend(self) -> None:
+        for host in self.hosts:
+            host.folder.errors.clear()
+            host.folder.room = 1 << 40
+        for host in self.up():
+            store = host.replica.shared.store
+            if not store.opened and store.failure is None:
+                # The end of the faults cut its start off.
+                await host.crash()
+        await asyncio.sleep(10)
+        failed = [h.seat.name for h in self.up() if h.replica.shared.failure]
+        assert not failed, failed
+        await super()._mend()
+
+
+def run(
+    seed: int,
+    seconds: float,
+    size: int = 3,
+    kind: type[Run] = Run,
+    **network,
+) -> Kept:
     """Run once in virtual time; the seed is printed."""
     print('seed %d, %d hosts, %g s' % (seed, size, seconds))
     network = {'loss': 0.02, 'double': 0.02, 'delay_s': (0.0005, 0.02)} | (
         network
     )
-    return fakes.run(Run(size, seed, **network).whole(seconds))
+    return fakes.run(kind(size, seed, **network).whole(seconds))
--- a/test/test_journal.py
+++ b/test/test_journal.py
@@ -125,7 +125,7 @@
     return store
 
 
-def test_full_disk_ends_the_store_and_keeps_what_was_synced():
+def test_full_disk_answers_nothing_and_keeps_what_was_synced():
     """The disk is full.
 
     Symptom: a change is answered and lost.  Sequence: a write takes only a
@@ -161,6 +161,129 @@
     fakes.run(_run())
 
 
+def change(index: int) -> log_module.Entry:
+    return log_module.Entry(1, index, log_module.CHANGE, b'%d' % index)
+
+
+@pytest.mark.parametrize('room', [0, 1, 10, 30, 200])
+@pytest.mark.parametrize('segment_bytes', [1, 1 << 20])
+def test_store_goes_on_once_a_full_disk_has_room(room, segment_bytes):
+    """Guards against control hosts that stay out after a full disk."""
+
+    async def _run():
+        folder = control_fakes.Folder(random.Random(1))
+        store = await opened(folder)
+        store.journal.segment_bytes = segment_bytes
+        store.put_entry(change(1))
+        assert await store.flush()
+        folder.room = room
+        for index in range(2, 20):
+            store.put_entry(change(index))
+            await store.flush()
+        assert store.failure.code == codes.DISK_FULL and not store.lost
+        await asyncio.sleep(60)
+        assert not await store.flush()
+        folder.room = 1 << 20
+        await asyncio.sleep(2 * stores.FULL_RETRY_S)
+        assert store.failure is None and await store.flush()
+        store.put_entry(change(20))
+        assert await store.flush()
+        folder.crash()
+        again = await opened(folder)
+        assert [again.log.entry(n) for n in range(1, 21)] == [
+            change(n) for n in range(1, 21)
+        ]
+
+    fakes.run(_run())
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_power_loss_on_a_full_disk_keeps_what_was_answered(seed):
+    """Guards against logs that can't be read after a full disk."""
+
+    async def _run():
+        rng = random.Random(seed)
+        folder = control_fakes.Folder(rng)
+        kept, index = 0, 0
+        for _life in range(4):
+            folder.room = 1 << 20
+            store = await opened(folder)
+            assert store.failure is None and store.log.last_index >= kept
+            index = store.log.last_index
+            store.journal.segment_bytes = rng.choice([1, 100, 1 << 20])
+            for _turn in range(rng.randint(1, 6)):
+                index += 1
+                folder.room = rng.choice([rng.randint(0, 100), 1 << 20])
+                store.put_entry(change(index))
+                if await store.flush():
+                    kept = index
+                await asyncio.sleep(rng.choice([0.0, 1.0]))
+            store.writer.cancel()
+            folder.crash()
+
+    fakes.run(_run())
+
+
+def test_store_goes_on_once_a_slow_sync_has_ended():
+    """Guards against control hosts that stay out after a slow sync."""
+
+    async def _run():
+        store = await opened(control_fakes.Folder(random.Random(3)))
+        store.disk.delay_s = 20.0
+        store.put_entry(change(1))
+        assert not await store.flush()
+        assert store.failure.code == codes.SYNC_SLOW
+        store.disk.delay_s = 0.0
+        await asyncio.sleep(60)
+        assert store.failure is None
+        store.put_entry(change(2))
+        assert await store.flush() and store.durable == store.queued
+
+    fakes.run(_run())
+
+
+def test_store_opens_once_a_full_disk_has_room():
+    """Guards against control hosts that stay out if started on a full disk."""
+
+    async def _run():
+        folder = control_fakes.Folder(random.Random(1))
+        folder.errors['replace'] = errno.ENOSPC
+        store = await opened(folder)
+        assert not store.opened and not store.lost
+        assert store.failure.code == codes.DISK_FULL
+        folder.errors.clear()
+        await store.open()
+        assert store.opened and store.failure is None
+        store.put_entry(change(1))
+        assert await store.flush()
+
+    fakes.run(_run())
+
+
+def test_snapshot_without_room_is_not_taken():
+    """Guards against hosts that give up although their log has room."""
+
+    async def _run():
+        folder = control_fakes.Folder(random.Random(1))
+        store = await opened(folder)
+        store.put_entry(change(1))
+        assert await store.flush()
+        folder.errors['replace'] = errno.ENOSPC
+        assert not await store.save_snapshot(
+            state_files.Snapshot(1, 1, GROUP, b'state'), 0
+        )
+        assert not await store.belong() and store.identity.fresh
+        store.put_entry(change(2))
+        assert await store.flush() and store.failure is None
+        folder.errors.clear()
+        assert await store.belong() and not store.identity.fresh
+        assert await store.save_snapshot(
+            state_files.Snapshot(1, 1, GROUP, b'state'), 0
+        )
+
+    fakes.run(_run())
+
+
 def test_damaged_snapshot_is_not_used():
     async def _run():
         folder = control_fakes.Folder(random.Random(1))
--- a/test/test_raft.py
+++ b/test/test_raft.py
@@ -307,6 +307,47 @@
     _test()
 
 
+FULL = {'append': errno.ENOSPC, 'replace': errno.ENOSPC}
+
+
+@pytest.mark.parametrize('seed', range(10))
+def test_hosts_whose_disks_were_full_return_by_themselves(seed):
+    """Guards against a group that has no quorum until hosts are restarted."""
+
+    @control_fakes.group_run(3, seed=seed)
+    async def _test(group):
+        leader = await group.leader()
+        await group.propose(b'before')
+        for host in (leader, others(group, leader)[0]):
+            host.folder.errors.update(FULL)
+            await host.replica.propose(b'x')
+            await asyncio.sleep(2)
+        await asyncio.sleep(20)
+        for host in group.hosts:
+            host.folder.errors.clear()
+        version = await group.propose(b'after', within_s=10)
+        await group.settle(version.index)
+        assert not any(h.replica.status().failure for h in group.hosts)
+
+    _test()
+
+
+@control_fakes.group_run(3)
+async def test_host_that_starts_on_a_full_disk_returns_by_itself(group):
+    """Guards against a host that stays out if started on a full disk."""
+    version = await group.propose(b'before')
+    host = others(group, await group.leader())[0]
+    await host.crash()
+    host.folder.errors.update(FULL)
+    await host.start()
+    await asyncio.sleep(10)
+    assert host.replica.status().role == interfaces.FAILED
+    host.folder.errors.clear()
+    version = await group.propose(b'after')
+    await group.settle(version.index)
+    assert host.replica.status().failure is None
+
+
 @control_fakes.group_run(3)
 async def test_follower_far_behind_gets_a_snapshot(group):
     """A host is away for longer than the log reaches back."""
--- a/test/test_raft_random.py
+++ b/test/test_raft_random.py
@@ -19,3 +19,10 @@
     kept = raft_runs.run(seed, 60.0, size)
     assert kept.accepted > 10 and kept.reads > 10
     assert sum(kept.faults.values()) > 10
+
+
+@pytest.mark.parametrize('seed', range(12))
+def test_promises_hold_while_disks_are_full(seed):
+    """Guards against broken promises of hosts that go on after a full disk."""
+    kept = raft_runs.run(seed, 60.0, kind=raft_runs.FullDisks)
+    assert kept.accepted > 5 and kept.faults['_full_disk']
