Control: sync what a replica reads of its log when it starts

Found by reading, beside the full disk: rows that a process had written and not synced when it was killed are read back from the system's memory and counted as synced. A vote among them is repeated without a further write, so that a loss of power could take it back after it was answered.

Change: the newest segment and the folder are synced once they were read; the older ones were synced before the next one began.

--- a/carawaystair/control/recovery.py
+++ b/carawaystair/control/recovery.py
@@ -112,6 +112,10 @@
         ]
         for position, name in enumerate(names):
             self._segment(name, position == len(names) - 1)
+        if self.journal.number:
+            # A process that was killed may not have synced what is read.
+            self.files.sync(journals.segment_name(self.journal.number))
+            self.files.sync_folder()
         self.journal.synced = self.journal.sequence
         return Recovered(self.journal, self.rows, self.cut)
 
--- a/test/test_journal.py
+++ b/test/test_journal.py
@@ -100,6 +100,27 @@
         recovery.read(folder)
 
 
+@pytest.mark.parametrize('seed', range(10))
+def test_rows_read_after_a_kill_outlive_a_power_loss(seed):
+    """Guards against answers from rows that were read but never synced."""
+
+    class Killed(Exception):
+        """The process ends before its sync."""
+
+    def killed(_name):
+        raise Killed
+
+    folder, journal = written([entry(1)])
+    folder.rng = random.Random(seed)
+    folder.sync, sync = killed, folder.sync
+    with pytest.raises(Killed):
+        journal.commit([entry(2)])
+    folder.sync = sync
+    read = entries(folder)
+    folder.crash()
+    assert entries(folder) == read
+
+
 def test_failed_sync_is_never_tried_again():
     """A sync fails once.
 
