Gateways: run what ends in time while the process stops

Cause: a node refused other nodes' requests from its SIGTERM on, and nobody else reaches its upstream, while its own callers kept the process up for 2.4 to 5.9 s. Ruled out: chance (no upstream was left out without a refusal).

Change: the gateway runs what ends before the process does, for as long as callers keep it up: twice the usual duration must be left for what may be repeated, eight times for the rest. Only then is the upstream published as leaving. Who refused a route because it stops is not asked for it again for 1 s, as its free slots would draw every offer.

Tests: test_upstream_has_work_while_its_node_answers_callers failed before (no run for 3.57 s of a stop, 0.8 allowed).

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -139,7 +139,10 @@
         for node in self.fleet.nodes():
             status = await self.fleet.status(node) or {}
             if _version(status.get('version', '0.0')) < newest:
-                self.behind.append(node.name)
+                seen = 'no status'
+                if status:
+                    seen = 'at {version}, ready {ready}'.format_map(status)
+                self.behind.append('%s (%s)' % (node.name, seen))
             for name, count in status.get('invariants_broken', {}).items():
                 self.broken[name] = self.broken.get(name, 0) + count
 
--- a/carawaystair/gateway/dispatcher.py
+++ b/carawaystair/gateway/dispatcher.py
@@ -393,6 +393,8 @@
         dispatch.refusals.append('%s:%s' % (name, declined.reason))
         if declined.reason == hops.CRASHING:
             dispatch.crashing = True
+        if declined.reason == hops.LEAVING:
+            self.pool.record_leaving(name, dispatch.call.match.key)
         if declined.reason in REASONS_TO_WAIT:
             dispatch.refused_by[name] = (target, declined)
 
--- a/carawaystair/gateway/executor.py
+++ b/carawaystair/gateway/executor.py
@@ -16,6 +16,7 @@
 from carawaystair import interfaces
 from carawaystair.load import retry_budget
 from carawaystair.load import slot_queue
+from carawaystair.load import stopping
 from carawaystair.load import upstream_gate
 from carawaystair.load import upstream_selection
 from carawaystair import logs
@@ -95,6 +96,8 @@
         self.gateway_counts: dict[str, int] = {}
         self.instances: dict[str, instances.Instance] = {}
         self.running = instances.RunningAttempts()
+        # When the process ends, once it has been asked to stop.
+        self.ends_at = math.inf
         self.stopping = False
         self.not_run_header = names.not_run.lower().encode()
         self.receipt_header = names.receipt.lower().encode()
@@ -179,12 +182,41 @@
         self.crashes.incarnation_ended(instance.target, why == 'left')
         instance.close()
 
+    def stop(self, ends_at: float) -> None:
+        """Run only what ends in time, as the process stops.
+
+        :param ends_at: monotonic time at which the process ends.
+        """
+        self.ends_at = ends_at
+        for instance in self.instances.values():
+            instance.slots.refuse_waiting(hops.LEAVING)
+
     def close(self) -> None:
-        """Refuse new requests, as the process stops."""
+        """Refuse new requests."""
         self.stopping = True
         for instance in self.instances.values():
             instance.slots.refuse_waiting(hops.LEAVING)
 
+    def has_time(self) -> bool:
+        """Return whether a usual request would end before the process does."""
+        remaining_s = self.ends_at - clock.now()
+        return any(
+            stopping.may_run(
+                remaining_s, instance.slots.queue.durations.mean, True
+            )
+            for instance in self.instances.values()
+        )
+
+    def _may_run(self, hop: hops.Hop, slots: slots_module.Slots) -> bool:
+        """Return whether a request may run, in view of the process's end."""
+        now = clock.now()
+        once = hop.final_attempt or hop.expects_continue
+        return not self.stopping and stopping.may_run(
+            self.ends_at - now,
+            slots.queue.expected_service_s(hop.route, now),
+            hop.idempotent and not once,
+        )
+
     def sweep(self, now: float) -> None:
         """Close connections that have been idle for too long."""
         for instance in self.instances.values():
@@ -283,8 +315,10 @@
         :raises slots.Refused: when no slot will be free in time.
         """
         waited_s = await instance.slots.acquire(slot_request, hop.may_wait)
-        if self.instances.get(hop.upstream) is not instance:
-            # The instance ended while the request waited for its slot.
+        ended = self.instances.get(hop.upstream) is not instance
+        if ended or not self._may_run(hop, instance.slots):
+            # The instance ended, or its process is about to, while the
+            # request waited for its slot.
             instance.slots.release(hop.key)
             raise slots_module.Refused(hops.LEAVING)
         return waited_s
@@ -412,7 +446,8 @@
         instance = self.instances.get(hop.upstream)
         if instance is None:
             raise slots_module.Refused(hops.ABSENT)
-        if self.stopping or instance.announcement.state != interfaces.UP:
+        up = instance.announcement.state == interfaces.UP
+        if not up or not self._may_run(hop, instance.slots):
             raise slots_module.Refused(hops.LEAVING)
         return instance
 
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -245,8 +245,9 @@
         """Drain, then close.
 
         Callers notice only after a while that this node is no longer ready,
-        so their requests are served until then.  Other nodes are notified and
-        refused at once, since they have other gateways to choose from.
+        so their requests are served until then.  The gateway runs what ends
+        in time for as long as callers keep the process up anyway; only then
+        are other nodes notified.
         """
         self.stopping = True
         node = self.settings.node
@@ -254,12 +255,15 @@
         ends_at = now + max(node.drain_s - STOP_MARGIN_S, 0.0)
         self.caller_handler.stop_deadline = ends_at
         self.caller_handler.accept_until = min(now + node.lame_duck_s, ends_at)
-        self.membership.registry.drain_all()
-        self.executor.close()
+        self.executor.stop(ends_at)
         while clock.now() < self.caller_handler.accept_until:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         self.caller_listener.close()
         self.caller_listener.close_idle()
+        while self.caller_handler.active and self.executor.has_time():
+            await asyncio.sleep(STOP_POLL_INTERVAL_S)
+        self.membership.registry.drain_all()
+        self.executor.close()
         while clock.now() < ends_at and self._busy():
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         self.node_listener.close()
--- a/carawaystair/gateway/upstream_pool.py
+++ b/carawaystair/gateway/upstream_pool.py
@@ -15,6 +15,11 @@
 from carawaystair import routing as routings
 
 
+# How long a gateway that refused a route because it stops is not asked again
+# for it, seconds: it starts again, or is known to leave, soon after.
+LEAVING_S = 1.0
+
+
 class Choice(typing.NamedTuple):
     """The upstream to which a request is offered.
 
@@ -58,6 +63,8 @@
         self.explorations: collections.defaultdict = collections.defaultdict(
             exploration.Exploration
         )
+        # Until when upstreams get no requests of a route, by id and route.
+        self.leaving: dict[tuple[str, str], float] = {}
         directory.subscribe(self.on_upstream_changed)
 
     def on_upstream_changed(self, upstream: interfaces.Upstream) -> None:
@@ -92,8 +99,19 @@
         """Record whether a run of a service succeeded."""
         self.explorations[service].record(good)
 
+    def record_leaving(self, upstream: str, route: str) -> None:
+        """Record that a gateway stops and runs no more of a route.
+
+        Its upstream has free slots then, so that it would be offered every
+        request first.
+        """
+        self.leaving[upstream, route] = clock.now() + LEAVING_S
+
     def sweep(self, now: float) -> None:
         """Close connections that have been idle for too long."""
+        self.leaving = {
+            key: until for key, until in self.leaving.items() if until > now
+        }
         for target in self.targets.values():
             connections.close_stale(target, now)
 
@@ -145,6 +163,7 @@
             upstream.id: upstream
             for upstream in self.directory.upstreams(service)
             if upstream.state == interfaces.UP
+            and self.leaving.get((upstream.id, route), now) <= now
             and not routing.drained(upstream.host, upstream.data_centre)
         }
         candidates = [
--- /dev/null
+++ b/carawaystair/load/stopping.py
@@ -0,0 +1,24 @@
+"""Which requests the gateway of a process that stops still runs.
+
+Only this gateway reaches the upstream beside it.  Were it closed as soon as
+its process is asked to stop, the upstream would stand idle for as long as the
+process answers its callers, and, while one host after the other stops, a part
+of each service with it.
+"""
+
+# Expected durations that must be left for a request that can run again
+# elsewhere if the stop cuts it.
+REPEATABLE_DURATIONS = 2.0
+# The same for one that can't: it must end before the stop in any case.
+SINGLE_DURATIONS = 8.0
+
+
+def may_run(remaining_s: float, expected_s: float, repeatable: bool) -> bool:
+    """Return whether a request may begin to run.
+
+    :param remaining_s: time until the process ends, seconds.
+    :param expected_s: expected duration of its run, seconds.
+    :param repeatable: whether it can run again if it is cut.
+    """
+    durations = REPEATABLE_DURATIONS if repeatable else SINGLE_DURATIONS
+    return durations * expected_s <= remaining_s
--- a/test/test_gateway_stopping.py
+++ b/test/test_gateway_stopping.py
@@ -61,3 +61,89 @@
             return loop.time() - began
 
     assert pipes.run(scenario()) <= drain_s
+
+
+WORK_S = 0.2
+# A request of a caller that keeps its node up while it stops, seconds.
+HOLD_S = 4.0
+# What the nodes of these tests have for a stop, seconds.
+DRAIN_S = 6.0
+
+
+class Upstream:
+    """Script that answers after the usual time, or late if the path says so.
+
+    :param work_s: the usual time, seconds.
+    """
+
+    def __init__(self, work_s: float) -> None:
+        self.work_s = work_s
+        # When its runs began.
+        self.starts: list[float] = []
+
+    async def __call__(self, upstream, seen, writer) -> None:
+        """Run one request."""
+        self.starts.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(HOLD_S if 'hold' in seen.line else self.work_s)
+        writer.write(fleets.good())
+
+
+async def stop_under_load(method: str, path: str, work_s: float) -> tuple:
+    """Stop the second of two nodes while one of its callers waits long.
+
+    Both upstreams are needed for the load.
+
+    :return: when the stop began and ended, when runs began at the upstream
+        beside the node, the answers of all callers, and how often the node
+        refused a request because it stops.
+    """
+    other, beside = Upstream(work_s), Upstream(work_s)
+    async with fleets.running(
+        other, beside, lame_duck_s=0.5, drain_s=DRAIN_S
+    ) as fleet:
+        loop = asyncio.get_running_loop()
+        tasks = [
+            asyncio.ensure_future(fleet.ask('/read/warm'))
+            for _number in range(40)
+        ]
+        await asyncio.gather(*tasks)
+        held = asyncio.ensure_future(fleet.ask('/read/hold', node=1))
+        await asyncio.sleep(0.5)
+        began = loop.time()
+        stopping = asyncio.ensure_future(fleet.nodes[1].service.stop())
+        asking = []
+        while not stopping.done():
+            asking.append(
+                asyncio.ensure_future(
+                    fleet.ask(path, method, body=b'x' * (method == 'POST'))
+                )
+            )
+            await asyncio.sleep(work_s / 8)
+        ended = loop.time()
+        answered = await asyncio.gather(held, *asking)
+        lines = fleet.nodes[1].lines.lines
+    refused = sum(b'"reason":"leaving"' in line for line in lines)
+    return began, ended, beside.starts, answered, refused
+
+
+def test_upstream_has_work_while_its_node_answers_callers():
+    """Guards against an upstream that idles for the whole stop of its node."""
+    began, ended, starts, answered, _refused = pipes.run(
+        stop_under_load('GET', '/read/x', WORK_S)
+    )
+    assert ended - began > HOLD_S / 2
+    during = [at for at in starts if at > began]
+    gaps = [b - a for a, b in zip([began, *during], [*during, ended])]
+    assert max(gaps) < 4 * WORK_S
+    assert {answer.status for answer in answered} == {200}
+
+
+@pytest.mark.parametrize('work_s', [WORK_S, 4 * WORK_S])
+def test_stop_begins_no_run_that_it_might_cut_for_good(work_s):
+    """Guards against a run that may not be repeated and outlives the stop."""
+    began, ended, starts, _answered, refused = pipes.run(
+        stop_under_load('POST', '/pay/x', work_s)
+    )
+    assert max(starts) <= began + DRAIN_S - 8 * work_s or max(starts) <= began
+    # The other node asks again once a second.
+    assert refused <= 2 * (ended - began + 1)
