Keys are checked at nodes that send to upstreams directly, too

Callers saw: with require_keys set, a fleet without gateways let every request through, with any customer that it named, and passed the key on to upstreams. Found by reading.

Cause: only the gateways' handler of callers knew of keys.

Change: the authenticator moves to the request package and both handlers use it. The key stays with the node, upstreams get the name of its customer, and a request that waited for its permit is checked again. Rates of customers are still counted by gateways only.

--- a/carawaystair/direct_node.py
+++ b/carawaystair/direct_node.py
@@ -43,6 +43,7 @@
             routing,
             self.quarantine,
             self.follower.lag.seconds,
+            self.follower.age_s,
         )
         self.parts = (
             self.membership,
--- a/carawaystair/gateway/caller_handler.py
+++ b/carawaystair/gateway/caller_handler.py
@@ -8,7 +8,6 @@
 from carawaystair import clock
 from carawaystair import codes
 from carawaystair import decisions
-from carawaystair.gateway import authentication
 from carawaystair.gateway import call_tracker
 from carawaystair.gateway import dispatcher as dispatchers
 from carawaystair.gateway import dispatches
@@ -20,6 +19,7 @@
 from carawaystair import manifest
 from carawaystair.quota import client as quotas
 from carawaystair.request import answer as answers
+from carawaystair.request import authentication
 from carawaystair.request import base_handler
 from carawaystair.request import body as bodies
 from carawaystair.request import call as calls
--- a/carawaystair/gateway/dispatcher.py
+++ b/carawaystair/gateway/dispatcher.py
@@ -15,7 +15,6 @@
 from carawaystair import clock
 from carawaystair import codes
 from carawaystair import decisions
-from carawaystair.gateway import authentication
 from carawaystair.gateway import dispatches
 from carawaystair.gateway import gateway_client
 from carawaystair.gateway import hedging
@@ -31,6 +30,7 @@
 from carawaystair.load import upstream_gate
 from carawaystair.load import upstream_selection
 from carawaystair.request import answer as answers
+from carawaystair.request import authentication
 from carawaystair.request import target as targets
 from carawaystair.request import validation
 
--- a/carawaystair/gateway/dispatches.py
+++ b/carawaystair/gateway/dispatches.py
@@ -6,11 +6,11 @@
 import typing
 
 from carawaystair import clock
-from carawaystair.gateway import authentication
 from carawaystair.gateway import hops
 from carawaystair.load import request_value
 from carawaystair.load import upstream_selection
 from carawaystair.request import answer as answers
+from carawaystair.request import authentication
 from carawaystair.request import call as calls
 from carawaystair.request import target as targets
 
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -7,7 +7,6 @@
 
 from carawaystair import clock
 from carawaystair import decisions
-from carawaystair.gateway import authentication
 from carawaystair.gateway import call_tracker
 from carawaystair.gateway import caller_handler
 from carawaystair.gateway import dispatcher as dispatchers
@@ -26,6 +25,7 @@
 from carawaystair.load import retry_budget
 from carawaystair import metrics
 from carawaystair.quota import client as quotas
+from carawaystair.request import authentication
 from carawaystair.request import connections
 from carawaystair.request import http_server
 from carawaystair.request import listener as listeners
--- a/carawaystair/request/__init__.py
+++ b/carawaystair/request/__init__.py
@@ -24,6 +24,7 @@
     routing: typing.Callable[[], routings.Routing | None],
     quarantine: interfaces.Quarantine,
     behind_s: typing.Callable[[], float] = lambda: 0.0,
+    age_s: typing.Callable[[], float] = lambda: 0.0,
 ) -> mode.Service:
     """Return the service that answers callers at ``node.listen``.
 
@@ -36,6 +37,8 @@
         version ``rows.NONE`` while there is none.
     :param behind_s: returns for how long a newer configuration has been
         known, seconds; 0.0 while none is.
+    :param age_s: returns how long ago the configuration in force was surely
+        the newest one, seconds.
     """
     service = importlib.import_module('carawaystair.request.service')
     parts = service.Parts(
@@ -47,5 +50,6 @@
         routing,
         quarantine,
         behind_s,
+        age_s,
     )
     return service.Requests(kernel, parts)
--- a/carawaystair/request/call.py
+++ b/carawaystair/request/call.py
@@ -26,6 +26,8 @@
     :param length: bytes of a streamed body, None when it is chunked.
     :param body_prefix: the part of a streamed body that was already read.
     :param digest: digest of its content, see ``digests``.
+    :param credential: row key of its customer's key; '' where none was
+        required.
     """
 
     id: str
@@ -43,6 +45,7 @@
     length: int | None = None
     body_prefix: bytes = b''
     digest: str = ''
+    credential: str = ''
 
     @property
     def service(self) -> str:
--- a/carawaystair/request/handler.py
+++ b/carawaystair/request/handler.py
@@ -7,6 +7,7 @@
 from carawaystair import interfaces
 from carawaystair.request import answer as answers
 from carawaystair.request import attempt_tracker
+from carawaystair.request import authentication
 from carawaystair.request import base_handler
 from carawaystair.request import body as bodies
 from carawaystair.request import call as calls
@@ -37,6 +38,7 @@
         known, seconds; 0.0 while none is.
     :param sender: sends to upstreams.
     :param meters: counts requests by outcome.
+    :param authenticator: checks keys of customers.
     """
 
     def __init__(
@@ -50,11 +52,13 @@
         behind_s: typing.Callable[[], float],
         sender: senders.Sender,
         meters: meters_module.Meters,
+        authenticator: authentication.Authenticator,
     ) -> None:
         super().__init__(prefix, drain_s, routing, behind_s, meters)
         self.host = host
         self.admission = admission
         self.sender = sender
+        self.authenticator = authenticator
         self.keyed = idempotency.KeyedRequests(
             reservations, self._send_keyed, sender.spawn, sender.abort
         )
@@ -70,6 +74,9 @@
         match = validation.match_route(routing, target)
         if match is None or match.service is None:
             raise self._no_route()
+        identity = self.authenticator.identify(
+            routing, match.route, request.headers, False
+        )
         call = validation.read_call(
             request,
             target,
@@ -79,14 +86,18 @@
             self.host,
             now,
             self.max_duration_s,
+            identity.customer if routing.keys_required else None,
         )
+        call = call._replace(credential=identity.credential)
         exchange.id = call.id
         if self.stop_deadline is not None:
             self._check_stopping(call)
         length = bodies.declared_length(request)
         if length != 0 or 'Expect' in request.headers:
             call = await self._read_body(request, call, exchange, length)
-        credentials = request.headers.get('Authorization', '')
+        credentials = identity.customer or request.headers.get(
+            authentication.AUTHORIZATION, ''
+        )
         call = digests.with_digest(call, target.host, credentials)
         if call.key:
             await self._answer_keyed(call, exchange)
@@ -152,6 +163,18 @@
         )
         if permit is not None:
             return shared_permits.SharedPermit(permit)
+        permit = await self._wait_admission(call)
+        refused = self.authenticator.recheck(
+            authentication.Sender(call.customer, call.credential)
+        )
+        if refused is not None:
+            permit.release()
+            raise refused
+        return permit
+
+    async def _wait_admission(
+        self, call: calls.Call
+    ) -> shared_permits.SharedPermit:
         result = await self.admission.admit(
             call.service, call.charged, call.deadline, call.bulk
         )
--- a/carawaystair/request/service.py
+++ b/carawaystair/request/service.py
@@ -8,6 +8,7 @@
 from carawaystair import clock
 from carawaystair import interfaces
 from carawaystair import metrics
+from carawaystair.request import authentication
 from carawaystair.request import connections
 from carawaystair.request import handler as handlers
 from carawaystair.request import listener as listeners
@@ -33,6 +34,7 @@
     routing: typing.Callable[[], routings.Routing | None]
     quarantine: interfaces.Quarantine
     behind_s: typing.Callable[[], float]
+    age_s: typing.Callable[[], float]
 
 
 class Requests(mode.Service):
@@ -80,6 +82,12 @@
             parts.behind_s,
             self.sender,
             counts,
+            authentication.Authenticator(
+                parts.routing,
+                parts.behind_s,
+                parts.age_s,
+                settings.node.keys_max_age_s,
+            ),
         )
         self.listener = listeners.Listener(self.handler.handle)
         await self.listener.listen(settings.bound(settings.node.listen))
--- a/carawaystair/request/validation.py
+++ b/carawaystair/request/validation.py
@@ -16,6 +16,7 @@
 # A CONNECT tunnel would hide the requests in it; TRACE would show a caller
 # the headers that were added to its request.
 REFUSED_METHODS = frozenset(('CONNECT', 'TRACE'))
+AUTHORIZATION = b'authorization'
 MAX_DEADLINE_MS = 3_600_000
 MAX_CUSTOMER_LENGTH = 128
 MAX_KEY_LENGTH = 255
@@ -118,6 +119,7 @@
     host: str,
     now: float,
     max_duration_s: float,
+    keyed_customer: str | None = None,
 ) -> calls.Call:
     """Read the head of a request.
 
@@ -125,13 +127,16 @@
     :param own_id: the id that this node gave the request.
     :param host: the host of this node.
     :param max_duration_s: upper bound of the time to its deadline, seconds.
+    :param keyed_customer: the customer whose key it brought, '' for none;
+        None where keys are not required, so that it names its customer.
     :raises Refused: when a header is invalid or the request loops.
     """
     fields = request.headers
     method = request.method
     if 'Via' in fields and _looped(fields.getall('Via'), host):
         raise Refused(codes.LOOP)
-    customer = _customer(fields)
+    keyed = keyed_customer is not None
+    customer = keyed_customer if keyed else _customer(fields)
     idempotent = match.route.idempotent
     if idempotent is None:
         idempotent = method not in NON_IDEMPOTENT
@@ -151,7 +156,7 @@
         '' if idempotent else _key(fields),
         method,
         target.path,
-        upstream_head(request, target, customer, host),
+        upstream_head(request, target, customer, host, keyed),
     )
 
 
@@ -160,9 +165,15 @@
     target: RequestTarget,
     customer: str,
     host: str,
+    keyed: bool = False,
 ) -> bytes:
-    """Return the request line and headers to send upstream."""
+    """Return the request line and headers to send upstream.
+
+    :param keyed: whether its key is left out.
+    """
     raw = request.raw_headers
+    if keyed:
+        raw = [pair for pair in raw if pair[0].lower() != AUTHORIZATION]
     if target.authority:
         raw = [pair for pair in raw if pair[0].lower() != b'host']
     first = headers.request_head(
--- a/test/request_setup.py
+++ b/test/request_setup.py
@@ -162,10 +162,17 @@
         self.reservations = parts.get('reservations') or (stubs.Reservations())
         self.routing = make_routing(service, routes)
         self.behind_s = 0.0
+        # How old the knowledge of the configuration is, seconds.
+        self.age_s = 0.0
         text = (
             '{"host": "h1", "data_centre": "a", "region": "r", "node":'
-            ' {"listen": "127.0.0.1:%d", "drain_s": %s}}'
-            % (LISTEN, parts.get('drain_s', 30.0))
+            ' {"listen": "127.0.0.1:%d", "drain_s": %s,'
+            ' "keys_max_age_s": %s}}'
+            % (
+                LISTEN,
+                parts.get('drain_s', 30.0),
+                parts.get('keys_max_age_s', 0.0),
+            )
         )
         kernel = types.SimpleNamespace(
             settings=settings.parse(text).ok,
@@ -182,6 +189,7 @@
             lambda: self.routing,
             parts.get('quarantine') or stubs.Quarantine(),
             lambda: self.behind_s,
+            lambda: self.age_s,
         )
 
     @property
--- a/test/test_gateway_customers.py
+++ b/test/test_gateway_customers.py
@@ -5,10 +5,10 @@
 import pytest
 
 from carawaystair import clock
-from carawaystair.gateway import authentication
 from carawaystair.gateway import caller_handler
 from carawaystair import manifest
 from carawaystair.quota import messages
+from carawaystair.request import authentication
 from carawaystair import routing as routings
 from carawaystair import rows
 from test import gateway_setup as setups
