--- a/carawaystair/gateway/executor.py
+++ b/carawaystair/gateway/executor.py
@@ -197,9 +197,12 @@
         for instance in self.instances.values():
             instance.slots.refuse_waiting(hops.LEAVING)
 
-    def has_time(self) -> bool:
-        """Return whether a usual request would end before the process does."""
-        remaining_s = self.ends_at - clock.now()
+    def has_time(self, reserve_s: float) -> bool:
+        """Return whether a usual request would end before the process does.
+
+        :param reserve_s: time that is needed after it, seconds.
+        """
+        remaining_s = self.ends_at - clock.now() - reserve_s
         return any(
             stopping.may_run(
                 remaining_s, instance.slots.queue.durations.mean, True
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -38,6 +38,9 @@
 # Part of the drain time that is left for the services that stop after this
 # one, seconds.
 STOP_MARGIN_S = 0.3
+# Time in which other nodes hear that upstreams leave, seconds.  Work that runs
+# once and reaches a gateway that has just closed has an unknown outcome.
+NEWS_S = 0.5
 # Time to write the last answers before connections are closed, seconds.
 FLUSH_S = 0.05
 
@@ -260,11 +263,14 @@
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         self.caller_listener.close()
         self.caller_listener.close_idle()
-        while self.caller_handler.active and self.executor.has_time():
+        while self.caller_handler.active and self.executor.has_time(NEWS_S):
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         self.membership.registry.drain_all()
         self.executor.close()
-        while clock.now() < ends_at and self._busy():
+        heard_at = clock.now() + NEWS_S
+        while clock.now() < ends_at and (
+            clock.now() < heard_at or self._busy()
+        ):
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         self.node_listener.close()
         self.caller_handler.cancel_remaining()
--- a/test/test_gateway_stopping.py
+++ b/test/test_gateway_stopping.py
@@ -6,6 +6,7 @@
 
 from test import gateway_setup as fleets
 from test import pipes
+from test import request_setup as setups
 
 BODY = b'x' * 48_000
 # How long a caller reads nothing, seconds.
@@ -66,6 +67,10 @@
 WORK_S = 0.2
 # A request of a caller that keeps its node up while it stops, seconds.
 HOLD_S = 4.0
+# How late other nodes hear of a change, and how long their requests travel,
+# seconds.
+NEWS_S = 0.4
+WAY_S = 0.02
 # What the nodes of these tests have for a stop, seconds.
 DRAIN_S = 6.0
 
@@ -74,30 +79,47 @@
     """Script that answers after the usual time, or late if the path says so.
 
     :param work_s: the usual time, seconds.
+    :param hold_s: the other one, seconds.
     """
 
-    def __init__(self, work_s: float) -> None:
+    def __init__(self, work_s: float, hold_s: float) -> None:
         self.work_s = work_s
+        self.hold_s = hold_s
         # When its runs began.
         self.starts: list[float] = []
 
     async def __call__(self, upstream, seen, writer) -> None:
         """Run one request."""
         self.starts.append(asyncio.get_running_loop().time())
-        await asyncio.sleep(HOLD_S if 'hold' in seen.line else self.work_s)
+        await asyncio.sleep(
+            self.hold_s if 'hold' in seen.line else self.work_s
+        )
         writer.write(fleets.good())
 
 
-async def stop_under_load(method: str, path: str, work_s: float) -> tuple:
-    """Stop the second of two nodes while one of its callers waits long.
+def delay_news(fleet) -> None:
+    """Let nodes hear of changes of upstreams as late as in a fleet."""
+    publish = fleet.publish
+    loop = asyncio.get_running_loop()
+    fleet.publish = lambda upstream: loop.call_later(NEWS_S, publish, upstream)
+
 
-    Both upstreams are needed for the load.
+async def stop_under_load(
+    method: str,
+    path: str,
+    work_s: float,
+    hold_s: float = HOLD_S,
+    per_work: int = 8,
+) -> tuple:
+    """Stop the second of two nodes while one of its callers waits long.
 
+    :param per_work: requests that callers begin in the usual time; both
+        upstreams are needed for more than five.
     :return: when the stop began and ended, when runs began at the upstream
         beside the node, the answers of all callers, and how often the node
         refused a request because it stops.
     """
-    other, beside = Upstream(work_s), Upstream(work_s)
+    other, beside = (Upstream(work_s, hold_s) for _number in range(2))
     async with fleets.running(
         other, beside, lame_duck_s=0.5, drain_s=DRAIN_S
     ) as fleet:
@@ -107,6 +129,9 @@
             for _number in range(40)
         ]
         await asyncio.gather(*tasks)
+        delay_news(fleet)
+        loop.slow(fleet.nodes[1].gateway, WAY_S)
+        loop.queue(fleet.nodes[1].gateway, WAY_S)
         held = asyncio.ensure_future(fleet.ask('/read/hold', node=1))
         await asyncio.sleep(0.5)
         began = loop.time()
@@ -118,7 +143,7 @@
                     fleet.ask(path, method, body=b'x' * (method == 'POST'))
                 )
             )
-            await asyncio.sleep(work_s / 8)
+            await asyncio.sleep(work_s / per_work)
         ended = loop.time()
         answered = await asyncio.gather(held, *asking)
         lines = fleet.nodes[1].lines.lines
@@ -147,3 +172,43 @@
     assert max(starts) <= began + DRAIN_S - 8 * work_s or max(starts) <= began
     # The other node asks again once a second.
     assert refused <= 2 * (ended - began + 1)
+
+
+@pytest.mark.parametrize('hold_s', [0.1, HOLD_S, 2 * DRAIN_S])
+@pytest.mark.parametrize('work_s', [0.02, 4 * WORK_S])
+@pytest.mark.parametrize(
+    ('method', 'path'), [('GET', '/read/x'), ('POST', '/pay/x')]
+)
+def test_requests_that_cross_a_stop_are_answered(method, path, work_s, hold_s):
+    """Guards against requests that are lost at a gateway that has just left.
+
+    Other nodes hear late that it leaves.
+    """
+    _began, _ended, _starts, answered, _refused = pipes.run(
+        stop_under_load(method, path, work_s, hold_s, 3)
+    )
+    assert {answer.status for answer in answered[1:]} == {200}
+
+
+async def ask_during_stop(offset_s: float) -> setups.Answer:
+    """Send work that runs once to a node that stops, at some moment."""
+    async with fleets.running(
+        None, fleets.serve, lame_duck_s=0.1, drain_s=DRAIN_S
+    ) as fleet:
+        for _turn in range(5):
+            await fleet.ask('/pay/x', 'POST', body=b'x')
+        delay_news(fleet)
+        asyncio.get_running_loop().slow(fleet.nodes[1].gateway, WAY_S)
+        stopping = asyncio.ensure_future(fleet.nodes[1].service.stop())
+        await asyncio.sleep(offset_s)
+        answer = await fleet.ask('/pay/x', 'POST', body=b'x')
+        await stopping
+        return answer
+
+
+def test_work_that_crosses_the_end_of_a_stop_has_a_known_outcome():
+    """Guards against work that runs once and reaches a gateway just closed."""
+    outcomes = [
+        pipes.run(ask_during_stop(0.005 * turn)).outcome for turn in range(120)
+    ]
+    assert set(outcomes) == {'complete', 'not-run'}
