Processes: a reload does not end one that is starting

Cause: until a process has done its imports SIGHUP has its default action and ends it. Evidence: the plan's reload of node-2 falls 0.9 s after its second restart, its log has no further line, one of two reloads stands in the logs; apart, SIGHUP 0.01 to 0.3 s after a start ends the process with signal 1.

Change: SIGHUP is blocked from the first import on and let through once it is handled, so that the process reloads then. The entry point of carawaystaird is a module of its own, since the daemon's imports take most of a start.

--- a/carawaystair/daemon.py
+++ b/carawaystair/daemon.py
@@ -18,6 +18,7 @@
 from carawaystair import logs
 from carawaystair import output
 from carawaystair import plugins
+from carawaystair import reload_signal
 from carawaystair import settings as settings_module
 from carawaystair import shape
 
@@ -173,6 +174,7 @@
             process.add_future(reload(process))
 
     loop.add_signal_handler(signal.SIGHUP, _reload)
+    reload_signal.release()
     try:
         await process.start()
         heap.settle()
--- a/soak/host.py
+++ b/soak/host.py
@@ -14,9 +14,15 @@
 import time
 import typing
 
-from carawaystair import clock
-from carawaystair.control import files
-from carawaystair import daemon
+from carawaystair import reload_signal
+
+if __name__ == '__main__':
+    # As the daemon's own entry point does, before all other imports.
+    reload_signal.hold()
+
+from carawaystair import clock  # noqa: E402
+from carawaystair.control import files  # noqa: E402
+from carawaystair import daemon  # noqa: E402
 
 # The file is looked at so often, seconds.
 LOOK_S = 0.05
--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -184,7 +184,7 @@
         host = self.hosts[name]
         file = self.folder / ('%s.json' % name)
         file.write_text(json.dumps(self.settings(host), indent=1))
-        await self.start(name, 'carawaystair.daemon', '--settings', str(file))
+        await self.start(name, 'carawaystair.start', '--settings', str(file))
 
     async def start_upstream(
         self, service: str, id: str, host: str, **fields
