--- a/carawaystair/control/store.py
+++ b/carawaystair/control/store.py
@@ -93,7 +93,7 @@
             self.fail(failure_of(error), lost=not is_full(error))
         else:
             self.opened = True
-            self._works()
+            self._note_success()
 
     def _open(self) -> None:
         self.files.hold()
@@ -243,7 +243,7 @@
             self.fail(failure_of(error), lost=not is_full(error))
             return False
         self.durable = max(self.durable, target)
-        self._works()
+        self._note_success()
         while self.waiters and self.waiters[0][0] <= self.durable:
             _settle(self.waiters.popleft()[1], True)
         return True
@@ -255,7 +255,7 @@
         """
         error = await self._call(function, *arguments)
         if error is None:
-            self._works()
+            self._note_success()
             return self.failure is None
         if is_full(error):
             LOG.warning('The disk is full.', why=str(error))
@@ -293,7 +293,7 @@
         while self.waiters:
             _settle(self.waiters.popleft()[1], False)
 
-    def _works(self) -> None:
+    def _note_success(self) -> None:
         """Take note that a disk call was done."""
         if self.failure is None or self.lost:
             return
--- a/carawaystair/follower.py
+++ b/carawaystair/follower.py
@@ -261,7 +261,7 @@
         """
         silent = asyncio.Event()
         reading = asyncio.ensure_future(
-            self._ask(address, kind, peer, whole, silent)
+            self._read_and_weigh(address, kind, peer, whole, silent)
         )
         waiting = asyncio.ensure_future(silent.wait())
         try:
@@ -281,7 +281,7 @@
         for task in self.open[:-MOST_OPEN]:
             task.cancel()
 
-    async def _ask(
+    async def _read_and_weigh(
         self,
         address: str,
         kind: type,
@@ -294,7 +294,7 @@
             return await self._read(address, kind, peer, whole, silent)
         finally:
             if peer and not self.ready:
-                self.vouching.ask(peer)
+                self.vouching.mark_asked(peer)
                 self._weigh_peers()
 
     async def _read(
@@ -330,7 +330,7 @@
             if answer.newest <= self.held.version:
                 self._confirm(answer, asked_at, asked_ms)
                 if peer:
-                    self.vouching.vouch(peer)
+                    self.vouching.mark_vouched(peer)
                 return True
         return True
 
--- a/carawaystair/vouching.py
+++ b/carawaystair/vouching.py
@@ -24,11 +24,11 @@
         # Hosts that were asked, whatever they answered, if anything.
         self.asked: set[str] = set()
 
-    def vouch(self, host: str) -> None:
+    def mark_vouched(self, host: str) -> None:
         """Take note that a peer serves and has nothing newer."""
         self.vouchers.add(host)
 
-    def ask(self, host: str) -> None:
+    def mark_asked(self, host: str) -> None:
         """Take note that a question to a peer is over."""
         self.asked.add(host)
 
--- a/test/test_vouching.py
+++ b/test/test_vouching.py
@@ -22,41 +22,41 @@
     found = vouching.Vouching()
     for host in peers(vouching.ENOUGH_PEERS):
         assert not found.enough(peers(100))
-        found.vouch(host)
-        found.ask(host)
+        found.mark_vouched(host)
+        found.mark_asked(host)
     assert found.enough(peers(100))
 
 
 def test_few_that_serve_are_enough_once_all_were_asked():
     found = vouching.Vouching()
-    found.vouch('node-0')
+    found.mark_vouched('node-0')
     for host in peers(4):
         assert not found.enough(peers(4))
-        found.ask(host)
+        found.mark_asked(host)
     assert found.enough(peers(4))
 
 
 def test_peers_of_which_none_serves_are_never_enough():
     found = vouching.Vouching()
     for host in peers(4):
-        found.ask(host)
+        found.mark_asked(host)
     assert not found.enough(peers(4))
     assert not vouching.Vouching().enough([])
 
 
 def test_hosts_that_are_gone_do_not_count_as_asked():
     found = vouching.Vouching()
-    found.vouch('gone-0')
+    found.mark_vouched('gone-0')
     for number in range(4):
-        found.ask('gone-%d' % number)
+        found.mark_asked('gone-%d' % number)
     assert not found.enough(peers(4))
 
 
 def test_in_a_large_fleet_a_bounded_number_is_asked():
     found = vouching.Vouching()
-    found.vouch('node-0')
+    found.mark_vouched('node-0')
     for host in peers(vouching.MOST_ASKED):
-        found.ask(host)
+        found.mark_asked(host)
     assert found.enough(peers(2500))
 
 
