Administration: a customer's key is shown by a part of its digest

Callers of the API saw, in a dry run and in the refusal of a team's manifest, the row of each key with its whole unsalted digest, by which a guess can be tested. Found by reading.

Test: test_dry_run_does_not_show_the_whole_digest_of_a_key failed before.

--- a/carawaystair/admin/changes.py
+++ b/carawaystair/admin/changes.py
@@ -235,7 +235,7 @@
 
 def _changes(table: rows.Table, delta: rows.Delta) -> list[Change]:
     put = [
-        Change('changed' if key in table else 'added', key)
+        Change('changed' if key in table else 'added', rows.shown(key))
         for key, _value in delta.put
     ]
-    return put + [Change('removed', key) for key in delta.drop]
+    return put + [Change('removed', rows.shown(key)) for key in delta.drop]
--- a/carawaystair/admin/ownership.py
+++ b/carawaystair/admin/ownership.py
@@ -45,7 +45,7 @@
     check = _Check(before, after, caller, table)
     keys = [*(key for key, _value in delta.put), *delta.drop]
     found = ((key, check.why(key)) for key in keys)
-    return [shape.Mistake(key, why) for key, why in found if why]
+    return [shape.Mistake(rows.shown(key), why) for key, why in found if why]
 
 
 Get = typing.Callable[[str], bytes | None]
--- a/carawaystair/rows.py
+++ b/carawaystair/rows.py
@@ -30,6 +30,8 @@
 # The customer of a key, by the digest of the key.  Derived from customers, so
 # that a lookup does not depend on how many there are.
 CREDENTIAL = 'credential/'
+# Digits of the digest of a customer's key that are shown.
+SHOWN_DIGITS = 12
 CREDENTIAL_BYTES = 16
 
 Table = dict[str, bytes]
@@ -148,6 +150,16 @@
     return CREDENTIAL + made.hexdigest()
 
 
+def shown(key: str) -> str:
+    """Return a row key as people get to see it.
+
+    With the whole digest of a customer's key, a guess could be tested.
+    """
+    if not key.startswith(CREDENTIAL):
+        return key
+    return key[: len(CREDENTIAL) + SHOWN_DIGITS]
+
+
 def decode(kind: type, value: bytes):
     """Return the value that :func:`encode` was given.
 
--- a/carawaystairplug/commands_customers.py
+++ b/carawaystairplug/commands_customers.py
@@ -19,8 +19,6 @@
 
 ADD, REMOVE = 'add-key', 'remove-key'
 ACTIONS = (ADD, REMOVE)
-# Characters of a key's digest that are shown, and that name one at least.
-SHOWN = 12
 
 
 class CustomerCommands(plugins.Plugin):
@@ -91,7 +89,7 @@
 
 def shown_key(key: str) -> str:
     """Return the digest by which a key is shown."""
-    return rows.credential(key).removeprefix(rows.CREDENTIAL)[:SHOWN]
+    return rows.shown(rows.credential(key)).removeprefix(rows.CREDENTIAL)
 
 
 def _listed(current: dict) -> dict:
--- a/test/test_admin.py
+++ b/test/test_admin.py
@@ -235,6 +235,20 @@
     Rig(tmp_path).drive(scenario)
 
 
+def test_dry_run_does_not_show_the_whole_digest_of_a_key(tmp_path):
+    """Guards against a digest by which a key can be guessed."""
+
+    async def scenario(rig):
+        await rig.submit(MANIFEST, 'one')
+        customers = {'north': {'keys': ['sesame']}}
+        keyed = changed(customers=customers)
+        _status, dry = await rig.submit(keyed, 'x', path='?dry_run=1')
+        key, text = rows.credential('sesame'), json.dumps(dry)
+        assert rows.shown(key) in text and key not in text
+
+    Rig(tmp_path).drive(scenario)
+
+
 def test_repeated_submission_gets_the_first_answer(tmp_path):
     """An operator resends a change after losing the answer.
 
