Questions of the follower and stops in tests are named tuples

Reads as before: five parameters passed through three methods become one Question, and what a test sees of a stop a Stopped. No behaviour changes.

--- a/carawaystair/follower.py
+++ b/carawaystair/follower.py
@@ -61,6 +61,21 @@
 LOG = logs.get('follower')
 
 
+class Question(typing.NamedTuple):
+    """A question for what came after the version held.
+
+    :param address: the process to ask.
+    :param kind: ``distribution.Ask`` or ``distribution.AskPeer``.
+    :param peer: host of a node whose word counts, see :mod:`vouching`.
+    :param whole: whether a whole table is wanted where there is no step.
+    """
+
+    address: str
+    kind: type
+    peer: str = ''
+    whole: bool = True
+
+
 class Follower(mode.Service):
     """The configuration of one node.
 
@@ -208,12 +223,14 @@
         """
         first = self.sources.first()
         if first and await self._fetch(
-            first, distribution.AskPeer, whole=False
+            Question(first, distribution.AskPeer, whole=False)
         ):
             return True
         host = self.sources.control(self.unsure)
         before = self.confirmed_at
-        heard = bool(host) and await self._fetch(host, distribution.Ask)
+        heard = bool(host) and await self._fetch(
+            Question(host, distribution.Ask)
+        )
         if heard and self.confirmed_at != before:
             self.tries = 0
             self.unsure.clear()
@@ -243,27 +260,22 @@
         )
         heard = await asyncio.gather(
             *(
-                self._fetch(peer.peer, distribution.AskPeer, peer.host)
+                self._fetch(
+                    Question(peer.peer, distribution.AskPeer, peer.host)
+                )
                 for peer in peers
             )
         )
         return any(heard)
 
-    async def _fetch(
-        self, address: str, kind: type, peer: str = '', whole: bool = True
-    ) -> bool:
+    async def _fetch(self, question: Question) -> bool:
         """Take what a process has; tell whether it was of use so far.
 
         One that does not answer for long may still do so: what it says then
         counts, while others are asked.
-
-        :param peer: host of a node whose word counts, see :mod:`vouching`.
-        :param whole: whether a whole table is wanted where there is no step.
         """
         silent = asyncio.Event()
-        reading = asyncio.ensure_future(
-            self._read_and_weigh(address, kind, peer, whole, silent)
-        )
+        reading = asyncio.ensure_future(self._read_and_weigh(question, silent))
         waiting = asyncio.ensure_future(silent.wait())
         try:
             await asyncio.wait(
@@ -283,43 +295,32 @@
             task.cancel()
 
     async def _read_and_weigh(
-        self,
-        address: str,
-        kind: type,
-        peer: str,
-        whole: bool,
-        silent: asyncio.Event,
+        self, question: Question, silent: asyncio.Event
     ) -> bool:
         """Take what a process has, and its word for what this node holds."""
         try:
-            return await self._read(address, kind, peer, whole, silent)
+            return await self._read(question, silent)
         finally:
-            if peer and not self.ready:
-                self.vouching.mark_asked(peer)
+            if question.peer and not self.ready:
+                self.vouching.mark_asked(question.peer)
                 self._weigh_peers()
 
-    async def _read(
-        self,
-        address: str,
-        kind: type,
-        peer: str,
-        whole: bool,
-        silent: asyncio.Event,
-    ) -> bool:
+    async def _read(self, question: Question, silent: asyncio.Event) -> bool:
         """Take what a process has; tell whether it was of use.
 
         A process whose versions follow each other faster than they are
         fetched is asked a bounded number of times in a row, so that one that
         is behind itself does not keep this node behind.
-
-        :param peer: see :meth:`_fetch`.
-        :param whole: whether a whole table is wanted where there is no step.
         """
         for _turn in range(MOST_IN_A_ROW):
-            self.asked, asked_at = address, clock.now()
+            self.asked, asked_at = question.address, clock.now()
             asked_ms = clock.uptime_ms()
             got = await self.reader.fetch(
-                address, kind, self.held, whole, silent
+                question.address,
+                question.kind,
+                self.held,
+                question.whole,
+                silent,
             )
             if got is None:
                 return False
@@ -330,8 +331,8 @@
                     return False
             if answer.newest <= self.held.version:
                 self._confirm(answer, asked_at, asked_ms)
-                if peer:
-                    self.vouching.mark_vouched(peer)
+                if question.peer:
+                    self.vouching.mark_vouched(question.peer)
                 return True
         return True
 
--- a/test/test_gateway_stopping.py
+++ b/test/test_gateway_stopping.py
@@ -1,6 +1,8 @@
 """Answers that are still being sent when a node stops."""
 
 import asyncio
+import itertools
+import typing
 
 import pytest
 
@@ -97,6 +99,23 @@
         writer.write(fleets.good())
 
 
+class Stopped(typing.NamedTuple):
+    """A stop of a node under load, in the loop's time.
+
+    :param began: when it began.
+    :param ended: when it had ended.
+    :param starts: when runs began at the upstream beside the node.
+    :param answers: of all callers, that of the node's own one first.
+    :param refused: how often it refused a request because it stops.
+    """
+
+    began: float
+    ended: float
+    starts: list[float]
+    answers: list[setups.Answer]
+    refused: int
+
+
 def delay_news(fleet) -> None:
     """Let nodes hear of changes of upstreams as late as in a fleet."""
     publish = fleet.publish
@@ -110,14 +129,11 @@
     work_s: float,
     hold_s: float = HOLD_S,
     per_work: int = 8,
-) -> tuple:
+) -> Stopped:
     """Stop the second of two nodes while one of its callers waits long.
 
     :param per_work: requests that callers begin in the usual time; both
         upstreams are needed for more than five.
-    :return: when the stop began and ended, when runs began at the upstream
-        beside the node, the answers of all callers, and how often the node
-        refused a request because it stops.
     """
     other, beside = (Upstream(work_s, hold_s) for _number in range(2))
     async with fleets.running(
@@ -148,30 +164,27 @@
         answered = await asyncio.gather(held, *asking)
         lines = fleet.nodes[1].lines.lines
     refused = sum(b'"reason":"leaving"' in line for line in lines)
-    return began, ended, beside.starts, answered, refused
+    return Stopped(began, ended, beside.starts, answered, refused)
 
 
 def test_upstream_has_work_while_its_node_answers_callers():
     """Guards against an upstream that idles for the whole stop of its node."""
-    began, ended, starts, answered, _refused = pipes.run(
-        stop_under_load('GET', '/read/x', WORK_S)
-    )
-    assert ended - began > HOLD_S / 2
-    during = [at for at in starts if at > began]
-    gaps = [b - a for a, b in zip([began, *during], [*during, ended])]
-    assert max(gaps) < 4 * WORK_S
-    assert {answer.status for answer in answered} == {200}
+    seen = pipes.run(stop_under_load('GET', '/read/x', WORK_S))
+    assert seen.ended - seen.began > HOLD_S / 2
+    during = [at for at in seen.starts if at > seen.began]
+    times = [seen.began, *during, seen.ended]
+    assert max(b - a for a, b in itertools.pairwise(times)) < 4 * WORK_S
+    assert {answer.status for answer in seen.answers} == {200}
 
 
 @pytest.mark.parametrize('work_s', [WORK_S, 4 * WORK_S])
 def test_stop_begins_no_run_that_it_might_cut_for_good(work_s):
     """Guards against a run that may not be repeated and outlives the stop."""
-    began, ended, starts, _answered, refused = pipes.run(
-        stop_under_load('POST', '/pay/x', work_s)
-    )
-    assert max(starts) <= began + DRAIN_S - 8 * work_s or max(starts) <= began
+    seen = pipes.run(stop_under_load('POST', '/pay/x', work_s))
+    latest = max(seen.began, seen.began + DRAIN_S - 8 * work_s)
+    assert max(seen.starts) <= latest
     # The other node asks again once a second.
-    assert refused <= 2 * (ended - began + 1)
+    assert seen.refused <= 2 * (seen.ended - seen.began + 1)
 
 
 @pytest.mark.parametrize('hold_s', [0.1, HOLD_S, 2 * DRAIN_S])
@@ -184,10 +197,8 @@
 
     Other nodes hear late that it leaves.
     """
-    _began, _ended, _starts, answered, _refused = pipes.run(
-        stop_under_load(method, path, work_s, hold_s, 3)
-    )
-    assert {answer.status for answer in answered[1:]} == {200}
+    seen = pipes.run(stop_under_load(method, path, work_s, hold_s, 3))
+    assert {answer.status for answer in seen.answers[1:]} == {200}
 
 
 async def ask_during_stop(offset_s: float) -> setups.Answer:
