--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -10,7 +10,6 @@
 import sys
 
 from carawaystair import clock
-from carawaystair import reload_signal
 from soak import carriers
 from soak import entries
 from soak import fatal as fatals
@@ -238,13 +237,7 @@
         file = self.folder / ('%s.json' % name)
         file.write_text(json.dumps(self.settings(host), indent=1))
         words = str(self.faults_file(name)), '--settings', str(file)
-        # Inherited: no program can outlive what strikes its interpreter
-        # before the program's first line.
-        reload_signal.hold()
-        try:
-            await self.start(name, 'soak.host', *words)
-        finally:
-            reload_signal.release()
+        await self.start(name, 'soak.host', *words)
 
     async def restart(
         self, name: str, number: int, down_s: float, power: bool = False
