Reloads: SIGHUP does not change how a process that has stopped ends

What whoever watches over a process saw: SIGHUP after `Stopped.` ended it with -1, a crash, in place of code 0.

Cause: asyncio gives a signal its default action back when its loop closes, and the interpreter ends some time later.

Change: SIGHUP is held back once all parts have stopped, before the loop closes.

test_process_that_ends_outlives_a_reload sends it from an atexit function: -1 before, 0 now.

--- a/carawaystair/daemon.py
+++ b/carawaystair/daemon.py
@@ -198,6 +198,8 @@
         LOG.info('Stopping.')
         readiness.notify(readiness.STOPPING)
         await process.stop()
+        # The loop gives SIGHUP its default action back when it closes.
+        reload_signal.hold()
         LOG.info('Stopped.')
         if sink is not None:
             sink.close()
--- a/test/test_daemon.py
+++ b/test/test_daemon.py
@@ -13,6 +13,7 @@
 
 from carawaystair import daemon
 from carawaystair import plugins
+from carawaystair import reload_signal
 from carawaystair import settings as settings_module
 from test import test_links
 
@@ -134,4 +135,6 @@
     loaded = settings_module.load(str(settings(tmp_path))).ok
     registry = plugins.Registry([CrashingPlugin()])
     code = asyncio.run(daemon.run(loaded, registry))
+    # The processes of later tests would inherit it.
+    reload_signal.release()
     assert code == daemon.EXIT_FAILED
--- a/test/test_reload_signal.py
+++ b/test/test_reload_signal.py
@@ -220,3 +220,32 @@
         process.communicate()
     new = settings_module.load(str(tmp_path / 'new.json')).ok
     assert test_keys.NEW.id in told or daemon.digest(new) in told
+
+
+# Sends a signal to the process itself once its main function has returned.
+ENDED = """
+import atexit, os, runpy, signal, sys
+atexit.register(os.kill, os.getpid(), signal.SIGHUP)
+entry, sys.argv[0:] = sys.argv[1], sys.argv[1:]
+runpy.run_module(entry, run_name='__main__')
+"""
+
+
+def test_process_that_ends_outlives_a_reload(tmp_path):
+    """Guards against a reload that makes an orderly stop look like a crash."""
+    file = test_daemon.settings(tmp_path)
+    process = subprocess.Popen(
+        [sys.executable, '-c', ENDED]
+        + ['carawaystair.start', '--settings', str(file)],
+        cwd=test_daemon.ROOT,
+        stderr=subprocess.PIPE,
+    )
+    try:
+        local = json.loads(file.read_text())['node']['local']
+        test_daemon._get('http://%s/v1/status' % local)
+        process.send_signal(signal.SIGTERM)
+        _out, errors = process.communicate(timeout=60)
+    finally:
+        process.kill()
+        process.communicate()
+    assert process.returncode == daemon.EXIT_OK, errors
