Reloads: one entry point, tested with SIGHUP at every age

Cause: `python -m carawaystair.daemon`, which only tests used, held SIGHUP back nowhere: it ended that process for as long as its imports took, and where the process was started with SIGHUP ignored, one that came after its settings were read was lost.

Change: it is gone; tests start carawaystair.start, as carawaystaird does.

test_reloads_at_every_age_end_no_process sends SIGHUP each 3 ms from start to end.

--- a/carawaystair/daemon.py
+++ b/carawaystair/daemon.py
@@ -231,7 +231,3 @@
             sink,
         )
     )
-
-
-if __name__ == '__main__':
-    sys.exit(main())
--- a/test/test_daemon.py
+++ b/test/test_daemon.py
@@ -67,7 +67,7 @@
 def test_process_starts_shows_itself_and_ends_on_sigterm(tmp_path):
     file = settings(tmp_path)
     process = subprocess.Popen(
-        [sys.executable, '-m', 'carawaystair.daemon', '--settings', file],
+        [sys.executable, '-m', 'carawaystair.start', '--settings', file],
         cwd=ROOT,
         stderr=subprocess.PIPE,
     )
@@ -89,7 +89,7 @@
 def test_address_in_use_is_numbered_and_leaves_nothing_running(tmp_path):
     file = settings(tmp_path)
     first = subprocess.Popen(
-        [sys.executable, '-m', 'carawaystair.daemon', '--settings', file],
+        [sys.executable, '-m', 'carawaystair.start', '--settings', file],
         cwd=ROOT,
         stderr=subprocess.DEVNULL,
     )
@@ -97,7 +97,7 @@
         local = json.loads(file.read_text())['node']['local']
         _get('http://%s/v1/status' % local)
         second = subprocess.run(
-            [sys.executable, '-m', 'carawaystair.daemon', '--settings', file],
+            [sys.executable, '-m', 'carawaystair.start', '--settings', file],
             cwd=ROOT,
             capture_output=True,
             timeout=30,
--- a/test/test_keys.py
+++ b/test/test_keys.py
@@ -355,7 +355,7 @@
     file = test_daemon.settings(tmp_path, keys=paths[:1])
     local = json.loads(file.read_text())['node']['local']
     process = subprocess.Popen(
-        [sys.executable, '-m', 'carawaystair.daemon', '--settings', file],
+        [sys.executable, '-m', 'carawaystair.start', '--settings', file],
         cwd=pathlib.Path(__file__).parent.parent,
         stderr=subprocess.PIPE,
     )
--- a/test/test_readiness.py
+++ b/test/test_readiness.py
@@ -4,6 +4,7 @@
 import socket
 import subprocess
 import sys
+import threading
 
 import pytest
 import structlog
@@ -35,6 +36,9 @@
         cwd=test_daemon.ROOT,
         stderr=subprocess.PIPE,
     )
+    # Ends the log of a process that takes no reload.
+    watchdog = threading.Timer(RECEIVE_S, process.kill)
+    watchdog.start()
     try:
         assert manager.recv(100) == readiness.READY
         process.send_signal(signal.SIGHUP)
@@ -44,6 +48,7 @@
         process.communicate(timeout=60)
         assert process.returncode == daemon.EXIT_OK
     finally:
+        watchdog.cancel()
         process.kill()
         process.communicate()
 
--- a/test/test_reload_signal.py
+++ b/test/test_reload_signal.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -22,6 +23,7 @@
 from test import test_keys
 
 READY_S = 60.0
+RELOAD_PAUSE_S = 0.003
 # Sends SIGHUP to the process itself at the first import of a long one.
 STRUCK = """
 import builtins, os, runpy, signal, sys
@@ -249,3 +251,37 @@
         process.kill()
         process.communicate()
     assert process.returncode == daemon.EXIT_OK, errors
+
+
+def test_reloads_at_every_age_end_no_process(tmp_path):
+    """Guards against a moment between start and end in which SIGHUP has its
+    default action.
+    """
+    file = test_daemon.settings(tmp_path)
+    process = subprocess.Popen(
+        [sys.executable, '-m', 'carawaystair.start', '--settings', str(file)],
+        cwd=test_daemon.ROOT,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+        preexec_fn=fleets.ignore_reload,
+    )
+    local = json.loads(file.read_text())['node']['local']
+    stops = time.monotonic() + READY_S
+    stopped = False
+    try:
+        while process.poll() is None and time.monotonic() < stops:
+            process.send_signal(signal.SIGHUP)
+            time.sleep(RELOAD_PAUSE_S)
+            if not stopped and answers(local):
+                process.send_signal(signal.SIGTERM)
+                stopped = True
+    finally:
+        process.kill()
+    assert process.wait() == daemon.EXIT_OK
+
+
+def answers(address: str) -> bool:
+    """Tell whether somebody listens at an address."""
+    host, port = address.split(':')
+    with socket.socket() as probe:
+        return probe.connect_ex((host, int(port))) == 0
--- a/test/test_ui_whole.py
+++ b/test/test_ui_whole.py
@@ -32,7 +32,7 @@
         control={'admin': test_links.free_address()},
     )
     process = subprocess.Popen(
-        [sys.executable, '-m', 'carawaystair.daemon', '--settings', file],
+        [sys.executable, '-m', 'carawaystair.start', '--settings', file],
         cwd=pathlib.Path(__file__).parent.parent,
     )
     try:
