--- a/soak/play.py
+++ b/soak/play.py
@@ -64,6 +64,8 @@
 CALM_S = 3.0
 CALM_DRIVES = 3
 CALM_SHARE = 0.95
+# Beside load a process so young may not have reached its first line, seconds.
+NEW_S = 0.3
 # A restarted process finds its place again in this time, seconds.
 BACK_S = 4.0
 GRAY_FAULTS = (
@@ -351,7 +353,9 @@
 
     async def _hup(self, event, name) -> None:
         if name in self.fleet.processes:
-            self.reloads[name] = clock.now() - self.fleet.started[name]
+            age_s = clock.now() - self.fleet.started[name]
+            self.reloads[name] = age_s
+            self.watch.counts['reloads of a new process'] += age_s < NEW_S
             self.fleet.signal(name, signal.SIGHUP)
 
     async def _pause(self, event, name) -> None:
--- a/test/test_fault_soak.py
+++ b/test/test_fault_soak.py
@@ -715,15 +715,18 @@
             started={'node-1': clock.now() - age_s},
             signal=lambda *words: sent.append(words),
         )
-        play = types.SimpleNamespace(fleet=fleet, reloads={})
+        play = types.SimpleNamespace(
+            fleet=fleet, reloads={}, watch=watches.Watch()
+        )
         began = clock.now()
         await plays.Play._hup(play, None, 'node-1')
         assert clock.now() == began
-        return plays.Play._ended(play)
+        return plays.Play._ended(play), play.watch.counts
 
-    told = fakes.run(scenario())
+    told, counts = fakes.run(scenario())
     assert sent == [('node-1', signal.SIGHUP)]
     assert ('node-1 ended with -1' in told) == (returncode is not None)
+    assert counts['reloads of a new process'] == (age_s < plays.NEW_S)
 
 
 class Life:
