--- a/test/test_reload_signal.py
+++ b/test/test_reload_signal.py
@@ -136,15 +136,23 @@
     try:
         until_image(process, os.path.realpath(sys.executable))
         process.send_signal(signal.SIGHUP)
-        local = json.loads(file.read_text())['node']['local']
-        test_daemon._get('http://%s/v1/status' % local)
-        process.send_signal(signal.SIGTERM)
-        assert process.wait(timeout=60) == daemon.EXIT_OK
+        assert stop_once_up(process, file) == daemon.EXIT_OK
     finally:
         process.kill()
         process.wait()
 
 
+def stop_once_up(process: subprocess.Popen, file: pathlib.Path) -> int:
+    """Stop a host once it answers; return its exit code.
+
+    :param file: its settings.
+    """
+    local = json.loads(file.read_text())['node']['local']
+    test_daemon._get('http://%s/v1/status' % local)
+    process.send_signal(signal.SIGTERM)
+    return process.wait(timeout=READY_S)
+
+
 def until_image(process: subprocess.Popen, image: str) -> None:
     """Wait until a process runs a program."""
     while os.readlink('/proc/%d/exe' % process.pid) != image:
@@ -224,7 +232,7 @@
     assert test_keys.NEW.id in told or daemon.digest(new) in told
 
 
-# Sends a signal to the process itself once its main function has returned.
+# Sends SIGHUP to the process itself once its main function has returned.
 ENDED = """
 import atexit, os, runpy, signal, sys
 atexit.register(os.kill, os.getpid(), signal.SIGHUP)
@@ -240,17 +248,13 @@
         [sys.executable, '-c', ENDED]
         + ['carawaystair.start', '--settings', str(file)],
         cwd=test_daemon.ROOT,
-        stderr=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
     )
     try:
-        local = json.loads(file.read_text())['node']['local']
-        test_daemon._get('http://%s/v1/status' % local)
-        process.send_signal(signal.SIGTERM)
-        _out, errors = process.communicate(timeout=60)
+        assert stop_once_up(process, file) == daemon.EXIT_OK
     finally:
         process.kill()
-        process.communicate()
-    assert process.returncode == daemon.EXIT_OK, errors
+        process.wait()
 
 
 def test_reloads_at_every_age_end_no_process(tmp_path):
