Logs tell which sends are repeats and which part of the budget paid

The line now has service, number of the send, kind of repeat, the part that paid and, for the slack, how long ago; repeats have the room of trouble, so that good requests don't crowd them out. Metrics count repeats that a node's or a gateway's part refused.

Test: a fleet whose upstreams fail, with a part at nodes alone and at gateways alone.

--- a/bench/exp_logging.py
+++ b/bench/exp_logging.py
@@ -33,7 +33,20 @@
         '',
     ),
     decisions.Began(
-        'c5f1d0a2b3e4f567', 'portal-17', '10.1.0.42', 0, 2, 0, 5, 1890, False
+        'c5f1d0a2b3e4f567',
+        'portal-17',
+        '10.1.0.42',
+        0,
+        2,
+        0,
+        5,
+        1890,
+        False,
+        'portal',
+        1,
+        '',
+        '',
+        -1,
     ),
     decisions.Ended(
         'c5f1d0a2b3e4f567',
--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -25,6 +25,11 @@
 ROUTINE = 'routine'
 TROUBLE = 'trouble'
 BELIEF = 'belief'
+# Kinds of repeats, and the parts of the retry budget that pay for them.
+FURTHER_SEND = 'send'
+CALL_OF_REPEAT = 'call'
+BY_SENDER = 'sender'
+BY_SLACK = 'slack'
 ROOM = {ROUTINE: 17, TROUBLE: 19, BELIEF: 10}
 
 
@@ -223,6 +228,14 @@
     :param left_ms: time until its answer is owed, ms.
     :param trial: whether it runs there for what that shows, and is worth
         more elsewhere.
+    :param service: its service.
+    :param number: counts the sends of this request to gateways.
+    :param repeat: empty for a first send, ``send`` for a further one, ``call``
+        for a call of a run that was a further send itself.
+    :param paid: the part of the retry budget that a repeat was charged to:
+        ``sender`` for that of the host that handed it over, ``slack`` for
+        that of this gateway; empty for a first send.
+    :param paid_ms: time since it was charged to the slack, ms; -1 otherwise.
     """
 
     id: str
@@ -234,6 +247,11 @@
     slots: int
     left_ms: int
     trial: bool
+    service: str
+    number: int
+    repeat: str
+    paid: str
+    paid_ms: int
 
 
 class Ended(typing.NamedTuple):
--- a/carawaystair/explain.py
+++ b/carawaystair/explain.py
@@ -41,7 +41,8 @@
     'declining': 'refused by the gateway of {upstream}: {reason} {detail}'
     ' ({running} run, {waiting} wait, {slots} slots)',
     'began': 'sent to {upstream} after {waited_ms} ms of waiting ({running}'
-    ' run, {waiting} wait, {slots} slots, {left_ms} ms left){trial_text}',
+    ' run, {waiting} wait, {slots} slots, {left_ms} ms left){trial_text}'
+    '{repeat_text}',
     'ended': '{upstream} made it {outcome}, status {status}, after'
     ' {service_ms} ms; it fails {failing_pct} of 100 {detail}',
     'broke': 'no answer from {upstream}: {code}, {sent_text}, after'
@@ -218,6 +219,7 @@
             'age': self._age,
             'before': self._before,
             'trial_text': lambda: self._flag('trial', '; as a trial'),
+            'repeat_text': self._repeat,
             'detour_text': lambda: self._flag('detour', '; by a third node'),
             'sent_text': self._sent,
             'refused_text': lambda: self._flag(
@@ -227,6 +229,13 @@
         }.get(name)
         return make() if make is not None else '?'
 
+    def _repeat(self) -> str:
+        kind = self.get('repeat')
+        if not kind:
+            return ''
+        what = 'call of a repeat' if kind == 'call' else 'repeat'
+        return '; a %s, charged to the %s' % (what, self.get('paid'))
+
     def _idempotence(self) -> str:
         return 'may be repeated' if self['idempotent'] else 'runs once'
 
--- a/carawaystair/gateway/executor.py
+++ b/carawaystair/gateway/executor.py
@@ -297,7 +297,14 @@
                 queue.slots,
                 int((call.deadline - clock.now()) * MS),
                 trial,
-            )
+                hop.service,
+                hop.send_number,
+                _kind_of_repeat(hop),
+                _payer(hop),
+                int((clock.now() - now) * MS) if _uses_slack(hop) else -1,
+            ),
+            # Good requests must not crowd out the repeats of others.
+            decisions.TROUBLE if _kind_of_repeat(hop) else decisions.ROUTINE,
         )
         self._count_first(hop)
         attempt = send_attempts.UpstreamAttempt(
@@ -678,6 +685,20 @@
     return (hop.retry or hop.caller_retried) and not hop.budgeted
 
 
+def _kind_of_repeat(hop: hops.Hop) -> str:
+    """Return what makes a send a repeat, see :class:`decisions.Began`."""
+    if hop.retry:
+        return decisions.FURTHER_SEND
+    return decisions.CALL_OF_REPEAT if hop.caller_retried else ''
+
+
+def _payer(hop: hops.Hop) -> str:
+    """Return what pays for a repeat, see :class:`decisions.Began`."""
+    if not _kind_of_repeat(hop):
+        return ''
+    return decisions.BY_SENDER if hop.budgeted else decisions.BY_SLACK
+
+
 def _is_current(
     instance: instances.Instance, announcement: registries.Announcement | None
 ) -> bool:
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -298,6 +298,9 @@
             yield metrics.Sample(
                 'node_repeats_total', budget.total_retries, labels
             )
+            yield metrics.Sample(
+                'node_repeats_refused_total', budget.refused, labels
+            )
         for service, budget in self.executor.retry_budgets.budgets.items():
             labels = (('service', service),)
             yield metrics.Sample(
@@ -306,6 +309,9 @@
             yield metrics.Sample(
                 'gateway_repeats_total', budget.total_retries, labels
             )
+            yield metrics.Sample(
+                'gateway_repeats_refused_total', budget.refused, labels
+            )
 
     @mode.Service.task
     async def _sweep(self) -> None:
--- a/test/test_gateway_retries.py
+++ b/test/test_gateway_retries.py
@@ -5,6 +5,7 @@
 import random
 
 from carawaystair import clock
+from carawaystair import explain
 from carawaystair import manifest
 from test import gateway_setup as fleets
 from test import pipes
@@ -229,3 +230,38 @@
     reasons, (counted, received) = pipes.run(scenario())
     assert 'busy' in reasons
     assert counted == received > 0
+
+
+def test_log_tells_which_sends_are_repeats_and_who_paid():
+    """Guards against repeats whose payer can't be found after the fact."""
+
+    async def scenario(**options):
+        scripts = (fleets.fail, fleets.fail, fleets.fail)
+        async with fleets.running(*scripts, **options) as fleet:
+            for _time in range(12):
+                await fleet.ask('/read/a')
+            return [
+                json.loads(one)
+                for node in fleet.nodes
+                for one in node.lines.lines
+            ]
+
+    for options, payer in (
+        ({'retry_ratio': 0.0, 'retry_slack': LARGE_SLACK}, 'slack'),
+        ({'retry_ratio': 0.5, 'retry_slack': 0}, 'sender'),
+    ):
+        lines = pipes.run(scenario(**options))
+        began = [one for one in lines if one['event'] == 'began']
+        began.sort(key=lambda one: one['number'])
+        ids = [one['id'] for one in began]
+        told = {
+            (one['id'] in ids[:place], one['repeat'], one['paid'])
+            for place, one in enumerate(began)
+        }
+        assert told == {(False, '', ''), (True, 'send', payer)}
+        assert {one['paid_ms'] >= 0 for one in began if one['repeat']} == {
+            payer == 'slack'
+        }
+        assert 'charged to the ' + payer in ' '.join(
+            map(explain.sentence, began)
+        )
