Replay of placements gives the same verdict in each process

The replay took the least of equal gateways by the order of a set of strings, which changes with the hash seed of the process. PYTHONHASHSEED=5 failed alone, one of 16 tried.

Gateways that refused are kept in the order in which they were asked.

--- a/test/placement_replay.py
+++ b/test/placement_replay.py
@@ -176,12 +176,12 @@
             for one in self.upstreams.values()
             if one.up
         ]
-        tried, refused = set(), set()
+        tried, refused = set(), {}
         while len(tried) < GATEWAYS_ASKED:
             choice = node.selector.choose(
                 candidates,
                 tried,
-                refused,
+                set(refused),
                 now,
                 need,
                 kind.route,
@@ -195,7 +195,7 @@
             tried.add(one.name)
             if self._offer(now, arrival, one, choice):
                 return
-            refused.add(one.name)
+            refused[one.name] = None
         if refused:
             least = min(refused, key=lambda name: self._wait_s(name, now))
             self._enqueue(now, arrival, self.upstreams[least])
