Requests that wait for the retry budget go before new repeats

A request that was shed waits for room in its node's retry budget, and is told when there will be some. Another request that was shed meanwhile took that room if it came first, although it had waited for nothing.

A node charges no repeat to its share while others wait that are as urgent; the slack of gateways is still open to it.

--- a/carawaystair/gateway/dispatcher.py
+++ b/carawaystair/gateway/dispatcher.py
@@ -186,6 +186,13 @@
             self.budget_waits.end(service, priority)
         return False
 
+    def _others_wait(self, dispatch: dispatches.Dispatch) -> bool:
+        """Return whether the next room in the budget is that of others."""
+        params = dispatch.params
+        return not dispatch.waited_for_budget and bool(
+            self.budget_waits.ahead(params.service, params.priority)
+        )
+
     def stop(self) -> None:
         """Let no request wait for a retry budget any more."""
         self.stopping.set()
@@ -441,7 +448,11 @@
         needs_budget = dispatch.sent > 0 or (
             dispatch.params.caller_retried and not dispatch.params.budgeted
         )
-        charged = needs_budget and budget.take_retry(began, 1)
+        charged = (
+            needs_budget
+            and not self._others_wait(dispatch)
+            and budget.take_retry(began, 1)
+        )
         budgeted = charged or (dispatch.params.budgeted and dispatch.sent == 0)
         try:
             answer = await self.client.send(
--- a/carawaystair/gateway/dispatches.py
+++ b/carawaystair/gateway/dispatches.py
@@ -100,6 +100,7 @@
         'sends',
         'spent',
         'waited_at',
+        'waited_for_budget',
         'token',
         'tried',
     )
@@ -138,6 +139,7 @@
         # Whether a gateway refused it for lack of retry budget since it began
         # or waited for that.
         self.spent = False
+        self.waited_for_budget = False
 
     @property
     def runs(self) -> int:
@@ -178,6 +180,7 @@
         """Forget what refused it, but not what got it."""
         self.offers = 0
         self.spent = False
+        self.waited_for_budget = True
         self.tried = set(self.reached)
         self.refused_by.clear()
         self.waited_at.clear()
