Nodes don't spend their part of the retry budget again after a restart

Cause: a node may use the ratio of its first sends of the last window, all of it at once, and knows what it has used from its own memory. A process that starts again earns from its first request on, and what the one before it used lies in the same window. Around a restart of all nodes a window held up to twice their part. Only the gateways' slack made provision for restarts.

Change: a node saves what first sends earn, up to half of a window's worth, and spends only what it has saved (load/earned_retries.py). A process that starts takes it that such a burst was spent right before, and pays that back first: so spending before and after any restart adds up to what one window earns.

Tests changed: two set up a budget whose whole part was spent at once, which no longer exists; they earn more before they spend. The estimate of when a request may be sent again no longer gives up where those that wait will leave the window themselves; its test asks for that time instead of infinity.

--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -89,6 +89,7 @@
             0.0,
             node.retry_window_s,
             'share of %s' % settings.host,
+            clock.now(),
         )
         nested = call_tracker.NestedCallTracker(
             nested_call_budget.NestedCallBudget(retry_budgets)
--- a/carawaystair/load/__init__.py
+++ b/carawaystair/load/__init__.py
@@ -13,6 +13,7 @@
 - ``exploration``: when a node asks upstreams it has not heard from;
 - ``crash_suspects``: which requests are refused because upstreams crash;
 - ``retry_budget``: how many retries may reach upstreams;
+- ``earned_retries``: which of them the first sends of a node pay for;
 - ``nested_calls``: retry budget for the calls that retried runs make;
 - ``pacing``: how fast long bodies leave a host, and which goes next;
 - ``retry_after``: when a rejected caller should return;
--- a/carawaystair/load/budget_wait.py
+++ b/carawaystair/load/budget_wait.py
@@ -26,23 +26,23 @@
     :param now: monotonic time in seconds.
     :return: infinite if it earns no retry.
     """
-    earned = math.floor(
-        retry_budget.USED_SHARE
-        * budget.ratio
-        * sum(count for _span, count in budget.first_sends)
-        + budget.rounding
-    )
-    used = sum(count for _span, count in budget.retries)
-    leaving = used + ahead + 1 - earned
+    earned = budget.earned
+    if earned is None:
+        return math.inf
+    spendable = math.floor(earned.in_window(now) + budget.rounding)
+    if not spendable:
+        return math.inf
+    saved_s = earned.room_in_s(ahead + 1, now) + MIN_WAIT_S
+    leaving = budget.retries.total + ahead + 1 - spendable
     if leaving <= 0:
-        return MIN_WAIT_S
-    lasts_s = budget.window_s + retry_budget.SPAN_S
-    for span, count in budget.retries:
+        return saved_s
+    for end, count in budget.retries.ends():
         leaving -= count
         if leaving <= 0:
-            until = span * retry_budget.SPAN_S + lasts_s
-            return max(until - now, 0.0) + MIN_WAIT_S
-    return math.inf
+            return max(end + budget.window_s - now + MIN_WAIT_S, saved_s)
+    # Room comes when a retry of those ahead leaves the window.
+    before_s = room_in_s(budget, ahead - spendable, now)
+    return max(before_s + budget.window_s, saved_s)
 
 
 class Waits:
--- a/carawaystair/load/retry_budget.py
+++ b/carawaystair/load/retry_budget.py
@@ -16,24 +16,24 @@
 nor how many gateways share the slack.  So the parts are small enough that
 their use before and after a restart stays within the slack, even if all
 gateways restart at once, and what a gateway may use right after its start does
-not depend on how many others it knows.
+not depend on how many others it knows.  For nodes, see ``earned_retries``.
 """
 
-import collections
 import hashlib
 import math
 
+from carawaystair.load import earned_retries
+from carawaystair.load import recent_counts
+
 # Shares of the limit that are allotted: of the ratio of first sends, to the
 # nodes that count them, and of the slack, to the gateways of a service.
 USED_SHARE = 0.95
-USED_SLACK = 0.52
-# Length of a counting interval in seconds.
-SPAN_S = 0.5
+USED_SLACK = 0.57
 ROUNDING_BYTES = 4
 # Share of its part that a gateway may use in the first window after its start.
 # At worst USED_SLACK * (1 + RESTART_SHARE) of the slack is used around a
 # restart of all gateways; the rest is for parts that are rounded up.
-RESTART_SHARE = 0.75
+RESTART_SHARE = 0.6
 # Number of gateways a starting gateway assumes to share the slack at first,
 # since it may not know any of them yet.
 ASSUMED_NODES = 12
@@ -51,8 +51,7 @@
 
     __slots__ = (
         'began',
-        'first_sends',
-        'ratio',
+        'earned',
         'refused',
         'retries',
         'rounding',
@@ -70,13 +69,17 @@
         rounding: float = 0.0,
         began: float = -math.inf,
     ) -> None:
-        self.ratio = ratio
+        # What first sends have earned; None for a part of the slack.
+        self.earned: earned_retries.EarnedRetries | None = None
+        if ratio:
+            self.earned = earned_retries.EarnedRetries(
+                USED_SHARE * ratio, window_s, rounding, began
+            )
         self.slack = slack
         self.window_s = window_s
         self.rounding = rounding
         self.began = began
-        self.first_sends: collections.deque = collections.deque()
-        self.retries: collections.deque = collections.deque()
+        self.retries = recent_counts.RecentCounts()
         # Counters for metrics.
         self.total_first_sends = 0
         self.total_retries = 0
@@ -85,7 +88,8 @@
     def record_first_send(self, now: float) -> None:
         """Count the first send of a request."""
         self.total_first_sends += 1
-        _add(self.first_sends, now)
+        if self.earned is not None:
+            self.earned.record_first_send(now)
 
     def allows_retry(self, now: float, nodes: int) -> bool:
         """Return whether one more retry is within the budget.
@@ -93,11 +97,15 @@
         :param now: monotonic time in seconds.
         :param nodes: number of gateways that share the slack.
         """
-        _drop_before(self.first_sends, now - self.window_s)
         # An interval of retries counts until all of it is out of the window.
-        _drop_before(self.retries, now - self.window_s - SPAN_S)
-        earned = USED_SHARE * self.ratio * _sum(self.first_sends)
-        return _sum(self.retries) + 1 <= earned + self._slack_part(now, nodes)
+        self.retries.drop_before(now - self.window_s - recent_counts.SPAN_S)
+        wanted = self.retries.total + 1
+        if self.earned is None:
+            return wanted <= self._slack_part(now, nodes)
+        return (
+            wanted <= self.earned.spendable(now)
+            and self.earned.may_spend_now()
+        )
 
     def _slack_part(self, now: float, nodes: int) -> float:
         """Return the retries in a window that come from the slack."""
@@ -117,7 +125,9 @@
             self.refused += 1
             return False
         self.total_retries += 1
-        _add(self.retries, now)
+        self.retries.add(now)
+        if self.earned is not None:
+            self.earned.spend()
         return True
 
     def refund(self, taken_at: float) -> None:
@@ -127,13 +137,11 @@
             Only a retry of the same interval is returned, so later ones stay
             counted for the whole window.
         """
-        span = _span(taken_at)
-        found = [
-            entry for entry in self.retries if entry[0] == span and entry[1]
-        ]
-        if found:
-            found[0][1] -= 1
-            self.total_retries -= 1
+        if not self.retries.remove(taken_at):
+            return
+        self.total_retries -= 1
+        if self.earned is not None:
+            self.earned.refund(taken_at)
 
 
 class Budgets:
@@ -179,24 +187,3 @@
     """Return the rounding of a part, 0 to 1; it is the same after restarts."""
     digest = hashlib.blake2b(name.encode(), digest_size=ROUNDING_BYTES)
     return int.from_bytes(digest.digest(), 'big') / 256**ROUNDING_BYTES
-
-
-def _add(spans: collections.deque, now: float) -> None:
-    span = _span(now)
-    if spans and spans[-1][0] == span:
-        spans[-1][1] += 1
-    else:
-        spans.append([span, 1])
-
-
-def _span(now: float) -> int:
-    return int(now / SPAN_S)
-
-
-def _drop_before(spans: collections.deque, before: float) -> None:
-    while spans and spans[0][0] * SPAN_S < before:
-        spans.popleft()
-
-
-def _sum(spans: collections.deque) -> int:
-    return sum(count for _span, count in spans)
--- a/test/test_gateway_retries.py
+++ b/test/test_gateway_retries.py
@@ -238,8 +238,9 @@
     async def scenario(**options):
         scripts = (fleets.fail, fleets.fail, fleets.fail)
         async with fleets.running(*scripts, **options) as fleet:
-            for _time in range(12):
+            for _time in range(30):
                 await fleet.ask('/read/a')
+                await asyncio.sleep(0.5)
             return [
                 json.loads(one)
                 for node in fleet.nodes
@@ -265,3 +266,22 @@
         assert 'charged to the ' + payer in ' '.join(
             map(explain.sentence, began)
         )
+
+
+def test_new_process_does_not_spend_what_the_previous_one_may_have_spent():
+    """Guards against nodes that retry right after a start: they don't know
+    what their previous processes have spent in the same window.
+    """
+
+    async def scenario(pause_s):
+        scripts = (fleets.fail, fleets.fail)
+        options = {'retry_ratio': 0.5, 'retry_slack': 0}
+        async with fleets.running(*scripts, **options) as fleet:
+            for _time in range(30):
+                await fleet.ask('/read/a')
+                await asyncio.sleep(pause_s)
+            ids = [seen.headers['caraway-request-id'] for seen in fleet.runs]
+            return len(ids) - len(set(ids))
+
+    assert pipes.run(scenario(0.1)) == 0
+    assert pipes.run(scenario(0.5)) > 0
--- a/test/test_load.py
+++ b/test/test_load.py
@@ -785,11 +785,12 @@
         if number % 2:
             calls.counts.record_call('shop', 'stock')
     assert calls.counts.expected_calls('shop') == {'stock': 2}
-    for _call in range(32):
+    for _call in range(64):
         share.for_service('stock').record_first_send(20.0)
     calls.record_refusal('stock', 20.0)
     prepaid = [calls.prepay('r%d' % n, 'shop', 20.0) for n in range(10)]
-    # Two calls each, of the six retries that calls of this host have earned.
+    # Two calls each: of the twelve retries that calls of this host have
+    # earned, six may be spent at once.
     assert prepaid == [True] * 3 + [False] * 7
     assert calls.use_prepaid('r0', 'stock')
     assert calls.use_prepaid('r0', 'stock')
--- a/test/test_load_retry_budget.py
+++ b/test/test_load_retry_budget.py
@@ -119,3 +119,21 @@
     for seed in (1, 2, 3):
         replay = Replay(failing, [FAILING_S + before_s], seed=seed).run()
         assert replay.excess() <= 0
+
+
+@pytest.mark.parametrize(
+    'restarts', [(23.0, 27.0), (22.0, 25.0, 28.0), (23.0, 24.5, 26.0)]
+)
+@pytest.mark.parametrize('failing', [0.35, 0.6, 1.0])
+def test_hosts_restarted_in_series_stay_within_the_limit(failing, restarts):
+    """Guards against a burst of retries after each of several restarts."""
+    assert Replay(failing, restarts).run().excess() <= 0
+
+
+def test_nodes_that_never_restart_lose_no_retries_to_the_limit_on_bursts():
+    """Guards against a limit on bursts that refuses what a window allows."""
+    replay = Replay(0.3).run()
+    wanted = 0.3 * 1.3 * count(replay.sent, FAILING_S)
+    assert count(replay.retried, FAILING_S) >= 0.9 * min(
+        wanted, RATIO * count(replay.sent, FAILING_S) + SLACK / 2
+    )
--- a/test/test_load_shares.py
+++ b/test/test_load_shares.py
@@ -423,16 +423,25 @@
     """Guards against requests that wait for the same room, or for none."""
     budget = retry_budget.Budget(0.2, 0.0, 10.0)
     assert budget_wait.room_in_s(budget, 0, 5.0) == math.inf
-    for number in range(20):
-        budget.record_first_send(number / 10)
-    assert budget_wait.room_in_s(budget, 0, 2.0) == budget_wait.MIN_WAIT_S
-    taken = [budget.take_retry(2.0 + number, 1) for number in range(5)]
+    taken = []
+    for number in range(41):
+        now = number / 2
+        budget.record_first_send(now)
+        if now == 16.0:
+            assert budget_wait.room_in_s(budget, 0, now) == pytest.approx(
+                budget_wait.MIN_WAIT_S
+            )
+        if now >= 16.0 and number % 4 == 0:
+            taken.append(budget.take_retry(now, 1))
+    taken += [budget.take_retry(20.0 + number, 1) for number in range(2)]
     assert taken == [True] * 3 + [False] * 2
-    first, second = (budget_wait.room_in_s(budget, n, 6.0) for n in (0, 1))
-    # The sends at 2 s and at 3 s leave the window of 10 s.
-    assert first == pytest.approx(6.6)
-    assert second == pytest.approx(7.6)
-    assert budget_wait.room_in_s(budget, 3, 6.0) == math.inf
+    first, second = (budget_wait.room_in_s(budget, n, 20.0) for n in (0, 1))
+    # The sends at 16 s and at 18 s leave the window of 10 s.
+    assert first == pytest.approx(6.2)
+    assert second == pytest.approx(8.2)
+    # The first of those that wait leaves it a window after its own send.
+    fourth = budget_wait.room_in_s(budget, 3, 20.0)
+    assert fourth == pytest.approx(16.2)
     waits = budget_wait.Waits()
     waits.begin('a', 1)
     assert (waits.ahead('a', 0), waits.ahead('a', 1)) == (0, 1)
