A second send to the same upstream is charged as a repeat

Upstreams got more repeats than the retry budget had paid for.

Cause: the sender of a request marks it as a repeat if another upstream has received it. When its connection to the gateway is lost it asks the same gateway again; if the upstream has shed the request meanwhile, or has answered and the answer is forgotten after a second, the upstream gets it once more, as a first send and on the charge of the send before. Only the gateway knows that the upstream had it.

Change: the gateway remembers with the id of a request whether its upstream may have received it, and charges the next send to its slack.

Test: a gateway that is asked twice for a request which was shed, or whose answer is forgotten.

--- a/carawaystair/gateway/hop_handler.py
+++ b/carawaystair/gateway/hop_handler.py
@@ -223,10 +223,22 @@
         await asyncio.sleep(0)
         return await self.runs.run_once(
             hop,
-            lambda: self.executor.run(hop, request, receive_body),
+            lambda: self.executor.run(
+                self._as_charged(hop), request, receive_body
+            ),
             lambda: request.connection.broken,
         )
 
+    def _as_charged(self, hop: hops.Hop) -> hops.Hop:
+        """Return a hop that tells whether this send is a repeat.
+
+        Its sender can't know that a send which it took for lost has reached
+        the upstream, and has charged one send at most.
+        """
+        if self.runs.was_sent(hop):
+            return hop._replace(retry=True, budgeted=False)
+        return hop
+
     async def _receive_body(
         self, hop: hops.Hop, request: http_server.Request
     ) -> executors.Body:
--- a/carawaystair/gateway/runs.py
+++ b/carawaystair/gateway/runs.py
@@ -41,7 +41,14 @@
     :param first_seen: when it arrived first, monotonic time.
     """
 
-    __slots__ = ('waiters', 'send_number', 'ran', 'first_seen', 'task')
+    __slots__ = (
+        'waiters',
+        'send_number',
+        'ran',
+        'sent',
+        'first_seen',
+        'task',
+    )
 
     def __init__(self, send_number: int, first_seen: float) -> None:
         self.send_number = send_number
@@ -50,6 +57,8 @@
         self.task: asyncio.Task | None = None
         # Whether it may have run before, whatever a further send results in.
         self.ran = False
+        # Whether the upstream may have received it, run or not.
+        self.sent = False
         self.waiters = 0
 
 
@@ -108,6 +117,11 @@
             if not run.waiters:
                 self._last_waiter_left(hop, run, broken())
 
+    def was_sent(self, hop: hops.Hop) -> bool:
+        """Return whether the upstream may have received a request before."""
+        run = self.runs.get(hop.key)
+        return run is not None and run.sent
+
     def _find(self, hop: hops.Hop) -> Run:
         now = clock.now()
         self._evict_old(now)
@@ -133,7 +147,10 @@
 
     def _ended(self, hop: hops.Hop, run: Run, task: asyncio.Future) -> None:
         """Schedule the end of the answer's retention."""
-        run.ran = run.ran or _refusal(task) is None
+        refusal = _refusal(task)
+        run.ran = run.ran or refusal is None
+        shed = refusal is not None and refusal.reason in hops.SENT_TO_UPSTREAM
+        run.sent = run.sent or run.ran or shed
         loop = asyncio.get_running_loop()
         # Waiters of an idempotent request get its answer; a later send may
         # run it again.
--- a/test/test_gateway_transit.py
+++ b/test/test_gateway_transit.py
@@ -4,6 +4,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from carawaystair.gateway import hops
 from carawaystair.gateway import transit
@@ -13,6 +14,11 @@
 DEADLINE_MS = 4000
 
 
+async def shed(_upstream, _seen, writer) -> None:
+    """Refuse a request: it was not run."""
+    writer.write(fleets.setups.reply(b'full', 503, Caraway_Not_Run='1'))
+
+
 async def warm(fleet) -> None:
     """Let the first node receive reports on all upstreams."""
     for _ in range(12):
@@ -86,6 +92,38 @@
     assert answer.startswith(b'HTTP/1.1 502')
 
 
+@pytest.mark.parametrize('slack', [0, 50])
+@pytest.mark.parametrize('script', [fleets.serve, shed])
+def test_second_send_to_the_same_upstream_is_a_repeat(script, slack):
+    """Guards against arrivals that nobody pays for: a sender whose
+    connection was lost asks the gateway again, after the upstream has shed
+    the request, or after its answer was forgotten.
+    """
+
+    async def scenario():
+        options = {'retry_ratio': 0.0, 'retry_slack': slack}
+        async with fleets.running(None, script, **options) as fleet:
+            node = fleet.nodes[1]
+            loop = asyncio.get_running_loop()
+            hop = HOP._replace(
+                upstream='u9001',
+                service='portal',
+                process=str(node.membership.incarnation),
+                budgeted=True,
+            )
+            await send_hop(hop._replace(sent_ms=loop.uptime_ms()))
+            await asyncio.sleep(1.2)
+            again = hop._replace(
+                sent_ms=loop.uptime_ms(), send_number=2, resumed=True
+            )
+            await send_hop(again)
+            budget = node.service.executor.retry_budgets.for_service('portal')
+            return len(fleet.runs), budget.total_retries
+
+    sent, charged = pipes.run(scenario())
+    assert (sent, charged) == ((2, 1) if slack else (1, 0))
+
+
 async def send_hop(hop: hops.Hop) -> bytes:
     """Send a request on a connection of its own; return the answer."""
     reader, writer = await asyncio.open_connection('127.0.0.1', 7001)
