Calls of a retried run that was given up are charged as retries

Services that are called got more repeats than the retry budget had paid for, and those calls earned further ones.

Cause: a node knows which of its host's runs are retries for as long as they run. When a run is given up (its caller left, another upstream answered first, its time was over) the upstream goes on working and calls others; the node took these calls for requests of a caller, which earn.

Change: a node remembers retried runs for 15 s after their end. Calls of runs that a former process of the node began are not known to it and still count as first sends: open.

Test: a retry whose caller leaves after 0.4 s makes its call after 1 s; before, it was sent as a first send, now it is charged to the slack.

--- a/carawaystair/gateway/call_tracker.py
+++ b/carawaystair/gateway/call_tracker.py
@@ -7,6 +7,8 @@
 """
 
 import collections
+import itertools
+import math
 
 from carawaystair import clock
 from carawaystair.load import nested_call_budget
@@ -15,6 +17,9 @@
 # to that call: the upstream has nothing left to do, seconds.
 FAILURE_LINK_S = 0.5
 MAX_FAILURES = 1024
+# An upstream may work on a request for this time after the gateway has given
+# up the run, seconds; deadlines of requests are shorter as a rule.
+WORKS_ON_S = 15.0
 
 
 class NestedCallTracker:
@@ -32,6 +37,8 @@
         self.services: dict[str, str] = {}
         # Running requests that were sent to another upstream before.
         self.retried: set[str] = set()
+        # Those of them that have ended, and when, oldest first.
+        self.ended_retries: dict[str, float] = {}
         # When a nested call of a request last failed.
         self.failed_at: dict[str, float] = {}
 
@@ -60,7 +67,33 @@
             del self.ranks[request]
             del self.services[request]
             self.budget.refund_unused(request)
-            self.retried.discard(request)
+            if request in self.retried:
+                self.retried.remove(request)
+                self._remember_retry(request)
+
+    def _remember_retry(self, request: str) -> None:
+        """Remember a retried run that has ended; forget those long ago."""
+        now = clock.now()
+        self.ended_retries.pop(request, None)
+        self.ended_retries[request] = now
+        old = itertools.takewhile(
+            lambda entry: now - entry[1] >= WORKS_ON_S,
+            self.ended_retries.items(),
+        )
+        for name, _when in list(old):
+            del self.ended_retries[name]
+
+    def is_call_of_retry(self, call: str) -> bool:
+        """Return whether a request is a call of a run that was a retry.
+
+        That run may have ended: its upstream may work on, and make its calls,
+        although nobody waits for the answer.
+        """
+        parent = call.rpartition('.')[0]
+        if parent in self.running:
+            return parent in self.retried
+        ended_at = self.ended_retries.get(parent, -math.inf)
+        return clock.now() - ended_at < WORKS_ON_S
 
     def running_parent(self, request: str) -> str:
         """Return the running request that makes a call, or ''."""
--- a/carawaystair/gateway/caller_handler.py
+++ b/carawaystair/gateway/caller_handler.py
@@ -313,7 +313,7 @@
             now + goal_s,
             self.nested_calls.rank(call.id, _rank(routing, route, sender)),
             bool(parent),
-            parent in self.nested_calls.retried,
+            self.nested_calls.is_call_of_retry(call.id),
             bool(parent) and self.nested_calls.count_call(parent, name),
             self.service,
             route.max_attempts or dispatchers.DEFAULT_MAX_RUNS,
--- a/test/test_gateway_retries.py
+++ b/test/test_gateway_retries.py
@@ -285,3 +285,47 @@
 
     assert pipes.run(scenario(0.1)) == 0
     assert pipes.run(scenario(0.5)) > 0
+
+
+def test_call_of_a_repeat_that_was_given_up_is_a_repeat():
+    """Guards against calls that nobody pays for and that earn retries: an
+    upstream goes on with a repeat whose caller has left, and calls others.
+    """
+    fleet_of = []
+
+    async def call_late(upstream, seen, writer):
+        if upstream.name == 'u9000':
+            await fleets.fail(upstream, seen, writer)
+            return
+        await asyncio.sleep(1.0)
+        name = seen.headers['caraway-request-id'] + '.1'
+        await fleet_of[0].ask('/inner/a', node=1, Caraway_Request_Id=name)
+
+    async def scenario():
+        options = {
+            'routes': ROUTES,
+            'services': ('portal', 'portal', 'other'),
+            'retry_ratio': 0.0,
+            'retry_slack': LARGE_SLACK,
+        }
+        scripts = (call_late, call_late, fleets.serve)
+        async with fleets.running(*scripts, **options) as fleet:
+            fleet_of.append(fleet)
+            for _time in range(4):
+                await fleet.ask('/read/a', Caraway_Deadline_Ms='400')
+                await asyncio.sleep(2.0)
+            return [
+                one
+                for node in fleet.nodes
+                for one in map(json.loads, node.lines.lines)
+                if one['event'] == 'began'
+            ]
+
+    began = pipes.run(scenario())
+    repeats = {one['id'] for one in began if one['repeat'] == 'send'}
+    calls = [one for one in began if one['service'] == 'other']
+    of_repeats = [one for one in calls if one['id'][:-2] in repeats]
+    assert of_repeats
+    assert {(one['repeat'], one['paid']) for one in of_repeats} == {
+        ('call', 'slack')
+    }
