Failing test: the slack is used anew after each of several restarts

A gateway makes provision for one start in a window: it may use .6 of its part at most in its first window, and a lump of it at once.

--- a/test/test_load_retry_budget.py
+++ b/test/test_load_retry_budget.py
@@ -130,6 +130,13 @@
     assert Replay(failing, restarts).run().excess() <= 0
 
 
+def test_few_requests_between_restarts_stay_within_the_limit():
+    """Guards against gateways that use the slack anew after each of several
+    restarts, while first sends earn little and all sends fail.
+    """
+    assert Replay(1.0, (22.0, 25.0, 28.0), per_s=10.0).run().excess() <= 0
+
+
 def test_nodes_that_never_restart_lose_no_retries_to_the_limit_on_bursts():
     """Guards against a limit on bursts that refuses what a window allows."""
     replay = Replay(0.3).run()
