Estimate of room in the retry budget needs no recursion

The estimate called itself once for each window that others fill before; a node with one retry a window and some thousand requests that wait would have ended them with RecursionError. It counts the windows now. Test: 3,003 requests ahead.

--- a/carawaystair/load/budget_wait.py
+++ b/carawaystair/load/budget_wait.py
@@ -8,6 +8,7 @@
 waits, each for a place of its own, and hosts do not retry together.
 """
 
+import itertools
 import math
 
 from carawaystair.load import retry_budget
@@ -32,17 +33,23 @@
     spendable = math.floor(earned.in_window(now) + budget.rounding)
     if not spendable:
         return math.inf
-    saved_s = earned.room_in_s(ahead + 1, now) + MIN_WAIT_S
-    leaving = budget.retries.total + ahead + 1 - spendable
-    if leaving <= 0:
-        return saved_s
-    for end, count in budget.retries.ends():
-        leaving -= count
-        if leaving <= 0:
-            return max(end + budget.window_s - now + MIN_WAIT_S, saved_s)
-    # Room comes when a retry of those ahead leaves the window.
-    before_s = room_in_s(budget, ahead - spendable, now)
-    return max(before_s + budget.window_s, saved_s)
+    # Each window has room for so many; those ahead leave it in their order.
+    windows, place = divmod(ahead, spendable)
+    leaving = budget.retries.total + place + 1 - spendable
+    left_s = _left_in_s(budget, leaving, now) if leaving > 0 else 0.0
+    return MIN_WAIT_S + max(
+        left_s + windows * budget.window_s,
+        earned.room_in_s(ahead + 1, now),
+    )
+
+
+def _left_in_s(budget: retry_budget.Budget, count: int, now: float) -> float:
+    """Return seconds until so many retries have left the window."""
+    leave_at = itertools.chain.from_iterable(
+        itertools.repeat(end + budget.window_s, retries)
+        for end, retries in budget.retries.ends()
+    )
+    return next(itertools.islice(leave_at, count - 1, None)) - now
 
 
 class Waits:
--- a/test/test_load_shares.py
+++ b/test/test_load_shares.py
@@ -442,6 +442,8 @@
     # The first of those that wait leaves it a window after its own send.
     fourth = budget_wait.room_in_s(budget, 3, 20.0)
     assert fourth == pytest.approx(16.2)
+    late = budget_wait.room_in_s(budget, 3003, 20.0)
+    assert late == pytest.approx(10016.2)
     waits = budget_wait.Waits()
     waits.begin('a', 1)
     assert (waits.ahead('a', 0), waits.ahead('a', 1)) == (0, 1)
