Names and comments of the retry budget; findings

Read as a newcomer: constants of repeats stand below the bounds of the log, the gateway marks a hop as a repeat, and what a window may spend says what is included. No change of behaviour.

--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -25,12 +25,12 @@
 ROUTINE = 'routine'
 TROUBLE = 'trouble'
 BELIEF = 'belief'
+ROOM = {ROUTINE: 17, TROUBLE: 19, BELIEF: 10}
 # Kinds of repeats, and the parts of the retry budget that pay for them.
 FURTHER_SEND = 'send'
 CALL_OF_REPEAT = 'call'
 BY_SENDER = 'sender'
 BY_SLACK = 'slack'
-ROOM = {ROUTINE: 17, TROUBLE: 19, BELIEF: 10}
 
 
 class Offered(typing.NamedTuple):
--- a/carawaystair/explain.py
+++ b/carawaystair/explain.py
@@ -10,6 +10,8 @@
 import json
 import typing
 
+from carawaystair import decisions
+
 # Statuses from here on tell a failure.
 FAILED = 400
 # Clocks of hosts differ by so much at least, and lines are written in turn.
@@ -233,7 +235,8 @@
         kind = self.get('repeat')
         if not kind:
             return ''
-        what = 'call of a repeat' if kind == 'call' else 'repeat'
+        call = kind == decisions.CALL_OF_REPEAT
+        what = 'call of a repeat' if call else 'repeat'
         return '; a %s, charged to the %s' % (what, self.get('paid'))
 
     def _idempotence(self) -> str:
--- a/carawaystair/gateway/hop_handler.py
+++ b/carawaystair/gateway/hop_handler.py
@@ -224,16 +224,16 @@
         return await self.runs.run_once(
             hop,
             lambda: self.executor.run(
-                self._as_charged(hop), request, receive_body
+                self._marked(hop), request, receive_body
             ),
             lambda: request.connection.broken,
         )
 
-    def _as_charged(self, hop: hops.Hop) -> hops.Hop:
-        """Return a hop that tells whether this send is a repeat.
+    def _marked(self, hop: hops.Hop) -> hops.Hop:
+        """Return a hop that is marked as a repeat if this send is one here.
 
         Its sender can't know that a send which it took for lost has reached
-        the upstream, and has charged one send at most.
+        the upstream, and has charged that one only.
         """
         if self.runs.was_sent(hop):
             return hop._replace(retry=True, budgeted=False)
--- a/carawaystair/load/earned_retries.py
+++ b/carawaystair/load/earned_retries.py
@@ -74,15 +74,18 @@
         return self.ratio * self.first_sends.total
 
     def spendable(self, now: float) -> float:
-        """Return how many retries may be spent in the window until now."""
+        """Return how many retries may be spent in the window until now.
+
+        Those that this process has spent in it already are included.
+        """
         earned = self.in_window(now)
         age = (now - self.began) / self.window_s
         if age >= 1.0:
             return earned + self.rounding
         if age <= 0.0:
             return 0.0
-        # The previous process may have spent a burst right before the start.
-        # It earned as much in a window as this one is about to.
+        # The previous process may have spent a burst right before the start;
+        # it is taken to have earned at the same rate.
         return earned + self.rounding - self._burst(earned / age)
 
     def may_spend_now(self) -> bool:
