--- a/carawaystair/load/earned_retries.py
+++ b/carawaystair/load/earned_retries.py
@@ -13,7 +13,6 @@
 from carawaystair.load import recent_counts
 
 # Retries that may be spent at once, as a share of those earned in a window.
-# Failures that affect fewer than about 0.3 of the sends never need more.
 BURST_SHARE = 0.5
 
 
--- a/test/gateway_setup.py
+++ b/test/gateway_setup.py
@@ -28,8 +28,6 @@
 
 
 CONTROL = '127.0.0.1:5000'
-# The window in which retries are counted, as the settings have it, seconds.
-RETRY_WINDOW_S = 10.0
 
 
 class LogLines:
--- a/test/test_gateway_load.py
+++ b/test/test_gateway_load.py
@@ -96,8 +96,6 @@
 
     async def scenario():
         async with fleets.running(*[script] * 4) as fleet:
-            # New processes may retry little.
-            await asyncio.sleep(fleets.RETRY_WINDOW_S)
             requests = []
             for step in range(200):
                 one = fleet.ask('/pay/a', 'POST', node=step % 4, body=b'x')
@@ -164,8 +162,6 @@
     async def scenario():
         scripts = (fleets.fail, fleets.fail, fleets.serve)
         async with fleets.running(*scripts) as fleet:
-            # New processes may retry little.
-            await asyncio.sleep(fleets.RETRY_WINDOW_S)
             found = []
             for _ in range(40):
                 found.append((await fleet.ask('/read/a')).status)
--- a/test/test_gateway_spread.py
+++ b/test/test_gateway_spread.py
@@ -56,13 +56,11 @@
     path: str = '/pay/a',
     method: str = 'POST',
     remote_count: int = 0,
-    idle_s: float = 0.0,
     **options,
 ) -> list[Window]:
     """Return the results of consecutive windows of two seconds.
 
     :param remote_count: upstreams in another data centre without callers.
-    :param idle_s: for how long the processes run before the first request.
     :param options: settings of the nodes.
     """
     rng = random.Random(seed)
@@ -79,7 +77,6 @@
                 for node in fleet.nodes
                 if node.number not in failing
             ]
-            await asyncio.sleep(idle_s)
             for _window in range(windows):
                 before = {one.name: len(one.runs) for one in healthy}
                 requests.append([])
@@ -176,17 +173,8 @@
     Without it, at most a tenth of what may run once fails here.
     """
     path = '/read/a' if method == 'GET' else '/pay/a'
-    # New processes may retry little.
     windows = _play(
-        seed,
-        5,
-        30,
-        path,
-        method,
-        10,
-        fleets.RETRY_WINDOW_S,
-        home_first=True,
-        home_bonus_per_kb=0.01,
+        seed, 5, 30, path, method, 10, home_first=True, home_bonus_per_kb=0.01
     )
     # Reads are repeated, so that few fail and no floor is due.
     if method == 'POST':
