--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,16 +1,14 @@
-"""TWICE: long requests run again after their gateway has stood still.
+"""MIXED: pipelined requests get each other's answers.
 
-Unsafe requests work for longer than a gateway remembers them.  Then the
-machine beside their server freezes for two seconds.  The node that took them
-from the clients asks the gateway again, as it does after each silence; the
-gateway has forgotten the requests that it is still running, and runs them
-once more.
+Clients send a lookup and, before it has been answered, a download on the same
+connection.  If the second request arrives while the node is just about to
+take the first one from its queue, the node starts the first one as if it were
+a later one, and answers the second one before it.
 """
 
 import asyncio
 import collections
 import pathlib
-import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -18,125 +16,130 @@
 
 import fleet as fleets  # noqa: E402
 
-# The routes allow 110 s; the pages allow ten minutes.
-TIMEOUT_MS = 110_000
-WORK_S = 105.0
-SHORT_WORK_S = 0.02
-SHORT_TIMEOUT_MS = 5000
-REQUESTS = 12
-SLOTS = 10
-# Times count from the moment at which the long requests run.
-FREEZE_AT_S = 91.0
-FREEZE_S = 2.0
-WATCHED_S = 3.0
-# Short requests keep the clients' node as busy as usual around the freeze.
-SHORT_FROM_S = 80.0
-SHORT_CLIENTS = 16
-
-
-def route(prefix, kind, service, timeout_ms):
-    return {
-        'host': 'claims.example',
-        'path_prefix': '/%s/' % prefix,
+CLIENTS = 8
+ROUNDS_S = 10.0
+PAIRS_PER_CONNECTION = 20
+BUDGET_MS = 8000
+SLOTS = 20
+WORK_S = 0.02
+KINDS = {'status': 'safe', 'bundle': 'download'}
+ROUTES = {
+    'r-%s' % name: {
+        'host': 'portal.example',
+        'path_prefix': '/%s/' % name,
         'route_type': kind,
-        'timeout': '%dms' % timeout_ms,
-        'target_latency': '%dms' % timeout_ms,
+        'timeout': '%dms' % BUDGET_MS,
+        'target_latency': '1500ms',
         'priority': 1,
-        'service': service,
+        'service': 'portal',
         'max_attempts': 2,
     }
-
-
-ROUTES = {
-    'r-payouts': route('payouts', 'unsafe', 'settlement', TIMEOUT_MS),
-    'r-status': route('status', 'safe', 'portal', SHORT_TIMEOUT_MS),
+    for name, kind in KINDS.items()
 }
 
 
-async def send(machine, method, prefix, name, timeout_ms):
-    """Send one request, as a client does, and return its answer."""
-    headers = [
-        ('Host', 'claims.example'),
-        ('X-Request-Id', name),
-        ('X-Deadline-Ms', str(timeout_ms)),
-    ]
-    return await fleets.request(
-        machine.address(fleets.OUTBOUND),
-        method,
-        '/%s/%s' % (prefix, name),
-        headers,
-        b'pay once' if method == 'POST' else b'',
-        timeout_ms / 1000,
+def encode(kind, name):
+    """Return the bytes of one request."""
+    text = (
+        'GET /%s/%s HTTP/1.1\r\nHost: portal.example\r\n'
+        'X-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n\r\n'
     )
+    return (text % (kind, name, name, BUDGET_MS)).encode()
 
 
-async def send_long(record, machine, name):
-    """Send one long request."""
-    record.add('client at %s: sends %s', machine.name, name)
-    answer = await send(machine, 'POST', 'payouts', name, TIMEOUT_MS)
-    record.add(
-        'client at %s: %s -> %d %s',
-        machine.name,
-        name,
-        answer.status,
-        answer.why,
-    )
+class Client:
+    """Sends pairs of requests on kept connections.
 
+    :param pipelines: whether it sends the second request of a pair before
+        the first one has been answered.
+    """
 
-async def send_short(machine, number):
-    """Send one short request after the other."""
-    count = 0
-    while True:
-        count += 1
-        name = 'status-%d-%d' % (number, count)
-        await send(machine, 'GET', 'status', name, SHORT_TIMEOUT_MS)
+    def __init__(self, record, machine, number, pipelines, counts):
+        self.record = record
+        self.machine = machine
+        self.number = number
+        self.pipelines = pipelines
+        self.counts = counts
+        self.sent = 0
+
+    async def run(self, until):
+        while self.record.now() < until:
+            reader, writer = await asyncio.open_connection(
+                self.machine.ip, fleets.OUTBOUND
+            )
+            try:
+                for _number in range(PAIRS_PER_CONNECTION):
+                    if not await self._pair(reader, writer):
+                        break
+            except (OSError, asyncio.IncompleteReadError) as error:
+                self.counts['connections closed without an answer'] += 1
+                self.record.add('client %d: %r', self.number, error)
+            finally:
+                writer.close()
+
+    async def _pair(self, reader, writer):
+        """Send two requests; return whether the connection goes on."""
+        names = []
+        for kind in KINDS:
+            self.sent += 1
+            names.append('%s-%d-%d' % (kind, self.number, self.sent))
+            writer.write(encode(kind, names[-1]))
+            await asyncio.sleep(0)
+            if not self.pipelines:
+                if not await self._read(reader, names[-1]):
+                    return False
+        if self.pipelines:
+            for name in names:
+                if not await self._read(reader, name):
+                    return False
+        return True
+
+    async def _read(self, reader, name):
+        """Read the answer that is due; return whether it may go on."""
+        answer = fleets.Answer()
+        async with asyncio.timeout(BUDGET_MS / 1000 + 1.0):
+            await fleets.read_answer(reader, answer)
+        self.counts['answers'] += 1
+        got = answer.headers.get('x-request-id')
+        if answer.status == 200 and answer.body != b'answer to %b' % (
+            name.encode()
+        ):
+            self.counts['mixed'] += 1
+            self.record.add(
+                'client %d: %s got the answer to %s: %s',
+                self.number,
+                name,
+                got,
+                answer.body.decode(),
+            )
+        return answer.headers.get('connection') != 'close'
 
 
 async def case(record, trouble):
     """Play the case; return a sentence for each breach."""
-    services = ['portal', 'settlement', 'settlement']
+    services = ['portal', 'portal', 'portal']
     async with fleets.Fleet(record, services) as fleet:
-        servers = [
-            fleet.server(machine, slots=SLOTS) for machine in fleet.sidecars
-        ]
-        long = servers[1:]
-        for server in servers:
-            server.work_s = WORK_S if server in long else SHORT_WORK_S
+        for machine in fleet.sidecars:
+            server = fleet.server(machine, slots=SLOTS, work_s=WORK_S)
             await server.start()
         await fleet.configure(ROUTES, set(services))
         await fleet.wait_ready()
         await asyncio.sleep(2 * fleets.BEAT_S)
-        client = fleet.sidecars[0]
-        tasks = [
-            asyncio.create_task(
-                send_long(record, client, 'payout-%d' % (number + 1))
-            )
-            for number in range(REQUESTS)
-        ]
-        await asyncio.sleep(1.0)
-        if sum(len(server.runs) for server in long) != REQUESTS:
-            raise fleets.CannotRun('not all long requests run')
-        await asyncio.sleep(SHORT_FROM_S)
-        tasks += [
-            asyncio.create_task(send_short(client, number))
-            for number in range(SHORT_CLIENTS)
+        counts = collections.Counter()
+        until = record.now() + ROUNDS_S
+        clients = [
+            Client(record, fleet.sidecars[0], number, trouble, counts)
+            for number in range(CLIENTS)
         ]
-        await asyncio.sleep(FREEZE_AT_S - SHORT_FROM_S)
-        if trouble:
-            busiest = max(long, key=lambda server: len(server.runs))
-            busiest.machine.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(FREEZE_S)
-            busiest.machine.send_signal(signal.SIGCONT)
-        await asyncio.sleep(WATCHED_S)
-        for task in tasks:
-            task.cancel()
-        counts = collections.Counter(
-            run.id for server in long for run in server.runs
-        )
+        await asyncio.gather(*(client.run(until) for client in clients))
+        record.add('%s', dict(counts))
+        if not counts['answers']:
+            raise fleets.CannotRun('no request was answered')
+        if not counts['mixed']:
+            return []
         return [
-            'TWICE: the unsafe request %s ran %d times' % (name, count)
-            for name, count in counts.items()
-            if count > 1
+            'MIXED: %d of %d answers belonged to another request'
+            % (counts['mixed'], counts['answers'])
         ]
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,10 @@
-"""CONFIG: downloads are held beyond their route's time on silent connections.
+"""DRAIN: a server that has left gets requests again after a late check-in.
 
-Servers stream long answers.  Then the connections between the gateways and
-the servers go silent: they stay open, and nothing arrives on them any more.
-Nothing ends the answers at the route's timeout, nor at the time budget of the
-clients: the clients get neither the rest nor an end.
+The node beside a server is stopped and started again.  The first check-in
+that the server then sends is late.  Meanwhile the server leaves: it takes its
+check-ins back, and the node acknowledges that.  The node has no entry of the
+server and remembers nothing, so the late check-in makes the server ready
+again, and it gets requests until that entry expires.
 """
 
 import asyncio
@@ -15,155 +16,161 @@
 
 import fleet as fleets  # noqa: E402
 
-TIMEOUT_S = 6.0
-BUDGET_S = 8.0
-SLACK_S = 0.5
-REQUESTS = 12
-# Fewer and smaller share than this break no rule.
-MIN_COUNT = 8
-MIN_SHARE = 0.25
-# The answers come in pieces, in all within a second.
-PIECES = 20
-PIECE = b'x' * 16 * 1024
-PIECE_S = 0.05
-SILENT_AFTER_S = 0.6
-SERVER_PORT = 8698
+DRAIN_S = 2.0
+CONTACT_S = 3.0
+# By how much the check-in is late.
+LATE_S = 2.5
+# How long the server goes on serving after its DELETE was acknowledged.
+SERVES_ON_S = 6.0
+PROXY_PORT = 8700
+CLIENTS = 10
 ROUTES = {
-    'r-bundles': {
-        'host': 'docs.example',
-        'path_prefix': '/bundles/',
-        'route_type': 'download',
-        'timeout': '%dms' % (TIMEOUT_S * 1000),
+    name: {
+        'host': 'claims.example',
+        'path_prefix': '/%s/' % name,
+        'route_type': kind,
+        'timeout': '5000ms',
         'target_latency': '1500ms',
         'priority': 1,
-        'service': 'docvault',
+        'service': 'settlement',
         'max_attempts': 2,
     }
+    for name, kind in (('status', 'safe'), ('payout', 'unsafe'))
 }
 
 
 class Way:
-    """Carries connections to a server; open ones may go silent."""
+    """Carries the calls of a server to its node; may hold check-ins up."""
 
-    def __init__(self, machine):
+    def __init__(self, record, machine):
+        self.record = record
         self.machine = machine
-        self.open = []
-        self.silent = []
+        self.holds_s = 0.0
+        self.address = '%s:%d' % (machine.ip, PROXY_PORT)
+        self.arrived = asyncio.Event()
 
     async def start(self):
         return await asyncio.start_server(
-            self._carry, self.machine.ip, fleets.APP, reuse_address=True
+            self._carry, self.machine.ip, PROXY_PORT, reuse_address=True
         )
 
-    def silence(self):
-        """Let the open connections go silent; new ones work."""
-        count = len(self.open)
-        for tasks in self.open:
-            for task in tasks:
-                task.cancel()
-        return count
-
     async def _carry(self, reader, writer):
-        server_reader, server_writer = await asyncio.open_connection(
-            self.machine.ip, SERVER_PORT
+        try:
+            first, headers = await fleets.read_head(reader)
+            size = int(headers.get('content-length', 0))
+            body = await reader.readexactly(size)
+            method, path, _version = first.split()
+            held_s, self.holds_s = self.holds_s, 0.0
+            if held_s:
+                self.record.add('way: holds a check-in for %g s', held_s)
+                await asyncio.sleep(held_s)
+            answer = await fleets.request(
+                self.machine.address(fleets.CONTROL),
+                method,
+                path,
+                [('Host', 'node'), ('Content-Type', 'application/json')],
+                body,
+                1.0,
+            )
+            if held_s:
+                self.record.add('way: late check-in -> %d', answer.status)
+                self.arrived.set()
+            if answer.complete:
+                text = 'HTTP/1.1 %d Late\r\nContent-Length: 0\r\n\r\n'
+                writer.write((text % answer.status).encode())
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+
+async def client(record, machine, number, until, outcomes):
+    """Send one request after the other, safe and unsafe ones by turns."""
+    count = 0
+    while record.now() < until:
+        count += 1
+        kind = 'payout' if number % 2 else 'status'
+        name = '%s-%d-%d' % (kind, number, count)
+        answer = await fleets.request(
+            machine.address(fleets.OUTBOUND),
+            'POST' if kind == 'payout' else 'GET',
+            '/%s/%s' % (kind, name),
+            [
+                ('Host', 'claims.example'),
+                ('X-Request-Id', name),
+                ('X-Deadline-Ms', '5000'),
+            ],
+            b'pay once' if kind == 'payout' else b'',
+            5.0,
         )
-        tasks = [
-            asyncio.create_task(copy(reader, server_writer)),
-            asyncio.create_task(copy(server_reader, writer)),
-        ]
-        self.open.append(tasks)
-        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-        self.open.remove(tasks)
-        if any(task.cancelled() for task in tasks):
-            # Silent for good: neither end sees the other's close.
-            self.silent.append((writer, server_writer))
-            return
-        writer.close()
-        server_writer.close()
-
-
-async def copy(reader, writer):
-    try:
-        while data := await reader.read(65536):
-            writer.write(data)
-            await writer.drain()
-    except OSError:
-        pass
-
-
-async def stream(run, writer):
-    """Answer with a long body, in pieces."""
-    writer.write(fleets.head(run, PIECES * len(PIECE)))
-    for _number in range(PIECES):
-        writer.write(PIECE)
-        await writer.drain()
-        await asyncio.sleep(PIECE_S)
-    return True
-
-
-async def download(record, machine, number):
-    """Ask for one download; return how long it took to end, and whether it
-    has arrived whole.
-    """
-    began = record.now()
-    answer = await fleets.request(
-        machine.address(fleets.OUTBOUND),
-        'GET',
-        '/bundles/%d' % number,
-        [
-            ('Host', 'docs.example'),
-            ('X-Request-Id', 'bundle-%d' % number),
-            ('X-Deadline-Ms', '%d' % (BUDGET_S * 1000)),
-        ],
-        b'',
-        BUDGET_S,
-    )
-    took_s = record.now() - began
-    record.add(
-        'client: bundle-%d -> %d, %s, %d bytes, after %.2f s %s',
-        number,
-        answer.status,
-        'whole' if answer.complete else 'not whole',
-        len(answer.body),
-        took_s,
-        answer.why,
-    )
-    return took_s
+        outcomes[name] = answer.status
+        if answer.status != 200:
+            record.add('client: %s -> %d %s', name, answer.status, answer.why)
+            await asyncio.sleep(0.1)
+
+
+async def left(record, server, way, trouble):
+    """Let a server leave; return when that was acknowledged."""
+    machine = server.machine
+    started = -CONTACT_S
+    if trouble:
+        await machine.restart()
+        started = record.now()
+        way.holds_s = LATE_S
+        while way.holds_s:
+            await asyncio.sleep(0.05)
+        # The response to the check-in does not come within a second.
+        await asyncio.sleep(1.0)
+    status = await server.leave()
+    acked = record.now()
+    record.add('server %s: DELETE -> %d', server.id, status)
+    if status != 200:
+        raise fleets.CannotRun('the DELETE was not acknowledged')
+    return acked, started
 
 
 async def case(record, trouble):
     """Play the case; return a sentence for each breach."""
-    services = ['portal', 'docvault', 'docvault', 'docvault']
+    services = ['portal', 'settlement', 'settlement']
     async with fleets.Fleet(record, services) as fleet:
-        servers = [fleet.server(machine) for machine in fleet.sidecars[1:]]
-        ways = [Way(server.machine) for server in servers]
-        listeners = [await way.start() for way in ways]
+        servers = [fleet.server(machine) for machine in fleet.sidecars]
+        leaver = servers[1]
+        way = Way(record, leaver.machine)
+        leaver.control = way.address
+        listener = await way.start()
         for server in servers:
-            server.work = stream
-            await server.start(SERVER_PORT)
+            await server.start()
         await fleet.configure(ROUTES, set(services))
         await fleet.wait_ready()
-        # All machines are in touch, and stay so but for the disruption.
-        await asyncio.sleep(4.0)
-        tasks = [
-            asyncio.create_task(download(record, fleet.sidecars[0], number))
-            for number in range(REQUESTS)
+        await asyncio.sleep(2 * fleets.BEAT_S)
+        until, outcomes = record.now() + 25.0, {}
+        clients = [
+            asyncio.create_task(
+                client(record, fleet.sidecars[0], n, until, outcomes)
+            )
+            for n in range(CLIENTS)
+        ]
+        await asyncio.sleep(2.0)
+        acked, started = await left(record, leaver, way, trouble)
+        await asyncio.sleep(acked + SERVES_ON_S - record.now())
+        leaver.stop()
+        record.add('server %s: exits', leaver.id)
+        await asyncio.gather(*clients)
+        listener.close()
+        counts_from = max(acked + DRAIN_S, started + CONTACT_S)
+        late = [run for run in leaver.runs if run.at > counts_from]
+        lost = [
+            name
+            for name, status in outcomes.items()
+            if name.startswith('payout') and status in (0, 502, 504)
         ]
-        await asyncio.sleep(SILENT_AFTER_S)
-        if trouble:
-            count = sum(way.silence() for way in ways)
-            record.add('network: %d connections go silent', count)
-        took = await asyncio.gather(*tasks)
-        for listener in listeners:
-            listener.close()
-        longer = [took_s for took_s in took if took_s > TIMEOUT_S]
-        held = [took_s for took_s in longer if took_s > TIMEOUT_S + SLACK_S]
-        if len(held) < MIN_COUNT or len(held) <= MIN_SHARE * len(longer):
+        record.add('unsafe requests without a clear outcome: %d', len(lost))
+        if not late:
             return []
         return [
-            'CONFIG: of %d requests that lasted longer than %g s, %d had no '
-            'final answer %.1f s later; they ended after %.2f s or more'
-            % (len(longer), TIMEOUT_S, len(held), SLACK_S, min(held))
+            'DRAIN: %d requests reached the server later than %.1f s after '
+            'the ack, the last after %.2f s'
+            % (len(late), counts_from - acked, late[-1].at - acked)
         ]
 
 
