--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -671,9 +671,7 @@
     trouble = os.environ.get('TROUBLE', '1') != '0'
     record.add('disruption: %s', 'yes' if trouble else 'no')
     try:
-        breaches = asyncio.run(
-            asyncio.wait_for(case(record, trouble), 115.0)
-        )
+        breaches = asyncio.run(asyncio.wait_for(case(record, trouble), 115.0))
     except CannotRun as error:
         record.add('could not run: %s', error)
         print('could not run: %s' % error)
