--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import os
 import pathlib
 import sys
 
@@ -143,4 +144,7 @@
         ]
 
 
-sys.exit(fleets.run_case(case, FOLDER))
+# TROUBLE=0 plays the same without the disruption.
+TROUBLE = os.environ.get('TROUBLE') != '0'
+
+sys.exit(fleets.run_case(case, FOLDER, TROUBLE))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -174,4 +175,7 @@
         ]
 
 
-sys.exit(fleets.run_case(case, FOLDER))
+# TROUBLE=0 plays the same without the disruption.
+TROUBLE = os.environ.get('TROUBLE') != '0'
+
+sys.exit(fleets.run_case(case, FOLDER, TROUBLE))
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -17,6 +17,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = ('zone-a', 'zone-b', 'zone-c')
@@ -25,9 +26,21 @@
 # also listens at 127.0.0.1 on one of them.
 INTERNAL_PORTS = 16
 BEAT_S = 1.5
+# A play that takes longer could not run, seconds.
+LIMIT_S = 115.0
 CONFIG_PATH = '/carawaystair/config'
 
 
+def _exit_unrun(kind, error, trace):
+    """Exit with 2 after an unexpected error: Python's own 1 means a breach."""
+    traceback.print_exception(kind, error, trace)
+    sys.stderr.flush()
+    os._exit(2)
+
+
+sys.excepthook = _exit_unrun
+
+
 class CannotRun(Exception):
     """The case could not be run: nothing was shown either way."""
 
@@ -323,9 +336,9 @@
     def __init__(self, record, services, core=1, bounds=None):
         self.record = record
         self.bounds = bounds or {}
-        self.folder = pathlib.Path(tempfile.mkdtemp(prefix='caraway-'))
         self.internal = free_internal_ports()
         self.network = free_network(len(services), core)
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix='caraway-'))
         self.core = [Machine(self, 'core', n) for n in range(core)]
         self.sidecars = [
             Machine(self, 'sidecar', n, service)
@@ -335,17 +348,22 @@
         self.version = 0
 
     async def __aenter__(self):
-        for machine in (*self.core, *self.sidecars):
-            machine.start()
+        try:
+            for machine in (*self.core, *self.sidecars):
+                machine.start()
+        except BaseException:
+            await self.__aexit__()
+            raise
         return self
 
     async def __aexit__(self, *_error):
+        """End all that was started, also processes that stand still."""
         for server in self.servers:
             server.stop()
         for machine in (*self.core, *self.sidecars):
-            if machine.process.poll() is None:
+            if machine.process is not None:
                 machine.process.kill()
-            machine.process.wait()
+                machine.process.wait()
         if os.environ.get('KEEP_LOGS'):
             print(self.folder)
         else:
@@ -660,23 +678,27 @@
     return True
 
 
-def run_case(case, folder):
-    """Run a case; exit with 1 if the rule was broken, 0 if it held, else 2.
+async def _play(case, record, trouble):
+    """Play a case; a SIGTERM cancels it, and so ends what it started."""
+    task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    return await asyncio.wait_for(case(record, trouble), LIMIT_S)
+
+
+def run_case(case, folder, trouble):
+    """Run a case; return 1 if the rule was broken, 0 if it held, else 2.
 
     :param case: `async def case(record, trouble)`, which returns a sentence
         for each breach.
+    :param trouble: whether the disruption takes place.
     """
     default = pathlib.Path(folder) / 'record.txt'
-    record = Record(os.environ.get('RECORD', default))
-    trouble = os.environ.get('TROUBLE', '1') != '0'
+    record = Record(os.environ.get('RECORD') or default)
     record.add('disruption: %s', 'yes' if trouble else 'no')
     try:
-        breaches = asyncio.run(asyncio.wait_for(case(record, trouble), 115.0))
-    except CannotRun as error:
-        record.add('could not run: %s', error)
-        print('could not run: %s' % error)
-        return 2
-    except Exception as error:
+        breaches = asyncio.run(_play(case, record, trouble))
+    except (Exception, asyncio.CancelledError) as error:
         record.add('could not run: %r', error)
         print('could not run: %r' % error, file=sys.stderr)
         return 2
