Log where an answered request stands on its connection

Callers of review/1 get each other's answers, and the lines of their requests look sound: 'answered' does not tell on which connection and in which order requests were started. So an answer mixed up by an upstream, by a gateway, by the release of waiting answers, or by the start of requests can't be told apart.

'answered' now has the caller's connection, the number of the request on it, how many earlier ones had no answer, and whether its answer waited for them. A connection whose task ends by an unexpected error logs that; until now asyncio dropped it.

--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -157,6 +157,10 @@
     :param offers: offers that were made.
     :param total_ms: time since the request was read, ms.
     :param digest: the same for all requests that ask for the same.
+    :param caller: ``ip:port`` of its connection.
+    :param number: counts the requests on that connection, from 1.
+    :param ahead: earlier ones that had no answer when it was started.
+    :param pipelined: whether its answer waited for those of earlier ones.
     :param detail: the circumstances of a failure.
     """
 
@@ -169,6 +173,10 @@
     offers: int
     total_ms: int
     digest: str
+    caller: str
+    number: int
+    ahead: int
+    pipelined: bool
     detail: str
 
 
--- a/carawaystair/gateway/caller_handler.py
+++ b/carawaystair/gateway/caller_handler.py
@@ -203,13 +203,13 @@
         except validation.Refused as refused:
             outcome = codes.NOT_RUN
             self._record_answer(
-                dispatch, outcome, started_at, refused.code, refused.detail
+                dispatch, request, outcome, refused.code, refused.detail
             )
             raise
         except answers.Failed as failed:
             outcome = codes.UNKNOWN if failed.sent else codes.NOT_RUN
             self._record_answer(
-                dispatch, outcome, started_at, failed.code, failed.detail
+                dispatch, request, outcome, failed.code, failed.detail
             )
             raise
         except asyncio.CancelledError:
@@ -223,14 +223,14 @@
             )
             outcome = codes.UNKNOWN
             self._record_answer(
-                dispatch, outcome, started_at, failed.code, failed.detail
+                dispatch, request, outcome, failed.code, failed.detail
             )
             raise failed from None
         except Exception as error:
             if request.connection.open and exchange.outcome is None:
                 code = codes.INVARIANT_BROKEN
                 self._record_answer(
-                    dispatch, codes.UNKNOWN, started_at, code, repr(error)
+                    dispatch, request, codes.UNKNOWN, code, repr(error)
                 )
             else:
                 self._record_left(dispatch, request, started_at)
@@ -430,7 +430,12 @@
             self.nested_calls.call_failed(dispatch.call.id)
         code = codes.ANSWER_LOST if why else codes.OK
         self._record_answer(
-            dispatch, codes.COMPLETE, started_at, code, why, answer.status
+            dispatch,
+            exchange.request,
+            codes.COMPLETE,
+            code,
+            why,
+            answer.status,
         )
 
     async def _stream(
@@ -457,14 +462,14 @@
     def _record_answer(
         self,
         dispatch: dispatches.Dispatch,
+        request: http_server.Request,
         outcome: str,
-        started_at: float,
         code: codes.Code,
         detail: str,
         status: int = 0,
     ) -> None:
         """Record the outcome that a caller was given."""
-        total_s = clock.now() - started_at
+        total_s = clock.now() - request.arrived_at
         key, service = dispatch.call.match.key, dispatch.params.service
         self.metrics.record_answer(key, service, outcome, code.label, total_s)
         good = code is codes.OK and status < 500
@@ -487,6 +492,8 @@
                 dispatch.offers,
                 int(total_s * MS),
                 dispatch.call.digest,
+                _peername(request),
+                *request.place,
                 detail,
             ),
             decisions.ROUTINE if good else decisions.TROUBLE,
@@ -548,9 +555,14 @@
 
 def _peer(request: http_server.Request) -> str:
     """Return the address of a caller, without its port."""
+    return _peername(request).rpartition(':')[0]
+
+
+def _peername(request: http_server.Request) -> str:
+    """Return ``ip:port`` of a caller, '' when its connection is lost."""
     transport = request.connection.transport
     peer = transport and transport.get_extra_info('peername')
-    return str(peer[0]) if peer else ''
+    return '%s:%d' % peer[:2] if peer else ''
 
 
 def _rank(
--- a/carawaystair/request/http_server.py
+++ b/carawaystair/request/http_server.py
@@ -13,6 +13,7 @@
 from aiohttp import http
 from aiohttp import streams
 
+from carawaystair import logs
 from carawaystair.request import errors
 from carawaystair.request import protocol
 
@@ -41,6 +42,8 @@
 
 MESSAGE = http.RawRequestMessage
 
+LOG = logs.get('request')
+
 
 class Bounds(typing.NamedTuple):
     """Bounds on what a caller may send, and how long it may take.
@@ -63,6 +66,19 @@
 DEFAULT_BOUNDS = Bounds()
 
 
+class Place(typing.NamedTuple):
+    """Where a request stands among those on its connection.
+
+    :param number: counts the requests that were started, from 1.
+    :param ahead: earlier requests that had no answer when it was started.
+    :param pipelined: whether its answer waits for those of earlier requests.
+    """
+
+    number: int
+    ahead: int
+    pipelined: bool
+
+
 class Request:
     """One request on a connection.
 
@@ -70,6 +86,7 @@
     :param content: the reader of its body.
     :param connection: the connection that it arrived on.
     :param arrived: monotonic time at which its head was read.
+    :param place: where it stands among the requests on its connection.
     """
 
     __slots__ = (
@@ -81,6 +98,7 @@
         'keep_alive',
         'stream_writer',
         'method',
+        'place',
         'raw_headers',
         'raw_path',
         'turn_waiter',
@@ -93,6 +111,7 @@
         content: streams.StreamReader,
         connection: 'Connection',
         arrived: float,
+        place: Place,
     ) -> None:
         self.method = message.method
         self.raw_path = message.path
@@ -103,6 +122,7 @@
         self.content = content
         self.connection = connection
         self.arrived_at = arrived
+        self.place = place
         self.stream_writer: http.StreamWriter | None = None
         # Buffered parts of the answer while earlier requests on the
         # connection are not answered; None once they may be written.
@@ -236,6 +256,9 @@
         self.pipelined: collections.deque[PipelinedRequest] = (
             collections.deque()
         )
+        # Requests that were started, and those that were answered.
+        self.started = 0
+        self.answered = 0
         self.content = streams.EMPTY_PAYLOAD
         # The error after which no further request can be read.
         self.error: errors.Malformed | None = None
@@ -257,6 +280,7 @@
                 self.answering = True
                 if not await self._answer_next():
                     break
+                self.answered += 1
                 self.answering = False
             else:
                 if self.error is not None:
@@ -265,6 +289,14 @@
         except ConnectionError:
             # The caller has left.
             pass
+        except Exception as error:
+            LOG.error(
+                'A connection was closed without an answer.',
+                started=self.started,
+                answered=self.answered,
+                queued=len(self.queue),
+                error=repr(error),
+            )
         finally:
             if self.transport is not None:
                 self.transport.close()
@@ -294,8 +326,15 @@
     def _take_request(self) -> Request:
         """Remove the next request from the queue and return it."""
         message, self.content, arrived = self.queue.popleft()
+        place = self._place(False)
+        self.started += 1
         self._resume_parser()
-        return Request(message, self.content, self, arrived)
+        return Request(message, self.content, self, arrived, place)
+
+    def _place(self, pipelined: bool) -> Place:
+        """Return the place of the first request in the queue."""
+        ahead = self.started - self.answered
+        return Place(self.started + 1, ahead, pipelined)
 
     def _start_pipelined(self) -> None:
         """Start the queued requests that may run concurrently.
@@ -307,10 +346,12 @@
             return
         while self.queue and len(self.pipelined) < MAX_PIPELINED:
             message, content, arrived = self.queue[0]
-            request = Request(message, content, self, arrived)
+            place = self._place(True)
+            request = Request(message, content, self, arrived, place)
             if not self.may_pipeline(request) or self._buffer_full():
                 return
             self.queue.popleft()
+            self.started += 1
             request.unsent = []
             task = self.loop.create_task(self._handle_pipelined(request))
             self.pipelined.append(PipelinedRequest(request, task))
