Take a request from the queue before yielding

Cause: Connection._answer_next saw that no request was started ahead of time, yielded to the event loop, and then took the first request from the queue. A request that arrives in that iteration starts the first one as a pipelined request, so the second one was answered as if it were the first. If the second was started, too, the queue was empty and the task ended with an IndexError.

--- a/carawaystair/request/http_server.py
+++ b/carawaystair/request/http_server.py
@@ -313,15 +313,15 @@
             self.pipelined.popleft()
             self._start_pipelined()
             return keep_alive
+        # Requests that arrive from now on are started as later ones, so this
+        # one must not be in the queue any more.
+        request = self._take_request()
+        self._start_pipelined()
         # A request that arrived together with the caller's close must not
         # run.  The end of a stream is read one iteration of the event loop
         # after the bytes before it.
         await asyncio.sleep(0)
-        if not self.open:
-            return False
-        request = self._take_request()
-        self._start_pipelined()
-        return await self.handle(request)
+        return self.open and await self.handle(request)
 
     def _take_request(self) -> Request:
         """Remove the next request from the queue and return it."""
--- a/test/test_pipelining.py
+++ b/test/test_pipelining.py
@@ -10,6 +10,7 @@
 import pytest
 
 from carawaystair import manifest
+from carawaystair.request import http_server
 from test import gateway_setup as fleets
 from test import pipes
 from test import request_setup as setups
@@ -409,3 +410,68 @@
             return [len(answer.body) for answer in found], waiting
 
     assert pipes.run(scenario()) == ([300_000] * 3, [False] * 3)
+
+
+class Written(asyncio.Transport):
+    """A caller's connection that collects what is written to it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.data = b''
+        self.closed = False
+
+    def write(self, data) -> None:
+        self.data += data
+
+    def close(self) -> None:
+        self.closed = True
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+
+def ask_connection(*paths: str, iterations: int) -> tuple[list[str], bool]:
+    """Send requests to a connection.
+
+    :param iterations: iterations of the event loop between two of them.
+    :return: the paths of the answers, and whether it is still open.
+    """
+
+    async def handle(request) -> bool:
+        await asyncio.sleep(0.01 if 'read' in request.raw_path else 0.001)
+        request.write(request.raw_path.encode() + b'\n')
+        return True
+
+    def may_pipeline(request) -> bool:
+        return request.raw_path.startswith('/read/')
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        connection = http_server.Connection(
+            loop, handle, lambda *_args: None, set(), may_pipeline=may_pipeline
+        )
+        transport = Written()
+        connection.connection_made(transport)
+        for path in paths:
+            connection.data_received(encode_requests(path))
+            for _iteration in range(iterations):
+                await asyncio.sleep(0)
+        await asyncio.sleep(1.0)
+        is_open = not transport.closed
+        connection.connection_lost(None)
+        return transport.data.decode().split(), is_open
+
+    return pipes.run(scenario())
+
+
+@pytest.mark.parametrize('iterations', range(6))
+@pytest.mark.parametrize('second', ['/read/2', '/bulk/2', '/pay/2'])
+@pytest.mark.parametrize('first', ['/read/1', '/bulk/1', '/pay/1'])
+def test_request_that_arrives_while_another_starts_waits_for_its_turn(
+    first, second, iterations
+):
+    """Guards against mixed up answers, and connections closed unanswered."""
+    assert ask_connection(first, second, iterations=iterations) == (
+        [first, second],
+        True,
+    )
