Log what a node decides on announcements and removals

The log of its node says only that a life began and ended: not whether the removal arrived before or after the announcement, what the process knew then, nor for how long it would remember it. So a removal that is forgotten, one that is refused, and an announcement taken for that of a newer start can't be told apart.

'lease-decided' has these inputs, the result code, and what was known before.

--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -373,6 +373,33 @@
     slots: int
 
 
+class LeaseDecided(typing.NamedTuple):
+    """The node of a host decided on what an upstream said of itself.
+
+    Renewals that change nothing have no line.
+
+    :param upstream: the upstream.
+    :param call: ``announce`` or ``remove``.
+    :param state: the state that it gave, ``up``, ``draining`` or ``gone``.
+    :param incarnation: its incarnation, 0 if it gave none and none is known.
+    :param number: number of the announcement; 0 if it has none.
+    :param leased: whether it had a lease.
+    :param known: what was known of it, ``INCARNATION/NUMBER/STATE``, or empty.
+    :param known_ms: time for which that will be remembered, ms.
+    :param code: ``CS-nnnn``; ``CS-0000`` if it was accepted.
+    """
+
+    upstream: str
+    call: str
+    state: str
+    incarnation: int
+    number: int
+    leased: bool
+    known: str
+    known_ms: int
+    code: str
+
+
 class LifeBegan(typing.NamedTuple):
     """A gateway knows of a new life of an upstream, or of its return.
 
@@ -617,6 +644,7 @@
     Unread: ('gateway', 'unread'),
     Abandoned: ('gateway', 'abandoned'),
     Declining: ('gateway', 'declining'),
+    LeaseDecided: ('membership', 'lease-decided'),
     LifeBegan: ('gateway', 'life-began'),
     LifeEnded: ('gateway', 'life-ended'),
     Stated: ('gateway', 'stated'),
--- a/carawaystair/explain.py
+++ b/carawaystair/explain.py
@@ -69,6 +69,9 @@
     ' one known for {behind_ms} ms {detail}',
     'left': 'cancelled: the {closed_by} closed the connection after'
     ' {total_ms} ms',
+    'lease-decided': '{call} of {upstream} as {state}, incarnation'
+    ' {incarnation}, number {number}, was decided with {code}; had a lease:'
+    ' {leased}, known {known} for {known_ms} ms more',
     'life-began': '{upstream} of {service} began life {incarnation} at'
     ' {address} ({slots} slots, {warmup_ms} ms of warm-up); {cut} runs of'
     ' former lives broken off',
--- a/carawaystair/membership/__init__.py
+++ b/carawaystair/membership/__init__.py
@@ -34,6 +34,7 @@
         seeds=settings.seeds,
         lease_s=settings.node.lease_s,
         gateway=settings.node.gateway,
+        recorder=kernel.recorder,
     )
     kernel.links.traffic.far = membership.address_locations.is_remote
     kernel.datagrams.traffic.far = membership.address_locations.is_remote
--- a/carawaystair/membership/registry.py
+++ b/carawaystair/membership/registry.py
@@ -13,6 +13,7 @@
 
 from carawaystair import clock
 from carawaystair import codes
+from carawaystair import decisions
 from carawaystair import interfaces
 from carawaystair.membership import bounds
 from carawaystair.membership import lifetimes
@@ -27,6 +28,7 @@
 MAX_WARMUP_S = bounds.MAX_WARMUP_S
 # Interval between checks for expired leases, in seconds.
 SWEEP_S = 0.5
+MS = 1000
 
 
 class Announcement(typing.NamedTuple):
@@ -78,6 +80,7 @@
         of, with whether it is urgent.
     :param gateway: address to which other hosts send requests for these
         upstreams; None for the upstreams' own addresses.
+    :param recorder: records events; None to record none.
     """
 
     def __init__(
@@ -85,9 +88,11 @@
         lease_s: float,
         publish: typing.Callable[[bool], None],
         gateway: str | None = None,
+        recorder: decisions.Recorder | None = None,
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
+        self.recorder = recorder or decisions.Recorder('')
         self.lease_s = lease_s
         self.publish = publish
         self.gateway = gateway
@@ -131,6 +136,22 @@
         violations = _violations(name, announcement, number)
         if violations:
             return codes.fail(codes.ANNOUNCEMENT_INVALID, violations)
+        before, sequence = self._decided(name), self.sequence
+        result = self._announce(name, announcement, wall_ms, number)
+        if result.is_error() or self.sequence != sequence:
+            self._record(
+                before, 'announce', announcement.state, number, result
+            )
+        return result
+
+    def _announce(
+        self,
+        name: str,
+        announcement: Announcement,
+        wall_ms: int,
+        number: int,
+    ) -> expression.Result[Announcement, codes.Failure]:
+        """Accept a valid announcement, see :meth:`announce`."""
         known = self.leases.get(name) or self.departed.get(name)
         if known is None and len(self.leases) >= MAX_UPSTREAMS:
             return codes.fail(codes.TOO_MANY_UPSTREAMS, name)
@@ -294,6 +315,14 @@
         :param incarnation: the incarnation that leaves; 0 for the one that
             has the lease.
         """
+        before = self._decided(name)
+        result = self._remove(name, incarnation)
+        self._record(before, 'remove', interfaces.GONE, 0, result)
+        return result
+
+    def _remove(
+        self, name: str, incarnation: int
+    ) -> expression.Result[None, codes.Failure]:
         lease = self.leases.get(name)
         gone = interfaces.GONE
         retention_s = lifetimes.RETENTION_S
@@ -320,6 +349,46 @@
             self._store(name, announcement)
         return expression.Ok(None)
 
+    def _decided(self, name: str) -> decisions.LeaseDecided:
+        """Return what is known of an upstream before a decision on it."""
+        lifetime = self.lifetimes.by_id.get(name)
+        known, known_s = '', 0.0
+        if lifetime is not None:
+            known = '%d/%d/%s' % lifetime[:3]
+            known_s = lifetime.expires_at - clock.now()
+        return decisions.LeaseDecided(
+            name[:MAX_NAME],
+            '',
+            '',
+            0,
+            0,
+            name in self.leases,
+            known,
+            int(known_s * MS),
+            '',
+        )
+
+    def _record(
+        self,
+        before: decisions.LeaseDecided,
+        call: str,
+        state: str,
+        number: int,
+        result: expression.Result,
+    ) -> None:
+        lifetime = self.lifetimes.by_id.get(before.upstream)
+        code = result.error.code if result.is_error() else codes.OK
+        self.recorder.tell(
+            before._replace(
+                call=call,
+                state=state,
+                incarnation=lifetime.incarnation if lifetime else 0,
+                number=number,
+                code=code.label,
+            ),
+            decisions.BELIEF,
+        )
+
     def rows(self) -> tuple[messages.Row, ...]:
         """Return the rows of this host's record, ordered by id."""
         return tuple(
--- a/carawaystair/membership/service.py
+++ b/carawaystair/membership/service.py
@@ -9,6 +9,7 @@
 import mode
 
 from carawaystair import clock
+from carawaystair import decisions
 from carawaystair import interfaces
 from carawaystair import logs
 from carawaystair.membership import address_locations as locations
@@ -80,6 +81,7 @@
     :param lease_s: duration of an upstream's lease in seconds.
     :param gateway: address to which other hosts send requests for the
         upstreams of this host; None for the upstreams' own addresses.
+    :param recorder: records events; None to record none.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         seeds: typing.Sequence[str] = (),
         lease_s: float = 6.0,
         gateway: str | None = None,
+        recorder: decisions.Recorder | None = None,
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
@@ -115,7 +118,9 @@
         self.address_locations = locations.AddressLocations(self.table)
         self.members = member_lists.Members(self.table, timeline)
         self.directory = directories.Directory(self.table, timeline)
-        self.registry = registries.Registry(lease_s, self.publish, gateway)
+        self.registry = registries.Registry(
+            lease_s, self.publish, gateway, recorder
+        )
         self.registry.fleet_incarnation = self.directory.incarnation
         self.directory.subscribe(self._end_moved_lease)
         self.table.set_own_record(self._record(), self._own_incarnation())
