Remember removals of upstreams that have no lease

Cause: a node that has just started has no leases. A removal that names no incarnation was then acknowledged without any effect: 'if lease is None: return Ok'. An announcement that was sent before it and arrived later met a process that knew nothing of the upstream, got a new incarnation and a lease of four heartbeat intervals.

Before, test_removal_without_a_lease_is_remembered[0] and test_late_heartbeat_after_a_leave_is_refused[0.0-False] failed; the case with an incarnation, which was remembered, passed.

A removal without an incarnation is now remembered for the last one that is known, 0 if none is, and an announcement without one is refused while the newest known lifetime of its id is over. An announcement with an incarnation is not: it names a start that the removal did not. As before, the memory lasts a lease, since the removal may be a late one of an earlier start.

--- a/carawaystair/membership/lifetimes.py
+++ b/carawaystair/membership/lifetimes.py
@@ -76,21 +76,15 @@
         lifetime = self.by_id.get(name)
         return 0 if lifetime is None else lifetime.number
 
-    def next_incarnation(self, name: str, minimum: int) -> int:
-        """Return the incarnation of an upstream that does not give one.
-
-        An upstream whose lease expired keeps its incarnation; one that left
-        gets a higher one.
+    def last_incarnation(self, name: str) -> int:
+        """Return the newest known incarnation of an upstream, or 0."""
+        lifetime = self.by_id.get(name)
+        return 0 if lifetime is None else lifetime.incarnation
 
-        :param minimum: the incarnation if no lifetime is known, and the
-            lowest one for an upstream that left.
-        """
+    def has_left(self, name: str) -> bool:
+        """Tell whether the newest known lifetime of an upstream is over."""
         lifetime = self.by_id.get(name)
-        if lifetime is None:
-            return minimum
-        if lifetime.state != interfaces.GONE:
-            return lifetime.incarnation
-        return max(minimum, lifetime.incarnation + 1)
+        return lifetime is not None and lifetime.state == interfaces.GONE
 
     def update(
         self,
--- a/carawaystair/membership/registry.py
+++ b/carawaystair/membership/registry.py
@@ -158,14 +158,13 @@
         assigned = not announcement.incarnation
         if assigned:
             # Without an incarnation, only the number shows that an
-            # announcement was delayed.
+            # announcement was delayed, and nothing that it is of a new start.
             if 0 < number < self.lifetimes.last_number(name):
                 return codes.fail(codes.ANNOUNCEMENT_OLD, name)
-            started = (
-                known.announcement.incarnation
-                if known
-                else self.lifetimes.next_incarnation(name, wall_ms)
-            )
+            if self.lifetimes.has_left(name):
+                return codes.fail(codes.ANNOUNCEMENT_OLD, name)
+            # One whose lease expired goes on with its incarnation.
+            started = self.lifetimes.last_incarnation(name) or wall_ms
             announcement = announcement._replace(incarnation=started)
         if (
             announcement.state == interfaces.UP
@@ -180,7 +179,10 @@
         else:
             self.assigned.discard(name)
         self._end_predecessors(name, announcement)
-        self._update_lifetime(name, announcement, number)
+        retention_s = lifetimes.RETENTION_S
+        if assigned and announcement.state == interfaces.GONE:
+            retention_s = self.lease_s
+        self._update_lifetime(name, announcement, number, retention_s)
         self._store(name, announcement)
         return expression.Ok(announcement)
 
@@ -210,15 +212,18 @@
         )
 
     def _update_lifetime(
-        self, name: str, announcement: Announcement, number: int
+        self,
+        name: str,
+        announcement: Announcement,
+        number: int,
+        retention_s: float = lifetimes.RETENTION_S,
     ) -> None:
-        expires_at = clock.now() + lifetimes.RETENTION_S
         self.lifetimes.update(
             name,
             announcement.incarnation,
             number,
             announcement.state,
-            expires_at,
+            clock.now() + retention_s,
         )
 
     def _others_at_address(
@@ -312,8 +317,8 @@
         The removal may overtake announcements of the same incarnation, even
         the first one.  So it is remembered even if there is no lease to end.
 
-        :param incarnation: the incarnation that leaves; 0 for the one that
-            has the lease.
+        :param incarnation: the incarnation that leaves; 0 for the last one
+            that is known.
         """
         before = self._decided(name)
         result = self._remove(name, incarnation)
@@ -327,9 +332,9 @@
         gone = interfaces.GONE
         retention_s = lifetimes.RETENTION_S
         if not incarnation:
-            if lease is None:
-                return expression.Ok(None)
-            incarnation = lease.announcement.incarnation
+            incarnation = self.lifetimes.last_incarnation(name)
+            if lease is not None:
+                incarnation = lease.announcement.incarnation
             # The removal may be a delayed one of an earlier incarnation.  The
             # running upstream then continues to announce itself and must
             # not be refused for longer than a lease.
--- a/test/test_membership_registry.py
+++ b/test/test_membership_registry.py
@@ -84,6 +84,34 @@
     fakes.run(_run())
 
 
+@pytest.mark.parametrize('incarnation', [0, 5])
+def test_removal_without_a_lease_is_remembered(incarnation):
+    """Guards against a late announcement that brings an upstream back."""
+
+    async def _run():
+        recorded = RecordedRegistry()
+        assert recorded.registry.remove('a', incarnation).is_ok()
+        late = recorded.announce(incarnation=incarnation)
+        assert late.is_error()
+        assert late.error.code == codes.ANNOUNCEMENT_OLD
+        assert recorded.registry.rows() == ()
+        assert recorded.announce(incarnation=6).is_ok()
+
+    fakes.run(_run())
+
+
+def test_removal_without_incarnation_is_remembered_for_a_lease_without_one():
+    """Guards against refusing an upstream that runs for longer than that."""
+
+    async def _run():
+        recorded = RecordedRegistry()
+        recorded.registry.remove('a')
+        recorded.registry.expire(asyncio.get_running_loop().time() + 6.1, 0)
+        assert recorded.announce().is_ok()
+
+    fakes.run(_run())
+
+
 def test_no_lease_expires_because_of_a_stall():
     """The process stalls for longer than the duration of a lease.
 
--- a/test/test_platform_heartbeats.py
+++ b/test/test_platform_heartbeats.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 import pytest
 
+from carawaystair import clock
 from carawaystair import interfaces
 from carawaystair.membership import registry as registries
 from test import platform_setup  # makes the next import possible
@@ -135,6 +136,22 @@
     run(_steps)
 
 
+@pytest.mark.parametrize('announced', [True, False])
+@pytest.mark.parametrize('late_s', [0.0])
+def test_late_heartbeat_after_a_leave_is_refused(announced, late_s):
+    """Guards against requests to an upstream that left, at any node."""
+
+    async def _steps(host):
+        if announced:
+            assert (await host.put(encoded(born=None, seq=7)))[0] == 200
+        assert (await host.delete())[0] == 200
+        host.registry.expire(clock.now() + late_s, 0.0)
+        assert (await host.put(encoded(born=None, seq=8)))[0] == 409
+        assert host.announced() == []
+
+    run(_steps)
+
+
 def test_late_calls_of_a_former_incarnation_are_refused():
     """Guards against draining or removing an upstream that has just started.
 
