A repeated removal binds as long as the first one

A removal with an incarnation is remembered for 30 s. A second one without it replaced that by the duration of a lease, so that a late announcement 6 s later brought the upstream back although the first removal had been acknowledged.

The later of both times now counts. Before, test_repeated_removal_does_not_shorten_the_memory_of_the_first failed in both cases.

--- a/carawaystair/membership/lifetimes.py
+++ b/carawaystair/membership/lifetimes.py
@@ -101,6 +101,9 @@
         lifetime = self.by_id.pop(name, None)
         if lifetime is not None and lifetime.incarnation == incarnation:
             number = max(number, lifetime.number)
+            if lifetime.state == interfaces.GONE:
+                # A repeated removal binds as long as the first one.
+                expires_at = max(expires_at, lifetime.expires_at)
         self.by_id[name] = Lifetime(incarnation, number, state, expires_at)
         while len(self.by_id) > MAX_LIFETIMES:
             del self.by_id[next(iter(self.by_id))]
--- a/test/test_membership_registry.py
+++ b/test/test_membership_registry.py
@@ -112,6 +112,22 @@
     fakes.run(_run())
 
 
+@pytest.mark.parametrize('again', [{}, {'incarnation': 5}])
+def test_repeated_removal_does_not_shorten_the_memory_of_the_first(again):
+    """Guards against a late announcement after a removal that was repeated."""
+
+    async def _run():
+        recorded = RecordedRegistry()
+        recorded.announce(incarnation=5)
+        recorded.registry.remove('a', 5)
+        recorded.registry.remove('a', **again)
+        recorded.registry.expire(asyncio.get_running_loop().time() + 6.1, 0)
+        assert recorded.announce(incarnation=5).is_error()
+        assert recorded.announce().is_error()
+
+    fakes.run(_run())
+
+
 def test_no_lease_expires_because_of_a_stall():
     """The process stalls for longer than the duration of a lease.
 
