Departures outlive the process that acknowledged them

An upstream that had left got requests again after its node was killed: the next process knew nothing of the removal that the former one had acknowledged, and accepted an announcement that was sent before it. The same held for drains.

A node has no disk. It now acknowledges a drain or a removal once most of the live control hosts (five at most; other processes where there are none) have confirmed that they remember it, and the next process of the host asks the seeds before it accepts upstreams. A node whose seeds do not answer accepts upstreams after 3 s; what they remember ends the leases if they answer later. Without enough confirmations the upstream gets no new work, but no acknowledgement either.

The test that announces and removes by HTTP named a seed that is not there and now has none, since a node must not acknowledge a removal that its seed does not confirm. Its assertions are as they were.

--- a/carawaystair/codes.py
+++ b/carawaystair/codes.py
@@ -603,6 +603,20 @@
     'The host has as many upstreams as one node takes.',
     'Remove those that are gone, or spread them over more hosts.',
 )
+REGISTRY_STARTING = define(
+    7008,
+    'registry-starting',
+    503,
+    'This node has just started and asks which upstreams have left.',
+    'Announce again with the next renewal.',
+)
+DEPARTURE_NOT_KEPT = define(
+    7009,
+    'departure-not-kept',
+    503,
+    'The upstream gets no new work, but only this process remembers it.',
+    'Say again that it leaves; no other process of the fleet confirmed it.',
+)
 
 # 8: control
 
--- a/carawaystair/membership/api.py
+++ b/carawaystair/membership/api.py
@@ -8,6 +8,7 @@
 from carawaystair import clock
 from carawaystair import codes
 from carawaystair import documents
+from carawaystair.membership import departures as departures_module
 from carawaystair.membership import directory as directories
 from carawaystair.membership import registry as registries
 from carawaystair import shape
@@ -52,15 +53,18 @@
 
     :param registry: the leases of this host.
     :param directory: the upstreams of the fleet.
+    :param departures: makes other processes remember who leaves.
     """
 
     def __init__(
         self,
         registry: registries.Registry,
         directory: directories.Directory,
+        departures: departures_module.Departures,
     ) -> None:
         self.registry = registry
         self.directory = directory
+        self.departures = departures
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes and their handlers."""
@@ -80,14 +84,21 @@
             text = '; '.join(map(str, value.error[:MAX_MISTAKES_SHOWN]))
             failure = codes.Failure(codes.ANNOUNCEMENT_INVALID, text)
             return _refuse(failure)
-        result = registries.parse_announcement(value.ok).bind(
-            lambda announcement: self.registry.announce(
-                name, announcement, clock.wall_ms()
-            )
+        parsed = registries.parse_announcement(value.ok).bind(
+            lambda announcement: registries.check(name, announcement)
         )
+        if parsed.is_error():
+            return _refuse(parsed.error)
+        accepting = await self.departures.wait_accepting()
+        if accepting.is_error():
+            return _refuse(accepting.error)
+        result = self.registry.announce(name, parsed.ok, clock.wall_ms())
         if result.is_error():
             return _refuse(result.error)
         accepted = result.ok
+        kept = await self.departures.keep(name)
+        if kept.is_error():
+            return _refuse(kept.error)
         return _answer(
             codes.OK.status,
             Answer(
@@ -107,9 +118,15 @@
         if not text.isdecimal() or len(text) > MAX_INCARNATION_DIGITS:
             failure = codes.Failure(codes.ANNOUNCEMENT_INVALID, 'incarnation')
             return _refuse(failure)
+        accepting = await self.departures.wait_accepting()
+        if accepting.is_error():
+            return _refuse(accepting.error)
         result = self.registry.remove(name, int(text))
         if result.is_error():
             return _refuse(result.error)
+        kept = await self.departures.keep(name)
+        if kept.is_error():
+            return _refuse(kept.error)
         answer = Answer(codes.OK.label, codes.OK.text, name, 'gone')
         return _answer(codes.OK.status, answer)
 
--- a/carawaystair/membership/bounds.py
+++ b/carawaystair/membership/bounds.py
@@ -21,6 +21,9 @@
 MAX_WARMUP_S = 3600.0
 MILLI = 1000
 STATES = 2
+DEPARTURE_STATES = 2
+# Longest time for which a departure is remembered, ms.
+MAX_REMAINING_MS = 3_600_000
 # Numbers are encoded in 64 bits; one bit is kept free for comparisons.
 MAX_NUMBER = (1 << 63) - 1
 # The incarnation in liveness messages holds the start of the process, in ms
@@ -71,6 +74,16 @@
     )
 
 
+def departure_ok(departure: typing.Any) -> bool:
+    """Tell whether a ``messages.Departure`` is valid."""
+    return (
+        name_ok(departure.id)
+        and number_ok(departure.incarnation)
+        and 0 <= departure.state < DEPARTURE_STATES
+        and 0 < departure.remaining_ms <= MAX_REMAINING_MS
+    )
+
+
 def body_ok(body: typing.Any) -> bool:
     """Tell whether a ``messages.Body`` has valid locations and addresses."""
     return (
--- a/carawaystair/membership/messages.py
+++ b/carawaystair/membership/messages.py
@@ -376,6 +376,47 @@
     host: str
 
 
+class Departure(typing.NamedTuple):
+    """An upstream that leaves or has left, as its node acknowledged.
+
+    :param id: id of the upstream.
+    :param incarnation: its incarnation; 0 if the node knew none.
+    :param state: index into :data:`DEPARTURE_STATES`.
+    :param remaining_ms: time for which it must be remembered, ms.
+    """
+
+    id: str
+    incarnation: int
+    state: int
+    remaining_ms: int
+
+
+# States of an upstream that leaves.
+DEPARTURE_STATES = (interfaces.DRAINING, interfaces.GONE)
+
+
+@wire.register(78)
+class KeepDepartures(typing.NamedTuple):
+    """Asks a process to remember departures; answered by KeptDepartures.
+
+    :param host: host of the upstreams, which is the sender's.
+    :param departures: may be empty, to ask for what is remembered.
+    """
+
+    host: str
+    departures: tuple[Departure, ...] = ()
+
+
+@wire.register(79)
+class KeptDepartures(typing.NamedTuple):
+    """Answers a KeepDepartures.
+
+    :param departures: all that is remembered of the host.
+    """
+
+    departures: tuple[Departure, ...]
+
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Body)
 _VERSIONS = msgspec.msgpack.Decoder(tuple[Version, ...])
--- a/carawaystair/membership/registry.py
+++ b/carawaystair/membership/registry.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import typing
 
 import expression
@@ -133,9 +134,9 @@
         :param number: grows with each announcement of an upstream, so that a
             delayed one is recognised; 0 if announcements have no number.
         """
-        violations = _violations(name, announcement, number)
-        if violations:
-            return codes.fail(codes.ANNOUNCEMENT_INVALID, violations)
+        checked = check(name, announcement, number)
+        if checked.is_error():
+            return checked
         before, sequence = self._decided(name), self.sequence
         result = self._announce(name, announcement, wall_ms, number)
         if result.is_error() or self.sequence != sequence:
@@ -357,6 +358,46 @@
             self._store(name, announcement)
         return expression.Ok(None)
 
+    def departure(self, name: str) -> messages.Departure | None:
+        """Return what must be remembered of an upstream that leaves.
+
+        :return: None unless it leaves or has left.
+        """
+        lifetime = self.lifetimes.by_id.get(name)
+        if lifetime is None or lifetime.state == interfaces.UP:
+            return None
+        remaining_ms = math.ceil((lifetime.expires_at - clock.now()) * MS)
+        return messages.Departure(
+            name,
+            lifetime.incarnation,
+            messages.DEPARTURE_STATES.index(lifetime.state),
+            min(max(remaining_ms, 1), bounds.MAX_REMAINING_MS),
+        )
+
+    def restore(self, departures: typing.Iterable[messages.Departure]) -> None:
+        """Apply departures that an earlier process acknowledged."""
+        for departure in departures:
+            name, incarnation = departure.id, departure.incarnation
+            state = messages.DEPARTURE_STATES[departure.state]
+            lease = self.leases.get(name)
+            if lease is not None and name in self.assigned:
+                # This process did not know its incarnation.
+                incarnation = lease.announcement.incarnation
+            if self.lifetimes.has_newer(name, incarnation, 0, state):
+                continue
+            if self.lifetimes.has_left(name) and not (
+                self.lifetimes.last_incarnation(name)
+            ):
+                # It was removed here before its incarnation was known.
+                state = interfaces.GONE
+            expires_at = clock.now() + departure.remaining_ms / MS
+            self.lifetimes.update(name, incarnation, 0, state, expires_at)
+            if lease is not None:
+                leaving = lease.announcement._replace(
+                    state=state, incarnation=incarnation
+                )
+                self._store(name, leaving)
+
     def _decided(self, name: str) -> decisions.LeaseDecided:
         """Return what is known of an upstream before a decision on it."""
         lifetime = self.lifetimes.by_id.get(name)
@@ -490,6 +531,20 @@
     )
 
 
+def check(
+    name: str, announcement: Announcement, number: int = 0
+) -> expression.Result[Announcement, codes.Failure]:
+    """Return an announcement if it is valid.
+
+    :param name: id of the upstream.
+    :param number: see :meth:`Registry.announce`.
+    """
+    violations = _violations(name, announcement, number)
+    if violations:
+        return codes.fail(codes.ANNOUNCEMENT_INVALID, violations)
+    return expression.Ok(announcement)
+
+
 def _violations(name: str, announcement: Announcement, number: int) -> str:
     """Return the violated limits of an announcement, '' if there are none."""
     checks = (
--- a/carawaystair/membership/service.py
+++ b/carawaystair/membership/service.py
@@ -17,6 +17,7 @@
 from carawaystair.membership import api
 from carawaystair.membership import bounds
 from carawaystair.membership import dead_prober
+from carawaystair.membership import departures
 from carawaystair.membership import direct_push
 from carawaystair.membership import directory as directories
 from carawaystair.membership import expiry
@@ -150,7 +151,10 @@
             rng,
         )
         self.expiry = expiry.HostExpiry(self.table)
-        self.api = api.Api(self.registry, self.directory)
+        self.departures = departures.Departures(
+            self.table, self.registry, transport, seeds
+        )
+        self.api = api.Api(self.registry, self.directory, self.departures)
 
     @property
     def joined(self) -> asyncio.Event:
@@ -169,6 +173,7 @@
         parts = (
             self.directory,
             self.registry,
+            self.departures,
             self.flooder,
             self.gossip,
             self.prober,
--- a/test/fakes.py
+++ b/test/fakes.py
@@ -302,3 +302,15 @@
         self.table[upstream.id] = upstream
         for callback in self.callbacks:
             callback(upstream)
+
+
+class Departures:
+    """Accepts upstreams, and has no other processes to remember who leaves."""
+
+    async def wait_accepting(self):
+        """Succeed at once."""
+        return expression.Ok(None)
+
+    async def keep(self, _name: str):
+        """Succeed at once."""
+        return expression.Ok(None)
--- a/test/test_membership_registry.py
+++ b/test/test_membership_registry.py
@@ -181,7 +181,7 @@
 
 def test_upstreams_are_announced_listed_and_removed_by_http():
     async def _run():
-        node = membership_tests.make_node(fakes.Network(), 0)
+        node = membership_tests.make_node(fakes.Network(), 0, seeds=())
         await node.start()
         app = web.Application()
         app.add_routes(node.routes())
--- a/test/test_platform_heartbeats.py
+++ b/test/test_platform_heartbeats.py
@@ -12,6 +12,7 @@
 from carawaystair import clock
 from carawaystair import interfaces
 from carawaystair.membership import registry as registries
+from test import fakes
 from test import platform_setup  # makes the next import possible
 
 from adapter import fields
@@ -68,7 +69,9 @@
     async def _run():
         registry = registries.Registry(6.0, lambda urgent: None, '10.0.0.1:1')
         app = web.Application()
-        handlers = upstreams.UpstreamHandlers(registry, SERVICES.__contains__)
+        handlers = upstreams.UpstreamHandlers(
+            registry, fakes.Departures(), SERVICES.__contains__
+        )
         app.add_routes(handlers.routes())
         server = test_utils.TestServer(app)
         async with test_utils.TestClient(server) as client:
@@ -377,7 +380,7 @@
         registry = registries.Registry(6.0, lambda urgent: None, '10.0.0.1:1')
         app = web.Application()
         handlers = upstreams.UpstreamHandlers(
-            registry, lambda name: name in services
+            registry, fakes.Departures(), lambda name: name in services
         )
         app.add_routes(handlers.routes())
         async with test_utils.TestClient(test_utils.TestServer(app)) as client:
--- a/test/test_platform_operators.py
+++ b/test/test_platform_operators.py
@@ -195,7 +195,9 @@
     registry = registries.Registry(6.0, published.append, '10.0.0.1:1')
     local = localapi.LocalApi(
         '127.0.0.1:1',
-        upstreams.UpstreamHandlers(registry, 's'.__eq__).routes(),
+        upstreams.UpstreamHandlers(
+            registry, fakes.Departures(), 's'.__eq__
+        ).routes(),
     )
 
     async def scenario():
