Remember a request while it runs, and until after its deadline

Cause: gateways forgot the key of each request 90 s after its first send, also while it ran, although a route's timeout may be ten minutes. A sender that resumed it then started a new run in place of joining the one in progress.

A key is now kept while its request is in progress and, where it may run once only, until 30 s after the deadline of its newest send, so that no send that can still arrive finds it forgotten.

--- a/carawaystair/gateway/runs.py
+++ b/carawaystair/gateway/runs.py
@@ -28,31 +28,38 @@
 # How long answers are kept, of idempotent requests and of others, seconds.
 KEEP_IDEMPOTENT_S = 1.0
 KEEP_S = 20.0
-# How long keys are remembered.  It exceeds the deadlines of requests, so that
-# a send that was delayed by a network partition can't run after them, seconds.
+# Shortest time for which a key is remembered, seconds.
 REMEMBER_S = 90.0
+# How long a key of a non-idempotent request is remembered after its deadline,
+# so that a send that a network partition delayed can't run it again, seconds.
+LATE_SEND_S = 30.0
+# Most keys; beyond them the oldest that are not in progress are dropped.
 MAX_RUNS = 20_000
+MS = 1000
 
 
 class Run:
     """State of one request.
 
     :param send_number: the highest number among its sends so far.
-    :param first_seen: when it arrived first, monotonic time.
+    :param check_at: when to look whether it can be forgotten, monotonic time.
     """
 
     __slots__ = (
         'waiters',
         'send_number',
         'ran',
+        'remember_until',
         'sent',
-        'first_seen',
+        'check_at',
         'task',
     )
 
-    def __init__(self, send_number: int, first_seen: float) -> None:
+    def __init__(self, send_number: int, check_at: float) -> None:
         self.send_number = send_number
-        self.first_seen = first_seen
+        self.check_at = check_at
+        # Monotonic time up to which a further send may arrive.
+        self.remember_until = check_at
         # None if it was refused, or if its answer was dropped.
         self.task: asyncio.Task | None = None
         # Whether it may have run before, whatever a further send results in.
@@ -61,6 +68,12 @@
         self.sent = False
         self.waiters = 0
 
+    @property
+    def in_progress(self) -> bool:
+        """Return whether it runs, or somebody waits for its answer."""
+        running = self.task is not None and not self.task.done()
+        return running or self.waiters > 0
+
 
 class Runs:
     """Tracks the requests that were sent to this process.
@@ -129,8 +142,10 @@
         if run is None:
             if hop.resumed and not self.is_own_process(hop.process):
                 raise slots.Refused(hops.RESTARTED)
-            run = self.runs[hop.key] = Run(hop.send_number, now)
+            run = self.runs[hop.key] = Run(hop.send_number, now + REMEMBER_S)
+            _extend(run, hop, now)
             return run
+        _extend(run, hop, now)
         if run.task is not None and run.task.cancelled():
             # Joining it would cancel the new waiter as well.
             raise slots.Refused(hops.RESTARTED, 'it was cancelled')
@@ -199,12 +214,28 @@
         _cancel(run.task)
 
     def _evict_old(self, now: float) -> None:
+        """Forget the oldest keys, unless a further send may still arrive."""
         runs = self.runs
-        while runs:
-            first = next(iter(runs.values()))
-            if len(runs) < MAX_RUNS and now - first.first_seen < REMEMBER_S:
+        for _run in range(len(runs)):
+            key, first = next(iter(runs.items()))
+            full = len(runs) >= MAX_RUNS
+            if now < first.check_at and not full:
+                return
+            needed = now < first.remember_until and not full
+            if first.in_progress or needed:
+                first.check_at = now + REMEMBER_S
+                runs.move_to_end(key)
+            else:
+                del runs[key]
+            if full and len(runs) < MAX_RUNS:
                 return
-            runs.popitem(last=False)
+
+
+def _extend(run: Run, hop: hops.Hop, now: float) -> None:
+    """Remember a non-idempotent request beyond the deadline of a send."""
+    if not hop.idempotent:
+        until = now + hop.remaining_ms / MS + LATE_SEND_S
+        run.remember_until = max(run.remember_until, until)
 
 
 def _refusal(task: asyncio.Future) -> slots.Refused | None:
--- a/test/test_gateway_runs.py
+++ b/test/test_gateway_runs.py
@@ -12,6 +12,7 @@
 from carawaystair.gateway import slots
 from carawaystair.load import rejection
 from carawaystair.request import answer as answers
+from test import fakes
 
 
 def _hop(number: int, idempotent: bool) -> hops.Hop:
@@ -163,3 +164,58 @@
     first, reason = asyncio.run(scenario())
     assert first is answer
     assert reason in hops.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize('full', [False, True])
+@pytest.mark.parametrize('runs_s', [30.0, 280.0])
+def test_long_request_that_is_resumed_runs_once(monkeypatch, runs_s, full):
+    """Guards against a second run of a request that may run once, when its
+    sender resumes it after minutes.
+    """
+    answer = types.SimpleNamespace(rest=None)
+    started = []
+
+    async def work():
+        started.append(1)
+        await asyncio.sleep(runs_s)
+        return answer
+
+    async def other():
+        return answer
+
+    async def scenario():
+        found = _runs()
+        hop = _hop(1, False)._replace(id='long', remaining_ms=300_000)
+        first = asyncio.ensure_future(found.run_once(hop, work, lambda: True))
+        await asyncio.sleep(200.0)
+        if full and runs_s > 200.0:
+            monkeypatch.setattr(runs, 'MAX_RUNS', 1)
+        for number in range(3):
+            short = _hop(1, True)._replace(id='short %d' % number)
+            await found.run_once(short, other, lambda: False)
+        resumed = hop._replace(resumed=True, send_number=2)
+        with contextlib.suppress(slots.Refused):
+            await found.run_once(resumed, work, lambda: False)
+        await first
+        return len(started)
+
+    assert fakes.run(scenario()) == 1
+
+
+def test_requests_are_forgotten_after_their_deadlines():
+    """Guards against memory that grows with each request."""
+
+    async def work():
+        return types.SimpleNamespace(rest=None)
+
+    async def scenario():
+        found = _runs()
+        for number in range(60):
+            hop = _hop(1, bool(number % 2))
+            hop = hop._replace(id=str(number), remaining_ms=200_000)
+            await found.run_once(hop, work, lambda: False)
+            await asyncio.sleep(20.0)
+        return len(found.runs)
+
+    # The last 200 s and 30 s of sends that are late, looked at each 90 s.
+    assert fakes.run(scenario()) <= (200 + 30 + 90) / 20
