Soak: what was said before a leaving arrives late

Half of its grace after the acknowledgement of its drain, a leaving upstream now announces itself as before the drain; an answer below 400 breaks the promise, whichever process of the node gives it.

Heartbeats no longer look for the processes that would remember a departure where there is none.

--- a/carawaystair/membership/departures.py
+++ b/carawaystair/membership/departures.py
@@ -97,8 +97,10 @@
         :param name: id of the upstream.
         """
         departure = self.registry.departure(name)
+        if departure is None:
+            return expression.Ok(None)
         peers = self.keepers()
-        if departure is None or not peers:
+        if not peers:
             return expression.Ok(None)
         message = messages.KeepDepartures(self.table.host, (departure,))
         needed = len(peers) // 2 + 1
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -361,6 +361,20 @@
             # One that has started again knows nothing of either life.
             self.watch.late(one.options.id, status)
 
+    async def _say_late_leaver(self, one: Upstream, said) -> None:
+        """Let what a life said before its leaving arrive late.
+
+        Whichever process of its node gets it, the leaving binds.
+        """
+        await asyncio.sleep(one.options.grace_s / 2)
+        status = await entries.write(
+            one.announcer.session,
+            self.hosts[one.options.host].local,
+            one.options.id,
+            json.dumps(said._asdict()).encode(),
+        )
+        self.watch.late_leaver(one.options.id, status)
+
     async def until_announced(self, one: Upstream) -> bool:
         """Wait until a node took an upstream; tell whether it did in time."""
         ends = clock.now() + ANNOUNCED_S
@@ -374,9 +388,13 @@
         if not graceful:
             await one.crash()
         else:
+            said, late = one.announcer.announcement, None
             if await one.announcer.drain():
                 self.watch.leaves(id)
+                late = asyncio.ensure_future(self._say_late_leaver(one, said))
             await one.leave()
+            if late is not None:
+                await late
         for way in self.ways.pop(id):
             await way.close()
 
--- a/soak/watch.py
+++ b/soak/watch.py
@@ -195,6 +195,16 @@
             text = 'an announcement of the former life of %s got %d'
             self.tell(text % (upstream, status))
 
+    def late_leaver(self, upstream: str, status: int | None) -> None:
+        """Check what became of an announcement from before a leaving.
+
+        :param status: of the answer, None without one.
+        """
+        self.counts['late announcements of leavers'] += 1
+        if status is not None and status < 400:
+            text = 'an announcement of %s from before its leaving got %d'
+            self.tell(text % (upstream, status))
+
     def malformed(self, body: bytes, status: int | None) -> None:
         """Check what became of an entry that names no upstream.
 
