Log of leases in a module of its own; restored departures have a line

The registry had grown by what it logs. What other processes remembered of a departure changes what a node believes, so it has a 'lease-decided' line, too, with call 'restore'. Seeds are asked in their order, not in that of a set, so that a replay is the same with each hash seed.

--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -379,7 +379,8 @@
     Renewals that change nothing have no line.
 
     :param upstream: the upstream.
-    :param call: ``announce`` or ``remove``.
+    :param call: ``announce``, ``remove``, or ``restore`` where other
+        processes remembered a departure.
     :param state: the state that it gave, ``up``, ``draining`` or ``gone``.
     :param incarnation: its incarnation, 0 if it gave none and none is known.
     :param number: number of the announcement; 0 if it has none.
--- a/carawaystair/gateway/runs.py
+++ b/carawaystair/gateway/runs.py
@@ -28,7 +28,8 @@
 # How long answers are kept, of idempotent requests and of others, seconds.
 KEEP_IDEMPOTENT_S = 1.0
 KEEP_S = 20.0
-# Shortest time for which a key is remembered, seconds.
+# Shortest time for which a key is remembered, and the interval at which it is
+# then looked at, seconds.
 REMEMBER_S = 90.0
 # How long a key of a non-idempotent request is remembered after its deadline,
 # so that a send that a network partition delayed can't run it again, seconds.
--- a/carawaystair/membership/departures.py
+++ b/carawaystair/membership/departures.py
@@ -23,9 +23,9 @@
 from carawaystair.membership import registry as registries
 from carawaystair.membership import table as tables
 
-# Processes that remember a departure.
+# Most processes that remember a departure: control hosts and seeds, or other
+# members where there are none of these.
 MAX_KEEPERS = 5
-# Those of them that are no control hosts or seeds.
 MAX_MEMBER_KEEPERS = 3
 # Timeout of a question to one of them; upstreams wait for a second.
 TIMEOUT_S = 0.4
@@ -145,21 +145,24 @@
         needed = len(self.seeds) // 2 + 1 if self.seeds else 0
         answered: set[str] = set()
         while len(answered) < needed and not self.should_stop:
-            peers = {*self.seeds, *self.keepers()} - answered
-            answered.update(
-                await self._ask(peers, message, needed - len(answered))
+            peers = dict.fromkeys((*self.seeds, *self.keepers()))
+            unanswered = [peer for peer in peers if peer not in answered]
+            answered |= await self._ask(
+                unanswered, message, needed - len(answered)
             )
             waited_s = clock.now() - began
-            if waited_s >= MAX_RECALL_S:
-                self._accept(began, answered)
             if waited_s >= lifetimes.RETENTION_S:
-                return
+                # Whatever was remembered has expired.
+                break
             if len(answered) < needed:
+                if waited_s >= MAX_RECALL_S:
+                    self._accept(began, answered)
                 accepting = self.accepting.is_set()
                 await asyncio.sleep(LATER_RETRY_S if accepting else RETRY_S)
         self._accept(began, answered)
 
     def _accept(self, began: float, answered: typing.Collection[str]) -> None:
+        """Accept upstreams from now on."""
         if self.accepting.is_set():
             return
         self.accepting.set()
@@ -182,7 +185,7 @@
         :param needed: answers after which no more are waited for.
         """
         answered: set[str] = set()
-        asked = {self._start(peer, message) for peer in peers}
+        asked = [self._start(peer, message) for peer in peers]
         for question in asyncio.as_completed(asked):
             peer = await question
             if peer:
@@ -207,9 +210,8 @@
         if result.is_error():
             return ''
         if not message.departures:
-            self.registry.restore(
-                filter(bounds.departure_ok, result.ok.departures)
-            )
+            for departure in filter(bounds.departure_ok, result.ok.departures):
+                self.registry.restore(departure)
         return peer
 
     # At another process
--- a/carawaystair/membership/registry.py
+++ b/carawaystair/membership/registry.py
@@ -17,6 +17,7 @@
 from carawaystair import decisions
 from carawaystair import interfaces
 from carawaystair.membership import bounds
+from carawaystair.membership import lease_log
 from carawaystair.membership import lifetimes
 from carawaystair.membership import messages
 from carawaystair import settings
@@ -93,7 +94,8 @@
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
-        self.recorder = recorder or decisions.Recorder('')
+        recorder = recorder or decisions.Recorder('')
+        self.log_of_leases = lease_log.LeaseLog(recorder)
         self.lease_s = lease_s
         self.publish = publish
         self.gateway = gateway
@@ -137,12 +139,11 @@
         checked = check(name, announcement, number)
         if checked.is_error():
             return checked
-        before, sequence = self._decided(name), self.sequence
+        before, sequence = self._known(name), self.sequence
         result = self._announce(name, announcement, wall_ms, number)
         if result.is_error() or self.sequence != sequence:
-            self._record(
-                before, 'announce', announcement.state, number, result
-            )
+            state = announcement.state
+            self._tell(before, lease_log.ANNOUNCE, state, result, number)
         return result
 
     def _announce(
@@ -323,9 +324,9 @@
         :param id_is_reused: whether an upstream that does not give its
             incarnation may start again under its id.
         """
-        before = self._decided(name)
+        before = self._known(name)
         result = self._remove(name, incarnation, id_is_reused)
-        self._record(before, 'remove', interfaces.GONE, 0, result)
+        self._tell(before, lease_log.REMOVE, interfaces.GONE, result)
         return result
 
     def _remove(
@@ -374,69 +375,54 @@
             min(max(remaining_ms, 1), bounds.MAX_REMAINING_MS),
         )
 
-    def restore(self, departures: typing.Iterable[messages.Departure]) -> None:
-        """Apply departures that an earlier process acknowledged."""
-        for departure in departures:
-            name, incarnation = departure.id, departure.incarnation
-            state = messages.DEPARTURE_STATES[departure.state]
-            lease = self.leases.get(name)
-            if lease is not None and name in self.assigned:
-                # This process did not know its incarnation.
-                incarnation = lease.announcement.incarnation
-            if self.lifetimes.has_newer(name, incarnation, 0, state):
-                continue
-            if self.lifetimes.has_left(name) and not (
-                self.lifetimes.last_incarnation(name)
-            ):
-                # It was removed here before its incarnation was known.
-                state = interfaces.GONE
-            expires_at = clock.now() + departure.remaining_ms / MS
-            self.lifetimes.update(name, incarnation, 0, state, expires_at)
-            if lease is not None:
-                leaving = lease.announcement._replace(
-                    state=state, incarnation=incarnation
-                )
-                self._store(name, leaving)
+    def restore(self, departure: messages.Departure) -> None:
+        """Apply a departure that an earlier process acknowledged."""
+        before = self._known(departure.id)
+        result = self._restore(departure)
+        state = messages.DEPARTURE_STATES[departure.state]
+        self._tell(before, lease_log.RESTORE, state, result)
+
+    def _restore(
+        self, departure: messages.Departure
+    ) -> expression.Result[None, codes.Failure]:
+        name, incarnation = departure.id, departure.incarnation
+        state = messages.DEPARTURE_STATES[departure.state]
+        lease = self.leases.get(name)
+        if lease is not None and name in self.assigned:
+            # This process did not know its incarnation.
+            incarnation = lease.announcement.incarnation
+        if self.lifetimes.has_newer(name, incarnation, 0, state):
+            return codes.fail(codes.ANNOUNCEMENT_OLD, name)
+        removed = self.lifetimes.has_left(name)
+        if removed and not self.lifetimes.last_incarnation(name):
+            # It was removed here before its incarnation was known.
+            state = interfaces.GONE
+        expires_at = clock.now() + departure.remaining_ms / MS
+        self.lifetimes.update(name, incarnation, 0, state, expires_at)
+        if lease is not None:
+            leaving = lease.announcement._replace(
+                state=state, incarnation=incarnation
+            )
+            self._store(name, leaving)
+        return expression.Ok(None)
 
-    def _decided(self, name: str) -> decisions.LeaseDecided:
-        """Return what is known of an upstream before a decision on it."""
+    def _known(self, name: str) -> lease_log.Known:
+        """Return what is known of an upstream, for the log."""
         lifetime = self.lifetimes.by_id.get(name)
-        known, known_s = '', 0.0
-        if lifetime is not None:
-            known = '%d/%d/%s' % lifetime[:3]
-            known_s = lifetime.expires_at - clock.now()
-        return decisions.LeaseDecided(
-            name[:MAX_NAME],
-            '',
-            '',
-            0,
-            0,
-            name in self.leases,
-            known,
-            int(known_s * MS),
-            '',
-        )
+        return lease_log.Known(name, name in self.leases, lifetime)
 
-    def _record(
+    def _tell(
         self,
-        before: decisions.LeaseDecided,
+        before: lease_log.Known,
         call: str,
         state: str,
-        number: int,
         result: expression.Result,
+        number: int = 0,
     ) -> None:
-        lifetime = self.lifetimes.by_id.get(before.upstream)
+        """Log a decision, see :class:`lease_log.LeaseLog`."""
         code = result.error.code if result.is_error() else codes.OK
-        self.recorder.tell(
-            before._replace(
-                call=call,
-                state=state,
-                incarnation=lifetime.incarnation if lifetime else 0,
-                number=number,
-                code=code.label,
-            ),
-            decisions.BELIEF,
-        )
+        after = self._known(before.upstream)
+        self.log_of_leases.tell(before, after, call, state, number, code)
 
     def rows(self) -> tuple[messages.Row, ...]:
         """Return the rows of this host's record, ordered by id."""
