Soak: a leaver that stays draining takes its announcement back

The new check of the soak asked for a refusal of what an upstream had said before its leaving. An announcement as up then renews the lease and leaves it draining (docs/operate/drain.md), so it is answered with 200 and brings no work.

The check now looks at the state in the answer: draining is as good as a refusal, up is not.

--- a/soak/entries.py
+++ b/soak/entries.py
@@ -58,3 +58,20 @@
             return response.status
     except (aiohttp.ClientError, OSError, TimeoutError):
         return None
+
+
+async def announce(
+    session: aiohttp.ClientSession, local: str, id: str, said
+) -> str:
+    """Announce an upstream; return its state at the node, '' if refused.
+
+    :param local: the local API of a node.
+    :param said: the announcement.
+    """
+    url = 'http://%s/v1/upstreams/%s' % (local, id)
+    try:
+        async with session.put(url, json=said._asdict()) as response:
+            body = await response.json()
+            return body['state'] if response.status < 400 else ''
+    except (aiohttp.ClientError, OSError, TimeoutError):
+        return ''
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -367,13 +367,13 @@
         Whichever process of its node gets it, the leaving binds.
         """
         await asyncio.sleep(one.options.grace_s / 2)
-        status = await entries.write(
+        state = await entries.announce(
             one.announcer.session,
             self.hosts[one.options.host].local,
             one.options.id,
-            json.dumps(said._asdict()).encode(),
+            said,
         )
-        self.watch.late_leaver(one.options.id, status)
+        self.watch.late_leaver(one.options.id, state)
 
     async def until_announced(self, one: Upstream) -> bool:
         """Wait until a node took an upstream; tell whether it did in time."""
--- a/soak/watch.py
+++ b/soak/watch.py
@@ -11,6 +11,7 @@
 import typing
 
 from carawaystair import clock
+from carawaystair import interfaces
 from soak import fatal as fatals
 from soak import stated
 from standin import content
@@ -195,15 +196,18 @@
             text = 'an announcement of the former life of %s got %d'
             self.tell(text % (upstream, status))
 
-    def late_leaver(self, upstream: str, status: int | None) -> None:
+    def late_leaver(self, upstream: str, state: str) -> None:
         """Check what became of an announcement from before a leaving.
 
-        :param status: of the answer, None without one.
+        One that stated its leaving in its answers, too, is not refused, but
+        stays draining.
+
+        :param state: state of the upstream in the answer; '' if refused.
         """
         self.counts['late announcements of leavers'] += 1
-        if status is not None and status < 400:
-            text = 'an announcement of %s from before its leaving got %d'
-            self.tell(text % (upstream, status))
+        if state == interfaces.UP:
+            text = 'an announcement from before the leaving of %s was accepted'
+            self.tell(text % upstream)
 
     def malformed(self, body: bytes, status: int | None) -> None:
         """Check what became of an entry that names no upstream.
