--- a/test/test_departures.py
+++ b/test/test_departures.py
@@ -102,7 +102,7 @@
 
 def test_departure_is_kept_although_one_keeper_has_died():
     async def _steps(network, nodes):
-        # Five keepers, one of which is not yet known to have died.
+        # One of its keepers has died, which the node does not know yet.
         node = nodes[2]
         node.departures.seeds = [n.identity.peer for n in nodes]
         membership_tests.crash(network, nodes[0])
