Logs tell the age of the signal and what a stop has left

Cause: nothing in the logs told when the signal of a stop had come, what a process that stops had left when it offered or began a request, or what it still held when it was killed, so that the hypotheses of the incident around stops could not be told apart.

No stop is counted otherwise than before; the time of the signal is not used yet.

--- a/bench/exp_logging.py
+++ b/bench/exp_logging.py
@@ -31,6 +31,7 @@
         2,
         8,
         '',
+        -1,
     ),
     decisions.Began(
         'c5f1d0a2b3e4f567',
@@ -47,6 +48,7 @@
         '',
         '',
         -1,
+        -1,
     ),
     decisions.Ended(
         'c5f1d0a2b3e4f567',
--- a/carawaystair/daemon.py
+++ b/carawaystair/daemon.py
@@ -22,10 +22,12 @@
 from carawaystair import reload_signal
 from carawaystair import settings as settings_module
 from carawaystair import shape
+from carawaystair import shutdown as shutdowns
 
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_SETTINGS = 2
+MS = 1000
 
 LOG = logs.get('daemon')
 
@@ -161,11 +163,24 @@
     :param sink: takes the lines that tell decisions.
     :param extend: adds parts to the process before it starts.
     """
-    stop = asyncio.Event()
+    shutdown = shutdowns.Shutdown()
+    with shutdowns.requested_by_signals(shutdown):
+        return await _run(
+            settings, registry, held, reload, sink, extend, shutdown
+        )
+
+
+async def _run(
+    settings: settings_module.Settings,
+    registry: plugins.Registry,
+    held: typing.Sequence[keys.Key],
+    reload: Reload | None,
+    sink: output.Sink | None,
+    extend: Extend | None,
+    shutdown: shutdowns.Shutdown,
+) -> int:
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    process = kernel.Kernel(settings, registry, held, sink)
+    process = kernel.Kernel(settings, registry, held, sink, shutdown)
     if extend is not None:
         extend(process)
 
@@ -186,7 +201,7 @@
             settings=digest(settings),
         )
         readiness.notify(readiness.READY)
-        await process.wait(stop)
+        await process.wait(shutdown.event)
         if process.crashed:
             LOG.error('A part crashed.', why=repr(process.crash_reason))
             return EXIT_FAILED
@@ -195,7 +210,7 @@
         print(failure.sentence(), file=sys.stderr)
         return EXIT_FAILED
     finally:
-        LOG.info('Stopping.')
+        LOG.info('Stopping.', signal_ms=int(shutdown.age_s() * MS))
         readiness.notify(readiness.STOPPING)
         await process.stop()
         # The loop gives SIGHUP its default action back when it closes.
--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -31,6 +31,11 @@
 CALL_OF_REPEAT = 'call'
 BY_SENDER = 'sender'
 BY_SLACK = 'slack'
+# Stages of a stop.
+BEGUN = 'begun'
+CLOSED = 'closed'
+LEFT = 'left'
+ANSWERED = 'answered'
 
 
 class Offered(typing.NamedTuple):
@@ -52,6 +57,7 @@
     :param candidates: upstreams of the service that take work.
     :param refused: gateways that refused it before, ``UPSTREAM:REASON``
         each, see ``gateway.hops`` and ``load.rejection``.
+    :param stop_left_ms: time until this process ends, ms; -1 unless it stops.
     """
 
     id: str
@@ -68,6 +74,7 @@
     load: int
     candidates: int
     refused: str
+    stop_left_ms: int
 
 
 class Broke(typing.NamedTuple):
@@ -244,6 +251,7 @@
         ``sender`` for that of the host that handed it over, ``slack`` for
         that of this gateway; empty for a first send.
     :param paid_ms: time since it was charged to the slack, ms; -1 otherwise.
+    :param stop_left_ms: time until this process ends, ms; -1 unless it stops.
     """
 
     id: str
@@ -260,6 +268,7 @@
     repeat: str
     paid: str
     paid_ms: int
+    stop_left_ms: int
 
 
 class Ended(typing.NamedTuple):
@@ -612,6 +621,26 @@
     retry_ms: int
 
 
+class StopStage(typing.NamedTuple):
+    """The stop of a node has got to its next stage.
+
+    :param stage: ``begun``, ``closed`` to callers, ``left`` the fleet,
+        ``answered`` all requests or had to break them off.
+    :param signal_ms: time since the process was asked to stop, ms.
+    :param left_ms: time until it ends, ms.
+    :param callers: requests of callers that have no answer yet.
+    :param hops: requests of nodes that have no answer yet.
+    :param orphans: runs that nobody waits for at the moment.
+    """
+
+    stage: str
+    signal_ms: int
+    left_ms: int
+    callers: int
+    hops: int
+    orphans: int
+
+
 class Noted(typing.NamedTuple):
     """An event of the time line: what the process believes has changed.
 
@@ -656,6 +685,7 @@
     CaughtUp: ('follower', 'caught-up'),
     TenureChanged: ('quota', 'tenure-changed'),
     QuotaRefused: ('quota', 'quota-refused'),
+    StopStage: ('gateway', 'stop-stage'),
     Noted: ('process', 'noted'),
 }
 
--- a/carawaystair/explain.py
+++ b/carawaystair/explain.py
@@ -39,12 +39,12 @@
     'offered': 'offered {service} to {upstream} at {gateway}'
     ' ({idempotence}, offer {number}, {left_ms} ms left, load known to be'
     ' {load} {age}, {candidates} upstreams take work, configuration'
-    ' {version}){before}',
+    ' {version}){before}{stop_text}',
     'declining': 'refused by the gateway of {upstream}: {reason} {detail}'
     ' ({running} run, {waiting} wait, {slots} slots)',
     'began': 'sent to {upstream} after {waited_ms} ms of waiting ({running}'
     ' run, {waiting} wait, {slots} slots, {left_ms} ms left){trial_text}'
-    '{repeat_text}',
+    '{repeat_text}{stop_text}',
     'ended': '{upstream} made it {outcome}, status {status}, after'
     ' {service_ms} ms; it fails {failing_pct} of 100 {detail}',
     'broke': 'no answer from {upstream}: {code}, {sent_text}, after'
@@ -93,6 +93,9 @@
     ' behind',
     'tenure-changed': 'parts {parts} of allowances {change} at {holder}'
     ' (process {process}, {left_ms} ms left)',
+    'stop-stage': 'the stop has {stage}, {signal_ms} ms after it was asked'
+    ' for, {left_ms} ms left ({callers} callers and {hops} nodes wait,'
+    ' {orphans} runs have nobody who waits)',
     'quota-refused': 'customer {customer} got no grant ({code}): {asked}; one'
     ' may be had in {retry_ms} ms',
 }
@@ -225,6 +228,7 @@
             'before': self._before,
             'trial_text': lambda: self._flag('trial', '; as a trial'),
             'repeat_text': self._repeat,
+            'stop_text': self._stop,
             'detour_text': lambda: self._flag('detour', '; by a third node'),
             'sent_text': self._sent,
             'refused_text': lambda: self._flag(
@@ -242,6 +246,10 @@
         what = 'call of a repeat' if call else 'repeat'
         return '; a %s, charged to the %s' % (what, self.get('paid'))
 
+    def _stop(self) -> str:
+        left_ms = self.get('stop_left_ms', -1)
+        return '; ends in %d ms' % left_ms if left_ms >= 0 else ''
+
     def _idempotence(self) -> str:
         return 'may be repeated' if self['idempotent'] else 'runs once'
 
--- a/carawaystair/gateway/dispatcher.py
+++ b/carawaystair/gateway/dispatcher.py
@@ -30,6 +30,7 @@
 from carawaystair.load import retry_after
 from carawaystair.load import retry_budget
 from carawaystair.load import shed_share
+from carawaystair.load import stopping
 from carawaystair.load import upstream_gate
 from carawaystair.load import upstream_selection
 from carawaystair.request import answer as answers
@@ -96,6 +97,8 @@
         # Requests that wait for a retry budget, and what services shed.
         self.budget_waits = budget_wait.Waits()
         self.stopping = asyncio.Event()
+        # When the process ends, once it has been asked to stop.
+        self.ends_at = math.inf
         self.shed_shares: dict[str, shed_share.ShedShare] = (
             collections.defaultdict(shed_share.ShedShare)
         )
@@ -193,8 +196,12 @@
             self.budget_waits.ahead(params.service, params.priority)
         )
 
-    def stop(self) -> None:
-        """Let no request wait for a retry budget any more."""
+    def stop(self, ends_at: float) -> None:
+        """Let no request wait for a retry budget any more.
+
+        :param ends_at: monotonic time at which the process ends.
+        """
+        self.ends_at = ends_at
         self.stopping.set()
 
     async def _next_choice(
@@ -582,6 +589,7 @@
             self.selector.load(candidate, now),
             usable_count,
             ' '.join(dispatch.refusals),
+            stopping.left_ms(self.ends_at),
         )
 
 
--- a/carawaystair/gateway/executor.py
+++ b/carawaystair/gateway/executor.py
@@ -302,6 +302,7 @@
                 _kind_of_repeat(hop),
                 _payer(hop),
                 int((clock.now() - now) * MS) if _uses_slack(hop) else -1,
+                stopping.left_ms(self.ends_at),
             ),
             # Good requests must not crowd out the repeats of others.
             decisions.TROUBLE if _kind_of_repeat(hop) else decisions.ROUTINE,
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -26,6 +26,7 @@
 from carawaystair.load import locality
 from carawaystair.load import nested_call_budget
 from carawaystair.load import retry_budget
+from carawaystair.load import stopping
 from carawaystair import metrics
 from carawaystair.quota import client as quotas
 from carawaystair.quota import holder as holders
@@ -48,6 +49,7 @@
 # once and reaches a gateway that has just closed has an unknown outcome.
 NEWS_S = 0.5
 MB = 1024 * 1024
+MS = 1000
 # Time to write the last answers before connections are closed, seconds.
 FLUSH_S = 0.05
 
@@ -80,6 +82,7 @@
         super().__init__(**kwargs)
         settings = kernel.settings
         self.settings = settings
+        self.shutdown = kernel.shutdown
         self.membership = membership
         self.routing = routing
         rng = kernel.random('gateway')
@@ -338,21 +341,25 @@
         ends_at = now + max(node.drain_s - STOP_MARGIN_S, 0.0)
         self.caller_handler.stop_deadline = ends_at
         self.caller_handler.accept_until = min(now + node.lame_duck_s, ends_at)
-        self.dispatcher.stop()
+        self.dispatcher.stop(ends_at)
         self.executor.stop(ends_at)
+        self._record_stage(decisions.BEGUN, ends_at)
         while clock.now() < self.caller_handler.accept_until:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         self.caller_listener.close()
         self.caller_listener.close_idle()
+        self._record_stage(decisions.CLOSED, ends_at)
         while self.caller_handler.active and self.executor.has_time(NEWS_S):
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         self.membership.registry.drain_all()
         self.executor.close()
+        self._record_stage(decisions.LEFT, ends_at)
         heard_at = clock.now() + NEWS_S
         while clock.now() < ends_at and (
             clock.now() < heard_at or self._busy()
         ):
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
+        self._record_stage(decisions.ANSWERED, ends_at)
         self.node_listener.close()
         self.caller_handler.cancel_remaining()
         await asyncio.sleep(FLUSH_S)
@@ -360,6 +367,21 @@
         await self.node_listener.abort()
         self.pool.close()
 
+    def _record_stage(self, stage: str, ends_at: float) -> None:
+        """Record how far the stop has got.
+
+        :param ends_at: monotonic time at which the process ends.
+        """
+        event = decisions.StopStage(
+            stage,
+            int(self.shutdown.age_s() * MS),
+            stopping.left_ms(ends_at),
+            self.caller_handler.active,
+            self.hop_handler.active,
+            self.hop_handler.runs.orphans,
+        )
+        self.recorder.tell(event, decisions.BELIEF)
+
     def _busy(self) -> bool:
         """Return whether requests or answers are in progress.
 
--- a/carawaystair/kernel.py
+++ b/carawaystair/kernel.py
@@ -16,6 +16,7 @@
 from carawaystair import output
 from carawaystair import plugins
 from carawaystair import settings as settings_module
+from carawaystair import shutdown as shutdowns
 from carawaystair import timeline
 
 LOG = logs.get('kernel')
@@ -30,6 +31,7 @@
     :param registry: the plug-ins.
     :param held: keys of the fleet; the first signs, any is accepted.
     :param sink: takes the lines that tell decisions; None to tell none.
+    :param shutdown: the stop of the process.
     """
 
     def __init__(
@@ -38,9 +40,11 @@
         registry: plugins.Registry,
         held: typing.Sequence[keys.Key] = (),
         sink: output.Sink | None = None,
+        shutdown: shutdowns.Shutdown | None = None,
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
+        self.shutdown = shutdown or shutdowns.Shutdown()
         self.settings = settings
         self.recorder = decisions.Recorder(settings.host, sink)
         self.registry = registry
--- a/carawaystair/load/stopping.py
+++ b/carawaystair/load/stopping.py
@@ -6,6 +6,11 @@
 of each service with it.
 """
 
+import math
+
+from carawaystair import clock
+
+MS = 1000
 # Expected durations that must be left for a request that can run again
 # elsewhere if the stop cuts it.
 REPEATABLE_DURATIONS = 2.0
@@ -22,3 +27,13 @@
     """
     durations = REPEATABLE_DURATIONS if repeatable else SINGLE_DURATIONS
     return durations * expected_s <= remaining_s
+
+
+def left_ms(ends_at: float) -> int:
+    """Return the time until a process ends, ms; -1 if it does not stop.
+
+    :param ends_at: monotonic time of its end; infinite if it does not stop.
+    """
+    if math.isinf(ends_at):
+        return -1
+    return max(int((ends_at - clock.now()) * MS), 0)
--- a/test/gateway_setup.py
+++ b/test/gateway_setup.py
@@ -15,6 +15,7 @@
 from carawaystair import routing as routings
 from carawaystair import rows
 from carawaystair import settings
+from carawaystair import shutdown as shutdowns
 from carawaystair import timeline
 from test import fakes
 from test import request_setup as setups
@@ -165,6 +166,7 @@
             settings=parsed.ok,
             registry=plugins.Registry(()),
             timeline=timeline.Timeline(self.host),
+            shutdown=shutdowns.Shutdown(),
             incarnation=self.membership.incarnation,
             random=lambda part: random.Random('%s %d' % (part, number)),
         )
--- a/test/request_setup.py
+++ b/test/request_setup.py
@@ -13,6 +13,7 @@
 from carawaystair import routing
 from carawaystair import rows
 from carawaystair import settings
+from carawaystair import shutdown as shutdowns
 from carawaystair import timeline
 from test import fakes
 from test import stubs
@@ -178,6 +179,7 @@
             settings=settings.parse(text).ok,
             registry=plugins.load(),
             timeline=timeline.Timeline('h1'),
+            shutdown=shutdowns.Shutdown(),
         )
         self.path = request.make(
             kernel,
