Tests of stops whose signal comes during a start, listed as red

They fail on this code: a stop that begins 0.6, 2.0 or 3.0 s after its signal ends 6.4, 7.8 and 8.8 s after it (6.0 allowed), a process that was asked to stop begins to listen, and a signal during a start lets the other parts start.

--- a/test/test_daemon.py
+++ b/test/test_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import signal
 import subprocess
@@ -138,3 +139,33 @@
     # The processes of later tests would inherit it.
     reload_signal.release()
     assert code == daemon.EXIT_FAILED
+
+
+class Interrupted(mode.Service):
+    """A role in whose start the process is asked to stop."""
+
+    async def on_start(self):
+        os.kill(os.getpid(), signal.SIGTERM)
+
+
+class InterruptedPlugin(plugins.Plugin):
+    """Brings that role in place of a node."""
+
+    def roles(self):
+        return {'node': lambda _kernel: Interrupted()}
+
+
+def test_signal_during_a_start_starts_nothing_more(tmp_path):
+    """Guards against a start that uses up the time of the stop."""
+    loaded = settings_module.load(str(settings(tmp_path))).ok
+    registry = plugins.Registry([InterruptedPlugin()])
+    made = []
+
+    def extend(process):
+        process.extensions.append(
+            lambda _process: made.append(1) or mode.Service()
+        )
+
+    code = asyncio.run(daemon.run(loaded, registry, extend=extend))
+    reload_signal.release()
+    assert (code, made) == (daemon.EXIT_OK, [])
--- a/test/test_gateway_stopping.py
+++ b/test/test_gateway_stopping.py
@@ -223,3 +223,64 @@
         pipes.run(ask_during_stop(0.005 * turn)).outcome for turn in range(120)
     ]
     assert set(outcomes) == {'complete', 'not-run'}
+
+
+async def stop_late(late_s: float, path: str) -> tuple[float, int, int]:
+    """Stop a node whose process was asked to some time before.
+
+    :param late_s: how much later the stop begins, seconds.
+    :param path: of a request that comes as the stop begins.
+    :return: time from the request for the stop to its end, seconds, and the
+        statuses of a run that outlasts the stop and of that request.
+    """
+    long_route = fleets.manifest.Route(
+        '/long/', 'portal', idempotent=False, timeout_ms=20_000
+    )
+    async with fleets.running(
+        None,
+        fleets.slow(60.0),
+        routes=(*fleets.ROUTES, long_route),
+        lame_duck_s=2.4,
+        drain_s=DRAIN_S,
+    ) as fleet:
+        loop = asyncio.get_running_loop()
+        asking = asyncio.ensure_future(
+            fleet.ask(
+                '/long/x', 'POST', body=b'x', Caraway_Deadline_Ms='20000'
+            )
+        )
+        await asyncio.sleep(0.1)
+        asked_at = fleet.nodes[0].kernel.shutdown.request()
+        await asyncio.sleep(late_s)
+        stopping = asyncio.ensure_future(fleet.nodes[0].service.stop())
+        await asyncio.sleep(0.1)
+        late = await fleet.ask(path)
+        await stopping
+        return loop.time() - asked_at, (await asking).status, late.status
+
+
+@pytest.mark.parametrize('late_s', [0.6, 2.0, 3.0])
+def test_stop_that_begins_late_ends_in_time(late_s):
+    """Guards against a stop that is counted from its begin and is killed."""
+    took_s, long, late = pipes.run(stop_late(late_s, '/tight/x'))
+    assert (took_s <= DRAIN_S, long) == (True, 504), (took_s, long)
+    assert late == (503 if late_s > 2.4 else 504)
+
+
+def test_process_that_is_asked_to_stop_does_not_begin_to_listen():
+    """Guards against callers of a process that ends before it has started."""
+
+    async def scenario():
+        fleet = fleets.Fleet([None])
+        node = fleet.nodes[0]
+        node.kernel.shutdown.request()
+        await node.service.start()
+        try:
+            await asyncio.open_connection('127.0.0.1', node.listen)
+        except OSError:
+            return True
+        finally:
+            await node.service.stop()
+        return False
+
+    assert pipes.run(scenario())
