The stop of a third node cancels no run that it forwards

What callers saw: 502 for an order at which an upstream was at work, with neither the caller's node nor the gateway at its end.

Cause: a request that goes through a third node was ended, as that process stopped, with an orderly close towards the gateway. The gateway takes this for a caller that has left and cancels the run; the caller's node, which asks for it again, is told that it was cancelled. Third nodes carry requests whose gateway was silent for 0.15 s, which real processes are as they start and stop. Class: the end of one's own process is passed on as the wish of another.

Change: only a close by the sender is passed on as one; what this process ends itself is reset, so that the gateway keeps the run for its sender.

--- a/carawaystair/gateway/detours.py
+++ b/carawaystair/gateway/detours.py
@@ -90,13 +90,15 @@
     """End the onward connection in the way in which the inbound one ended.
 
     A gateway takes an orderly close for a caller that has left, and cancels
-    the run.  If the inbound connection broke, the sender asks for that run
-    again, and would have to report an unknown outcome if it was cancelled.
+    the run.  If the inbound connection broke, or this process ended it, the
+    sender asks for that run again, and would have to report an unknown outcome
+    if it was cancelled.
     """
-    if request.connection.broken:
-        attempt.reset()
-    else:
+    connection = request.connection
+    if connection.closed_by_caller and not connection.broken:
         attempt.abandon()
+    else:
+        attempt.reset()
 
 
 def _failure(attempt: send_attempts.GatewayAttempt, error: Exception) -> bytes:
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -133,6 +133,35 @@
     assert lines.count('POST /pay/x HTTP/1.1') == 1
 
 
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+def test_third_node_that_stops_does_not_cancel_the_run(method, monkeypatch):
+    """Guards against a run that ends with the stop of a third node."""
+
+    async def scenario():
+        scripts = (None, fleets.slow(3.0), fleets.serve, fleets.serve)
+        async with fleets.running(
+            *scripts, lame_duck_s=0.1, drain_s=1.0
+        ) as fleet:
+            await leave_only_a_detour(fleet, monkeypatch)
+            fleet.nodes[3].announce('draining')
+            path = '/read/x' if method == 'GET' else '/pay/x'
+            body = b'pay' if method == 'POST' else b''
+            asking = asyncio.ensure_future(fleet.ask(path, method, body=body))
+            while not fleets.run_count(fleet, path):
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(0.2)
+            third = next(
+                node
+                for node in fleet.nodes[2:]
+                if node.service.hop_handler.active
+            )
+            await third.service.stop()
+            answer = await asking
+            return answer.status, answer.body, fleets.run_count(fleet, path)
+
+    assert pipes.run(scenario()) == (200, b'u9001', 1)
+
+
 def test_restarted_gateway_reports_an_unknown_outcome():
     """Guards against a non-idempotent request that runs twice.
 
