Requests wait at a gateway no longer than their sender can answer

Cause: a node that stops takes requests for 2.4 s more and sends each with its caller's time, so that a gateway lets it wait, and begin, when nobody can answer its caller any more. Class: a deadline that leaves out the end of a process on the way.

Change: a node that stops sends how long it still waits, in the field of the hop that says so; a gateway counts what must be left when a run begins from that. What can't begin in time is refused at once or as soon as that shows, not run, so that its caller is told when to come back.

Left: a request that waits at a gateway when its node is asked to stop keeps the time that it was sent with.

--- a/carawaystair/gateway/dispatcher.py
+++ b/carawaystair/gateway/dispatcher.py
@@ -201,7 +201,7 @@
 
         :param ends_at: monotonic time at which the process ends.
         """
-        self.ends_at = ends_at
+        self.ends_at = self.client.ends_at = ends_at
         self.stopping.set()
 
     async def _next_choice(
--- a/carawaystair/gateway/executor.py
+++ b/carawaystair/gateway/executor.py
@@ -229,6 +229,18 @@
             hop.idempotent and not once,
         )
 
+    def _latest_answer(
+        self, hop: hops.Hop, slots: slots_module.Slots, now: float
+    ) -> float:
+        """Return by when the answer is due if its sender ends before that."""
+        if not hop.sender_ends:
+            return math.inf
+        return stopping.latest_answer(
+            now + hop.sender_timeout_ms / MS,
+            slots.queue.expected_service_s(hop.route, now),
+            hop.idempotent and not hop.final_attempt,
+        )
+
     def sweep(self, now: float) -> None:
         """Close connections that have been idle for too long."""
         for instance in self.instances.values():
@@ -264,7 +276,7 @@
         slot_request = slot_queue.SlotRequest(
             hop.key,
             hop.route,
-            call.deadline,
+            min(call.deadline, self._latest_answer(hop, slots, now)),
             goal,
             hop.priority,
             hop.nested,
--- a/carawaystair/gateway/gateway_client.py
+++ b/carawaystair/gateway/gateway_client.py
@@ -22,6 +22,7 @@
 from carawaystair.gateway import transit
 from carawaystair.gateway import upstream_pool
 from carawaystair import interfaces
+from carawaystair.load import stopping
 from carawaystair.request import answer as answers
 from carawaystair.request import target as targets
 
@@ -72,6 +73,8 @@
         self.recorder = recorder
         self.clock_offsets = transit.ClockOffsets()
         self.resumed = 0
+        # When the process ends, once it has been asked to stop.
+        self.ends_at = math.inf
         self.traffic = hop_traffic.HopTraffic()
 
     async def send(
@@ -199,9 +202,10 @@
         if self.selector.locality.home_first and self._far(target):
             asks_from = EXPECT_CONTINUE_FAR_BYTES
         expects = dispatch.size > asks_from
-        # The connection stays open until the deadline.
+        # The connection stays open until the deadline or the end of this
+        # process.
         hop = hop._replace(
-            sender_timeout_ms=hop.remaining_ms,
+            sender_timeout_ms=self._timeout_ms(hop),
             expects_continue=expects,
             stated_incarnation=known.incarnation,
             stated_limit=known.limit_milli,
@@ -220,6 +224,13 @@
             dispatch.call, via, hop, via_detour=True, clock_offset=offset
         )
 
+    def _timeout_ms(self, hop: hops.Hop) -> int:
+        """Return for how long this process waits for an answer, ms."""
+        left_ms = stopping.left_ms(self.ends_at)
+        if left_ms < 0:
+            return hop.remaining_ms
+        return min(hop.remaining_ms, max(left_ms, 1))
+
     async def answer(
         self,
         dispatch: dispatches.Dispatch,
--- a/carawaystair/gateway/hops.py
+++ b/carawaystair/gateway/hops.py
@@ -95,8 +95,8 @@
         0 if unknown.
     :param sent_ms: when it was sent, in the gateway's time, see ``transit``;
         0 if unknown.
-    :param sender_timeout_ms: for how long its sender waits for an interim
-        answer, ms.
+    :param sender_timeout_ms: for how long its sender waits for an answer, ms;
+        less than until its deadline if the sender ends before that.
     :param final_attempt: whether it can't be retried if it fails, although
         it may be idempotent.
     :param budgeted: whether its sender charged it to its retry budget.
@@ -146,6 +146,11 @@
     stated_limit: int = 0
     stated_leaving: bool = False
 
+    @property
+    def sender_ends(self) -> bool:
+        """Return whether its sender ends before its deadline."""
+        return 0 < self.sender_timeout_ms < self.remaining_ms
+
     @property
     def key(self) -> str:
         """Return a key that is unique to this request."""
--- a/carawaystair/gateway/transit.py
+++ b/carawaystair/gateway/transit.py
@@ -82,4 +82,5 @@
     return hop._replace(
         remaining_ms=hop.remaining_ms - age_ms,
         goal_ms=max(hop.goal_ms - age_ms, -1),
+        sender_timeout_ms=hop.sender_timeout_ms - age_ms,
     )
--- a/carawaystair/load/stopping.py
+++ b/carawaystair/load/stopping.py
@@ -1,9 +1,12 @@
-"""Which requests the gateway of a process that stops still runs.
+"""Which requests a gateway still runs as a process stops.
 
 Only this gateway reaches the upstream beside it.  Were it closed as soon as
 its process is asked to stop, the upstream would stand idle for as long as the
 process answers its callers, and, while one host after the other stops, a part
 of each service with it.
+
+The process that sends a request may stop as well.  Its callers get no answer
+later than that, so a request that waits must begin in time or be refused.
 """
 
 import math
@@ -16,6 +19,9 @@
 REPEATABLE_DURATIONS = 2.0
 # The same for one that can't: it must end before the stop in any case.
 SINGLE_DURATIONS = 8.0
+# The same where the sender of the request ends: a single run may go on, but
+# nobody is told how it ends.
+SENDER_SINGLE_DURATIONS = 4.0
 
 
 def may_run(remaining_s: float, expected_s: float, repeatable: bool) -> bool:
@@ -29,6 +35,23 @@
     return durations * expected_s <= remaining_s
 
 
+def latest_answer(
+    sender_ends_at: float, expected_s: float, repeatable: bool
+) -> float:
+    """Return by when an answer is due that reaches the caller in time.
+
+    A run that begins one expected duration before that has the durations
+    which its kind needs until its sender ends.
+
+    :param sender_ends_at: monotonic time at which the sender ends; infinite
+        if it does not stop.
+    :param expected_s: expected duration of the run, seconds.
+    :param repeatable: whether it can run again if it is cut.
+    """
+    durations = REPEATABLE_DURATIONS if repeatable else SENDER_SINGLE_DURATIONS
+    return sender_ends_at - (durations - 1.0) * expected_s
+
+
 def left_ms(ends_at: float) -> int:
     """Return the time until a process ends, ms; -1 if it does not stop.
 
--- a/test/test_gateway_stopping.py
+++ b/test/test_gateway_stopping.py
@@ -75,6 +75,9 @@
 WAY_S = 0.02
 # What the nodes of these tests have for a stop, seconds.
 DRAIN_S = 6.0
+LONG_ROUTE = fleets.manifest.Route(
+    '/long/', 'portal', idempotent=False, timeout_ms=20_000
+)
 
 
 class Upstream:
@@ -241,13 +244,10 @@
     :return: time from the request for the stop to its end, seconds, and the
         statuses of a run that outlasts the stop and of that request.
     """
-    long_route = fleets.manifest.Route(
-        '/long/', 'portal', idempotent=False, timeout_ms=20_000
-    )
     async with fleets.running(
         None,
         fleets.slow(60.0),
-        routes=(*fleets.ROUTES, long_route),
+        routes=(*fleets.ROUTES, LONG_ROUTE),
         lame_duck_s=2.4,
         drain_s=DRAIN_S,
     ) as fleet:
@@ -292,3 +292,53 @@
         return False
 
     assert pipes.run(scenario())
+
+
+async def ask_while_upstream_is_full(full_s: float) -> tuple:
+    """Send an order to a node that stops while the only upstream is full.
+
+    :param full_s: how long the upstream stays full, seconds.
+    :return: the answer, when it came, seconds from the stop, and how often
+        the order ran.
+    """
+    upstream = Upstream(WORK_S, full_s)
+    async with fleets.running(
+        None,
+        upstream,
+        routes=(*fleets.ROUTES, LONG_ROUTE),
+        slots=1,
+        lame_duck_s=2.4,
+        drain_s=DRAIN_S,
+    ) as fleet:
+        loop = asyncio.get_running_loop()
+        for _turn in range(20):
+            await fleet.ask('/long/warm', 'POST', body=b'x')
+        patient = {'body': b'x', 'Caraway_Deadline_Ms': '20000'}
+        filling = asyncio.ensure_future(
+            fleet.ask('/long/hold', 'POST', node=1, **patient)
+        )
+        await asyncio.sleep(0.1)
+        began = loop.time()
+        stopping = asyncio.ensure_future(fleet.nodes[0].service.stop())
+        await asyncio.sleep(1.0)
+        answer = await fleet.ask('/long/x', 'POST', **patient)
+        answered_s = loop.time() - began
+        await stopping
+        await filling
+        await asyncio.sleep(1.0)
+        return answer, answered_s, fleets.run_count(fleet, '/long/x')
+
+
+def test_order_waits_no_longer_than_its_node_can_answer():
+    """Guards against an order that begins when its node is about to end."""
+    answer, answered_s, ran = pipes.run(
+        ask_while_upstream_is_full(2 * DRAIN_S)
+    )
+    assert (answer.status, answer.outcome, ran) == (503, 'not-run', 0)
+    assert answered_s < DRAIN_S - 4 * WORK_S
+
+
+def test_order_that_its_node_can_answer_waits():
+    """Guards against a node that rejects all that waits when it stops."""
+    answer, _answered_s, ran = pipes.run(ask_while_upstream_is_full(3.0))
+    assert (answer.status, ran) == (200, 1)
