The stop of a gateway cuts no runs that take a few means

Cause: a gateway that stops began what may be repeated while twice its mean duration was left. Where durations vary, one in ten takes longer: it was cut at the end of the stop, and the node that asked found the other gateways leaving, busy, or without retry budget. Class: a bound on single cases taken from a mean.

--- a/carawaystair/gateway/executor.py
+++ b/carawaystair/gateway/executor.py
@@ -211,10 +211,13 @@
 
         :param reserve_s: time that is needed after it, seconds.
         """
-        remaining_s = self.ends_at - clock.now() - reserve_s
+        now = clock.now()
         return any(
             stopping.may_run(
-                remaining_s, instance.slots.queue.durations.mean, True
+                self.ends_at - now - reserve_s,
+                instance.slots.queue.durations.mean,
+                instance.slots.queue.long_service_s('', now),
+                True,
             )
             for instance in self.instances.values()
         )
@@ -226,6 +229,7 @@
         return not self.stopping and stopping.may_run(
             self.ends_at - now,
             slots.queue.expected_service_s(hop.route, now),
+            slots.queue.long_service_s(hop.route, now),
             hop.idempotent and not once,
         )
 
--- a/carawaystair/load/slot_queue.py
+++ b/carawaystair/load/slot_queue.py
@@ -123,15 +123,20 @@
         would admit twice as many requests as can be served, and most of them
         would wait in vain.
         """
-        factor = WARMUP_FACTOR if now < self.warmup_until else 1.0
-        return factor * self.durations.expected(route)
+        return self._warmup_factor(now) * self.durations.expected(route)
+
+    def long_service_s(self, route: str, now: float) -> float:
+        """Return a service time that few requests which start now exceed."""
+        return self._warmup_factor(now) * self.durations.peak(route)
+
+    def _warmup_factor(self, at: float) -> float:
+        return WARMUP_FACTOR if at < self.warmup_until else 1.0
 
     def record_service_time(
         self, route: str, began: float, took_s: float
     ) -> None:
         """Record the service time of a successful request."""
-        factor = WARMUP_FACTOR if began < self.warmup_until else 1.0
-        self.durations.record(route, took_s / factor)
+        self.durations.record(route, took_s / self._warmup_factor(began))
 
     def request_slot(
         self, request: SlotRequest, now: float, may_wait: bool
--- a/carawaystair/load/stopping.py
+++ b/carawaystair/load/stopping.py
@@ -24,15 +24,18 @@
 SENDER_SINGLE_DURATIONS = 4.0
 
 
-def may_run(remaining_s: float, expected_s: float, repeatable: bool) -> bool:
+def may_run(
+    remaining_s: float, expected_s: float, long_s: float, repeatable: bool
+) -> bool:
     """Return whether a request may begin to run.
 
     :param remaining_s: time until the process ends, seconds.
     :param expected_s: expected duration of its run, seconds.
+    :param long_s: duration that few of its runs exceed, seconds.
     :param repeatable: whether it can run again if it is cut.
     """
     durations = REPEATABLE_DURATIONS if repeatable else SINGLE_DURATIONS
-    return durations * expected_s <= remaining_s
+    return max(durations * expected_s, long_s) <= remaining_s
 
 
 def latest_answer(
--- a/test/test_gateway_stopping.py
+++ b/test/test_gateway_stopping.py
@@ -342,3 +342,58 @@
     """Guards against a node that rejects all that waits when it stops."""
     answer, _answered_s, ran = pipes.run(ask_while_upstream_is_full(3.0))
     assert (answer.status, ran) == (200, 1)
+
+
+class VaryingUpstream(Upstream):
+    """Script whose runs take mostly little and at times much longer.
+
+    Each eighth run takes ``hold_s``.
+    """
+
+    async def __call__(self, upstream, seen, writer) -> None:
+        """Run one request."""
+        long = len(self.starts) % 8 == 7
+        self.starts.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(self.hold_s if long else self.work_s)
+        writer.write(fleets.good())
+
+
+@pytest.mark.parametrize('turn', range(8))
+def test_stop_cuts_no_run_of_a_route_whose_runs_vary(turn):
+    """Guards against a gateway whose stop cuts runs longer than the mean."""
+    other_route = fleets.manifest.Route(
+        '/other/', 'other', idempotent=True, timeout_ms=20_000
+    )
+
+    async def scenario():
+        beside = VaryingUpstream(0.2, 1.6)
+        async with fleets.running(
+            fleets.slow(2 * DRAIN_S),
+            beside,
+            services=('other', 'portal'),
+            routes=(*fleets.ROUTES, other_route),
+            lame_duck_s=0.5,
+            drain_s=DRAIN_S,
+        ) as fleet:
+            for _turn in range(10):
+                warm = (fleet.ask('/read/warm') for _number in range(4))
+                await asyncio.gather(*warm)
+            for _turn in range(turn):
+                await fleet.ask('/read/warm')
+            # Keeps the node that stops up to the end of its time.
+            held = asyncio.ensure_future(
+                fleet.ask('/other/x', node=1, Caraway_Deadline_Ms='20000')
+            )
+            await asyncio.sleep(0.1)
+            stopping = asyncio.ensure_future(fleet.nodes[1].service.stop())
+            asking = []
+            while not stopping.done():
+                asking.append(asyncio.ensure_future(fleet.ask('/read/x')))
+                await asyncio.sleep(0.15)
+            answered = await asyncio.gather(held, *asking)
+            begun = [at for at in beside.starts if at > DRAIN_S / 2]
+            lines = fleet.nodes[1].lines.lines
+            cut = sum(b'"outcome":"cancelled"' in line for line in lines)
+            return cut, len(begun) > 5, answered[0].status
+
+    assert pipes.run(scenario()) == (0, True, 504)
