The stage of a stop is called leaving, not left

Cause: left is the event of a request whose caller has gone, and test_request_whose_caller_has_closed_is_not_sent_on, which looks for that name in the log, failed on the line of the stop.

Result: it passes.

--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -34,7 +34,7 @@
 # Stages of a stop.
 BEGUN = 'begun'
 CLOSED = 'closed'
-LEFT = 'left'
+LEAVING = 'leaving'
 ANSWERED = 'answered'
 
 
@@ -624,8 +624,8 @@
 class StopStage(typing.NamedTuple):
     """The stop of a node has got to its next stage.
 
-    :param stage: ``begun``, ``closed`` to callers, ``left`` the fleet,
-        ``answered`` all requests or had to break them off.
+    :param stage: ``begun``, ``closed`` to callers, ``leaving`` the fleet,
+        ``answered`` all requests or about to break off the rest.
     :param signal_ms: time since the process was asked to stop, ms.
     :param left_ms: time until it ends, ms.
     :param callers: requests of callers that have no answer yet.
--- a/carawaystair/explain.py
+++ b/carawaystair/explain.py
@@ -93,7 +93,7 @@
     ' behind',
     'tenure-changed': 'parts {parts} of allowances {change} at {holder}'
     ' (process {process}, {left_ms} ms left)',
-    'stop-stage': 'the stop has {stage}, {signal_ms} ms after it was asked'
+    'stop-stage': 'the stop is {stage}, {signal_ms} ms after it was asked'
     ' for, {left_ms} ms left ({callers} callers and {hops} nodes wait,'
     ' {orphans} runs have nobody who waits)',
     'quota-refused': 'customer {customer} got no grant ({code}): {asked}; one'
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -362,7 +362,7 @@
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         self.membership.registry.drain_all()
         self.executor.close()
-        self._record_stage(decisions.LEFT, ends_at)
+        self._record_stage(decisions.LEAVING, ends_at)
         heard_at = clock.now() + NEWS_S
         while clock.now() < ends_at and (
             clock.now() < heard_at or self._busy()
