A gateway reads a long answer until the time of its request is over

Cause: once more than 128 KB of an answer had come, only a stall of 8 s ended it. An upstream that sends bytes without end is never stalled: its request kept slot, connection and caller for good. Class: a limit on progress where one on time is owed.

Change: the gateway stops reading from the upstream when the time that it has told the upstream is over; what has arrived until then is still delivered.

--- a/carawaystair/gateway/hop_handler.py
+++ b/carawaystair/gateway/hop_handler.py
@@ -205,7 +205,7 @@
         Its slot is released with its connection.
         """
         kind = spools.Spool if self.memory.is_bounded else spools.Direct
-        return kind(attempt, attempt.release_slot)
+        return kind(attempt, attempt.release_slot, attempt.call.deadline)
 
     async def _run(
         self, hop: hops.Hop, request: http_server.Request
--- a/carawaystair/gateway/spool.py
+++ b/carawaystair/gateway/spool.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import math
 import typing
 
 from carawaystair import clock
@@ -43,15 +44,19 @@
 
     :param attempt: the attempt that gets the answer.
     :param on_end: called when its connection is released or aborted.
+    :param until: monotonic time at which to stop reading; an upstream may send
+        bytes without end.
     """
 
     def __init__(
         self,
         attempt: attempts.Attempt,
         on_end: typing.Callable[[], None] | None = None,
+        until: float = math.inf,
     ) -> None:
         self.attempt = attempt
         self.on_end = on_end
+        self.until = until
         self.held: answer_memory.HeldAnswer | None = None
         self.complete = False
         self.released = False
@@ -68,10 +73,16 @@
         """Return some bytes that arrive from the upstream; none at the end.
 
         :param size: most bytes to return.
+        :raises TimeoutError: when none arrive in time.
         """
         payload = self.attempt.payload
         while not payload.at_eof():
-            async with asyncio.timeout(STALL_TIMEOUT_S):
+            now = clock.now()
+            if now >= self.until:
+                raise TimeoutError('the time of the request is over')
+            async with asyncio.timeout_at(
+                min(now + STALL_TIMEOUT_S, self.until)
+            ):
                 data = await payload.read(size)
             if data:
                 self.held.take(len(data))
@@ -104,14 +115,16 @@
 
     :param attempt: the attempt that gets the answer.
     :param on_end: called when its connection is released or aborted.
+    :param until: monotonic time at which to stop reading.
     """
 
     def __init__(
         self,
         attempt: attempts.Attempt,
         on_end: typing.Callable[[], None] | None = None,
+        until: float = math.inf,
     ) -> None:
-        super().__init__(attempt, on_end)
+        super().__init__(attempt, on_end, until)
         self.pieces: collections.deque[bytes] = collections.deque()
         self.arrived = asyncio.Event()
         self.error: Exception | None = None
