A lookup whose gateway ended waits for the next upstream

Cause: the stop of a gateway had cut its run; while other hosts stopped, too, no upstream took work at that moment, and its node gave up at once (allowed in the line spent, no other offer). Class: a moment without upstreams is taken for a lasting one.

Change: a request that may be repeated, and whose gateway ended, waits until an upstream takes work that it was not offered to, for as long as two expected durations are left of its time or its node's.

Left: where all others refuse it as busy or without retry budget it is still given up, as any repeat is.

--- a/carawaystair/gateway/dispatcher.py
+++ b/carawaystair/gateway/dispatcher.py
@@ -53,6 +53,8 @@
 DEFAULT_MAX_RUNS = 2
 # Further gateways that are asked to run a request as well until one has room.
 MAX_HEDGE_OFFERS = 3
+# Interval of checks for an upstream that takes work again, seconds.
+UPSTREAM_POLL_INTERVAL_S = 0.1
 MS = 1000
 # Reasons for a refusal that may not hold any more when the gateway is asked
 # again.
@@ -222,10 +224,35 @@
             )
             choice = self._choose(dispatch)
         if choice is None:
-            return self._best_declined(dispatch)
-        dispatch.tried.add(choice.target.upstream.id)
+            choice = self._best_declined(dispatch)
+            if choice is not None:
+                return choice
+            choice = await self._await_upstream(dispatch)
+        if choice is not None:
+            dispatch.tried.add(choice.target.upstream.id)
         return choice
 
+    async def _await_upstream(
+        self, dispatch: dispatches.Dispatch
+    ) -> upstream_pool.Choice | None:
+        """Wait for an upstream for a request that may run once more.
+
+        Its gateway has ended, and no other takes work.  While hosts restart,
+        the next upstream is back before long.
+        """
+        failure = dispatch.failure
+        if failure is None or failure.outcome != interfaces.BROKEN:
+            return None
+        expected_s = self.selector.durations.expected(dispatch.call.match.key)
+        until = min(dispatch.call.deadline, self.ends_at)
+        until -= stopping.REPEATABLE_DURATIONS * expected_s
+        while clock.now() < until and self._may_send(dispatch):
+            choice = self._choose(dispatch)
+            if choice is not None:
+                return choice
+            await asyncio.sleep(UPSTREAM_POLL_INTERVAL_S)
+        return None
+
     def _choose(
         self, dispatch: dispatches.Dispatch
     ) -> upstream_pool.Choice | None:
--- a/test/test_gateway_stopping.py
+++ b/test/test_gateway_stopping.py
@@ -415,3 +415,27 @@
             return answer.status, fleets.run_count(fleet, '/pay/x')
 
     assert pipes.run(scenario()) == (status, int(status == 200))
+
+
+def test_lookup_that_a_stop_cut_waits_for_the_next_upstream():
+    """Guards against 502 for a lookup that has time for another run."""
+
+    async def scenario():
+        async with fleets.running(
+            None,
+            fleets.slow(2.0),
+            fleets.serve,
+            lame_duck_s=0.1,
+            drain_s=1.0,
+        ) as fleet:
+            fleet.nodes[2].announce('draining')
+            asking = asyncio.ensure_future(fleet.ask('/read/x'))
+            while not fleets.run_count(fleet, '/read/x'):
+                await asyncio.sleep(0.01)
+            await fleet.nodes[1].service.stop()
+            await asyncio.sleep(1.0)
+            fleet.nodes[2].announce(incarnation=2)
+            answer = await asking
+            return answer.status, answer.body
+
+    assert pipes.run(scenario()) == (200, b'u9002')
