--- a/test/test_gateway_stopping.py
+++ b/test/test_gateway_stopping.py
@@ -358,45 +358,57 @@
         writer.write(fleets.good())
 
 
-@pytest.mark.parametrize('turn', range(8))
-def test_stop_cuts_no_run_of_a_route_whose_runs_vary(turn):
-    """Guards against a gateway whose stop cuts runs longer than the mean."""
+async def stop_beside_long_runs(long_s: float, turn: int) -> tuple:
+    """Stop a node up to the end of its time while its upstream is at work.
+
+    :param long_s: what each eighth run takes, seconds.
+    :param turn: shifts which run that is.
+    :return: runs that the stop cut, whether the upstream was at work in the
+        second half of the stop, and the status of what held it up.
+    """
     other_route = fleets.manifest.Route(
         '/other/', 'other', idempotent=True, timeout_ms=20_000
     )
+    beside = VaryingUpstream(WORK_S, long_s)
+    async with fleets.running(
+        fleets.slow(2 * DRAIN_S),
+        beside,
+        services=('other', 'portal'),
+        routes=(*fleets.ROUTES, other_route),
+        lame_duck_s=0.5,
+        drain_s=DRAIN_S,
+    ) as fleet:
+        for _turn in range(10):
+            warm = (fleet.ask('/read/warm') for _number in range(4))
+            await asyncio.gather(*warm)
+        for _turn in range(turn):
+            await fleet.ask('/read/warm')
+        held = asyncio.ensure_future(
+            fleet.ask('/other/x', node=1, Caraway_Deadline_Ms='20000')
+        )
+        await asyncio.sleep(0.1)
+        stopping = asyncio.ensure_future(fleet.nodes[1].service.stop())
+        asking = []
+        while not stopping.done():
+            asking.append(asyncio.ensure_future(fleet.ask('/read/x')))
+            await asyncio.sleep(0.15)
+        answered = await asyncio.gather(held, *asking)
+        begun = [at for at in beside.starts if at > DRAIN_S / 2]
+        lines = fleet.nodes[1].lines.lines
+        cut = sum(b'"outcome":"cancelled"' in line for line in lines)
+        return cut, len(begun) > 5, answered[0].status
 
-    async def scenario():
-        beside = VaryingUpstream(0.2, 1.6)
-        async with fleets.running(
-            fleets.slow(2 * DRAIN_S),
-            beside,
-            services=('other', 'portal'),
-            routes=(*fleets.ROUTES, other_route),
-            lame_duck_s=0.5,
-            drain_s=DRAIN_S,
-        ) as fleet:
-            for _turn in range(10):
-                warm = (fleet.ask('/read/warm') for _number in range(4))
-                await asyncio.gather(*warm)
-            for _turn in range(turn):
-                await fleet.ask('/read/warm')
-            # Keeps the node that stops up to the end of its time.
-            held = asyncio.ensure_future(
-                fleet.ask('/other/x', node=1, Caraway_Deadline_Ms='20000')
-            )
-            await asyncio.sleep(0.1)
-            stopping = asyncio.ensure_future(fleet.nodes[1].service.stop())
-            asking = []
-            while not stopping.done():
-                asking.append(asyncio.ensure_future(fleet.ask('/read/x')))
-                await asyncio.sleep(0.15)
-            answered = await asyncio.gather(held, *asking)
-            begun = [at for at in beside.starts if at > DRAIN_S / 2]
-            lines = fleet.nodes[1].lines.lines
-            cut = sum(b'"outcome":"cancelled"' in line for line in lines)
-            return cut, len(begun) > 5, answered[0].status
-
-    assert pipes.run(scenario()) == (0, True, 504)
+
+@pytest.mark.parametrize('turn', range(8))
+def test_stop_cuts_no_run_of_a_route_whose_runs_vary(turn):
+    """Guards against a gateway whose stop cuts runs longer than the mean."""
+    assert pipes.run(stop_beside_long_runs(1.6, turn)) == (0, True, 504)
+
+
+@pytest.mark.parametrize('turn', range(8))
+def test_stop_cuts_no_run_that_takes_many_means(turn):
+    """Guards against a gateway whose stop cuts runs of five means."""
+    assert pipes.run(stop_beside_long_runs(2.4, turn)) == (0, True, 504)
 
 
 @pytest.mark.parametrize(('left_s', 'status'), [(0.5, 503), (2.0, 200)])
