--- a/carawaystair/daemon.py
+++ b/carawaystair/daemon.py
@@ -179,6 +179,7 @@
     extend: Extend | None,
     shutdown: shutdowns.Shutdown,
 ) -> int:
+    """Run the process until its stop is asked for, see :func:`run`."""
     loop = asyncio.get_running_loop()
     process = kernel.Kernel(settings, registry, held, sink, shutdown)
     if extend is not None:
--- a/carawaystair/gateway/executor.py
+++ b/carawaystair/gateway/executor.py
@@ -225,12 +225,11 @@
     def _may_run(self, hop: hops.Hop, slots: slots_module.Slots) -> bool:
         """Return whether a request may run, in view of the process's end."""
         now = clock.now()
-        once = hop.final_attempt or hop.expects_continue
         return not self.stopping and stopping.may_run(
             self.ends_at - now,
             slots.queue.expected_service_s(hop.route, now),
             slots.queue.long_service_s(hop.route, now),
-            hop.idempotent and not once,
+            _is_repeatable(hop),
         )
 
     def _latest_answer(
@@ -242,7 +241,7 @@
         return stopping.latest_answer(
             now + hop.sender_timeout_ms / MS,
             slots.queue.expected_service_s(hop.route, now),
-            hop.idempotent and not hop.final_attempt,
+            _is_repeatable(hop),
         )
 
     def sweep(self, now: float) -> None:
@@ -697,6 +696,12 @@
         )
 
 
+def _is_repeatable(hop: hops.Hop) -> bool:
+    """Return whether a request can run elsewhere if its run here is cut."""
+    once = hop.final_attempt or hop.expects_continue
+    return hop.idempotent and not once
+
+
 def _uses_slack(hop: hops.Hop) -> bool:
     """Return whether a request is a retry that its sender did not budget."""
     return (hop.retry or hop.caller_retried) and not hop.budgeted
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -340,7 +340,7 @@
         are other nodes notified.
         """
         self.stopping = True
-        if not self.caller_listener.listening:
+        if not self.node_listener.listening:
             return
         self.quota_holder.release()
         node = self.settings.node
