--- a/test/fakes.py
+++ b/test/fakes.py
@@ -21,6 +21,7 @@
 from carawaystair import interfaces
 from carawaystair import plugins
 from carawaystair import settings
+from carawaystair import shutdown as shutdowns
 from carawaystair import timeline
 from carawaystair import traffic
 from carawaystair import wire
@@ -244,6 +245,7 @@
         self.registry = plugins.load()
         self.recorder = decisions.Recorder(self.settings.host)
         self.incarnation = clock.wall_ms()
+        self.shutdown = shutdowns.Shutdown()
 
     def random(self, part: str) -> random.Random:
         """Return randomness with a seed of its own."""
--- a/test/test_load_shares.py
+++ b/test/test_load_shares.py
@@ -21,6 +21,7 @@
 from carawaystair.load import shed_share
 from carawaystair.load import slot_queue
 from carawaystair.load import slot_use
+from test import fakes
 
 SLOTS = 4
 CUSTOMERS = 74
@@ -514,7 +515,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         return still, waiting
 
-    still, waiting = asyncio.run(held())
+    still, waiting = fakes.run(held())
     assert waiting
     assert still == waiting
 
