Lines that tell what is remembered of departures, and for how long

The logs could not tell whether the departure was never passed on, forgotten, not asked for or lost on its return: control wrote nothing about departures.

departures-asked, at the process that is asked, has what it holds and the age of its memory; departures-recalled, at the node, each answer.

--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -410,6 +410,38 @@
     code: str
 
 
+class DeparturesAsked(typing.NamedTuple):
+    """A process was asked to remember departures, or what it remembers.
+
+    :param call: ``keep`` or ``recall``.
+    :param owner: the host of the upstreams, which asked.
+    :param upstreams: the upstreams that it named, separated by spaces.
+    :param held: number of its departures that are remembered now.
+    :param memory_ms: time since which this process remembers, ms.
+    """
+
+    call: str
+    owner: str
+    upstreams: str
+    held: int
+    memory_ms: int
+
+
+class DeparturesRecalled(typing.NamedTuple):
+    """A node that started asked what others remember of its upstreams.
+
+    :param peer: the process that it asked.
+    :param answered: whether it answered in time.
+    :param departures: number of departures in its answer.
+    :param elapsed_ms: time since the node began to ask, ms.
+    """
+
+    peer: str
+    answered: bool
+    departures: int
+    elapsed_ms: int
+
+
 class LifeBegan(typing.NamedTuple):
     """A gateway knows of a new life of an upstream, or of its return.
 
@@ -675,6 +707,8 @@
     Abandoned: ('gateway', 'abandoned'),
     Declining: ('gateway', 'declining'),
     LeaseDecided: ('membership', 'lease-decided'),
+    DeparturesAsked: ('membership', 'departures-asked'),
+    DeparturesRecalled: ('membership', 'departures-recalled'),
     LifeBegan: ('gateway', 'life-began'),
     LifeEnded: ('gateway', 'life-ended'),
     Stated: ('gateway', 'stated'),
--- a/carawaystair/membership/departures.py
+++ b/carawaystair/membership/departures.py
@@ -14,6 +14,7 @@
 
 from carawaystair import clock
 from carawaystair import codes
+from carawaystair import decisions
 from carawaystair import interfaces
 from carawaystair import logs
 from carawaystair.membership import bounds
@@ -38,6 +39,9 @@
 MAX_RECALL_S = 3.0
 # Time for which an announcement waits for the answers, in seconds.
 ACCEPT_WAIT_S = 0.4
+MS = 1000
+# Names of upstreams in a line of the logs, so that it stays short.
+MAX_NAMES_SHOWN = 4
 
 LOG = logs.get('membership')
 
@@ -49,6 +53,7 @@
     :param registry: leases of the upstreams of this host.
     :param transport: the messages of this process.
     :param seeds: ``ip:port`` of the links of some processes.
+    :param recorder: records events; None to record none.
     """
 
     def __init__(
@@ -57,9 +62,12 @@
         registry: registries.Registry,
         transport: interfaces.Transport,
         seeds: typing.Sequence[str],
+        recorder: decisions.Recorder | None = None,
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
+        self.recorder = recorder or decisions.Recorder('')
+        self.created_at = clock.now()
         self.table = table
         self.registry = registry
         self.transport = transport
@@ -207,6 +215,8 @@
     ) -> str:
         """Ask a process; return its address, or '' if it does not answer."""
         result = await self.transport.call(peer, message, TIMEOUT_S)
+        if not message.departures:
+            self._tell_recalled(peer, result)
         if result.is_error():
             return ''
         if not message.departures:
@@ -226,4 +236,33 @@
         now = clock.now()
         for departure in message.departures:
             self.memory.add(message.host, departure, now)
-        return messages.KeptDepartures(self.memory.of_host(message.host, now))
+        held = self.memory.of_host(message.host, now)
+        self._tell_asked(message, len(held))
+        return messages.KeptDepartures(held)
+
+    # Log
+
+    def _tell_asked(self, message: messages.KeepDepartures, held: int) -> None:
+        names = [departure.id for departure in message.departures]
+        self.recorder.tell(
+            decisions.DeparturesAsked(
+                'keep' if names else 'recall',
+                message.host,
+                ' '.join(names[:MAX_NAMES_SHOWN]),
+                held,
+                int((clock.now() - self.created_at) * MS),
+            ),
+            decisions.BELIEF,
+        )
+
+    def _tell_recalled(self, peer: str, result: expression.Result) -> None:
+        found = result.ok.departures if result.is_ok() else ()
+        self.recorder.tell(
+            decisions.DeparturesRecalled(
+                peer,
+                result.is_ok(),
+                len(found),
+                int((clock.now() - self.created_at) * MS),
+            ),
+            decisions.BELIEF,
+        )
--- a/carawaystair/membership/service.py
+++ b/carawaystair/membership/service.py
@@ -152,7 +152,7 @@
         )
         self.expiry = expiry.HostExpiry(self.table)
         self.departures = departures.Departures(
-            self.table, self.registry, transport, seeds
+            self.table, self.registry, transport, seeds, recorder
         )
         self.api = api.Api(self.registry, self.directory, self.departures)
 
