Departures are remembered on the disks of control hosts

Callers saw: an upstream that had left, and had that acknowledged, got 22 to 37 requests until it exited, when control and its node were killed after the acknowledgement and an announcement from before arrived late.

Cause: control hosts, which are asked by the next process of the node, held departures in memory only. All of them may be killed at the same moment. departures-asked shows it: held 1 before the kill, held 0 at 2 ms of age.

Change: a process with a disk answers that it keeps a departure once its file has it (membership/departure_store.py), and answers a node that starts once it has read its file. One write carries all that has come; it runs beside the event loop, and a disk that is full, fails or hangs refuses departures within 0.35 s and nothing else. A damaged file is told in the log and replaced. Remaining times are written, so that the time of day plays no part.

--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -417,6 +417,8 @@
     :param owner: the host of the upstreams, which asked.
     :param upstreams: the upstreams that it named, separated by spaces.
     :param held: number of its departures that are remembered now.
+    :param kept: whether the disk has those that it named, or could be read;
+        there is no answer otherwise.
     :param memory_ms: time since which this process remembers, ms.
     """
 
@@ -424,6 +426,7 @@
     owner: str
     upstreams: str
     held: int
+    kept: bool
     memory_ms: int
 
 
--- a/carawaystair/membership/__init__.py
+++ b/carawaystair/membership/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from carawaystair import kernel as kernels
+from carawaystair.membership import departure_store
 from carawaystair.membership import service
 
 
@@ -35,6 +36,7 @@
         lease_s=settings.node.lease_s,
         gateway=settings.node.gateway,
         recorder=kernel.recorder,
+        store=departure_store.make(kernel),
     )
     kernel.links.traffic.far = membership.address_locations.is_remote
     kernel.datagrams.traffic.far = membership.address_locations.is_remote
--- a/carawaystair/membership/departure_memory.py
+++ b/carawaystair/membership/departure_memory.py
@@ -64,6 +64,16 @@
             for item in self._unexpired(host, now).values()
         )
 
+    def by_hosts(
+        self, now: float
+    ) -> dict[str, tuple[messages.Departure, ...]]:
+        """Return the departures of all hosts with their remaining times.
+
+        :param now: monotonic time in seconds.
+        """
+        every = ((host, self.of_host(host, now)) for host in self.by_host)
+        return {host: departures for host, departures in every if departures}
+
     def _unexpired(self, host: str, now: float) -> dict[str, Remembered]:
         return {
             name: item
--- /dev/null
+++ b/carawaystair/membership/departure_store.py
@@ -0,0 +1,230 @@
+"""The departures that a process remembers, on its disk.
+
+All processes of a fleet may be killed at the same moment.  What control hosts
+remember of departures must outlive that, or an announcement that arrives
+afterwards brings an upstream back that has left.
+
+The file holds all that is remembered, and is replaced whole, so that there is
+no half of it after a loss of power.  One write carries all departures that
+have come since the last one.  Remaining times are written, not points in time:
+they don't depend on the time of day, and whatever passes between two processes
+only makes a departure be remembered longer.
+"""
+
+import asyncio
+import typing
+
+import mode
+import msgspec
+
+from carawaystair import clock
+from carawaystair.control import disk as disks
+from carawaystair.control import files as files_module
+from carawaystair import logs
+from carawaystair.membership import bounds
+from carawaystair.membership import departure_memory
+from carawaystair.membership import messages
+
+FILE = 'departures'
+FOLDER = 'departures'
+# Time for which a question waits for the disk, in seconds; less than its
+# sender waits for the answer.
+DISK_WAIT_S = 0.35
+# Pause after a write, as a multiple of its duration and in seconds at most, so
+# that the control group's own writes find the disk free.
+PAUSE_FACTOR = 4.0
+MAX_PAUSE_S = 0.05
+# Interval between attempts to open the folder, in seconds.
+OPEN_RETRY_S = 0.5
+
+LOG = logs.get('membership')
+
+Departures = tuple[messages.Departure, ...]
+
+
+class Store(typing.Protocol):
+    """Keeps departures.
+
+    :ivar memory: the departures.
+    """
+
+    memory: departure_memory.DepartureMemory
+
+    async def load(self) -> bool:
+        """Return whether the memory has what earlier processes kept."""
+
+    async def save(self) -> bool:
+        """Return whether all that the memory holds now is kept."""
+
+
+class MemoryOnly(mode.Service):
+    """The :class:`Store` of a process without a disk."""
+
+    def __init__(self, **kwargs) -> None:
+        super().__init__(**kwargs)
+        self.memory = departure_memory.DepartureMemory()
+
+    async def load(self) -> bool:
+        """Return that there is nothing to read."""
+        return True
+
+    async def save(self) -> bool:
+        """Return that it is kept as well as this process can."""
+        return True
+
+
+class Image(typing.NamedTuple):
+    """The content of the file.
+
+    :param departures: departures by host.
+    """
+
+    departures: dict[str, Departures] = {}
+
+
+_ENCODE = msgspec.msgpack.Encoder().encode
+_DECODER = msgspec.msgpack.Decoder(Image)
+
+
+class DepartureStore(mode.Service):
+    """The :class:`Store` of a process with a disk.
+
+    :param files: the folder.
+    :param disk: runs the blocking calls.
+    """
+
+    def __init__(
+        self,
+        files: files_module.Files,
+        disk: disks.Disk,
+        **kwargs,
+    ) -> None:
+        super().__init__(**kwargs)
+        self.memory = departure_memory.DepartureMemory()
+        self.files = files
+        self.disk = disk
+        # Set once what an earlier process wrote is in the memory.
+        self.loaded = asyncio.Event()
+        # The write that carries what is added now; None if nothing waits.
+        self.next_write: asyncio.Future[bool] | None = None
+        self.wanted = asyncio.Event()
+        self.failing = False
+        self.writes = 0
+        self.written_bytes = 0
+
+    async def on_stop(self) -> None:
+        """Leave a call that hangs behind."""
+        self.disk.close()
+        self.files.close()
+
+    async def load(self) -> bool:
+        """Return whether the file was read, after a short wait for it."""
+        try:
+            async with asyncio.timeout(DISK_WAIT_S):
+                await self.loaded.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def save(self) -> bool:
+        """Return whether all that the memory holds now is on the disk.
+
+        :return: False if the disk fails, or is too slow.
+        """
+        if self.next_write is None:
+            self.next_write = asyncio.get_running_loop().create_future()
+            self.wanted.set()
+        write = self.next_write
+        await asyncio.wait((write,), timeout=DISK_WAIT_S)
+        return write.done() and write.result()
+
+    @mode.Service.task
+    async def _run(self) -> None:
+        """Read the file, then write it whenever something is added."""
+        while not self.loaded.is_set():
+            await self._load()
+        while not self.should_stop:
+            await self.wanted.wait()
+            self.wanted.clear()
+            began = clock.now()
+            await self._write()
+            pause_s = PAUSE_FACTOR * (clock.now() - began)
+            await asyncio.sleep(min(pause_s, MAX_PAUSE_S))
+
+    async def _load(self) -> None:
+        try:
+            data = await self.disk.run(self._read)
+        except OSError as error:
+            self._note_failure(error)
+            await asyncio.sleep(OPEN_RETRY_S)
+            return
+        image = None if data is None else _decode(data)
+        if image is not None:
+            self._remember(image)
+        elif data is not None:
+            LOG.error(
+                'The file of departures is damaged and is replaced.',
+                bytes=len(data),
+            )
+        self.loaded.set()
+
+    def _read(self) -> bytes | None:
+        self.files.hold()
+        if FILE not in self.files.names():
+            return None
+        return self.files.read(FILE)
+
+    def _remember(self, image: Image) -> None:
+        now = clock.now()
+        for host, departures in image.departures.items():
+            for departure in filter(bounds.departure_ok, departures):
+                self.memory.add(host, departure, now)
+        LOG.info('Read the file of departures.', hosts=len(image.departures))
+
+    async def _write(self) -> None:
+        """Write what is in the memory, and tell those who wait for it."""
+        write, self.next_write = self.next_write, None
+        image = Image(self.memory.by_hosts(clock.now()))
+        saved = False
+        try:
+            size = await self.disk.run(self._replace, image)
+            saved = True
+            self.writes += 1
+            self.written_bytes += size
+            self._note_success()
+        except OSError as error:
+            self._note_failure(error)
+        finally:
+            write.set_result(saved)
+
+    def _replace(self, image: Image) -> int:
+        data = files_module.frame(_ENCODE(image))
+        self.files.replace(FILE, data)
+        return len(data)
+
+    def _note_failure(self, error: OSError) -> None:
+        if not self.failing:
+            LOG.error('Departures are not written.', why=str(error))
+        self.failing = True
+
+    def _note_success(self) -> None:
+        if self.failing:
+            LOG.info('Departures are written again.')
+        self.failing = False
+
+
+def _decode(data: bytes) -> Image | None:
+    """Return the content of the file; None if it is damaged or foreign."""
+    body = files_module.unframe(data)
+    try:
+        return None if body is None else _DECODER.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return None
+
+
+def make(kernel) -> DepartureStore | MemoryOnly:
+    """Return the store of a process, by whether it has a disk."""
+    folder = kernel.data(FOLDER)
+    if folder is None:
+        return MemoryOnly()
+    return DepartureStore(files_module.Folder(folder), disks.make())
--- a/carawaystair/membership/departures.py
+++ b/carawaystair/membership/departures.py
@@ -18,7 +18,7 @@
 from carawaystair import interfaces
 from carawaystair import logs
 from carawaystair.membership import bounds
-from carawaystair.membership import departure_memory
+from carawaystair.membership import departure_store
 from carawaystair.membership import lifetimes
 from carawaystair.membership import messages
 from carawaystair.membership import registry as registries
@@ -53,6 +53,7 @@
     :param registry: leases of the upstreams of this host.
     :param transport: the messages of this process.
     :param seeds: ``ip:port`` of the links of some processes.
+    :param store: keeps what this process remembers for others.
     :param recorder: records events; None to record none.
     """
 
@@ -62,6 +63,7 @@
         registry: registries.Registry,
         transport: interfaces.Transport,
         seeds: typing.Sequence[str],
+        store: departure_store.DepartureStore | departure_store.MemoryOnly,
         recorder: decisions.Recorder | None = None,
         **kwargs,
     ) -> None:
@@ -73,13 +75,18 @@
         self.transport = transport
         own = table.own_entry.member.peer
         self.seeds = tuple(seed for seed in seeds if seed != own)
-        self.memory = departure_memory.DepartureMemory()
+        self.store = store
+        self.memory = store.memory
         # Set once upstreams are accepted.
         self.accepting = asyncio.Event()
         # Questions to other processes.
         self.questions: set[asyncio.Task] = set()
         transport.handle(messages.KeepDepartures, self._handle_keep)
 
+    async def on_start(self) -> None:
+        """Start the store."""
+        await self.add_runtime_dependency(self.store)
+
     async def on_stop(self) -> None:
         """Cancel the questions in progress."""
         for question in self.questions:
@@ -229,20 +236,23 @@
     async def _handle_keep(
         self, _sender: str, message: messages.KeepDepartures
     ) -> messages.KeptDepartures | None:
-        """Remember departures of another host."""
+        """Remember departures of another host; answer once they are kept."""
         valid = all(map(bounds.departure_ok, message.departures))
         if not bounds.name_ok(message.host) or not valid:
             return None
-        now = clock.now()
         for departure in message.departures:
-            self.memory.add(message.host, departure, now)
-        held = self.memory.of_host(message.host, now)
-        self._tell_asked(message, len(held))
-        return messages.KeptDepartures(held)
+            self.memory.add(message.host, departure, clock.now())
+        store = self.store
+        kept = await (store.save() if message.departures else store.load())
+        held = self.memory.of_host(message.host, clock.now())
+        self._tell_asked(message, len(held), kept)
+        return messages.KeptDepartures(held) if kept else None
 
     # Log
 
-    def _tell_asked(self, message: messages.KeepDepartures, held: int) -> None:
+    def _tell_asked(
+        self, message: messages.KeepDepartures, held: int, kept: bool
+    ) -> None:
         names = [departure.id for departure in message.departures]
         self.recorder.tell(
             decisions.DeparturesAsked(
@@ -250,6 +260,7 @@
                 message.host,
                 ' '.join(names[:MAX_NAMES_SHOWN]),
                 held,
+                kept,
                 int((clock.now() - self.created_at) * MS),
             ),
             decisions.BELIEF,
--- a/carawaystair/membership/service.py
+++ b/carawaystair/membership/service.py
@@ -17,6 +17,7 @@
 from carawaystair.membership import api
 from carawaystair.membership import bounds
 from carawaystair.membership import dead_prober
+from carawaystair.membership import departure_store
 from carawaystair.membership import departures
 from carawaystair.membership import direct_push
 from carawaystair.membership import directory as directories
@@ -83,6 +84,8 @@
     :param gateway: address to which other hosts send requests for the
         upstreams of this host; None for the upstreams' own addresses.
     :param recorder: records events; None to record none.
+    :param store: keeps departures of other hosts' upstreams; None for the
+        memory of this process.
     """
 
     def __init__(
@@ -97,6 +100,7 @@
         lease_s: float = 6.0,
         gateway: str | None = None,
         recorder: decisions.Recorder | None = None,
+        store: departure_store.DepartureStore | None = None,
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
@@ -152,7 +156,12 @@
         )
         self.expiry = expiry.HostExpiry(self.table)
         self.departures = departures.Departures(
-            self.table, self.registry, transport, seeds, recorder
+            self.table,
+            self.registry,
+            transport,
+            seeds,
+            store or departure_store.MemoryOnly(),
+            recorder,
         )
         self.api = api.Api(self.registry, self.directory, self.departures)
 
--- /dev/null
+++ b/test/test_departure_store.py
@@ -0,0 +1,259 @@
+"""Tests of departures on the disks of the processes that remember them."""
+
+import asyncio
+import errno
+import random
+import typing
+
+import pytest
+
+from carawaystair import codes
+from carawaystair.control import files as files_module
+from carawaystair.membership import departure_store
+from carawaystair.membership import messages
+from test import control_fakes
+from test import fakes
+from test import test_membership as membership_tests
+
+GONE = 1
+KEEPERS = (0, 1)
+LEAVER = 2
+HANGS_S = 5.0
+
+
+class Setup(typing.NamedTuple):
+    """A fleet whose seeds have disks.
+
+    :param network: carries its messages.
+    :param folders: the folder of each seed.
+    :param nodes: its processes by number.
+    """
+
+    network: fakes.Network
+    folders: dict[int, control_fakes.Folder]
+    nodes: dict[int, typing.Any]
+
+    async def start(self, number, incarnation=1):
+        """Start the next process of a host."""
+        store = None
+        if number in self.folders:
+            disk = control_fakes.Disk(random.Random(number))
+            store = departure_store.DepartureStore(self.folders[number], disk)
+        self.nodes[number] = membership_tests.make_node(
+            self.network, number, KEEPERS, incarnation, store=store
+        )
+        await self.nodes[number].start()
+
+    async def kill(self, *numbers, power=False):
+        """Kill processes at the same moment."""
+        for number in numbers:
+            membership_tests.crash(self.network, self.nodes[number])
+            if number in self.folders:
+                self.nodes[number].departures.store.disk.dead = True
+                await self.nodes[number].departures.store.stop()
+                if power:
+                    self.folders[number].crash()
+        self.network.heal()
+
+    async def leave(self):
+        """Let the upstream leave; return what is acknowledged."""
+        assert self.nodes[LEAVER].registry.remove('a').is_ok()
+        return await self.nodes[LEAVER].departures.keep('a')
+
+    async def announce_late(self):
+        """Return the result of an announcement that arrives late."""
+        node = self.nodes[LEAVER]
+        while (await node.departures.wait_accepting()).is_error():
+            pass
+        return membership_tests.announce(node, 'a')
+
+
+def run(steps, keepers=KEEPERS):
+    """Run the steps of a test in virtual time."""
+
+    async def _run():
+        rng = random.Random(1)
+        folders = {number: control_fakes.Folder(rng) for number in keepers}
+        setup = Setup(fakes.Network(), folders, {})
+        for number in (*KEEPERS, LEAVER):
+            await setup.start(number)
+        await asyncio.sleep(3.0)
+        membership_tests.announce(setup.nodes[LEAVER], 'a')
+        await steps(setup)
+
+    fakes.run(_run())
+
+
+@pytest.mark.parametrize('power', [False, True])
+@pytest.mark.parametrize('times', [1, 2])
+def test_departure_outlives_a_kill_of_all_who_remember_it(power, times):
+    """Guards against an upstream that a late announcement brings back when
+    its node and all who remember its departure were killed.
+    """
+
+    async def _steps(setup):
+        assert (await setup.leave()).is_ok()
+        for number in range(times):
+            await setup.kill(*KEEPERS, LEAVER, power=power)
+            for host in (*KEEPERS, LEAVER):
+                await setup.start(host, incarnation=2 + number)
+            await asyncio.sleep(1.0)
+        late = await setup.announce_late()
+        assert late.error.code is codes.ANNOUNCEMENT_OLD
+
+    run(_steps)
+
+
+def test_new_life_is_accepted_after_a_kill_of_all():
+    """Guards against departures that keep the next start out as well."""
+
+    async def _steps(setup):
+        node = setup.nodes[LEAVER]
+        assert node.registry.remove('a').is_ok()
+        assert (await node.departures.keep('a')).is_ok()
+        await setup.kill(*KEEPERS, LEAVER)
+        for host in (*KEEPERS, LEAVER):
+            await setup.start(host, incarnation=2)
+        await setup.announce_late()
+        following = setup.nodes[LEAVER]
+        newer = membership_tests.announce(following, 'a', incarnation=2**42)
+        assert newer.is_ok()
+
+    run(_steps)
+
+
+@pytest.mark.parametrize('error', [errno.ENOSPC, errno.EIO])
+def test_departure_is_not_acknowledged_while_no_disk_takes_it(error):
+    """Guards against an acknowledgement of what no disk has."""
+
+    async def _steps(setup):
+        for folder in setup.folders.values():
+            folder.errors['replace'] = error
+        refused = await setup.leave()
+        assert refused.error.code is codes.DEPARTURE_NOT_KEPT
+        for folder in setup.folders.values():
+            folder.errors.clear()
+        assert (await setup.leave()).is_ok()
+
+    run(_steps)
+
+
+def test_disk_that_hangs_delays_nothing_else():
+    """Guards against a disk that holds up answers, or questions for ever."""
+
+    async def _steps(setup):
+        stores = [setup.nodes[n].departures.store for n in KEEPERS]
+        for store in stores:
+            await store.disk.lock.acquire()
+        began = asyncio.get_running_loop().time()
+        refused = await setup.leave()
+        assert refused.error.code is codes.DEPARTURE_NOT_KEPT
+        waited_s = asyncio.get_running_loop().time() - began
+        assert waited_s < 2 * departure_store.DISK_WAIT_S
+        recall = messages.KeepDepartures('127.0.0.1')
+        peer = setup.nodes[0].identity.peer
+        transport = setup.nodes[LEAVER].transport
+        assert (await transport.call(peer, recall, 0.1)).is_ok()
+        await asyncio.sleep(HANGS_S)
+        for store in stores:
+            store.disk.lock.release()
+        assert (await setup.leave()).is_ok()
+
+    run(_steps)
+
+
+def test_process_that_has_not_read_its_file_does_not_answer():
+    """Guards against "nothing is remembered" before the file was read."""
+
+    async def _steps(setup):
+        assert (await setup.leave()).is_ok()
+        await setup.kill(*KEEPERS, LEAVER)
+        for folder in setup.folders.values():
+            folder.errors['read'] = errno.EIO
+        for host in (*KEEPERS, LEAVER):
+            await setup.start(host, incarnation=2)
+        starting = await setup.nodes[LEAVER].departures.wait_accepting()
+        assert starting.error.code is codes.REGISTRY_STARTING
+        for folder in setup.folders.values():
+            folder.errors.clear()
+        late = await setup.announce_late()
+        assert late.error.code is codes.ANNOUNCEMENT_OLD
+
+    run(_steps)
+
+
+@pytest.mark.parametrize('damage', ['torn', 'foreign', 'flipped', 'other'])
+def test_damaged_file_costs_no_start(damage):
+    """Guards against a control host that a damaged file keeps out."""
+
+    async def _steps(setup):
+        assert (await setup.leave()).is_ok()
+        await setup.kill(*KEEPERS)
+        for folder in setup.folders.values():
+            content = folder.read(departure_store.FILE)
+            damaged = {
+                'torn': content[:-3],
+                'foreign': b'something else',
+                'flipped': content[:-1] + bytes([content[-1] ^ 1]),
+                'other': files_module.frame(b'\x93\x01\x02\x03'),
+            }
+            folder.replace(departure_store.FILE, damaged[damage])
+        for host in KEEPERS:
+            await setup.start(host, incarnation=2)
+        await asyncio.sleep(3.0)
+        assert (await setup.leave()).is_ok()
+
+    run(_steps)
+
+
+def test_one_write_carries_the_departures_that_wait():
+    """Guards against as many syncs as upstreams when many hosts stop."""
+
+    async def _steps(setup):
+        store = setup.nodes[0].departures.store
+        transport = setup.nodes[LEAVER].transport
+        peer = setup.nodes[0].identity.peer
+        before = store.writes
+        asked = [
+            transport.call(
+                peer,
+                messages.KeepDepartures(
+                    'h%d' % number,
+                    (messages.Departure('a', 1, GONE, 30_000),),
+                ),
+                1.0,
+            )
+            for number in range(200)
+        ]
+        answers = await asyncio.gather(*asked)
+        assert all(answer.is_ok() for answer in answers)
+        assert store.writes - before < len(asked) / 10
+
+    run(_steps)
+
+
+def test_step_of_the_time_of_day_does_not_change_what_is_remembered():
+    """Guards against departures that end early after a step of the clock."""
+    rng = random.Random(1)
+    folder = control_fakes.Folder(rng)
+
+    async def _run():
+        store = departure_store.DepartureStore(folder, control_fakes.Disk(rng))
+        await store.start()
+        departure = messages.Departure('a', 1, GONE, 30_000)
+        assert await store.load()
+        store.memory.add('h', departure, asyncio.get_running_loop().time())
+        assert await store.save()
+        await store.stop()
+        loop = asyncio.get_running_loop()
+        loop.wall_ms = lambda: 0
+        following = departure_store.DepartureStore(
+            folder, control_fakes.Disk(rng)
+        )
+        await following.start()
+        assert await following.load()
+        (left,) = following.memory.of_host('h', loop.time())
+        assert 29_000 < left.remaining_ms <= 30_000
+        await following.stop()
+
+    fakes.run(_run())
