A process that may have forgotten departures says so, and does not count

Cause: a node that starts accepts upstreams once a majority of its seeds has answered, and a process that has just started without what it was given before answered "nothing" like one that knows. The majority was one of processes, not of memories: control hosts with a new or lost disk, and seeds without a disk, which all start with the node, were counted.

Change: an answer tells whether it is complete. It is for a process that has read its file, that was there when its control group was founded, or that has run for 30 s, after which whatever it may have forgotten has expired; the file has the rest of that time, so that a second start does not end it. Only complete answers count; what others remember is applied. A node that gets too few accepts upstreams after 3 s, as before, and goes on asking.

What this costs: fleets without control hosts, or all of whose control hosts lost their disks, accept upstreams 3 s after a start of all processes, not at once.

test_process_that_may_have_forgotten_does_not_count fails in both forms if all answers count. The fleets of test_departures.py are 1.5 to 3 s old; the tests that let a node start again now say that the others are older than that, their assertions are as they were.

--- a/carawaystair/control/replica.py
+++ b/carawaystair/control/replica.py
@@ -210,6 +210,10 @@
             state.failure,
         )
 
+    def control_group(self) -> kernel_interfaces.ControlGroup:
+        """Return what other parts of the process need of the group."""
+        return kernel_interfaces.ControlGroup(self.shared.founded)
+
     def _role(self) -> str:
         state = self.shared
         if state.failure is not None:
--- a/carawaystair/control/role.py
+++ b/carawaystair/control/role.py
@@ -24,6 +24,7 @@
         super().__init__(**kwargs)
         self.kernel = kernel
         self.group = replicated.make(kernel)
+        kernel.control_group = self.group.replica.control_group
         rng = kernel.random('publisher')
         self.publisher = publisher.Publisher(kernel.links, self.group, rng)
         self.admin = admin.make(kernel, self.group, self.publisher)
--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -436,12 +436,15 @@
     :param peer: the process that it asked.
     :param answered: whether it answered in time.
     :param departures: number of departures in its answer.
+    :param complete: whether it has all that it was ever given; it does not
+        count otherwise.
     :param elapsed_ms: time since the node began to ask, ms.
     """
 
     peer: str
     answered: bool
     departures: int
+    complete: bool
     elapsed_ms: int
 
 
--- a/carawaystair/interfaces.py
+++ b/carawaystair/interfaces.py
@@ -99,6 +99,16 @@
     route: str = ''
 
 
+class ControlGroup(typing.NamedTuple):
+    """What a control host knows of the control group.
+
+    :param founded: whether the group was founded since this process started,
+        so that the fleet is as young as the process.
+    """
+
+    founded: bool = False
+
+
 class Transport(typing.Protocol):
     """Messages to other processes; ``links`` has the one over pyzmq.
 
--- a/carawaystair/kernel.py
+++ b/carawaystair/kernel.py
@@ -9,6 +9,7 @@
 from carawaystair import clock
 from carawaystair import datagrams
 from carawaystair import decisions
+from carawaystair import interfaces
 from carawaystair import invariants
 from carawaystair import keys
 from carawaystair import links
@@ -66,6 +67,10 @@
         # Make further parts, once the roles run.
         self.extensions: list[typing.Callable[['Kernel'], mode.Service]] = []
         self.parts: dict[str, typing.Any] = {}
+        # Returns the control group, in the process of a control host.
+        self.control_group: typing.Callable[[], interfaces.ControlGroup] = (
+            interfaces.ControlGroup
+        )
         # Wall time orders the starts of one host; the sequence within is
         # the owner's.
         self.incarnation = 0
--- a/carawaystair/membership/departure_store.py
+++ b/carawaystair/membership/departure_store.py
@@ -9,9 +9,13 @@
 have come since the last one.  Remaining times are written, not points in time:
 they don't depend on the time of day, and whatever passes between two processes
 only makes a departure be remembered longer.
+
+A process that starts without a file may have forgotten departures.  It
+says so until all that it may have forgotten would have expired.
 """
 
 import asyncio
+import math
 import typing
 
 import mode
@@ -23,6 +27,7 @@
 from carawaystair import logs
 from carawaystair.membership import bounds
 from carawaystair.membership import departure_memory
+from carawaystair.membership import lifetimes
 from carawaystair.membership import messages
 
 FILE = 'departures'
@@ -36,6 +41,9 @@
 MAX_PAUSE_S = 0.05
 # Interval between attempts to open the folder, in seconds.
 OPEN_RETRY_S = 0.5
+# Interval between writes until the memory is complete, in seconds.
+COMPLETENESS_S = 2.0
+MS = 1000
 
 LOG = logs.get('membership')
 
@@ -50,6 +58,9 @@
 
     memory: departure_memory.DepartureMemory
 
+    def complete(self) -> bool:
+        """Return whether the memory has all that this host was given."""
+
     async def load(self) -> bool:
         """Return whether the memory has what earlier processes kept."""
 
@@ -63,6 +74,11 @@
     def __init__(self, **kwargs) -> None:
         super().__init__(**kwargs)
         self.memory = departure_memory.DepartureMemory()
+        self.complete_at = clock.now() + lifetimes.RETENTION_S
+
+    def complete(self) -> bool:
+        """Return whether all that earlier processes knew has expired."""
+        return clock.now() >= self.complete_at
 
     async def load(self) -> bool:
         """Return that there is nothing to read."""
@@ -77,9 +93,11 @@
     """The content of the file.
 
     :param departures: departures by host.
+    :param incomplete_ms: time until the departures are complete, ms.
     """
 
-    departures: dict[str, Departures] = {}
+    departures: dict[str, Departures]
+    incomplete_ms: int
 
 
 _ENCODE = msgspec.msgpack.Encoder().encode
@@ -91,15 +109,21 @@
 
     :param files: the folder.
     :param disk: runs the blocking calls.
+    :param founded: tells whether the fleet began with this process, so that
+        there was nothing to forget.
     """
 
     def __init__(
         self,
         files: files_module.Files,
         disk: disks.Disk,
+        founded: typing.Callable[[], bool] = lambda: False,
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
+        self.founded = founded
+        # Monotonic time at which the memory is complete.
+        self.complete_at = clock.now() + lifetimes.RETENTION_S
         self.memory = departure_memory.DepartureMemory()
         self.files = files
         self.disk = disk
@@ -117,6 +141,16 @@
         self.disk.close()
         self.files.close()
 
+    def complete(self) -> bool:
+        """Return whether the file was there, or is not missed any more."""
+        return self.loaded.is_set() and not self._incomplete_s()
+
+    def _incomplete_s(self) -> float:
+        """Return the time until the memory is complete, in seconds."""
+        if self.founded():
+            return 0.0
+        return max(self.complete_at - clock.now(), 0.0)
+
     async def load(self) -> bool:
         """Return whether the file was read, after a short wait for it."""
         try:
@@ -151,6 +185,19 @@
             pause_s = PAUSE_FACTOR * (clock.now() - began)
             await asyncio.sleep(min(pause_s, MAX_PAUSE_S))
 
+    @mode.Service.task
+    async def _write_completeness(self) -> None:
+        """Write the file although no departure comes, until it is complete.
+
+        The next process would take its absence for a loss.
+        """
+        await self.loaded.wait()
+        while not self.should_stop:
+            complete = self.complete()
+            if await self.save() and complete:
+                return
+            await asyncio.sleep(COMPLETENESS_S)
+
     async def _load(self) -> None:
         try:
             data = await self.disk.run(self._read)
@@ -176,6 +223,7 @@
 
     def _remember(self, image: Image) -> None:
         now = clock.now()
+        self.complete_at = now + image.incomplete_ms / MS
         for host, departures in image.departures.items():
             for departure in filter(bounds.departure_ok, departures):
                 self.memory.add(host, departure, now)
@@ -184,7 +232,10 @@
     async def _write(self) -> None:
         """Write what is in the memory, and tell those who wait for it."""
         write, self.next_write = self.next_write, None
-        image = Image(self.memory.by_hosts(clock.now()))
+        image = Image(
+            self.memory.by_hosts(clock.now()),
+            math.ceil(self._incomplete_s() * MS),
+        )
         saved = False
         try:
             size = await self.disk.run(self._replace, image)
@@ -227,4 +278,8 @@
     folder = kernel.data(FOLDER)
     if folder is None:
         return MemoryOnly()
-    return DepartureStore(files_module.Folder(folder), disks.make())
+    return DepartureStore(
+        files_module.Folder(folder),
+        disks.make(),
+        lambda: kernel.control_group().founded,
+    )
--- a/carawaystair/membership/departures.py
+++ b/carawaystair/membership/departures.py
@@ -42,6 +42,8 @@
 MS = 1000
 # Names of upstreams in a line of the logs, so that it stays short.
 MAX_NAMES_SHOWN = 4
+# Stands for no answer in the logs.
+NOTHING = messages.KeptDepartures(())
 
 LOG = logs.get('membership')
 
@@ -158,6 +160,8 @@
         began = clock.now()
         message = messages.KeepDepartures(self.table.host)
         needed = len(self.seeds) // 2 + 1 if self.seeds else 0
+        # Only those whose memory is complete count: "nothing" of others says
+        # nothing.
         answered: set[str] = set()
         while len(answered) < needed and not self.should_stop:
             peers = dict.fromkeys((*self.seeds, *self.keepers()))
@@ -220,16 +224,16 @@
     async def _ask_one(
         self, peer: str, message: messages.KeepDepartures
     ) -> str:
-        """Ask a process; return its address, or '' if it does not answer."""
+        """Ask a process; return its address if its answer counts, or ''."""
         result = await self.transport.call(peer, message, TIMEOUT_S)
-        if not message.departures:
-            self._tell_recalled(peer, result)
+        if message.departures:
+            return '' if result.is_error() else peer
+        self._tell_recalled(peer, result)
         if result.is_error():
             return ''
-        if not message.departures:
-            for departure in filter(bounds.departure_ok, result.ok.departures):
-                self.registry.restore(departure)
-        return peer
+        for departure in filter(bounds.departure_ok, result.ok.departures):
+            self.registry.restore(departure)
+        return peer if result.ok.complete else ''
 
     # At another process
 
@@ -246,7 +250,9 @@
         kept = await (store.save() if message.departures else store.load())
         held = self.memory.of_host(message.host, clock.now())
         self._tell_asked(message, len(held), kept)
-        return messages.KeptDepartures(held) if kept else None
+        if not kept:
+            return None
+        return messages.KeptDepartures(held, store.complete())
 
     # Log
 
@@ -267,12 +273,13 @@
         )
 
     def _tell_recalled(self, peer: str, result: expression.Result) -> None:
-        found = result.ok.departures if result.is_ok() else ()
+        found = result.ok if result.is_ok() else NOTHING
         self.recorder.tell(
             decisions.DeparturesRecalled(
                 peer,
                 result.is_ok(),
-                len(found),
+                len(found.departures),
+                found.complete,
                 int((clock.now() - self.created_at) * MS),
             ),
             decisions.BELIEF,
--- a/carawaystair/membership/messages.py
+++ b/carawaystair/membership/messages.py
@@ -412,9 +412,12 @@
     """Answers a KeepDepartures.
 
     :param departures: all that is remembered of the host.
+    :param complete: whether the sender has all departures that it was ever
+        given and that are to be remembered; false after a start without them.
     """
 
     departures: tuple[Departure, ...]
+    complete: bool = False
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/test/fakes.py
+++ b/test/fakes.py
@@ -246,6 +246,7 @@
         self.recorder = decisions.Recorder(self.settings.host)
         self.incarnation = clock.wall_ms()
         self.shutdown = shutdowns.Shutdown()
+        self.control_group = interfaces.ControlGroup
 
     def random(self, part: str) -> random.Random:
         """Return randomness with a seed of its own."""
--- a/test/test_departure_store.py
+++ b/test/test_departure_store.py
@@ -10,6 +10,8 @@
 from carawaystair import codes
 from carawaystair.control import files as files_module
 from carawaystair.membership import departure_store
+from carawaystair.membership import departures
+from carawaystair.membership import lifetimes
 from carawaystair.membership import messages
 from test import control_fakes
 from test import fakes
@@ -44,6 +46,11 @@
         )
         await self.nodes[number].start()
 
+    async def wait_complete(self):
+        """Wait until nothing can have been forgotten any more."""
+        await asyncio.sleep(lifetimes.RETENTION_S)
+        await asyncio.sleep(2 * departure_store.COMPLETENESS_S)
+
     async def kill(self, *numbers, power=False):
         """Kill processes at the same moment."""
         for number in numbers:
@@ -257,3 +264,81 @@
         await following.stop()
 
     fakes.run(_run())
+
+
+@pytest.mark.parametrize('lost', [KEEPERS, KEEPERS[:1]])
+def test_process_that_may_have_forgotten_does_not_count(lost):
+    """Guards against "nothing is remembered" taken for knowledge."""
+
+    async def _steps(setup):
+        await setup.wait_complete()
+        await setup.kill(*KEEPERS, LEAVER)
+        for host in lost:
+            setup.folders[host] = control_fakes.Folder(random.Random(host))
+        for host in (*KEEPERS, LEAVER):
+            await setup.start(host, incarnation=2)
+        await asyncio.sleep(departures.MAX_RECALL_S / 2)
+        following = setup.nodes[LEAVER].departures
+        assert not following.accepting.is_set()
+        await asyncio.sleep(departures.MAX_RECALL_S / 2 + 0.5)
+        assert following.accepting.is_set()
+
+    run(_steps)
+
+
+def test_node_starts_at_once_where_nothing_was_forgotten():
+    """Guards against starts that wait although all disks are there."""
+
+    async def _steps(setup):
+        await setup.wait_complete()
+        await setup.kill(*KEEPERS, LEAVER)
+        for host in (*KEEPERS, LEAVER):
+            await setup.start(host, incarnation=2)
+        await asyncio.sleep(2 * departures.RETRY_S)
+        assert setup.nodes[LEAVER].departures.accepting.is_set()
+
+    run(_steps)
+
+
+def test_loss_of_a_disk_is_remembered_over_a_second_start():
+    """Guards against a new file that passes for one that was never lost."""
+    rng = random.Random(1)
+    folder = control_fakes.Folder(rng)
+
+    async def _start():
+        store = departure_store.DepartureStore(folder, control_fakes.Disk(rng))
+        await store.start()
+        await asyncio.sleep(1.0)
+        return store
+
+    async def _run():
+        store = await _start()
+        assert not store.complete()
+        await store.stop()
+        store = await _start()
+        assert not store.complete()
+        await asyncio.sleep(lifetimes.RETENTION_S)
+        await asyncio.sleep(2 * departure_store.COMPLETENESS_S)
+        assert store.complete()
+        await store.stop()
+        store = await _start()
+        assert store.complete()
+        await store.stop()
+
+    fakes.run(_run())
+
+
+def test_first_start_of_a_fleet_has_forgotten_nothing():
+    """Guards against a first start that waits for what never was."""
+
+    async def _run():
+        rng = random.Random(1)
+        store = departure_store.DepartureStore(
+            control_fakes.Folder(rng), control_fakes.Disk(rng), lambda: True
+        )
+        await store.start()
+        assert await store.load()
+        assert store.complete()
+        await store.stop()
+
+    fakes.run(_run())
--- a/test/test_departures.py
+++ b/test/test_departures.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 import pytest
 
+from carawaystair import clock
 from carawaystair import codes
 from carawaystair.membership import bounds
 from carawaystair.membership import departure_memory
@@ -19,6 +20,14 @@
 BODY = {'service': 'stock', 'address': '127.0.0.1:9000', 'slots': 4}
 
 
+async def start_fleet(network, **settle):
+    """Start four processes; the others' memory is older than departures."""
+    nodes = await membership_tests.start_fleet(network, 4, **settle)
+    for node in nodes:
+        node.departures.store.complete_at = clock.now()
+    return nodes
+
+
 async def start_next(network, node):
     """Kill the process of a host and start the next one."""
     membership_tests.crash(network, node)
@@ -49,7 +58,7 @@
 
     async def _run():
         network = fakes.Network()
-        nodes = await membership_tests.start_fleet(network, 4, settle_s=1.5)
+        nodes = await start_fleet(network, settle_s=1.5)
         statuses = [await call(nodes[2], 'PUT', **given)]
         if state == 'gone':
             path = PATH + ('?incarnation=5' if given else '')
@@ -74,7 +83,7 @@
 
     async def _run():
         network = fakes.Network()
-        nodes = await membership_tests.start_fleet(network, 4)
+        nodes = await start_fleet(network)
         await steps(network, nodes)
 
     fakes.run(_run())
