--- a/carawaystair/control/role.py
+++ b/carawaystair/control/role.py
@@ -60,6 +60,8 @@
     all nodes start again at once.
     """
     made = membership.make(kernel)
+    store = made.departures.store
+    metrics.collect(nodemetrics.DepartureMetrics(store).samples)
     return made, quarantine.make(kernel, made.members)
 
 
--- a/carawaystair/explain.py
+++ b/carawaystair/explain.py
@@ -72,6 +72,11 @@
     'lease-decided': '{call} of {upstream} as {state}, incarnation'
     ' {incarnation}, number {number}, was decided with {code}; had a lease:'
     ' {leased}, known {known} for {known_ms} ms more',
+    'departures-asked': '{owner} asked to {call} departures ({upstreams});'
+    ' kept: {kept}, {held} held in a memory of {memory_ms} ms',
+    'departures-recalled': '{peer} was asked for departures; answered:'
+    ' {answered}, with {departures}, complete: {complete}, {elapsed_ms} ms'
+    ' after the first question',
     'life-began': '{upstream} of {service} began life {incarnation} at'
     ' {address} ({slots} slots, {warmup_ms} ms of warm-up); {cut} runs of'
     ' former lives broken off',
--- a/carawaystair/membership/departure_store.py
+++ b/carawaystair/membership/departure_store.py
@@ -54,9 +54,13 @@
     """Keeps departures.
 
     :ivar memory: the departures.
+    :ivar writes: number of writes to a disk.
+    :ivar written_bytes: bytes of these.
     """
 
     memory: departure_memory.DepartureMemory
+    writes: int
+    written_bytes: int
 
     def complete(self) -> bool:
         """Return whether the memory has all that this host was given."""
@@ -75,6 +79,8 @@
         super().__init__(**kwargs)
         self.memory = departure_memory.DepartureMemory()
         self.complete_at = clock.now() + lifetimes.RETENTION_S
+        self.writes = 0
+        self.written_bytes = 0
 
     def complete(self) -> bool:
         """Return whether all that earlier processes knew has expired."""
--- a/carawaystair/node.py
+++ b/carawaystair/node.py
@@ -42,6 +42,8 @@
         flood_metrics = nodemetrics.FloodMetrics(self.membership.flooder)
         metrics.collect(flood_metrics.samples)
         metrics.collect(nodemetrics.NodeMetrics(self.report).samples)
+        store = self.membership.departures.store
+        metrics.collect(nodemetrics.DepartureMetrics(store).samples)
         metrics.collect(nodemetrics.FollowerMetrics(self.follower).samples)
 
     async def on_stop(self) -> None:
--- a/carawaystair/nodemetrics.py
+++ b/carawaystair/nodemetrics.py
@@ -3,9 +3,11 @@
 import collections
 import typing
 
+from carawaystair import clock
 from carawaystair.control import interfaces as control
 from carawaystair import follower
 from carawaystair import invariants
+from carawaystair.membership import departure_store
 from carawaystair.membership import flooding
 from carawaystair import metrics
 
@@ -106,6 +108,28 @@
         yield metrics.Sample('config_tables_read_total', counts.tables_read)
 
 
+class DepartureMetrics:
+    """Metrics of what a process remembers of departures.
+
+    :param store: keeps them.
+    """
+
+    def __init__(self, store: departure_store.Store) -> None:
+        self.store = store
+
+    def samples(self) -> typing.Iterator[metrics.Sample]:
+        """Yield the samples."""
+        store = self.store
+        held = store.memory.by_hosts(clock.now())
+        count = sum(map(len, held.values()))
+        yield metrics.Sample('departures_held', count)
+        yield metrics.Sample('departures_complete', int(store.complete()))
+        yield metrics.Sample('departures_writes_total', store.writes)
+        yield metrics.Sample(
+            'departures_written_bytes_total', store.written_bytes
+        )
+
+
 class ControlMetrics:
     """Metrics of a control host.
 
