Departures are kept and recalled by majorities of one group

Cause: a departure was acknowledged once most of five live control hosts had it, and recalled from most of the seeds. Seeds are three addresses, which may be of other hosts, and five control hosts may be any: three of five that confirm and two of three seeds need not share a host.

Change: answers name the control hosts that vote, as their log has them, and the place in the log; the newest group counts. Most of it must confirm a departure, and most of it must answer a node that starts. Groups change by one voter at a time, so two majorities share a host also while one is replaced. Where no group is known, as before. A process with a disk and no seeds recalls from itself.

--- a/carawaystair/control/replica.py
+++ b/carawaystair/control/replica.py
@@ -212,7 +212,12 @@
 
     def control_group(self) -> kernel_interfaces.ControlGroup:
         """Return what other parts of the process need of the group."""
-        return kernel_interfaces.ControlGroup(self.shared.founded)
+        state = self.shared
+        return kernel_interfaces.ControlGroup(
+            state.log.group_index,
+            tuple(member.peer for member in state.group.voters()),
+            state.founded,
+        )
 
     def _role(self) -> str:
         state = self.shared
--- a/carawaystair/interfaces.py
+++ b/carawaystair/interfaces.py
@@ -100,12 +100,17 @@
 
 
 class ControlGroup(typing.NamedTuple):
-    """What a control host knows of the control group.
+    """What a process knows of the control group.
 
+    :param index: place in the group's log of the change that made it so; 0
+        where no group is known.
+    :param peers: ``ip:port`` of the links of the hosts that vote.
     :param founded: whether the group was founded since this process started,
         so that the fleet is as young as the process.
     """
 
+    index: int = 0
+    peers: tuple[str, ...] = ()
     founded: bool = False
 
 
--- a/carawaystair/membership/__init__.py
+++ b/carawaystair/membership/__init__.py
@@ -37,6 +37,8 @@
         gateway=settings.node.gateway,
         recorder=kernel.recorder,
         store=departure_store.make(kernel),
+        # The control role may be made later.
+        control_group=lambda: kernel.control_group(),
     )
     kernel.links.traffic.far = membership.address_locations.is_remote
     kernel.datagrams.traffic.far = membership.address_locations.is_remote
--- a/carawaystair/membership/bounds.py
+++ b/carawaystair/membership/bounds.py
@@ -22,6 +22,7 @@
 MILLI = 1000
 STATES = 2
 DEPARTURE_STATES = 2
+MAX_CONTROL_HOSTS = 32
 # Longest time for which a departure is remembered, ms.
 MAX_REMAINING_MS = 3_600_000
 # Numbers are encoded in 64 bits; one bit is kept free for comparisons.
@@ -84,6 +85,15 @@
     )
 
 
+def group_ok(peers: typing.Sequence[str], index: int) -> bool:
+    """Tell whether a control group that another process named is valid."""
+    return (
+        number_ok(index)
+        and len(peers) <= MAX_CONTROL_HOSTS
+        and all(map(address_ok, peers))
+    )
+
+
 def body_ok(body: typing.Any) -> bool:
     """Tell whether a ``messages.Body`` has valid locations and addresses."""
     return (
--- a/carawaystair/membership/departures.py
+++ b/carawaystair/membership/departures.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import functools
 import typing
 
 import expression
@@ -56,6 +57,7 @@
     :param transport: the messages of this process.
     :param seeds: ``ip:port`` of the links of some processes.
     :param store: keeps what this process remembers for others.
+    :param control_group: returns the control group, at a control host.
     :param recorder: records events; None to record none.
     """
 
@@ -66,6 +68,7 @@
         transport: interfaces.Transport,
         seeds: typing.Sequence[str],
         store: departure_store.DepartureStore | departure_store.MemoryOnly,
+        control_group: typing.Callable[[], interfaces.ControlGroup],
         recorder: decisions.Recorder | None = None,
         **kwargs,
     ) -> None:
@@ -77,10 +80,15 @@
         self.transport = transport
         own = table.own_entry.member.peer
         self.seeds = tuple(seed for seed in seeds if seed != own)
+        self.control_group = control_group
+        # The newest control group that others have named.
+        self.named_group = interfaces.ControlGroup()
         self.store = store
         self.memory = store.memory
         # Set once upstreams are accepted.
         self.accepting = asyncio.Event()
+        # Whether the memory of this process has been asked.
+        self.own_recalled = False
         # Questions to other processes.
         self.questions: set[asyncio.Task] = set()
         transport.handle(messages.KeepDepartures, self._handle_keep)
@@ -109,41 +117,49 @@
     async def keep(self, name: str) -> expression.Result[None, codes.Failure]:
         """Make most of the keepers remember that an upstream leaves.
 
-        Succeed at once if it does not leave, or if there are no others.
+        Succeed at once if it does not leave.
 
         :param name: id of the upstream.
         """
         departure = self.registry.departure(name)
         if departure is None:
             return expression.Ok(None)
-        peers = self.keepers()
-        if not peers:
-            return expression.Ok(None)
         message = messages.KeepDepartures(self.table.host, (departure,))
-        needed = len(peers) // 2 + 1
-        answers = await self._ask(peers, message, needed)
-        if len(answers) >= needed:
-            return expression.Ok(None)
+        answered: set[str] = set()
+        peers: tuple[str, ...] = ()
+        while peers != self.keepers():
+            # Again for those of a group that an answer has named.
+            peers = self.keepers()
+            is_kept = functools.partial(_are_most, peers)
+            answered |= await self._ask(peers, message, is_kept, answered)
+            if peers == self.keepers() and is_kept(answered):
+                return expression.Ok(None)
         LOG.warning(
             'Too few processes remember that an upstream leaves.',
             upstream=name,
             state=messages.DEPARTURE_STATES[departure.state],
             asked=len(peers),
-            answered=len(answers),
+            answered=len(answered),
         )
         return codes.fail(codes.DEPARTURE_NOT_KEPT, name)
 
+    def group(self) -> interfaces.ControlGroup:
+        """Return the newest control group that is known here."""
+        return max(self.control_group(), self.named_group)
+
     def keepers(self) -> tuple[str, ...]:
         """Return the addresses of the processes that remember departures.
 
-        They are those that the next process of this host finds first: live
-        control hosts and seeds; others if there are none of these.
+        They are those that the next process of this host asks: the control
+        hosts that vote; where too few of them live or none is known, live
+        control hosts and seeds, or others.
         """
-        others = [
-            entry.member
-            for entry in self.table.live_entries()
-            if entry.member.host != self.table.host
-        ]
+        own = self.table.own_entry.member
+        live = [entry.member for entry in self.table.live_entries()]
+        others = [member for member in live if member.host != own.host]
+        group = self.group().peers
+        if group and (not others or _are_most(group, {m.peer for m in live})):
+            return group
         found = [
             member.peer
             for member in sorted(others, key=lambda m: (not m.control, m.host))
@@ -152,34 +168,59 @@
         if found:
             return tuple(found[:MAX_KEEPERS])
         peers = [member.peer for member in others[:MAX_MEMBER_KEEPERS]]
-        return tuple(peers) or self.seeds
+        return tuple(peers) or self.seeds or (own.peer,)
 
     @mode.Service.task
     async def _recall(self) -> None:
-        """Ask what is remembered of this host, until most seeds answered."""
+        """Ask what is remembered of this host, until enough have answered.
+
+        Only those whose memory is complete count: "nothing" of others says
+        nothing.
+        """
         began = clock.now()
+        if self.table.own_entry.member.control:
+            # It has no upstreams.
+            self._accept(began, ())
+            return
         message = messages.KeepDepartures(self.table.host)
-        needed = len(self.seeds) // 2 + 1 if self.seeds else 0
-        # Only those whose memory is complete count: "nothing" of others says
-        # nothing.
-        answered: set[str] = set()
-        while len(answered) < needed and not self.should_stop:
-            peers = dict.fromkeys((*self.seeds, *self.keepers()))
-            unanswered = [peer for peer in peers if peer not in answered]
+        answered = await self._ask(self._own_peers(), message, bool)
+        while not self._is_recalled(answered) and not self.should_stop:
+            peers = (*self.seeds, *self.group().peers, *self.keepers())
             answered |= await self._ask(
-                unanswered, message, needed - len(answered)
+                peers, message, self._is_recalled, answered
             )
             waited_s = clock.now() - began
             if waited_s >= lifetimes.RETENTION_S:
                 # Whatever was remembered has expired.
                 break
-            if len(answered) < needed:
+            if not self._is_recalled(answered):
                 if waited_s >= MAX_RECALL_S:
                     self._accept(began, answered)
                 accepting = self.accepting.is_set()
                 await asyncio.sleep(LATER_RETRY_S if accepting else RETRY_S)
         self._accept(began, answered)
 
+    def _own_peers(self) -> tuple[str, ...]:
+        """Return the own address, as that of those to ask."""
+        return (self.table.own_entry.member.peer,)
+
+    def _is_recalled(self, answered: set[str]) -> bool:
+        """Tell whether nobody else can know of another departure.
+
+        Most of the control group have answered, so one at least of those
+        who confirmed a departure.  Where no group is known, as many as most
+        of the seeds.
+
+        :param answered: who has answered with a complete memory.
+        """
+        group = self.group().peers
+        if group:
+            return _are_most(group, answered)
+        if not self.seeds:
+            return self.own_recalled
+        others = answered.difference(self._own_peers())
+        return len(others) > len(self.seeds) // 2
+
     def _accept(self, began: float, answered: typing.Collection[str]) -> None:
         """Accept upstreams from now on."""
         if self.accepting.is_set():
@@ -197,21 +238,28 @@
         self,
         peers: typing.Iterable[str],
         message: messages.KeepDepartures,
-        needed: int,
+        is_enough: typing.Callable[[set[str]], bool],
+        answered: typing.Collection[str] = (),
     ) -> set[str]:
         """Ask some processes; return the addresses that have answered.
 
-        :param needed: answers after which no more are waited for.
+        :param is_enough: tells of those that have answered whether no more
+            are waited for.
+        :param answered: those that have answered before; they are not asked.
         """
-        answered: set[str] = set()
-        asked = [self._start(peer, message) for peer in peers]
+        found = set(answered)
+        asked = [
+            self._start(peer, message)
+            for peer in dict.fromkeys(peers)
+            if peer not in found
+        ]
         for question in asyncio.as_completed(asked):
             peer = await question
             if peer:
-                answered.add(peer)
-            if len(answered) >= needed:
+                found.add(peer)
+            if is_enough(found):
                 break
-        return answered
+        return found
 
     def _start(
         self, peer: str, message: messages.KeepDepartures
@@ -225,16 +273,35 @@
         self, peer: str, message: messages.KeepDepartures
     ) -> str:
         """Ask a process; return its address if its answer counts, or ''."""
-        result = await self.transport.call(peer, message, TIMEOUT_S)
+        result = await self._call(peer, message)
+        if result.is_ok():
+            self._note_group(result.ok)
         if message.departures:
             return '' if result.is_error() else peer
         self._tell_recalled(peer, result)
         if result.is_error():
             return ''
+        self.own_recalled |= peer in self._own_peers()
         for departure in filter(bounds.departure_ok, result.ok.departures):
             self.registry.restore(departure)
         return peer if result.ok.complete else ''
 
+    async def _call(
+        self, peer: str, message: messages.KeepDepartures
+    ) -> expression.Result[messages.KeptDepartures, codes.Failure]:
+        if peer not in self._own_peers():
+            return await self.transport.call(peer, message, TIMEOUT_S)
+        answer = await self._handle_keep(peer, message)
+        if answer is None:
+            return codes.fail(codes.PEER_SILENT, peer)
+        return expression.Ok(answer)
+
+    def _note_group(self, answer: messages.KeptDepartures) -> None:
+        """Take the control group of an answer, if it is newer."""
+        if bounds.group_ok(answer.group, answer.group_index):
+            named = interfaces.ControlGroup(answer.group_index, answer.group)
+            self.named_group = max(self.named_group, named)
+
     # At another process
 
     async def _handle_keep(
@@ -252,7 +319,10 @@
         self._tell_asked(message, len(held), kept)
         if not kept:
             return None
-        return messages.KeptDepartures(held, store.complete())
+        group = self.group()
+        return messages.KeptDepartures(
+            held, store.complete(), group.peers, group.index
+        )
 
     # Log
 
@@ -284,3 +354,11 @@
             ),
             decisions.BELIEF,
         )
+
+
+def _are_most(
+    group: typing.Collection[str], answered: typing.Collection[str]
+) -> bool:
+    """Tell whether most of a group are among those that have answered."""
+    present = set(group).intersection(answered)
+    return len(present) > len(set(group)) // 2
--- a/carawaystair/membership/messages.py
+++ b/carawaystair/membership/messages.py
@@ -414,10 +414,15 @@
     :param departures: all that is remembered of the host.
     :param complete: whether the sender has all departures that it was ever
         given and that are to be remembered; false after a start without them.
+    :param group: ``ip:port`` of the control hosts that vote, as far as the
+        sender knows.
+    :param group_index: place in their log where they became so; 0 if unknown.
     """
 
     departures: tuple[Departure, ...]
     complete: bool = False
+    group: tuple[str, ...] = ()
+    group_index: int = 0
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/carawaystair/membership/service.py
+++ b/carawaystair/membership/service.py
@@ -86,6 +86,7 @@
     :param recorder: records events; None to record none.
     :param store: keeps departures of other hosts' upstreams; None for the
         memory of this process.
+    :param control_group: returns the control group, at a control host.
     """
 
     def __init__(
@@ -101,6 +102,9 @@
         gateway: str | None = None,
         recorder: decisions.Recorder | None = None,
         store: departure_store.DepartureStore | None = None,
+        control_group: typing.Callable[
+            [], interfaces.ControlGroup
+        ] = interfaces.ControlGroup,
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
@@ -161,6 +165,7 @@
             transport,
             seeds,
             store or departure_store.MemoryOnly(),
+            control_group,
             recorder,
         )
         self.api = api.Api(self.registry, self.directory, self.departures)
--- a/test/test_departure_store.py
+++ b/test/test_departure_store.py
@@ -9,6 +9,7 @@
 
 from carawaystair import codes
 from carawaystair.control import files as files_module
+from carawaystair import interfaces
 from carawaystair.membership import departure_store
 from carawaystair.membership import departures
 from carawaystair.membership import lifetimes
@@ -21,6 +22,9 @@
 KEEPERS = (0, 1)
 LEAVER = 2
 HANGS_S = 5.0
+NO_GROUP = interfaces.ControlGroup()
+# Numbers of five control hosts.
+CONTROL = (0, 1, 3, 4, 5)
 
 
 class Setup(typing.NamedTuple):
@@ -29,20 +33,27 @@
     :param network: carries its messages.
     :param folders: the folder of each seed.
     :param nodes: its processes by number.
+    :param groups: the control group that each of them knows.
     """
 
     network: fakes.Network
     folders: dict[int, control_fakes.Folder]
     nodes: dict[int, typing.Any]
+    groups: dict[int, interfaces.ControlGroup]
 
-    async def start(self, number, incarnation=1):
+    async def start(self, number, incarnation=1, seeds=KEEPERS):
         """Start the next process of a host."""
         store = None
         if number in self.folders:
             disk = control_fakes.Disk(random.Random(number))
             store = departure_store.DepartureStore(self.folders[number], disk)
         self.nodes[number] = membership_tests.make_node(
-            self.network, number, KEEPERS, incarnation, store=store
+            self.network,
+            number,
+            seeds,
+            incarnation,
+            store=store,
+            control_group=lambda: self.groups.get(number, NO_GROUP),
         )
         await self.nodes[number].start()
 
@@ -75,14 +86,25 @@
         return membership_tests.announce(node, 'a')
 
 
-def run(steps, keepers=KEEPERS):
-    """Run the steps of a test in virtual time."""
+def peers(*numbers):
+    """Return the addresses of processes."""
+    return tuple(fakes.member(number).peer for number in numbers)
+
+
+def run(steps, keepers=KEEPERS, groups=None):
+    """Run the steps of a test in virtual time.
+
+    :param keepers: numbers of the processes with disks.
+    :param groups: the control group that processes know, by their numbers.
+    """
 
     async def _run():
         rng = random.Random(1)
         folders = {number: control_fakes.Folder(rng) for number in keepers}
-        setup = Setup(fakes.Network(), folders, {})
-        for number in (*KEEPERS, LEAVER):
+        setup = Setup(fakes.Network(), folders, {}, {})
+        if groups:
+            setup.groups.update(groups)
+        for number in sorted({*KEEPERS, *keepers, LEAVER}):
             await setup.start(number)
         await asyncio.sleep(3.0)
         membership_tests.announce(setup.nodes[LEAVER], 'a')
@@ -342,3 +364,77 @@
         await store.stop()
 
     fakes.run(_run())
+
+
+def group(index, *numbers):
+    """Return a control group of some processes."""
+    return interfaces.ControlGroup(index, peers(*numbers))
+
+
+def test_departure_is_recalled_from_the_group_and_not_from_the_seeds():
+    """Guards against seeds that are a minority of those who confirm."""
+
+    async def _steps(setup):
+        await setup.wait_complete()
+        setup.network.cut(peers(LEAVER), peers(*KEEPERS))
+        assert (await setup.leave()).is_ok()
+        await setup.kill(LEAVER)
+        await setup.start(LEAVER, incarnation=2)
+        late = await setup.announce_late()
+        assert late.error.code is codes.ANNOUNCEMENT_OLD
+
+    every = group(1, *CONTROL)
+    run(_steps, CONTROL, dict.fromkeys(CONTROL, every))
+
+
+def test_departure_is_not_acknowledged_by_a_minority_of_the_group():
+    """Guards against control hosts that come back and were not asked."""
+
+    async def _steps(setup):
+        await setup.wait_complete()
+        setup.network.cut(peers(LEAVER), peers(*CONTROL[:3]))
+        refused = await setup.leave()
+        assert refused.error.code is codes.DEPARTURE_NOT_KEPT
+
+    every = group(1, *CONTROL)
+    run(_steps, CONTROL, dict.fromkeys(CONTROL, every))
+
+
+def test_departure_is_kept_by_the_newest_group_that_an_answer_names():
+    """Guards against departures left with hosts that were replaced."""
+
+    async def _steps(setup):
+        await setup.wait_complete()
+        setup.groups.update(dict.fromkeys(CONTROL, group(2, 3, 4, 5)))
+        node = setup.nodes[LEAVER]
+        assert node.departures.group() == group(1, 0, 1, 3)
+        assert (await setup.leave()).is_ok()
+        holders = [
+            number
+            for number in (3, 4, 5)
+            if setup.nodes[number].departures.memory.by_host
+        ]
+        assert len(holders) >= 2
+        assert node.departures.group() == group(2, 3, 4, 5)
+
+    former = group(1, 0, 1, 3)
+    run(_steps, CONTROL, dict.fromkeys(CONTROL, former))
+
+
+def test_single_process_with_a_disk_recalls_by_itself():
+    """Guards against a process that forgets what it confirmed to itself."""
+
+    async def _run():
+        rng = random.Random(1)
+        folders = {LEAVER: control_fakes.Folder(rng)}
+        setup = Setup(fakes.Network(), folders, {}, {})
+        await setup.start(LEAVER, seeds=())
+        assert (await setup.nodes[LEAVER].departures.wait_accepting()).is_ok()
+        membership_tests.announce(setup.nodes[LEAVER], 'a')
+        assert (await setup.leave()).is_ok()
+        await setup.kill(LEAVER)
+        await setup.start(LEAVER, incarnation=2, seeds=())
+        late = await setup.announce_late()
+        assert late.error.code is codes.ANNOUNCEMENT_OLD
+
+    fakes.run(_run())
