Departures confirmed while control is away are handed over to it

Cause: where no control host lives, three other processes confirm a departure, whichever a node lists first. A control host that comes back, and the next process of the node, knew nothing of it and asked neither of them.

Change: the processes that stand in are chosen by a key that is the same for all hosts, five together with the control hosts that live. When a control host is back, whoever remembers departures sends them to it; when a host has started, it is sent those of its own upstreams.

test_departure_while_control_is_away_reaches_those_who_come_back failed in both orders before, and passes. What is confirmed so is in memory alone, until control is back.

--- a/carawaystair/membership/departures.py
+++ b/carawaystair/membership/departures.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import functools
+import itertools
 import typing
 
 import expression
@@ -24,11 +25,17 @@
 from carawaystair.membership import messages
 from carawaystair.membership import registry as registries
 from carawaystair.membership import table as tables
+from carawaystair import rendezvous
 
-# Most processes that remember a departure: control hosts and seeds, or other
-# members where there are none of these.
+# Most processes that remember a departure where there is no control group, or
+# too few of its hosts live.
 MAX_KEEPERS = 5
-MAX_MEMBER_KEEPERS = 3
+# Key by which processes are chosen that stand in for control hosts.
+STAND_INS = 'departures'
+# Attempts to give a process that is back what it missed.
+MAX_HAND_OVERS = 10
+# Hosts whose departures are sent at the same time.
+HAND_OVER_BATCH = 64
 # Timeout of a question to one of them; upstreams wait for a second.
 TIMEOUT_S = 0.4
 # Pause between questions after the start, in seconds, until upstreams are
@@ -91,6 +98,7 @@
         self.own_recalled = False
         # Questions to other processes.
         self.questions: set[asyncio.Task] = set()
+        table.listeners.append(self._hand_over_to)
         transport.handle(messages.KeepDepartures, self._handle_keep)
 
     async def on_start(self) -> None:
@@ -151,8 +159,9 @@
         """Return the addresses of the processes that remember departures.
 
         They are those that the next process of this host asks: the control
-        hosts that vote; where too few of them live or none is known, live
-        control hosts and seeds, or others.
+        hosts that vote.  Where too few of these live, some other processes
+        stand in for the missing ones, the same for all hosts; where no group
+        is known, live control hosts and seeds do, or others.
         """
         own = self.table.own_entry.member
         live = [entry.member for entry in self.table.live_entries()]
@@ -165,10 +174,10 @@
             for member in sorted(others, key=lambda m: (not m.control, m.host))
             if member.control or member.peer in self.seeds
         ]
-        if found:
-            return tuple(found[:MAX_KEEPERS])
-        peers = [member.peer for member in others[:MAX_MEMBER_KEEPERS]]
-        return tuple(peers) or self.seeds or (own.peer,)
+        ranked = [m.peer for m in rendezvous.rank(STAND_INS, others)]
+        if group or not found:
+            found = list(dict.fromkeys((*found, *ranked)))
+        return tuple(found[:MAX_KEEPERS]) or self.seeds or (own.peer,)
 
     @mode.Service.task
     async def _recall(self) -> None:
@@ -264,7 +273,10 @@
     def _start(
         self, peer: str, message: messages.KeepDepartures
     ) -> asyncio.Task:
-        question = asyncio.create_task(self._ask_one(peer, message))
+        return self._keep_task(self._ask_one(peer, message))
+
+    def _keep_task(self, work: typing.Coroutine) -> asyncio.Task:
+        question = asyncio.create_task(work)
         self.questions.add(question)
         question.add_done_callback(self.questions.discard)
         return question
@@ -304,15 +316,82 @@
 
     # At another process
 
+    def _hand_over_to(self, change: tables.Change) -> None:
+        """Give a process that is back what it missed.
+
+        To a control host all that is remembered here: others have confirmed
+        departures in its place.  To a host that has started the departures of
+        its own upstreams, which it may not have found anybody to ask for.
+        """
+        entry, member = change.entry, change.entry.member
+        if not entry.up or member.host == self.table.host:
+            return
+        old = change.old_record
+        started = old is None or old.incarnation < entry.record.incarnation
+        is_control = member.peer in self.group().peers
+        if is_control and (started or not change.was_up):
+            departures = self.memory.by_hosts(clock.now())
+        elif started:
+            own = self.memory.of_host(member.host, clock.now())
+            departures = {member.host: own} if own else {}
+        else:
+            return
+        if departures:
+            self._keep_task(self._hand_over(member.peer, departures))
+
+    async def _hand_over(
+        self,
+        peer: str,
+        departures: dict[str, tuple[messages.Departure, ...]],
+    ) -> None:
+        """Send departures by host to a process until it has confirmed them."""
+        missing = dict(departures)
+        for _attempt in range(MAX_HAND_OVERS):
+            hosts = list(missing)
+            for start in range(0, len(hosts), HAND_OVER_BATCH):
+                batch = hosts[start : start + HAND_OVER_BATCH]
+                answers = await asyncio.gather(
+                    *(self._give(peer, host, missing[host]) for host in batch)
+                )
+                for host in itertools.compress(batch, answers):
+                    del missing[host]
+            if not missing:
+                LOG.info(
+                    'Departures are handed over.',
+                    peer=peer,
+                    hosts=len(departures),
+                )
+                return
+            await asyncio.sleep(RETRY_S)
+        LOG.warning(
+            'Departures are not handed over.', peer=peer, hosts=len(missing)
+        )
+
+    async def _give(
+        self, peer: str, host: str, departures: tuple[messages.Departure, ...]
+    ) -> bool:
+        """Return whether a process has confirmed departures of a host."""
+        message = messages.KeepDepartures(host, departures)
+        result = await self.transport.call(peer, message, TIMEOUT_S)
+        return result.is_ok()
+
     async def _handle_keep(
-        self, _sender: str, message: messages.KeepDepartures
+        self, sender: str, message: messages.KeepDepartures
     ) -> messages.KeptDepartures | None:
-        """Remember departures of another host; answer once they are kept."""
+        """Remember departures of another host; answer once they are kept.
+
+        Those of this host are of an earlier process of it.
+        """
         valid = all(map(bounds.departure_ok, message.departures))
         if not bounds.name_ok(message.host) or not valid:
             return None
+        handed_over = (
+            message.host == self.table.host and sender not in self._own_peers()
+        )
         for departure in message.departures:
             self.memory.add(message.host, departure, clock.now())
+            if handed_over:
+                self.registry.restore(departure)
         store = self.store
         kept = await (store.save() if message.departures else store.load())
         held = self.memory.of_host(message.host, clock.now())
--- a/test/test_departure_store.py
+++ b/test/test_departure_store.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from carawaystair import clock
 from carawaystair import codes
 from carawaystair.control import files as files_module
 from carawaystair import interfaces
@@ -438,3 +439,30 @@
         assert late.error.code is codes.ANNOUNCEMENT_OLD
 
     fakes.run(_run())
+
+
+@pytest.mark.parametrize('first', [0, LEAVER])
+def test_departure_while_control_is_away_reaches_those_who_come_back(first):
+    """Guards against departures that only stand-ins of control remember.
+
+    :param first: who starts first, the control host or the node.
+    """
+
+    async def _steps(setup):
+        for number in (6, 7, 8, 9):
+            await setup.start(number)
+        await setup.wait_complete()
+        await setup.kill(0)
+        # Its death is noticed.
+        await asyncio.sleep(20.0)
+        assert (await setup.leave()).is_ok()
+        await setup.kill(LEAVER)
+        for number in (first, LEAVER - first):
+            await setup.start(number, incarnation=2, seeds=KEEPERS[:1])
+            await asyncio.sleep(departures.MAX_RECALL_S + 2.0)
+        late = await setup.announce_late()
+        assert late.error.code is codes.ANNOUNCEMENT_OLD
+        recalled = setup.nodes[0].departures.memory.by_hosts(clock.now())
+        assert list(recalled) == [fakes.member(LEAVER).host]
+
+    run(_steps, (0,), {0: group(1, 0)})
