Soak: all who know of a leaving end behind its acknowledgement

Every sixth seed has leavings behind which the node and all control hosts end at the same moment, by SIGTERM or a loss of power, in some with all other nodes; the leaver renews nothing any more, and what it said before arrives at the next process of its node. What a leaver said late is now repeated until a process answers that accepts upstreams; before, one that was down counted as a refusal. Seeds without the new kind keep their plans.

--- a/soak/entries.py
+++ b/soak/entries.py
@@ -41,6 +41,8 @@
     _with(state='resting'),
     _with(state=3),
 )
+# Status of a node that is not able to accept an announcement now.
+STARTING = 503
 
 
 async def write(
@@ -62,16 +64,19 @@
 
 async def announce(
     session: aiohttp.ClientSession, local: str, id: str, said
-) -> str:
+) -> str | None:
     """Announce an upstream; return its state at the node, '' if refused.
 
     :param local: the local API of a node.
     :param said: the announcement.
+    :return: None when the node is not there or does not accept upstreams yet.
     """
     url = 'http://%s/v1/upstreams/%s' % (local, id)
     try:
         async with session.put(url, json=said._asdict()) as response:
             body = await response.json()
+            if response.status == STARTING:
+                return None
             return body['state'] if response.status < 400 else ''
     except (aiohttp.ClientError, OSError, TimeoutError):
-        return ''
+        return None
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -9,6 +9,8 @@
 import signal
 import sys
 
+import aiohttp
+
 from carawaystair import clock
 from soak import carriers
 from soak import entries
@@ -45,6 +47,9 @@
 READY_S = 40.0
 # A new life is announced in this time, or its node is struck itself, seconds.
 ANNOUNCED_S = 6.0
+# What a leaver said before is repeated for so long until a process of its node
+# answers, seconds.
+LATE_LEAVER_S = 6.0
 
 
 class WatchedRuns(runs_module.Runs):
@@ -110,6 +115,10 @@
         """Crash under a request."""
         self.fell(self)
 
+    def say_no_more(self) -> None:
+        """Go on serving without renewing what was announced."""
+        self.announcer.announce = _nothing
+
     async def crash(self) -> None:
         """Be gone without a word."""
         if self.announcer is not None:
@@ -125,7 +134,7 @@
 
 
 async def _nothing() -> None:
-    """Stand for a message that a crashed upstream does not send."""
+    """Stand for a message that an upstream does not send."""
 
 
 class Fleet(fleets.Fleet):
@@ -368,13 +377,18 @@
         Whichever process of its node gets it, the leaving binds.
         """
         await asyncio.sleep(one.options.grace_s / 2)
-        state = await entries.announce(
-            one.announcer.session,
-            self.hosts[one.options.host].local,
-            one.options.id,
-            said,
-        )
-        self.watch.late_leaver(one.options.id, state)
+        ends = clock.now() + LATE_LEAVER_S
+        state = None
+        async with aiohttp.ClientSession() as session:
+            while state is None and clock.now() < ends:
+                state = await entries.announce(
+                    session,
+                    self.hosts[one.options.host].local,
+                    one.options.id,
+                    said,
+                )
+                await asyncio.sleep(fleets.POLL_S)
+        self.watch.late_leaver(one.options.id, state or '')
 
     async def until_announced(self, one: Upstream) -> bool:
         """Wait until a node took an upstream; tell whether it did in time."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -35,6 +35,7 @@
 FULL = 'full'  # the disk of a control host takes no bytes
 SLOW = 'slow'  # its syncs take longer
 CLOCK = 'clock'  # the time of day of a host jumps
+FORGET = 'forget'  # an upstream leaves, then its node and control end
 FATAL = 'fatal'  # a request that crashes upstreams comes again and again
 
 PLANNED = frozenset(
@@ -51,9 +52,9 @@
         NOTICE,
     )
 )
-# What excuses no request by itself; the crashes of the last kind are told
-# one by one.
-NO_FAULT = PLANNED | {FATAL}
+# What excuses no request by itself; the faults that the last two bring are
+# told one by one.
+NO_FAULT = PLANNED | {FATAL, FORGET}
 # Of so many seeds one has planned work only: where faults are near, a request
 # that was cut can't be told from one that a fault broke.
 PLANNED_EVERY = 3
@@ -102,6 +103,13 @@
 LIMIT_S = (6.0, 12.0)
 NOTICE_PAUSE_S = (4.0, 8.0)
 NOTICE_S = (3.0, 6.0)
+# Of so many seeds one has leavings behind which all who know of them end, in
+# the same way.
+FORGET_EVERY = 6
+FORGET_SEED = 4
+# Seconds between the beginnings of two of them, and how long each lasts.
+FORGET_PAUSE_S = (3.0, 7.0)
+FORGET_S = (0.2, 1.5)
 # Of so many seeds one has rolls over the fleet, in the same way.
 ROLL_EVERY = 5
 ROLL_SEED = 0
@@ -141,6 +149,7 @@
     FULL: CONTROL,
     SLOW: CONTROL,
     CLOCK: HOST,
+    FORGET: UPSTREAM,
     FATAL: FLEET,
     LIMIT: UPSTREAM,
     NOTICE: UPSTREAM,
@@ -220,6 +229,8 @@
     if seed % STATED_EVERY == STATED_SEED:
         events += _drawn(seed, seconds, LIMIT, LIMIT_S, LIMIT_PAUSE_S, True)
         events += _drawn(seed, seconds, NOTICE, NOTICE_S, NOTICE_PAUSE_S, True)
+    if seed % FORGET_EVERY == FORGET_SEED:
+        events += _drawn(seed, seconds, FORGET, FORGET_S, FORGET_PAUSE_S, True)
     if conditions(seed).rolls:
         events += _rolls(random.Random('rolls %d' % seed), seconds)
     return sorted(event for event in events if event.at < seconds)
--- a/soak/play.py
+++ b/soak/play.py
@@ -36,6 +36,14 @@
 # Callers that leave early, and after how long, seconds.
 LEAVE_SHARE = 0.05
 LEAVE_S = (0.01, 0.1)
+# A leaving is acknowledged in this time, or what follows comes all the same.
+ACKNOWLEDGED_S = 3.0
+# Time in which control is back, seconds.
+CONTROL_BACK_S = 2.0
+# Share of the ends of control behind a leaving that are stops.
+PLANNED_ENDS = 0.3
+# Beyond it, all nodes end as well.
+ALL_END = 0.6
 LEFT_MS = 5_000
 PATIENCE_S = 8.0
 # Callers of each node that send long requests on one connection, and the time
@@ -310,15 +318,18 @@
 
     async def _play(self, event: plans.Event) -> None:
         """Let one event happen."""
+        self.watch.counts['event ' + event.kind] += 1
+        await self._do(event.kind, event, self._struck(event))
+
+    async def _do(self, kind: str, event: plans.Event, struck: str) -> None:
+        """Let something of a kind happen to a host or an upstream."""
         begin = clock.now()
-        struck = self._struck(event)
-        if event.kind not in plans.NO_FAULT:
+        if kind not in plans.NO_FAULT:
             # It lasts longer than it should when the machine is busy.
             ends = begin + event.for_s + BACK_S
             self.watch.disturbs(begin, ends, struck)
-        self.watch.counts['event ' + event.kind] += 1
-        await getattr(self, '_' + event.kind)(event, struck)
-        if event.kind not in plans.NO_FAULT:
+        await getattr(self, '_' + kind)(event, struck)
+        if kind not in plans.NO_FAULT:
             self.watch.disturbs(begin, clock.now() + BACK_S, struck)
 
     def _struck(self, event: plans.Event) -> str:
@@ -409,6 +420,32 @@
     async def _leave(self, event, name) -> None:
         await self._replace(name, graceful=True)
 
+    async def _forget(self, event, name) -> None:
+        """Let an upstream leave, then end its node and all control hosts.
+
+        In some of them all other nodes, too, of which some are seeds.
+        """
+        if name not in self.fleet.running:
+            return
+        one, node = self.fleet.running[name], self.fleet.places[name]
+        leaving = asyncio.ensure_future(self._replace(name, graceful=True))
+        ends = clock.now() + ACKNOWLEDGED_S
+        while name not in self.watch.drained and clock.now() < ends:
+            await asyncio.sleep(TURN_S)
+        one.say_no_more()
+        self.watch.counts['leavings forgotten'] += name in self.watch.drained
+        kind = plans.STOP if event.x < PLANNED_ENDS else plans.POWER
+        # The nodes are back once control is.
+        longer = event._replace(for_s=event.for_s + 2 * CONTROL_BACK_S)
+        nodes = [host.name for host in self.fleet.nodes()]
+        if event.x < ALL_END:
+            nodes = [node]
+        ends = [self._do(plans.KILL, longer, each) for each in nodes]
+        ends += [
+            self._do(kind, event, host.name) for host in self.fleet.controls()
+        ]
+        await asyncio.gather(leaving, *ends)
+
     async def _reborn(self, event, name) -> None:
         if name in self.fleet.running:
             await self.fleet.reborn(name, event.for_s / 2)
