--- a/test/test_fault_soak.py
+++ b/test/test_fault_soak.py
@@ -52,6 +52,7 @@
         plans.STORM,
         plans.ROLL,
         plans.FATAL,
+        plans.FORGET,
         plans.LIMIT,
         plans.NOTICE,
     }
@@ -64,6 +65,7 @@
         (plans.STORM, 'STORM_EVERY', 'STORM_SEED'),
         (plans.ROLL, 'ROLL_EVERY', 'ROLL_SEED'),
         (plans.FATAL, 'FATAL_EVERY', 'FATAL_SEED'),
+        (plans.FORGET, 'FORGET_EVERY', 'FORGET_SEED'),
         ((plans.LIMIT, plans.NOTICE), 'STATED_EVERY', 'STATED_SEED'),
     ],
 )
