--- a/soak/plan.py
+++ b/soak/plan.py
@@ -106,7 +106,7 @@
 # Of so many seeds one has leavings behind which all who know of them end, in
 # the same way.
 FORGET_EVERY = 6
-FORGET_SEED = 4
+FORGET_SEED = 5
 # Seconds between the beginnings of two of them, and how long each lasts.
 FORGET_PAUSE_S = (3.0, 7.0)
 FORGET_S = (0.2, 1.5)
--- a/test/test_fault_soak.py
+++ b/test/test_fault_soak.py
@@ -35,6 +35,7 @@
 ROLLS_SEED = 105
 FAULTS_SEED = 2
 STATED_SEED = 22
+FORGET_SEED = 11
 SHORT = soak_run.Size(controls=3, nodes=3, upstreams=3, seconds=4.0)
 
 
@@ -694,6 +695,16 @@
     assert watch.counts['complete']
 
 
+def test_play_in_which_all_who_know_of_a_leaving_end_keeps_all_promises(
+    tmp_path,
+):
+    """Guards against leavings that are forgotten with the processes."""
+    watch = asyncio.run(soak_run.play(tmp_path, FORGET_SEED, SHORT))
+    assert watch.broken == []
+    assert watch.counts['leavings forgotten']
+    assert watch.counts['late announcements of leavers']
+
+
 def test_play_with_limits_and_leaves_in_answers_keeps_all_promises(tmp_path):
     size = SHORT._replace(seconds=10.0)
     watch = asyncio.run(soak_run.play(tmp_path, STATED_SEED, size))
