Departures: decisions and hand-overs in modules of their own

departure_quorum.py decides who must confirm a departure and who must answer a host that starts; departure_handover.py sends what was missed. No change of behaviour.

--- a/carawaystair/membership/departures.py
+++ b/carawaystair/membership/departures.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import functools
-import itertools
 import typing
 
 import expression
@@ -20,23 +19,15 @@
 from carawaystair import interfaces
 from carawaystair import logs
 from carawaystair.membership import bounds
+from carawaystair.membership import departure_handover
+from carawaystair.membership import departure_quorum
 from carawaystair.membership import departure_store
 from carawaystair.membership import lifetimes
 from carawaystair.membership import messages
 from carawaystair.membership import registry as registries
 from carawaystair.membership import table as tables
-from carawaystair import rendezvous
-
-# Most processes that remember a departure where there is no control group, or
-# too few of its hosts live.
-MAX_KEEPERS = 5
-# Key by which processes are chosen that stand in for control hosts.
-STAND_INS = 'departures'
-# Attempts to give a process that is back what it missed.
-MAX_HAND_OVERS = 10
-# Hosts whose departures are sent at the same time.
-HAND_OVER_BATCH = 64
-# Timeout of a question to one of them; upstreams wait for a second.
+
+# Timeout of a question to another process; upstreams wait for a second.
 TIMEOUT_S = 0.4
 # Pause between questions after the start, in seconds, until upstreams are
 # accepted, and then.
@@ -85,8 +76,8 @@
         self.table = table
         self.registry = registry
         self.transport = transport
-        own = table.own_entry.member.peer
-        self.seeds = tuple(seed for seed in seeds if seed != own)
+        self.own_peer = table.own_entry.member.peer
+        self.seeds = tuple(seed for seed in seeds if seed != self.own_peer)
         self.control_group = control_group
         # The newest control group that others have named.
         self.named_group = interfaces.ControlGroup()
@@ -98,12 +89,15 @@
         self.own_recalled = False
         # Questions to other processes.
         self.questions: set[asyncio.Task] = set()
-        table.listeners.append(self._hand_over_to)
+        self.handover = departure_handover.HandOver(
+            table, self.memory, transport, lambda: self.group().peers
+        )
         transport.handle(messages.KeepDepartures, self._handle_keep)
 
     async def on_start(self) -> None:
-        """Start the store."""
+        """Start the parts."""
         await self.add_runtime_dependency(self.store)
+        await self.add_runtime_dependency(self.handover)
 
     async def on_stop(self) -> None:
         """Cancel the questions in progress."""
@@ -138,7 +132,7 @@
         while peers != self.keepers():
             # Again for those of a group that an answer has named.
             peers = self.keepers()
-            is_kept = functools.partial(_are_most, peers)
+            is_kept = functools.partial(departure_quorum.are_most, peers)
             answered |= await self._ask(peers, message, is_kept, answered)
             if peers == self.keepers() and is_kept(answered):
                 return expression.Ok(None)
@@ -156,28 +150,14 @@
         return max(self.control_group(), self.named_group)
 
     def keepers(self) -> tuple[str, ...]:
-        """Return the addresses of the processes that remember departures.
+        """Return the addresses of the processes that remember departures."""
+        return departure_quorum.keepers(self._view())
 
-        They are those that the next process of this host asks: the control
-        hosts that vote.  Where too few of these live, some other processes
-        stand in for the missing ones, the same for all hosts; where no group
-        is known, live control hosts and seeds do, or others.
-        """
-        own = self.table.own_entry.member
-        live = [entry.member for entry in self.table.live_entries()]
-        others = [member for member in live if member.host != own.host]
-        group = self.group().peers
-        if group and (not others or _are_most(group, {m.peer for m in live})):
-            return group
-        found = [
-            member.peer
-            for member in sorted(others, key=lambda m: (not m.control, m.host))
-            if member.control or member.peer in self.seeds
-        ]
-        ranked = [m.peer for m in rendezvous.rank(STAND_INS, others)]
-        if group or not found:
-            found = list(dict.fromkeys((*found, *ranked)))
-        return tuple(found[:MAX_KEEPERS]) or self.seeds or (own.peer,)
+    def _view(self) -> departure_quorum.View:
+        live = (entry.member for entry in self.table.live_entries())
+        return departure_quorum.View(
+            self.own_peer, tuple(live), self.group().peers, self.seeds
+        )
 
     @mode.Service.task
     async def _recall(self) -> None:
@@ -192,7 +172,7 @@
             self._accept(began, ())
             return
         message = messages.KeepDepartures(self.table.host)
-        answered = await self._ask(self._own_peers(), message, bool)
+        answered = await self._ask((self.own_peer,), message, bool)
         while not self._is_recalled(answered) and not self.should_stop:
             peers = (*self.seeds, *self.group().peers, *self.keepers())
             answered |= await self._ask(
@@ -209,26 +189,11 @@
                 await asyncio.sleep(LATER_RETRY_S if accepting else RETRY_S)
         self._accept(began, answered)
 
-    def _own_peers(self) -> tuple[str, ...]:
-        """Return the own address, as that of those to ask."""
-        return (self.table.own_entry.member.peer,)
-
     def _is_recalled(self, answered: set[str]) -> bool:
-        """Tell whether nobody else can know of another departure.
-
-        Most of the control group have answered, so one at least of those
-        who confirmed a departure.  Where no group is known, as many as most
-        of the seeds.
-
-        :param answered: who has answered with a complete memory.
-        """
-        group = self.group().peers
-        if group:
-            return _are_most(group, answered)
-        if not self.seeds:
-            return self.own_recalled
-        others = answered.difference(self._own_peers())
-        return len(others) > len(self.seeds) // 2
+        """Tell whether nobody else can know of another departure."""
+        return departure_quorum.is_recalled(
+            self._view(), answered, self.own_recalled
+        )
 
     def _accept(self, began: float, answered: typing.Collection[str]) -> None:
         """Accept upstreams from now on."""
@@ -273,10 +238,7 @@
     def _start(
         self, peer: str, message: messages.KeepDepartures
     ) -> asyncio.Task:
-        return self._keep_task(self._ask_one(peer, message))
-
-    def _keep_task(self, work: typing.Coroutine) -> asyncio.Task:
-        question = asyncio.create_task(work)
+        question = asyncio.create_task(self._ask_one(peer, message))
         self.questions.add(question)
         question.add_done_callback(self.questions.discard)
         return question
@@ -293,7 +255,7 @@
         self._tell_recalled(peer, result)
         if result.is_error():
             return ''
-        self.own_recalled |= peer in self._own_peers()
+        self.own_recalled |= peer == self.own_peer
         for departure in filter(bounds.departure_ok, result.ok.departures):
             self.registry.restore(departure)
         return peer if result.ok.complete else ''
@@ -301,7 +263,7 @@
     async def _call(
         self, peer: str, message: messages.KeepDepartures
     ) -> expression.Result[messages.KeptDepartures, codes.Failure]:
-        if peer not in self._own_peers():
+        if peer != self.own_peer:
             return await self.transport.call(peer, message, TIMEOUT_S)
         answer = await self._handle_keep(peer, message)
         if answer is None:
@@ -316,65 +278,6 @@
 
     # At another process
 
-    def _hand_over_to(self, change: tables.Change) -> None:
-        """Give a process that is back what it missed.
-
-        To a control host all that is remembered here: others have confirmed
-        departures in its place.  To a host that has started the departures of
-        its own upstreams, which it may not have found anybody to ask for.
-        """
-        entry, member = change.entry, change.entry.member
-        if not entry.up or member.host == self.table.host:
-            return
-        old = change.old_record
-        started = old is None or old.incarnation < entry.record.incarnation
-        is_control = member.peer in self.group().peers
-        if is_control and (started or not change.was_up):
-            departures = self.memory.by_hosts(clock.now())
-        elif started:
-            own = self.memory.of_host(member.host, clock.now())
-            departures = {member.host: own} if own else {}
-        else:
-            return
-        if departures:
-            self._keep_task(self._hand_over(member.peer, departures))
-
-    async def _hand_over(
-        self,
-        peer: str,
-        departures: dict[str, tuple[messages.Departure, ...]],
-    ) -> None:
-        """Send departures by host to a process until it has confirmed them."""
-        missing = dict(departures)
-        for _attempt in range(MAX_HAND_OVERS):
-            hosts = list(missing)
-            for start in range(0, len(hosts), HAND_OVER_BATCH):
-                batch = hosts[start : start + HAND_OVER_BATCH]
-                answers = await asyncio.gather(
-                    *(self._give(peer, host, missing[host]) for host in batch)
-                )
-                for host in itertools.compress(batch, answers):
-                    del missing[host]
-            if not missing:
-                LOG.info(
-                    'Departures are handed over.',
-                    peer=peer,
-                    hosts=len(departures),
-                )
-                return
-            await asyncio.sleep(RETRY_S)
-        LOG.warning(
-            'Departures are not handed over.', peer=peer, hosts=len(missing)
-        )
-
-    async def _give(
-        self, peer: str, host: str, departures: tuple[messages.Departure, ...]
-    ) -> bool:
-        """Return whether a process has confirmed departures of a host."""
-        message = messages.KeepDepartures(host, departures)
-        result = await self.transport.call(peer, message, TIMEOUT_S)
-        return result.is_ok()
-
     async def _handle_keep(
         self, sender: str, message: messages.KeepDepartures
     ) -> messages.KeptDepartures | None:
@@ -385,9 +288,8 @@
         valid = all(map(bounds.departure_ok, message.departures))
         if not bounds.name_ok(message.host) or not valid:
             return None
-        handed_over = (
-            message.host == self.table.host and sender not in self._own_peers()
-        )
+        own_host = message.host == self.table.host
+        handed_over = own_host and sender != self.own_peer
         for departure in message.departures:
             self.memory.add(message.host, departure, clock.now())
             if handed_over:
@@ -433,11 +335,3 @@
             ),
             decisions.BELIEF,
         )
-
-
-def _are_most(
-    group: typing.Collection[str], answered: typing.Collection[str]
-) -> bool:
-    """Tell whether most of a group are among those that have answered."""
-    present = set(group).intersection(answered)
-    return len(present) > len(set(group)) // 2
