A new folder below the data folder is synced with its name

Cause: the folders of the control log and of the departures were made without a sync of the folder above. After a loss of power the name may be missing, and with it files that were synced and acknowledged.

Change: the folder above is synced once, when the new one is made. test_new_folder_is_on_the_disk_before_its_files failed before, and passes.

--- a/carawaystair/control/files.py
+++ b/carawaystair/control/files.py
@@ -119,7 +119,7 @@
 
     def sync_folder(self) -> None:
         """Sync the folder itself."""
-        _sync_path(self.path)
+        sync_path(self.path)
 
     def replace(self, name: str, data: bytes) -> None:
         """Write a temporary file, sync it, rename it, sync the folder."""
@@ -154,7 +154,7 @@
             if name in self.descriptors:
                 os.close(self.descriptors.pop(name))
             os.rename(self.path / name, target / name)
-        _sync_path(target)
+        sync_path(target)
         self.sync_folder()
 
     def close(self) -> None:
@@ -183,7 +183,8 @@
         view = view[written:]
 
 
-def _sync_path(path: pathlib.Path) -> None:
+def sync_path(path: pathlib.Path) -> None:
+    """Return once the names in a folder are on the disk."""
     number = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
     try:
         os.fsync(number)
--- a/carawaystair/kernel.py
+++ b/carawaystair/kernel.py
@@ -7,6 +7,7 @@
 import mode
 
 from carawaystair import clock
+from carawaystair.control import files
 from carawaystair import datagrams
 from carawaystair import decisions
 from carawaystair import interfaces
@@ -96,7 +97,10 @@
         if self.settings.data_folder is None:
             return None
         folder = pathlib.Path(self.settings.data_folder) / name
-        folder.mkdir(parents=True, exist_ok=True)
+        if not folder.exists():
+            folder.mkdir(parents=True, exist_ok=True)
+            # Files in it are synced with it only, not with its own name.
+            files.sync_path(folder.parent)
         return folder
 
     def random(self, part: str) -> random.Random:
--- a/test/test_departure_store.py
+++ b/test/test_departure_store.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import errno
+import os
 import random
+import types
 import typing
 
 import pytest
@@ -11,6 +13,7 @@
 from carawaystair import codes
 from carawaystair.control import files as files_module
 from carawaystair import interfaces
+from carawaystair import kernel as kernels
 from carawaystair.membership import departure_store
 from carawaystair.membership import departures
 from carawaystair.membership import lifetimes
@@ -466,3 +469,20 @@
         assert list(recalled) == [fakes.member(LEAVER).host]
 
     run(_steps, (0,), {0: group(1, 0)})
+
+
+def test_new_folder_is_on_the_disk_before_its_files(tmp_path, monkeypatch):
+    """Guards against a loss of power that takes a folder with its files."""
+    synced = []
+    fsync = os.fsync
+
+    def _fsync(descriptor):
+        synced.append(os.fstat(descriptor).st_ino)
+        fsync(descriptor)
+
+    monkeypatch.setattr(os, 'fsync', _fsync)
+    settings = types.SimpleNamespace(data_folder=str(tmp_path))
+    process = types.SimpleNamespace(settings=settings)
+    folder = kernels.Kernel.data(process, departure_store.FOLDER)
+    assert folder.is_dir()
+    assert synced == [tmp_path.stat().st_ino]
