--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -122,6 +122,7 @@
     async def crash(self) -> None:
         """Be gone without a word."""
         if self.announcer is not None:
+            self.say_no_more()
             self.announcer.withdraw = _nothing
         for connection in self.server.connections:
             if connection.transport is not None:
