--- a/test/test_departure_store.py
+++ b/test/test_departure_store.py
@@ -400,6 +400,25 @@
     run(_steps, CONTROL, dict.fromkeys(CONTROL, every))
 
 
+@pytest.mark.parametrize('lost', [(0, 1), (3, 5)])
+def test_departure_outlives_as_many_lost_disks_as_the_group_bears(lost):
+    """Guards against a new disk that is counted like one that remembers."""
+
+    async def _steps(setup):
+        await setup.wait_complete()
+        assert (await setup.leave()).is_ok()
+        await setup.kill(*CONTROL, LEAVER, power=True)
+        for number in lost:
+            setup.folders[number] = control_fakes.Folder(random.Random(number))
+        for number in (*CONTROL, LEAVER):
+            await setup.start(number, incarnation=2)
+        late = await setup.announce_late()
+        assert late.error.code is codes.ANNOUNCEMENT_OLD
+
+    every = group(1, *CONTROL)
+    run(_steps, CONTROL, dict.fromkeys(CONTROL, every))
+
+
 def test_departure_is_not_acknowledged_by_a_minority_of_the_group():
     """Guards against control hosts that come back and were not asked."""
 
