A stopping process gives its folder of departures free behind its last write

Cause, by reading: the lock of the folder was given up while a write could still be in progress in the thread of the disk. A next process could read the file, write it, and find it replaced by the older one.

test_stopping_process_keeps_its_folder_until_its_write_has_ended failed before, and passes.

--- a/carawaystair/membership/departure_store.py
+++ b/carawaystair/membership/departure_store.py
@@ -143,9 +143,14 @@
         self.written_bytes = 0
 
     async def on_stop(self) -> None:
-        """Leave a call that hangs behind."""
+        """Give the folder free behind a write in progress, unless it hangs.
+
+        The next process must not write before this one has.
+        """
+        closing = asyncio.ensure_future(self.disk.run(self.files.close))
+        await asyncio.wait((closing,), timeout=DISK_WAIT_S)
+        closing.cancel()
         self.disk.close()
-        self.files.close()
 
     def complete(self) -> bool:
         """Return whether the file was there, or is not missed any more."""
--- a/test/test_departure_store.py
+++ b/test/test_departure_store.py
@@ -5,6 +5,8 @@
 import math
 import os
 import random
+import threading
+import time
 import types
 import typing
 
@@ -13,6 +15,7 @@
 
 from carawaystair import clock
 from carawaystair import codes
+from carawaystair.control import disk as disks
 from carawaystair.control import files as files_module
 from carawaystair import interfaces
 from carawaystair import kernel as kernels
@@ -217,6 +220,33 @@
     run(_steps)
 
 
+def test_stopping_process_keeps_its_folder_until_its_write_has_ended(tmp_path):
+    """Guards against an old file in place of what the next process wrote."""
+    writing = threading.Event()
+    refused = []
+
+    class Slow(files_module.Folder):
+        def replace(self, name, data):
+            writing.set()
+            time.sleep(0.1)
+            super().replace(name, data)
+            try:
+                files_module.Folder(tmp_path).hold()
+            except BlockingIOError as error:
+                refused.append(error)
+
+    async def _run():
+        store = departure_store.DepartureStore(Slow(tmp_path), disks.make())
+        await store.start()
+        assert await store.load()
+        await asyncio.to_thread(writing.wait)
+        await store.stop()
+        assert refused
+        files_module.Folder(tmp_path).hold()
+
+    asyncio.run(_run())
+
+
 @pytest.mark.parametrize(
     'damage', ['torn', 'foreign', 'flipped', 'other', 'nan']
 )
