Soak: an announcement that a node accepts without control must end with it

The check took the first answer; it repeats the announcement until most control hosts run for 6 s now, and the last answer counts. The leaver does not withdraw any more either, so that only what was acknowledged can refuse it.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -12,6 +12,7 @@
 import aiohttp
 
 from carawaystair import clock
+from carawaystair import interfaces
 from soak import carriers
 from soak import entries
 from soak import fatal as fatals
@@ -50,6 +51,9 @@
 # What a leaver said before is repeated for so long until a process of its node
 # answers, seconds.
 LATE_LEAVER_S = 6.0
+# A node knows so long after control is back what was acknowledged, seconds:
+# control starts, and the node asks again.
+RECALLED_S = 6.0
 
 
 class WatchedRuns(runs_module.Runs):
@@ -116,14 +120,14 @@
         self.fell(self)
 
     def say_no_more(self) -> None:
-        """Go on serving without renewing what was announced."""
+        """Go on serving without another word to the node."""
         self.announcer.announce = _nothing
+        self.announcer.withdraw = _nothing
 
     async def crash(self) -> None:
         """Be gone without a word."""
         if self.announcer is not None:
             self.say_no_more()
-            self.announcer.withdraw = _nothing
         for connection in self.server.connections:
             if connection.transport is not None:
                 connection.transport.abort()
@@ -375,22 +379,38 @@
     async def _say_late_leaver(self, one: Upstream, said) -> None:
         """Let what a life said before its leaving arrive late.
 
-        Whichever process of its node gets it, the leaving binds.
+        Whichever process of its node gets it, the leaving binds.  A node that
+        starts while control is away may accept it until control is back.
         """
         await asyncio.sleep(one.options.grace_s / 2)
-        ends = clock.now() + LATE_LEAVER_S
-        state = None
+        began = clock.now()
         async with aiohttp.ClientSession() as session:
-            while state is None and clock.now() < ends:
+            while True:
                 state = await entries.announce(
                     session,
                     self.hosts[one.options.host].local,
                     one.options.id,
                     said,
                 )
+                waits_until = began + LATE_LEAVER_S
+                if state == interfaces.UP:
+                    waits_until = self._control_back_at() + RECALLED_S
+                elif state is not None:
+                    break
+                if clock.now() > waits_until:
+                    break
                 await asyncio.sleep(fleets.POLL_S)
         self.watch.late_leaver(one.options.id, state or '')
 
+    def _control_back_at(self) -> float:
+        """Return the time since which most control hosts run."""
+        names = [host.name for host in self.controls()]
+        starts = sorted(
+            self.started[name] for name in names if name in self.processes
+        )
+        needed = len(names) // 2 + 1
+        return clock.now() if len(starts) < needed else starts[needed - 1]
+
     async def until_announced(self, one: Upstream) -> bool:
         """Wait until a node took an upstream; tell whether it did in time."""
         ends = clock.now() + ANNOUNCED_S
