--- a/carawaystair/membership/__init__.py
+++ b/carawaystair/membership/__init__.py
@@ -2,8 +2,9 @@
 
 Every process owns one *record*, which holds its identity and the upstreams
 announced on its host.  Records are distributed by flooding and repaired by
-anti-entropy; failures of processes are detected by probes (SWIM).  No part of
-this depends on a control host.
+anti-entropy; failures of processes are detected by probes (SWIM).  None of
+this depends on a control host; only the acknowledgement that an upstream
+leaves does, since it must outlive all processes and control hosts have disks.
 """
 
 from carawaystair import kernel as kernels
--- a/carawaystair/membership/departures.py
+++ b/carawaystair/membership/departures.py
@@ -1,9 +1,12 @@
 """Departures of upstreams outlive the process that acknowledged them.
 
-A node has no disk.  It acknowledges that an upstream leaves once other
-processes remember it, and after its start it asks them before it accepts
+A node has no disk.  It acknowledges that an upstream leaves once control hosts
+have that on their disks, and after its start it asks them before it accepts
 upstreams.  Otherwise an announcement that was sent before the departure, and
 arrives at the next process of the host, would bring the upstream back.
+
+Any process takes either part: ``keep`` and ``_recall`` are those of the host
+of the upstreams, ``_handle_keep`` is that of one that remembers.
 """
 
 import asyncio
