--- a/carawaystair/interfaces.py
+++ b/carawaystair/interfaces.py
@@ -103,8 +103,9 @@
     """What a process knows of the control group.
 
     :param index: place in the group's log of the change that made it so; 0
-        where no group is known.
-    :param peers: ``ip:port`` of the links of the hosts that vote.
+        where no host of the group has told.
+    :param peers: ``ip:port`` of the links of the hosts that vote; those of
+        the settings, if any, until one has told.
     :param founded: whether the group was founded since this process started,
         so that the fleet is as young as the process.
     """
--- a/carawaystair/membership/departure_store.py
+++ b/carawaystair/membership/departure_store.py
@@ -269,12 +269,12 @@
 
     def _note_failure(self, error: OSError) -> None:
         if not self.failing:
-            LOG.error('Departures are not written.', why=str(error))
+            LOG.error('The file of departures is not usable.', why=str(error))
         self.failing = True
 
     def _note_success(self) -> None:
         if self.failing:
-            LOG.info('Departures are written again.')
+            LOG.info('The file of departures is usable again.')
         self.failing = False
 
 
