Input that costs a step for each few bytes takes turns

What callers saw: no answer for seconds, beside callers that sent blank lines, chunks of one byte, or a body of line ends.

Cause: a connection received 256 KB at once and parsed all of it before any other had a turn. It handed its parser one piece up to each empty line, so blank lines and line ends in bodies cost a call for each four bytes; a chunk of one byte costs three. 60 connections, one after another, kept the event loop for seconds. Blank lines were skipped without end, and a head had a bound for a line and for its lines, but none as a whole: 100 lines of 1 MB between nodes.

Ruled out: waits of the lookup itself (it was not read meanwhile); the parser (a piece of 64 KB of blank lines takes microseconds).

Blank lines are skipped without the parser, up to 64 bytes before a request. A whole head has a bound, twice the configured line, 64 KB at least. Bodies with a length are one piece. After a refusal 256 KB of the rest of a body are read, not as much as comes in 2 s. Refused input is counted and logged, a line a second at most.

--- a/carawaystair/gateway/caller_handler.py
+++ b/carawaystair/gateway/caller_handler.py
@@ -37,6 +37,8 @@
 from carawaystair import settings as settings_module
 
 MS = 1000
+# A whole head may be so many times as long as a line, at least.
+HEAD_FACTOR = 2
 # Longest part of a caller's text in a log line.
 MAX_LOGGED_CHARS = 200
 REQUEST_ID_PATTERN = re.compile(r'[!-~]{1,128}')
@@ -129,6 +131,10 @@
             limits.max_header_bytes,
             limits.header_timeout_ms / MS,
             limits.idle_timeout_ms / MS,
+            head_bytes=max(
+                HEAD_FACTOR * limits.max_header_bytes,
+                http_server.MAX_HEAD_BYTES,
+            ),
         )
 
     def may_pipeline(self, request: http_server.Request) -> bool:
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -41,7 +41,9 @@
 STOP_POLL_INTERVAL_S = 0.02
 # The length of callers' headers is limited by the configuration; nodes accept
 # whatever another node has accepted.
-MAX_HEAD_BYTES = 2**20
+MAX_LINE_BYTES = 2**20
+# What the fleet adds to a head between nodes, at most.
+HOP_HEAD_BYTES = 64 * 1024
 # Part of the drain time that is left for the services that stop after this
 # one, seconds.
 STOP_MARGIN_S = 0.3
@@ -209,7 +211,8 @@
             node.max_connections,
         )
         self.node_listener = listeners.Listener(
-            self.hop_handler.handle, _node_limits
+            self.hop_handler.handle,
+            lambda: _node_limits(self.caller_handler.bounds().head_bytes),
         )
         self.stopping = False
 
@@ -407,12 +410,18 @@
         )
 
 
-def _node_limits() -> http_server.Bounds:
+def _node_limits(
+    head_bytes: int = http_server.MAX_HEAD_BYTES,
+) -> http_server.Bounds:
     """Return the limits on what other nodes may send.
 
     Heads are as long as those of callers plus that of the fleet; connections
     that have gone silent are closed.
+
+    :param head_bytes: bytes of a caller's head at most.
     """
     return http_server.Bounds(
-        MAX_HEAD_BYTES, ack_timeout_s=send_attempts.UNACKNOWLEDGED_TIMEOUT_S
+        MAX_LINE_BYTES,
+        ack_timeout_s=send_attempts.UNACKNOWLEDGED_TIMEOUT_S,
+        head_bytes=head_bytes + HOP_HEAD_BYTES,
     )
--- a/carawaystair/request/http_server.py
+++ b/carawaystair/request/http_server.py
@@ -13,14 +13,19 @@
 from aiohttp import http
 from aiohttp import streams
 
+from carawaystair.load import input_slices
 from carawaystair import logs
 from carawaystair.request import errors
 from carawaystair.request import protocol
+from carawaystair.request import turns
 
 # Bounds of a request head, which bound the memory of a connection whatever a
 # caller sends.
 MAX_LINE_BYTES = 8 * 1024
 MAX_HEADERS = 100
+MAX_HEAD_BYTES = 64 * 1024
+# Bytes of blank lines that are skipped before a request.
+MAX_BLANK_BYTES = 64
 # Reading pauses when twice this much of a body is buffered.
 READ_BUFFER_BYTES = 64 * 1024
 # Requests that a caller may send before earlier ones are answered; reading
@@ -29,6 +34,9 @@
 # Memory on one connection for answers that wait for earlier ones.  While it is
 # full, no further pipelined request is started.
 MAX_BUFFERED_BYTES = 256 * 1024
+# Texts of refusals.
+LONG_HEAD = 'The head goes on beyond its bound.'
+MANY_LINES = 'Too many blank lines before a request.'
 # Time after which an idle connection is closed.
 IDLE_TIMEOUT_S = 75.0
 # Time in which a request head must arrive after its first byte.
@@ -36,8 +44,9 @@
 HEAD_END = b'\r\n\r\n'
 # Blank lines before a request; between nodes, heartbeats of a reader.
 BLANK_LINE = b'\r\n'
-# Time for reading the rest of an unused body before the connection is closed,
-# so that the caller can read its answer.
+# How much of the rest of an unused body is read, and for how long, before the
+# connection is closed, so that the caller can read its answer.
+LINGER_BYTES = 256 * 1024
 LINGER_TIMEOUT_S = 2.0
 
 MESSAGE = http.RawRequestMessage
@@ -55,12 +64,14 @@
     :param ack_timeout_s: time after which a connection whose sent data is
         not acknowledged counts as lost, seconds; 0 leaves that to the
         system.
+    :param head_bytes: bytes of a whole head.
     """
 
     line_bytes: int = MAX_LINE_BYTES
     head_s: float = HEAD_TIMEOUT_S
     idle_s: float = IDLE_TIMEOUT_S
     ack_timeout_s: float = 0.0
+    head_bytes: int = MAX_HEAD_BYTES
 
 
 DEFAULT_BOUNDS = Bounds()
@@ -215,6 +226,8 @@
     :param bounds: bounds on what the caller may send.
     :param may_pipeline: returns whether a request may run before earlier
         ones on the connection are answered; None if none may.
+    :param input_turns: gives turns to parse what takes long, to all
+        connections of a listener.
     """
 
     def __init__(
@@ -225,6 +238,7 @@
         connections: set['Connection'],
         bounds: Bounds = DEFAULT_BOUNDS,
         may_pipeline: RequestPredicate | None = None,
+        input_turns: turns.Turns | None = None,
     ) -> None:
         parser = http.HttpRequestParser(
             self,
@@ -242,6 +256,14 @@
         self.connections = connections
         self.bounds = bounds
         self.may_pipeline = may_pipeline
+        self.turns = input_turns or turns.Turns()
+        # What was received and not given to the parser yet, whether it waits
+        # for a turn, and the end of what was given.
+        self.unparsed = b''
+        self.turn_awaited = False
+        self.last_bytes = b''
+        # Bytes of the head that is not complete, and of blank lines before.
+        self.head_bytes = self.blank_bytes = 0
         # Whether the connection broke instead of being closed.
         self.broken = False
         # Whether the caller closed or broke the connection.
@@ -392,8 +414,6 @@
         # It may have paused while reading was not paused: after a long body,
         # the queue then has one request less than the maximum.
         self.data_received(b'')
-        if self._buffer_paused and len(self.queue) < MAX_PIPELINED:
-            self._resume_reading_for_buffer()
 
     async def _drain_body(self) -> None:
         """Read the rest of a body before closing.
@@ -406,8 +426,13 @@
             return
         try:
             async with asyncio.timeout(LINGER_TIMEOUT_S):
-                while not self.content.at_eof():
-                    await self.content.readany()
+                read = 0
+                while not self.content.at_eof() and read < LINGER_BYTES:
+                    read += len(await self.content.readany())
+                if not self.content.at_eof():
+                    # What is not read stops a caller that sends on, and it
+                    # can read its answer.
+                    await self.loop.create_future()
         except (TimeoutError, errors.BodyError):
             pass
 
@@ -436,23 +461,69 @@
         self.task = self.loop.create_task(self.serve())
 
     def data_received(self, data: bytes) -> None:
-        """Parse received data and queue the requests in it."""
+        """Parse received data and queue the requests in it.
+
+        :param data: without any, what was received before is parsed on.
+        """
         if self.error is not None:
             return
         if self.peer_watch is not None and data[:2] == BLANK_LINE:
             data = self._take_heartbeats(data)
             if not data:
                 return
-        messages = self._parse(data)
+        if not data:
+            # The parser may have paused within what it was given.
+            self._queue_messages(self._parse_piece(b''))
+        self.unparsed += data
+        if not self.turn_awaited:
+            self._parse_or_wait()
+
+    def take_turn(self) -> None:
+        """Parse a slice of what was received."""
+        self.turn_awaited = False
+        if self.transport is None or self.error is not None:
+            self.unparsed = b''
+            return
+        size = input_slices.end(self.unparsed)
+        rest, self.unparsed = self.unparsed[size:], self.unparsed[:size]
+        self._parse_unparsed()
+        self.unparsed += rest
+        self._parse_or_wait()
+
+    def _parse_or_wait(self) -> None:
+        """Parse what was received, or wait for a turn if that takes long."""
+        if input_slices.is_cheap(self.unparsed):
+            self._parse_unparsed()
+        elif not self._input_held():
+            self.turn_awaited = True
+            self.turns.wait(self)
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Read no more while requests or received data wait."""
+        hold = bool(self.unparsed) or len(self.queue) >= MAX_PIPELINED
+        if hold and not self._buffer_paused:
+            self._pause_reading_for_buffer()
+        elif self._buffer_paused and not hold:
+            self._resume_reading_for_buffer()
+
+    def _input_held(self) -> bool:
+        """Return whether received data has to wait for earlier requests."""
+        full = len(self.queue) >= MAX_PIPELINED
+        return full or self._reading_paused or self.error is not None
+
+    def _queue_messages(self, messages: list) -> None:
+        """Queue requests, and start those that may run now."""
         if messages:
             now = self.loop.time()
             self.queue.extend((*message, now) for message in messages)
             if self.answering:
                 self._start_pipelined()
             self._wake()
-            if len(self.queue) >= MAX_PIPELINED and not self._buffer_paused:
-                self._pause_reading_for_buffer()
-        elif self.idle and data:
+
+    def _note_begun(self) -> None:
+        """Note that a part of a head has arrived, if nothing else has."""
+        if self.idle:
             self.head_started = True
             self._set_timer(self.loop.time() + self.bounds.head_s)
 
@@ -461,53 +532,92 @@
 
         Nodes send none before the end of a body, nor within a head.
         """
-        if self.queue or self.next_begun or not self.content.is_eof():
+        if self.queue or self.unparsed or not self._between_requests:
             return data
         self.peer_watch.heard()
         return data.lstrip(BLANK_LINE)
 
+    @property
+    def _between_requests(self) -> bool:
+        """Return whether no part of a head was parsed after the last body."""
+        in_body = self.last is not None and not self.last[1].is_eof()
+        return not (self.next_begun or in_body)
+
     def _feed(self, piece: bytes) -> list:
         """Return the requests whose heads are completed by some data."""
-        body = streams.EMPTY_PAYLOAD if self.last is None else self.last[1]
-        in_body, size = not body.is_eof(), body.total_bytes
+        in_body = self.last is not None and not self.last[1].is_eof()
         found, _upgraded, _tail = self._parser.feed_data(piece)
         if found:
             self.last, self.next_begun = found[-1], False
+            self.head_bytes = self.blank_bytes = 0
         elif not in_body:
             # Blank lines before a head don't belong to it.
             self.next_begun = self.next_begun or bool(piece.strip(BLANK_LINE))
-        elif not body.is_eof():
-            self.next_begun = False
-        elif self.last[0].chunked:
-            self.next_begun = not piece.endswith(BLANK_LINE)
-        else:
-            self.next_begun = len(piece) > body.total_bytes - size
+            self.head_bytes += len(piece)
+            if self.head_bytes > self.bounds.head_bytes:
+                raise errors.HeadTooLong(LONG_HEAD)
         return found
 
-    def _parse(self, data: bytes) -> list:
-        """Return the requests whose heads are completed by the data.
+    def _piece_size(self, data: bytes) -> int:
+        """Return how much of some data belongs to one head or body.
+
+        A chunked body may end, like a head, wherever there is an empty line.
+        """
+        if self.last is not None and not self.last[1].is_eof():
+            message, body = self.last
+            length = message.headers.get('Content-Length')
+            if length is not None and not message.chunked:
+                return max(int(length) - body.total_bytes, 1)
+        before = self.last_bytes
+        end = (before + data[: len(HEAD_END) - 1]).find(HEAD_END)
+        if end >= 0:
+            return end + len(HEAD_END) - len(before)
+        end = data.find(HEAD_END)
+        return len(data) if end < 0 else end + len(HEAD_END)
+
+    def _parse_piece(self, piece: bytes) -> list:
+        """Return the requests whose heads are completed by a piece.
 
         The parser gets one head at a time: at an error it discards all
         requests in the same piece of data, so that valid requests before
         the error would not be answered.
         """
-        messages: list = []
         try:
-            while True:
-                end = data.find(HEAD_END) + len(HEAD_END)
-                if end < len(HEAD_END):
-                    end = len(data)
-                messages.extend(self._feed(data[:end]))
-                data = data[end:]
-                if not data:
-                    break
+            return self._feed(piece)
         except Exception as error:
-            if messages and not messages[-1][1].is_eof():
+            if self.queue and not self.queue[-1][1].is_eof():
                 # The error is in the body of that request, which is invalid,
                 # too.
-                messages.pop()
+                self.queue.pop()
             self._reject_input(errors.Malformed(error))
-        return messages
+            return []
+
+    def _skip_blank_lines(self, data: bytes) -> bytes:
+        """Return some data without the blank lines before a request."""
+        rest = data.lstrip(BLANK_LINE)
+        self.blank_bytes += len(data) - len(rest)
+        if self.blank_bytes > MAX_BLANK_BYTES:
+            self._reject_input(errors.Malformed(errors.BlankLines(MANY_LINES)))
+            return b''
+        return rest
+
+    def _parse_unparsed(self) -> None:
+        """Parse what was received, as far as requests can be queued."""
+        data, self.unparsed = self.unparsed, b''
+        if not data:
+            return
+        while data and not self._input_held():
+            if self._between_requests:
+                data = self._skip_blank_lines(data)
+                if not data:
+                    break
+            piece = data[: self._piece_size(data)]
+            data = data[len(piece) :]
+            self.last_bytes = piece[1 - len(HEAD_END) :]
+            self._queue_messages(self._parse_piece(piece))
+        if self.error is None:
+            self.unparsed = data
+            self._note_begun()
 
     def eof_received(self) -> None:
         """Note that the caller closed; asyncio then closes our side."""
--- a/carawaystair/request/listener.py
+++ b/carawaystair/request/listener.py
@@ -1,15 +1,24 @@
 """Accepts callers' connections."""
 
 import asyncio
+import collections
+import math
 import typing
 
+from carawaystair import clock
 from carawaystair import codes
+from carawaystair import logs
 from carawaystair.request import errors
 from carawaystair.request import exchange as exchanges
 from carawaystair.request import http_server
+from carawaystair.request import turns
 
 MAX_CONNECTIONS = 20_000
 BACKLOG = 1024
+# Interval of log lines about bytes that are no valid request, seconds.
+LOG_INTERVAL_S = 1.0
+
+LOG = logs.get('request')
 
 
 class Listener:
@@ -36,8 +45,12 @@
             max_connections = MAX_CONNECTIONS
         self.max_connections = max_connections
         self.refused = 0
+        # Bytes that were no valid request, by result code.
+        self.malformed: collections.Counter[str] = collections.Counter()
+        self.logged_at = -math.inf
         self.connections: set[http_server.Connection] = set()
         self.server: asyncio.Server | None = None
+        self.turns = turns.Turns()
 
     async def listen(self, address: str) -> None:
         """Listen for callers.
@@ -59,12 +72,29 @@
         return http_server.Connection(
             loop,
             self.handle,
-            refuse,
+            self._refuse,
             self.connections,
             self.bounds(),
             self.may_pipeline,
+            self.turns,
         )
 
+    def _refuse(
+        self, connection: http_server.Connection, error: errors.Malformed
+    ) -> None:
+        """Refuse bytes that are not a valid request, and count them."""
+        self.malformed[error.code.label] += 1
+        now = clock.now()
+        if now - self.logged_at >= LOG_INTERVAL_S:
+            self.logged_at = now
+            LOG.warning(
+                'Refused what is no valid request.',
+                code=error.code.label,
+                why=error.text,
+                totals=dict(self.malformed),
+            )
+        refuse(connection, error)
+
     @property
     def listening(self) -> bool:
         """Return whether it has begun to listen."""
--- a/test/test_request_http.py
+++ b/test/test_request_http.py
@@ -259,3 +259,40 @@
         text = page.read()
     assert '%d bytes' % http_server.MAX_LINE_BYTES in text
     assert '%d headers' % http_server.MAX_HEADERS in text
+
+
+BLANK = b'\r\n'
+
+
+def test_blank_line_before_each_request_is_skipped():
+    """Guards against a bound on blank lines that ordinary callers meet."""
+    answers, runs = send((BLANK + HEAD + BLANK) * 3 + b'GET')
+    assert [answer.outcome for answer in answers[:3]] == ['complete'] * 3
+    assert len(runs) == 3
+
+
+@pytest.mark.parametrize(
+    ('data', 'code'),
+    [
+        (BLANK * http_server.MAX_BLANK_BYTES, 'CS-3004'),
+        (HEAD + b'X-A: %b\r\n' % bytes(b'a' * 900) * 80, 'CS-3005'),
+    ],
+    ids=['blank lines', 'long head'],
+)
+def test_input_that_leads_to_no_request_is_refused(data, code):
+    """Guards against callers that send blank lines or a head for ever."""
+    answers, runs = send(data, within_s=5.0)
+    assert [(a.outcome, a.code) for a in answers] == [('not-run', code)]
+    assert runs == []
+
+
+def test_body_of_line_ends_arrives_whole():
+    """Guards against pieces of a body that are taken for heads."""
+    body = BLANK * 4000
+    chunk = b'%x\r\n%b\r\n' % (len(body), body)
+    data = POST + b'Transfer-Encoding: chunked\r\n\r\n' + chunk * 2
+    data += b'0\r\n\r\n' + HEAD + b'Connection: close\r\n\r\n'
+    pieces = [data[at : at + 997] for at in range(0, len(data), 997)]
+    answers, runs = send(*pieces)
+    assert [answer.outcome for answer in answers] == ['complete'] * 2
+    assert [len(run.body) for run in runs] == [2 * len(body), 0]
