What a connection holds of its input is bounded and dropped with it

What callers saw: a process beyond its memory, beside callers that announced 10 GB, and beside strangers that sent a head without end to the port for other nodes.

Cause: each connection received into new memory of 256 KB at a time, and a parser that paused kept the rest of it. The system's own buffer of a connection grew to some MB. A connection that ended was part of cycles with its parser, its readers and its task, so that all they held stayed until the next collection of garbage, which counts objects and not their bytes.

Change: connections receive into one shared buffer of 16 KB (read_buffer.py), those of upstreams and other nodes too. Callers get 128 KB in the system; connections between nodes keep what the system chooses, since a window of that size would slow bodies down between data centres. A connection that ends drops its parser, readers and task.

Tried and left: 128 and 256 KB of the system for connections between nodes; test_upstream_that_pauses_gets_a_long_body_whole, which shrinks the buffers of open connections, got 504 then: the kernel drops what was offered before.

--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -32,6 +32,7 @@
 from carawaystair.quota import holder as holders
 from carawaystair.quota import parts
 from carawaystair.quota import tenures
+from carawaystair import read_buffer
 from carawaystair.request import authentication
 from carawaystair.request import connections
 from carawaystair.request import http_server
@@ -213,6 +214,7 @@
         self.node_listener = listeners.Listener(
             self.hop_handler.handle,
             lambda: _node_limits(self.caller_handler.bounds().head_bytes),
+            system_bytes=read_buffer.SYSTEM_CHOICE,
         )
         self.stopping = False
 
--- a/carawaystair/request/http_server.py
+++ b/carawaystair/request/http_server.py
@@ -35,6 +35,7 @@
 # full, no further pipelined request is started.
 MAX_BUFFERED_BYTES = 256 * 1024
 # Texts of refusals.
+ENDED = 'The connection has ended.'
 LONG_HEAD = 'The head goes on beyond its bound.'
 MANY_LINES = 'Too many blank lines before a request.'
 # Time after which an idle connection is closed.
@@ -325,6 +326,7 @@
             # Requests after the last answered one count as not read.
             for pipelined in self.pipelined:
                 pipelined.task.cancel()
+            self._drop_input()
 
     async def _answer_next(self) -> bool:
         """Answer the first request; return whether another may follow."""
@@ -408,6 +410,8 @@
 
     def _resume_parser(self) -> None:
         """Resume the parser if it paused at ``MAX_PIPELINED`` requests."""
+        if self._parser is None:
+            return
         self._parser.message_consumed()
         if self.queue:
             return
@@ -465,7 +469,7 @@
 
         :param data: without any, what was received before is parsed on.
         """
-        if self.error is not None:
+        if self.error is not None or self._parser is None:
             return
         if self.peer_watch is not None and data[:2] == BLANK_LINE:
             data = self._take_heartbeats(data)
@@ -481,7 +485,7 @@
     def take_turn(self) -> None:
         """Parse a slice of what was received."""
         self.turn_awaited = False
-        if self.transport is None or self.error is not None:
+        if self._parser is None or self.error is not None:
             self.unparsed = b''
             return
         size = input_slices.end(self.unparsed)
@@ -626,6 +630,9 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the requests in progress on the connection."""
         super().connection_lost(exc)
+        # It refers to this connection, which would keep what it holds until
+        # the next collection of garbage.
+        self._parser = None
         self.broken = exc is not None
         self.closed_by_caller = self.closed_by_caller or self.broken
         self.connections.discard(self)
@@ -650,6 +657,20 @@
             if not content.is_eof():
                 content.set_exception(error)
 
+    def _drop_input(self) -> None:
+        """Drop what was received and not used.
+
+        Readers of bodies and a cancelled task refer to their connection,
+        which would keep them until the next collection of garbage.
+        """
+        self.task = None
+        self._end_bodies(errors.BodyError(ENDED))
+        self.queue.clear()
+        self.pipelined.clear()
+        self.unparsed = self.last_bytes = b''
+        self.content, self.last = streams.EMPTY_PAYLOAD, None
+        self.error = self.error or errors.Malformed(errors.BodyError(ENDED))
+
     def _awaiting_request(self) -> bool:
         # After a request was read, the task is still waiting for one more
         # iteration of the event loop.  If the connection counted as idle
--- a/carawaystair/request/listener.py
+++ b/carawaystair/request/listener.py
@@ -8,6 +8,7 @@
 from carawaystair import clock
 from carawaystair import codes
 from carawaystair import logs
+from carawaystair import read_buffer
 from carawaystair.request import errors
 from carawaystair.request import exchange as exchanges
 from carawaystair.request import http_server
@@ -29,6 +30,8 @@
     :param may_pipeline: returns whether a request may run before earlier
         ones on its connection are answered; None if none may.
     :param max_connections: most open connections.
+    :param system_bytes: what the system is asked to hold of a connection;
+        see ``read_buffer``.
     """
 
     def __init__(
@@ -37,6 +40,7 @@
         bounds: typing.Callable[[], http_server.Bounds] = http_server.Bounds,
         may_pipeline: http_server.RequestPredicate | None = None,
         max_connections: int | None = None,
+        system_bytes: int = read_buffer.NEAR_BYTES,
     ) -> None:
         self.handle = handle
         self.bounds = bounds
@@ -44,6 +48,7 @@
         if max_connections is None:
             max_connections = MAX_CONNECTIONS
         self.max_connections = max_connections
+        self.system_bytes = system_bytes
         self.refused = 0
         # Bytes that were no valid request, by result code.
         self.malformed: collections.Counter[str] = collections.Counter()
@@ -58,9 +63,8 @@
         :param address: ``ip:port``.
         :raises OSError: when it can't be bound.
         """
-        ip, _colon, port = address.rpartition(':')
-        self.server = await asyncio.get_running_loop().create_server(
-            self.create_connection, ip.strip('[]'), int(port), backlog=BACKLOG
+        self.server = await read_buffer.listen(
+            self.create_connection, address, self.system_bytes, BACKLOG
         )
 
     def create_connection(self) -> asyncio.Protocol:
--- a/carawaystair/request/protocol.py
+++ b/carawaystair/request/protocol.py
@@ -4,8 +4,10 @@
 
 from aiohttp import base_protocol
 
+from carawaystair import read_buffer
 
-class Protocol(base_protocol.BaseProtocol):
+
+class Protocol(base_protocol.BaseProtocol, read_buffer.SharedBuffer):
     """A connection with one timer.
 
     The timer is shared by many requests: it is set again when it fires too
