Long bodies have a bound together, and the one that stalls makes room

What callers saw: a process beyond its memory and its descriptors, beside callers that began long bodies and stopped short of their end, sent on without end, or a byte a second.

Cause: each long body was bounded where it passed, by what its reader, its prefix and its connections hold, some .4 MB and three to five descriptors; all together had no bound, at the caller's node or at the far end of a hop.

Ruled out: the bound of held answers (node.held_mb): only deployments with slow peers have it, and bodies of unknown length never count there.

Change: a node receives so many bodies of over 16 KB at the same time (node.max_bodies), of callers and of other nodes each; the platform's settings derive it from memory and descriptors. For one more, the body that has waited for its caller for longest is broken off, if that is 1 s or more for 16 KB, those of the owner with most bodies first (load/intake.py). Waits for an upstream or the link don't count. Otherwise the new one is refused. Both are told 503 with Retry-After unless a part was sent on; that is told as before, unknown. Bodies up to 16 KB need no place, so ordinary callers are served whatever others do.

--- a/carawaystair/gateway/caller_handler.py
+++ b/carawaystair/gateway/caller_handler.py
@@ -89,7 +89,9 @@
         memory: answer_memory.AnswerMemory,
         recorder: decisions.Recorder,
     ) -> None:
-        super().__init__(prefix, 0.0, routing, behind_s, meters)
+        super().__init__(
+            prefix, 0.0, routing, behind_s, meters, settings.node.max_bodies
+        )
         self.header_names = settings.headers
         self.service = settings.node.service
         self.dispatcher = dispatcher
@@ -301,10 +303,11 @@
         call = call._replace(head=self._head(request, place, dropped))
         length = bodies.declared_length(request)
         if length != 0 or 'Expect' in request.headers:
-            held = self.memory.hold_body(
-                request, sender.customer or _peer(request), length
+            owner = sender.customer or _peer(request)
+            held = self.memory.hold_body(request, owner, length)
+            call = await self._read_body(
+                request, call, exchange, length, held, owner
             )
-            call = await self._read_body(request, call, exchange, length, held)
         credentials = sender.customer or request.headers.get(
             authentication.AUTHORIZATION, ''
         )
--- a/carawaystair/gateway/hop_handler.py
+++ b/carawaystair/gateway/hop_handler.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import functools
+import math
 
 from carawaystair import clock
 from carawaystair import codes
@@ -26,12 +27,15 @@
 from carawaystair.gateway import spool as spools
 from carawaystair.gateway import streaming
 from carawaystair.gateway import transit
+from carawaystair.load import intake as intakes
+from carawaystair.load import rejection
 from carawaystair.load import upstream_selection
 from carawaystair import logs
 from carawaystair.request import answer as answers
 from carawaystair.request import body as bodies
 from carawaystair.request import exchange as exchanges
 from carawaystair.request import http_server
+from carawaystair.request import reception as receptions
 from carawaystair.request import validation
 
 # Delay of the first interim answer: most refusals and short answers are sent
@@ -45,6 +49,8 @@
 LONG_PACING_S = 0.3
 # The size of bodies is limited by the node that took them from the caller.
 NO_LIMIT = 2**62
+# The listener, in metrics.
+NODES = 'nodes'
 MS = 1000
 
 LOG = logs.get('gateway')
@@ -58,6 +64,7 @@
     :param recorder: records events.
     :param pacer: paces sending over the link of this host.
     :param memory: holds answers for slow readers.
+    :param max_bodies: long bodies that are received at the same time at most.
     """
 
     def __init__(
@@ -67,7 +74,11 @@
         recorder: decisions.Recorder,
         pacer: pacers.Pacer,
         memory: answer_memory.AnswerMemory,
+        max_bodies: float = math.inf,
     ) -> None:
+        self.receiver = receptions.Receiver(NODES, max_bodies)
+        # The long bodies of requests in progress.
+        self.receptions: dict[http_server.Request, receptions.Reception] = {}
         self.pacer = pacer
         self.memory = memory
         self.executor = executor
@@ -98,6 +109,9 @@
         finally:
             interim.stop()
             self.active -= 1
+            reception = self.receptions.pop(request, None)
+            if reception is not None:
+                self.receiver.end(reception.body)
 
     async def _answer(
         self,
@@ -248,8 +262,10 @@
             return executors.Body(b'')
         if hop.expects_continue:
             hops.write(request, hops.CONTINUE)
-        content = request.content
         deadline = clock.now() + hop.remaining_ms / MS
+        content = request.content
+        if length is None or length > intakes.FREE_BYTES:
+            content = self._receive(hop, request)
         if length is not None and length > bodies.MAX_BUFFERED_BYTES:
             data = b''
             if hop.expects_continue:
@@ -259,12 +275,35 @@
                 data = start.data
             source = bodies.Source(content, length, data, NO_LIMIT)
             return executors.Body(None, source)
-        start = await bodies.read_start(content, NO_LIMIT, deadline)
+        if content is request.content:
+            start = await bodies.read_start(content, NO_LIMIT, deadline)
+        else:
+            start = await bodies.read(
+                content, bodies.MAX_BUFFERED_BYTES, NO_LIMIT, deadline
+            )
         if start.complete:
             return executors.Body(start.data)
         source = bodies.Source(content, None, start.data, NO_LIMIT)
         return executors.Body(None, source)
 
+    def _receive(
+        self, hop: hops.Hop, request: http_server.Request
+    ) -> receptions.Reception:
+        """Return the reader of a long body.
+
+        :raises slots.Refused: when there is no room for it.
+        """
+        try:
+            reception = self.receiver.receive(
+                request.content, hop.customer or hop.host
+            )
+        except validation.Refused as refused:
+            raise slots_module.Refused(
+                rejection.BUSY, refused.detail
+            ) from None
+        self.receptions[request] = reception
+        return reception
+
     def _answer_defect(
         self, hop: hops.Hop, request: http_server.Request, error: Exception
     ) -> bool:
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -203,6 +203,7 @@
             recorder,
             self.pacer,
             self.memory,
+            node.max_bodies,
         )
         self.recorder = recorder
         self.caller_listener = listeners.Listener(
@@ -244,6 +245,8 @@
         metrics.collect(self.client.traffic.samples)
         metrics.collect(self.samples)
         metrics.collect(self.memory.samples)
+        metrics.collect(self.caller_handler.receiver.samples)
+        metrics.collect(self.hop_handler.receiver.samples)
         if self.shutdown.requested:
             return
         settings = self.settings
--- a/carawaystair/request/base_handler.py
+++ b/carawaystair/request/base_handler.py
@@ -5,6 +5,7 @@
 import typing
 
 from carawaystair import codes
+from carawaystair.load import intake as intakes
 from carawaystair import logs
 from carawaystair.request import answer as answers
 from carawaystair.request import body as bodies
@@ -12,11 +13,15 @@
 from carawaystair.request import exchange as exchanges
 from carawaystair.request import http_server
 from carawaystair.request import meters as meters_module
+from carawaystair.request import reception as receptions
 from carawaystair.request import validation
 from carawaystair import routing as routings
 
 LOG = logs.get('request')
 
+# The listener, in metrics.
+CALLERS = 'callers'
+
 # Time in which a node usually catches up with a newer configuration: the
 # median of 128 nodes during frequent changes.
 CATCH_UP_S = 0.6
@@ -32,6 +37,7 @@
     :param behind_s: returns for how long a newer configuration has been
         known, seconds; 0.0 while none is.
     :param meters: counts requests by outcome.
+    :param max_bodies: long bodies that are received at the same time at most.
     """
 
     def __init__(
@@ -41,6 +47,7 @@
         routing: typing.Callable[[], routings.Routing | None],
         behind_s: typing.Callable[[], float],
         meters: meters_module.Meters,
+        max_bodies: float = math.inf,
     ) -> None:
         self.prefix = prefix
         self.request_numbers = itertools.count(1)
@@ -50,6 +57,9 @@
         self.behind_s = behind_s
         self.meters = meters
         self.keyed_bodies = bodies.KeyedBodies()
+        self.receiver = receptions.Receiver(CALLERS, max_bodies)
+        # The long bodies of requests in progress.
+        self.receptions: dict[http_server.Request, receptions.Reception] = {}
         self.active = 0
         # While the node stops: the time by which all requests must end.
         self.stop_deadline: float | None = None
@@ -86,6 +96,9 @@
             self._answer_internal_error(exchange, error)
         finally:
             self.active -= 1
+            reception = self.receptions.pop(request, None)
+            if reception is not None:
+                self.receiver.end(reception.body)
         return exchange.keep_alive
 
     def _no_route(self) -> validation.Refused:
@@ -129,11 +142,13 @@
         exchange: exchanges.Exchange,
         length: int | None,
         held: bool = False,
+        owner: str = '',
     ) -> calls.Call:
         """Return the request with its body, buffered or streamed.
 
         :param length: its length, None when it is chunked.
         :param held: whether there is memory for the whole of a long one.
+        :param owner: whose part of all long bodies it uses.
         """
         limit = call.match.service.max_body
         bodies.check_length(length, limit)
@@ -149,22 +164,45 @@
             body = await bodies.read(content, length, limit, call.deadline)
             return call._replace(body=body.data)
         if length is not None and length > bodies.MAX_BUFFERED_BYTES:
+            reception = self._receive(request, owner)
             prefix = await bodies.read(
-                content, bodies.PREFIX_BYTES, limit, call.deadline
+                reception, bodies.PREFIX_BYTES, limit, call.deadline
             )
             return call._replace(
                 body=None,
-                stream=content,
+                stream=reception,
                 length=length,
                 body_prefix=prefix.data,
             )
-        start = await bodies.read_start(content, limit, call.deadline)
+        start = bodies.PartialBody(b'', False)
+        if length is None or length <= intakes.FREE_BYTES:
+            start = await bodies.read_start(
+                content, limit, call.deadline, intakes.FREE_BYTES
+            )
+        if start.complete and len(start.data) <= bodies.MAX_BUFFERED_BYTES:
+            return call._replace(body=start.data)
+        reception = self._receive(request, owner)
+        start = await bodies.read(
+            reception,
+            bodies.MAX_BUFFERED_BYTES,
+            limit,
+            call.deadline,
+            start.data,
+        )
         if start.complete and len(start.data) <= bodies.MAX_BUFFERED_BYTES:
             return call._replace(body=start.data)
         return call._replace(
-            body=None, stream=content, length=None, body_prefix=start.data
+            body=None, stream=reception, length=None, body_prefix=start.data
         )
 
+    def _receive(
+        self, request: http_server.Request, owner: str
+    ) -> receptions.Reception:
+        """Return the reader of the long body of a request."""
+        reception = self.receiver.receive(request.content, owner)
+        self.receptions[request] = reception
+        return reception
+
     # Errors
 
     def _answer_error(
--- a/carawaystair/request/body.py
+++ b/carawaystair/request/body.py
@@ -99,8 +99,24 @@
     return request.version >= http.HttpVersion11
 
 
+class Reader(typing.Protocol):
+    """What reads a body: that of a connection, or a bounded one."""
+
+    async def readany(self) -> bytes:
+        """Return what has arrived, or wait for some."""
+
+    def at_eof(self) -> bool:
+        """Return whether all was read."""
+
+    def exception(self) -> BaseException | None:
+        """Return the error that ended the body, if any."""
+
+
 async def read_start(
-    content: streams.StreamReader, limit: int, deadline: float
+    content: streams.StreamReader,
+    limit: int,
+    deadline: float,
+    enough: int = MAX_BUFFERED_BYTES,
 ) -> PartialBody:
     """Read a whole body, or the beginning of a long one."""
     if content.is_eof():
@@ -108,21 +124,26 @@
         if len(data) > limit:
             raise validation.Refused(codes.BODY_TOO_LARGE)
         return PartialBody(data, True)
-    return await read(content, MAX_BUFFERED_BYTES, limit, deadline)
+    return await read(content, enough, limit, deadline)
 
 
 async def read(
-    content: streams.StreamReader, enough: int, limit: int, deadline: float
+    content: Reader,
+    enough: int,
+    limit: int,
+    deadline: float,
+    start: bytes = b'',
 ) -> PartialBody:
     """Read a body or its beginning.
 
     :param enough: stop once more bytes than this were read.
     :param limit: maximum length of the body.
     :param deadline: monotonic time by which it must have arrived.
+    :param start: what was read of it before.
     :raises validation.Refused: when it is too long, late or malformed.
     """
-    chunks = []
-    size = 0
+    chunks = [start]
+    size = len(start)
     try:
         async with asyncio.timeout_at(deadline):
             while not content.at_eof() and size <= enough:
@@ -156,7 +177,7 @@
     :param limit: maximum length.
     """
 
-    stream: streams.StreamReader
+    stream: Reader
     length: int | None
     prefix: bytes
     limit: int
--- a/carawaystair/request/handler.py
+++ b/carawaystair/request/handler.py
@@ -94,7 +94,9 @@
             self._check_stopping(call)
         length = bodies.declared_length(request)
         if length != 0 or 'Expect' in request.headers:
-            call = await self._read_body(request, call, exchange, length)
+            call = await self._read_body(
+                request, call, exchange, length, owner=call.customer
+            )
         credentials = identity.customer or request.headers.get(
             authentication.AUTHORIZATION, ''
         )
--- /dev/null
+++ b/test/test_gateway_bodies.py
@@ -0,0 +1,96 @@
+"""Long bodies beyond what a node receives at the same time."""
+
+import asyncio
+
+from test import gateway_setup as fleets
+from test import pipes
+from test import request_setup as setups
+
+HEAD = b'POST /pay/%b HTTP/1.1\r\nHost: x\r\n'
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+CHUNK = b'4e20\r\n' + bytes(20_000) + b'\r\n'
+LONG = bytes(100_000)
+
+
+async def begin(name: bytes):
+    """Begin to send a long body."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', 8000)
+    writer.write(CHUNKED % name + CHUNK)
+    await asyncio.sleep(0.1)
+    return reader, writer
+
+
+def run(scenario, max_bodies: int):
+    """Run a scenario with a fleet; return its result and what has run."""
+
+    async def whole():
+        async with fleets.running(
+            None, fleets.serve, max_bodies=max_bodies
+        ) as fleet:
+            result = await scenario(fleet)
+            await asyncio.sleep(1.0)
+            handler = fleet.nodes[0].service.caller_handler
+            assert not handler.receptions
+            assert len(handler.receiver.intake.bodies) <= max_bodies
+            return result, [seen.line.split()[1] for seen in fleet.runs]
+
+    return pipes.run(whole())
+
+
+def test_body_that_stopped_is_told_that_it_has_not_run():
+    """Guards against bodies that stop short and keep out all others."""
+
+    async def scenario(fleet):
+        reader, writer = await begin(b'stopped')
+        await asyncio.sleep(2.0)
+        answer = await fleet.ask('/pay/whole', 'POST', body=LONG)
+        told = await setups.read_answer(reader)
+        writer.close()
+        return told, answer
+
+    (told, answer), ran = run(scenario, 1)
+    assert (told.status, told.code, told.outcome) == (
+        503,
+        'CS-3017',
+        'not-run',
+    )
+    assert 'retry-after' in told.headers
+    assert answer.status == 200
+    assert ran == ['/pay/whole']
+
+
+def test_body_without_room_is_told_that_it_has_not_run():
+    """Guards against a node that holds more bodies than it has room for."""
+
+    async def scenario(fleet):
+        _reader, writer = await begin(b'first')
+        refused = await fleet.ask('/pay/refused', 'POST', body=LONG)
+        short = await fleet.ask('/pay/short', 'POST', body=b'x' * 10_000)
+        writer.write(CHUNK + b'0\r\n\r\n')
+        told = await setups.read_answer(_reader)
+        writer.close()
+        return refused, short, told
+
+    (refused, short, told), ran = run(scenario, 1)
+    assert (refused.status, refused.code, refused.outcome) == (
+        503,
+        'CS-3017',
+        'not-run',
+    )
+    assert 'retry-after' in refused.headers
+    assert (short.status, told.status) == (200, 200)
+    assert ran == ['/pay/short', '/pay/first']
+
+
+def test_bodies_one_after_another_need_one_place():
+    """Guards against places of bodies that are not given back."""
+
+    async def scenario(fleet):
+        return [
+            (await fleet.ask('/pay/%d' % n, 'POST', body=LONG)).status
+            for n in range(5)
+        ]
+
+    statuses, ran = run(scenario, 1)
+    assert statuses == [200] * 5
+    assert len(ran) == 5
