Listeners of aiohttp have bounds for strangers

What was seen: a process beyond its memory (141 to 355 MB of 101 allowed), beside strangers at the ports for heartbeats, readiness, metrics and the local API: bodies without end, heads of many lines, a line without end.

Cause: aiohttp bounds the body that a handler reads, and a line of a head. It has no bound for connections, for the time of a request, and reads the rest of a refused body for ten seconds, 256 KB at a time. Configurations of up to 24 MB were held for each connection.

A request arrives within 10 s. 128 KB more than the longest body are read of it, and all that are on their way hold two of the longest bodies and 1 MB; beyond that the one that holds most is closed. A request that has arrived is never cut. What was closed is counted by cause (local_connections_closed_total). The API for administration has the same bounds.

--- a/carawaystair/admin/service.py
+++ b/carawaystair/admin/service.py
@@ -23,6 +23,7 @@
 from carawaystair.admin import tls
 from carawaystair import codes
 from carawaystair.control import interfaces as control
+from carawaystair import guarded_listener
 from carawaystair import logs
 from carawaystair import manifest as manifests
 from carawaystair import settings as settings_module
@@ -30,6 +31,7 @@
 # How often the certificate's files are looked at.
 TLS_LOOK_S = 30.0
 SHUTDOWN_S = 2.0
+MAX_CONNECTIONS = 64
 
 LOG = logs.get('admin')
 
@@ -57,7 +59,7 @@
         self.trail = trail
         self.context: ssl.SSLContext | None = None
         self.app = web.Application(
-            middlewares=[_number_errors],
+            middlewares=[guarded_listener.note_requests, _number_errors],
             client_max_size=manifests.MAX_BYTES,
         )
         for each in served:
@@ -65,6 +67,10 @@
         self.runner = web.AppRunner(
             self.app, access_log=None, shutdown_timeout=SHUTDOWN_S
         )
+        self.listener = guarded_listener.GuardedListener(
+            settings.admin,
+            guarded_listener.Bounds(MAX_CONNECTIONS, manifests.MAX_BYTES),
+        )
 
     async def on_start(self) -> None:
         """Listen.
@@ -77,15 +83,12 @@
                 raise OSError(made.error.sentence())
             self.context = made.ok
         await self.runner.setup()
-        ip, port = self.settings.admin.rsplit(':', 1)
-        site = web.TCPSite(
-            self.runner, ip.strip('[]'), int(port), ssl_context=self.context
-        )
-        await site.start()
+        await self.listener.start(self.runner, self.context)
         LOG.info('Listening.', address=self.settings.admin)
 
     async def on_stop(self) -> None:
         """Let requests in flight finish, then close."""
+        self.listener.close()
         await self.runner.cleanup()
 
     @mode.Service.task
--- a/carawaystair/localapi.py
+++ b/carawaystair/localapi.py
@@ -6,12 +6,16 @@
 import mode
 import msgspec
 
+from carawaystair import guarded_listener
 from carawaystair import metrics
 from carawaystair import report as reports
 from carawaystair import shape
 
 MAX_BODY = 64 * 1024
+MAX_CONNECTIONS = 64
 MAX_EVENTS = 5000
+# Requests in flight get so long to finish when the listener stops, seconds.
+SHUTDOWN_S = 1.0
 
 
 class LocalApi(mode.Service):
@@ -20,6 +24,7 @@
     :param address: ``ip:port`` to listen on.
     :param routes: the routes of all parts.
     :param max_body: bytes of a request's body at most.
+    :param max_connections: most open connections.
     """
 
     def __init__(
@@ -27,23 +32,30 @@
         address: str,
         routes: typing.Iterable[web.RouteDef],
         max_body: int = MAX_BODY,
+        max_connections: int = MAX_CONNECTIONS,
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
-        self.address = address
-        self.app = web.Application(client_max_size=max_body)
+        self.app = web.Application(
+            client_max_size=max_body,
+            middlewares=[guarded_listener.note_requests],
+        )
         self.app.add_routes(routes)
-        self.runner = web.AppRunner(self.app, access_log=None)
+        self.runner = web.AppRunner(
+            self.app, access_log=None, shutdown_timeout=SHUTDOWN_S
+        )
+        self.listener = guarded_listener.GuardedListener(
+            address, guarded_listener.Bounds(max_connections, max_body)
+        )
 
     async def on_start(self) -> None:
         """Listen."""
         await self.runner.setup()
-        ip, port = self.address.rsplit(':', 1)
-        site = web.TCPSite(self.runner, ip, int(port), shutdown_timeout=1.0)
-        await site.start()
+        await self.listener.start(self.runner)
 
     async def on_stop(self) -> None:
         """Stop listening."""
+        self.listener.close()
         await self.runner.cleanup()
 
 
@@ -64,6 +76,8 @@
             text=metrics.text(), content_type='text/plain', charset='utf-8'
         )
 
+    if guarded_listener.COUNTS.samples not in metrics.COLLECTORS:
+        metrics.collect(guarded_listener.COUNTS.samples)
     return web.get('/metrics', _metrics)
 
 
--- a/carawaystair/node.py
+++ b/carawaystair/node.py
@@ -30,7 +30,11 @@
             *self.membership.routes(),
             *localapi.observer_routes(kernel, self.report),
         ]
-        self.local = localapi.LocalApi(kernel.settings.node.local, routes)
+        self.local = localapi.LocalApi(
+            kernel.settings.node.local,
+            routes,
+            max_connections=kernel.settings.node.max_local,
+        )
 
     async def on_start(self) -> None:
         """Start the parts, unless the process is to stop."""
--- a/carawaystair/read_buffer.py
+++ b/carawaystair/read_buffer.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import socket
+import ssl
 import typing
 
 # Most that is received at once, bytes.
@@ -43,6 +44,7 @@
     address: str,
     system_bytes: int,
     backlog: int = 100,
+    tls: ssl.SSLContext | None = None,
 ) -> asyncio.Server:
     """Return a server that listens.
 
@@ -51,11 +53,12 @@
     :param system_bytes: what the system is asked to hold of a connection;
         ``SYSTEM_CHOICE`` leaves that to it.
     :param backlog: connections that may wait to be accepted.
+    :param tls: for connections with TLS.
     :raises OSError: when it can't be bound.
     """
     ip, _colon, port = address.rpartition(':')
     server = await asyncio.get_running_loop().create_server(
-        factory, ip.strip('[]'), int(port), backlog=backlog
+        factory, ip.strip('[]'), int(port), backlog=backlog, ssl=tls
     )
     for listening in server.sockets if system_bytes else ():
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, system_bytes)
--- a/carawaystair/settings.py
+++ b/carawaystair/settings.py
@@ -62,6 +62,7 @@
     :param upstream_body_mb: bodies of requests in progress at one upstream
         at most, MB; 0 for no bound.
     :param max_connections: connections of callers at most.
+    :param max_local: connections at each other listener at most.
     :param max_bodies: long bodies that are received at the same time at most,
         of callers and of other nodes each.
     :param crash_limit: upstreams that crash under a request before it is
@@ -94,6 +95,7 @@
     held_mb: float = 0.0
     upstream_body_mb: float = 0.0
     max_connections: int = 20_000
+    max_local: int = 64
     max_bodies: int = 2000
     crash_limit: int = crash_suspects.CRASH_LIMIT
     crash_hold_s: float = crash_suspects.HOLD_S
