Connections stay within the descriptors of a process

What was seen: 233 descriptors of 192 allowed with 200 connections that send nothing, at each listener.

Cause: the bound of callers' connections did not follow from the descriptors that the platform states (20,000 beside 4,100), connections between nodes had that bound as a constant, and at the bound it was the new caller who was refused: a crowd that came first kept all others out.

For one connection more the least useful one is closed (load/eviction.py), as at the other listeners; a body that has not moved for 1 s counts as waiting. 16 connections are accepted in an iteration of the event loop: asyncio accepts as many as may queue, 1,024, and each that is refused holds its descriptor until the next iteration.

--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -34,6 +34,7 @@
 from carawaystair.quota import tenures
 from carawaystair import read_buffer
 from carawaystair.request import authentication
+from carawaystair.request import base_handler
 from carawaystair.request import connections
 from carawaystair.request import http_server
 from carawaystair.request import listener as listeners
@@ -215,6 +216,7 @@
         self.node_listener = listeners.Listener(
             self.hop_handler.handle,
             lambda: _node_limits(self.caller_handler.bounds().head_bytes),
+            max_connections=node.max_hops,
             system_bytes=read_buffer.SYSTEM_CHOICE,
         )
         self.stopping = False
@@ -267,6 +269,8 @@
         yield metrics.Sample(
             'caller_connections_refused_total', listener.refused
         )
+        yield from listener.samples(base_handler.CALLERS)
+        yield from self.node_listener.samples(hop_handler.NODES)
         if self.pacer.link is not None:
             ahead_s = self.pacer.link.backlog_s(clock.now())
             yield metrics.Sample('link_ahead_seconds', ahead_s)
--- a/carawaystair/read_buffer.py
+++ b/carawaystair/read_buffer.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import os
 import socket
 import ssl
 import typing
@@ -21,6 +22,9 @@
 # system chooses.
 NEAR_BYTES = 64 * 1024
 SYSTEM_CHOICE = 0
+# Connections that are accepted in one iteration of the event loop.  Those that
+# are refused have their descriptors until the next one.
+ACCEPTS = 16
 
 
 class SharedBuffer(asyncio.BufferedProtocol):
@@ -58,8 +62,13 @@
     """
     ip, _colon, port = address.rpartition(':')
     server = await asyncio.get_running_loop().create_server(
-        factory, ip.strip('[]'), int(port), backlog=backlog, ssl=tls
+        factory, ip.strip('[]'), int(port), backlog=ACCEPTS, ssl=tls
     )
-    for listening in server.sockets if system_bytes else ():
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, system_bytes)
+    for listening in server.sockets:
+        with socket.socket(fileno=os.dup(listening.fileno())) as raw:
+            raw.listen(backlog)
+            if system_bytes:
+                raw.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, system_bytes
+                )
     return server
--- a/carawaystair/request/http_server.py
+++ b/carawaystair/request/http_server.py
@@ -40,6 +40,8 @@
 MANY_LINES = 'Too many blank lines before a request.'
 # Time after which an idle connection is closed.
 IDLE_TIMEOUT_S = 75.0
+# A body of which nothing has arrived for this time is not on its way, seconds.
+STALLED_S = 1.0
 # Time in which a request head must arrive after its first byte.
 HEAD_TIMEOUT_S = 10.0
 HEAD_END = b'\r\n\r\n'
@@ -283,6 +285,8 @@
         self.started = 0
         self.answered = 0
         self.content = streams.EMPTY_PAYLOAD
+        # Since when it has been open or idle, and when it last sent anything.
+        self.waiting_since = self.received_at = loop.time()
         # The error after which no further request can be read.
         self.error: errors.Malformed | None = None
         # Set while the task waits for a request.
@@ -400,7 +404,8 @@
         """Wait for a request; return whether there is one."""
         if not self.queue and self.error is None:
             self.head_started = False
-            self._set_timer(self.loop.time() + self.bounds.idle_s)
+            self.waiting_since = self.loop.time()
+            self._set_timer(self.waiting_since + self.bounds.idle_s)
             self.waiter = self.loop.create_future()
             try:
                 await self.waiter
@@ -445,6 +450,23 @@
         """Return whether no request is being read or answered."""
         return self._awaiting_request() and not self.head_started
 
+    @property
+    def served(self) -> bool:
+        """Return whether a request was answered on it."""
+        return self.answered > 0
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is being answered.
+
+        One whose body does not arrive is not.
+        """
+        if not (self.answering or self.pipelined):
+            return False
+        if self.content.is_eof() or self._reading_paused:
+            return True
+        return self.loop.time() - self.received_at < STALLED_S
+
     def write(self, data: bytes) -> None:
         """Write to the caller.
 
@@ -478,6 +500,8 @@
         if not data:
             # The parser may have paused within what it was given.
             self._queue_messages(self._parse_piece(b''))
+        else:
+            self.received_at = self.loop.time()
         self.unparsed += data
         if not self.turn_awaited:
             self._parse_or_wait()
--- a/carawaystair/request/listener.py
+++ b/carawaystair/request/listener.py
@@ -7,7 +7,9 @@
 
 from carawaystair import clock
 from carawaystair import codes
+from carawaystair.load import eviction
 from carawaystair import logs
+from carawaystair import metrics
 from carawaystair import read_buffer
 from carawaystair.request import errors
 from carawaystair.request import exchange as exchanges
@@ -29,7 +31,8 @@
     :param bounds: returns the bounds for a new connection.
     :param may_pipeline: returns whether a request may run before earlier
         ones on its connection are answered; None if none may.
-    :param max_connections: most open connections.
+    :param max_connections: most open connections; at this number, the least
+        useful one is closed for a new one.
     :param system_bytes: what the system is asked to hold of a connection;
         see ``read_buffer``.
     """
@@ -50,6 +53,7 @@
         self.max_connections = max_connections
         self.system_bytes = system_bytes
         self.refused = 0
+        self.evicted = 0
         # Bytes that were no valid request, by result code.
         self.malformed: collections.Counter[str] = collections.Counter()
         self.logged_at = -math.inf
@@ -70,8 +74,13 @@
     def create_connection(self) -> asyncio.Protocol:
         """Return the protocol of a new connection."""
         if len(self.connections) >= self.max_connections:
-            self.refused += 1
-            return ConnectionRefuser()
+            victim = eviction.least_useful(self.connections, clock.now())
+            if victim is None or victim.transport is None:
+                self.refused += 1
+                return ConnectionRefuser()
+            self.evicted += 1
+            self.connections.discard(victim)
+            victim.transport.abort()
         loop = asyncio.get_running_loop()
         return http_server.Connection(
             loop,
@@ -99,6 +108,25 @@
             )
         refuse(connection, error)
 
+    def samples(self, name: str) -> typing.Iterator[metrics.Sample]:
+        """Yield the metrics.
+
+        :param name: of the listener.
+        """
+        labels = (('listener', name),)
+        open_ones = len(self.connections)
+        yield metrics.Sample('listener_connections', open_ones, labels)
+        yield metrics.Sample(
+            'listener_connections_refused_total', self.refused, labels
+        )
+        yield metrics.Sample(
+            'listener_connections_evicted_total', self.evicted, labels
+        )
+        for code, number in self.malformed.items():
+            yield metrics.Sample(
+                'malformed_total', number, (*labels, ('code', code))
+            )
+
     @property
     def listening(self) -> bool:
         """Return whether it has begun to listen."""
--- a/carawaystair/settings.py
+++ b/carawaystair/settings.py
@@ -62,6 +62,7 @@
     :param upstream_body_mb: bodies of requests in progress at one upstream
         at most, MB; 0 for no bound.
     :param max_connections: connections of callers at most.
+    :param max_hops: connections of other nodes at most.
     :param max_local: connections at each other listener at most.
     :param max_bodies: long bodies that are received at the same time at most,
         of callers and of other nodes each.
@@ -95,6 +96,7 @@
     held_mb: float = 0.0
     upstream_body_mb: float = 0.0
     max_connections: int = 20_000
+    max_hops: int = 20_000
     max_local: int = 64
     max_bodies: int = 2000
     crash_limit: int = crash_suspects.CRASH_LIMIT
--- a/carawaystair/settings_rules.py
+++ b/carawaystair/settings_rules.py
@@ -39,6 +39,7 @@
     ('node.held_mb', 0.0, 1e6),
     ('node.upstream_body_mb', 0.0, 1e6),
     ('node.max_connections', 1, 1_000_000),
+    ('node.max_hops', 1, 1_000_000),
     ('node.max_local', 1, 1_000_000),
     ('node.max_bodies', 1, 1_000_000),
     ('node.home_bonus', 0.0, 1.0),
--- a/test/crowd.py
+++ b/test/crowd.py
@@ -75,6 +75,7 @@
     b'X-%d: %b\r\n' % (n, bytes(64).hex().encode()) for n in range(400)
 )
 KINDS = {
+    'silent': Kind(lambda: iter(())),
     'blank-lines': Kind(_endless(b'\r\n', b'\r\n' * (PIECE // 2))),
     'newlines': Kind(_endless(b'\n', b'\n' * PIECE)),
     'long-line': Kind(_endless(b'GET /', b'x' * PIECE)),
--- a/test/crowd_fleet.py
+++ b/test/crowd_fleet.py
@@ -28,6 +28,8 @@
 MAX_FDS = 192
 # Connections of a crowd.
 CROWD = 60
+# The same where the crowd is to reach the descriptors alone.
+LARGE_CROWD = 200
 # How long a crowd has its way, seconds.
 CROWD_S = 2.0
 READY_S = 30.0
