A node works on so many requests of callers as its descriptors allow

What was seen: 1,333 descriptors of 192 and 178 MB of 101 allowed, beside callers that send lookups without end and read no answer.

Cause: up to eight requests of a connection ran at the same time, and nothing bounded those of all connections. Each takes a connection to its gateway, at which it takes another one, and one to its upstream. Answers of some hundred bytes never fill the bounds for held answers.

Nested calls need no place: the request that waits for them may have the last one.

--- a/carawaystair/gateway/caller_handler.py
+++ b/carawaystair/gateway/caller_handler.py
@@ -1,6 +1,7 @@
 """Handles callers' requests at a node with a gateway."""
 
 import asyncio
+import contextlib
 import math
 import re
 import typing
@@ -31,6 +32,7 @@
 from carawaystair.request import headers
 from carawaystair.request import http_server
 from carawaystair.request import meters as meters_module
+from carawaystair.request import places
 from carawaystair.request import validation
 from carawaystair import routing as routings
 from carawaystair import rows
@@ -103,6 +105,7 @@
         self.metrics = metrics
         self.memory = memory
         self.recorder = recorder
+        self.places = places.Places(settings.node.max_requests)
         # The version of the configuration last used, and since when.
         self.version, self.version_since = rows.NONE, 0.0
         # Tasks that are answering a caller.
@@ -146,10 +149,12 @@
         connection, the caller assumes that later requests were not read, and
         sends them again.  Requests for long transfers may not either, since
         they would hold a slot for data that can't be sent yet.  A node that
-        stops starts nothing ahead of time.
+        stops, or has many requests, starts nothing ahead of time.
         """
         if self.stop_deadline is not None or not self._has_no_body(request):
             return False
+        if not self.places.room.may_pipeline:
+            return False
         try:
             place = validation.read_target(request)
         except validation.Refused:
@@ -407,7 +412,8 @@
             dispatch.call.id,
         )
         try:
-            await self._forward(dispatch, exchange, started_at)
+            async with self._place(dispatch):
+                await self._forward(dispatch, exchange, started_at)
         except validation.Refused:
             if lease is not None:
                 lease.give_back()
@@ -417,6 +423,18 @@
                 lease.give_back()
             raise
 
+    def _place(
+        self, dispatch: dispatches.Dispatch
+    ) -> contextlib.AbstractAsyncContextManager:
+        """Return the place of a request while it is in progress.
+
+        A nested call takes none: the request that waits for it may have the
+        last one.
+        """
+        if dispatch.params.nested:
+            return contextlib.nullcontext()
+        return self.places.take(dispatch.call.deadline)
+
     async def _forward(
         self,
         dispatch: dispatches.Dispatch,
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -249,6 +249,7 @@
         metrics.collect(self.memory.samples)
         metrics.collect(self.caller_handler.receiver.samples)
         metrics.collect(self.hop_handler.receiver.samples)
+        metrics.collect(self.caller_handler.places.samples)
         if self.shutdown.requested:
             return
         settings = self.settings
--- a/carawaystair/settings.py
+++ b/carawaystair/settings.py
@@ -64,6 +64,7 @@
     :param max_connections: connections of callers at most.
     :param max_hops: connections of other nodes at most.
     :param max_local: connections at each other listener at most.
+    :param max_requests: requests of callers in progress at most.
     :param max_bodies: long bodies that are received at the same time at most,
         of callers and of other nodes each.
     :param crash_limit: upstreams that crash under a request before it is
@@ -98,6 +99,7 @@
     max_connections: int = 20_000
     max_hops: int = 20_000
     max_local: int = 64
+    max_requests: int = 20_000
     max_bodies: int = 2000
     crash_limit: int = crash_suspects.CRASH_LIMIT
     crash_hold_s: float = crash_suspects.HOLD_S
--- a/carawaystair/settings_rules.py
+++ b/carawaystair/settings_rules.py
@@ -41,6 +41,7 @@
     ('node.max_connections', 1, 1_000_000),
     ('node.max_hops', 1, 1_000_000),
     ('node.max_local', 1, 1_000_000),
+    ('node.max_requests', 1, 1_000_000),
     ('node.max_bodies', 1, 1_000_000),
     ('node.home_bonus', 0.0, 1.0),
     ('node.home_bonus_per_kb', 0.0, 1.0),
--- a/test/test_platform_documents.py
+++ b/test/test_platform_documents.py
@@ -511,3 +511,26 @@
     assert result.control.quota_window_s == 4.0
     assert result.control.quota_holders == 0
     assert result.headers.customer == 'X-Tenant-Id'
+
+
+@pytest.mark.parametrize(
+    'limits,connections,hops,requests,bodies,local',
+    [
+        ({}, 20_000, 20_000, 20_000, 2000, 64),
+        ({'memory_mb': 200}, 20_000, 20_000, 20_000, 80, 64),
+        ({'memory_mb': 300, 'max_fds': 4100}, 1640, 1230, 615, 120, 82),
+        ({'memory_mb': 300, 'max_fds': 100}, 40, 30, 15, 4, 4),
+    ],
+    ids=['not stated', 'memory', 'usual', 'few descriptors'],
+)
+def test_settings_bound_what_peers_make_a_process_hold(
+    limits, connections, hops, requests, bodies, local
+):
+    document = platform_setup.settings()
+    document['self']['limits'] = limits
+    node = platform_settings.fleet_settings(
+        platform_settings.parse(document)
+    ).node
+    assert (node.max_connections, node.max_hops) == (connections, hops)
+    assert (node.max_requests, node.max_bodies) == (requests, bodies)
+    assert node.max_local == local
