Messages between processes have a length that strangers can't exceed

What was seen: 2,517 MB of 101 allowed, beside 60 strangers at the port for messages between processes that announced a frame of 256 MB.

Cause: the library takes a frame of any length, and holds what has arrived of it, for each connection; wire.MAX_BYTES is checked once the message is whole. Where a fleet has no keys, anyone may connect.

Change: the listening side of the links takes 256 KB at most, of a control host 4 MB (wire.MAX_BYTES), since submissions go there. What nodes are sent first is far shorter: pages of 500 records, batches of 32 KB, bodies of 64 KB. Answers return on connections that the asking process has made and keep their bound. A queue holds 500 messages, as it does for sending.

On a control host 4 MB for each connection are still a lot.

--- a/carawaystair/kernel.py
+++ b/carawaystair/kernel.py
@@ -20,6 +20,7 @@
 from carawaystair import settings as settings_module
 from carawaystair import shutdown as shutdowns
 from carawaystair import timeline
+from carawaystair import wire
 
 LOG = logs.get('kernel')
 
@@ -55,8 +56,13 @@
         )
         self.timeline.listeners.append(self._note)
         hybrid = self.timeline.clock
+        is_control = 'control' in settings.roles
         self.links = links.Links(
-            settings.peer, hybrid, held, settings.bound(settings.peer)
+            settings.peer,
+            hybrid,
+            held,
+            settings.bound(settings.peer),
+            wire.MAX_BYTES if is_control else links.MAX_BYTES,
         )
         self.datagrams = datagrams.Datagrams(
             settings.gossip,
--- a/carawaystair/links.py
+++ b/carawaystair/links.py
@@ -28,6 +28,9 @@
 # Messages waiting for one peer; more are dropped, since a peer that is gone
 # must cost bounded memory.
 QUEUE = 500
+# Longest message that processes other than control hosts are sent first.
+# Whoever can connect makes the system hold as much for each connection.
+MAX_BYTES = 256 * 1024
 # Questions being answered at once; more are dropped and counted.
 MAX_HANDLERS = 2000
 # A link without a message for so long is closed, so that a node keeps open
@@ -94,6 +97,8 @@
     :param held: keys of the fleet; the first connects, any is accepted.
         Empty for links that are neither encrypted nor checked.
     :param bind: ``ip:port`` to bind where that is another one.
+    :param max_bytes: longest message that others may send first; a
+        connection with a longer one is closed.
     """
 
     def __init__(
@@ -102,9 +107,11 @@
         hybrid: timeline.HybridClock | None = None,
         held: typing.Sequence[keys.Key] = (),
         bind: str = '',
+        max_bytes: int = wire.MAX_BYTES,
         **kwargs,
     ) -> None:
         super().__init__(**kwargs)
+        self.max_bytes = max_bytes
         self.address = address
         self.bind = bind or address
         self.hybrid = hybrid or timeline.HybridClock()
@@ -234,7 +241,8 @@
         """Listen for the holders of ``key``, or for anyone."""
         router = self._socket(zmq.ROUTER)
         router.linger = 0
-        router.sndhwm = QUEUE
+        router.sndhwm = router.rcvhwm = QUEUE
+        router.setsockopt(zmq.MAXMSGSIZE, self.max_bytes)
         router.setsockopt(zmq.TCP_MAXRT, HEARTBEAT_TIMEOUT_MS)
         try:
             if key is None:
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -30,6 +30,13 @@
     number: int
 
 
+@wire.register(65004)
+class Text(typing.NamedTuple):
+    """A message of any length."""
+
+    text: str
+
+
 # Every process of a test run looks for its ports in an order of its own.
 PORTS = random.Random(os.getpid())
 TAKEN: set[str] = set()
@@ -330,3 +337,28 @@
 def test_link_is_kept_for_some_pings_at_least():
     """Guards against links that are made anew for each message."""
     assert links.IDLE_S >= 10 * links.HEARTBEAT_MS / 1000
+
+
+def test_message_beyond_the_bound_is_not_taken():
+    """Guards against strangers whose long messages a process holds."""
+    taken = []
+
+    async def note(_sender, message) -> None:
+        taken.append(message.text)
+
+    async def scenario():
+        link = links.Links(free_address(), max_bytes=1000)
+        other = links.Links(free_address())
+        for one in (link, other):
+            await one.start()
+        link.handle(Text, note)
+        other.send(link.address, Text('x' * 1000))
+        while not taken:
+            # The long one ends the connection, which is made again.
+            await asyncio.sleep(0.05)
+            other.send(link.address, Text('short'))
+        for one in (link, other):
+            await one.stop()
+
+    asyncio.run(scenario())
+    assert set(taken) == {'short'}
