Soak: crowds of clients that don't behave, beside its faults

A crowd of 20 connections speaks to one listener of a node (callers, other nodes, the local API) for 1.5 to 4 s, while processes are stopped, killed and reloaded and the callers go on. Every eighth seed has them, with a randomness of their own, so that older seeds play what they played. A crowd counts as a disturbance of its node, as other faults do.

The stand-in for crowds has moved to standin/, unchanged, since the soak uses it, too.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -37,6 +37,7 @@
 CLOCK = 'clock'  # the time of day of a host jumps
 FORGET = 'forget'  # an upstream leaves, then its node and control end
 FATAL = 'fatal'  # a request that crashes upstreams comes again and again
+CROWD = 'crowd'  # clients that don't behave speak to a node
 
 PLANNED = frozenset(
     (
@@ -110,6 +111,12 @@
 # Seconds between the beginnings of two of them, and how long each lasts.
 FORGET_PAUSE_S = (3.0, 7.0)
 FORGET_S = (0.2, 1.5)
+# Of so many seeds one has crowds, in the same way.
+CROWD_EVERY = 8
+CROWD_SEED = 5
+# Seconds between the beginnings of two of them, and how long each lasts.
+CROWD_PAUSE_S = (2.0, 5.0)
+CROWD_S = (1.5, 4.0)
 # Of so many seeds one has rolls over the fleet, in the same way.
 ROLL_EVERY = 5
 ROLL_SEED = 0
@@ -151,6 +158,7 @@
     CLOCK: HOST,
     FORGET: UPSTREAM,
     FATAL: FLEET,
+    CROWD: NODE,
     LIMIT: UPSTREAM,
     NOTICE: UPSTREAM,
 }
@@ -231,6 +239,8 @@
         events += _drawn(seed, seconds, NOTICE, NOTICE_S, NOTICE_PAUSE_S, True)
     if seed % FORGET_EVERY == FORGET_SEED:
         events += _drawn(seed, seconds, FORGET, FORGET_S, FORGET_PAUSE_S, True)
+    if seed % CROWD_EVERY == CROWD_SEED:
+        events += _drawn(seed, seconds, CROWD, CROWD_S, CROWD_PAUSE_S, True)
     if conditions(seed).rolls:
         events += _rolls(random.Random('rolls %d' % seed), seconds)
     return sorted(event for event in events if event.at < seconds)
--- a/soak/play.py
+++ b/soak/play.py
@@ -63,6 +63,18 @@
 STORM_GAP_S = 0.15
 # A request that crashes upstreams comes again so often, seconds.
 FATAL_GAP_S = 0.25
+# Connections of a crowd, what each sends, and to which listener.
+CROWD = 20
+CROWDS = (
+    ('blank-lines', 'listen'),
+    ('many-lines', 'listen'),
+    ('byte-chunks', 'listen'),
+    ('stops-short', 'listen'),
+    ('announced', 'listen'),
+    ('silent', 'gateway'),
+    ('long-line', 'gateway'),
+    ('endless', 'local'),
+)
 # Versions of the nodes are asked for so often, seconds.
 LOOK_S = 0.3
 # After the last fault the fleet gets so long to come together, seconds.
@@ -368,6 +380,18 @@
     async def _kill(self, event, name) -> None:
         await self.fleet.restart(name, signal.SIGKILL, event.for_s / 2)
 
+    async def _crowd(self, event, name) -> None:
+        """Let a crowd speak to one of the listeners of a node."""
+        number = int(event.x * len(CROWDS))
+        kind, listener = CROWDS[number]
+        address = getattr(self.fleet.hosts[name], listener)
+        crowd = '%s-%d' % (name, next(self.numbers))
+        words = kind, address, str(CROWD)
+        await self.fleet.start(crowd, 'standin.crowd', *words)
+        await asyncio.sleep(event.for_s)
+        self.fleet.signal(crowd, signal.SIGKILL)
+        await self.fleet.wait(crowd, PATIENCE_S)
+
     async def _power(self, event, name) -> None:
         await self.fleet.restart(name, signal.SIGKILL, event.for_s / 2, True)
 
--- a/test/crowd.py
+++ b/standin/crowd.py
@@ -1,7 +1,8 @@
 """A crowd of clients that don't behave, as a process of its own.
 
-``python -m test.crowd KIND IP:PORT CONNECTIONS``: each connection sends what
-its kind says, as fast as it is taken, and is opened again when it is closed.
+``python -m standin.crowd KIND IP:PORT CONNECTIONS``: each connection sends
+what its kind says, as fast as it is taken, and is opened again when it is
+closed.
 The crowd goes on until the process is ended.
 """
 
--- a/test/crowd_fleet.py
+++ b/test/crowd_fleet.py
@@ -443,7 +443,7 @@
     """Let crowds speak to an address."""
     crowds = [
         subprocess.Popen(
-            [sys.executable, '-m', 'test.crowd', kind, address, str(count)],
+            [sys.executable, '-m', 'standin.crowd', kind, address, str(count)],
             cwd=ROOT,
             stdin=subprocess.DEVNULL,
         )
--- a/test/test_crowds.py
+++ b/test/test_crowds.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from test import crowd
+from standin import crowd
 from test import crowd_fleet
 
 SAMPLE_S = 0.1
--- a/test/test_fault_soak.py
+++ b/test/test_fault_soak.py
@@ -54,6 +54,7 @@
         plans.ROLL,
         plans.FATAL,
         plans.FORGET,
+        plans.CROWD,
         plans.LIMIT,
         plans.NOTICE,
     }
@@ -67,6 +68,7 @@
         (plans.ROLL, 'ROLL_EVERY', 'ROLL_SEED'),
         (plans.FATAL, 'FATAL_EVERY', 'FATAL_SEED'),
         (plans.FORGET, 'FORGET_EVERY', 'FORGET_SEED'),
+        (plans.CROWD, 'CROWD_EVERY', 'CROWD_SEED'),
         ((plans.LIMIT, plans.NOTICE), 'STATED_EVERY', 'STATED_SEED'),
     ],
 )
