Refusals for room between nodes promise nothing for what may have run

If the gateway had no room for its long body, or for the connection, it answered not-run although the first send may have run; the caller is told 503 then, and sends it again.

Change: the bound of long bodies leaves out requests of which an earlier send may have arrived. Beyond node.max_hops a connection is aborted instead of being answered 503, which a node can't tell from an upstream's answer.

test_body_of_a_request_that_may_have_run_is_not_refused fails without the first change.

--- a/carawaystair/gateway/hop_handler.py
+++ b/carawaystair/gateway/hop_handler.py
@@ -264,7 +264,8 @@
             hops.write(request, hops.CONTINUE)
         deadline = clock.now() + hop.remaining_ms / MS
         content = request.content
-        if length is None or length > intakes.FREE_BYTES:
+        long = length is None or length > intakes.FREE_BYTES
+        if long and not self.runs.may_have_run(hop):
             content = self._receive(hop, request)
         if length is not None and length > bodies.MAX_BUFFERED_BYTES:
             data = b''
--- a/carawaystair/gateway/runs.py
+++ b/carawaystair/gateway/runs.py
@@ -136,6 +136,10 @@
         run = self.runs.get(hop.key)
         return run is not None and run.sent
 
+    def may_have_run(self, hop: hops.Hop) -> bool:
+        """Return whether an earlier send of a request may have arrived."""
+        return hop.resumed or hop.key in self.runs
+
     def _find(self, hop: hops.Hop) -> Run:
         now = clock.now()
         self._evict_old(now)
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -218,6 +218,7 @@
             lambda: _node_limits(self.caller_handler.bounds().head_bytes),
             max_connections=node.max_hops,
             system_bytes=read_buffer.SYSTEM_CHOICE,
+            refuser=listeners.ConnectionAborter,
         )
         self.stopping = False
 
--- a/carawaystair/request/listener.py
+++ b/carawaystair/request/listener.py
@@ -35,6 +35,8 @@
         useful one is closed for a new one.
     :param system_bytes: what the system is asked to hold of a connection;
         see ``read_buffer``.
+    :param refuser: makes the protocol of a connection that is refused;
+        :class:`ConnectionRefuser` by default.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         may_pipeline: http_server.RequestPredicate | None = None,
         max_connections: int | None = None,
         system_bytes: int = read_buffer.NEAR_BYTES,
+        refuser: typing.Callable[[], asyncio.Protocol] | None = None,
     ) -> None:
         self.handle = handle
         self.bounds = bounds
@@ -52,6 +55,7 @@
             max_connections = MAX_CONNECTIONS
         self.max_connections = max_connections
         self.system_bytes = system_bytes
+        self.refuser = refuser or ConnectionRefuser
         self.refused = 0
         self.evicted = 0
         # Bytes that were no valid request, by result code.
@@ -77,7 +81,7 @@
             victim = eviction.least_useful(self.connections, clock.now())
             if victim is None or victim.transport is None:
                 self.refused += 1
-                return ConnectionRefuser()
+                return self.refuser()
             self.evicted += 1
             self.connections.discard(victim)
             victim.transport.abort()
@@ -172,6 +176,18 @@
         transport.close()
 
 
+class ConnectionAborter(asyncio.Protocol):
+    """Aborts a connection without an answer.
+
+    A node may have sent its request before, on another connection; an answer
+    could not tell whether that has run.
+    """
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Abort the connection."""
+        transport.abort()
+
+
 def refuse(
     connection: http_server.Connection, error: errors.Malformed
 ) -> None:
--- a/test/test_gateway_bodies.py
+++ b/test/test_gateway_bodies.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from carawaystair.gateway import hops
 from test import gateway_setup as fleets
 from test import pipes
 from test import request_setup as setups
@@ -94,3 +95,54 @@
     statuses, ran = run(scenario, 1)
     assert statuses == [200] * 5
     assert len(ran) == 5
+
+
+async def send_as_node(fleet, resumed: bool) -> dict[str, str]:
+    """Send a long body to a gateway; return the headers of its answer."""
+    node = fleet.nodes[1]
+    process = str(node.service.membership.incarnation) if resumed else ''
+    hop = hops.Hop(
+        'sent', 'h0', node.upstream.name, 'shop', 'shop', '/pay/', 8000, 8000,
+        0, False, False, True, False, False, 1, process, resumed,
+    )  # fmt: skip
+    reader, writer = await asyncio.open_connection('127.0.0.1', node.gateway)
+    writer.write(HEAD % b'x' + b'Content-Length: %d\r\n' % len(LONG))
+    writer.write(hops.header_line(hop) + b'\r\n' + LONG)
+    first, headers = await setups.read_head(reader)
+    while first.startswith('HTTP/1.1 1'):
+        first, headers = await setups.read_head(reader)
+    writer.close()
+    return headers
+
+
+def test_body_of_a_request_that_may_have_run_is_not_refused():
+    """Guards against not-run for a request whose first send has run."""
+    name = hops.REFUSAL.decode()
+
+    async def scenario(fleet):
+        receiver = fleet.nodes[1].service.hop_handler.receiver
+        receiver.intake.limit = 0
+        refused = await send_as_node(fleet, False)
+        resumed = await send_as_node(fleet, True)
+        return refused.get(name, ''), resumed.get(name, ''), receiver.refused
+
+    (refused, resumed, count), _ran = run(scenario, 1)
+    assert refused.startswith('busy')
+    assert not resumed.startswith('busy')
+    assert count == 1
+
+
+def test_node_beyond_the_connections_gets_no_answer():
+    """Guards against not-run for a request that was sent before."""
+
+    async def scenario(fleet):
+        fleet.nodes[1].service.node_listener.max_connections = 0
+        reader, _writer = await asyncio.open_connection(
+            '127.0.0.1', fleet.nodes[1].gateway
+        )
+        try:
+            return await reader.read()
+        except ConnectionError:
+            return b''
+
+    assert run(scenario, 1) == (b'', [])
