Callers that send a refused body first can read its answer

256 KB of the rest of a refused body were too few: a caller that sends all of an ordinary body before it reads would have met a reset instead of its 413 or 503. 4 MB are read, in 2 s as before; bytes are dropped as they arrive.

--- a/carawaystair/request/http_server.py
+++ b/carawaystair/request/http_server.py
@@ -49,7 +49,7 @@
 BLANK_LINE = b'\r\n'
 # How much of the rest of an unused body is read, and for how long, before the
 # connection is closed, so that the caller can read its answer.
-LINGER_BYTES = 256 * 1024
+LINGER_BYTES = 4 * 1024 * 1024
 LINGER_TIMEOUT_S = 2.0
 
 MESSAGE = http.RawRequestMessage
