Ordinary requests pay less for the bounds on input

The input of a connection was parsed on after each request although nothing waited, blank lines were looked for before each head, and a place cost a future and a generator.

--- a/carawaystair/request/http_server.py
+++ b/carawaystair/request/http_server.py
@@ -500,6 +500,8 @@
         if not data:
             # The parser may have paused within what it was given.
             self._queue_messages(self._parse_piece(b''))
+            if not (self.unparsed or self._buffer_paused):
+                return
         else:
             self.received_at = self.loop.time()
         self.unparsed += data
@@ -635,7 +637,7 @@
         if not data:
             return
         while data and not self._input_held():
-            if self._between_requests:
+            if data[0] in BLANK_LINE and self._between_requests:
                 data = self._skip_blank_lines(data)
                 if not data:
                     break
--- a/carawaystair/request/places.py
+++ b/carawaystair/request/places.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import contextlib
 import typing
 
 from carawaystair import clock
@@ -17,56 +16,79 @@
 MAX_WAIT_S = 1.0
 
 
-class Places:
-    """The places of a process.
+class Place:
+    """The place of one request, held while it is entered as a context.
 
-    :param limit: number of places.
+    :param places: the places of the process.
+    :param deadline: monotonic time of the request's own deadline.
     """
 
-    def __init__(self, limit: float) -> None:
-        self.room = request_room.RequestRoom(limit)
-        self.refused = 0
+    __slots__ = ('deadline', 'entered', 'places')
 
-    @contextlib.asynccontextmanager
-    async def take(self, deadline: float) -> typing.AsyncIterator[None]:
-        """Hold a place.
+    def __init__(self, places: 'Places', deadline: float) -> None:
+        self.places = places
+        self.deadline = deadline
+        # Done once it has the place that it waits for.
+        self.entered: asyncio.Future | None = None
 
-        :param deadline: monotonic time of the request's own deadline.
-        :raises validation.Refused: when no place is free in time.
+    async def __aenter__(self) -> None:
+        """Take a place.
+
+        :raises validation.Refused: when none is free in time.
         """
-        entered = asyncio.get_running_loop().create_future()
-        if not self.room.enter(entered):
-            await self._wait(entered, deadline)
-        try:
-            yield
-        finally:
-            self._leave()
+        if not self.places.room.enter(self):
+            self.entered = asyncio.get_running_loop().create_future()
+            await self._wait()
+
+    async def __aexit__(self, *_error) -> None:
+        """Give the place back."""
+        self.places.leave()
 
-    async def _wait(self, entered: asyncio.Future, deadline: float) -> None:
+    async def _wait(self) -> None:
+        places, entered = self.places, self.entered
         try:
-            until = min(clock.now() + MAX_WAIT_S, deadline)
+            until = min(clock.now() + MAX_WAIT_S, self.deadline)
             async with asyncio.timeout_at(until):
                 await entered
         except BaseException as error:
-            self.room.give_up(entered)
+            places.room.give_up(self)
             if entered.done() and not entered.cancelled():
                 # It got a place in the meantime.
-                self._leave()
+                places.leave()
             if not isinstance(error, TimeoutError):
                 raise
-            self.refused += 1
+            places.refused += 1
             raise validation.Refused(
                 codes.MEMORY_FULL,
                 'as many requests as this node takes',
                 retry_after_s=MAX_WAIT_S,
             ) from None
 
-    def _leave(self) -> None:
+
+class Places:
+    """The places of a process.
+
+    :param limit: number of places.
+    """
+
+    def __init__(self, limit: float) -> None:
+        self.room = request_room.RequestRoom(limit)
+        self.refused = 0
+
+    def take(self, deadline: float) -> Place:
+        """Return a place to enter.
+
+        :param deadline: monotonic time of the request's own deadline.
+        """
+        return Place(self, deadline)
+
+    def leave(self) -> None:
+        """Give a place to the first that waits for one, if any."""
         following = self.room.leave()
-        while following is not None and following.done():
+        while following is not None and following.entered.done():
             following = self.room.leave()
         if following is not None:
-            following.set_result(None)
+            following.entered.set_result(None)
 
     def samples(self) -> typing.Iterator[metrics.Sample]:
         """Yield the metrics."""
