--- a/standin/crowd.py
+++ b/standin/crowd.py
@@ -1,9 +1,9 @@
 """A crowd of clients that don't behave, as a process of its own.
 
-``python -m standin.crowd KIND IP:PORT CONNECTIONS``: each connection sends
-what its kind says, as fast as it is taken, and is opened again when it is
-closed.
-The crowd goes on until the process is ended.
+``python -m standin.crowd KIND IP:PORT CONNECTIONS [PATH]``: each connection
+sends what its kind says, as fast as it is taken, and is opened again when it
+is closed.  PATH is that of heartbeats.  The crowd goes on until the process is
+ended.
 """
 
 import asyncio
@@ -49,9 +49,6 @@
 
 LOOKUP = head('GET', '/lookups/x')
 CHUNKS = _order('Transfer-Encoding: chunked')
-HEARTBEAT = head(
-    'PUT', '/carawaystair/instances/a', 'Transfer-Encoding: chunked'
-)
 
 
 def _endless(first: bytes, rest: bytes) -> typing.Callable[[], Parts]:
@@ -75,45 +72,57 @@
 HEADS = b''.join(
     b'X-%d: %b\r\n' % (n, bytes(64).hex().encode()) for n in range(400)
 )
-KINDS = {
-    'silent': Kind(lambda: iter(())),
-    'blank-lines': Kind(_endless(b'\r\n', b'\r\n' * (PIECE // 2))),
-    'newlines': Kind(_endless(b'\n', b'\n' * PIECE)),
-    'long-line': Kind(_endless(b'GET /', b'x' * PIECE)),
-    'many-lines': Kind(_endless(head('GET', '/')[:-2], HEADS)),
-    'stops-short': _stops(CHUNKS, chunked(PIECE), 1024**2),
-    'stops-late': _stops(CHUNKS, chunked(PIECE), 8 * 1024**2),
-    'byte-chunks': _stops(CHUNKS, ONE_BYTE_CHUNKS, 5 * 1024**2),
-    'few-byte-chunks': _stops(CHUNKS, ONE_BYTE_CHUNKS, 180 * 1024),
-    'line-ends': _stops(
-        CHUNKS, b'10000\r\n' + b'\r\n' * (PIECE // 2) + b'\r\n', 8 * 1024**2
-    ),
-    'announced': Kind(
-        _endless(_order('Content-Length: 10737418240'), bytes(PIECE))
-    ),
-    'endless': Kind(_endless(CHUNKS, chunked(PIECE))),
-    'trickle': _stops(
-        _order('Content-Length: 62914560'), bytes(PIECE), 8 * 1024**2
-    )._replace(trickles=True),
-    'small-bodies': _stops(_order('Content-Length: 65000'), bytes(64000), 1),
-    'unread': Kind(_endless(b'', LOOKUP * 50), reads=False),
-    'heartbeats': Kind(_endless(HEARTBEAT, chunked(PIECE))),
-    'many-heartbeats': Kind(
-        _endless(
-            b'',
-            head('PUT', '/carawaystair/instances/a', 'Content-Length: 0') * 50,
-        )
-    ),
-    'huge-frame': Kind(
-        _endless(FRAME + (2**40).to_bytes(8, 'big'), bytes(PIECE))
-    ),
-    'many-frames': Kind(
-        _endless(FRAME[:-1], (b'\x01\xff' + bytes(255)) * (PIECE // 257))
-    ),
-    'large-frame': Kind(
-        _endless(FRAME + (2**28).to_bytes(8, 'big'), bytes(PIECE))
-    ),
-}
+
+
+def kinds(path: str) -> dict[str, Kind]:
+    """Return all kinds by name.
+
+    :param path: of heartbeats.
+    """
+    heartbeat = head('PUT', path, 'Transfer-Encoding: chunked')
+    return {
+        'silent': Kind(lambda: iter(())),
+        'blank-lines': Kind(_endless(b'\r\n', b'\r\n' * (PIECE // 2))),
+        'newlines': Kind(_endless(b'\n', b'\n' * PIECE)),
+        'long-line': Kind(_endless(b'GET /', b'x' * PIECE)),
+        'many-lines': Kind(_endless(head('GET', '/')[:-2], HEADS)),
+        'stops-short': _stops(CHUNKS, chunked(PIECE), 1024**2),
+        'stops-late': _stops(CHUNKS, chunked(PIECE), 8 * 1024**2),
+        'byte-chunks': _stops(CHUNKS, ONE_BYTE_CHUNKS, 5 * 1024**2),
+        'few-byte-chunks': _stops(CHUNKS, ONE_BYTE_CHUNKS, 180 * 1024),
+        'line-ends': _stops(
+            CHUNKS,
+            b'10000\r\n' + b'\r\n' * (PIECE // 2) + b'\r\n',
+            8 * 1024**2,
+        ),
+        'announced': Kind(
+            _endless(_order('Content-Length: 10737418240'), bytes(PIECE))
+        ),
+        'endless': Kind(_endless(CHUNKS, chunked(PIECE))),
+        'trickle': _stops(
+            _order('Content-Length: 62914560'), bytes(PIECE), 8 * 1024**2
+        )._replace(trickles=True),
+        'small-bodies': _stops(
+            _order('Content-Length: 65000'), bytes(64000), 1
+        ),
+        'unread': Kind(_endless(b'', LOOKUP * 50), reads=False),
+        'heartbeats': Kind(_endless(heartbeat, chunked(PIECE))),
+        'many-heartbeats': Kind(
+            _endless(
+                b'',
+                head('PUT', path, 'Content-Length: 0') * 50,
+            )
+        ),
+        'huge-frame': Kind(
+            _endless(FRAME + (2**40).to_bytes(8, 'big'), bytes(PIECE))
+        ),
+        'many-frames': Kind(
+            _endless(FRAME[:-1], (b'\x01\xff' + bytes(255)) * (PIECE // 257))
+        ),
+        'large-frame': Kind(
+            _endless(FRAME + (2**28).to_bytes(8, 'big'), bytes(PIECE))
+        ),
+    }
 
 
 async def connection(kind: Kind, ip: str, port: int) -> None:
@@ -154,13 +163,17 @@
             await writer.drain()
 
 
-async def crowd(kind: str, address: str, count: int) -> None:
+async def crowd(kind: str, address: str, count: int, path: str) -> None:
     """Keep a number of connections going."""
     ip, _colon, port = address.rpartition(':')
+    sent = kinds(path)[kind]
     await asyncio.gather(
-        *(connection(KINDS[kind], ip, int(port)) for _one in range(count))
+        *(connection(sent, ip, int(port)) for _one in range(count))
     )
 
 
 if __name__ == '__main__':
-    asyncio.run(crowd(sys.argv[1], sys.argv[2], int(sys.argv[3])))
+    arguments = [*sys.argv[1:], '/'][:4]
+    asyncio.run(
+        crowd(arguments[0], arguments[1], int(arguments[2]), arguments[3])
+    )
--- a/test/crowd_fleet.py
+++ b/test/crowd_fleet.py
@@ -43,6 +43,7 @@
 MB = 2**20
 CALLERS, GATEWAY, READY, CONTROL = 'outbound', 'inbound', 'ready', 'control'
 LISTEN_PORTS = {CONTROL: 8146, GATEWAY: 8145, CALLERS: 8141, READY: 8140}
+HEARTBEAT_PATH = '/carawaystair/instances/a'
 METRICS, LOCAL, PEER = 'metrics', 'local', 'peer'
 METRICS_PORT, APP_PORT = 9464, 8147
 SETTINGS = """
@@ -443,7 +444,11 @@
     """Let crowds speak to an address."""
     crowds = [
         subprocess.Popen(
-            [sys.executable, '-m', 'standin.crowd', kind, address, str(count)],
+            [
+                sys.executable,
+                *('-m', 'standin.crowd', kind, address, str(count)),
+                HEARTBEAT_PATH,
+            ],
             cwd=ROOT,
             stdin=subprocess.DEVNULL,
         )
