A failure in one turn at parsing ends no others

Read, not seen: an unexpected error in one connection's turn left all that waited behind it without one, until another connection asked for a turn. test_failure_in_a_turn_ends_no_others.

--- a/carawaystair/request/turns.py
+++ b/carawaystair/request/turns.py
@@ -34,6 +34,9 @@
 
     def _give(self) -> None:
         self.scheduled = False
-        for _turn in range(min(TURNS, len(self.waiting))):
-            self.waiting.popleft().take_turn()
-        self._schedule()
+        try:
+            for _turn in range(min(TURNS, len(self.waiting))):
+                self.waiting.popleft().take_turn()
+        finally:
+            # A failure of one must not end the turns of the others.
+            self._schedule()
--- a/test/test_input_slices.py
+++ b/test/test_input_slices.py
@@ -48,6 +48,27 @@
             self.shared.wait(self)
 
 
+def test_failure_in_a_turn_ends_no_others(caplog):
+    """Guards against connections that wait for ever behind one that fails."""
+    noted = []
+
+    class Fails:
+        """Fails in its turn."""
+
+        def take_turn(self) -> None:
+            raise ValueError('it fails')
+
+    async def scenario():
+        shared = turns.Turns()
+        shared.wait(Fails())
+        shared.wait(Taker('a', shared, 3, noted))
+        for _iteration in range(10):
+            await asyncio.sleep(0)
+
+    asyncio.run(scenario())
+    assert noted == ['a'] * 3
+
+
 def test_turns_go_round_and_leave_others_their_iterations():
     """Guards against one connection that takes all turns at once."""
     noted = []
