--- a/test/crowd_fleet.py
+++ b/test/crowd_fleet.py
@@ -28,8 +28,12 @@
 MAX_FDS = 192
 # Connections of a crowd.
 CROWD = 60
-# The same where the crowd is to reach the descriptors alone.
+# The same where the crowd is to reach the descriptors alone, and where the
+# process has the limits of a usual machine.
 LARGE_CROWD = 200
+HUGE_CROWD = 400
+USUAL_MEMORY_MB = 300
+USUAL_MAX_FDS = 4096
 # How long a crowd has its way, seconds.
 CROWD_S = 2.0
 READY_S = 30.0
--- a/test/test_crowds.py
+++ b/test/test_crowds.py
@@ -178,6 +178,17 @@
     check(asyncio.run(play(tmp_path, ('silent',), listener, count)))
 
 
+@by_hand
+def test_crowd_of_long_bodies_leaves_slots_of_upstreams(tmp_path, monkeypatch):
+    """Guards against bodies that stop short and hold all slots."""
+    usual = crowd_fleet.USUAL_MEMORY_MB, crowd_fleet.USUAL_MAX_FDS
+    monkeypatch.setattr(crowd_fleet, 'MEMORY_MB', usual[0])
+    monkeypatch.setattr(crowd_fleet, 'MAX_FDS', usual[1])
+    count = crowd_fleet.HUGE_CROWD
+    crowd_of = ('stops-short',), crowd_fleet.CALLERS, count
+    check(asyncio.run(play(tmp_path, *crowd_of)))
+
+
 @pytest.mark.parametrize(('kind', 'listener'), OTHER_LISTENERS)
 def test_crowd_of_strangers_leaves_a_node_within_its_limits(
     tmp_path, kind, listener
