Lost connections of strangers leave no tasks with refused bodies

What was seen: 489 MB of 300 (MiB) allowed, with 60 strangers that send bodies without end to the address of heartbeats for 10 s, at the limits of a usual node; 152 MB on.

Cause: aiohttp reads the rest of a refused body for ten seconds, also when its connection is gone, and holds what the handler has read until then. The guard ends connections after a second, so that more of them were opened, and a task of ten seconds stayed for each (tasks in one process: 59, 115, 160, 204, 258 in seconds).

Change: the guard ends the body of a request that is no longer handled when its connection is lost.

test_lost_connection_leaves_no_task fails without it.

--- a/carawaystair/guarded_listener.py
+++ b/carawaystair/guarded_listener.py
@@ -84,15 +84,16 @@
         # Bytes since the last request was answered.
         self.received = 0
         self.timer: asyncio.TimerHandle | None = None
-        # The body of the request that is being handled.
+        # The body of the last request, and whether that is being handled.
         self.body: streams.StreamReader | None = None
+        self.handling = False
         self.served = False
         self.waiting_since = clock.now()
 
     @property
     def busy(self) -> bool:
         """Return whether a whole request is being answered."""
-        return self.body is not None and self.body.is_eof()
+        return self.handling and self.body.is_eof()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin; the connection counts until it is lost."""
@@ -120,6 +121,7 @@
         :param body: its body, which may still arrive.
         """
         self.body = body
+        self.handling = True
 
     def end(self, served: bool) -> None:
         """Note that a request was handled.
@@ -127,7 +129,7 @@
         :param served: whether its caller was served.
         """
         arrived = self.busy
-        self.body = None
+        self.handling = False
         self.served = self.served or served
         self.waiting_since = clock.now()
         if arrived:
@@ -173,7 +175,11 @@
         self._forget_received()
         self.listener.connections.discard(self)
         self.inner.connection_lost(exc)
-        self.inner = self.transport = None
+        if self.body is not None and not (self.handling or self.body.is_eof()):
+            # aiohttp reads the rest of a refused body, for ten seconds even
+            # after the connection was lost.
+            self.body.feed_eof()
+        self.inner = self.transport = self.body = None
 
 
 class GuardedListener:
--- a/test/crowd_fleet.py
+++ b/test/crowd_fleet.py
@@ -36,6 +36,7 @@
 USUAL_MAX_FDS = 4096
 # How long a crowd has its way, seconds.
 CROWD_S = 2.0
+LONG_CROWD_S = 10.0
 READY_S = 30.0
 POLL_S = 0.1
 ASK_S = 8.0
--- a/test/test_crowds.py
+++ b/test/test_crowds.py
@@ -179,14 +179,22 @@
 
 
 @by_hand
-def test_crowd_of_long_bodies_leaves_slots_of_upstreams(tmp_path, monkeypatch):
-    """Guards against bodies that stop short and hold all slots."""
+@pytest.mark.parametrize(
+    ('kind', 'listener', 'count'),
+    [
+        ('stops-short', crowd_fleet.CALLERS, crowd_fleet.HUGE_CROWD),
+        ('heartbeats', crowd_fleet.CONTROL, crowd_fleet.CROWD),
+    ],
+)
+def test_crowd_leaves_a_usual_node_within_its_limits(
+    tmp_path, monkeypatch, kind, listener, count
+):
+    """Guards against bounds that hold only where few connections fit."""
     usual = crowd_fleet.USUAL_MEMORY_MB, crowd_fleet.USUAL_MAX_FDS
     monkeypatch.setattr(crowd_fleet, 'MEMORY_MB', usual[0])
     monkeypatch.setattr(crowd_fleet, 'MAX_FDS', usual[1])
-    count = crowd_fleet.HUGE_CROWD
-    crowd_of = ('stops-short',), crowd_fleet.CALLERS, count
-    check(asyncio.run(play(tmp_path, *crowd_of)))
+    monkeypatch.setattr(crowd_fleet, 'CROWD_S', crowd_fleet.LONG_CROWD_S)
+    check(asyncio.run(play(tmp_path, (kind,), listener, count)))
 
 
 @pytest.mark.parametrize(('kind', 'listener'), OTHER_LISTENERS)
--- a/test/test_guarded_listener.py
+++ b/test/test_guarded_listener.py
@@ -132,6 +132,22 @@
     assert asyncio.run(scenario()) == [b'404'] * 6
 
 
+def test_lost_connection_leaves_no_task():
+    """Guards against tasks that read a refused body whose sender is gone."""
+
+    async def scenario():
+        async with listening() as port:
+            before = len(asyncio.all_tasks())
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(closing(b'Content-Length: 5000') + bytes(2000))
+            await reader.readuntil(b'413')
+            writer.transport.abort()
+            await asyncio.sleep(0.1)
+            return len(asyncio.all_tasks()) - before
+
+    assert asyncio.run(scenario()) == 0
+
+
 def test_connection_without_a_request_makes_room(monkeypatch):
     """Guards against strangers that take all connections."""
     monkeypatch.setattr(eviction, 'OPENED_S', 0.0)
