A sender that has left and a body that is still read are no defects

Cause: a gateway asked for the body of a request whose connection had broken while it waited for a slot, and took the failed write for a defect of its own; a later send of the same request was told an unknown outcome. A connection that was to be closed read the rest of a body that the task which sent it on was still reading.

Change: a gateway whose sender has left refuses the run, as for any body that doesn't arrive: nothing has run.

--- a/carawaystair/gateway/hop_handler.py
+++ b/carawaystair/gateway/hop_handler.py
@@ -51,6 +51,7 @@
 NO_LIMIT = 2**62
 # The listener, in metrics.
 NODES = 'nodes'
+SENDER_LEFT = 'its sender has left'
 MS = 1000
 
 LOG = logs.get('gateway')
@@ -261,6 +262,8 @@
         if length == 0:
             return executors.Body(b'')
         if hop.expects_continue:
+            if not request.connection.open:
+                raise validation.Refused(codes.BODY_MALFORMED, SENDER_LEFT)
             hops.write(request, hops.CONTINUE)
         deadline = clock.now() + hop.remaining_ms / MS
         content = request.content
--- a/carawaystair/request/http_server.py
+++ b/carawaystair/request/http_server.py
@@ -444,6 +444,9 @@
                     await self.loop.create_future()
         except (TimeoutError, errors.BodyError):
             pass
+        except RuntimeError:
+            # The task that sends the body on still reads it.
+            await asyncio.sleep(LINGER_TIMEOUT_S)
 
     @property
     def idle(self) -> bool:
