--- a/test/test_gateway_bodies.py
+++ b/test/test_gateway_bodies.py
@@ -1,8 +1,14 @@
 """Long bodies beyond what a node receives at the same time."""
 
 import asyncio
+import types
+
+import pytest
 
 from carawaystair.gateway import hops
+from carawaystair.request import http_server
+from carawaystair.request import listener as listeners
+from carawaystair.request import validation
 from test import gateway_setup as fleets
 from test import pipes
 from test import request_setup as setups
@@ -146,3 +152,44 @@
             return b''
 
     assert run(scenario, 1) == (b'', [])
+
+
+def test_body_is_not_asked_for_when_its_sender_has_left():
+    """Guards against a run that fails by a defect when its sender is gone."""
+    gone = types.SimpleNamespace(
+        connection=types.SimpleNamespace(open=False),
+        headers={'Content-Length': '5'},
+    )
+    hop = types.SimpleNamespace(expects_continue=True)
+
+    async def scenario(fleet):
+        handler = fleet.nodes[1].service.hop_handler
+        with pytest.raises(validation.Refused):
+            await handler._receive_body(hop, gone)
+
+    run(scenario, 1)
+
+
+def test_connection_waits_for_another_reader_of_its_body():
+    """Guards against an answer that is cut off as its body is still read."""
+
+    async def handle(request) -> bool:
+        reading.append(asyncio.create_task(request.content.readany()))
+        await asyncio.sleep(0.1)
+        request.write(b'answer')
+        return False
+
+    async def scenario():
+        listener = listeners.Listener(handle)
+        await listener.listen('127.0.0.1:8000')
+        reader, writer = await asyncio.open_connection('127.0.0.1', 8000)
+        writer.write(HEAD % b'x' + b'Content-Length: 9\r\n\r\n')
+        began = asyncio.get_running_loop().time()
+        answer = await reader.read()
+        await asyncio.gather(*reading, return_exceptions=True)
+        return answer, asyncio.get_running_loop().time() - began
+
+    reading: list[asyncio.Task] = []
+    answer, took_s = pipes.run(scenario())
+    assert answer == b'answer'
+    assert took_s >= http_server.LINGER_TIMEOUT_S
