--- a/carawaystair/load/input_slices.py
+++ b/carawaystair/load/input_slices.py
@@ -19,7 +19,10 @@
 
 
 def is_cheap(data: bytes) -> bool:
-    """Return whether some data may be parsed at once."""
+    """Return whether some data may be parsed at once.
+
+    Few bytes can't have many lines; most data is not searched for that.
+    """
     return len(data) <= CHEAP_LINES or data.count(b'\n') <= CHEAP_LINES
 
 
--- a/carawaystair/load/intake.py
+++ b/carawaystair/load/intake.py
@@ -21,8 +21,6 @@
 
 # Bytes that a body may have without holding a part.
 FREE_BYTES = 16 * 1024
-# What a long body holds at most in the buffers that it passes, bytes.
-BODY_BYTES = 256 * 1024
 # A caller that takes longer for each STEP_BYTES makes no progress, seconds.
 STALLED_S = 1.0
 STEP_BYTES = 16 * 1024
--- a/carawaystair/request/http_server.py
+++ b/carawaystair/request/http_server.py
@@ -594,7 +594,8 @@
     def _piece_size(self, data: bytes) -> int:
         """Return how much of some data belongs to one head or body.
 
-        A chunked body may end, like a head, wherever there is an empty line.
+        A chunked body may end, like a head, wherever there is an empty line,
+        which may have begun in what was parsed before.
         """
         if self.last is not None and not self.last[1].is_eof():
             message, body = self.last
