Logs tell what a gateway expected of a run, and from how many

A run that a gateway cut at its end could have been begun on a guess, or against what the gateway knew: 'began' had neither the expectation nor what it came from, and nothing told the age of the process.

RunTimes counts the runs of a route that ended well and keeps the longest of some hundred; nothing is decided by it yet. 'began' has expected_ms, longest_ms and known_runs, 'stop-stage' has age_ms.

--- a/bench/exp_logging.py
+++ b/bench/exp_logging.py
@@ -49,6 +49,9 @@
         '',
         -1,
         -1,
+        118,
+        410,
+        300,
     ),
     decisions.Ended(
         'c5f1d0a2b3e4f567',
--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -252,6 +252,9 @@
         that of this gateway; empty for a first send.
     :param paid_ms: time since it was charged to the slack, ms; -1 otherwise.
     :param stop_left_ms: time until this process ends, ms; -1 unless it stops.
+    :param expected_ms: mean duration of the runs of its route here, ms.
+    :param longest_ms: duration of the longest of those that ended, ms.
+    :param known_runs: how many have ended.
     """
 
     id: str
@@ -269,6 +272,9 @@
     paid: str
     paid_ms: int
     stop_left_ms: int
+    expected_ms: int
+    longest_ms: int
+    known_runs: int
 
 
 class Ended(typing.NamedTuple):
@@ -669,6 +675,7 @@
     :param callers: requests of callers that have no answer yet.
     :param hops: requests of nodes that have no answer yet.
     :param orphans: runs that nobody waits for at the moment.
+    :param age_ms: time since the process started, ms.
     """
 
     stage: str
@@ -677,6 +684,7 @@
     callers: int
     hops: int
     orphans: int
+    age_ms: int
 
 
 class Noted(typing.NamedTuple):
--- a/carawaystair/explain.py
+++ b/carawaystair/explain.py
@@ -100,7 +100,7 @@
     ' (process {process}, {left_ms} ms left)',
     'stop-stage': 'the stop is {stage}, {signal_ms} ms after it was asked'
     ' for, {left_ms} ms left ({callers} callers and {hops} nodes wait,'
-    ' {orphans} runs have nobody who waits)',
+    ' {orphans} runs have nobody who waits; {age_ms} ms old)',
     'quota-refused': 'customer {customer} got no grant ({code}): {asked}; one'
     ' may be had in {retry_ms} ms',
 }
@@ -253,7 +253,19 @@
 
     def _stop(self) -> str:
         left_ms = self.get('stop_left_ms', -1)
-        return '; ends in %d ms' % left_ms if left_ms >= 0 else ''
+        if left_ms < 0:
+            return ''
+        return '; ends in %d ms%s' % (left_ms, self._expectation())
+
+    def _expectation(self) -> str:
+        """Return what a gateway that stops expects of a run."""
+        if 'known_runs' not in self:
+            return ''
+        return ', expects %d ms, longest of %d runs %d ms' % (
+            self['expected_ms'],
+            self['known_runs'],
+            self['longest_ms'],
+        )
 
     def _idempotence(self) -> str:
         return 'may be repeated' if self['idempotent'] else 'runs once'
--- a/carawaystair/gateway/executor.py
+++ b/carawaystair/gateway/executor.py
@@ -1,5 +1,6 @@
 """Runs requests at the upstreams of this host and evaluates each run."""
 
+import collections
 import math
 import typing
 
@@ -17,6 +18,7 @@
 from carawaystair import interfaces
 from carawaystair.load import rejection
 from carawaystair.load import retry_budget
+from carawaystair.load import run_times
 from carawaystair.load import slot_queue
 from carawaystair.load import stopping
 from carawaystair.load import upstream_gate
@@ -102,6 +104,10 @@
         self.gateway_counts: dict[str, int] = {}
         self.instances: dict[str, instances.Instance] = {}
         self.running = instances.RunningAttempts()
+        # How long runs have taken here, by service.
+        self.run_times: dict[str, run_times.RunTimes] = (
+            collections.defaultdict(run_times.RunTimes)
+        )
         # When the process ends, once it has been asked to stop.
         self.ends_at = math.inf
         self.stopping = False
@@ -301,6 +307,8 @@
             self._refund_retry(hop, now)
             raise
         queue = slots.queue
+        times = self.run_times[hop.service]
+        ended = times.ended(hop.route)
         self.recorder.tell(
             decisions.Began(
                 hop.id,
@@ -318,6 +326,9 @@
                 _payer(hop),
                 int((clock.now() - now) * MS) if _uses_slack(hop) else -1,
                 stopping.left_ms(self.ends_at),
+                int(queue.expected_service_s(hop.route, now) * MS),
+                int(ended.longest_s * MS),
+                ended.runs,
             ),
             # Good requests must not crowd out the repeats of others.
             decisions.TROUBLE if _kind_of_repeat(hop) else decisions.ROUTINE,
@@ -332,9 +343,11 @@
             source,
         )
         self.running.add(attempt)
+        times.begin(hop.key, hop.route, clock.now())
 
         def release() -> None:
             self.running.remove(attempt)
+            times.end(hop.key, _ended_well(attempt), clock.now())
             instance.bodies.give(body_bytes)
             slots.release(hop.key, attempt.sent)
             if streaming:
@@ -702,6 +715,14 @@
     return hop.idempotent and not once
 
 
+def _ended_well(attempt: send_attempts.UpstreamAttempt) -> bool:
+    """Return whether the whole answer to an attempt is a success."""
+    message, payload = attempt.message, attempt.payload
+    if message is None or not 200 <= message.code < 300:
+        return False
+    return payload.is_eof() and payload.exception() is None
+
+
 def _uses_slack(hop: hops.Hop) -> bool:
     """Return whether a request is a retry that its sender did not budget."""
     return (hop.retry or hop.caller_retried) and not hop.budgeted
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -220,6 +220,7 @@
             system_bytes=read_buffer.SYSTEM_CHOICE,
             refuser=listeners.ConnectionAborter,
         )
+        self.created_at = clock.now()
         self.stopping = False
 
     def _process_of(self, host: str) -> str:
@@ -402,6 +403,7 @@
             self.caller_handler.active,
             self.hop_handler.active,
             self.hop_handler.runs.orphans,
+            int((clock.now() - self.created_at) * MS),
         )
         self.recorder.tell(event, decisions.BELIEF)
 
--- /dev/null
+++ b/carawaystair/load/run_times.py
@@ -0,0 +1,86 @@
+"""How long the runs of a route may take, by the longest of many runs.
+
+A mean says little about long runs, and those that end first are the short
+ones.  The longest of many runs is a bound whatever their distribution: the
+next run exceeds it once in as many cases.
+"""
+
+import typing
+
+# Runs of which the longest is known, at most; the window before counts as
+# well, so that a change of the service shows after twice as many.
+WINDOW_RUNS = 300
+MAX_ROUTES = 512
+
+
+class Seen(typing.NamedTuple):
+    """Runs of one route that have ended with a good answer.
+
+    :param runs: how many.
+    :param longest_s: duration of the longest, seconds.
+    """
+
+    runs: int = 0
+    longest_s: float = 0.0
+
+    def joined(self, other: 'Seen') -> 'Seen':
+        """Return these runs and others as one."""
+        return Seen(
+            self.runs + other.runs, max(self.longest_s, other.longest_s)
+        )
+
+
+NONE = Seen()
+
+
+class RunTimes:
+    """The runs of one service that one process has observed, by route."""
+
+    def __init__(self) -> None:
+        # The current window of each route, and the one before.
+        self.windows: dict[str, tuple[Seen, Seen]] = {}
+        # Routes and starts of the runs in progress, by request.
+        self.running: dict[str, tuple[str, float]] = {}
+
+    def begin(self, request: str, route: str, now: float) -> None:
+        """Record that a run begins.
+
+        :param request: identifies the request.
+        :param route: key of its route.
+        :param now: monotonic time in seconds.
+        """
+        self.running[request] = (route, now)
+
+    def end(self, request: str, good: bool, now: float) -> None:
+        """Record the end of a run; only those that were good are counted.
+
+        The duration of others is that of a failure, or of the patience of
+        whoever gave up.
+        """
+        route, began = self.running.pop(request)
+        if good:
+            self._record(route, now - began)
+
+    def _record(self, route: str, took_s: float) -> None:
+        current, former = self.windows.pop(route, (NONE, NONE))
+        if current.runs >= WINDOW_RUNS:
+            current, former = NONE, current
+        self.windows[route] = current.joined(Seen(1, took_s)), former
+        if len(self.windows) > MAX_ROUTES:
+            del self.windows[next(iter(self.windows))]
+
+    def ended(self, route: str) -> Seen:
+        """Return the runs of a route that have ended."""
+        current, former = self.windows.get(route, (NONE, NONE))
+        return current.joined(former)
+
+    def oldest_s(self, route: str, now: float) -> float:
+        """Return how long the oldest run in progress has taken, seconds."""
+        return max(
+            (
+                now - began
+                for other, began in self.running.values()
+                if other == route
+            ),
+            default=0.0,
+        )
