--- /dev/null
+++ b/test/test_gateway_order_outlives.py
@@ -0,0 +1,127 @@
+"""Orders that would outlive the stop of the gateway that runs them."""
+
+import asyncio
+import typing
+
+import pytest
+
+from test import gateway_setup as fleets
+from test import pipes
+from test import request_setup as setups
+
+DRAIN_S = 6.0
+TIMEOUT_S = 6.0
+ORDERS = fleets.manifest.Route(
+    '/order/', 'portal', idempotent=False, timeout_ms=int(TIMEOUT_S * 1000)
+)
+LOOKUPS = fleets.manifest.Route(
+    '/look/', 'portal', idempotent=True, timeout_ms=int(TIMEOUT_S * 1000)
+)
+# Keeps a node up while it stops.
+HOLDING = fleets.manifest.Route(
+    '/hold/', 'other', idempotent=True, timeout_ms=20_000
+)
+
+
+class Upstream:
+    """Script whose runs take what the path says, up to their deadline."""
+
+    def __init__(self) -> None:
+        # When runs began, in the loop's time, and of which request.
+        self.starts: list[tuple[float, str]] = []
+
+    async def __call__(self, upstream, seen, writer) -> None:
+        """Run one request."""
+        now = asyncio.get_running_loop().time()
+        self.starts.append((now, seen.line.split()[1]))
+        takes_s = float(seen.line.split()[1].rpartition('/')[2])
+        left_s = int(seen.headers['caraway-deadline-ms']) / 1000
+        await asyncio.sleep(min(takes_s, left_s))
+        if takes_s > left_s:
+            writer.write(setups.reply(b'late', 504, X_Receipt='r'))
+        else:
+            writer.write(fleets.good())
+
+
+class Stopped(typing.NamedTuple):
+    """What came of orders that were sent while their gateway stopped.
+
+    :param answers: those to the orders.
+    :param runs: runs of them at the upstream beside the gateway.
+    :param cut: runs that the gateway broke off.
+    """
+
+    answers: list[setups.Answer]
+    runs: int
+    cut: int
+
+
+def run_outcomes(fleet, outcome: str) -> int:
+    """Return how many runs at the second node had an outcome."""
+    wanted = ('"outcome":"%s"' % outcome).encode()
+    return sum(wanted in line for line in fleet.nodes[1].lines.lines)
+
+
+async def order_during_stop(
+    before: typing.Sequence[float], order_s: float, route: str = '/order/'
+) -> Stopped:
+    """Send orders to a fleet whose only gateway to upstreams stops.
+
+    :param before: what the runs before the stop took, seconds.
+    :param order_s: what the orders take, seconds.
+    """
+    upstream = Upstream()
+    async with fleets.running(
+        None,
+        upstream,
+        fleets.slow(2 * DRAIN_S),
+        services=('portal', 'portal', 'other'),
+        routes=(ORDERS, LOOKUPS, HOLDING),
+        lame_duck_s=2.4,
+        drain_s=DRAIN_S,
+    ) as fleet:
+        for took_s in before:
+            await fleet.ask(route + '%g' % took_s, 'POST', body=b'x')
+        held = asyncio.ensure_future(
+            fleet.ask('/hold/x', node=1, Caraway_Deadline_Ms='20000')
+        )
+        await asyncio.sleep(0.1)
+        stopping = asyncio.ensure_future(fleet.nodes[1].service.stop())
+        orders = []
+        for _turn in range(8):
+            await asyncio.sleep(0.4)
+            path = route + '%g' % order_s
+            method = 'POST' if route == '/order/' else 'GET'
+            body = b'x' if method == 'POST' else b''
+            orders.append(
+                asyncio.ensure_future(fleet.ask(path, method, body=body))
+            )
+        answers = await asyncio.gather(*orders)
+        await stopping
+        await held
+        during = upstream.starts[len(before) :]
+        return Stopped(answers, len(during), run_outcomes(fleet, 'cancelled'))
+
+
+@pytest.mark.parametrize('before', [[], [0.05], [0.05] * 5 + [0.4]])
+def test_gateway_that_has_just_started_cuts_no_order_as_it_stops(before):
+    """Guards against orders begun on a guess that the stop breaks off."""
+    seen = pipes.run(order_during_stop(before, 4.8))
+    assert seen.cut == 0
+    assert {(one.status, one.outcome) for one in seen.answers} <= {
+        (200, 'complete'),
+        (503, 'not-run'),
+    }
+
+
+def test_order_far_longer_than_all_before_ends_before_its_gateway():
+    """Guards against an order that is cut though its upstream knew no better.
+
+    The upstream is told until when its answer can be passed on.
+    """
+    seen = pipes.run(order_during_stop([0.1] * 400, 5.5))
+    assert seen.cut == 0
+    assert 0 < seen.runs
+    assert {one.status for one in seen.answers} <= {200, 503, 504}
+    late = [one for one in seen.answers if one.status == 504]
+    assert {one.body for one in late} == {b'late'}
