A gateway that has just started cuts no order as it stops

Cause: what a gateway that stops expected of a run came from the runs that had ended since its own start, or from a constant of .4 s. The short ones end first, so a process that stops soon after its start knew only those: eight times their mean is no bound. Class: an estimate from nothing, or from the lucky, taken for knowledge.

A run that can't be repeated now begins at a gateway that stops only where its own deadline is over before the gateway ends, or where at least a hundred runs of its route are known, here and at other gateways of the service, and the longest of them, and the oldest one in progress, ends in time. The longest of n runs is exceeded by the next once in n + 1 cases, whatever the distribution. Eight means must be left as before, so nothing begins that did not before. Only good runs count: a hanging upstream would bind all stops to the timeout.

The mean that a run is expected to take is the longer of what the gateway and the sender know, also for lookups and for what waits while its sender stops.

--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -252,9 +252,10 @@
         that of this gateway; empty for a first send.
     :param paid_ms: time since it was charged to the slack, ms; -1 otherwise.
     :param stop_left_ms: time until this process ends, ms; -1 unless it stops.
-    :param expected_ms: mean duration of the runs of its route here, ms.
-    :param longest_ms: duration of the longest of those that ended, ms.
-    :param known_runs: how many have ended.
+    :param expected_ms: expected duration of the run, ms.
+    :param longest_ms: duration of the longest run of its route that ended
+        lately, here or at a gateway that told this one, ms.
+    :param known_runs: how many runs that is the longest of.
     """
 
     id: str
--- a/carawaystair/gateway/executor.py
+++ b/carawaystair/gateway/executor.py
@@ -221,21 +221,36 @@
         return any(
             stopping.may_run(
                 self.ends_at - now - reserve_s,
-                instance.slots.queue.durations.mean,
-                instance.slots.queue.long_service_s('', now),
+                stopping.Expectation(
+                    instance.slots.queue.durations.mean,
+                    instance.slots.queue.long_service_s('', now),
+                ),
                 True,
             )
             for instance in self.instances.values()
         )
 
-    def _may_run(self, hop: hops.Hop, slots: slots_module.Slots) -> bool:
-        """Return whether a request may run, in view of the process's end."""
+    def _may_run(
+        self, hop: hops.Hop, slots: slots_module.Slots, deadline: float
+    ) -> bool:
+        """Return whether a request may run, in view of the process's end.
+
+        :param deadline: monotonic time of its deadline.
+        """
+        if self.stopping or math.isinf(self.ends_at):
+            return not self.stopping
         now = clock.now()
-        return not self.stopping and stopping.may_run(
-            self.ends_at - now,
-            slots.queue.expected_service_s(hop.route, now),
-            slots.queue.long_service_s(hop.route, now),
-            _is_repeatable(hop),
+        queue, times = slots.queue, self.run_times[hop.service]
+        seen = times.seen(hop.route)
+        expectation = stopping.Expectation(
+            _expected_s(hop, slots, now),
+            queue.long_service_s(hop.route, now),
+            deadline - now,
+            seen._replace(longest_s=queue.warmup_factor(now) * seen.longest_s),
+            times.oldest_s(hop.route, now),
+        )
+        return stopping.may_run(
+            self.ends_at - now, expectation, _is_repeatable(hop)
         )
 
     def _latest_answer(
@@ -246,7 +261,7 @@
             return math.inf
         return stopping.latest_answer(
             now + hop.sender_timeout_ms / MS,
-            slots.queue.expected_service_s(hop.route, now),
+            _expected_s(hop, slots, now),
             _is_repeatable(hop),
         )
 
@@ -273,13 +288,13 @@
 
         :param receive_body: returns its body; called when it has a slot.
         """
-        instance = self._instance(hop)
-        self._check_crashing(hop)
-        slots = instance.slots
         now = clock.now()
         remaining_s = (
             hop.remaining_ms / MS if hop.remaining_ms >= 0 else -math.inf
         )
+        instance = self._instance(hop, now + remaining_s)
+        self._check_crashing(hop)
+        slots = instance.slots
         call = hops.to_call(hop, request, None, now + remaining_s)
         goal = now + hop.goal_ms / MS if hop.goal_ms >= 0 else now
         slot_request = slot_queue.SlotRequest(
@@ -295,7 +310,9 @@
         self._charge_retry(hop, now)
         body_bytes = 0
         try:
-            waited_s = await self._wait(hop, instance, slot_request)
+            waited_s = await self._wait(
+                hop, instance, slot_request, call.deadline
+            )
             body_bytes = self._take_body(hop, instance, request)
             call, source = await self._with_body(
                 hop, slots, call, receive_body
@@ -308,7 +325,7 @@
             raise
         queue = slots.queue
         times = self.run_times[hop.service]
-        ended = times.ended(hop.route)
+        seen = times.seen(hop.route)
         self.recorder.tell(
             decisions.Began(
                 hop.id,
@@ -326,9 +343,9 @@
                 _payer(hop),
                 int((clock.now() - now) * MS) if _uses_slack(hop) else -1,
                 stopping.left_ms(self.ends_at),
-                int(queue.expected_service_s(hop.route, now) * MS),
-                int(ended.longest_s * MS),
-                ended.runs,
+                int(_expected_s(hop, slots, now) * MS),
+                int(seen.longest_s * MS),
+                seen.runs,
             ),
             # Good requests must not crowd out the repeats of others.
             decisions.TROUBLE if _kind_of_repeat(hop) else decisions.ROUTINE,
@@ -373,14 +390,16 @@
         hop: hops.Hop,
         instance: instances.Instance,
         slot_request: slot_queue.SlotRequest,
+        deadline: float,
     ) -> float:
         """Wait for a slot; return the time that it took, seconds.
 
+        :param deadline: monotonic time of the request's deadline.
         :raises slots.Refused: when no slot will be free in time.
         """
         waited_s = await instance.slots.acquire(slot_request, hop.may_wait)
         ended = not self._is_present(instance)
-        if ended or not self._may_run(hop, instance.slots):
+        if ended or not self._may_run(hop, instance.slots, deadline):
             # The instance ended, or its process is about to, while the
             # request waited for its slot.
             instance.slots.release(hop.key)
@@ -523,16 +542,17 @@
         self.gateway_counts[service] = most
         return most
 
-    def _instance(self, hop: hops.Hop) -> instances.Instance:
+    def _instance(self, hop: hops.Hop, deadline: float) -> instances.Instance:
         """Return the instance that is to run a request.
 
+        :param deadline: monotonic time of the request's deadline.
         :raises slots.Refused: when it takes no new work.
         """
         instance = self.instances.get(hop.upstream)
         if instance is None:
             raise slots_module.Refused(hops.ABSENT)
         up = instance.announcement.state == interfaces.UP
-        if not up or not self._may_run(hop, instance.slots):
+        if not up or not self._may_run(hop, instance.slots, deadline):
             raise slots_module.Refused(hops.LEAVING)
         return instance
 
@@ -709,6 +729,17 @@
         )
 
 
+def _expected_s(hop: hops.Hop, slots: slots_module.Slots, now: float) -> float:
+    """Return the expected duration of a run, seconds.
+
+    That is the longer of what this process and the sender expect: one that
+    has just started has seen only a few short runs.
+    """
+    return max(
+        slots.queue.expected_service_s(hop.route, now), hop.typical_ms / MS
+    )
+
+
 def _is_repeatable(hop: hops.Hop) -> bool:
     """Return whether a request can run elsewhere if its run here is cut."""
     once = hop.final_attempt or hop.expects_continue
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -17,6 +17,7 @@
 from carawaystair.gateway import pacer as pacers
 from carawaystair.gateway import paths
 from carawaystair.gateway import request_metrics
+from carawaystair.gateway import run_time_news
 from carawaystair.gateway import send_attempts
 from carawaystair.gateway import splitting
 from carawaystair.gateway import startup
@@ -198,6 +199,12 @@
                 kernel.timeline,
             ),
         )
+        self.run_time_news = run_time_news.RunTimeNews(
+            kernel.links,
+            membership,
+            self.executor.run_times,
+            kernel.random('run times'),
+        )
         self.hop_handler = hop_handler.HopHandler(
             self.executor,
             self.request_metrics,
@@ -346,6 +353,14 @@
             self.pool.sweep(now)
             self.executor.sweep(now)
 
+    @mode.Service.task
+    async def _learn_run_times(self) -> None:
+        """Ask other gateways now and then how long runs take."""
+        while not self.should_stop:
+            await self.sleep(run_time_news.INTERVAL_S)
+            if not self.should_stop:
+                self.run_time_news.ask_again()
+
     async def on_stop(self) -> None:
         """Drain, then close, within the time since the stop was asked for.
 
--- a/carawaystair/load/run_times.py
+++ b/carawaystair/load/run_times.py
@@ -5,12 +5,16 @@
 next run exceeds it once in as many cases.
 """
 
+import functools
+import itertools
 import typing
 
 # Runs of which the longest is known, at most; the window before counts as
 # well, so that a change of the service shows after twice as many.
 WINDOW_RUNS = 300
 MAX_ROUTES = 512
+# Processes whose runs count beside the own ones, the last to tell.
+MAX_TELLERS = 8
 
 
 class Seen(typing.NamedTuple):
@@ -34,9 +38,15 @@
 
 
 class RunTimes:
-    """The runs of one service that one process has observed, by route."""
+    """The runs of one service that one process knows of, by route.
+
+    Those that other processes have observed count as well: one that has just
+    started knows by itself only the runs that were short.
+    """
 
     def __init__(self) -> None:
+        # What others have observed, by process.
+        self.told: dict[str, dict[str, Seen]] = {}
         # The current window of each route, and the one before.
         self.windows: dict[str, tuple[Seen, Seen]] = {}
         # Routes and starts of the runs in progress, by request.
@@ -74,6 +84,27 @@
         current, former = self.windows.get(route, (NONE, NONE))
         return current.joined(former)
 
+    def latest(self, count: int) -> typing.Iterator[tuple[str, Seen]]:
+        """Yield the routes that had the last runs, with their ended runs."""
+        routes = itertools.islice(reversed(self.windows), count)
+        return ((route, self.ended(route)) for route in routes)
+
+    def hear(self, process: str, routes: dict[str, Seen]) -> None:
+        """Record what another process has observed; replaces earlier news.
+
+        :param process: identifies it.
+        :param routes: its ended runs, by route.
+        """
+        self.told.pop(process, None)
+        self.told[process] = routes
+        if len(self.told) > MAX_TELLERS:
+            del self.told[next(iter(self.told))]
+
+    def seen(self, route: str) -> Seen:
+        """Return the ended runs of a route, here and elsewhere."""
+        elsewhere = (routes.get(route, NONE) for routes in self.told.values())
+        return functools.reduce(Seen.joined, elsewhere, self.ended(route))
+
     def oldest_s(self, route: str, now: float) -> float:
         """Return how long the oldest run in progress has taken, seconds."""
         return max(
--- a/carawaystair/load/slot_queue.py
+++ b/carawaystair/load/slot_queue.py
@@ -123,20 +123,21 @@
         would admit twice as many requests as can be served, and most of them
         would wait in vain.
         """
-        return self._warmup_factor(now) * self.durations.expected(route)
+        return self.warmup_factor(now) * self.durations.expected(route)
 
     def long_service_s(self, route: str, now: float) -> float:
         """Return a service time that few requests which start now exceed."""
-        return self._warmup_factor(now) * self.durations.peak(route)
+        return self.warmup_factor(now) * self.durations.peak(route)
 
-    def _warmup_factor(self, at: float) -> float:
+    def warmup_factor(self, at: float) -> float:
+        """Return how many times as long runs take that start at a time."""
         return WARMUP_FACTOR if at < self.warmup_until else 1.0
 
     def record_service_time(
         self, route: str, began: float, took_s: float
     ) -> None:
         """Record the service time of a successful request."""
-        self.durations.record(route, took_s / self._warmup_factor(began))
+        self.durations.record(route, took_s / self.warmup_factor(began))
 
     def request_slot(
         self, request: SlotRequest, now: float, may_wait: bool
--- a/carawaystair/load/stopping.py
+++ b/carawaystair/load/stopping.py
@@ -5,13 +5,20 @@
 process answers its callers, and, while one host after the other stops, a part
 of each service with it.
 
+A run that can't be repeated and outlives its gateway has an unknown outcome,
+so it begins only where it surely ends in time: by its own deadline, or by what
+many runs of its route have taken.  A process that has just started knows
+nothing of these, or only of the short ones, which end first.
+
 The process that sends a request may stop as well.  Its callers get no answer
 later than that, so a request that waits must begin in time or be refused.
 """
 
 import math
+import typing
 
 from carawaystair import clock
+from carawaystair.load import run_times
 
 MS = 1000
 # Expected durations that must be left for a request that can run again
@@ -22,20 +29,45 @@
 # The same where the sender of the request ends: a single run may go on, but
 # nobody is told how it ends.
 SENDER_SINGLE_DURATIONS = 4.0
+# Runs from which the longest one is a bound: the next exceeds it in one case
+# of a hundred at most.
+KNOWN_RUNS = 100
+
+
+class Expectation(typing.NamedTuple):
+    """What a gateway expects of a run.
+
+    :param expected_s: its expected duration, seconds.
+    :param long_s: duration that few of its runs exceed, seconds.
+    :param own_s: time until its own deadline, seconds.
+    :param seen: runs of its route that have ended.
+    :param oldest_s: how long the oldest run of its route here has taken.
+    """
+
+    expected_s: float
+    long_s: float
+    own_s: float = math.inf
+    seen: run_times.Seen = run_times.NONE
+    oldest_s: float = 0.0
 
 
 def may_run(
-    remaining_s: float, expected_s: float, long_s: float, repeatable: bool
+    remaining_s: float, expectation: Expectation, repeatable: bool
 ) -> bool:
     """Return whether a request may begin to run.
 
     :param remaining_s: time until the process ends, seconds.
-    :param expected_s: expected duration of its run, seconds.
-    :param long_s: duration that few of its runs exceed, seconds.
+    :param expectation: of its run.
     :param repeatable: whether it can run again if it is cut.
     """
-    durations = REPEATABLE_DURATIONS if repeatable else SINGLE_DURATIONS
-    return max(durations * expected_s, long_s) <= remaining_s
+    expected_s, long_s, own_s, seen, oldest_s = expectation
+    if repeatable:
+        return max(REPEATABLE_DURATIONS * expected_s, long_s) <= remaining_s
+    if SINGLE_DURATIONS * expected_s > remaining_s:
+        return False
+    known = seen.runs >= KNOWN_RUNS
+    longest_s = max(seen.longest_s, oldest_s) if known else math.inf
+    return min(longest_s, own_s) <= remaining_s
 
 
 def may_offer(remaining_s: float, expected_s: float) -> bool:
--- a/carawaystair/wire.py
+++ b/carawaystair/wire.py
@@ -13,6 +13,7 @@
 - 140-159: administration and time line
 - 160-179: requests that crash upstreams
 - 180-199: quotas of customers
+- 200-219: gateways
 
 A field may be added at the end of a message when it has a default; any other
 change needs a new number or a new :data:`VERSION`.
--- a/test/test_gateway_order_outlives.py
+++ b/test/test_gateway_order_outlives.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from carawaystair.gateway import messages
 from test import gateway_setup as fleets
 from test import pipes
 from test import request_setup as setups
@@ -22,6 +23,9 @@
     '/hold/', 'other', idempotent=True, timeout_ms=20_000
 )
 
+# The route's timeout binds, not the caller's.
+PATIENT = {'Caraway_Deadline_Ms': '20000'}
+
 
 class Upstream:
     """Script whose runs take what the path says, up to their deadline."""
@@ -82,9 +86,7 @@
     ) as fleet:
         for took_s in before:
             await fleet.ask(route + '%g' % took_s, 'POST', body=b'x')
-        held = asyncio.ensure_future(
-            fleet.ask('/hold/x', node=1, Caraway_Deadline_Ms='20000')
-        )
+        held = asyncio.ensure_future(fleet.ask('/hold/x', node=1, **PATIENT))
         await asyncio.sleep(0.1)
         stopping = asyncio.ensure_future(fleet.nodes[1].service.stop())
         orders = []
@@ -94,7 +96,9 @@
             method = 'POST' if route == '/order/' else 'GET'
             body = b'x' if method == 'POST' else b''
             orders.append(
-                asyncio.ensure_future(fleet.ask(path, method, body=body))
+                asyncio.ensure_future(
+                    fleet.ask(path, method, body=body, **PATIENT)
+                )
             )
         answers = await asyncio.gather(*orders)
         await stopping
@@ -125,3 +129,67 @@
     assert {one.status for one in seen.answers} <= {200, 503, 504}
     late = [one for one in seen.answers if one.status == 504]
     assert {one.body for one in late} == {b'late'}
+
+
+async def _ask_in_turn(fleet, until: float) -> list[setups.Answer]:
+    """Send short orders up to a time of the loop; return their answers."""
+    loop = asyncio.get_running_loop()
+    asked = []
+    while loop.time() < until:
+        asked.append(
+            asyncio.ensure_future(
+                fleet.ask('/order/0.05', 'POST', body=b'x', **PATIENT)
+            )
+        )
+        await asyncio.sleep(0.02)
+    return await asyncio.gather(*asked)
+
+
+def test_gateway_that_has_just_started_asks_what_runs_take():
+    """Guards against an upstream of orders alone that idles for each stop."""
+
+    async def scenario():
+        beside = Upstream()
+        async with fleets.running(
+            None,
+            beside,
+            Upstream(),
+            fleets.slow(2 * DRAIN_S),
+            services=('portal', 'portal', 'portal', 'other'),
+            routes=(ORDERS, HOLDING),
+        ) as fleet:
+            loop = asyncio.get_running_loop()
+            answers = await _ask_in_turn(fleet, loop.time() + 6.0)
+            await fleet.restart(1)
+            fleet.nodes[2].announce('draining')
+            await asyncio.sleep(0.2)
+            held = asyncio.ensure_future(
+                fleet.ask('/hold/x', node=1, **PATIENT)
+            )
+            await asyncio.sleep(0.1)
+            began = loop.time()
+            stopping = asyncio.ensure_future(fleet.nodes[1].service.stop())
+            answers += await _ask_in_turn(fleet, began + DRAIN_S)
+            await stopping
+            await held
+            at = [start for start, _path in beside.starts if start >= began]
+            return at[-1] - began, {answer.outcome for answer in answers}
+
+    last_s, outcomes = pipes.run(scenario())
+    assert last_s > DRAIN_S / 2
+    assert outcomes <= {'complete', 'not-run'}
+
+
+def test_answers_about_run_times_count_only_where_they_were_asked_for():
+    """Guards against bounds that a stranger sets."""
+
+    async def scenario():
+        async with fleets.running(None, Upstream(), Upstream()) as fleet:
+            told = messages.RunTimesSeen('portal', {'route': (1000, 1)})
+            links = fleet.nodes[0].kernel.links
+            links.send(fleet.nodes[1].member.peer, told)
+            await asyncio.sleep(20.0)
+            times = fleet.nodes[1].service.executor.run_times['portal']
+            return times.seen('route')
+
+    assert pipes.run(scenario()) == (0, 0.0)
--- a/test/test_load_run_times.py
+++ b/test/test_load_run_times.py
@@ -36,3 +36,13 @@
         longest.append(times.ended('pay').longest_s)
     assert set(longest[: run_times.WINDOW_RUNS]) == {3.0}
     assert longest[-1] == 0.1
+
+
+def test_runs_of_other_processes_count_until_others_tell():
+    """Guards against a process that starts from nothing, or hears for ever."""
+    times = run_times.RunTimes()
+    for number in range(2 * run_times.MAX_TELLERS):
+        times.hear('node %d' % number, {'pay': run_times.Seen(10, 9 - number)})
+    assert len(times.told) == run_times.MAX_TELLERS
+    assert times.seen('pay') == (10 * run_times.MAX_TELLERS, 1)
+    assert times.ended('pay') == run_times.NONE
--- /dev/null
+++ b/test/test_load_stopping.py
@@ -0,0 +1,61 @@
+"""Which runs a gateway still begins as its process stops."""
+
+import random
+
+import pytest
+
+from carawaystair.load import run_times
+from carawaystair.load import stopping
+
+LEFT_S = 4.0
+
+
+def expectation(seen=run_times.NONE, **values) -> stopping.Expectation:
+    """Return an expectation of short runs."""
+    return stopping.Expectation(0.1, 0.1, 6.0, seen)._replace(**values)
+
+
+KNOWN = run_times.Seen(stopping.KNOWN_RUNS, 1.0)
+
+
+@pytest.mark.parametrize(
+    ('expected', 'begins'),
+    [
+        (expectation(), False),
+        (expectation(run_times.Seen(10, 0.1)), False),
+        (expectation(own_s=3.9), True),
+        (expectation(KNOWN), True),
+        (expectation(KNOWN, oldest_s=4.1), False),
+        (expectation(KNOWN._replace(longest_s=4.1)), False),
+        (expectation(KNOWN._replace(longest_s=4.1), own_s=3.9), True),
+        (expectation(KNOWN, expected_s=0.6), False),
+    ],
+)
+def test_single_run_begins_only_where_it_surely_ends_in_time(expected, begins):
+    """Guards against an order begun on a mean, or on the first short runs."""
+    assert stopping.may_run(LEFT_S, expected, False) == begins
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_few_single_runs_outlast_what_many_have_taken(seed):
+    """Guards against bounds that runs of a heavy tail exceed often.
+
+    Replays runs of which one in thirty takes ten times the mean.
+    """
+    rng = random.Random(seed)
+
+    def drawn() -> float:
+        return 3.0 if rng.random() < 1 / 30 else rng.expovariate(1 / 0.3)
+
+    times = run_times.RunTimes()
+    begun = cut = 0
+    for number in range(20_000):
+        took_s, left_s = drawn(), rng.uniform(0.0, 5.75)
+        expected = expectation(times.seen('pay'), expected_s=0.4)
+        if stopping.may_run(left_s, expected, False):
+            begun += 1
+            cut += took_s > left_s
+        times.begin('one', 'pay', 0.0)
+        times.end('one', True, took_s)
+    assert begun > 5_000
+    assert cut <= begun / stopping.KNOWN_RUNS
