An order far longer than all before ends before its gateway

Callers were told 502 with an unknown outcome for an order that its gateway had begun with good reason, and that then took longer than any run before.

Cause: a gateway that stops, or whose sender does, gave the upstream the deadline of the caller. No figure from earlier runs bounds the next one; an upstream that knows until when its answer can be passed on does.

The deadline for the upstream is the earliest of the caller's, and .2 s before the end of the gateway and of the sender. An upstream that stops work at its deadline gives its own, whole answer. A lookup that ended so, and whose upstream leaves, waits for the next one as one that was cut does.

--- a/carawaystair/gateway/dispatcher.py
+++ b/carawaystair/gateway/dispatcher.py
@@ -56,6 +56,8 @@
 # Interval of checks for an upstream that takes work again, seconds.
 UPSTREAM_POLL_INTERVAL_S = 0.1
 MS = 1000
+# Status of an upstream that stops work at its deadline.
+GATEWAY_TIMEOUT = 504
 # Reasons for a refusal that may not hold any more when the gateway is asked
 # again.
 REASONS_TO_WAIT = frozenset(
@@ -240,8 +242,7 @@
         Its gateway has ended, and no other takes work.  While hosts restart,
         the next upstream is back before long.
         """
-        failure = dispatch.failure
-        if failure is None or failure.outcome != interfaces.BROKEN:
+        if not self._gateway_ended(dispatch):
             return None
         expected_s = self.selector.durations.expected(dispatch.call.match.key)
         until = min(dispatch.call.deadline, self.ends_at)
@@ -253,6 +254,19 @@
             await asyncio.sleep(UPSTREAM_POLL_INTERVAL_S)
         return None
 
+    def _gateway_ended(self, dispatch: dispatches.Dispatch) -> bool:
+        """Return whether the end of its gateway ended the run of a request.
+
+        Its connection broke, or its upstream was given a deadline before the
+        gateway left.
+        """
+        if dispatch.failure is not None:
+            return dispatch.failure.outcome == interfaces.BROKEN
+        answer = dispatch.fallback
+        if answer is None or answer.status != GATEWAY_TIMEOUT:
+            return False
+        return not all(map(self.pool.takes_work, dispatch.ran_at))
+
     def _choose(
         self, dispatch: dispatches.Dispatch
     ) -> upstream_pool.Choice | None:
--- a/carawaystair/gateway/executor.py
+++ b/carawaystair/gateway/executor.py
@@ -257,10 +257,8 @@
         self, hop: hops.Hop, slots: slots_module.Slots, now: float
     ) -> float:
         """Return by when the answer is due if its sender ends before that."""
-        if not hop.sender_ends:
-            return math.inf
         return stopping.latest_answer(
-            now + hop.sender_timeout_ms / MS,
+            _sender_ends_at(hop, now),
             _expected_s(hop, slots, now),
             _is_repeatable(hop),
         )
@@ -358,6 +356,7 @@
             hop.caller_service,
             hop.customer,
             source,
+            stopping.work_until(min(self.ends_at, _sender_ends_at(hop, now))),
         )
         self.running.add(attempt)
         times.begin(hop.key, hop.route, clock.now())
@@ -729,6 +728,15 @@
         )
 
 
+def _sender_ends_at(hop: hops.Hop, now: float) -> float:
+    """Return when the sender of a request ends.
+
+    :param now: monotonic time at which the request arrived.
+    :return: monotonic time; infinite unless it ends before the deadline.
+    """
+    return now + hop.sender_timeout_ms / MS if hop.sender_ends else math.inf
+
+
 def _expected_s(hop: hops.Hop, slots: slots_module.Slots, now: float) -> float:
     """Return the expected duration of a run, seconds.
 
--- a/carawaystair/gateway/send_attempts.py
+++ b/carawaystair/gateway/send_attempts.py
@@ -1,6 +1,7 @@
 """Attempts to send a request to an upstream or to another node's gateway."""
 
 import asyncio
+import math
 import socket
 import struct
 import typing
@@ -41,6 +42,7 @@
 # is resumed, seconds.  The sign takes hop_handler.FIRST_INTERIM_S and a round
 # trip between data centres; resuming too early does no harm.
 FIRST_SIGN_TIMEOUT_S = 0.15
+MS = 1000
 CONTINUE = 100
 # Exceptions that mean that a connection broke.
 CONNECTION_ERRORS = (
@@ -72,6 +74,8 @@
     :param caller_service: the service on the host where the request began.
     :param customer: the customer whose key it brought, or ''.
     :param source: the source of the body if it is not buffered here.
+    :param work_until: monotonic time until which an answer of the upstream
+        can be passed on; infinite if no process on its way stops.
     """
 
     __slots__ = (
@@ -82,6 +86,7 @@
         'foreign_count',
         'header_names',
         'release_slot',
+        'work_until',
     )
 
     def __init__(
@@ -92,8 +97,10 @@
         caller_service: str,
         customer: str = '',
         source: bodies.Source | None = None,
+        work_until: float = math.inf,
     ) -> None:
         super().__init__(call, target)
+        self.work_until = work_until
         self.header_names = header_names
         self.caller_service = caller_service
         self.customer = customer
@@ -111,6 +118,8 @@
     def attempt_headers(self, left_ms: int) -> bytes:
         """Return the fleet's headers for the upstream."""
         names = self.header_names
+        work_ms = (self.work_until - clock.now()) * MS
+        left_ms = int(max(min(left_ms, work_ms), 1))
         lines = '%s: %s\r\n%s: %d\r\n%s: %s\r\n%s: %s\r\n' % (
             names.request_id,
             self.call.id,
--- a/carawaystair/gateway/upstream_pool.py
+++ b/carawaystair/gateway/upstream_pool.py
@@ -100,6 +100,11 @@
             self.selector.start_incarnation(new.id, new.incarnation)
         target.upstream = new
 
+    def takes_work(self, upstream: str) -> bool:
+        """Return whether an upstream is known and does not leave."""
+        target = self.targets.get(upstream)
+        return target is not None and target.upstream.state == interfaces.UP
+
     def record_outcome(
         self, service: str, good: bool, final: bool = True
     ) -> None:
--- a/carawaystair/load/stopping.py
+++ b/carawaystair/load/stopping.py
@@ -8,7 +8,9 @@
 A run that can't be repeated and outlives its gateway has an unknown outcome,
 so it begins only where it surely ends in time: by its own deadline, or by what
 many runs of its route have taken.  A process that has just started knows
-nothing of these, or only of the short ones, which end first.
+nothing of these, or only of the short ones, which end first.  Where a run
+takes longer still, its upstream ends it: the deadline that it is given is no
+later than the end of the processes that pass its answer on.
 
 The process that sends a request may stop as well.  Its callers get no answer
 later than that, so a request that waits must begin in time or be refused.
@@ -32,6 +34,9 @@
 # Runs from which the longest one is a bound: the next exceeds it in one case
 # of a hundred at most.
 KNOWN_RUNS = 100
+# Time in which an answer that an upstream gives at its deadline gets back,
+# also between busy hosts, seconds.
+RETURN_S = 0.2
 
 
 class Expectation(typing.NamedTuple):
@@ -96,6 +101,18 @@
     return sender_ends_at - (durations - 1.0) * expected_s
 
 
+def work_until(ends_at: float) -> float:
+    """Return until when an upstream may work on a request.
+
+    An upstream stops work at its deadline and says so.  That is a known
+    outcome, where a run that outlives a process on its way has none.
+
+    :param ends_at: monotonic time at which the first process on the way of
+        its answer ends; infinite if none stops.
+    """
+    return ends_at - RETURN_S
+
+
 def left_ms(ends_at: float) -> int:
     """Return the time until a process ends, ms; -1 if it does not stop.
 
--- a/test/test_gateway_order_outlives.py
+++ b/test/test_gateway_order_outlives.py
@@ -6,6 +6,7 @@
 import pytest
 
 from carawaystair.gateway import messages
+from carawaystair.load import stopping
 from test import gateway_setup as fleets
 from test import pipes
 from test import request_setup as setups
@@ -88,7 +89,7 @@
             await fleet.ask(route + '%g' % took_s, 'POST', body=b'x')
         held = asyncio.ensure_future(fleet.ask('/hold/x', node=1, **PATIENT))
         await asyncio.sleep(0.1)
-        stopping = asyncio.ensure_future(fleet.nodes[1].service.stop())
+        ending = asyncio.ensure_future(fleet.nodes[1].service.stop())
         orders = []
         for _turn in range(8):
             await asyncio.sleep(0.4)
@@ -101,7 +102,7 @@
                 )
             )
         answers = await asyncio.gather(*orders)
-        await stopping
+        await ending
         await held
         during = upstream.starts[len(before) :]
         return Stopped(answers, len(during), run_outcomes(fleet, 'cancelled'))
@@ -168,9 +169,9 @@
             )
             await asyncio.sleep(0.1)
             began = loop.time()
-            stopping = asyncio.ensure_future(fleet.nodes[1].service.stop())
+            ending = asyncio.ensure_future(fleet.nodes[1].service.stop())
             answers += await _ask_in_turn(fleet, began + DRAIN_S)
-            await stopping
+            await ending
             await held
             at = [start for start, _path in beside.starts if start >= began]
             return at[-1] - began, {answer.outcome for answer in answers}
@@ -193,3 +194,54 @@
             return times.seen('route')
 
     assert pipes.run(scenario()) == (0, 0.0)
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+@pytest.mark.parametrize('number', [0, 1], ids=['sender', 'gateway'])
+def test_upstream_is_told_the_end_of_the_processes_before_it(number, method):
+    """Guards against work whose answer nobody can pass on."""
+    path, ends_s = '/read/x' if method == 'GET' else '/pay/x', 2.0
+    body = b'' if method == 'GET' else b'x'
+
+    async def scenario():
+        async with fleets.running(None, fleets.slow(0.05)) as fleet:
+            for _turn in range(2 * stopping.KNOWN_RUNS):
+                await fleet.ask('/pay/warm', 'POST', body=b'x')
+            ends_at = asyncio.get_running_loop().time() + ends_s
+            service = fleet.nodes[number].service
+            service.dispatcher.stop(ends_at)
+            service.executor.stop(ends_at)
+            await fleet.ask(path, method, body=body)
+            return int(fleet.runs[-1].headers['caraway-deadline-ms'])
+
+    assert 0 < pipes.run(scenario()) <= 1000 * (ends_s - stopping.RETURN_S)
+
+
+async def stop_at_deadline(upstream, seen, writer) -> None:
+    """Script that works for long and stops at the deadline that it got."""
+    await asyncio.sleep(int(seen.headers['caraway-deadline-ms']) / 1000)
+    writer.write(setups.reply(b'late', 504, X_Receipt='r'))
+
+
+@pytest.mark.parametrize('back_s', [0.3, 1.0])
+def test_lookup_that_ended_with_its_gateway_waits_for_the_next_upstream(
+    back_s,
+):
+    """Guards against 504 for a lookup that has time for another run."""
+
+    async def scenario():
+        async with fleets.running(
+            None, stop_at_deadline, fleets.serve, lame_duck_s=0.1, drain_s=1.5
+        ) as fleet:
+            fleet.nodes[2].announce('draining')
+            service = fleet.nodes[1].service
+            ending = asyncio.ensure_future(service.stop())
+            await asyncio.sleep(0.05)
+            asking = asyncio.ensure_future(fleet.ask('/read/x'))
+            await ending
+            await asyncio.sleep(back_s)
+            fleet.nodes[2].announce(incarnation=2)
+            answer = await asking
+            return answer.status, answer.body, fleets.run_count(fleet, '/x')
+
+    assert pipes.run(scenario()) == (200, b'u9002', 2)
