Runs at two upstreams of one host are counted apart

Found by reading my own change: a request that is hedged to a second upstream of the same host has one key, so the end of its second run would have taken the first one's place, and the end of that raised KeyError. Runs have numbers now. News are expected by process and service, and counted for the service that the upstream announced, not for what a request names: a stranger could otherwise add services without bound.

--- a/carawaystair/gateway/executor.py
+++ b/carawaystair/gateway/executor.py
@@ -231,7 +231,7 @@
         )
 
     def _may_run(
-        self, hop: hops.Hop, slots: slots_module.Slots, deadline: float
+        self, hop: hops.Hop, instance: instances.Instance, deadline: float
     ) -> bool:
         """Return whether a request may run, in view of the process's end.
 
@@ -240,10 +240,10 @@
         if self.stopping or math.isinf(self.ends_at):
             return not self.stopping
         now = clock.now()
-        queue, times = slots.queue, self.run_times[hop.service]
+        queue, times = instance.slots.queue, self._times(instance)
         seen = times.seen(hop.route)
         expectation = stopping.Expectation(
-            _expected_s(hop, slots, now),
+            _expected_s(hop, instance.slots, now),
             queue.long_service_s(hop.route, now),
             deadline - now,
             seen._replace(longest_s=queue.warmup_factor(now) * seen.longest_s),
@@ -263,6 +263,10 @@
             _is_repeatable(hop),
         )
 
+    def _times(self, instance: instances.Instance) -> run_times.RunTimes:
+        """Return how long the runs of an upstream's service have taken."""
+        return self.run_times[instance.announcement.service]
+
     def sweep(self, now: float) -> None:
         """Close connections that have been idle for too long."""
         for instance in self.instances.values():
@@ -321,8 +325,7 @@
             instance.bodies.give(body_bytes)
             self._refund_retry(hop, now)
             raise
-        queue = slots.queue
-        times = self.run_times[hop.service]
+        queue, times = slots.queue, self._times(instance)
         seen = times.seen(hop.route)
         self.recorder.tell(
             decisions.Began(
@@ -359,11 +362,11 @@
             stopping.work_until(min(self.ends_at, _sender_ends_at(hop, now))),
         )
         self.running.add(attempt)
-        times.begin(hop.key, hop.route, clock.now())
+        run = times.begin(hop.route, clock.now())
 
         def release() -> None:
             self.running.remove(attempt)
-            times.end(hop.key, _ended_well(attempt), clock.now())
+            times.end(run, _ended_well(attempt), clock.now())
             instance.bodies.give(body_bytes)
             slots.release(hop.key, attempt.sent)
             if streaming:
@@ -398,7 +401,7 @@
         """
         waited_s = await instance.slots.acquire(slot_request, hop.may_wait)
         ended = not self._is_present(instance)
-        if ended or not self._may_run(hop, instance.slots, deadline):
+        if ended or not self._may_run(hop, instance, deadline):
             # The instance ended, or its process is about to, while the
             # request waited for its slot.
             instance.slots.release(hop.key)
@@ -551,7 +554,7 @@
         if instance is None:
             raise slots_module.Refused(hops.ABSENT)
         up = instance.announcement.state == interfaces.UP
-        if not up or not self._may_run(hop, instance.slots, deadline):
+        if not up or not self._may_run(hop, instance, deadline):
             raise slots_module.Refused(hops.LEAVING)
         return instance
 
--- a/carawaystair/gateway/run_time_news.py
+++ b/carawaystair/gateway/run_time_news.py
@@ -40,8 +40,8 @@
         self.membership = membership
         self.times = times
         self.rng = rng
-        # Until when an answer is taken, by the address of the process.
-        self.asked: dict[str, float] = {}
+        # Until when an answer is taken, by process and service.
+        self.asked: dict[tuple[str, str], float] = {}
         # Services that others were asked for since an upstream of this host
         # announced itself.
         self.services: set[str] = set()
@@ -61,7 +61,7 @@
         """Ask one gateway of each service of this host."""
         now = clock.now()
         self.asked = {
-            peer: until for peer, until in self.asked.items() if until > now
+            key: until for key, until in self.asked.items() if until > now
         }
         for service in self.services:
             self._ask(service, 1)
@@ -71,7 +71,7 @@
         peers = self._peers(service)
         question = messages.AskRunTimes(service)
         for peer in self.rng.sample(peers, min(count, len(peers))):
-            self.asked[peer] = clock.now() + ANSWER_S
+            self.asked[peer, service] = clock.now() + ANSWER_S
             self.links.send(peer, question)
 
     def _peers(self, service: str) -> list[str]:
@@ -101,7 +101,8 @@
 
     async def hear(self, sender: str, message: messages.RunTimesSeen) -> None:
         """Take what another process has observed, if it was asked."""
-        if self.asked.pop(sender, 0.0) < clock.now():
+        until = self.asked.pop((sender, message.service), 0.0)
+        if until < clock.now():
             return
         self.times[message.service].hear(
             sender,
--- a/carawaystair/load/run_times.py
+++ b/carawaystair/load/run_times.py
@@ -49,25 +49,30 @@
         self.told: dict[str, dict[str, Seen]] = {}
         # The current window of each route, and the one before.
         self.windows: dict[str, tuple[Seen, Seen]] = {}
-        # Routes and starts of the runs in progress, by request.
-        self.running: dict[str, tuple[str, float]] = {}
+        # Routes and starts of the runs in progress, by their numbers.
+        self.running: dict[int, tuple[str, float]] = {}
+        self.numbers = itertools.count()
 
-    def begin(self, request: str, route: str, now: float) -> None:
+    def begin(self, route: str, now: float) -> int:
         """Record that a run begins.
 
-        :param request: identifies the request.
+        A request may run at two upstreams of one host at the same time.
+
         :param route: key of its route.
         :param now: monotonic time in seconds.
+        :return: the number of the run, for :meth:`end`.
         """
-        self.running[request] = (route, now)
+        number = next(self.numbers)
+        self.running[number] = (route, now)
+        return number
 
-    def end(self, request: str, good: bool, now: float) -> None:
+    def end(self, number: int, good: bool, now: float) -> None:
         """Record the end of a run; only those that were good are counted.
 
         The duration of others is that of a failure, or of the patience of
         whoever gave up.
         """
-        route, began = self.running.pop(request)
+        route, began = self.running.pop(number)
         if good:
             self._record(route, now - began)
 
--- a/test/test_load_stopping.py
+++ b/test/test_load_stopping.py
@@ -49,13 +49,12 @@
 
     times = run_times.RunTimes()
     begun = cut = 0
-    for number in range(20_000):
+    for _number in range(20_000):
         took_s, left_s = drawn(), rng.uniform(0.0, 5.75)
         expected = expectation(times.seen('pay'), expected_s=0.4)
         if stopping.may_run(left_s, expected, False):
             begun += 1
             cut += took_s > left_s
-        times.begin('one', 'pay', 0.0)
-        times.end('one', True, took_s)
+        times.end(times.begin('pay', 0.0), True, took_s)
     assert begun > 5_000
     assert cut <= begun / stopping.KNOWN_RUNS
