An answer that a node writes while it stops says that its connection closes

Callers on kept connections sent their next request on one that the node had closed, and had no answer; nothing of these requests was read or run.

Cause: whether an answer says Connection: close was decided when its request began. One that was taken before the SIGTERM and answered after it said nothing, and its connection was closed as idle, 2.4 s after the signal or with the process. Class: a decision from the state at the beginning, where the state at the end binds.

It is decided as the head of the answer is written now, where no later request of the connection has been read: the caller of pipelined requests would take those for unread. Left: an answer to a pipelined request that was ready before the stop, behind others that were not, says nothing.

--- a/carawaystair/request/base_handler.py
+++ b/carawaystair/request/base_handler.py
@@ -69,7 +69,9 @@
 
         :return: whether another one may follow on the connection.
         """
-        exchange = exchanges.Exchange(request, self._new_request_id(request))
+        exchange = exchanges.Exchange(
+            request, self._new_request_id(request), self._stops
+        )
         if self.stop_deadline is not None:
             exchange.keep_alive = False
         self.active += 1
@@ -101,6 +103,10 @@
                 self.receiver.end(reception.body)
         return exchange.keep_alive
 
+    def _stops(self) -> bool:
+        """Return whether the node stops."""
+        return self.stop_deadline is not None
+
     def _no_route(self) -> validation.Refused:
         """Return the refusal of a request that no route matches.
 
--- a/carawaystair/request/exchange.py
+++ b/carawaystair/request/exchange.py
@@ -35,13 +35,20 @@
 
     :param request: the request.
     :param id: the request's id.
+    :param stops: returns whether this node stops.
     """
 
-    __slots__ = ('id', 'keep_alive', 'outcome', 'request')
+    __slots__ = ('id', 'keep_alive', 'outcome', 'request', 'stops')
 
-    def __init__(self, request: http_server.Request, id: str) -> None:
+    def __init__(
+        self,
+        request: http_server.Request,
+        id: str,
+        stops: typing.Callable[[], bool] = lambda: False,
+    ) -> None:
         self.request = request
         self.id = id
+        self.stops = stops
         self.keep_alive = request.keep_alive
         # The outcome that was sent to the caller, None before that.
         self.outcome: str | None = None
@@ -127,6 +134,9 @@
         if not self.request.content.is_eof():
             # The rest of its body must not be parsed as a request.
             self.keep_alive = False
+        if self.stops() and self.request.connection.is_last(self.request):
+            # The connection would be closed behind the caller's back.
+            self.keep_alive = False
         return b''.join(
             (
                 status_line(answer.status, answer.reason),
--- a/carawaystair/request/http_server.py
+++ b/carawaystair/request/http_server.py
@@ -351,6 +351,12 @@
         await asyncio.sleep(0)
         return self.open and await self.handle(request)
 
+    def is_last(self, request: Request) -> bool:
+        """Return whether no later request of this connection was read."""
+        if self.queue:
+            return False
+        return not self.pipelined or self.pipelined[-1].request is request
+
     def _take_request(self) -> Request:
         """Remove the next request from the queue and return it."""
         message, self.content, arrived = self.queue.popleft()
