A gateway asks for run times until somebody has answered

Found by reading: where an upstream is announced before its gateway knows other processes, nobody was asked, and the next question came 10 s later; a stop before that knew no more than the own runs. It asks each second until told, and a process that has observed nothing says so, so that asking ends. test_gateway_asks_until_another_process_is_known fails with the former interval.

--- a/carawaystair/gateway/run_time_news.py
+++ b/carawaystair/gateway/run_time_news.py
@@ -10,8 +10,10 @@
 from carawaystair.gateway import messages
 from carawaystair.load import run_times
 
-# Gateways that are asked at first, and then one at each interval, seconds.
+# Gateways that are asked until one has answered, each RETRY_S, and then one
+# at each interval, seconds.
 FIRST_ASKED = 4
+RETRY_S = 1.0
 INTERVAL_S = 10.0
 # How long an answer is waited for, seconds.
 ANSWER_S = 5.0
@@ -42,9 +44,8 @@
         self.rng = rng
         # Until when an answer is taken, by process and service.
         self.asked: dict[tuple[str, str], float] = {}
-        # Services that others were asked for since an upstream of this host
-        # announced itself.
-        self.services: set[str] = set()
+        # When others are asked again, by service of an upstream of this host.
+        self.due: dict[str, float] = {}
         links.handle(messages.AskRunTimes, self.answer)
         links.handle(messages.RunTimesSeen, self.hear)
         membership.registry.callbacks.append(self.on_announcement)
@@ -52,23 +53,28 @@
     def on_announcement(self, name: str) -> None:
         """Ask others as soon as an upstream of this host is announced."""
         lease = self.membership.registry.leases.get(name)
-        if lease is None or lease.announcement.service in self.services:
+        if lease is None or lease.announcement.service in self.due:
             return
-        self.services.add(lease.announcement.service)
-        self._ask(lease.announcement.service, FIRST_ASKED)
+        self._ask(lease.announcement.service)
 
     def ask_again(self) -> None:
-        """Ask one gateway of each service of this host."""
+        """Ask for the services that are due; called each :data:`RETRY_S`.
+
+        The first time other processes may not be known yet.
+        """
         now = clock.now()
         self.asked = {
             key: until for key, until in self.asked.items() if until > now
         }
-        for service in self.services:
-            self._ask(service, 1)
+        for service, due in list(self.due.items()):
+            if due <= now or not self.times[service].told:
+                self._ask(service)
 
-    def _ask(self, service: str, count: int) -> None:
+    def _ask(self, service: str) -> None:
         """Ask some of the processes that run requests of a service."""
+        self.due[service] = clock.now() + INTERVAL_S
         peers = self._peers(service)
+        count = 1 if self.times[service].told else FIRST_ASKED
         question = messages.AskRunTimes(service)
         for peer in self.rng.sample(peers, min(count, len(peers))):
             self.asked[peer, service] = clock.now() + ANSWER_S
@@ -86,18 +92,15 @@
         )
 
     async def answer(self, sender: str, message: messages.AskRunTimes) -> None:
-        """Tell another process what has been observed here."""
+        """Tell another process what has been observed here, if anything."""
         times = self.times.get(message.service)
-        if times is None:
-            return
+        latest = times.latest(MAX_ROUTES) if times is not None else ()
         routes = {
             route: (seen.runs, int(seen.longest_s * MS))
-            for route, seen in times.latest(MAX_ROUTES)
+            for route, seen in latest
         }
-        if routes:
-            self.links.send(
-                sender, messages.RunTimesSeen(message.service, routes)
-            )
+        answer = messages.RunTimesSeen(message.service, routes)
+        self.links.send(sender, answer)
 
     async def hear(self, sender: str, message: messages.RunTimesSeen) -> None:
         """Take what another process has observed, if it was asked."""
--- a/carawaystair/gateway/service.py
+++ b/carawaystair/gateway/service.py
@@ -357,7 +357,7 @@
     async def _learn_run_times(self) -> None:
         """Ask other gateways now and then how long runs take."""
         while not self.should_stop:
-            await self.sleep(run_time_news.INTERVAL_S)
+            await self.sleep(run_time_news.RETRY_S)
             if not self.should_stop:
                 self.run_time_news.ask_again()
 
--- a/test/test_gateway_order_outlives.py
+++ b/test/test_gateway_order_outlives.py
@@ -181,6 +181,30 @@
     assert outcomes <= {'complete', 'not-run'}
 
 
+def test_gateway_asks_until_another_process_is_known():
+    """Guards against a gateway that starts before it knows of others."""
+
+    async def scenario():
+        async with fleets.running(None, Upstream(), Upstream()) as fleet:
+            for _turn in range(20):
+                await fleet.ask('/pay/0.05', 'POST', body=b'x')
+            await fleet.restart(1)
+            node = fleet.nodes[1]
+            news, alive = node.service.run_time_news, node.membership.alive
+            times = node.service.executor.run_times['portal']
+            node.membership.alive = lambda: (node.member,)
+            await asyncio.sleep(1.0)
+            times.told.clear()
+            await asyncio.sleep(3.0)
+            before = len(times.told)
+            node.membership.alive = alive
+            await asyncio.sleep(3.0)
+            return before, len(times.told), news.due
+
+    before, behind, due = pipes.run(scenario())
+    assert (before, behind, list(due)) == (0, 1, ['portal'])
+
+
 def test_answers_about_run_times_count_only_where_they_were_asked_for():
     """Guards against bounds that a stranger sets."""
 
