--- a/carawaystair/load/stopping.py
+++ b/carawaystair/load/stopping.py
@@ -6,11 +6,11 @@
 of each service with it.
 
 A run that can't be repeated and outlives its gateway has an unknown outcome,
-so it begins only where it surely ends in time: by its own deadline, or by what
-many runs of its route have taken.  A process that has just started knows
-nothing of these, or only of the short ones, which end first.  Where a run
-takes longer still, its upstream ends it: the deadline that it is given is no
-later than the end of the processes that pass its answer on.
+so it begins only where its own deadline is over by then, or where many runs
+of its route are known and all have taken less.  A process that has just
+started knows nothing of these, or only of the short ones, which end first.
+Where a run takes longer still, its upstream ends it: the deadline that it is
+given is no later than the end of the processes that pass its answer on.
 
 The process that sends a request may stop as well.  Its callers get no answer
 later than that, so a request that waits must begin in time or be refused.
