Logs tell when a request was whole, and until when its sender waits

Nothing told whether an order that the end of its node cut had been passed on late: its head is accepted within 2.4 s of SIGTERM, but its last byte may come at any time after that. `whole_ms` in `offered` and `answered` is the time from the head to the last byte; with `stop_left_ms` and `signal_ms` that gives its time against the signal. `sender_left_ms` in `began` is the end of the sender as the gateway knew it. No decision changes.

--- a/carawaystair/decisions.py
+++ b/carawaystair/decisions.py
@@ -58,6 +58,8 @@
     :param refused: gateways that refused it before, ``UPSTREAM:REASON``
         each, see ``gateway.hops`` and ``load.rejection``.
     :param stop_left_ms: time until this process ends, ms; -1 unless it stops.
+    :param whole_ms: time from its head to its last byte, ms; -1 while a part
+        of its body is missing.
     """
 
     id: str
@@ -75,6 +77,7 @@
     candidates: int
     refused: str
     stop_left_ms: int
+    whole_ms: int
 
 
 class Broke(typing.NamedTuple):
@@ -169,6 +172,8 @@
     :param ahead: earlier ones that had no answer when it was started.
     :param pipelined: whether its answer waited for those of earlier ones.
     :param detail: the circumstances of a failure.
+    :param whole_ms: time from its head to its last byte, ms; -1 if a part of
+        its body never came.
     """
 
     id: str
@@ -185,6 +190,7 @@
     ahead: int
     pipelined: bool
     detail: str
+    whole_ms: int
 
 
 class Rejected(typing.NamedTuple):
@@ -256,6 +262,8 @@
     :param longest_ms: duration of the longest run of its route that ended
         lately, here or at a gateway that told this one, ms.
     :param known_runs: how many runs that is the longest of.
+    :param sender_left_ms: time until its sender ends, as that told, ms; -1
+        if it did not stop when it handed the request over.
     """
 
     id: str
@@ -276,6 +284,7 @@
     expected_ms: int
     longest_ms: int
     known_runs: int
+    sender_left_ms: int
 
 
 class Ended(typing.NamedTuple):
--- a/carawaystair/gateway/caller_handler.py
+++ b/carawaystair/gateway/caller_handler.py
@@ -334,7 +334,7 @@
             str(routing.version),
             sender,
         )
-        return dispatches.Dispatch(call, params)
+        return dispatches.Dispatch(call, params, request)
 
     def _call(
         self,
@@ -522,6 +522,7 @@
                 _peername(request),
                 *request.place,
                 detail,
+                request.whole_ms,
             ),
             decisions.ROUTINE if good else decisions.TROUBLE,
         )
--- a/carawaystair/gateway/dispatcher.py
+++ b/carawaystair/gateway/dispatcher.py
@@ -635,6 +635,7 @@
             usable_count,
             ' '.join(dispatch.refusals),
             stopping.left_ms(self.ends_at),
+            dispatch.request.whole_ms,
         )
 
 
--- a/carawaystair/gateway/dispatches.py
+++ b/carawaystair/gateway/dispatches.py
@@ -12,6 +12,7 @@
 from carawaystair.request import answer as answers
 from carawaystair.request import authentication
 from carawaystair.request import call as calls
+from carawaystair.request import http_server
 from carawaystair.request import target as targets
 
 MS = 1000
@@ -80,6 +81,7 @@
 
     :param call: the request.
     :param params: its parameters.
+    :param request: the request as its caller sends it.
     """
 
     __slots__ = (
@@ -97,6 +99,7 @@
         'ran_at',
         'reached',
         'refusals',
+        'request',
         'sends',
         'spent',
         'waited_at',
@@ -105,9 +108,15 @@
         'tried',
     )
 
-    def __init__(self, call: calls.Call, params: Params) -> None:
+    def __init__(
+        self,
+        call: calls.Call,
+        params: Params,
+        request: http_server.Request,
+    ) -> None:
         self.call = call
         self.params = params
+        self.request = request
         # Callers choose the ids of requests and may use one twice.
         self.token = secrets.token_hex(TOKEN_BYTES)
         self.tried: set[str] = set()
--- a/carawaystair/request/http_server.py
+++ b/carawaystair/request/http_server.py
@@ -44,6 +44,7 @@
 STALLED_S = 1.0
 # Time in which a request head must arrive after its first byte.
 HEAD_TIMEOUT_S = 10.0
+MS = 1000
 HEAD_END = b'\r\n\r\n'
 # Blank lines before a request; between nodes, heartbeats of a reader.
 BLANK_LINE = b'\r\n'
@@ -117,6 +118,7 @@
         'raw_path',
         'turn_waiter',
         'version',
+        'whole_at',
     )
 
     def __init__(
@@ -137,6 +139,11 @@
         self.connection = connection
         self.arrived_at = arrived
         self.place = place
+        # Monotonic time at which its last byte was read, None before that.
+        self.whole_at: float | None = arrived
+        if not content.is_eof():
+            self.whole_at = None
+            content.on_eof(self._end)
         self.stream_writer: http.StreamWriter | None = None
         # Buffered parts of the answer while earlier requests on the
         # connection are not answered; None once they may be written.
@@ -144,6 +151,20 @@
         # Set while a task waits for the earlier answers.
         self.turn_waiter: asyncio.Future | None = None
 
+    def _end(self) -> None:
+        """Note that its last byte was read."""
+        self.whole_at = self.connection.loop.time()
+
+    @property
+    def whole_ms(self) -> int:
+        """Return the time from its head to its last byte, ms.
+
+        It is -1 while a part of its body is missing.
+        """
+        if self.whole_at is None:
+            return -1
+        return int((self.whole_at - self.arrived_at) * MS)
+
     def write(self, data: bytes) -> None:
         """Write to the caller, or buffer until earlier answers are written.
 
@@ -190,7 +211,7 @@
         raw.setsockopt(
             socket.IPPROTO_TCP,
             socket.TCP_USER_TIMEOUT,
-            int(ack_timeout_s * 1000),
+            int(ack_timeout_s * MS),
         )
 
 
