--- a/bench/exp_logging.py
+++ b/bench/exp_logging.py
@@ -32,6 +32,7 @@
         8,
         '',
         -1,
+        0,
     ),
     decisions.Began(
         'c5f1d0a2b3e4f567',
@@ -52,6 +53,7 @@
         118,
         410,
         300,
+        -1,
     ),
     decisions.Ended(
         'c5f1d0a2b3e4f567',
@@ -78,6 +80,7 @@
         0,
         False,
         '',
+        0,
     ),
 )
 
