A gateway that is asked to stop while a body comes cuts no order

What callers saw: an order whose gateway got SIGTERM while its body was on the way between the nodes was begun as if nothing had happened, and cut at the end of the gateway: 504 in the test, at work.

A body of over 8 KB is asked for once the request has a slot; whether it may run in view of the gateway's end was decided before that.

Change: it is decided again when the body is there, before the upstream gets any of it; the slot is released and the refusal says not-run.

--- a/carawaystair/gateway/executor.py
+++ b/carawaystair/gateway/executor.py
@@ -265,6 +265,19 @@
         ):
             raise slots_module.Refused(hops.SENDER_LEAVING)
 
+    def _check_begin(
+        self, hop: hops.Hop, instance: instances.Instance, limits: Limits
+    ) -> None:
+        """Refuse a request with a slot that would end too late by now.
+
+        :raises slots.Refused: its slot is released.
+        """
+        try:
+            self._check_ends(hop, instance, limits)
+        except slots_module.Refused:
+            instance.slots.release(hop.key)
+            raise
+
     def _expectation(
         self,
         hop: hops.Hop,
@@ -348,6 +361,7 @@
             call, source = await self._with_body(
                 hop, slots, call, receive_body
             )
+            self._check_begin(hop, instance, limits)
             self._check_crashing(hop, slots)
             self._charge_nested_calls(hop, slots)
         except BaseException:
@@ -429,12 +443,8 @@
         :raises slots.Refused: when no slot will be free in time.
         """
         waited_s = await instance.slots.acquire(slot_request, hop.may_wait)
-        try:
-            self._check_present(instance)
-            self._check_ends(hop, instance, limits)
-        except slots_module.Refused:
-            instance.slots.release(hop.key)
-            raise
+        self._check_present(hop, instance)
+        self._check_begin(hop, instance, limits)
         return waited_s
 
     def _take_body(
@@ -658,9 +668,15 @@
                 decisions.ROUTINE if good else decisions.TROUBLE,
             )
 
-    def _check_present(self, instance: instances.Instance) -> None:
-        """Refuse a request whose upstream ended while it waited."""
+    def _check_present(
+        self, hop: hops.Hop, instance: instances.Instance
+    ) -> None:
+        """Refuse a request whose upstream ended while it waited.
+
+        :raises slots.Refused: its slot is released.
+        """
         if self.instances.get(instance.name) is not instance:
+            instance.slots.release(hop.key)
             raise slots_module.Refused(hops.LEAVING)
 
     def _streaming_ended(
--- a/test/test_gateway_late_bodies.py
+++ b/test/test_gateway_late_bodies.py
@@ -252,3 +252,29 @@
     body = Body(size, chunked, 12.0)
     seen = pipes.run(ask_around_stop('/order/2', body, head_s=-8.0))
     assert seen.cut == 0
+
+
+# Bytes a second from a node to a gateway; the body takes two seconds.
+SLOW_BYTES_S = 20_000
+
+
+def test_gateway_that_is_asked_to_stop_while_a_body_comes_cuts_no_order():
+    """Guards against a run that was allowed before its body was there."""
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        loop.callers_links[7001] = pipes.Link(SLOW_BYTES_S)
+        upstream = Upstream()
+        async with fleets.running(
+            None, upstream, routes=ROUTES, drain_s=DRAIN_S
+        ) as fleet:
+            body = Body(2 * SLOW_BYTES_S, False, 0.0)
+            asking = asyncio.ensure_future(ask('/order/5.5', body))
+            await asyncio.sleep(0.5)
+            queue = fleet.nodes[1].service.executor.slots['u9001'].queue
+            running = queue.running
+            await fleet.nodes[1].service.stop()
+            answer = await asking
+            return running, answer.status, answer.outcome, upstream.began
+
+    assert pipes.run(scenario()) == (1, 503, 'not-run', 0)
