Answers that are none leave nothing behind

What was seen: a node whose upstreams send bytes that are no answer, again and again, grows: three nodes to 533, 572 and 577 MB after 14,461 orders in 40 s, where deployments grant 300, and it did not fall within 5 s; 60 MB with sound answers.

Cause: failures were kept as exceptions that had been raised. Their text has what was received; their traceback refers to the frames that they passed, and so to the request's body, the buffers of the answer and the connection, which refers to the error: only a collection of cycles frees them, and the failures of orders are kept for 20 s on purpose. The class: an error that is kept, or told on, with what a stranger sent.

Change: what is kept of a failure is a value, or an equal one that was never raised.

Elsewhere: callers' and other nodes' malformed heads left nothing before, and now have tests; refusals that a request remembers were raised ones, too.

--- a/carawaystair/gateway/dispatcher.py
+++ b/carawaystair/gateway/dispatcher.py
@@ -331,7 +331,7 @@
         if answer is not None:
             return answer
         if dispatch.failure is not None:
-            raise dispatch.failure
+            raise dispatch.failure.detached()
         if dispatch.crashing or self.quarantine.refuses(dispatch.call.digest):
             raise self._crash_refusal(dispatch)
         refused = self.authenticator.recheck(dispatch.params.sender)
@@ -534,7 +534,7 @@
                 dispatch.params.service, False, dispatch.final_attempt
             )
             dispatch.mark_run(name)
-            dispatch.failure = failed
+            dispatch.failure = failed.detached()
             if not dispatch.call.idempotent or dispatch.call.body is None:
                 raise
             return None
@@ -583,7 +583,7 @@
         if declined.reason == hops.LEAVING:
             self.pool.record_leaving(name, dispatch.call.match.key)
         if declined.reason in REASONS_TO_WAIT:
-            dispatch.refused_by[name] = (target, declined)
+            dispatch.refused_by[name] = (target, declined.detached())
 
     # Events
 
--- a/carawaystair/gateway/dispatches.py
+++ b/carawaystair/gateway/dispatches.py
@@ -35,6 +35,10 @@
         self.reason = reason
         self.report = report
 
+    def detached(self) -> 'Declined':
+        """Return it without the frames that it was raised in."""
+        return Declined(self.reason, self.report)
+
 
 class Params(typing.NamedTuple):
     """Parameters of a dispatch beside those of the call.
--- a/carawaystair/gateway/gateway_client.py
+++ b/carawaystair/gateway/gateway_client.py
@@ -24,6 +24,7 @@
 from carawaystair import interfaces
 from carawaystair.load import stopping
 from carawaystair.request import answer as answers
+from carawaystair.request import errors
 from carawaystair.request import target as targets
 
 # A gateway that has acknowledged a request counts as silent after three of its
@@ -313,7 +314,7 @@
                 interfaces.BROKEN,
                 codes.ANSWER_LOST,
                 attempt.may_have_run,
-                str(error),
+                errors.told(error),
             ) from None
         except BaseException:
             # Most probably the caller has left.
@@ -350,7 +351,8 @@
             except TimeoutError as error:
                 if attempt.broken:
                     # The operating system closed it; that is not silence.
-                    raise ConnectionAbortedError(str(error)) from None
+                    text = errors.told(error)
+                    raise ConnectionAbortedError(text) from None
                 if clock.now() >= deadline or not attempt.may_have_run:
                     raise
                 self._suspect_path(attempt)
--- a/carawaystair/gateway/hedging.py
+++ b/carawaystair/gateway/hedging.py
@@ -31,6 +31,7 @@
         took the request.
     """
     tasks = {asyncio.ensure_future(first)}
+    done = waiting = set()
     try:
         await asyncio.wait(
             {*tasks, hedge_early},
@@ -53,3 +54,5 @@
     finally:
         for task in tasks:
             task.cancel()
+        # The failure of a task refers to this frame, and so to the task.
+        tasks, done, waiting = set(), set(), set()
--- a/carawaystair/gateway/resuming.py
+++ b/carawaystair/gateway/resuming.py
@@ -143,7 +143,8 @@
             be.
         :raises answers.Failed: when there is no answer.
         """
-        self.last_failure = failed or self.last_failure
+        if failed is not None:
+            self.last_failure = failed.detached()
         if attempt is not None:
             self._track(attempt)
             self.unresponsive.add(attempt)
@@ -172,7 +173,7 @@
                 if answer is not None:
                     return answer
             if self.failure is not None and not self.open_attempts:
-                raise self.failure
+                raise self.failure.detached()
             self._check_limits()
             if self._needs_attempt():
                 await self._start_attempt()
@@ -215,9 +216,9 @@
             if self.gone_at is None:
                 self.gone_at = now
             if not self.open_attempts or now - self.gone_at >= GONE_TIMEOUT_S:
-                raise self.last_failure
+                raise self.last_failure.detached()
         if not self.open_attempts and now - self.began >= self.timeout_s:
-            raise self.last_failure
+            raise self.last_failure.detached()
 
     async def _start_attempt(self) -> None:
         """Send another attempt, alternating between direct path and detour."""
@@ -273,12 +274,12 @@
             if not failed.sent:
                 self.unsent = True
                 return None
-            self.last_failure = failed
+            self.last_failure = failed.detached()
             if failed.outcome in LOST_OUTCOMES:
                 return None
             if decides and failed.detail != hops.ALREADY_STREAMED:
                 raise
-            self.failure = failed
+            self.failure = failed.detached()
         return None
 
     def _note_number(self, attempt: send_attempts.GatewayAttempt) -> None:
--- a/carawaystair/gateway/runs.py
+++ b/carawaystair/gateway/runs.py
@@ -39,6 +39,20 @@
 MS = 1000
 
 
+class Outcome(typing.NamedTuple):
+    """What a run came to.
+
+    A failure that was raised would refer to the frames of the run, and keep
+    the request and what its upstream sent for as long as it is kept itself.
+
+    :param answer: the answer; None after a failure.
+    :param failure: the failure, which was not raised; None if there is none.
+    """
+
+    answer: answers.Answer | None
+    failure: answers.Failed | slots.Refused | None = None
+
+
 class Run:
     """State of one request.
 
@@ -113,7 +127,7 @@
         """
         run = self._find(hop)
         if run.task is None:
-            run.task = asyncio.ensure_future(work())
+            run.task = asyncio.ensure_future(_settled(work()))
             run.task.add_done_callback(
                 lambda task: self._ended(hop, run, task)
             )
@@ -192,9 +206,7 @@
             run.task = None
             return
         run.task = asyncio.get_running_loop().create_future()
-        run.task.set_exception(slots.Refused(hops.RESTARTED))
-        # Avoids a warning when nobody retrieves the exception.
-        run.task.exception()
+        run.task.set_result(Outcome(None, slots.Refused(hops.RESTARTED)))
 
     def _last_waiter_left(self, hop: hops.Hop, run: Run, broken: bool) -> None:
         """Cancel a run without waiters, unless it may be resumed."""
@@ -245,22 +257,38 @@
 
 def _refusal(task: asyncio.Future) -> slots.Refused | None:
     """Return the refusal of a task if that promises that nothing ran."""
-    if task.cancelled():
+    if task.cancelled() or task.exception() is not None:
         return None
-    error = task.exception()
+    failure = task.result().failure
     if (
-        isinstance(error, slots.Refused)
-        and error.reason not in hops.MAY_HAVE_RUN
+        isinstance(failure, slots.Refused)
+        and failure.reason not in hops.MAY_HAVE_RUN
     ):
-        return error
+        return failure
     return None
 
 
-def claim(answer: answers.Answer) -> answers.Answer:
-    """Claim an answer for one waiter.
+async def _settled(
+    work: typing.Coroutine[typing.Any, typing.Any, answers.Answer],
+) -> Outcome:
+    """Return what a run comes to."""
+    try:
+        return Outcome(await work)
+    except (answers.Failed, slots.Refused) as failure:
+        return Outcome(None, failure.detached())
+
+
+def claim(outcome: Outcome) -> answers.Answer:
+    """Claim the answer of a run for one waiter.
 
     A long answer can be streamed once only; further waiters fail.
+
+    :raises slots.Refused: when it was not run.
+    :raises answers.Failed: when there is no answer.
     """
+    if outcome.failure is not None:
+        raise outcome.failure.detached()
+    answer = outcome.answer
     if answer.rest is not None:
         if answer.rest.claimed:
             raise answers.Failed(
@@ -280,7 +308,8 @@
         return
     if task.cancelled() or task.exception() is not None:
         return
-    rest = task.result().rest
+    answer = task.result().answer
+    rest = None if answer is None else answer.rest
     if rest is not None and not rest.claimed:
         rest.claimed = True
         rest.abort()
--- a/carawaystair/gateway/slots.py
+++ b/carawaystair/gateway/slots.py
@@ -24,6 +24,10 @@
         self.reason = reason
         self.detail = detail
 
+    def detached(self) -> 'Refused':
+        """Return it without the frames that it was raised in."""
+        return Refused(self.reason, self.detail)
+
 
 class Slots:
     """Assigns the slots of one upstream to requests.
--- a/carawaystair/request/answer.py
+++ b/carawaystair/request/answer.py
@@ -5,6 +5,7 @@
 from aiohttp import http
 
 from carawaystair import codes
+from carawaystair.request import errors
 from carawaystair.request import headers
 
 # Statuses whose answers never have a body (RFC 9110 6.4.1).
@@ -44,12 +45,20 @@
     def __init__(
         self, outcome: str, code: codes.Code, sent: bool, detail: str = ''
     ) -> None:
+        detail = errors.shortened(detail)
         super().__init__(outcome, code, sent, detail)
         self.outcome = outcome
         self.code = code
         self.sent = sent
         self.detail = detail
 
+    def detached(self) -> 'Failed':
+        """Return it without the frames that it was raised in.
+
+        One that is kept would keep all that they refer to.
+        """
+        return Failed(self.outcome, self.code, self.sent, self.detail)
+
 
 def body_size(answer: Answer) -> int:
     """Return the length of an answer's body in bytes.
--- a/carawaystair/request/attempt.py
+++ b/carawaystair/request/attempt.py
@@ -13,6 +13,7 @@
 from carawaystair.request import body as bodies
 from carawaystair.request import call as calls
 from carawaystair.request import connections
+from carawaystair.request import errors
 from carawaystair.request import headers
 from carawaystair.request import target as targets
 
@@ -205,7 +206,8 @@
         if self.pump is not None and self.pump.task is not None:
             self.pump.task.cancel()
         if self.connection is not None:
-            self.connection.proto.abort()
+            self.connection.owner = None
+            self.connection.proto.discard()
 
     # Answer
 
@@ -228,9 +230,11 @@
         except TimeoutError:
             raise
         except http_exceptions.HttpProcessingError as error:
-            raise self._failure(codes.ANSWER_MALFORMED, error) from None
+            text = errors.told(error)
+            raise self._failure(codes.ANSWER_MALFORMED, text) from None
         except CONNECTION_ERRORS as error:
-            raise self._failure(codes.ANSWER_LOST, error) from None
+            text = errors.told(error)
+            raise self._failure(codes.ANSWER_LOST, text) from None
 
     def _failure(self, code: codes.Code, error: object) -> answers.Failed:
         refused = self.pump.refusal if self.pump is not None else None
--- a/carawaystair/request/http_client.py
+++ b/carawaystair/request/http_client.py
@@ -12,6 +12,7 @@
 from aiohttp import http
 from aiohttp import streams
 
+from carawaystair.request import errors
 from carawaystair.request import protocol
 
 # Bounds of an upstream's answer head.
@@ -91,6 +92,11 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def discard(self) -> None:
+        """Abort the connection; nobody reads what has arrived on it."""
+        self.heads.clear()
+        self.abort()
+
     def fail(self, error: BaseException) -> None:
         """Abort the connection and raise an error in its readers.
 
@@ -150,10 +156,13 @@
             # The data would be taken for the answer to the next request.
             self._fail(aiohttp.ClientConnectionError('bytes out of turn'))
             return
+        broken = None
         try:
             messages, upgraded, _tail = self._parser.feed_data(data)
         except Exception as error:
-            self._fail(error)
+            broken = errors.unparsable(error)
+        if broken is not None:
+            self._fail(broken)
             return
         for message, payload in messages:
             self.payload = payload
@@ -182,6 +191,10 @@
             self.timer.cancel()
             self.timer = None
         self._end(exc or aiohttp.ServerDisconnectedError())
+        # Both refer to this connection, which would keep what it holds until
+        # the next collection of garbage.
+        self._parser = None
+        self.payload = streams.EMPTY_PAYLOAD
 
     def _fail(self, error: BaseException) -> None:
         """Abort the connection because of an error."""
--- a/test/pipes.py
+++ b/test/pipes.py
@@ -189,6 +189,8 @@
         self.lost = True
         self.closing = True
         self.protocol.connection_lost(error)
+        # As asyncio does, which keeps nothing of an ended connection.
+        self.protocol = None
 
 
 class Listener:
--- /dev/null
+++ b/test/test_answer_leftovers.py
@@ -0,0 +1,150 @@
+"""What is left in memory of answers that were no answers."""
+
+import asyncio
+import gc
+import tracemalloc
+
+import pytest
+
+from test import gateway_setup as fleets
+from test import pipes
+from test import test_gateway_endless as endless
+
+PIECE_BYTES = 64 * 1024
+HEAD = endless.HEAD
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+ANSWERS = {
+    'zeros': b'\0' * PIECE_BYTES,
+    'letters': b'z' * PIECE_BYTES,
+    'all-bytes': bytes(range(256)) * 256,
+    'status-line': b'HTTP/1.1 200 ' + b'O' * PIECE_BYTES,
+    'status-code': b'HTTP/1.1 ' + b'9' * PIECE_BYTES,
+    'header': HEAD + b'X-\0A: ' + b'\1' * PIECE_BYTES,
+    'long-header': HEAD + b'X-A: ' + b'b' * PIECE_BYTES,
+    'many-headers': HEAD + b'X-A: b\r\n' * 8000,
+    'chunk-size': CHUNKED + b'\xff' * PIECE_BYTES,
+    'chunk': CHUNKED + b'4000\r\n%b' % (b'y' * PIECE_BYTES),
+    'trailer': CHUNKED + b'0\r\n' + b'\0' * PIECE_BYTES,
+    'length': HEAD + b'Content-Length: ' + b'x' * 1000 + b'\r\n\r\n',
+    'other-protocol': b'HTTP/1.1 101 Switching\r\nUpgrade: x\r\n'
+    b'Connection: upgrade\r\n\r\n' + b'z' * PIECE_BYTES,
+    'foreign': b''.join(
+        fleets.good(b'y' * 10_000, Caraway_Request_Id='other')
+        for _answer in range(8)
+    ),
+    'broken-off': HEAD + b'Content-Length: 100000\r\n\r\n' + b'y' * 60_000,
+    'behind-an-answer': fleets.good() + b'\0' * PIECE_BYTES,
+    'nothing': b'',
+}
+REQUESTS = 20
+# What may stay of each, with the records of the test itself.
+KEPT_BYTES = PIECE_BYTES // 4
+# For so long a gateway keeps answers to orders, seconds.
+KEEP_S = 25.0
+BODY = b'x' * 30_000
+
+
+def script(answer: bytes):
+    """Return a script that sends some bytes and closes."""
+
+    async def run(upstream, seen, writer):
+        if '/warm' in seen.line:
+            writer.write(fleets.good())
+            return
+        writer.write(answer)
+        await writer.drain()
+        writer.close()
+
+    return run
+
+
+def forget(fleet) -> None:
+    """Drop what the test itself keeps."""
+    for node in fleet.nodes:
+        node.lines.lines.clear()
+        if node.upstream is not None:
+            node.upstream.runs.clear()
+    asyncio.get_running_loop().made.clear()
+
+
+async def ask_again_and_again(
+    answer: bytes, method: str, keep_s: float
+) -> float:
+    """Send some requests to a host whose upstream answers with these bytes.
+
+    :param keep_s: how long to wait after the last one, seconds.
+    :return: bytes that stay in memory of each, without any collection.
+    """
+    path = '/read/x' if method == 'GET' else '/pay/x'
+    body = b'' if method == 'GET' else BODY
+    async with fleets.running(None, script(answer)) as fleet:
+        for _turn in range(REQUESTS):
+            await fleet.ask(path, method, body=body)
+        await asyncio.sleep(KEEP_S)
+        forget(fleet)
+        gc.collect()
+        gc.disable()
+        tracemalloc.start()
+        try:
+            for _turn in range(REQUESTS):
+                await fleet.ask(path, method, body=body)
+            await asyncio.sleep(keep_s)
+            forget(fleet)
+            return tracemalloc.get_traced_memory()[0] / REQUESTS
+        finally:
+            tracemalloc.stop()
+            gc.enable()
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+@pytest.mark.parametrize('kind', ANSWERS)
+def test_answers_that_are_none_leave_nothing_behind(kind, method):
+    """Guards against memory that grows with each faulty answer."""
+    left = pipes.run(ask_again_and_again(ANSWERS[kind], method, 1.0))
+    assert left < KEPT_BYTES
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+def test_sound_answers_leave_nothing_behind(method):
+    """Guards against memory that grows with the answers that are kept."""
+    answer = fleets.good(b'y' * (PIECE_BYTES - 1000))
+    left = pipes.run(ask_again_and_again(answer, method, KEEP_S))
+    assert left < KEPT_BYTES
+
+
+async def send_again_and_again(port: int, data: bytes) -> float:
+    """Send bytes to a listener, each time on a connection of their own.
+
+    :return: bytes that stay in memory of each, without any collection.
+    """
+
+    async def send():
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(data)
+        await reader.read()
+        writer.close()
+
+    async with fleets.running(None, fleets.serve) as fleet:
+        for _turn in range(REQUESTS):
+            await send()
+        forget(fleet)
+        gc.collect()
+        gc.disable()
+        tracemalloc.start()
+        try:
+            for _turn in range(REQUESTS):
+                await send()
+            await asyncio.sleep(KEEP_S)
+            forget(fleet)
+            return tracemalloc.get_traced_memory()[0] / REQUESTS
+        finally:
+            tracemalloc.stop()
+            gc.enable()
+
+
+@pytest.mark.parametrize('port', [8000, 7001], ids=['callers', 'nodes'])
+@pytest.mark.parametrize('kind', ['zeros', 'letters', 'all-bytes'])
+def test_requests_that_are_none_leave_nothing_behind(kind, port):
+    """Guards against memory that grows with each malformed head."""
+    left = pipes.run(send_again_and_again(port, ANSWERS[kind]))
+    assert left < KEPT_BYTES
