Soak: orders whose bodies come slowly while their node stops

Callers, tests and the soak sent a body with its head, so that no request became whole late in a stop. Such requests are counted by what they were told.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -17,6 +17,9 @@
 # as long.
 CONNECT_S = 1.0
 HEAD_BYTES = 64 * 1024
+# Pieces of a body that comes slowly, and bytes of each.
+SLOW_PIECES = 5
+SLOW_PIECE_BYTES = 1000
 
 
 class Connection(typing.NamedTuple):
@@ -77,6 +80,16 @@
         """Return what came, and whether the connection may stay."""
         reader, writer = self.connection
         writer.write(_head(asked, self.address, path, headers))
+        sending = asyncio.ensure_future(_send_body(asked, writer))
+        try:
+            return await self._read(asked, reader)
+        finally:
+            sending.cancel()
+
+    async def _read(
+        self, asked: watches.Asked, reader: asyncio.StreamReader
+    ) -> tuple[watches.Told, bool]:
+        """Read an answer; see :meth:`_exchange`."""
         line = await reader.readuntil(b'\n')
         status = int(line.split()[1])
         head = http.client.parse_headers(
@@ -97,12 +110,31 @@
 def _head(
     asked: watches.Asked, address: str, path: str, headers: dict[str, str]
 ) -> bytes:
-    """Return a request as it goes over the wire; a POST has one byte."""
-    body = 'x' if asked.method == 'POST' else ''
-    fields = {'Host': address, 'Content-Length': str(len(body)), **headers}
+    """Return the head of a request as it goes over the wire."""
+    length = str(_body_size(asked))
+    fields = {'Host': address, 'Content-Length': length, **headers}
     lines = ['%s %s HTTP/1.1' % (asked.method, path)]
     lines += ['%s: %s' % field for field in fields.items()]
-    return '\r\n'.join([*lines, '', body]).encode()
+    return '\r\n'.join([*lines, '', '']).encode()
+
+
+def _body_size(asked: watches.Asked) -> int:
+    """Return the bytes of the body of a request."""
+    if asked.body_s:
+        return SLOW_PIECES * SLOW_PIECE_BYTES
+    return int(asked.method == 'POST')
+
+
+async def _send_body(
+    asked: watches.Asked, writer: asyncio.StreamWriter
+) -> None:
+    """Send the body of a request, in pieces if it comes slowly."""
+    if not asked.body_s:
+        writer.write(b'x' * _body_size(asked))
+        return
+    for _piece in range(SLOW_PIECES):
+        await asyncio.sleep(asked.body_s / SLOW_PIECES)
+        writer.write(b'x' * SLOW_PIECE_BYTES)
 
 
 async def _body(reader: asyncio.StreamReader, head) -> bytes:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -205,7 +205,7 @@
         document = super().settings(host)
         document['bind_ip'] = self.ips[host.name]
         document['log'] = {'form': 'json'}
-        document['node']['drain_s'] = watches.STOP_S
+        document['node']['drain_s'] = self.conditions.stop_s
         document['headers'] = {
             'limit': stated_module.LIMIT,
             'leaving': stated_module.LEAVING,
@@ -283,7 +283,7 @@
                 self.watch.stops(name)
                 self.ways[name][0].fill(self.conditions.queue_s)
             self.signal(name, number)
-            await self.wait(name, watches.STOP_S + KILLED_S)
+            await self.wait(name, self.conditions.stop_s + KILLED_S)
             self.watch.ends(name)
             self.watch.stated.struck(name)
             if power:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -128,8 +128,12 @@
 LINKS = (math.inf, 20.0, 10.0)
 SHARES = (1.0, 1.0, 0.7)
 QUEUES_S = (0.0, 0.3, 1.0)
-# Of so many seeds one has long requests of which a few take far longer.
+# Of so many seeds one has long requests of which a few take far longer, and
+# one has bodies that come slowly while stops are short, seconds.
 TAIL_EVERY = 10
+LATE_SEED = 5
+STOP_S = 12.0
+SHORT_STOP_S = 6.0
 # What each kind strikes: a node, a control host, any host, an upstream or
 # the whole fleet.
 NODE, CONTROL, HOST, UPSTREAM, FLEET = (
@@ -202,6 +206,8 @@
     :param queue_s: how long the link of a host is full when its process is
         asked to stop, seconds.
     :param tail: whether a few of the long requests take far longer.
+    :param late: whether there are requests whose bodies come slowly.
+    :param stop_s: what processes have for a stop, seconds.
     """
 
     rolls: bool = False
@@ -209,6 +215,8 @@
     share: float = 1.0
     queue_s: float = 0.0
     tail: bool = False
+    late: bool = False
+    stop_s: float = STOP_S
 
 
 def conditions(seed: int) -> Conditions:
@@ -216,12 +224,15 @@
     if seed % ROLL_EVERY != ROLL_SEED:
         return Conditions()
     rng = random.Random('conditions %d' % seed)
+    late = seed % TAIL_EVERY == LATE_SEED
     return Conditions(
         True,
         rng.choice(LINKS),
         rng.choice(SHARES),
         rng.choice(QUEUES_S),
         seed % TAIL_EVERY == 0,
+        late,
+        SHORT_STOP_S if late else STOP_S,
     )
 
 
--- a/soak/play.py
+++ b/soak/play.py
@@ -49,7 +49,13 @@
 # Callers of each node that send long requests on one connection, and the time
 # that such a request has and takes, ms; downloads have so many bytes.
 LONG_CALLERS = 4
+# Callers of each node whose bodies come slowly, over which times, seconds, and
+# what their requests take, ms.
+SLOW_CALLERS = 5
+SLOW_S = (2.0, 6.0)
+SLOW_TAKES_MS = (500, 3_000)
 LONG_LEFT_MS = 20_000
+LATE_LEFT_MS = 8_000
 LONG_MS = (100, 2_000)
 # On some seeds every so many-th of them takes so long, ms.
 TAIL_TURN = 15
@@ -168,6 +174,8 @@
             loads = [self._load(self.seconds)]
             if self.fleet.conditions.rolls:
                 loads.append(self._load_long(self.seconds))
+            if self.fleet.conditions.late:
+                loads.append(self._load_late(self.seconds))
             async with _beside(self._look(), self._feel()):
                 async with _beside(self._spare()):
                     await asyncio.gather(self._strike(), *loads)
@@ -214,6 +222,16 @@
         )
         await asyncio.gather(*asking)
 
+    async def _load_late(self, seconds: float) -> None:
+        """Have orders whose bodies come slowly at each node."""
+        ends = clock.now() + seconds
+        asking = (
+            self._keep_asking(host, ends, self._draw_late, LATE_LEFT_MS)
+            for host in self.fleet.nodes()
+            for _caller in range(SLOW_CALLERS)
+        )
+        await asyncio.gather(*asking)
+
     async def _keep_asking(
         self, host, ends: float, draw=None, left_ms: int = LEFT_MS
     ) -> None:
@@ -237,6 +255,14 @@
             takes_ms = TAIL_MS
         return asked, '%s&ms=%d' % (target, takes_ms)
 
+    def _draw_late(self, host) -> tuple[watches.Asked, str]:
+        """Draw an order whose body comes slowly, and its target."""
+        asked = self._asked(host, 'settlement', SHORT_BYTES, LATE_LEFT_MS)
+        asked = asked._replace(body_s=self.rng.uniform(*SLOW_S))
+        target = '%s?bytes=%d' % (PATHS['settlement'], asked.size)
+        takes_ms = self.rng.uniform(*SLOW_TAKES_MS)
+        return asked, '%s&ms=%d' % (target, takes_ms)
+
     def _draw_download(self, host) -> tuple[watches.Asked, str]:
         """Draw a download, and its target."""
         now = clock.now()
--- a/soak/run.py
+++ b/soak/run.py
@@ -46,8 +46,8 @@
 
 async def play(folder: pathlib.Path, seed: int, size: Size) -> watches.Watch:
     """Play one seed; prints the stories of what went wrong."""
-    watch = watches.Watch()
     conditions = plans.conditions(seed)
+    watch = watches.Watch(conditions.stop_s)
     async with fleets.Fleet(folder, seed, watch, conditions) as fleet:
         stage = fleets.Stage(fleet, size.controls, size.nodes, size.upstreams)
         await stage.start()
--- a/soak/watch.py
+++ b/soak/watch.py
@@ -13,6 +13,7 @@
 from carawaystair import clock
 from carawaystair import interfaces
 from soak import fatal as fatals
+from soak import plan as plans
 from soak import stated
 from standin import content
 from standin import runs as runs_module
@@ -31,8 +32,11 @@
 PROMISES = frozenset((408, 421, 429, 503))
 # A process that stops has this time; so long before its end it may answer
 # what is left, seconds.
-STOP_S = 12.0
+STOP_S = plans.STOP_S
 STOP_SLACK_S = 1.0
+# The end of a stop excuses nothing that became whole so long after its
+# beginning, seconds.
+TAKEN_S = 3.0
 # Statuses of ours that end a request that may have run.
 UNKNOWN = 'unknown'
 # The soak's own process, among what faults strike, and the time that a request
@@ -54,6 +58,7 @@
     :param ends: when its time is over.
     :param body: what the body of its answer is made from, its marker when
         empty.
+    :param body_s: over which time its own body comes, seconds.
     """
 
     marker: str
@@ -63,6 +68,12 @@
     began: float
     ends: float = math.inf
     body: str = ''
+    body_s: float = 0.0
+
+    @property
+    def whole(self) -> float:
+        """Return when its last byte was sent."""
+        return self.began + self.body_s
 
 
 class Told(typing.NamedTuple):
@@ -121,7 +132,9 @@
 class Watch:
     """Keeps what was seen, and the promises that were broken."""
 
-    def __init__(self) -> None:
+    def __init__(self, stop_s: float = STOP_S) -> None:
+        # What processes have for a stop, seconds.
+        self.stop_s = stop_s
         self.broken: list[str] = []
         # The request ids that a story is wanted of.
         self.stories: list[str] = []
@@ -234,6 +247,9 @@
         self.counts[told.outcome or 'left' * told.left or 'broken'] += 1
         if told.left:
             return
+        late = self._whole_late(asked, self.stopped[asked.node])
+        if told.status and late:
+            self.counts['whole late in a stop (%d)' % told.status] += 1
         if told.limited or told.leaving:
             self.counts['answers with a limit'] += told.limited
             self.counts['answers with a leave'] += told.leaving
@@ -292,10 +308,12 @@
         ]
         # What runs once is not begun where the end of a stop may cut it.
         begun = asked.method == 'POST' and _begun_within(works, stops)
+        own = [stop for name, stop in stops if name == asked.node]
+        late = self._whole_late(asked, own)
         ends = [
-            stop.begin + STOP_S - STOP_SLACK_S
+            stop.begin + self.stop_s - STOP_SLACK_S
             for name, stop in stops
-            if name == asked.node or not begun
+            if not late and (name == asked.node or not begun)
         ]
         left_s = min([asked.ends, *ends]) - now
         if left_s < PATIENT_S:
@@ -305,8 +323,12 @@
         over = left_s < 0 and bool(told.status)
         if over or self._disturbed(asked.began, now, places):
             return
-        met = begun or any(
-            w.begin <= s.begin <= w.end for _n, s in stops for w in works
+        met = (
+            begun
+            or late
+            or any(
+                w.begin <= s.begin <= w.end for _n, s in stops for w in works
+            )
         )
         self.counts['unknown, no fault near'] += bool(told.status)
         if told.status and not met:
@@ -316,6 +338,13 @@
         words = asked.marker, asked.node, told.status, ', '.join(shown)
         self.tell(text % words, told.id)
 
+    def _whole_late(self, asked: Asked, stops: typing.Iterable[Stop]) -> bool:
+        """Tell whether a request became whole late in a stop of its node."""
+        return any(
+            asked.began < stop.begin + TAKEN_S < asked.whole <= stop.end
+            for stop in stops
+        )
+
     def stops(self, host: str) -> None:
         """Take note that a host is asked to stop."""
         self.stopped[host].append(Stop(clock.now()))
--- a/test/test_fault_soak.py
+++ b/test/test_fault_soak.py
@@ -441,6 +441,14 @@
     watch.answered(asked(), UNKNOWN)
 
 
+def whole_late_and_cut_at_the_end_of_its_nodes_stop(watch):
+    begin = clock.now() - watches.STOP_S + watches.STOP_SLACK_S / 2
+    watch.stopped['node-1'].append(watches.Stop(begin))
+    late = asked(ends=clock.now() + 9.0)._replace(began=begin, body_s=5.0)
+    watch.began('s', ran(), 'node-2')
+    watch.answered(late, UNKNOWN)
+
+
 def cut_in_a_late_turn_with_much_time_left(watch):
     watch.began('s', ran(), 'node-2')
     watch.stops('node-2')
@@ -523,6 +531,7 @@
         cut_in_a_planned_stop,
         order_cut_that_began_in_a_stop,
         order_cut_at_the_end_of_a_stop_that_it_began_in,
+        whole_late_and_cut_at_the_end_of_its_nodes_stop,
         cut_in_a_late_turn_with_much_time_left,
         cut_with_a_fault_elsewhere,
         went_back,
