--- a/test/test_answer_leftovers.py
+++ b/test/test_answer_leftovers.py
@@ -48,15 +48,14 @@
 # For so long a gateway keeps answers to orders, seconds.
 KEEP_S = 25.0
 BODY = b'x' * 30_000
+# The listener of the first node for callers, and of the second for nodes.
+CALLERS, NODES = 8000, 7001
 
 
 def script(answer: bytes):
     """Return a script that sends some bytes and closes."""
 
     async def run(upstream, seen, writer):
-        if '/warm' in seen.line:
-            writer.write(fleets.good())
-            return
         writer.write(answer)
         await writer.drain()
         writer.close()
@@ -103,18 +102,16 @@
     asyncio.get_running_loop().made.clear()
 
 
-async def ask_again_and_again(
-    answer: bytes, method: str, keep_s: float
-) -> float:
-    """Send some requests to a host whose upstream answers with these bytes.
+async def left_by(upstream, port: int, data: bytes, keep_s: float) -> float:
+    """Send bytes to a listener again and again, with an upstream behind it.
 
-    :param keep_s: how long to wait after the last one, seconds.
-    :return: bytes that stay in memory of each, without any collection.
+    :param upstream: the script of the upstream.
+    :param keep_s: how long to wait after the last time, seconds.
+    :return: bytes that stay in memory of each time, without any collection.
     """
-    data = request(method)
-    async with fleets.running(None, script(answer)) as fleet:
+    async with fleets.running(None, upstream) as fleet:
         for _turn in range(REQUESTS):
-            await send(8000, data)
+            await send(port, data)
         await asyncio.sleep(KEEP_S)
         forget(fleet)
         gc.collect()
@@ -122,7 +119,7 @@
         tracemalloc.start()
         try:
             for _turn in range(REQUESTS):
-                await send(8000, data)
+                await send(port, data)
             await asyncio.sleep(keep_s)
             forget(fleet)
             return traced_bytes() / REQUESTS
@@ -135,7 +132,8 @@
 @pytest.mark.parametrize('kind', ANSWERS)
 def test_answers_that_are_none_leave_nothing_behind(kind, method):
     """Guards against memory that grows with each faulty answer."""
-    left = pipes.run(ask_again_and_again(ANSWERS[kind], method, WAIT_S))
+    upstream = script(ANSWERS[kind])
+    left = pipes.run(left_by(upstream, CALLERS, request(method), WAIT_S))
     assert left < KEPT_BYTES
 
 
@@ -143,37 +141,14 @@
 @pytest.mark.parametrize('method', ['GET', 'POST'])
 def test_sound_answers_leave_nothing_behind(method, size):
     """Guards against memory that grows with the answers that are kept."""
-    answer = fleets.good(b'y' * size)
-    left = pipes.run(ask_again_and_again(answer, method, KEEP_S))
+    upstream = script(fleets.good(b'y' * size))
+    left = pipes.run(left_by(upstream, CALLERS, request(method), KEEP_S))
     assert left < KEPT_BYTES
 
 
-async def send_again_and_again(port: int, data: bytes) -> float:
-    """Send bytes to a listener, each time on a connection of their own.
-
-    :return: bytes that stay in memory of each, without any collection.
-    """
-    async with fleets.running(None, fleets.serve) as fleet:
-        for _turn in range(REQUESTS):
-            await send(port, data)
-        forget(fleet)
-        gc.collect()
-        gc.disable()
-        tracemalloc.start()
-        try:
-            for _turn in range(REQUESTS):
-                await send(port, data)
-            await asyncio.sleep(KEEP_S)
-            forget(fleet)
-            return traced_bytes() / REQUESTS
-        finally:
-            tracemalloc.stop()
-            gc.enable()
-
-
-@pytest.mark.parametrize('port', [8000, 7001], ids=['callers', 'nodes'])
+@pytest.mark.parametrize('port', [CALLERS, NODES], ids=['callers', 'nodes'])
 @pytest.mark.parametrize('kind', ['zeros', 'letters', 'all-bytes'])
 def test_requests_that_are_none_leave_nothing_behind(kind, port):
     """Guards against memory that grows with each malformed head."""
-    left = pipes.run(send_again_and_again(port, ANSWERS[kind]))
+    left = pipes.run(left_by(fleets.serve, port, ANSWERS[kind], KEEP_S))
     assert left < KEPT_BYTES
