--- a/carawaystair/gateway/arrivals.py
+++ b/carawaystair/gateway/arrivals.py
@@ -56,7 +56,7 @@
     def set_end(self, accept_until: float, ends_at: float) -> None:
         """Set the time by which it must be whole, as its node stops.
 
-        :param accept_until: monotonic time until which requests are taken.
+        :param accept_until: monotonic time until which requests are accepted.
         :param ends_at: monotonic time at which the process ends.
         """
         whole_by = stopping.whole_by(
@@ -112,7 +112,7 @@
 
     def __init__(self) -> None:
         self.arrivals: dict[http_server.Request, Arrival] = {}
-        # Set while the node stops: until when requests are taken, and when
+        # Set while the node stops: until when requests are accepted, and when
         # the process ends.
         self.accept_until = math.inf
         self.ends_at = math.inf
@@ -156,7 +156,7 @@
     def stop(self, accept_until: float, ends_at: float) -> None:
         """Bound the time of all bodies, as the node stops.
 
-        :param accept_until: monotonic time until which requests are taken.
+        :param accept_until: monotonic time until which requests are accepted.
         :param ends_at: monotonic time at which the process ends.
         """
         self.accept_until, self.ends_at = accept_until, ends_at
--- a/carawaystair/gateway/executor.py
+++ b/carawaystair/gateway/executor.py
@@ -390,7 +390,7 @@
                 int(_expected_s(hop, slots, now) * MS),
                 int(seen.longest_s * MS),
                 seen.runs,
-                stopping.left_ms(_sender_ends_at(hop, now)),
+                stopping.left_ms(limits.sender_ends_at),
             ),
             # Good requests must not crowd out the repeats of others.
             decisions.TROUBLE if _kind_of_repeat(hop) else decisions.ROUTINE,
