--- a/soak/callers.py
+++ b/soak/callers.py
@@ -79,8 +79,12 @@
     ) -> tuple[watches.Told, bool]:
         """Return what came, and whether the connection may stay."""
         reader, writer = self.connection
-        writer.write(_head(asked, self.address, path, headers))
-        sending = asyncio.ensure_future(_send_body(asked, writer))
+        head = _head(asked, self.address, path, headers)
+        if not asked.body_s:
+            writer.write(head + b'x' * _body_size(asked))
+            return await self._read(asked, reader)
+        writer.write(head)
+        sending = asyncio.ensure_future(_send_slowly(asked, writer))
         try:
             return await self._read(asked, reader)
         finally:
@@ -125,13 +129,10 @@
     return int(asked.method == 'POST')
 
 
-async def _send_body(
+async def _send_slowly(
     asked: watches.Asked, writer: asyncio.StreamWriter
 ) -> None:
-    """Send the body of a request, in pieces if it comes slowly."""
-    if not asked.body_s:
-        writer.write(b'x' * _body_size(asked))
-        return
+    """Send the body of a request in pieces."""
     for _piece in range(SLOW_PIECES):
         await asyncio.sleep(asked.body_s / SLOW_PIECES)
         writer.write(b'x' * SLOW_PIECE_BYTES)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -128,10 +128,9 @@
 LINKS = (math.inf, 20.0, 10.0)
 SHARES = (1.0, 1.0, 0.7)
 QUEUES_S = (0.0, 0.3, 1.0)
-# Of so many seeds one has long requests of which a few take far longer, and
-# one has bodies that come slowly while stops are short, seconds.
+# Of so many seeds one has long requests of which a few take far longer.
 TAIL_EVERY = 10
-LATE_SEED = 5
+# What processes have for a stop, and where bodies come late, seconds.
 STOP_S = 12.0
 SHORT_STOP_S = 6.0
 # What each kind strikes: a node, a control host, any host, an upstream or
@@ -224,18 +223,20 @@
     if seed % ROLL_EVERY != ROLL_SEED:
         return Conditions()
     rng = random.Random('conditions %d' % seed)
-    late = seed % TAIL_EVERY == LATE_SEED
     return Conditions(
         True,
         rng.choice(LINKS),
         rng.choice(SHARES),
         rng.choice(QUEUES_S),
         seed % TAIL_EVERY == 0,
-        late,
-        SHORT_STOP_S if late else STOP_S,
     )
 
 
+def with_late_bodies(known: Conditions) -> Conditions:
+    """Return conditions with requests that become whole late in stops."""
+    return known._replace(late=True, stop_s=SHORT_STOP_S)
+
+
 def draw(seed: int, seconds: float) -> list[Event]:
     """Return the plan of a seed, in order.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -44,9 +44,16 @@
     ]
 
 
-async def play(folder: pathlib.Path, seed: int, size: Size) -> watches.Watch:
-    """Play one seed; prints the stories of what went wrong."""
+async def play(
+    folder: pathlib.Path, seed: int, size: Size, late: bool = False
+) -> watches.Watch:
+    """Play one seed; prints the stories of what went wrong.
+
+    :param late: whether there are requests whose bodies come late.
+    """
     conditions = plans.conditions(seed)
+    if late:
+        conditions = plans.with_late_bodies(conditions)
     watch = watches.Watch(conditions.stop_s)
     async with fleets.Fleet(folder, seed, watch, conditions) as fleet:
         stage = fleets.Stage(fleet, size.controls, size.nodes, size.upstreams)
@@ -67,6 +74,9 @@
     parser.add_argument(
         '--cases', action='store_true', help='play the seeds that failed once'
     )
+    parser.add_argument(
+        '--late', action='store_true', help='with bodies that come late'
+    )
     parser.add_argument('--keep', help='folder for settings, logs and data')
     for name, default in Size()._asdict().items():
         parser.add_argument('--' + name, type=type(default), default=default)
@@ -76,19 +86,23 @@
     seeds = list(range(options.seed, ends, options.step))
     if options.cases:
         seeds = cases()
-    broken = [seed for seed in seeds if not _kept(seed, size, options.keep)]
+    broken = [
+        seed
+        for seed in seeds
+        if not _kept(seed, size, options.keep, options.late)
+    ]
     print('soak: %d seeds, broken: %s' % (len(seeds), broken or 'none'))
     return EXIT_BROKEN if broken else EXIT_KEPT
 
 
-def _kept(seed: int, size: Size, keep: str | None) -> bool:
+def _kept(seed: int, size: Size, keep: str | None, late: bool) -> bool:
     """Play one seed; tell whether all promises were kept."""
     with tempfile.TemporaryDirectory(prefix='soak-') as temporary:
         folder = pathlib.Path(temporary)
         if keep:
             folder = pathlib.Path(keep) / str(seed)
             folder.mkdir(parents=True)
-        watch = asyncio.run(play(folder, seed, size))
+        watch = asyncio.run(play(folder, seed, size, late))
     counts = ', '.join('%s %d' % pair for pair in sorted(watch.counts.items()))
     print('soak: seed %d: %s' % (seed, counts), flush=True)
     for sentence in watch.broken[:MOST_SHOWN]:
