--- a/carawaystair/gateway/executor.py
+++ b/carawaystair/gateway/executor.py
@@ -414,7 +414,7 @@
             instance.bodies.give(body_bytes)
             slots.release(hop.key, attempt.sent)
             if streaming:
-                # It refers to the attempt.
+                # Breaks the reference cycle with the attempt.
                 attempt.release_slot = None
                 self._streaming_ended(hop, instance, attempt)
 
--- a/carawaystair/gateway/gateway_client.py
+++ b/carawaystair/gateway/gateway_client.py
@@ -314,7 +314,7 @@
                 interfaces.BROKEN,
                 codes.ANSWER_LOST,
                 attempt.may_have_run,
-                errors.told(error),
+                errors.describe(error),
             ) from None
         except BaseException:
             # Most probably the caller has left.
@@ -351,7 +351,7 @@
             except TimeoutError as error:
                 if attempt.broken:
                     # The operating system closed it; that is not silence.
-                    text = errors.told(error)
+                    text = errors.describe(error)
                     raise ConnectionAbortedError(text) from None
                 if clock.now() >= deadline or not attempt.may_have_run:
                     raise
--- a/carawaystair/gateway/hedging.py
+++ b/carawaystair/gateway/hedging.py
@@ -54,5 +54,5 @@
     finally:
         for task in tasks:
             task.cancel()
-        # The failure of a task refers to this frame, and so to the task.
+        # Breaks the reference cycle of a failed task with this frame.
         tasks, done, waiting = set(), set(), set()
--- a/carawaystair/gateway/spool.py
+++ b/carawaystair/gateway/spool.py
@@ -141,8 +141,8 @@
                 self.pieces.append(data)
                 self.arrived.set()
         except Exception as error:
-            # Raised by read, after what arrived before it.  Its frames refer
-            # to this object.
+            # Raised by read, after what arrived before it.  Its traceback
+            # would make a reference cycle.
             self.error = error.with_traceback(None)
         finally:
             self.release()
--- a/carawaystair/gateway/streaming.py
+++ b/carawaystair/gateway/streaming.py
@@ -72,7 +72,7 @@
         return ''
     except CONNECTION_ERRORS as error:
         exchange.abort()
-        return '%s: %s' % (codes.ANSWER_LOST.label, errors.told(error))
+        return '%s: %s' % (codes.ANSWER_LOST.label, errors.describe(error))
 
 
 async def _write(
--- a/carawaystair/request/attempt.py
+++ b/carawaystair/request/attempt.py
@@ -20,8 +20,8 @@
 # Bodies up to this length are buffered whole, so that a request can be retried
 # when its answer breaks off; longer ones are streamed to the caller.
 MAX_BUFFERED_BYTES = 128 * 1024
-# Interim answers before the final one.  A slow upstream may send some each
-# second for minutes; one that sends more has lost track.
+# Interim answers before the final one; a slow upstream may send some each
+# second for minutes.
 MAX_INTERIM_ANSWERS = 1000
 CONNECTION_ERRORS = (aiohttp.ClientError, ConnectionError, OSError)
 
@@ -237,10 +237,10 @@
         except TimeoutError:
             raise
         except http_exceptions.HttpProcessingError as error:
-            text = errors.told(error)
+            text = errors.describe(error)
             raise self._failure(codes.ANSWER_MALFORMED, text) from None
         except CONNECTION_ERRORS as error:
-            text = errors.told(error)
+            text = errors.describe(error)
             raise self._failure(codes.ANSWER_LOST, text) from None
 
     def _failure(self, code: codes.Code, error: object) -> answers.Failed:
--- a/carawaystair/request/errors.py
+++ b/carawaystair/request/errors.py
@@ -27,10 +27,10 @@
     return http.HttpProcessingError(message=shortened(text))
 
 
-def told(error: BaseException) -> str:
-    """Return the text of an error, which forgets where it was raised.
+def describe(error: BaseException) -> str:
+    """Return the text of an error, and drop its traceback.
 
-    Its frames may refer to whoever keeps it.
+    The frames of that may refer to whoever keeps the error.
     """
     error.__traceback__ = None
     return shortened(str(error))
--- a/carawaystair/request/http_client.py
+++ b/carawaystair/request/http_client.py
@@ -18,10 +18,10 @@
 # Bounds of an upstream's answer head.
 MAX_LINE_BYTES = 16 * 1024
 MAX_HEADERS = 128
-# Bytes in a row that add neither a head nor anything to a body, such as blank
-# lines or the extension of a chunk; a whole head has no more.
-MAX_BARREN_BYTES = MAX_LINE_BYTES * MAX_HEADERS
-BARREN = 'bytes of which no answer comes'
+# Bytes in a row without a whole head or more of a body, such as blank lines or
+# the extension of a chunk; a whole head has no more.
+MAX_IDLE_BYTES = MAX_LINE_BYTES * MAX_HEADERS
+NO_PROGRESS = 'bytes without progress of an answer'
 # Reading pauses when twice this much of a body is buffered.
 READ_BUFFER_BYTES = 64 * 1024
 
@@ -47,8 +47,8 @@
         self.ends_with_close = False
         # Whether the upstream allows another request.
         self.keep_alive = True
-        # See MAX_BARREN_BYTES.
-        self.barren_bytes = 0
+        # See MAX_IDLE_BYTES.
+        self.idle_bytes = 0
         self.head_waiter: asyncio.Future | None = None
 
     # Requests
@@ -60,7 +60,7 @@
             say.
         """
         self.awaiting_answer = True
-        self.barren_bytes = 0
+        self.idle_bytes = 0
         self._parser = http.HttpResponseParser(
             self,
             self.loop,
@@ -172,10 +172,10 @@
         if broken is not None:
             self._fail(broken)
             return
-        fruitful = bool(messages) or payload.total_bytes > size
-        self.barren_bytes = 0 if fruitful else self.barren_bytes + len(data)
-        if self.barren_bytes > MAX_BARREN_BYTES:
-            self._fail(http.HttpProcessingError(message=BARREN))
+        progress = bool(messages) or payload.total_bytes > size
+        self.idle_bytes = 0 if progress else self.idle_bytes + len(data)
+        if self.idle_bytes > MAX_IDLE_BYTES:
+            self._fail(http.HttpProcessingError(message=NO_PROGRESS))
             return
         for message, payload in messages:
             self.payload = payload
--- a/test/test_gateway_endless.py
+++ b/test/test_gateway_endless.py
@@ -148,8 +148,8 @@
     assert seen.sent_bytes < MOST_BYTES
 
 
-# Bytes of which no answer can become.
-BARREN = (
+# Bytes that never become an answer.
+NO_PROGRESS = (
     'blank-lines',
     'interim-answers',
     'early-hints',
@@ -159,7 +159,7 @@
 
 
 @pytest.mark.parametrize('method', ['GET', 'POST'])
-@pytest.mark.parametrize('kind', BARREN)
+@pytest.mark.parametrize('kind', NO_PROGRESS)
 def test_bytes_of_which_nothing_comes_are_ended_early(kind, method):
     """Guards against a node that reads them until the request's deadline."""
     seen = pipes.run(ask(kind, method))
