--- a/carawaystair/gateway/send_attempts.py
+++ b/carawaystair/gateway/send_attempts.py
@@ -196,6 +196,9 @@
         'silences',
     )
 
+    # They are its signs of life, for as long as a request takes.
+    max_interim_answers = math.inf
+
     def __init__(
         self,
         call: calls.Call,
--- a/carawaystair/request/attempt.py
+++ b/carawaystair/request/attempt.py
@@ -20,6 +20,9 @@
 # Bodies up to this length are buffered whole, so that a request can be retried
 # when its answer breaks off; longer ones are streamed to the caller.
 MAX_BUFFERED_BYTES = 128 * 1024
+# Interim answers before the final one.  A slow upstream may send some each
+# second for minutes; one that sends more has lost track.
+MAX_INTERIM_ANSWERS = 1000
 CONNECTION_ERRORS = (aiohttp.ClientError, ConnectionError, OSError)
 
 
@@ -42,6 +45,7 @@
         'recorded',
         'extra',
         'fresh',
+        'interim_count',
         'message',
         'payload',
         'pump',
@@ -51,6 +55,8 @@
         'target',
     )
 
+    max_interim_answers: float = MAX_INTERIM_ANSWERS
+
     def __init__(
         self,
         call: calls.Call,
@@ -71,6 +77,7 @@
         self.pump: bodies.Pump | None = None
         self.chunks: list[bytes] = []
         self.size = 0
+        self.interim_count = 0
         # True from just before the first byte is sent.
         self.sent = False
         # True once its outcome was reported as evidence.
@@ -261,6 +268,10 @@
         if message.code == 101:
             # The request did not ask for an upgrade.
             raise self._failure(codes.ANSWER_MALFORMED, 'unasked 101')
+        self.interim_count += 1
+        if self.interim_count > self.max_interim_answers:
+            detail = '%d interim answers' % self.interim_count
+            raise self._failure(codes.ANSWER_MALFORMED, detail)
 
     def check_request_id(self, message) -> None:
         """Check that an answer belongs to this request.
--- a/carawaystair/request/http_client.py
+++ b/carawaystair/request/http_client.py
@@ -18,6 +18,10 @@
 # Bounds of an upstream's answer head.
 MAX_LINE_BYTES = 16 * 1024
 MAX_HEADERS = 128
+# Bytes in a row that add neither a head nor anything to a body, such as blank
+# lines or the extension of a chunk; a whole head has no more.
+MAX_BARREN_BYTES = MAX_LINE_BYTES * MAX_HEADERS
+BARREN = 'bytes of which no answer comes'
 # Reading pauses when twice this much of a body is buffered.
 READ_BUFFER_BYTES = 64 * 1024
 
@@ -43,6 +47,8 @@
         self.ends_with_close = False
         # Whether the upstream allows another request.
         self.keep_alive = True
+        # See MAX_BARREN_BYTES.
+        self.barren_bytes = 0
         self.head_waiter: asyncio.Future | None = None
 
     # Requests
@@ -54,6 +60,7 @@
             say.
         """
         self.awaiting_answer = True
+        self.barren_bytes = 0
         self._parser = http.HttpResponseParser(
             self,
             self.loop,
@@ -157,6 +164,7 @@
             self._fail(aiohttp.ClientConnectionError('bytes out of turn'))
             return
         broken = None
+        payload, size = self.payload, self.payload.total_bytes
         try:
             messages, upgraded, _tail = self._parser.feed_data(data)
         except Exception as error:
@@ -164,6 +172,11 @@
         if broken is not None:
             self._fail(broken)
             return
+        fruitful = bool(messages) or payload.total_bytes > size
+        self.barren_bytes = 0 if fruitful else self.barren_bytes + len(data)
+        if self.barren_bytes > MAX_BARREN_BYTES:
+            self._fail(http.HttpProcessingError(message=BARREN))
+            return
         for message, payload in messages:
             self.payload = payload
             if message.should_close:
--- a/test/test_gateway_endless.py
+++ b/test/test_gateway_endless.py
@@ -33,6 +33,7 @@
     'header-lines': (HEAD, b'X-A: b\r\n' * (PIECE_BYTES // 8)),
     'long-header': (HEAD + b'X-A: ', b'b' * PIECE_BYTES),
     'interim-answers': (b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 600),
+    'early-hints': (b'', b'HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n' * 500),
     'body-without-length': (HEAD + b'\r\n', b'y' * PIECE_BYTES),
     'slow-body-without-length': (HEAD + b'\r\n', b'y' * 8),
     'chunks': (
@@ -43,6 +44,10 @@
         HEAD + b'Transfer-Encoding: chunked\r\n\r\n4000;',
         b'e' * PIECE_BYTES,
     ),
+    'chunk-size': (
+        HEAD + b'Transfer-Encoding: chunked\r\n\r\n',
+        b'0' * PIECE_BYTES,
+    ),
     'trailers': (
         HEAD + b'Transfer-Encoding: chunked\r\n\r\n0\r\n',
         b'X-A: b\r\n' * (PIECE_BYTES // 8),
@@ -141,3 +146,45 @@
     )
     assert (seen.open, seen.running) == (0, 0)
     assert seen.sent_bytes < MOST_BYTES
+
+
+# Bytes of which no answer can become.
+BARREN = (
+    'blank-lines',
+    'interim-answers',
+    'early-hints',
+    'chunk-extension',
+    'chunk-size',
+)
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+@pytest.mark.parametrize('kind', BARREN)
+def test_bytes_of_which_nothing_comes_are_ended_early(kind, method):
+    """Guards against a node that reads them until the request's deadline."""
+    seen = pipes.run(ask(kind, method))
+    assert seen.status == 502
+    assert seen.took_s < TIMEOUT_S
+    assert (seen.open, seen.running) == (0, 0)
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+def test_upstream_may_say_often_that_it_still_works(method):
+    """Guards against a bound that ends sound answers."""
+
+    async def work(upstream, seen, writer):
+        for _turn in range(300):
+            writer.write(b'HTTP/1.1 102 Processing\r\n\r\n')
+            await asyncio.sleep(0.1)
+        writer.write(fleets.good())
+
+    async def scenario():
+        route = manifest.Route(
+            '/work/', 'portal', idempotent=method == 'GET', timeout_ms=60_000
+        )
+        async with fleets.running(None, work, routes=(route,)) as fleet:
+            body = b'x' if method == 'POST' else b''
+            patient = {'Caraway_Deadline_Ms': '60000'}
+            return await fleet.ask('/work/x', method, body=body, **patient)
+
+    assert pipes.run(scenario()).status == 200
